Freeze the frame: packages, interface headers, protocols

The headers that packages meet at, the table of error kinds, and the protocols towards callers, leafs and the platform come first, so that the packages can be written side by side.

--- /dev/null
+++ b/ibismux/http/client_connection.h
@@ -0,0 +1,56 @@
+#ifndef IBISMUX_HTTP_CLIENT_CONNECTION_H_
+#define IBISMUX_HTTP_CLIENT_CONNECTION_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "ibismux/base/error.h"
+#include "ibismux/base/task.h"
+#include "ibismux/base/time.h"
+#include "ibismux/http/message.h"
+
+namespace ibismux::http {
+
+/// One HTTP/1.1 connection to one server; one exchange at a time.
+///
+/// Belongs to the event loop it is used from; not thread safe.
+class ClientConnection {
+ public:
+  /// @param max_body A response body longer than this is a protocol error.
+  ClientConnection(std::string address,
+                   std::uint16_t port,
+                   std::size_t max_body = 16 * 1024 * 1024);
+  ~ClientConnection();
+  ClientConnection(const ClientConnection&) = delete;
+  ClientConnection& operator=(const ClientConnection&) = delete;
+
+  /// Opens the TCP connection. Precondition: not open.
+  /// Fails with kLeafUnavailable and `Execution::kNotRun`, or with
+  /// kDeadlineExceeded and `Execution::kNotRun`.
+  [[nodiscard]] Task<Result<void>> connect(TimePoint deadline);
+
+  /// Sends `request` and reads its response. Precondition: open, and no other
+  /// exchange is going on.
+  ///
+  /// An error says `Execution::kNotRun` only where no byte was handed to the
+  /// socket. After any error, and after a response that asks for it, the
+  /// connection is closed and `usable()` is false.
+  [[nodiscard]] Task<Result<Response>> exchange(
+      std::shared_ptr<const Request> request,
+      TimePoint deadline);
+
+  /// Open, between exchanges, and with no stray byte from the server waiting.
+  [[nodiscard]] bool usable() const noexcept;
+
+  /// Closes at once; an exchange in progress ends with kCancelled.
+  void close() noexcept;
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace ibismux::http
+
+#endif  // IBISMUX_HTTP_CLIENT_CONNECTION_H_
--- /dev/null
+++ b/ibismux/http/server.h
@@ -0,0 +1,69 @@
+#ifndef IBISMUX_HTTP_SERVER_H_
+#define IBISMUX_HTTP_SERVER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "ibismux/base/error.h"
+#include "ibismux/base/forward.h"
+#include "ibismux/base/task.h"
+#include "ibismux/base/time.h"
+#include "ibismux/http/cancel_token.h"
+#include "ibismux/http/message.h"
+
+namespace ibismux::http {
+
+/// What a client may cost. A client that passes a limit gets one clear answer
+/// (400, 408, 413, 431) where that is possible, and its connection is closed.
+struct ServerLimits {
+  std::size_t header_bytes = 16 * 1024;
+  std::size_t body_bytes = 1024 * 1024;
+  std::size_t connections = 4096;
+  /// How long a connection may rest between requests.
+  Duration idle_timeout = std::chrono::seconds(60);
+  /// How long a request may take to arrive once its first byte is here, and an
+  /// answer to be taken off. Bounds slow and half-closed clients.
+  Duration transfer_timeout = std::chrono::seconds(10);
+};
+
+/// An HTTP/1.1 keep-alive server over an `IoPool`.
+///
+/// Each connection lives on one event loop; its handler runs there.
+class Server {
+ public:
+  using Handler = std::function<Task<Response>(std::shared_ptr<const Request>,
+                                               std::shared_ptr<CancelToken>)>;
+
+  /// @param pool Outlives the server.
+  Server(IoPool& pool, ServerLimits limits, Handler handler);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  /// Binds and accepts; port 0 takes one from the system.
+  /// @return The port, or why it could not be bound.
+  [[nodiscard]] Result<std::uint16_t> listen(const std::string& address,
+                                             std::uint16_t port);
+
+  /// Accepts no more, closes idle connections, and gives each request in flight
+  /// its answer with `Connection: close`. Thread safe.
+  void drain();
+
+  /// Open connections, and requests being handled. Thread safe.
+  [[nodiscard]] std::size_t connections() const noexcept;
+  [[nodiscard]] std::size_t in_flight() const noexcept;
+
+  /// Closes everything at once. Thread safe.
+  void stop();
+
+ private:
+  class Impl;
+  std::shared_ptr<Impl> impl;
+};
+
+}  // namespace ibismux::http
+
+#endif  // IBISMUX_HTTP_SERVER_H_
--- /dev/null
+++ b/ibismux/membership/membership_view.h
@@ -0,0 +1,46 @@
+#ifndef IBISMUX_MEMBERSHIP_MEMBERSHIP_VIEW_H_
+#define IBISMUX_MEMBERSHIP_MEMBERSHIP_VIEW_H_
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace ibismux::membership {
+
+/// One daemon as this daemon sees it.
+struct Member {
+  enum class State : unsigned char { kAlive, kSuspect, kLeaving, kFailed };
+
+  std::string name;
+  std::uint64_t incarnation = 0;
+  std::string address;  ///< IP number of the peer port.
+  std::uint16_t port = 0;
+  std::string zone;
+  State state = State::kAlive;
+
+  /// May own leafs and buckets: alive or only suspected.
+  [[nodiscard]] bool serves() const noexcept {
+    return this->state == State::kAlive || this->state == State::kSuspect;
+  }
+};
+
+/// What this daemon believes of the fleet, itself included; in order of names.
+/// Views of two daemons may differ; safety never depends on them.
+struct MembershipView {
+  std::uint64_t revision = 0;  ///< Local; rises with each change.
+  std::string self;
+  std::vector<Member> members;
+
+  /// How many members serve; at least 1.
+  [[nodiscard]] std::size_t serving() const noexcept {
+    std::size_t count = 0;
+    for (const Member& member : this->members) {
+      count += member.serves() ? 1 : 0;
+    }
+    return count > 0 ? count : 1;
+  }
+};
+
+}  // namespace ibismux::membership
+
+#endif  // IBISMUX_MEMBERSHIP_MEMBERSHIP_VIEW_H_
