--- /dev/null
+++ b/ibismux/release/release_store.h
@@ -0,0 +1,61 @@
+#ifndef IBISMUX_RELEASE_RELEASE_STORE_H_
+#define IBISMUX_RELEASE_RELEASE_STORE_H_
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ibismux/base/error.h"
+#include "ibismux/base/ids.h"
+#include "ibismux/base/rcu_cell.h"
+#include "ibismux/release/forward.h"
+
+namespace ibismux::release {
+
+/// The newest release that this daemon knows, in the form that requests read
+/// and in the form that peers and the platform exchange: a head, and chunks
+/// that the head names by their content hash.
+///
+/// Thread safe. The generation only rises.
+class ReleaseStore {
+ public:
+  using Listener = std::function<void(Generation)>;
+
+  ReleaseStore();
+  ~ReleaseStore();
+
+  /// @name Reading
+  /// @{
+  [[nodiscard]] const RcuCell<Release>& releases() const noexcept;
+  [[nodiscard]] Generation generation() const noexcept;
+  /// The encoded head in force; empty before the first.
+  [[nodiscard]] std::string head() const;
+  /// A chunk of the head in force.
+  [[nodiscard]] std::optional<std::string> chunk(const std::string& hash) const;
+  /// The chunks that the encoded `head` names and this store lacks; an error if
+  /// it can't be decoded.
+  [[nodiscard]] Result<std::vector<std::string>> missing(
+      const std::string& head) const;
+  /// @}
+
+  /// Puts the release of `head` in force if its generation is higher than the
+  /// one in force. `chunks` holds the contents of those that were missing.
+  /// @return Whether it is now in force; an error, with nothing changed, if a
+  /// hash doesn't match or the contents are not a valid release.
+  [[nodiscard]] Result<bool> offer(const std::string& head,
+                                   const std::vector<std::string>& chunks);
+
+  /// `listener` runs after each swap, on the thread that offered. Set before
+  /// the daemon starts.
+  void on_change(Listener listener);
+
+ private:
+  class Impl;
+  std::unique_ptr<Impl> impl;
+};
+
+}  // namespace ibismux::release
+
+#endif  // IBISMUX_RELEASE_RELEASE_STORE_H_
