Say what the gateway offers the daemon

The daemon needs the constructors of the gateway before it can be put together.

The leaf protocol is a pure function from response to reply, apart from the connection, so that refusals and foreign answers are tested without sockets.

--- /dev/null
+++ b/ibismux/backend/leaf_connection.cc
@@ -0,0 +1,75 @@
+#include "ibismux/backend/leaf_connection.h"
+
+#include <utility>
+
+#include "ibismux/backend/leaf_protocol.h"
+#include "ibismux/http/client_connection.h"
+
+namespace ibismux::backend {
+
+LeafConnection::LeafConnection(std::string address, std::uint16_t port)
+    : connection(
+          std::make_shared<http::ClientConnection>(std::move(address), port)) {}
+
+LeafConnection::~LeafConnection() = default;
+
+Task<Result<LeafHealth>> LeafConnection::open(TimePoint deadline) {
+  const std::shared_ptr<http::ClientConnection> keep = this->connection;
+  const Result<void> connected = co_await keep->connect(deadline);
+  if (!connected) {
+    co_return tl::unexpected(connected.error());
+  }
+  Result<LeafHealth> health = co_await this->health(deadline);
+  if (!health) {
+    health.error().execution = Execution::kNotRun;
+  }
+  co_return health;
+}
+
+Task<LeafReply> LeafConnection::call(LeafRequest request, TimePoint give_up) {
+  const std::shared_ptr<http::ClientConnection> keep = this->connection;
+  const std::shared_ptr<const http::Request> message =
+      encode_call(request, Clock::now());
+  const Result<http::Response> response =
+      co_await keep->exchange(message, give_up);
+  LeafReply reply = interpret(request, response);
+  // Whatever follows a foreign answer on this connection would be foreign too:
+  // the stream is out of step with the calls.
+  if (reply.signal == LeafSignal::kForeign) {
+    keep->close();
+  }
+  co_return reply;
+}
+
+Task<Result<void>> LeafConnection::cancel(CallId id, TimePoint deadline) {
+  const std::shared_ptr<http::ClientConnection> keep = this->connection;
+  const std::shared_ptr<const http::Request> message = encode_cancel(id);
+  const Result<http::Response> response =
+      co_await keep->exchange(message, deadline);
+  if (!response) {
+    co_return tl::unexpected(response.error());
+  }
+  co_return Result<void>();
+}
+
+Task<Result<LeafHealth>> LeafConnection::health(TimePoint deadline) {
+  const std::shared_ptr<http::ClientConnection> keep = this->connection;
+  auto message = std::make_shared<http::Request>();
+  message->target = "/v1/health";
+  const Result<http::Response> response =
+      co_await keep->exchange(std::move(message), deadline);
+  if (!response) {
+    co_return tl::unexpected(response.error());
+  }
+  co_return parse_health(response->body);
+}
+
+bool LeafConnection::usable() const noexcept {
+  return this->connection->usable();
+}
+
+void LeafConnection::close() noexcept {
+  this->connection->close();
+}
+
+}  // namespace ibismux::backend
--- /dev/null
+++ b/ibismux/backend/leaf_protocol.cc
@@ -0,0 +1,155 @@
+#include "ibismux/backend/leaf_protocol.h"
+
+#include <charconv>
+#include <chrono>
+#include <optional>
+
+namespace ibismux::backend {
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kGone = 410;
+constexpr int kTooManyRequests = 429;
+constexpr int kClientClosed = 499;
+constexpr int kServiceUnavailable = 503;
+constexpr int kGatewayTimeout = 504;
+
+/// What a leaf's status says, before the execution is settled.
+struct Verdict {
+  LeafSignal signal;
+  ErrorKind kind;
+};
+
+Verdict verdict_of(const http::Response& response) {
+  switch (response.status) {
+    case kGone:
+      return {LeafSignal::kSnapshotGone, ErrorKind::kSnapshotGone};
+    case kTooManyRequests:
+      return {LeafSignal::kOverloaded, ErrorKind::kOverloaded};
+    case kClientClosed:
+      return {LeafSignal::kCancelled, ErrorKind::kCancelled};
+    case kGatewayTimeout:
+      return {LeafSignal::kLeafTimeout, ErrorKind::kDeadlineExceeded};
+    case kServiceUnavailable:
+      if (response.field("X-Reason") == "warming") {
+        return {LeafSignal::kWarming, ErrorKind::kOverloaded};
+      }
+      if (response.field("X-Reason") == "draining") {
+        return {LeafSignal::kDraining, ErrorKind::kLeafUnavailable};
+      }
+      return {LeafSignal::kFailed, ErrorKind::kLeafUnavailable};
+    default:
+      return {LeafSignal::kFailed, ErrorKind::kLeafUnavailable};
+  }
+}
+
+std::optional<std::chrono::milliseconds> retry_after_of(
+    const http::Response& response) {
+  const std::string_view text = response.field("Retry-After");
+  long seconds = 0;
+  const auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), seconds);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return std::chrono::seconds(seconds);
+}
+
+/// A not idempotent call that may have run must not be told apart by how it
+/// failed: each such end is "outcome unknown", so that nobody sends it again.
+Error settle(const LeafRequest& request, Error error) {
+  if (!request.idempotent && error.execution == Execution::kUnknown) {
+    error.kind = ErrorKind::kOutcomeUnknown;
+  }
+  return error;
+}
+
+LeafReply failed_exchange(const LeafRequest& request, Error error) {
+  const LeafSignal signal = error.kind == ErrorKind::kDeadlineExceeded
+                                ? LeafSignal::kSilent
+                                : LeafSignal::kLost;
+  return {tl::unexpected(settle(request, std::move(error))), signal, false};
+}
+
+bool echoes(const LeafRequest& request, const http::Response& response) {
+  return response.field("X-Call-Id") == to_string(request.id) &&
+         response.field("X-Snapshot") == request.snapshot &&
+         response.field("X-Shard") == request.shard;
+}
+
+LeafReply foreign(const LeafRequest& request) {
+  Error error = make_error(ErrorKind::kProtocolError,
+                           "the leaf's answer belongs to another call");
+  return {tl::unexpected(settle(request, std::move(error))),
+          LeafSignal::kForeign, false};
+}
+
+}  // namespace
+
+std::string_view to_string(LeafSignal signal) noexcept {
+  constexpr std::string_view kNames[kLeafSignals] = {
+      "answered",      "overloaded", "warming",      "draining",
+      "snapshot_gone", "cancelled",  "leaf_timeout", "failed",
+      "lost",          "silent",     "foreign"};
+  return kNames[static_cast<std::size_t>(signal)];
+}
+
+std::shared_ptr<const http::Request> encode_call(const LeafRequest& request,
+                                                 TimePoint now) {
+  auto message = std::make_shared<http::Request>();
+  message->method = "POST";
+  message->target = request.idempotent ? "/v1/query" : "/v1/reserve";
+  message->add("X-Call-Id", to_string(request.id));
+  message->add("X-Snapshot", request.snapshot);
+  message->add("X-Shard", request.shard);
+  message->add("X-Deadline-Ms",
+               std::to_string(to_millis(remaining(request.deadline, now))));
+  message->add("X-Priority", to_string(request.priority));
+  if (!request.key.empty()) {
+    message->add("X-Reservation-Key", request.key);
+  }
+  if (request.body) {
+    message->body = *request.body;
+  }
+  return message;
+}
+
+std::shared_ptr<const http::Request> encode_cancel(const CallId& id) {
+  auto message = std::make_shared<http::Request>();
+  message->method = "POST";
+  message->target = "/v1/cancel";
+  message->add("X-Call-Id", to_string(id));
+  return message;
+}
+
+LeafReply interpret(const LeafRequest& request,
+                    const Result<http::Response>& response) {
+  if (!response) {
+    return failed_exchange(request, response.error());
+  }
+  // A refusal need not echo its call, but one that names another call is late
+  // or misdirected: its "not run" would be a false promise about this one.
+  const std::string_view named = response->field("X-Call-Id");
+  if (!named.empty() && named != to_string(request.id)) {
+    return foreign(request);
+  }
+  const bool leaving = response->field("X-Leaving") == "1";
+  if (response->status == kOk) {
+    if (!echoes(request, *response)) {
+      return foreign(request);
+    }
+    return {response->body, LeafSignal::kAnswered, leaving};
+  }
+  const Verdict verdict = verdict_of(*response);
+  Error error = make_error(verdict.kind,
+                           "leaf: status " + std::to_string(response->status));
+  error.execution = response->field("X-Execution") == "not-run"
+                        ? Execution::kNotRun
+                        : Execution::kUnknown;
+  error.retry_after = retry_after_of(*response);
+  return {tl::unexpected(settle(request, std::move(error))), verdict.signal,
+          leaving || verdict.signal == LeafSignal::kDraining};
+}
+
+}  // namespace ibismux::backend
--- a/ibismux/gateway/forward.h
+++ b/ibismux/gateway/forward.h
@@ -3,11 +3,16 @@
 
 namespace ibismux::gateway {
 
+struct GatewaySettings;
 struct LeafAnswer;
 struct LeafCallBatch;
+struct LeafOwner;
+struct LeafStatus;
 struct OwnershipTable;
 class LeafCaller;
 class LocalGateway;
+class OwnershipStrategy;
+class RemoteGateway;
 class Router;
 
 }  // namespace ibismux::gateway
