Add stand-in leafs for tests and measurements

The product needs backend servers with slots, queues, connection limits and faults that a test can switch on while it runs.

One process per leaf was ruled out: the sizes of today need about 150 leafs and a fan-out of 230 needs more.

--- /dev/null
+++ b/standins/leaf/main.cc
@@ -0,0 +1,125 @@
+/// ibismux-fake-leaf: many stand-in leafs in one process, each on its own port.
+///
+///     ibismux-fake-leaf --leafs 3 --history /tmp/leafs.jsonl
+///
+/// Prints one line {"leafs":{"leaf-1":PORT,...},"control":PORT} when ready.
+
+#include <sys/resource.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <boost/program_options.hpp>
+#include <iostream>
+#include <thread>
+
+#include "standins/leaf/control.h"
+
+namespace {
+
+namespace asio = boost::asio;
+namespace options = boost::program_options;
+
+struct Arguments {
+  unsigned leafs = 3;
+  std::string prefix = "leaf-";
+  std::string address = "127.0.0.1";
+  std::string history;
+  std::string config = "{}";
+  unsigned threads = 4;
+  std::uint64_t seed = 1;
+};
+
+bool parse(int argc, char** argv, Arguments& arguments) {
+  options::options_description list("ibismux-fake-leaf");
+  list.add_options()("help", "print this")(
+      "leafs", options::value(&arguments.leafs), "how many")(
+      "prefix", options::value(&arguments.prefix), "of the names")(
+      "address", options::value(&arguments.address), "to listen on")(
+      "history", options::value(&arguments.history), "file of executions")(
+      "config", options::value(&arguments.config),
+      "JSON object of sizes and faults, for all leafs")(
+      "threads", options::value(&arguments.threads), "event loops")(
+      "seed", options::value(&arguments.seed), "of all randomness");
+  options::variables_map values;
+  try {
+    options::store(options::parse_command_line(argc, argv, list), values);
+    options::notify(values);
+  } catch (const options::error& problem) {
+    std::cerr << problem.what() << "\n" << list;
+    return false;
+  }
+  if (values.count("help") > 0) {
+    std::cout << list;
+    return false;
+  }
+  return true;
+}
+
+/// One descriptor a connection: the default soft limit is soon reached.
+void raise_descriptor_limit() {
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Arguments arguments;
+  if (!parse(argc, argv, arguments)) {
+    return 2;
+  }
+  raise_descriptor_limit();
+  fake_leaf::History history(arguments.history);
+  std::vector<std::unique_ptr<asio::io_context>> loops;
+  for (unsigned i = 0; i < std::max(1U, arguments.threads); ++i) {
+    loops.push_back(std::make_unique<asio::io_context>(1));
+  }
+  boost::json::value config = boost::json::parse(arguments.config);
+  boost::json::object ports;
+  std::vector<std::unique_ptr<fake_leaf::Leaf>> leafs;
+  for (unsigned i = 0; i < arguments.leafs; ++i) {
+    leafs.push_back(std::make_unique<fake_leaf::Leaf>(
+        arguments.prefix + std::to_string(i + 1), *loops[i % loops.size()],
+        history, arguments.address, arguments.seed + i));
+    fake_leaf::Leaf& leaf = *leafs.back();
+    if (auto problem = leaf.config.merge(config.as_object())) {
+      std::cerr << *problem << "\n";
+      return 2;
+    }
+    ports[leaf.leaf_name()] = leaf.port();
+    asio::co_spawn(leaf.event_loop(), leaf.accept(), asio::detached);
+  }
+  fake_leaf::Control control(*loops[0], arguments.address, leafs, history);
+  asio::co_spawn(*loops[0], control.accept(), asio::detached);
+
+  asio::signal_set signals(*loops[0], SIGTERM, SIGINT);
+  signals.async_wait([&](auto, int) {
+    for (auto& loop : loops) {
+      loop->stop();
+    }
+  });
+  std::cout << boost::json::serialize(boost::json::object{
+                   {"leafs", ports}, {"control", control.port()}})
+            << std::endl;
+  std::vector<std::thread> threads;
+  for (auto& loop : loops) {
+    threads.emplace_back([&loop] {
+      const auto guard = asio::make_work_guard(*loop);
+      loop->run();
+    });
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  history.flush();
+  // The loops still hold connections that refer to their leafs: end here,
+  // without destructors, rather than in an order that would need care.
+  std::_Exit(0);
+}
