Serve and call HTTP/1.1 over the event loops

Everything that speaks HTTP (callers, operators, platform, leafs) waits for one server and one client. Beast's message containers and streams were ruled out for the path of a call: they allocate per field and erase the executor's type; its parser is used alone and writes straight into our messages. The client keeps a read pending between exchanges, which reports a server that closes or speaks out of turn; the timer of a deadline is left running between exchanges, so that it costs one wait per deadline that passes. The server reads while a handler runs and so sees the client go; a client that ends its sending side counts as gone but is still sent the answer, as the two can't be told apart.

--- /dev/null
+++ b/ibismux/http/client_connection.cc
@@ -0,0 +1,414 @@
+#include "ibismux/http/client_connection.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "ibismux/http/parser.h"
+#include "ibismux/http/socket.h"
+#include "ibismux/http/wire_format.h"
+
+namespace ibismux::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+
+constexpr std::size_t kInputBuffer = 8 * 1024;
+constexpr std::size_t kMostInputBuffer = 256 * 1024;
+// A body up to this size is copied behind the head and goes out as one buffer.
+constexpr std::size_t kMostCopiedBody = 16 * 1024;
+
+}  // namespace
+
+/// A read is pending at all times while the connection is open: between
+/// exchanges it reports a server that closes or speaks out of turn without a
+/// system call of its own, and within one it brings the response.
+class ClientConnection::Impl
+    : public std::enable_shared_from_this<ClientConnection::Impl> {
+ public:
+  Impl(std::string address, std::uint16_t port, std::size_t max_body)
+      : address(std::move(address)), port(port), parser(max_body) {}
+
+  [[nodiscard]] static Task<Result<void>> connect(std::shared_ptr<Impl> self,
+                                                  TimePoint deadline);
+  [[nodiscard]] static Task<Result<Response>> exchange(
+      std::shared_ptr<Impl> self,
+      std::shared_ptr<const Request> request,
+      TimePoint deadline);
+
+  [[nodiscard]] bool usable() const noexcept {
+    return this->phase == Phase::kIdle;
+  }
+
+  void close(Error reason) noexcept;
+
+ private:
+  enum class Phase : unsigned char { kClosed, kConnecting, kIdle, kExchange };
+
+  /// The suspended coroutine of `connect()` or `exchange()`.
+  using Waiter =
+      asio::async_result<asio::use_awaitable_t<>, void()>::handler_type;
+
+  /// Completion of a socket operation.
+  ///
+  /// The waiting coroutine's frame owns the connection, which owns the waiter:
+  /// an event loop that is destroyed with the operation pending would leak all
+  /// of them. So an operation that is destroyed uncalled drops the waiter.
+  template <void (Impl::*method)(const ErrorCode&, std::size_t)>
+  class Completion {
+   public:
+    explicit Completion(std::shared_ptr<Impl> impl)
+        : impl(std::move(impl)), opening(this->impl->opening) {}
+    Completion(Completion&&) noexcept = default;
+    ~Completion() {
+      if (this->impl) {
+        this->impl->waiter.reset();
+      }
+    }
+    void operator()(const ErrorCode& error, std::size_t bytes = 0) {
+      const std::shared_ptr<Impl> self = std::move(this->impl);
+      // An operation of a socket since closed and opened anew must not speak
+      // for the new one, whose exchange it would fail.
+      if (self->opening == this->opening) {
+        ((*self).*method)(error, bytes);
+      }
+    }
+
+   private:
+    std::shared_ptr<Impl> impl;
+    std::uint64_t opening;
+  };
+
+  void arm_timer(TimePoint when);
+  void on_timer(const ErrorCode& error);
+  void on_connect(const ErrorCode& error, std::size_t);
+  void start_send(const Request& request);
+  void on_sent(const ErrorCode& error, std::size_t bytes);
+  void read();
+  void on_read(const ErrorCode& error, std::size_t bytes);
+  void on_bytes(std::size_t bytes);
+  void on_response(bool bytes_left);
+  void fail_exchange(ErrorKind kind, std::string message);
+  void resume();
+
+  /// An error whose execution says whether a byte was handed to the socket.
+  [[nodiscard]] Error exchange_error(ErrorKind kind,
+                                     std::string message) const {
+    Error error = make_error(kind, std::move(message));
+    error.execution = this->sent ? Execution::kUnknown : Execution::kNotRun;
+    return error;
+  }
+
+  const std::string address;
+  const std::uint16_t port;
+  std::string host_line;
+
+  Phase phase = Phase::kClosed;
+  std::uint64_t opening = 0;  ///< Counts the calls of `connect()`.
+  std::optional<TcpSocket> socket;
+  std::optional<Waiter> waiter;
+
+  // The timer is left running when an exchange ends in time: it costs one wait
+  // per deadline that passes, not one per exchange.
+  std::optional<Timer> timer;
+  TimePoint armed_for = TimePoint::max();
+  TimePoint deadline = TimePoint::max();
+
+  // The exchange going on.
+  std::shared_ptr<const Request> request;
+  std::string output;
+  bool sent = false;
+  bool response_begun = false;
+  std::optional<Error> failure;
+  Response response;
+
+  ResponseParser parser;
+  std::vector<char> input = std::vector<char>(kInputBuffer);
+  std::size_t filled = 0;
+};
+
+Task<Result<void>> ClientConnection::Impl::connect(std::shared_ptr<Impl> self,
+                                                   TimePoint deadline) {
+  const auto executor = co_await asio::this_coro::executor;
+  auto& context = static_cast<asio::io_context&>(executor.context());
+  self->opening++;
+  self->sent = false;
+  self->failure.reset();
+  self->filled = 0;
+  ErrorCode error;
+  const auto ip = asio::ip::make_address(self->address, error);
+  if (error) {
+    co_return tl::unexpected(self->exchange_error(
+        ErrorKind::kLeafUnavailable, "not an address: " + self->address));
+  }
+  if (deadline <= Clock::now()) {
+    co_return tl::unexpected(self->exchange_error(ErrorKind::kDeadlineExceeded,
+                                                  "no time left to connect"));
+  }
+  self->host_line =
+      "Host: " + self->address + ':' + std::to_string(self->port) + "\r\n";
+  self->socket.emplace(context.get_executor());
+  self->timer.emplace(context.get_executor());
+  self->armed_for = TimePoint::max();
+  self->phase = Phase::kConnecting;
+  self->arm_timer(deadline);
+  co_await asio::async_initiate<const asio::use_awaitable_t<>&, void()>(
+      [](Waiter&& waiter, Impl* impl, asio::ip::tcp::endpoint endpoint) {
+        impl->waiter.emplace(std::move(waiter));
+        impl->socket->async_connect(
+            endpoint, Completion<&Impl::on_connect>(impl->shared_from_this()));
+      },
+      asio::use_awaitable, self.get(), asio::ip::tcp::endpoint(ip, self->port));
+  if (self->failure) {
+    co_return tl::unexpected(*std::exchange(self->failure, std::nullopt));
+  }
+  co_return Result<void>();
+}
+
+void ClientConnection::Impl::on_connect(const ErrorCode& error, std::size_t) {
+  if (this->phase == Phase::kConnecting) {
+    ErrorCode ignored;
+    if (error) {
+      this->close(this->exchange_error(
+          ErrorKind::kLeafUnavailable,
+          "connect to " + this->address + ": " + error.message()));
+    } else {
+      this->phase = Phase::kIdle;
+      this->deadline = TimePoint::max();
+      this->socket->set_option(asio::ip::tcp::no_delay(true), ignored);
+      this->socket->non_blocking(true, ignored);
+      this->read();
+    }
+  }
+  this->resume();
+}
+
+Task<Result<Response>> ClientConnection::Impl::exchange(
+    std::shared_ptr<Impl> self,
+    std::shared_ptr<const Request> request,
+    TimePoint deadline) {
+  self->sent = false;
+  if (self->phase != Phase::kIdle) {
+    co_return tl::unexpected(self->exchange_error(ErrorKind::kLeafUnavailable,
+                                                  "connection is not usable"));
+  }
+  self->phase = Phase::kExchange;
+  self->response_begun = false;
+  if (deadline <= Clock::now()) {
+    self->close(self->exchange_error(ErrorKind::kDeadlineExceeded,
+                                     "no time left to send"));
+    co_return tl::unexpected(*std::exchange(self->failure, std::nullopt));
+  }
+  self->request = std::move(request);
+  self->response = Response{};
+  self->parser.start(self->response, self->request->method == "HEAD");
+  self->arm_timer(deadline);
+  self->start_send(*self->request);
+  if (self->phase == Phase::kExchange) {
+    co_await asio::async_initiate<const asio::use_awaitable_t<>&, void()>(
+        [](Waiter&& waiter, Impl* impl) {
+          impl->waiter.emplace(std::move(waiter));
+        },
+        asio::use_awaitable, self.get());
+  }
+  self->request.reset();
+  if (self->failure) {
+    co_return tl::unexpected(*std::exchange(self->failure, std::nullopt));
+  }
+  co_return std::move(self->response);
+}
+
+void ClientConnection::Impl::start_send(const Request& request) {
+  this->output.clear();
+  append_head(this->output, request, this->host_line);
+  const bool copied = request.body.size() <= kMostCopiedBody;
+  if (copied) {
+    this->output += request.body;
+  }
+  ErrorCode error;
+  const std::size_t bytes =
+      this->socket->write_some(asio::buffer(this->output), error);
+  this->sent = bytes > 0;
+  if (error && error != asio::error::would_block) {
+    this->close(this->exchange_error(ErrorKind::kLeafUnavailable,
+                                     "send: " + error.message()));
+    return;
+  }
+  if (copied && bytes == this->output.size()) {
+    return;
+  }
+  // From here the system may take bytes at any moment.
+  this->sent = true;
+  const std::array<asio::const_buffer, 2> rest = {
+      asio::buffer(this->output) + bytes,
+      copied ? asio::const_buffer() : asio::buffer(request.body)};
+  asio::async_write(*this->socket, rest,
+                    Completion<&Impl::on_sent>(this->shared_from_this()));
+}
+
+void ClientConnection::Impl::on_sent(const ErrorCode& error, std::size_t) {
+  if (error && this->phase == Phase::kExchange) {
+    this->fail_exchange(ErrorKind::kLeafUnavailable,
+                        "send: " + error.message());
+  }
+}
+
+void ClientConnection::Impl::read() {
+  this->socket->async_read_some(
+      asio::buffer(this->input.data() + this->filled,
+                   this->input.size() - this->filled),
+      Completion<&Impl::on_read>(this->shared_from_this()));
+}
+
+void ClientConnection::Impl::on_read(const ErrorCode& error,
+                                     std::size_t bytes) {
+  if (this->phase == Phase::kClosed) {
+    this->resume();
+    return;
+  }
+  if (error) {
+    const bool cut = this->response_begun;
+    this->fail_exchange(
+        cut ? ErrorKind::kProtocolError : ErrorKind::kLeafUnavailable,
+        cut ? "response cut short: " + error.message()
+            : "connection lost: " + error.message());
+    return;
+  }
+  if (this->phase == Phase::kIdle) {
+    // A response that no request asked for would be taken for the answer to
+    // the next one: a caller would get another's. Notice: the next response
+    // doesn't match its request.
+    this->close(make_error(ErrorKind::kProtocolError, "response out of turn"));
+    return;
+  }
+  this->on_bytes(bytes);
+}
+
+void ClientConnection::Impl::on_bytes(std::size_t bytes) {
+  this->response_begun = true;
+  this->filled += bytes;
+  const ParseStep step = this->parser.feed({this->input.data(), this->filled});
+  this->filled -= step.consumed;
+  if (step.state == ParseState::kFailed) {
+    this->fail_exchange(ErrorKind::kProtocolError,
+                        "bad response: " + step.message);
+    return;
+  }
+  if (step.state == ParseState::kDone) {
+    this->on_response(this->filled > 0);
+    return;
+  }
+  std::copy_n(this->input.data() + step.consumed, this->filled,
+              this->input.data());
+  if (bytes >= this->input.size() / 2 &&
+      this->input.size() < kMostInputBuffer) {
+    this->input.resize(this->input.size() * 2);
+  }
+  this->read();
+}
+
+void ClientConnection::Impl::on_response(bool bytes_left) {
+  if (bytes_left || !this->parser.keep_alive()) {
+    this->close(make_error(ErrorKind::kLeafUnavailable, "closed by response"));
+    this->failure.reset();
+  } else {
+    this->phase = Phase::kIdle;
+    this->deadline = TimePoint::max();
+    this->read();
+  }
+  this->resume();
+}
+
+void ClientConnection::Impl::fail_exchange(ErrorKind kind,
+                                           std::string message) {
+  this->close(this->exchange_error(kind, std::move(message)));
+  this->resume();
+}
+
+void ClientConnection::Impl::resume() {
+  if (this->waiter) {
+    Waiter ready = *std::exchange(this->waiter, std::nullopt);
+    ready();
+  }
+}
+
+void ClientConnection::Impl::arm_timer(TimePoint when) {
+  this->deadline = when;
+  if (when >= this->armed_for) {
+    return;
+  }
+  this->armed_for = when;
+  this->timer->expires_at(when);
+  this->timer->async_wait(
+      [self = this->weak_from_this()](const ErrorCode& error) {
+        if (const auto impl = self.lock()) {
+          impl->on_timer(error);
+        }
+      });
+}
+
+void ClientConnection::Impl::on_timer(const ErrorCode& error) {
+  if (error || this->phase == Phase::kClosed) {
+    return;
+  }
+  this->armed_for = TimePoint::max();
+  if (this->phase == Phase::kIdle) {
+    return;
+  }
+  if (this->deadline > Clock::now()) {
+    this->arm_timer(this->deadline);
+    return;
+  }
+  this->close(this->exchange_error(ErrorKind::kDeadlineExceeded,
+                                   "no response before the deadline"));
+}
+
+void ClientConnection::Impl::close(Error reason) noexcept {
+  if (this->phase == Phase::kClosed) {
+    return;
+  }
+  this->phase = Phase::kClosed;
+  this->failure = std::move(reason);
+  this->armed_for = TimePoint::max();
+  ErrorCode ignored;
+  this->timer->cancel();
+  this->socket->close(ignored);
+}
+
+ClientConnection::ClientConnection(std::string address,
+                                   std::uint16_t port,
+                                   std::size_t max_body)
+    : impl(std::make_shared<Impl>(std::move(address), port, max_body)) {}
+
+ClientConnection::~ClientConnection() {
+  this->close();
+}
+
+Task<Result<void>> ClientConnection::connect(TimePoint deadline) {
+  return Impl::connect(this->impl, deadline);
+}
+
+Task<Result<Response>> ClientConnection::exchange(
+    std::shared_ptr<const Request> request,
+    TimePoint deadline) {
+  return Impl::exchange(this->impl, std::move(request), deadline);
+}
+
+bool ClientConnection::usable() const noexcept {
+  return this->impl->usable();
+}
+
+void ClientConnection::close() noexcept {
+  Error reason = make_error(ErrorKind::kCancelled, "closed");
+  this->impl->close(std::move(reason));
+}
+
+}  // namespace ibismux::http
--- /dev/null
+++ b/ibismux/http/parser.cc
@@ -0,0 +1,223 @@
+#include "ibismux/http/parser.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <optional>
+
+namespace ibismux::http {
+
+namespace {
+
+namespace beast_http = boost::beast::http;
+using boost::beast::error_code;
+using boost::beast::string_view;
+
+constexpr std::size_t kMostResponseHeader = 64 * 1024;
+// Body memory taken ahead on the word of Content-Length alone.
+constexpr std::uint64_t kMostReserved = 64 * 1024;
+constexpr std::size_t kUsualFields = 12;
+
+/// Writes what Beast's parser reports straight into a message of ours.
+template <bool is_request, class MessageType>
+class Parser final : public beast_http::basic_parser<is_request> {
+ public:
+  explicit Parser(MessageType& message) : message(message) {
+    this->eager(true);
+    this->message.fields.reserve(kUsualFields);
+  }
+
+  [[nodiscard]] bool expects_continue() const noexcept {
+    return this->wants_continue;
+  }
+  void forget_continue() noexcept { this->wants_continue = false; }
+
+ private:
+  void on_request_impl(beast_http::verb,
+                       string_view method,
+                       string_view target,
+                       int,
+                       error_code&) override {
+    if constexpr (is_request) {
+      this->message.method = method;
+      this->message.target = target;
+    }
+  }
+
+  void on_response_impl(int code, string_view, int, error_code&) override {
+    if constexpr (!is_request) {
+      this->message.status = code;
+    }
+  }
+
+  void on_field_impl(beast_http::field name,
+                     string_view name_text,
+                     string_view value,
+                     error_code&) override {
+    // Fields after the body (trailers) must not pass for ones of the head,
+    // where they would be read as the caller's name or deadline.
+    if (this->head_done) {
+      return;
+    }
+    if (is_request && name == beast_http::field::expect) {
+      this->wants_continue = boost::beast::iequals(value, "100-continue");
+    }
+    this->message.fields.emplace_back(std::string_view(name_text),
+                                      std::string_view(value));
+  }
+
+  void on_header_impl(error_code&) override { this->head_done = true; }
+
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                         error_code&) override {
+    if (length) {
+      this->message.body.reserve(std::min(*length, kMostReserved));
+    }
+  }
+
+  std::size_t on_body_impl(string_view body, error_code&) override {
+    this->message.body.append(body.data(), body.size());
+    return body.size();
+  }
+
+  void on_chunk_header_impl(std::uint64_t, string_view, error_code&) override {}
+
+  std::size_t on_chunk_body_impl(std::uint64_t,
+                                 string_view body,
+                                 error_code&) override {
+    this->message.body.append(body.data(), body.size());
+    return body.size();
+  }
+
+  void on_finish_impl(error_code&) override {}
+
+  MessageType& message;
+  bool head_done = false;
+  bool wants_continue = false;
+};
+
+int status_of(const error_code& error) {
+  if (error == beast_http::error::header_limit) {
+    return 431;
+  }
+  return error == beast_http::error::body_limit ? 413 : 400;
+}
+
+template <class ParserType>
+ParseStep feed_parser(ParserType& parser, std::string_view bytes) {
+  error_code error;
+  ParseStep step;
+  step.consumed =
+      parser.put(boost::asio::buffer(bytes.data(), bytes.size()), error);
+  if (error && error != beast_http::error::need_more) {
+    step.state = ParseState::kFailed;
+    step.status = status_of(error);
+    step.message = error.message();
+  } else if (parser.is_done()) {
+    step.state = ParseState::kDone;
+  }
+  return step;
+}
+
+}  // namespace
+
+class RequestParser::Impl {
+ public:
+  Impl(std::size_t most_header, std::size_t most_body)
+      : most_header(most_header), most_body(most_body) {}
+
+  const std::size_t most_header;
+  const std::size_t most_body;
+  std::optional<Parser<true, Request>> parser;
+};
+
+RequestParser::RequestParser(std::size_t most_header, std::size_t most_body)
+    : impl(std::make_unique<Impl>(most_header, most_body)) {}
+
+RequestParser::~RequestParser() = default;
+
+void RequestParser::start(Request& request) {
+  this->impl->parser.emplace(request);
+  this->impl->parser->header_limit(
+      static_cast<std::uint32_t>(this->impl->most_header));
+  this->impl->parser->body_limit(this->impl->most_body);
+}
+
+ParseStep RequestParser::feed(std::string_view bytes) {
+  return feed_parser(*this->impl->parser, bytes);
+}
+
+bool RequestParser::take_expect_continue() noexcept {
+  auto& parser = *this->impl->parser;
+  const bool wanted = parser.is_header_done() && parser.expects_continue();
+  if (wanted) {
+    parser.forget_continue();
+  }
+  return wanted;
+}
+
+bool RequestParser::keep_alive() const noexcept {
+  return this->impl->parser->keep_alive();
+}
+
+class ResponseParser::Impl {
+ public:
+  explicit Impl(std::size_t most_body) : most_body(most_body) {}
+
+  void start() {
+    this->parser.emplace(*this->response);
+    this->parser->header_limit(kMostResponseHeader);
+    this->parser->body_limit(this->most_body);
+    this->parser->skip(this->no_body);
+  }
+
+  /// 100 to 199 announce a response that is still to come.
+  [[nodiscard]] bool interim() const noexcept {
+    return this->response->status < 200;
+  }
+
+  const std::size_t most_body;
+  Response* response = nullptr;
+  bool no_body = false;
+  std::optional<Parser<false, Response>> parser;
+};
+
+ResponseParser::ResponseParser(std::size_t most_body)
+    : impl(std::make_unique<Impl>(most_body)) {}
+
+ResponseParser::~ResponseParser() = default;
+
+void ResponseParser::start(Response& response, bool no_body) {
+  this->impl->response = &response;
+  this->impl->no_body = no_body;
+  this->impl->start();
+}
+
+ParseStep ResponseParser::feed(std::string_view bytes) {
+  std::size_t skipped = 0;
+  for (;;) {
+    auto& parser = *this->impl->parser;
+    ParseStep step = feed_parser(parser, bytes.substr(skipped));
+    step.consumed += skipped;
+    if (step.state == ParseState::kDone && this->impl->interim()) {
+      skipped = step.consumed;
+      *this->impl->response = Response{};
+      this->impl->start();
+      continue;
+    }
+    if (step.state != ParseState::kFailed && parser.is_header_done() &&
+        !parser.is_done() && parser.need_eof()) {
+      step.state = ParseState::kFailed;
+      step.message = "response without a length";
+    }
+    return step;
+  }
+}
+
+bool ResponseParser::keep_alive() const noexcept {
+  return this->impl->parser->keep_alive();
+}
+
+}  // namespace ibismux::http
--- /dev/null
+++ b/ibismux/http/server.cc
@@ -0,0 +1,214 @@
+#include "ibismux/http/server.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <utility>
+#include <vector>
+
+#include "ibismux/base/io_pool.h"
+#include "ibismux/http/server_connection.h"
+#include "ibismux/http/server_core.h"
+#include "ibismux/http/socket.h"
+#include "ibismux/http/wire_format.h"
+
+namespace ibismux::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+
+// How long accepting rests when the process has no descriptor left; without
+// the rest the loop would spin on the error.
+constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
+
+/// Accepts connections and deals them to the loops in turn.
+///
+/// Belongs to the pool's first loop, which is the first to be destroyed: a
+/// pending accept holds a socket of another loop.
+class Listener : public std::enable_shared_from_this<Listener> {
+ public:
+  Listener(IoPool& pool,
+           std::shared_ptr<ServerCore> core,
+           std::vector<std::shared_ptr<ServerLoop>> loops)
+      : core(std::move(core)),
+        loops(std::move(loops)),
+        acceptor(pool.at(0).get_executor()),
+        pause(pool.at(0).get_executor()) {}
+
+  [[nodiscard]] Result<std::uint16_t> bind(const std::string& address,
+                                           std::uint16_t port);
+  void accept();
+  void close() {
+    ErrorCode ignored;
+    this->acceptor.close(ignored);
+    this->pause.cancel();
+  }
+
+ private:
+  void on_accept(const ErrorCode& error,
+                 TcpSocket socket,
+                 const std::shared_ptr<ServerLoop>& loop);
+  void rest();
+
+  const std::shared_ptr<ServerCore> core;
+  const std::vector<std::shared_ptr<ServerLoop>> loops;
+  TcpAcceptor acceptor;
+  Timer pause;
+  std::size_t turn = 0;
+};
+
+Result<std::uint16_t> Listener::bind(const std::string& address,
+                                     std::uint16_t port) {
+  ErrorCode error;
+  const auto ip = asio::ip::make_address(address, error);
+  if (error) {
+    return fail(ErrorKind::kInvalidRequest, "not an address: " + address);
+  }
+  const asio::ip::tcp::endpoint endpoint(ip, port);
+  this->acceptor.open(endpoint.protocol(), error);
+  if (!error) {
+    this->acceptor.set_option(TcpAcceptor::reuse_address(true), error);
+  }
+  if (!error) {
+    this->acceptor.bind(endpoint, error);
+  }
+  if (!error) {
+    this->acceptor.listen(TcpAcceptor::max_listen_connections, error);
+  }
+  if (error) {
+    return fail(ErrorKind::kInternal, "listen on " + address + ':' +
+                                          std::to_string(port) + ": " +
+                                          error.message());
+  }
+  return this->acceptor.local_endpoint().port();
+}
+
+void Listener::accept() {
+  const auto& loop = this->loops[this->turn++ % this->loops.size()];
+  this->acceptor.async_accept(loop->context.get_executor(),
+                              [self = this->shared_from_this(), loop](
+                                  const ErrorCode& error, TcpSocket socket) {
+                                self->on_accept(error, std::move(socket), loop);
+                              });
+}
+
+void Listener::on_accept(const ErrorCode& error,
+                         TcpSocket socket,
+                         const std::shared_ptr<ServerLoop>& loop) {
+  if (!this->acceptor.is_open()) {
+    return;
+  }
+  if (error) {
+    this->rest();
+    return;
+  }
+  if (this->core->connections.load() >= this->core->limits.connections) {
+    ErrorCode ignored;
+    const Response full =
+        refusal(503, ErrorKind::kOverloaded, "too many connections");
+    std::string text;
+    append_head(text, full, false);
+    text += full.body;
+    socket.non_blocking(true, ignored);
+    socket.write_some(asio::buffer(text), ignored);
+    socket.shutdown(TcpSocket::shutdown_send, ignored);
+  } else {
+    // Counted from here on, so that a burst can't pass the limit.
+    const auto connection =
+        std::make_shared<ServerConnection>(std::move(socket), this->core, loop);
+    asio::post(loop->context, [connection, loop] {
+      loop->connections.insert(connection);
+      connection->start();
+    });
+  }
+  this->accept();
+}
+
+void Listener::rest() {
+  this->pause.expires_after(kAcceptPause);
+  this->pause.async_wait(
+      [self = this->shared_from_this()](const ErrorCode& error) {
+        if (!error && self->acceptor.is_open()) {
+          self->accept();
+        }
+      });
+}
+
+}  // namespace
+
+class Server::Impl {
+ public:
+  Impl(IoPool& pool, ServerLimits limits, Handler handler)
+      : pool(pool), core(std::make_shared<ServerCore>()) {
+    this->core->limits = limits;
+    this->core->handler = std::move(handler);
+    for (std::size_t i = 0; i < pool.size(); ++i) {
+      this->loops.push_back(
+          std::make_shared<ServerLoop>(ServerLoop{pool.at(i), {}}));
+    }
+  }
+
+  [[nodiscard]] Result<std::uint16_t> listen(const std::string& address,
+                                             std::uint16_t port) {
+    const auto fresh =
+        std::make_shared<Listener>(this->pool, this->core, this->loops);
+    Result<std::uint16_t> bound = fresh->bind(address, port);
+    if (bound) {
+      this->listeners.push_back(fresh);
+      asio::post(this->pool.at(0), [fresh] { fresh->accept(); });
+    }
+    return bound;
+  }
+
+  /// Stops accepting, then does `visit` to each connection on its own loop.
+  void for_all(void (ServerConnection::*visit)()) {
+    for (const auto& listener : this->listeners) {
+      asio::post(this->pool.at(0), [listener] { listener->close(); });
+    }
+    for (const auto& loop : this->loops) {
+      asio::post(loop->context, [loop, visit] {
+        const auto all = loop->connections;
+        for (const auto& connection : all) {
+          ((*connection).*visit)();
+        }
+      });
+    }
+  }
+
+  IoPool& pool;
+  const std::shared_ptr<ServerCore> core;
+  std::vector<std::shared_ptr<ServerLoop>> loops;
+  std::vector<std::shared_ptr<Listener>> listeners;
+};
+
+Server::Server(IoPool& pool, ServerLimits limits, Handler handler)
+    : impl(std::make_shared<Impl>(pool, limits, std::move(handler))) {}
+
+Server::~Server() {
+  this->stop();
+}
+
+Result<std::uint16_t> Server::listen(const std::string& address,
+                                     std::uint16_t port) {
+  return this->impl->listen(address, port);
+}
+
+void Server::drain() {
+  this->impl->core->draining = true;
+  this->impl->for_all(&ServerConnection::drain);
+}
+
+std::size_t Server::connections() const noexcept {
+  return this->impl->core->connections.load(std::memory_order_acquire);
+}
+
+std::size_t Server::in_flight() const noexcept {
+  return this->impl->core->in_flight.load(std::memory_order_acquire);
+}
+
+void Server::stop() {
+  this->impl->for_all(&ServerConnection::close);
+}
+
+}  // namespace ibismux::http
--- /dev/null
+++ b/ibismux/http/server_connection.cc
@@ -0,0 +1,312 @@
+#include "ibismux/http/server_connection.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/write.hpp>
+#include <utility>
+
+#include "ibismux/http/wire_format.h"
+
+namespace ibismux::http {
+
+namespace {
+
+namespace asio = boost::asio;
+using ErrorCode = boost::system::error_code;
+
+// Bytes of later requests that are kept while one is being handled. Beyond
+// them the client must wait, and its going away shows only at the write.
+constexpr std::size_t kMostPipelined = 64 * 1024;
+// How much and how long a client whose request was refused may still send. To
+// close with unread bytes resets the connection, which can destroy the refusal
+// before the client has read it.
+constexpr std::size_t kMostDropped = 8 * 1024 * 1024;
+constexpr Duration kMostLinger = std::chrono::seconds(2);
+constexpr Duration kDrainGrace = std::chrono::milliseconds(500);
+
+std::string remote_of(const TcpSocket& socket) {
+  ErrorCode error;
+  const auto endpoint = socket.remote_endpoint(error);
+  return error ? std::string() : endpoint.address().to_string();
+}
+
+ErrorKind kind_of(int status) {
+  return status == 413 ? ErrorKind::kTooLarge : ErrorKind::kInvalidRequest;
+}
+
+}  // namespace
+
+ServerConnection::ServerConnection(TcpSocket socket,
+                                   std::shared_ptr<ServerCore> core,
+                                   std::weak_ptr<ServerLoop> loop)
+    : socket(std::move(socket)),
+      core(std::move(core)),
+      loop(std::move(loop)),
+      counted(this->core->connections),
+      remote(remote_of(this->socket)),
+      timer(this->socket.get_executor()),
+      parser(this->core->limits.header_bytes, this->core->limits.body_bytes) {}
+
+void ServerConnection::start() {
+  ErrorCode ignored;
+  this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  this->await_request();
+  this->arm_timer(this->deadline);
+}
+
+void ServerConnection::drain() {
+  if (this->phase == Phase::kIdle) {
+    this->deadline = std::min(this->deadline, Clock::now() + kDrainGrace);
+    this->arm_timer(this->deadline);
+  }
+}
+
+void ServerConnection::close() {
+  if (this->phase == Phase::kClosed) {
+    return;
+  }
+  const auto self = this->shared_from_this();
+  this->phase = Phase::kClosed;
+  this->in_flight.reset();
+  this->timer.cancel();
+  ErrorCode ignored;
+  this->socket.close(ignored);
+  if (const auto owner = this->loop.lock()) {
+    owner->connections.erase(self);
+  }
+  if (const auto cancelled = std::exchange(this->token, nullptr)) {
+    cancelled->cancel();
+  }
+}
+
+void ServerConnection::await_request() {
+  this->phase = Phase::kIdle;
+  this->set_deadline(this->core->limits.idle_timeout);
+  this->request = std::make_shared<Request>();
+  this->request->remote = this->remote;
+  this->parser.start(*this->request);
+  this->parse();
+}
+
+void ServerConnection::read() {
+  if (this->reading || this->peer_done) {
+    return;
+  }
+  this->reading = true;
+  this->socket.async_read_some(asio::buffer(this->chunk),
+                               [self = this->shared_from_this()](
+                                   const ErrorCode& error, std::size_t bytes) {
+                                 self->reading = false;
+                                 self->on_read(error, bytes);
+                               });
+}
+
+void ServerConnection::on_read(const ErrorCode& error, std::size_t bytes) {
+  if (this->phase == Phase::kClosed) {
+    return;
+  }
+  if (this->phase == Phase::kLingering) {
+    this->on_lingering(error, bytes);
+    return;
+  }
+  if (error) {
+    this->on_end(error);
+    return;
+  }
+  this->input.append(this->chunk.data(), bytes);
+  if (this->phase == Phase::kIdle || this->phase == Phase::kReading) {
+    this->parse();
+  } else if (this->input.size() < kMostPipelined) {
+    this->read();
+  }
+}
+
+void ServerConnection::on_end(const ErrorCode& error) {
+  this->peer_done = true;
+  if (this->phase == Phase::kHandling || this->phase == Phase::kWriting) {
+    if (this->token) {
+      this->token->cancel();
+    }
+  } else if (this->phase == Phase::kReading && error == asio::error::eof) {
+    this->refuse(400, ErrorKind::kInvalidRequest, "request was cut short");
+  } else {
+    this->close();
+  }
+}
+
+void ServerConnection::parse() {
+  if (!this->input.empty()) {
+    if (this->phase == Phase::kIdle) {
+      this->phase = Phase::kReading;
+      this->set_deadline(this->core->limits.transfer_timeout);
+    }
+    const ParseStep step = this->parser.feed(this->input);
+    this->input.erase(0, step.consumed);
+    if (step.state == ParseState::kFailed) {
+      this->refuse(step.status, kind_of(step.status), step.message);
+      return;
+    }
+    if (step.state == ParseState::kDone) {
+      this->handle();
+      return;
+    }
+    if (this->parser.take_expect_continue()) {
+      this->send_continue();
+    }
+  }
+  if (this->peer_done) {
+    this->on_end(asio::error::eof);
+  }
+  this->read();
+}
+
+void ServerConnection::send_continue() {
+  // An informational line is small and best effort: a client that doesn't get
+  // it sends its body after a wait of its own.
+  ErrorCode ignored;
+  this->socket.non_blocking(true, ignored);
+  this->socket.write_some(
+      asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\n")), ignored);
+}
+
+void ServerConnection::handle() {
+  this->phase = Phase::kHandling;
+  this->deadline = TimePoint::max();
+  this->token = std::make_shared<CancelToken>();
+  this->in_flight.emplace(this->core->in_flight);
+  auto done = [self = this->shared_from_this()](
+                  const std::exception_ptr& thrown, Response response) {
+    self->on_answer(thrown, std::move(response));
+  };
+  this->read();
+  try {
+    asio::co_spawn(this->socket.get_executor(),
+                   this->core->handler(this->request, this->token),
+                   std::move(done));
+  } catch (...) {
+    this->on_answer(std::current_exception(), Response{});
+  }
+}
+
+void ServerConnection::on_answer(const std::exception_ptr& thrown,
+                                 Response response) {
+  if (this->phase != Phase::kHandling) {
+    return;
+  }
+  if (thrown) {
+    response = refusal(500, ErrorKind::kInternal, "the handler failed");
+  }
+  const bool keep_alive = this->parser.keep_alive() && !this->peer_done &&
+                          !this->core->draining.load();
+  this->write(std::move(response), keep_alive);
+}
+
+void ServerConnection::refuse(int status,
+                              ErrorKind kind,
+                              const std::string& message) {
+  this->write(refusal(status, kind, message), false);
+}
+
+void ServerConnection::write(Response response, bool keep_alive) {
+  this->phase = Phase::kWriting;
+  this->set_deadline(this->core->limits.transfer_timeout);
+  this->response = std::move(response);
+  this->head.clear();
+  append_head(this->head, this->response, keep_alive);
+  const bool with_body =
+      this->request->method != "HEAD" && may_have_body(this->response.status);
+  const std::array<asio::const_buffer, 2> buffers = {
+      asio::buffer(this->head),
+      with_body ? asio::buffer(this->response.body) : asio::const_buffer()};
+  asio::async_write(this->socket, buffers,
+                    [self = this->shared_from_this(), keep_alive](
+                        const ErrorCode& error, std::size_t) {
+                      self->on_written(error, keep_alive);
+                    });
+}
+
+void ServerConnection::on_written(const ErrorCode& error, bool keep_alive) {
+  if (this->phase == Phase::kClosed) {
+    return;
+  }
+  this->in_flight.reset();
+  this->token.reset();
+  if (error) {
+    this->close();
+  } else if (keep_alive && !this->peer_done) {
+    this->await_request();
+  } else {
+    this->linger();
+  }
+}
+
+void ServerConnection::linger() {
+  this->phase = Phase::kLingering;
+  this->set_deadline(
+      std::min(this->core->limits.transfer_timeout, kMostLinger));
+  ErrorCode ignored;
+  this->socket.shutdown(TcpSocket::shutdown_send, ignored);
+  if (this->peer_done) {
+    this->close();
+    return;
+  }
+  this->arm_timer(this->deadline);
+  this->read();
+}
+
+void ServerConnection::on_lingering(const ErrorCode& error, std::size_t bytes) {
+  this->dropped += bytes;
+  if (error || this->dropped > kMostDropped) {
+    this->close();
+    return;
+  }
+  this->read();
+}
+
+void ServerConnection::set_deadline(Duration from_now) {
+  this->deadline = Clock::now() + from_now;
+}
+
+void ServerConnection::arm_timer(TimePoint when) {
+  this->timer.expires_at(when);
+  this->timer.async_wait(
+      [self = this->shared_from_this()](const ErrorCode& error) {
+        if (!error) {
+          self->on_timer();
+        }
+      });
+}
+
+void ServerConnection::on_timer() {
+  if (this->phase == Phase::kClosed) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  if (this->deadline <= now) {
+    this->on_deadline();
+  }
+  if (this->phase == Phase::kClosed) {
+    return;
+  }
+  const Duration period = std::min(this->core->limits.idle_timeout,
+                                   this->core->limits.transfer_timeout);
+  this->arm_timer(std::min(this->deadline, now + period));
+}
+
+void ServerConnection::on_deadline() {
+  if (this->phase == Phase::kReading) {
+    this->refuse(408, ErrorKind::kInvalidRequest, "request took too long");
+    return;
+  }
+  // A request may have come since the loop last looked: it is in flight, and
+  // a planned stop cuts none.
+  ErrorCode ignored;
+  if (this->phase == Phase::kIdle && this->socket.available(ignored) > 0) {
+    this->set_deadline(this->core->limits.transfer_timeout);
+    return;
+  }
+  this->close();
+}
+
+}  // namespace ibismux::http
--- /dev/null
+++ b/ibismux/http/server_core.h
@@ -0,0 +1,52 @@
+#ifndef IBISMUX_HTTP_SERVER_CORE_H_
+#define IBISMUX_HTTP_SERVER_CORE_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <unordered_set>
+#include <utility>
+
+#include "ibismux/http/server.h"
+
+namespace ibismux::http {
+
+class ServerConnection;
+
+/// What all connections of a server share. Thread safe.
+struct ServerCore {
+  ServerLimits limits;
+  Server::Handler handler;
+  std::atomic<std::size_t> connections{0};
+  std::atomic<std::size_t> in_flight{0};
+  std::atomic<bool> draining{false};
+};
+
+/// Counts one thing while it lives.
+class Counted {
+ public:
+  explicit Counted(std::atomic<std::size_t>& counter) : counter(&counter) {
+    counter.fetch_add(1, std::memory_order_relaxed);
+  }
+  Counted(Counted&& other) noexcept
+      : counter(std::exchange(other.counter, nullptr)) {}
+  Counted& operator=(Counted&&) = delete;
+  ~Counted() {
+    if (this->counter != nullptr) {
+      this->counter->fetch_sub(1, std::memory_order_release);
+    }
+  }
+
+ private:
+  std::atomic<std::size_t>* counter;
+};
+
+/// The connections that live on one event loop; touched by its thread alone.
+struct ServerLoop {
+  boost::asio::io_context& context;
+  std::unordered_set<std::shared_ptr<ServerConnection>> connections;
+};
+
+}  // namespace ibismux::http
+
+#endif  // IBISMUX_HTTP_SERVER_CORE_H_
--- /dev/null
+++ b/ibismux/http/wire_format.h
@@ -0,0 +1,33 @@
+#ifndef IBISMUX_HTTP_WIRE_FORMAT_H_
+#define IBISMUX_HTTP_WIRE_FORMAT_H_
+
+#include <string>
+#include <string_view>
+
+#include "ibismux/base/error.h"
+#include "ibismux/http/message.h"
+
+namespace ibismux::http {
+
+/// Appends the head of `request`. Thread safe.
+/// @param host_line The whole `Host` line with its line break.
+void append_head(std::string& out,
+                 const Request& request,
+                 std::string_view host_line);
+
+/// Appends the head of `response`; `Content-Length` and `Connection` fields of
+/// its own are replaced. Thread safe.
+void append_head(std::string& out, const Response& response, bool keep_alive);
+
+/// Whether a response with `status` may have a body. Thread safe.
+[[nodiscard]] bool may_have_body(int status) noexcept;
+
+/// The answer of the server itself to a request that no handler answered: a
+/// JSON object with the stable name of `kind`. Thread safe.
+[[nodiscard]] Response refusal(int status,
+                               ErrorKind kind,
+                               std::string_view message);
+
+}  // namespace ibismux::http
+
+#endif  // IBISMUX_HTTP_WIRE_FORMAT_H_
--- /dev/null
+++ b/tests/http/exchange_test.cc
@@ -0,0 +1,81 @@
+#include "tests/http/harness.h"
+
+#include <criterion/criterion.h>
+
+#include "ibismux/http/client_pool.h"
+
+using namespace ibismux;
+using namespace ibismux::http;
+using namespace ibismux::http::test;
+
+namespace {
+
+Task<Response> throwing(std::shared_ptr<const Request>,
+                        std::shared_ptr<CancelToken>) {
+  throw std::runtime_error("secret detail");
+  co_return Response{};
+}
+
+Task<Result<Response>> send_twice(std::shared_ptr<ClientPool> pool) {
+  auto first = co_await pool->send(post("1"), soon());
+  if (!first) {
+    co_return first;
+  }
+  co_return co_await pool->send(post("2"), soon());
+}
+
+}  // namespace
+
+Test(http_exchange, keeps_the_connection_alive) {
+  ServerFixture fixture;
+  TestClient client(fixture.pool, fixture.port);
+  for (int i = 0; i < 100; ++i) {
+    const auto answer = client.send(post(std::to_string(i)));
+    cr_assert(answer.has_value());
+    cr_assert(answer->status == 200);
+    cr_assert(answer->body == "POST /x " + std::to_string(i));
+  }
+  cr_assert(fixture.server.connections() == 1);
+}
+
+Test(http_exchange, carries_large_bodies) {
+  ServerFixture fixture;
+  TestClient client(fixture.pool, fixture.port);
+  const std::string body(900 * 1024, 'b');
+  const auto answer = client.send(post(body));
+  cr_assert(answer.has_value());
+  cr_assert(answer->body == "POST /x " + body);
+}
+
+Test(http_exchange, handler_that_throws_gives_500) {
+  ServerFixture fixture(throwing);
+  TestClient client(fixture.pool, fixture.port);
+  const auto answer = client.send(post(""));
+  cr_assert(answer->status == 500);
+  cr_assert(answer->body.find("\"internal\"") != std::string::npos);
+  cr_assert(answer->body.find("secret") == std::string::npos);
+}
+
+Test(http_exchange, refused_connection_is_not_run) {
+  std::uint16_t free_port = 0;
+  {
+    ServerFixture gone;
+    free_port = gone.port;
+  }
+  IoPool pool(1);
+  pool.start();
+  TestClient client(pool, free_port);
+  const auto answer = client.send(post(""));
+  cr_assert(!answer.has_value());
+  cr_assert(answer.error().kind == ErrorKind::kLeafUnavailable);
+  cr_assert(answer.error().execution == Execution::kNotRun);
+}
+
+Test(http_exchange, pool_reuses_its_connection) {
+  ServerFixture fixture;
+  auto pool = std::make_shared<ClientPool>("127.0.0.1", fixture.port);
+  const auto answer = run(fixture.pool, send_twice(std::move(pool)));
+  cr_assert(answer.has_value());
+  cr_assert(answer->body == "POST /x 2");
+  cr_assert(fixture.server.connections() == 1);
+}
