--- a/ibismux/jsonc/position_handler.h
+++ b/ibismux/jsonc/position_handler.h
@@ -20,11 +20,13 @@
 /// a time and `place` is set before each byte. Not thread safe.
 class PositionHandler {
  public:
-  // What Boost.JSON asks of a handler.
+  // What Boost.JSON asks of a handler, by the names that it looks for.
+  // NOLINTBEGIN(readability-identifier-naming)
   static constexpr std::size_t max_object_size = std::size_t(-1);
   static constexpr std::size_t max_array_size = std::size_t(-1);
   static constexpr std::size_t max_key_size = 64 * 1024;
   static constexpr std::size_t max_string_size = 16 * 1024 * 1024;
+  // NOLINTEND(readability-identifier-naming)
 
   Position place;
   std::map<std::string, Position, std::less<>> positions;
