--- a/tests/http/exchange_test.cc
+++ b/tests/http/exchange_test.cc
@@ -16,12 +16,16 @@
   co_return Response{};
 }
 
-Task<Result<Response>> send_twice(std::shared_ptr<ClientPool> pool) {
-  auto first = co_await pool->send(post("1"), soon());
-  if (!first) {
-    co_return first;
+/// Sends twice over one pool.
+/// @return How many connections the server has while the pool lives.
+Task<std::size_t> send_twice(std::shared_ptr<ClientPool> pool, Server* server) {
+  for (const char* body : {"1", "2"}) {
+    const auto answer = co_await pool->send(post(body), soon());
+    if (!answer || answer->body != std::string("POST /x ") + body) {
+      co_return 0;
+    }
   }
-  co_return co_await pool->send(post("2"), soon());
+  co_return server->connections();
 }
 
 }  // namespace
@@ -74,8 +78,7 @@
 Test(http_exchange, pool_reuses_its_connection) {
   ServerFixture fixture;
   auto pool = std::make_shared<ClientPool>("127.0.0.1", fixture.port);
-  const auto answer = run(fixture.pool, send_twice(std::move(pool)));
-  cr_assert(answer.has_value());
-  cr_assert(answer->body == "POST /x 2");
-  cr_assert(fixture.server.connections() == 1);
+  const std::size_t connections =
+      run(fixture.pool, send_twice(std::move(pool), &fixture.server));
+  cr_assert(connections == 1);
 }
