Encode releases as a head and content-addressed chunks

Peers, the platform and requests each need a release in a form of its own, and all of them must agree on what one is.

A head names chunks by hash; an object's bucket depends on its key alone, so a change of one object rewrites one chunk. A chunk's name carries the generation that it was written for: with the bare hash as name, one daemon could delete a chunk while another, building on an older head, was about to name the same contents again. Object versions stand in the chunks, since 30,000 of them in the head would be sent with each change. Rejections stand there too, so that the status of an object is as durable and as far spread as its acceptance; the platform's collection for status is not needed for it.

Objects are checked against each other both when a candidate is made and when a release is taken, so that a daemon never swaps in what does not hold together.

--- /dev/null
+++ b/ibismux/release/assembly.h
@@ -0,0 +1,38 @@
+#ifndef IBISMUX_RELEASE_ASSEMBLY_H_
+#define IBISMUX_RELEASE_ASSEMBLY_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "ibismux/release/release_contents.h"
+
+namespace ibismux::release {
+
+/// A release in the form that is written: its head, and the chunks that its
+/// base doesn't have.
+struct Assembly {
+  struct NewChunk {
+    std::string name;
+    std::string bytes;
+  };
+
+  Head head;
+  std::vector<NewChunk> chunks;
+};
+
+/// The release of `objects` and `rejections` that follows `base`.
+///
+/// Only buckets whose objects changed get a new chunk. The number of buckets
+/// follows the number of objects, with a factor of two between growing and
+/// standing still, and never falls: a change of it rewrites everything.
+/// @param head All but the chunks; its generation names the new ones.
+/// Thread safe.
+[[nodiscard]] Assembly assemble(const ReleaseContents& base,
+                                const ObjectSet& objects,
+                                const RejectionSet& rejections,
+                                Head head);
+
+}  // namespace ibismux::release
+
+#endif  // IBISMUX_RELEASE_ASSEMBLY_H_
--- a/ibismux/release/forward.h
+++ b/ibismux/release/forward.h
@@ -3,15 +3,25 @@
 
 namespace ibismux::release {
 
+struct AcceptedObject;
 struct BackendServer;
+struct Change;
+struct Chunk;
+struct ChunkRef;
+struct Head;
 struct LimitPolicy;
+struct ObjectKey;
+struct ObjectRecord;
 struct QueryService;
+struct Rejection;
 struct Release;
+struct ReleaseContents;
 struct ServiceView;
 struct Shard;
 struct ShardView;
 struct Snapshot;
 struct SnapshotView;
+class ReleaseStore;
 
 }  // namespace ibismux::release
 
--- /dev/null
+++ b/ibismux/release/object_set.h
@@ -0,0 +1,56 @@
+#ifndef IBISMUX_RELEASE_OBJECT_SET_H_
+#define IBISMUX_RELEASE_OBJECT_SET_H_
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "ibismux/base/ids.h"
+#include "ibismux/platform/stored_object.h"
+#include "ibismux/release/object_spec.h"
+
+namespace ibismux::release {
+
+/// An object as it is in force.
+struct AcceptedObject {
+  platform::Version version = 0;
+  Generation generation = 0;  ///< That accepted it.
+  std::string change_id;
+  std::shared_ptr<const ObjectSpec> spec;
+
+  /// A version has one spec, so comparing the specs is not needed.
+  [[nodiscard]] bool operator==(const AcceptedObject& other) const noexcept {
+    return this->version == other.version &&
+           this->generation == other.generation &&
+           this->change_id == other.change_id;
+  }
+};
+
+/// Why the newest version of an object is not in force.
+struct Rejection {
+  platform::Version version = 0;
+  Generation generation = 0;  ///< That first says so.
+  std::string change_id;
+  std::string reason;
+
+  [[nodiscard]] bool operator==(const Rejection&) const = default;
+};
+
+/// In order of their keys, so that what is made of them doesn't depend on the
+/// order in which they came.
+using ObjectSet = std::map<ObjectKey, AcceptedObject>;
+using RejectionSet = std::map<ObjectKey, Rejection>;
+
+/// The object of `T`'s kind named `name`, or null. Thread safe.
+template <class T>
+[[nodiscard]] const T* find_object(const ObjectSet& objects,
+                                   ObjectKind kind,
+                                   const std::string& name) {
+  const auto found = objects.find(ObjectKey{kind, name});
+  return found == objects.end() ? nullptr
+                                : std::get_if<T>(found->second.spec.get());
+}
+
+}  // namespace ibismux::release
+
+#endif  // IBISMUX_RELEASE_OBJECT_SET_H_
--- a/ibismux/release/release_store.h
+++ b/ibismux/release/release_store.h
@@ -32,10 +32,13 @@
   [[nodiscard]] Generation generation() const noexcept;
   /// The encoded head in force; empty before the first.
   [[nodiscard]] std::string head() const;
-  /// A chunk of the head in force.
-  [[nodiscard]] std::optional<std::string> chunk(const std::string& hash) const;
-  /// The chunks that the encoded `head` names and this store lacks; an error if
-  /// it can't be decoded.
+  /// A chunk of the head in force. `name` is as `missing()` gives it, which is
+  /// also its name in the platform's collection `releases`.
+  [[nodiscard]] std::optional<std::string> chunk(const std::string& name) const;
+  /// The release in force with its objects and their status; never null.
+  [[nodiscard]] std::shared_ptr<const ReleaseContents> contents() const;
+  /// The names of the chunks that the encoded `head` names and this store
+  /// lacks; an error if it can't be decoded.
   [[nodiscard]] Result<std::vector<std::string>> missing(
       const std::string& head) const;
   /// @}
@@ -48,7 +51,8 @@
                                    const std::vector<std::string>& chunks);
 
   /// `listener` runs after each swap, on the thread that offered. Set before
-  /// the daemon starts.
+  /// the daemon starts. Of two offers on two threads, the later one's call may
+  /// come first: read `generation()`.
   void on_change(Listener listener);
 
  private:
--- /dev/null
+++ b/tests/release/release_store_test.cc
@@ -0,0 +1,103 @@
+#include "ibismux/release/release_store.h"
+
+#include "ibismux/release/assembly.h"
+#include "ibismux/release/release.h"
+#include "ibismux/release/release_contents.h"
+#include "tests/release/sample_objects.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::release {
+namespace {
+
+struct Encoded {
+  std::string head;
+  std::vector<std::string> chunks;
+};
+
+Encoded encode(const ReleaseContents& base,
+               const ObjectSet& objects,
+               Generation generation) {
+  const Assembly assembly =
+      assemble(base, objects, {},
+               Head{.generation = generation,
+                    .publication = "p" + std::to_string(generation)});
+  Encoded encoded{encode_head(assembly.head), {}};
+  for (const Assembly::NewChunk& chunk : assembly.chunks) {
+    encoded.chunks.push_back(chunk.bytes);
+  }
+  return encoded;
+}
+
+void offer(ReleaseStore& store,
+           const ObjectSet& objects,
+           Generation generation) {
+  const Encoded encoded = encode(*store.contents(), objects, generation);
+  const Result<bool> done = store.offer(encoded.head, encoded.chunks);
+  cr_assert(done && *done, "%s", done ? "" : done.error().message.c_str());
+}
+
+Test(release_store, puts_a_release_in_force_as_requests_read_it) {
+  ReleaseStore store;
+  cr_assert(store.head().empty());
+  offer(store, testing::sample_objects(), 1);
+
+  const auto release = store.releases().read();
+  cr_assert(release->generation == 1);
+  const auto& service = release->services.at("bays");
+  cr_assert(service->limits.size() == 1);
+  cr_assert(service->snapshots.size() == 1);
+  const SnapshotView& snapshot = *service->snapshots[0];
+  cr_assert(snapshot.shards[0].name == "low");
+  cr_assert(snapshot.shards[1].name == "high");
+  cr_assert(release->leafs[snapshot.shards[0].replicas[0]].name == "b");
+}
+
+Test(release_store, asks_only_for_chunks_that_changed) {
+  ReleaseStore store;
+  offer(store, testing::sample_objects(), 1);
+  ObjectSet objects = testing::sample_objects();
+  testing::put(objects,
+               "{'kind':'limit_policy','name':'l1','spec':{'concurrency':8}}",
+               9);
+  const Encoded next = encode(*store.contents(), objects, 2);
+  const auto missing = store.missing(next.head);
+  cr_assert(missing && missing->size() == 1);
+  cr_assert(next.chunks.size() == 1);
+  cr_assert(*store.offer(next.head, next.chunks));
+  cr_assert(store.missing(next.head)->empty());
+  cr_assert(store.chunk(missing->front()) == next.chunks.front());
+}
+
+/// Symptom: a change that was in force comes undone on one daemon.
+/// Sequence: a relay that was paused pushes an old head after a newer one.
+/// Cause: a swap that doesn't compare generations.
+Test(release_store, never_goes_back) {
+  ReleaseStore store;
+  const Encoded old = encode(*store.contents(), testing::sample_objects(), 1);
+  offer(store, testing::sample_objects(), 2);
+  cr_assert(!*store.offer(old.head, old.chunks));
+  cr_assert(store.generation() == 2);
+}
+
+Test(release_store, refuses_what_is_not_whole_and_changes_nothing) {
+  ReleaseStore store;
+  Encoded encoded = encode(*store.contents(), testing::sample_objects(), 1);
+  cr_assert(!store.offer("rubbish", {}));
+  cr_assert(!store.offer(encoded.head, {}));
+  encoded.chunks.front() += "x";
+  cr_assert(!store.offer(encoded.head, encoded.chunks));
+  cr_assert(store.generation() == 0);
+}
+
+Test(release_store, refuses_objects_that_do_not_fit_together) {
+  ReleaseStore store;
+  ObjectSet objects = testing::sample_objects();
+  objects.erase(ObjectKey{ObjectKind::kShard, "low"});
+  const Encoded encoded = encode(*store.contents(), objects, 1);
+  const Result<bool> done = store.offer(encoded.head, encoded.chunks);
+  cr_assert(!done && done.error().kind == ErrorKind::kInvalidRequest);
+}
+
+}  // namespace
+}  // namespace ibismux::release
