Run a query: pin, scatter, gather, hedge, retry, restart, answer

The core is a state machine without sockets or clock (Gather): answers, refusals and time go in, calls to start and to cancel come out. A map from call ids was ruled out for the cost at 230 shards.

Deadlines, replica choice, hedge delay and both budgets are small objects that get the time passed in. The engine around them keeps one timer a query.

--- /dev/null
+++ b/ibismux/query/active_query.cc
@@ -0,0 +1,160 @@
+#include "ibismux/query/active_query.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "ibismux/gateway/leaf_caller.h"
+#include "ibismux/query/fraction_budget.h"
+#include "ibismux/release/release.h"
+
+namespace ibismux::query {
+
+namespace asio = boost::asio;
+
+ActiveQuery::ActiveQuery(QueryContext context,
+                         QueryRequest request,
+                         std::shared_ptr<ServiceState> service,
+                         GatherPlan plan,
+                         asio::any_io_executor executor)
+    : context(context),
+      request(std::move(request)),
+      service(std::move(service)),
+      deadline(plan.deadlines.deadline()),
+      gather(std::move(plan),
+             GatherPolicies{context.replicas, this->service->policy,
+                            context.retries}),
+      executor(std::move(executor)),
+      timer(this->executor) {}
+
+void ActiveQuery::start(Pin pin,
+                        Priority priority,
+                        const std::shared_ptr<http::CancelToken>& cancel) {
+  this->priority = priority;
+  const std::uint64_t first =
+      this->context.ids.reserve(Gather::ids_needed(pin));
+  this->gather.start(std::move(pin), first, Clock::now());
+  this->perform();
+  if (cancel != nullptr) {
+    cancel->on_cancel([query = this->weak_from_this()] {
+      if (const std::shared_ptr<ActiveQuery> alive = query.lock()) {
+        alive->on_cancel();
+      }
+    });
+  }
+}
+
+Task<Result<QueryAnswer>> ActiveQuery::finish(
+    std::shared_ptr<ActiveQuery> query) {
+  while (!query->gather.finished()) {
+    query->timer.expires_at(query->gather.next_wake());
+    co_await query->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    query->on_time();
+  }
+  Result<QueryAnswer> result = query->gather.take_result();
+  query->service->metrics->query_ended(result, query->gather.counts(),
+                                       Clock::now() - query->request.received,
+                                       query->service->policy);
+  co_return result;
+}
+
+void ActiveQuery::on_answer(const gateway::LeafAnswer& answer) {
+  if (this->gather.finished()) {
+    if (answer.body.has_value()) {
+      this->service->metrics->answer_after_end();
+    }
+    return;
+  }
+  const TimePoint now = Clock::now();
+  const TimePoint wake = this->gather.next_wake();
+  if (answer.id.origin == this->context.ids.origin()) {
+    this->gather.on_answer(answer, now);
+  } else {
+    this->gather.on_foreign();
+  }
+  this->restart_if_wanted(now);
+  this->perform();
+  if (this->gather.finished() || this->gather.next_wake() < wake) {
+    this->timer.cancel();
+  }
+}
+
+void ActiveQuery::on_cancel() {
+  this->gather.on_cancel(Clock::now());
+  this->perform();
+  this->timer.cancel();
+}
+
+void ActiveQuery::on_time() {
+  const TimePoint now = Clock::now();
+  if (this->gather.finished() || now < this->gather.next_wake()) {
+    return;
+  }
+  this->gather.on_time(now);
+  this->restart_if_wanted(now);
+  this->perform();
+}
+
+void ActiveQuery::restart_if_wanted(TimePoint now) {
+  if (!this->gather.wants_restart(now)) {
+    return;
+  }
+  const std::shared_ptr<const PolicySet> set = this->context.table.current();
+  const auto service = set->release->services.find(this->request.service);
+  if (service == set->release->services.end() ||
+      service->second->snapshots.empty()) {
+    return;
+  }
+  const auto& newest = service->second->snapshots.front();
+  if (newest->sequence <= this->gather.pin().snapshot->sequence) {
+    return;
+  }
+  Pin pin{set->release, newest, set->leafs};
+  const std::uint64_t first =
+      this->context.ids.reserve(Gather::ids_needed(pin));
+  this->gather.start(std::move(pin), first, now);
+}
+
+void ActiveQuery::perform() {
+  this->cancel(this->gather.take_cancels());
+  this->send(this->gather.take_starts());
+}
+
+void ActiveQuery::send(const std::vector<GatherCall>& calls) {
+  if (calls.empty()) {
+    return;
+  }
+  const Pin& pin = this->gather.pin();
+  gateway::LeafCallBatch batch;
+  batch.origin = this->context.ids.origin();
+  batch.kind = gateway::LeafCallKind::kQuery;
+  batch.service = this->request.service;
+  batch.snapshot = pin.snapshot->name;
+  batch.priority = this->priority;
+  batch.deadline = this->deadline;
+  batch.body = this->request.body;
+  batch.items.reserve(calls.size());
+  for (const GatherCall& call : calls) {
+    batch.items.push_back({call.sequence, pin.release->leafs[call.leaf].name,
+                           pin.snapshot->shards[call.shard].name});
+  }
+  this->context.leafs.call(
+      std::move(batch), this->executor,
+      [query = this->shared_from_this()](gateway::LeafAnswer answer) {
+        query->on_answer(answer);
+      });
+}
+
+void ActiveQuery::cancel(const std::vector<std::uint64_t>& sequences) {
+  if (sequences.empty()) {
+    return;
+  }
+  std::vector<CallId> calls;
+  calls.reserve(sequences.size());
+  for (const std::uint64_t sequence : sequences) {
+    calls.push_back({this->context.ids.origin(), sequence});
+  }
+  this->context.leafs.cancel(std::move(calls));
+}
+
+}  // namespace ibismux::query
--- /dev/null
+++ b/ibismux/query/active_query.h
@@ -0,0 +1,73 @@
+#ifndef IBISMUX_QUERY_ACTIVE_QUERY_H_
+#define IBISMUX_QUERY_ACTIVE_QUERY_H_
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+#include "ibismux/base/priority.h"
+#include "ibismux/base/task.h"
+#include "ibismux/gateway/forward.h"
+#include "ibismux/http/cancel_token.h"
+#include "ibismux/query/call_id_source.h"
+#include "ibismux/query/gather.h"
+#include "ibismux/query/policy_table.h"
+#include "ibismux/query/query_request.h"
+
+namespace ibismux::query {
+
+/// What every query uses; all outlive it.
+struct QueryContext {
+  PolicyTable& table;
+  gateway::LeafCaller& leafs;
+  CallIdSource& ids;
+  const ReplicaChoice& replicas;
+  FractionBudget& retries;
+};
+
+/// A query under way: performs what its `Gather` decides, with one timer.
+///
+/// Belongs to the event loop of its caller; not thread safe. Sinks of calls
+/// keep it alive until the last one has ended.
+class ActiveQuery : public std::enable_shared_from_this<ActiveQuery> {
+ public:
+  /// @param executor Of the loop that the query stays on.
+  ActiveQuery(QueryContext context,
+              QueryRequest request,
+              std::shared_ptr<ServiceState> service,
+              GatherPlan plan,
+              boost::asio::any_io_executor executor);
+
+  /// Scatters over the shards of `pin`. Precondition: called once.
+  /// @param cancel May be null.
+  void start(Pin pin,
+             Priority priority,
+             const std::shared_ptr<http::CancelToken>& cancel);
+
+  /// Waits for the end. Precondition: started; called once.
+  [[nodiscard]] static Task<Result<QueryAnswer>> finish(
+      std::shared_ptr<ActiveQuery> query);
+
+ private:
+  void on_answer(const gateway::LeafAnswer& answer);
+  void on_cancel();
+  void on_time();
+  /// Starts again if shards lost the snapshot and a newer one is known here.
+  void restart_if_wanted(TimePoint now);
+  void perform();
+  void send(const std::vector<GatherCall>& calls);
+  void cancel(const std::vector<std::uint64_t>& sequences);
+
+  QueryContext context;
+  QueryRequest request;
+  std::shared_ptr<ServiceState> service;
+  TimePoint deadline;
+  Gather gather;
+  Priority priority = Priority::kCatalogue;
+  boost::asio::any_io_executor executor;
+  boost::asio::steady_timer timer;
+};
+
+}  // namespace ibismux::query
+
+#endif  // IBISMUX_QUERY_ACTIVE_QUERY_H_
--- a/ibismux/query/forward.h
+++ b/ibismux/query/forward.h
@@ -4,10 +4,28 @@
 namespace ibismux::query {
 
 struct Coverage;
+struct GatherCall;
+struct GatherPlan;
 struct Hit;
+struct Pin;
 struct QueryAnswer;
 struct QueryRequest;
+struct GatherCounts;
+struct PolicySet;
+struct ServiceState;
+class DeadlinePolicy;
+class FractionBudget;
+class Gather;
+class ServiceMetrics;
+class HitMerger;
+class LatencyQuantile;
+class CallIdSource;
+class LeafStats;
+class PolicyTable;
 class QueryEngine;
+class QueryMetrics;
+class ReplicaChoice;
+class ServicePolicy;
 
 }  // namespace ibismux::query
 
--- /dev/null
+++ b/ibismux/query/fraction_budget.h
@@ -0,0 +1,60 @@
+#ifndef IBISMUX_QUERY_FRACTION_BUDGET_H_
+#define IBISMUX_QUERY_FRACTION_BUDGET_H_
+
+#include <algorithm>
+#include <atomic>
+#include <cstdint>
+
+namespace ibismux::query {
+
+/// Extra calls as a share of ordinary ones: each ordinary call pays in a
+/// fraction of a token, each extra call takes a whole one.
+///
+/// Thread safe.
+class FractionBudget {
+ public:
+  /// @param burst The most tokens kept for later; it starts with one.
+  explicit FractionBudget(double burst)
+      : most(to_units(std::max(1.0, burst))), units(kUnitsPerToken) {}
+
+  /// Pays in for `calls` ordinary calls. @param share Of a token, each.
+  void pay_in(std::size_t calls, double share) noexcept {
+    const std::int64_t more = to_units(static_cast<double>(calls) * share);
+    std::int64_t old = this->units.load(std::memory_order_relaxed);
+    while (!this->units.compare_exchange_weak(
+        old, std::min(this->most, old + more), std::memory_order_relaxed)) {
+    }
+  }
+
+  /// Takes one token. @return False if there is none.
+  [[nodiscard]] bool take() noexcept {
+    std::int64_t old = this->units.load(std::memory_order_relaxed);
+    while (old >= kUnitsPerToken) {
+      if (this->units.compare_exchange_weak(old, old - kUnitsPerToken,
+                                            std::memory_order_relaxed)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  [[nodiscard]] double tokens() const noexcept {
+    return static_cast<double>(this->units.load(std::memory_order_relaxed)) /
+           static_cast<double>(kUnitsPerToken);
+  }
+
+ private:
+  static constexpr std::int64_t kUnitsPerToken = 1'000'000;
+
+  static std::int64_t to_units(double tokens) noexcept {
+    return static_cast<std::int64_t>(tokens *
+                                     static_cast<double>(kUnitsPerToken));
+  }
+
+  const std::int64_t most;
+  std::atomic<std::int64_t> units;
+};
+
+}  // namespace ibismux::query
+
+#endif  // IBISMUX_QUERY_FRACTION_BUDGET_H_
--- /dev/null
+++ b/ibismux/query/gather.cc
@@ -0,0 +1,475 @@
+#include "ibismux/query/gather.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "ibismux/query/fraction_budget.h"
+#include "ibismux/query/leaf_stats.h"
+#include "ibismux/query/replica_choice.h"
+#include "ibismux/query/service_policy.h"
+#include "ibismux/release/release.h"
+
+namespace ibismux::query {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// When a caller should come back where no leaf said.
+constexpr milliseconds kUsualRetryAfter{250};
+/// First wait before a replica that refused is asked again; doubles each time.
+constexpr milliseconds kBackoff{4};
+/// How often a newer release is looked for while shards lack the pinned
+/// snapshot, and the closest that two tries for a hedge may lie.
+constexpr milliseconds kReleasePoll{10};
+constexpr milliseconds kHedgePoll{1};
+/// What a restart is taken to need while the service's latency is unknown.
+constexpr milliseconds kUsualRestart{10};
+/// Replicas beyond these are not told apart as tried or not.
+constexpr std::uint32_t kMostReplicas = 64;
+
+/// Whether the same call may go better elsewhere or later.
+bool retriable(ErrorKind kind) noexcept {
+  switch (kind) {
+    case ErrorKind::kOverloaded:
+    case ErrorKind::kNotReady:
+    case ErrorKind::kLeafUnavailable:
+    case ErrorKind::kPeerUnavailable:
+    case ErrorKind::kSnapshotGone:
+    case ErrorKind::kProtocolError:
+    case ErrorKind::kCancelled:
+      return true;
+    default:
+      return false;
+  }
+}
+
+}  // namespace
+
+Gather::Gather(GatherPlan plan, GatherPolicies policies)
+    : plan(std::move(plan)),
+      policies(policies),
+      random(this->plan.seed),
+      merger(this->plan.most_hits),
+      retry_after(kUsualRetryAfter),
+      wake(this->plan.deadlines.deadline()) {}
+
+std::uint64_t Gather::ids_needed(const Pin& pin) noexcept {
+  return static_cast<std::uint64_t>(pin.snapshot->shards.size()) *
+         kMostAttempts;
+}
+
+void Gather::start(Pin pin, std::uint64_t first_sequence, TimePoint now) {
+  if (this->pinned.snapshot != nullptr) {
+    this->give_up_all(now);
+    ++this->tally.restarts;
+  }
+  const std::size_t total = pin.snapshot->shards.size();
+  this->pinned = std::move(pin);
+  this->first_sequence = first_sequence;
+  this->calls.clear();
+  this->calls.reserve(total + total / 8 + 1);
+  this->starts.clear();
+  this->starts.reserve(total);
+  this->shards.assign(total, ShardProgress{});
+  this->merger.clear();
+  this->merged = 0;
+  this->open = total;
+  this->gone = 0;
+  for (std::uint32_t shard = 0; shard < total; ++shard) {
+    if (!this->start_on_untried(shard, now)) {
+      this->fail_shard(shard, ErrorKind::kLeafUnavailable);
+    }
+  }
+  this->policies.service.calls_started(this->starts.size());
+  this->policies.retries.pay_in(this->starts.size(),
+                                this->policies.retry_share);
+  this->plan_wake(now);
+  this->judge(now);
+}
+
+void Gather::on_answer(const gateway::LeafAnswer& answer, TimePoint now) {
+  if (this->is_finished) {
+    this->tally.late += answer.body.has_value() ? 1 : 0;
+    return;
+  }
+  Call* call = this->outstanding_call(answer.id);
+  if (call == nullptr) {
+    return;
+  }
+  call->outstanding = false;
+  --this->shards[call->shard].outstanding;
+  if (answer.body.has_value()) {
+    this->on_body(*call, answer, now);
+  } else {
+    this->on_error(*call, answer.body.error(), now);
+  }
+  this->judge(now);
+}
+
+void Gather::on_time(TimePoint now) {
+  if (this->is_finished) {
+    return;
+  }
+  this->retry_due(now);
+  this->settle_gone(now);
+  this->hedge(now);
+  this->plan_wake(now);
+  this->judge(now);
+}
+
+void Gather::on_cancel(TimePoint now) {
+  if (!this->is_finished) {
+    this->finish(fail(ErrorKind::kCancelled, "the caller is gone"), now);
+  }
+}
+
+std::vector<GatherCall> Gather::take_starts() noexcept {
+  return std::exchange(this->starts, {});
+}
+
+std::vector<std::uint64_t> Gather::take_cancels() noexcept {
+  return std::exchange(this->cancels, {});
+}
+
+bool Gather::wants_restart(TimePoint now) const noexcept {
+  return !this->is_finished && this->gone > 0 && this->restart_in_time(now);
+}
+
+Result<QueryAnswer> Gather::take_result() {
+  return std::move(*this->result);
+}
+
+void Gather::start_call(std::uint32_t shard,
+                        std::uint32_t leaf,
+                        TimePoint now) {
+  ShardProgress& progress = this->shards[shard];
+  ++progress.attempts;
+  ++progress.outstanding;
+  progress.last_start = now;
+  progress.retry_at.reset();
+  const auto& replicas = this->shard_view(shard).replicas;
+  const auto position = static_cast<std::size_t>(
+      std::find(replicas.begin(), replicas.end(), leaf) - replicas.begin());
+  if (position < kMostReplicas) {
+    progress.tried |= std::uint64_t{1} << position;
+  }
+  this->starts.push_back(
+      {this->first_sequence + this->calls.size(), shard, leaf});
+  this->calls.push_back({shard, leaf, now, true});
+  ++this->tally.calls;
+  (*this->pinned.leafs)[leaf]->call_started();
+}
+
+bool Gather::has_untried(std::uint32_t shard) {
+  const auto& replicas = this->shard_view(shard).replicas;
+  this->candidates.clear();
+  for (std::size_t i = 0; i < replicas.size(); ++i) {
+    const bool tried =
+        i < kMostReplicas && (this->shards[shard].tried >> i & 1) != 0;
+    if (!tried && !this->pinned.release->leafs[replicas[i]].leaving) {
+      this->candidates.push_back(replicas[i]);
+    }
+  }
+  return !this->candidates.empty();
+}
+
+bool Gather::start_on_untried(std::uint32_t shard, TimePoint now) {
+  if (!this->has_untried(shard)) {
+    return false;
+  }
+  this->start_call(shard,
+                   this->policies.replicas.choose(
+                       this->pinned, this->candidates, this->random(), now),
+                   now);
+  return true;
+}
+
+void Gather::give_up(std::uint64_t offset, TimePoint now) {
+  Call& call = this->calls[offset];
+  call.outstanding = false;
+  --this->shards[call.shard].outstanding;
+  this->cancels.push_back(this->first_sequence + offset);
+  (*this->pinned.leafs)[call.leaf]->call_abandoned(now - call.started, now);
+  this->policies.service.call_abandoned(now - call.started);
+}
+
+void Gather::give_up_shard(std::uint32_t shard, TimePoint now) {
+  for (std::uint64_t i = 0;
+       this->shards[shard].outstanding > 0 && i < this->calls.size(); ++i) {
+    if (this->calls[i].outstanding && this->calls[i].shard == shard) {
+      this->give_up(i, now);
+    }
+  }
+}
+
+void Gather::give_up_all(TimePoint now) {
+  for (std::uint64_t i = 0; i < this->calls.size(); ++i) {
+    if (this->calls[i].outstanding) {
+      this->give_up(i, now);
+    }
+  }
+}
+
+Gather::Call* Gather::outstanding_call(const CallId& id) noexcept {
+  // A call id below the range belongs to the snapshot before a restart. Merging
+  // its answer would mix two snapshots, which shows as hits that contradict
+  // each other; its range is forgotten, so it can't match.
+  const std::uint64_t offset = id.sequence - this->first_sequence;
+  if (offset >= this->calls.size()) {
+    ++this->tally.foreign;
+    return nullptr;
+  }
+  if (!this->calls[offset].outstanding) {
+    ++this->tally.late;
+    return nullptr;
+  }
+  return &this->calls[offset];
+}
+
+void Gather::on_body(Call& call,
+                     const gateway::LeafAnswer& answer,
+                     TimePoint now) {
+  this->maybe_run = true;
+  const std::uint32_t shard = call.shard;
+  if (!this->merger.merge(*answer.body, this->shard_view(shard).name)) {
+    ++this->tally.malformed;
+    this->on_error(
+        call, make_error(ErrorKind::kProtocolError, "malformed leaf answer"),
+        now);
+    return;
+  }
+  const Duration latency = now - call.started;
+  (*this->pinned.leafs)[call.leaf]->call_answered(latency, now);
+  this->policies.service.call_answered(latency, answer.queue_time);
+  this->gone -= this->shards[shard].snapshot_gone ? 1 : 0;
+  this->shards[shard].snapshot_gone = false;
+  this->shards[shard].state = ShardState::kMerged;
+  ++this->merged;
+  --this->open;
+  this->give_up_shard(shard, now);
+}
+
+void Gather::on_error(Call& call, const Error& error, TimePoint now) {
+  const std::uint32_t shard = call.shard;
+  this->maybe_run |= error.execution != Execution::kNotRun;
+  if (error.retry_after.has_value()) {
+    this->retry_after = std::max(this->retry_after, *error.retry_after);
+  }
+  LeafStats& leaf = *(*this->pinned.leafs)[call.leaf];
+  if (error.kind == ErrorKind::kSnapshotGone) {
+    leaf.call_abandoned(Duration::zero(), now);
+  } else {
+    leaf.call_failed(now);
+    this->policies.service.call_failed();
+  }
+  if (this->shards[shard].state == ShardState::kOpen &&
+      this->shards[shard].outstanding == 0) {
+    this->on_shard_out(shard, error, now);
+    this->plan_wake(now);
+  }
+}
+
+void Gather::on_shard_out(std::uint32_t shard,
+                          const Error& error,
+                          TimePoint now) {
+  ShardProgress& progress = this->shards[shard];
+  progress.reason = error.kind;
+  const bool untried = this->has_untried(shard);
+  if (error.kind == ErrorKind::kSnapshotGone && !untried) {
+    // Stays open: a restart on a newer snapshot may still mend it.
+    progress.snapshot_gone = true;
+    ++this->gone;
+    this->settle_gone(now);
+    return;
+  }
+  if (!retriable(error.kind) || progress.attempts >= kMostAttempts) {
+    this->fail_shard(shard, error.kind);
+    return;
+  }
+  const Duration backoff =
+      untried ? Duration::zero()
+              : std::max<Duration>(error.retry_after.value_or(kBackoff),
+                                   kBackoff * (1 << progress.attempts));
+  if (now + backoff >= this->plan.deadlines.deadline()) {
+    this->fail_shard(shard, error.kind);
+    return;
+  }
+  progress.retry_at = now + backoff;
+  if (untried) {
+    this->retry_due(now);
+  }
+}
+
+void Gather::fail_shard(std::uint32_t shard, ErrorKind reason) {
+  this->shards[shard].state = ShardState::kFailed;
+  this->shards[shard].reason = reason;
+  --this->open;
+}
+
+void Gather::settle_gone(TimePoint now) {
+  if (this->gone == 0 || this->restart_in_time(now)) {
+    return;
+  }
+  for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
+    if (std::exchange(this->shards[shard].snapshot_gone, false)) {
+      this->fail_shard(shard, ErrorKind::kSnapshotGone);
+    }
+  }
+  this->gone = 0;
+}
+
+void Gather::retry_due(TimePoint now) {
+  for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
+    ShardProgress& progress = this->shards[shard];
+    if (!progress.retry_at.has_value() || *progress.retry_at > now ||
+        progress.state != ShardState::kOpen) {
+      continue;
+    }
+    if (!this->policies.retries.take()) {
+      ++this->tally.budget_empty;
+      this->fail_shard(shard, progress.reason);
+      continue;
+    }
+    if (!this->has_untried(shard)) {
+      progress.tried = 0;
+    }
+    ++this->tally.retries;
+    if (!this->start_on_untried(shard, now)) {
+      this->fail_shard(shard, progress.reason);
+    }
+  }
+}
+
+bool Gather::may_hedge(const ShardProgress& progress) const noexcept {
+  return progress.state == ShardState::kOpen && !progress.hedged &&
+         progress.outstanding == 1 && progress.attempts < kMostAttempts;
+}
+
+void Gather::hedge(TimePoint now) {
+  const std::optional<Duration> delay = this->policies.service.hedge_delay();
+  if (!delay.has_value()) {
+    return;
+  }
+  for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
+    ShardProgress& progress = this->shards[shard];
+    if (!this->may_hedge(progress) || progress.last_start + *delay > now) {
+      continue;
+    }
+    if (!this->has_untried(shard)) {
+      progress.hedged = true;  // There is nobody to ask.
+      continue;
+    }
+    if (!this->policies.service.take_hedge()) {
+      return;
+    }
+    progress.hedged = true;
+    ++this->tally.hedges;
+    this->start_on_untried(shard, now);
+  }
+}
+
+void Gather::plan_wake(TimePoint now) {
+  const std::optional<Duration> delay = this->policies.service.hedge_delay();
+  TimePoint next = this->plan.deadlines.next_change(now);
+  for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
+    const ShardProgress& progress = this->shards[shard];
+    if (progress.state == ShardState::kOpen && progress.retry_at.has_value()) {
+      next = std::min(next, *progress.retry_at);
+    }
+    if (delay.has_value() && this->may_hedge(progress) &&
+        this->shard_view(shard).replicas.size() > 1) {
+      next = std::min(next, std::max<TimePoint>(progress.last_start + *delay,
+                                                now + kHedgePoll));
+    }
+  }
+  if (this->gone > 0) {
+    next = std::min<TimePoint>(next, now + kReleasePoll);
+  }
+  this->wake = next;
+}
+
+bool Gather::restart_in_time(TimePoint now) const noexcept {
+  const Duration needed =
+      this->policies.service.hedge_delay().value_or(kUsualRestart);
+  return this->tally.restarts == 0 &&
+         now + needed <
+             this->plan.deadlines.restart_limit(
+                 this->merged + this->open - this->gone, this->shards.size());
+}
+
+void Gather::judge(TimePoint now) {
+  switch (this->plan.deadlines.judge(now, this->merged, this->open,
+                                     this->shards.size())) {
+    case DeadlinePolicy::Verdict::kWait:
+      return;
+    case DeadlinePolicy::Verdict::kAnswer:
+      this->finish(this->answer(), now);
+      return;
+    case DeadlinePolicy::Verdict::kFail:
+      this->finish(tl::unexpected<Error>(this->failure()), now);
+      return;
+  }
+}
+
+void Gather::finish(Result<QueryAnswer> outcome, TimePoint now) {
+  this->is_finished = true;
+  this->result = std::move(outcome);
+  this->starts.clear();
+  this->give_up_all(now);
+}
+
+QueryAnswer Gather::answer() {
+  QueryAnswer answer;
+  answer.snapshot = this->pinned.snapshot->name;
+  answer.hits = this->merger.take();
+  answer.coverage.total = this->shards.size();
+  answer.coverage.contributed.reserve(this->merged);
+  for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
+    const ShardProgress& progress = this->shards[shard];
+    const std::string& name = this->shard_view(shard).name;
+    if (progress.state == ShardState::kMerged) {
+      answer.coverage.contributed.push_back(name);
+    } else {
+      answer.coverage.missing.push_back({name, progress.reason});
+    }
+  }
+  answer.leaf_calls = this->tally.calls;
+  answer.hedges = this->tally.hedges;
+  answer.retries = this->tally.retries;
+  answer.restarts = this->tally.restarts;
+  return answer;
+}
+
+Error Gather::failure() const {
+  std::size_t overloaded = 0;
+  std::size_t outstanding = 0;
+  for (const ShardProgress& progress : this->shards) {
+    overloaded += progress.state == ShardState::kFailed &&
+                          progress.reason == ErrorKind::kOverloaded
+                      ? 1
+                      : 0;
+    outstanding += progress.outstanding;
+  }
+  const std::size_t missing = this->shards.size() - this->merged;
+  ErrorKind kind = ErrorKind::kCoverageTooLow;
+  if (overloaded == missing) {
+    kind = ErrorKind::kOverloaded;
+  } else if (this->open > 0 && outstanding > 0) {
+    kind = ErrorKind::kDeadlineExceeded;
+  }
+  Error error = make_error(kind, std::to_string(this->merged) + " of " +
+                                     std::to_string(this->shards.size()) +
+                                     " shards answered");
+  error.execution = this->maybe_run || outstanding > 0 ? Execution::kUnknown
+                                                       : Execution::kNotRun;
+  error.retry_after = this->retry_after;
+  return error;
+}
+
+const release::ShardView& Gather::shard_view(
+    std::uint32_t shard) const noexcept {
+  return this->pinned.snapshot->shards[shard];
+}
+
+}  // namespace ibismux::query
--- /dev/null
+++ b/ibismux/query/leaf_stats.cc
@@ -0,0 +1,83 @@
+#include "ibismux/query/leaf_stats.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ibismux::query {
+
+namespace {
+
+/// Weight of the newest latency in the moving average.
+constexpr double kLatencyWeight = 0.1;
+/// Old latencies lose half of what sets them apart in this time.
+constexpr std::chrono::duration<double> kLatencyHalfLife{2.0};
+/// Failures are forgotten by half in this time.
+constexpr std::chrono::duration<double> kFailureHalfLife{1.0};
+/// What an untried leaf is taken to need, in milliseconds.
+constexpr double kUsualLatencyMs = 1.0;
+/// More failures than these make a leaf no worse.
+constexpr double kMostFailures = 8.0;
+
+double fade(Duration::rep since,
+            TimePoint now,
+            std::chrono::duration<double> half_life) noexcept {
+  const Duration age =
+      std::max(Duration::zero(), now.time_since_epoch() - Duration(since));
+  return std::exp2(-std::chrono::duration<double>(age) / half_life);
+}
+
+double to_ms(Duration duration) noexcept {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+}  // namespace
+
+void LeafStats::call_answered(Duration latency, TimePoint now) noexcept {
+  this->call_ended();
+  this->learn(latency, now);
+}
+
+void LeafStats::call_failed(TimePoint now) noexcept {
+  this->call_ended();
+  const double before = this->failures.load(std::memory_order_relaxed) *
+                        fade(this->failed_at.load(std::memory_order_relaxed),
+                             now, kFailureHalfLife);
+  this->failures.store(std::min(kMostFailures, before + 1),
+                       std::memory_order_relaxed);
+  this->failed_at.store(now.time_since_epoch().count(),
+                        std::memory_order_relaxed);
+}
+
+void LeafStats::call_abandoned(Duration elapsed, TimePoint now) noexcept {
+  this->call_ended();
+  if (to_ms(elapsed) > this->latency_ms.load(std::memory_order_relaxed)) {
+    this->learn(elapsed, now);
+  }
+}
+
+double LeafStats::cost(TimePoint now) const noexcept {
+  const double latency =
+      kUsualLatencyMs +
+      this->latency_ms.load(std::memory_order_relaxed) *
+          fade(this->learned_at.load(std::memory_order_relaxed), now,
+               kLatencyHalfLife);
+  const double failing = this->failures.load(std::memory_order_relaxed) *
+                         fade(this->failed_at.load(std::memory_order_relaxed),
+                              now, kFailureHalfLife);
+  const double waiting = std::max(
+      0.0,
+      static_cast<double>(this->outstanding.load(std::memory_order_relaxed)));
+  return latency * (1.0 + waiting) * std::exp2(failing);
+}
+
+void LeafStats::learn(Duration latency, TimePoint now) noexcept {
+  const double old = this->latency_ms.load(std::memory_order_relaxed);
+  const double fresh = to_ms(latency);
+  this->latency_ms.store(
+      old == 0 ? fresh : old + kLatencyWeight * (fresh - old),
+      std::memory_order_relaxed);
+  this->learned_at.store(now.time_since_epoch().count(),
+                         std::memory_order_relaxed);
+}
+
+}  // namespace ibismux::query
--- /dev/null
+++ b/ibismux/query/leaf_stats.h
@@ -0,0 +1,50 @@
+#ifndef IBISMUX_QUERY_LEAF_STATS_H_
+#define IBISMUX_QUERY_LEAF_STATS_H_
+
+#include <atomic>
+#include <cstdint>
+
+#include "ibismux/base/time.h"
+
+namespace ibismux::query {
+
+/// What this daemon's own calls showed of one leaf of late. What the leaf or
+/// its health page says of itself is not asked: it lags or misleads.
+///
+/// Thread safe. Updates race harmlessly: a lost one costs a little accuracy.
+class LeafStats {
+ public:
+  void call_started() noexcept {
+    this->outstanding.fetch_add(1, std::memory_order_relaxed);
+  }
+
+  /// A call was answered after `latency`.
+  void call_answered(Duration latency, TimePoint now) noexcept;
+
+  /// A call was refused or lost.
+  void call_failed(TimePoint now) noexcept;
+
+  /// A call was given up after `elapsed`: it would have taken at least that.
+  void call_abandoned(Duration elapsed, TimePoint now) noexcept;
+
+  /// How much one more call is likely to cost there; lower is better. Rises
+  /// with latency, calls outstanding and recent failures; old knowledge fades,
+  /// so that a leaf that was slow is tried again.
+  [[nodiscard]] double cost(TimePoint now) const noexcept;
+
+ private:
+  void learn(Duration latency, TimePoint now) noexcept;
+  void call_ended() noexcept {
+    this->outstanding.fetch_sub(1, std::memory_order_relaxed);
+  }
+
+  std::atomic<std::int32_t> outstanding{0};
+  std::atomic<double> latency_ms{0};
+  std::atomic<double> failures{0};
+  std::atomic<Duration::rep> learned_at{0};
+  std::atomic<Duration::rep> failed_at{0};
+};
+
+}  // namespace ibismux::query
+
+#endif  // IBISMUX_QUERY_LEAF_STATS_H_
--- /dev/null
+++ b/ibismux/query/policy_table.h
@@ -0,0 +1,59 @@
+#ifndef IBISMUX_QUERY_POLICY_TABLE_H_
+#define IBISMUX_QUERY_POLICY_TABLE_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "ibismux/base/rcu_cell.h"
+#include "ibismux/query/query_metrics.h"
+#include "ibismux/query/service_policy.h"
+#include "ibismux/release/forward.h"
+
+namespace ibismux::query {
+
+class LeafStats;
+
+/// What queries of one service share.
+struct ServiceState {
+  ServicePolicy policy;
+  std::unique_ptr<ServiceMetrics> metrics;
+};
+
+/// A release with what has been learnt of its leafs and services. Immutable but
+/// for the statistics themselves.
+struct PolicySet {
+  std::shared_ptr<const release::Release> release;
+  /// At the same positions as the release's leafs.
+  std::shared_ptr<const std::vector<std::shared_ptr<LeafStats>>> leafs;
+  std::map<std::string, std::shared_ptr<ServiceState>, std::less<>> services;
+};
+
+/// Carries what has been learnt of leafs and services from one release to the
+/// next, by their names.
+///
+/// Thread safe.
+class PolicyTable {
+ public:
+  /// Both outlive the table.
+  PolicyTable(const RcuCell<release::Release>& releases, QueryMetrics& metrics);
+
+  /// The newest release, with its statistics. Costs two reference counts unless
+  /// the release has changed.
+  [[nodiscard]] std::shared_ptr<const PolicySet> current();
+
+ private:
+  std::shared_ptr<const PolicySet> rebuild();
+
+  const RcuCell<release::Release>& releases;
+  QueryMetrics& metrics;
+  RcuCell<PolicySet> sets;
+  std::mutex mutex;  ///< Held by the one that rebuilds.
+};
+
+}  // namespace ibismux::query
+
+#endif  // IBISMUX_QUERY_POLICY_TABLE_H_
--- /dev/null
+++ b/tests/query/gather_test.cc
@@ -0,0 +1,174 @@
+#include "ibismux/query/gather.h"
+
+#include "tests/query/query_fixture.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::query {
+namespace {
+
+Pin usual_pin(std::uint32_t shards, std::uint32_t replicas) {
+  return pin_of(release_of(1, snapshot_of("n1", 1, shards, replicas)));
+}
+
+Test(gather, the_whole_answer_names_every_shard) {
+  GatherFixture query(usual_pin(3, 1));
+  cr_assert(query.started.size() == 3);
+  for (const GatherCall& call : query.started) {
+    query.answer_hit(call, 5);
+  }
+  cr_assert(query.gather.finished());
+  const Result<QueryAnswer> answer = query.gather.take_result();
+  cr_assert(answer.has_value());
+  cr_assert(answer->snapshot == "n1");
+  cr_assert(answer->coverage.contributed.size() == 3);
+  cr_assert(answer->coverage.missing.empty());
+  cr_assert(answer->hits.size() == 3);
+  cr_assert(answer->hits[0].id == "h0");
+  cr_assert(answer->leaf_calls == 3);
+}
+
+Test(gather, a_partial_answer_goes_out_at_answer_by) {
+  GatherFixture query(usual_pin(3, 1), 0.6, milliseconds(100));
+  query.answer_hit(query.started[0], 5);
+  query.answer_hit(query.started[2], 6);
+  cr_assert(query.gather.next_wake() == query.at(100));
+  query.gather.on_time(query.at(100));
+  cr_assert(query.gather.finished());
+  const Result<QueryAnswer> answer = query.gather.take_result();
+  cr_assert(answer->coverage.contributed.size() == 2);
+  cr_assert(answer->coverage.missing.size() == 1);
+  cr_assert(answer->coverage.missing[0].shard == "s1");
+  cr_assert(answer->coverage.missing[0].reason == ErrorKind::kDeadlineExceeded);
+  cr_assert(query.gather.take_cancels().size() == 1);
+}
+
+Test(gather, after_answer_by_the_answer_goes_once_it_covers_enough) {
+  GatherFixture query(usual_pin(3, 1), 0.6, milliseconds(100));
+  query.answer_hit(query.started[0], 5);
+  query.gather.on_time(query.at(100));
+  cr_assert(!query.gather.finished());
+  query.answer_hit(query.started[1], 150);
+  cr_assert(query.gather.finished());
+}
+
+Test(gather, without_answer_by_it_waits_for_the_deadline) {
+  GatherFixture query(usual_pin(3, 1), 0.6);
+  query.answer_hit(query.started[0], 5);
+  query.answer_hit(query.started[1], 5);
+  cr_assert(query.gather.next_wake() == query.at(1000));
+  query.gather.on_time(query.at(1000));
+  cr_assert(query.gather.take_result()->coverage.contributed.size() == 2);
+}
+
+Test(gather, too_little_coverage_at_the_deadline_is_an_error) {
+  GatherFixture query(usual_pin(3, 1));
+  query.answer_hit(query.started[0], 5);
+  query.gather.on_time(query.at(1000));
+  const Result<QueryAnswer> answer = query.gather.take_result();
+  cr_assert(answer.error().kind == ErrorKind::kDeadlineExceeded);
+  cr_assert(answer.error().execution == Execution::kUnknown);
+  cr_assert(answer.error().retry_after.has_value());
+}
+
+/// Symptom: a hit of another query, or the same hit twice, in an answer.
+/// Sequence: a leaf's answer comes under a call id of another query, or a
+/// second time, or after its call was given up for a hedge.
+/// Cause: an answer taken for what its connection expects, not for its call id.
+Test(gather, foreign_duplicate_and_late_answers_are_dropped) {
+  GatherFixture query(usual_pin(2, 1));
+  query.answer(GatherFixture::kFirst - 1, body_of("foreign", 9), 1);
+  query.answer(GatherFixture::kFirst + 50, body_of("foreign", 9), 1);
+  query.answer_hit(query.started[0], 2);
+  query.answer(query.started[0].sequence, body_of("again", 9), 3);
+  cr_assert(!query.gather.finished());
+  query.answer_hit(query.started[1], 4);
+  const Result<QueryAnswer> answer = query.gather.take_result();
+  cr_assert(answer->hits.size() == 2);
+  cr_assert(answer->hits[0].id == "h0");
+  cr_assert(query.gather.counts().foreign == 2);
+  cr_assert(query.gather.counts().late == 1);
+}
+
+/// Symptom: coverage names a shard none of whose hits were merged.
+/// Sequence: a leaf answers 200 with a truncated body.
+/// Cause: the status taken for the answer.
+Test(gather, a_malformed_answer_does_not_contribute) {
+  GatherFixture query(usual_pin(2, 1), 0.5);
+  query.answer_hit(query.started[0], 2);
+  for (std::uint32_t i = 0; i < Gather::kMostAttempts; ++i) {
+    const GatherCall call = i == 0 ? query.started[1] : query.started[0];
+    query.answer(call.sequence, R"({"hits":[{"id":"x")", 3);
+    query.gather.on_time(query.at(200 * (i + 1)));
+    query.started = query.gather.take_starts();
+    if (query.started.empty()) {
+      break;
+    }
+  }
+  cr_assert(query.gather.finished());
+  const Result<QueryAnswer> answer = query.gather.take_result();
+  cr_assert(answer->coverage.contributed.size() == 1);
+  cr_assert(answer->coverage.missing[0].reason == ErrorKind::kProtocolError);
+}
+
+Test(gather, a_straggler_is_hedged_and_the_loser_cancelled) {
+  GatherFixture query(usual_pin(2, 2));
+  query.learn_delay(milliseconds(20));
+  query.answer_hit(query.started[0], 2);
+  query.gather.on_time(query.at(40));
+  const std::vector<GatherCall> hedges = query.gather.take_starts();
+  cr_assert(hedges.size() == 1);
+  cr_assert(hedges[0].shard == query.started[1].shard);
+  cr_assert(hedges[0].leaf != query.started[1].leaf);
+  query.answer_hit(hedges[0], 45);
+  cr_assert(query.gather.finished());
+  const std::vector<std::uint64_t> cancels = query.gather.take_cancels();
+  cr_assert(cancels.size() == 1);
+  cr_assert(cancels[0] == query.started[1].sequence);
+  cr_assert(query.gather.take_result()->hedges == 1);
+}
+
+Test(gather, a_refusal_is_retried_on_another_replica_within_the_budget) {
+  GatherFixture query(usual_pin(1, 2));
+  query.refuse(query.started[0], ErrorKind::kOverloaded, 3);
+  const std::vector<GatherCall> retries = query.gather.take_starts();
+  cr_assert(retries.size() == 1);
+  cr_assert(retries[0].leaf != query.started[0].leaf);
+  query.answer_hit(retries[0], 6);
+  cr_assert(query.gather.take_result()->retries == 1);
+}
+
+Test(gather, with_an_empty_budget_a_refusal_is_final_and_said_at_once) {
+  GatherFixture query(usual_pin(1, 2));
+  while (query.retries.take()) {
+  }
+  query.refuse(query.started[0], ErrorKind::kOverloaded, 3);
+  cr_assert(query.gather.finished());
+  const Result<QueryAnswer> answer = query.gather.take_result();
+  cr_assert(answer.error().kind == ErrorKind::kOverloaded);
+  cr_assert(answer.error().execution == Execution::kNotRun);
+  cr_assert(query.gather.counts().budget_empty == 1);
+}
+
+Test(gather, a_leaving_leaf_gets_no_call) {
+  auto release = release_of(1, snapshot_of("n1", 1, 4, 2));
+  for (std::size_t i = 0; i < release->leafs.size(); i += 2) {
+    release->leafs[i].leaving = true;
+  }
+  GatherFixture query(pin_of(release));
+  for (const GatherCall& call : query.started) {
+    cr_assert(call.leaf % 2 == 1);
+  }
+}
+
+Test(gather, a_caller_that_goes_has_its_calls_cancelled) {
+  GatherFixture query(usual_pin(3, 1));
+  query.answer_hit(query.started[0], 1);
+  query.gather.on_cancel(query.at(2));
+  cr_assert(query.gather.finished());
+  cr_assert(query.gather.take_cancels().size() == 2);
+  cr_assert(query.gather.take_result().error().kind == ErrorKind::kCancelled);
+}
+
+}  // namespace
+}  // namespace ibismux::query
--- /dev/null
+++ b/tests/query/hit_merger_test.cc
@@ -0,0 +1,48 @@
+#include "ibismux/query/hit_merger.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::query {
+namespace {
+
+Test(hit_merger, keeps_the_best_by_score_then_id) {
+  HitMerger merger(3);
+  cr_assert(merger.merge(
+      R"({"hits":[{"id":"b","score":2,"text":"x"},{"id":"d","score":1.5,"text":""}]})",
+      "s1"));
+  cr_assert(merger.merge(
+      R"({"hits":[{"id":"a","score":2.0,"text":"y"},{"id":"c","score":9,"text":""}]})",
+      "s2"));
+  const std::vector<Hit> hits = merger.take();
+  cr_assert(hits.size() == 3);
+  cr_assert(hits[0].id == "c" && hits[1].id == "a" && hits[2].id == "b");
+  cr_assert(hits[0].shard == "s2" && hits[2].shard == "s1");
+}
+
+Test(hit_merger, a_malformed_body_takes_nothing_in) {
+  const char* const bodies[] = {
+      "",
+      "{",
+      "[]",
+      R"({"hits":{}})",
+      R"({"hits":[1]})",
+      R"({"hits":[{"id":"a","score":"1","text":""}]})",
+      R"({"hits":[{"id":"a","score":1,"text":""},{"id":"b"}]})",
+      R"({"hits":[{"id":"a","score":1e999,"text":""}]})",
+      R"({"hits":[]} x)",
+  };
+  for (const char* const body : bodies) {
+    HitMerger merger(3);
+    cr_assert(!merger.merge(body, "s1"), "%s", body);
+    cr_assert(merger.take().empty());
+  }
+}
+
+Test(hit_merger, no_hits_are_an_answer_too) {
+  HitMerger merger(3);
+  cr_assert(merger.merge(R"({"hits":[]})", "s1"));
+  cr_assert(merger.take().empty());
+}
+
+}  // namespace
+}  // namespace ibismux::query
--- /dev/null
+++ b/tests/query/restart_test.cc
@@ -0,0 +1,88 @@
+#include "ibismux/query/gather.h"
+
+#include "tests/query/query_fixture.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::query {
+namespace {
+
+constexpr std::uint64_t kSecond = 5000;
+
+Pin old_pin() {
+  return pin_of(release_of(1, snapshot_of("n1", 1, 3, 1)));
+}
+
+Pin new_pin() {
+  return pin_of(release_of(2, snapshot_of("n2", 2, 4, 1)));
+}
+
+/// Symptom: an answer holds hits of two snapshots.
+/// Sequence: the index flips while a query runs; one shard has answered from
+/// the old snapshot, another says that it is gone; the query starts again, and
+/// answers to its first calls still come in.
+/// Cause: what the first round merged, or its late answers, kept in the second.
+Test(restart, nothing_of_the_old_snapshot_stays) {
+  GatherFixture query(old_pin());
+  query.answer_hit(query.started[0], 2);
+  query.refuse(query.started[1], ErrorKind::kSnapshotGone, 3);
+  cr_assert(query.gather.wants_restart(query.at(3)));
+  query.gather.start(new_pin(), kSecond, query.at(3));
+  cr_assert(query.gather.take_cancels().size() == 1);
+  const std::vector<GatherCall> again = query.gather.take_starts();
+  cr_assert(again.size() == 4);
+  query.answer(query.started[2].sequence, body_of("old", 9), 4);
+  for (const GatherCall& call : again) {
+    query.answer_hit(call, 6);
+  }
+  const Result<QueryAnswer> answer = query.gather.take_result();
+  cr_assert(answer->snapshot == "n2");
+  cr_assert(answer->coverage.total == 4);
+  cr_assert(answer->coverage.contributed.size() == 4);
+  cr_assert(answer->hits.size() == 4);
+  cr_assert(answer->hits[0].id == "h0");
+  cr_assert(answer->restarts == 1);
+  cr_assert(query.gather.counts().foreign == 1);
+}
+
+Test(restart, it_happens_once) {
+  GatherFixture query(old_pin(), 0.5);
+  query.refuse(query.started[1], ErrorKind::kSnapshotGone, 3);
+  query.gather.start(new_pin(), kSecond, query.at(3));
+  const std::vector<GatherCall> again = query.gather.take_starts();
+  query.refuse(again[0], ErrorKind::kSnapshotGone, 5);
+  cr_assert(!query.gather.wants_restart(query.at(5)));
+  for (std::size_t i = 1; i < again.size(); ++i) {
+    query.answer_hit(again[i], 6);
+  }
+  const Result<QueryAnswer> answer = query.gather.take_result();
+  cr_assert(answer->coverage.contributed.size() == 3);
+  cr_assert(answer->coverage.missing[0].reason == ErrorKind::kSnapshotGone);
+}
+
+Test(restart, no_newer_snapshot_in_time_gives_a_partial_answer) {
+  GatherFixture query(old_pin(), 0.5, milliseconds(100));
+  query.answer_hit(query.started[0], 2);
+  query.refuse(query.started[1], ErrorKind::kSnapshotGone, 3);
+  cr_assert(query.gather.next_wake() < query.at(20));
+  query.answer_hit(query.started[2], 6);
+  cr_assert(query.gather.wants_restart(query.at(50)));
+  query.gather.on_time(query.at(95));
+  cr_assert(query.gather.finished());
+  const Result<QueryAnswer> answer = query.gather.take_result();
+  cr_assert(answer->snapshot == "n1");
+  cr_assert(answer->coverage.contributed.size() == 2);
+}
+
+Test(restart, another_replica_may_still_hold_the_snapshot) {
+  GatherFixture query(pin_of(release_of(1, snapshot_of("n1", 1, 1, 2))));
+  query.refuse(query.started[0], ErrorKind::kSnapshotGone, 3);
+  cr_assert(!query.gather.wants_restart(query.at(3)));
+  const std::vector<GatherCall> retries = query.gather.take_starts();
+  cr_assert(retries.size() == 1);
+  query.answer_hit(retries[0], 5);
+  cr_assert(query.gather.take_result()->snapshot == "n1");
+}
+
+}  // namespace
+}  // namespace ibismux::query
