Speak to the platform within a budget, and settle lost answers

The daemon needs the platform's objects over HTTP, and the platform can be down, slow, capped, or lose an answer after the write took effect.

HttpObjectStore keeps its connections, budget and health on one event loop, to which calls hop: few connections at the platform and no lock. One client per loop was ruled out, since it would multiply connections and split the budget. The decisions are free of sockets and clocks: PlatformHealth (up, failing, down with back-off and jitter), CallBudget (a token bucket for reads, writes and watches, emptied when the platform answers 429), FleetBudget (a daemon's share by the size of the fleet), outcome_of (which statuses promise that a write was not done).

SettledWriter finds out what became of a write: it reads back and, as long as the version has not moved, sends the same write again. Reading back once was ruled out: a request still on its way may take effect after that read.

--- /dev/null
+++ b/ibismux/platform/call_outcome.h
@@ -0,0 +1,39 @@
+#ifndef IBISMUX_PLATFORM_CALL_OUTCOME_H_
+#define IBISMUX_PLATFORM_CALL_OUTCOME_H_
+
+#include "ibismux/base/error.h"
+#include "ibismux/base/time.h"
+#include "ibismux/http/message.h"
+#include "ibismux/platform/call_kind.h"
+
+namespace ibismux::platform {
+
+/// What one exchange with the platform came to.
+struct CallOutcome {
+  /// Whether it counts as a success of the platform, as a failure, or as
+  /// neither.
+  enum class Health : unsigned char { kGood, kBad, kSilent };
+
+  CallResult result = CallResult::kOk;
+  Health health = Health::kGood;
+  /// Set for every result but kOk.
+  Error error;
+};
+
+/// Sorts a response by its status. 200 and 410 are kOk; the caller tells them
+/// apart. Thread safe.
+///
+/// `Execution::kNotRun` stands for "certainly not done": the statuses that
+/// docs/PLATFORM.md promises it for, and no other.
+[[nodiscard]] CallOutcome outcome_of(const http::Response& response);
+
+/// Sorts a failed exchange. Thread safe.
+/// @param took How long the exchange was given an answer's chance.
+/// @param slow_after Silence shorter than this doesn't count as a failure.
+[[nodiscard]] CallOutcome outcome_of(const Error& error,
+                                     Duration took,
+                                     Duration slow_after);
+
+}  // namespace ibismux::platform
+
+#endif  // IBISMUX_PLATFORM_CALL_OUTCOME_H_
--- /dev/null
+++ b/ibismux/platform/fleet_budget.cc
@@ -0,0 +1,22 @@
+#include "ibismux/platform/fleet_budget.h"
+
+#include <algorithm>
+
+namespace ibismux::platform {
+
+CallRates share_of(const FleetBudget& fleet, std::size_t members) noexcept {
+  const double daemons = static_cast<double>(std::max<std::size_t>(members, 1));
+  const double burst_seconds =
+      std::chrono::duration<double>(fleet.burst_time).count();
+  CallRates rates;
+  for (std::size_t i = 0; i < kCallKinds; ++i) {
+    const double part = fleet.per_second[i] * fleet.oversubscription / daemons;
+    const double rate =
+        std::clamp(part, fleet.least_per_second,
+                   std::max(fleet.most_per_second[i], fleet.least_per_second));
+    rates[i] = {rate, std::max(rate * burst_seconds, fleet.least_burst)};
+  }
+  return rates;
+}
+
+}  // namespace ibismux::platform
--- a/ibismux/platform/forward.h
+++ b/ibismux/platform/forward.h
@@ -3,11 +3,22 @@
 
 namespace ibismux::platform {
 
+enum class CallKind : unsigned char;
+enum class CallResult : unsigned char;
+enum class PlatformState : unsigned char;
+struct FleetBudget;
+struct HealthSettings;
 struct HostEntry;
+struct PlatformSettings;
 struct StoredObject;
 struct WatchBatch;
-class ObjectStore;
+class CallBudget;
+class CallMetrics;
 class HttpObjectStore;
+class ObjectStore;
+class PlatformHealth;
+class SettledWriter;
+class WriteSettlement;
 
 }  // namespace ibismux::platform
 
--- /dev/null
+++ b/ibismux/platform/http_object_store.cc
@@ -0,0 +1,300 @@
+#include "ibismux/platform/http_object_store.h"
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <pcg_random.hpp>
+#include <random>
+#include <utility>
+
+#include "ibismux/base/io_pool.h"
+#include "ibismux/http/client_pool.h"
+#include "ibismux/http/message.h"
+#include "ibismux/platform/call_budget.h"
+#include "ibismux/platform/call_metrics.h"
+#include "ibismux/platform/call_outcome.h"
+#include "ibismux/platform/wire.h"
+
+namespace ibismux::platform {
+
+namespace {
+
+namespace asio = boost::asio;
+
+constexpr int kGoneStatus = 410;
+
+http::Request request_to(std::string method, std::string target) {
+  http::Request request;
+  request.method = std::move(method);
+  request.target = std::move(target);
+  return request;
+}
+
+Error not_sent(std::string message, Duration wait) {
+  const auto most = std::chrono::duration_cast<Duration>(std::chrono::hours(1));
+  return {ErrorKind::kPlatformUnavailable, std::move(message),
+          Execution::kNotRun,
+          std::chrono::ceil<std::chrono::milliseconds>(std::min(wait, most))};
+}
+
+}  // namespace
+
+class HttpObjectStore::Impl {
+ public:
+  Impl(IoPool& pool,
+       PlatformSettings settings,
+       prometheus::Registry& registry,
+       std::uint64_t seed)
+      : loop(pool.at(0)),
+        settings(std::move(settings)),
+        client(this->settings.address,
+               this->settings.port,
+               this->settings.idle_connections),
+        budget(share_of(this->settings.budget, this->settings.members),
+               Clock::now()),
+        health(this->settings.health),
+        metrics(registry),
+        random(seed) {}
+
+  /// One exchange on the store's loop.
+  /// @return A response with status 200 or 410, or what went wrong.
+  static Task<Result<http::Response>> call(std::shared_ptr<Impl> self,
+                                           CallKind kind,
+                                           http::Request request,
+                                           TimePoint deadline) {
+    const auto executor = self->loop.get_executor();
+    auto running = exchange(self, kind, std::move(request), deadline);
+    auto response = co_await asio::co_spawn(executor, std::move(running),
+                                            asio::use_awaitable);
+    co_return response;
+  }
+
+  /// A call that isn't a watch, within the longest time for one.
+  static Task<Result<http::Response>> timed_call(std::shared_ptr<Impl> self,
+                                                 CallKind kind,
+                                                 http::Request request,
+                                                 TimePoint deadline) {
+    const TimePoint latest = Clock::now() + self->settings.call_timeout;
+    return call(std::move(self), kind, std::move(request),
+                std::min(deadline, latest));
+  }
+
+  void set_members(std::size_t members) {
+    this->budget.set_rates(share_of(this->settings.budget, members),
+                           Clock::now());
+  }
+
+  asio::io_context& loop;
+  const PlatformSettings settings;
+  std::atomic<PlatformState> state{PlatformState::kUp};
+
+ private:
+  /// Counts one watch as waiting for as long as it lives.
+  class Waiting {
+   public:
+    Waiting(CallMetrics& metrics, CallKind kind)
+        : metrics(kind == CallKind::kWatch ? &metrics : nullptr) {
+      this->add(1);
+    }
+    ~Waiting() { this->add(-1); }
+    Waiting(const Waiting&) = delete;
+    Waiting& operator=(const Waiting&) = delete;
+
+   private:
+    void add(int change) {
+      if (this->metrics) {
+        this->metrics->add_waiting(change);
+      }
+    }
+    CallMetrics* metrics;
+  };
+
+  static Task<Result<http::Response>> exchange(std::shared_ptr<Impl> self,
+                                               CallKind kind,
+                                               http::Request request,
+                                               TimePoint deadline) {
+    const TimePoint begin = Clock::now();
+    auto admitted = self->admit(kind, begin);
+    if (!admitted) {
+      co_return tl::unexpected(std::move(admitted.error()));
+    }
+    const Waiting waiting(self->metrics, kind);
+    auto response = co_await self->client.send(std::move(request), deadline);
+    const TimePoint now = Clock::now();
+    auto outcome = response ? outcome_of(*response)
+                            : outcome_of(response.error(), now - begin,
+                                         self->settings.health.slow_after);
+    self->conclude(kind, outcome, begin, now);
+    if (outcome.result != CallResult::kOk) {
+      co_return tl::unexpected(std::move(outcome.error));
+    }
+    co_return response;
+  }
+
+  Result<void> admit(CallKind kind, TimePoint now) {
+    if (!this->health.admit(now, this->jitter())) {
+      this->metrics.count(kind, CallResult::kBackedOff, {});
+      return tl::unexpected(
+          not_sent("platform is down", this->health.retry_after(now)));
+    }
+    if (!this->budget.take(kind, now)) {
+      this->metrics.count(kind, CallResult::kOverBudget, {});
+      return tl::unexpected(not_sent("budget of platform calls is spent",
+                                     this->budget.until_next(kind, now)));
+    }
+    return {};
+  }
+
+  void conclude(CallKind kind,
+                const CallOutcome& outcome,
+                TimePoint begin,
+                TimePoint now) {
+    if (outcome.health == CallOutcome::Health::kGood) {
+      this->health.succeeded();
+    } else if (outcome.health == CallOutcome::Health::kBad) {
+      this->health.failed(now, this->jitter());
+    }
+    if (outcome.result == CallResult::kRateLimited) {
+      this->budget.drain(kind, now);
+    }
+    this->state.store(this->health.state(), std::memory_order_relaxed);
+    this->metrics.set_state(this->health.state());
+    this->metrics.count(kind, outcome.result, now - begin);
+  }
+
+  double jitter() {
+    return std::uniform_real_distribution<double>(0, 1)(this->random);
+  }
+
+  http::ClientPool client;
+  CallBudget budget;
+  PlatformHealth health;
+  CallMetrics metrics;
+  pcg32 random;
+};
+
+HttpObjectStore::HttpObjectStore(IoPool& pool,
+                                 PlatformSettings settings,
+                                 prometheus::Registry& registry,
+                                 std::uint64_t seed)
+    : impl(std::make_shared<Impl>(pool, std::move(settings), registry, seed)) {}
+
+HttpObjectStore::~HttpObjectStore() = default;
+
+Task<Result<StoredObject>> HttpObjectStore::get(std::string collection,
+                                                std::string name,
+                                                TimePoint deadline) {
+  auto request = request_to("GET", wire::object_target(collection, name));
+  auto response = co_await Impl::timed_call(this->impl, CallKind::kRead,
+                                            std::move(request), deadline);
+  if (!response) {
+    co_return tl::unexpected(std::move(response.error()));
+  }
+  const auto version = wire::parse_etag(response->field("ETag"));
+  if (!version) {
+    co_return tl::unexpected(version.error());
+  }
+  co_return StoredObject{std::move(collection), std::move(name), *version,
+                         std::move(response->body)};
+}
+
+Task<Result<Listing>> HttpObjectStore::list(std::string collection,
+                                            TimePoint deadline) {
+  auto request = request_to("GET", wire::collection_target(collection));
+  auto response = co_await Impl::timed_call(this->impl, CallKind::kRead,
+                                            std::move(request), deadline);
+  if (!response) {
+    co_return tl::unexpected(std::move(response.error()));
+  }
+  co_return wire::parse_listing(collection, response->body);
+}
+
+Task<Result<WatchBatch>> HttpObjectStore::watch(
+    std::string collection,
+    Version since,
+    std::chrono::milliseconds wait) {
+  auto request = request_to("GET", wire::watch_target(collection, since, wait));
+  const TimePoint deadline =
+      Clock::now() + wait + this->impl->settings.watch_grace;
+  auto response = co_await Impl::call(this->impl, CallKind::kWatch,
+                                      std::move(request), deadline);
+  if (!response) {
+    co_return tl::unexpected(std::move(response.error()));
+  }
+  if (response->status == kGoneStatus) {
+    WatchBatch batch;
+    batch.version = since;
+    batch.compacted = true;
+    co_return batch;
+  }
+  co_return wire::parse_watch(collection, since, response->body);
+}
+
+Task<Result<std::vector<HostEntry>>> HttpObjectStore::hosts(
+    TimePoint deadline) {
+  auto request = request_to("GET", std::string(wire::kHostsPath));
+  auto response = co_await Impl::timed_call(this->impl, CallKind::kRead,
+                                            std::move(request), deadline);
+  if (!response) {
+    co_return tl::unexpected(std::move(response.error()));
+  }
+  co_return wire::parse_hosts(response->body);
+}
+
+Task<Result<Version>> HttpObjectStore::put(std::string collection,
+                                           std::string name,
+                                           std::string value,
+                                           Version expected,
+                                           TimePoint deadline) {
+  if (value.size() > wire::kMostValueBytes ||
+      name.size() > wire::kMostNameBytes) {
+    co_return tl::unexpected(Error{ErrorKind::kTooLarge,
+                                   "over the platform's limit: " + name,
+                                   Execution::kNotRun});
+  }
+  auto request = request_to("PUT", wire::object_target(collection, name));
+  if (expected == 0) {
+    request.add("If-None-Match", "*");
+  } else {
+    request.add("If-Match", std::to_string(expected));
+  }
+  request.body = std::move(value);
+  auto response = co_await Impl::timed_call(this->impl, CallKind::kWrite,
+                                            std::move(request), deadline);
+  if (!response) {
+    co_return tl::unexpected(std::move(response.error()));
+  }
+  auto version = wire::parse_version(response->body);
+  if (version && *version <= expected) {
+    // It says done, but as a version that can't be: the writer reads back.
+    co_return fail(ErrorKind::kProtocolError, "version went back: " + name);
+  }
+  co_return version;
+}
+
+Task<Result<void>> HttpObjectStore::remove(std::string collection,
+                                           std::string name,
+                                           Version expected,
+                                           TimePoint deadline) {
+  auto request = request_to("DELETE", wire::object_target(collection, name));
+  request.add("If-Match", std::to_string(expected));
+  auto response = co_await Impl::timed_call(this->impl, CallKind::kWrite,
+                                            std::move(request), deadline);
+  if (!response) {
+    co_return tl::unexpected(std::move(response.error()));
+  }
+  co_return Result<void>();
+}
+
+PlatformState HttpObjectStore::state() const noexcept {
+  return this->impl->state.load(std::memory_order_relaxed);
+}
+
+void HttpObjectStore::set_members(std::size_t members) {
+  asio::post(this->impl->loop,
+             [impl = this->impl, members] { impl->set_members(members); });
+}
+
+}  // namespace ibismux::platform
--- a/tests/platform/memory_object_store_test.cc
+++ b/tests/platform/memory_object_store_test.cc
@@ -1,9 +1,9 @@
 #include "tests/support/memory_object_store.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <optional>
+
+#include "tests/support/run_task.h"
 
 #include <criterion/criterion.h>
 
@@ -13,26 +13,12 @@
 using platform::Version;
 using platform::WatchBatch;
 using testing::MemoryObjectStore;
-
-/// Runs one call to its end on a loop of its own.
-template <class T>
-T run(Task<T> task) {
-  boost::asio::io_context loop;
-  std::optional<T> result;
-  boost::asio::co_spawn(loop, std::move(task),
-                        [&](std::exception_ptr failure, T value) {
-                          if (!failure) {
-                            result.emplace(std::move(value));
-                          }
-                        });
-  loop.run();
-  return std::move(*result);
-}
+using testing::run_task;
 
 Result<Version> put(MemoryObjectStore& store,
                     std::string value,
                     Version expected) {
-  return run(store.put("c", "n", std::move(value), expected, {}));
+  return run_task(store.put("c", "n", std::move(value), expected, {}));
 }
 
 /// A watch that waits while another writes.
@@ -53,10 +39,11 @@
   cr_assert(put(store, "a", 0).value() == 1);
   cr_assert(put(store, "b", 0).error().kind == ErrorKind::kConflict);
   cr_assert(put(store, "b", 1).value() == 2);
-  cr_assert(run(store.remove("c", "n", 1, {})).error().kind ==
+  cr_assert(run_task(store.remove("c", "n", 1, {})).error().kind ==
             ErrorKind::kConflict);
-  cr_assert(run(store.remove("c", "n", 2, {})).has_value());
-  cr_assert(run(store.get("c", "n", {})).error().kind == ErrorKind::kNotFound);
+  cr_assert(run_task(store.remove("c", "n", 2, {})).has_value());
+  cr_assert(run_task(store.get("c", "n", {})).error().kind ==
+            ErrorKind::kNotFound);
 }
 
 Test(memory_object_store, a_lost_answer_has_taken_effect_a_lost_request_not) {
@@ -80,8 +67,8 @@
   MemoryObjectStore store;
   store.force_put("c", "n", "x");
   store.compact();
-  cr_assert(run(store.watch("c", 0, {})).value().compacted);
-  cr_assert(!run(store.watch("c", 1, {})).value().compacted);
+  cr_assert(run_task(store.watch("c", 0, {})).value().compacted);
+  cr_assert(!run_task(store.watch("c", 1, {})).value().compacted);
 }
 
 }  // namespace
