Carry calls to leafs through queues, limits and shared connections

Queries need a path from the entry daemon to the leafs that never passes a leaf's connection limit and never waits where waiting is hopeless.

Each leaf lives on one event loop: a queue by priority and deadline, a limit that starts at the declared slots, and a pool that opens its connections at the pace the leaf can stand. A new connection proves itself by a health call, because a leaf at its limit accepts and closes: a reservation written into such a connection would have an unknown outcome though it never ran. One connection is kept for cancel calls.

--- /dev/null
+++ b/ibismux/gateway/aimd_limit.h
@@ -0,0 +1,41 @@
+#ifndef IBISMUX_GATEWAY_AIMD_LIMIT_H_
+#define IBISMUX_GATEWAY_AIMD_LIMIT_H_
+
+#include "ibismux/gateway/concurrency_limit.h"
+
+namespace ibismux::gateway {
+
+/// Additive increase, multiplicative decrease, between 1 and a ceiling.
+///
+/// Starts at the declared slots. A refusal for load lowers it once for all
+/// calls that were sent before it was lowered last, so that one burst of
+/// refusals counts once. It rises only while it is what holds calls back.
+class AimdLimit : public ConcurrencyLimit {
+ public:
+  /// @param slots The leaf's declared slots; at least 1.
+  /// @param ceiling The highest limit, as a multiple of the slots; at least 1.
+  AimdLimit(std::size_t slots, double ceiling);
+
+  [[nodiscard]] double limit() const noexcept override { return this->current; }
+  void on_answer(Duration leaf_time,
+                 std::size_t in_flight,
+                 TimePoint now) override;
+  void on_overload(TimePoint now) override;
+  void on_cold() override;
+  void declare(std::size_t slots) override;
+
+ private:
+  [[nodiscard]] double most() const noexcept {
+    return this->slots * this->ceiling;
+  }
+
+  double slots;
+  double ceiling;
+  double current;
+  Duration typical{};      ///< Moving average of leaf times.
+  TimePoint lowered_at{};  ///< When the limit was lowered last.
+};
+
+}  // namespace ibismux::gateway
+
+#endif  // IBISMUX_GATEWAY_AIMD_LIMIT_H_
--- a/ibismux/gateway/gateway_settings.h
+++ b/ibismux/gateway/gateway_settings.h
@@ -23,6 +23,9 @@
   /// Pause after a failed connection; doubles up to `longest_pause`.
   Duration reconnect_pause = std::chrono::milliseconds(50);
   Duration longest_pause = std::chrono::seconds(2);
+  /// How long a leaf that said it leaves gets nothing, whatever it says of its
+  /// health, which lags.
+  Duration leaving_hold = std::chrono::seconds(5);
   /// Failures in a row after which a leaf is ejected for a while.
   std::size_t failures_to_eject = 5;
   Duration ejection = std::chrono::seconds(1);
--- /dev/null
+++ b/ibismux/gateway/leaf_channel.cc
@@ -0,0 +1,405 @@
+#include "ibismux/gateway/leaf_channel.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cmath>
+
+#include "ibismux/gateway/aimd_limit.h"
+#include "ibismux/gateway/call_group.h"
+
+namespace ibismux::gateway {
+
+namespace {
+
+using backend::LeafSignal;
+
+constexpr int kAverageOver = 16;
+/// A stand-by's connections close after this long without a call.
+constexpr Duration kLinger = std::chrono::seconds(10);
+/// The least that a refused caller is told to wait.
+constexpr std::chrono::milliseconds kLeastRetryAfter{50};
+
+struct RefuseEntry {
+  ErrorKind kind;
+  const char* message;
+};
+
+/// In the order of `RefuseReason`.
+constexpr RefuseEntry kRefuseTable[kRefuseReasons] = {
+    {ErrorKind::kOverloaded, "the leaf's queue is full"},
+    {ErrorKind::kOverloaded, "the leaf's queue is too long for the deadline"},
+    {ErrorKind::kOverloaded, "gave way to a call of higher priority"},
+    {ErrorKind::kDeadlineExceeded, "the deadline passed in the leaf's queue"},
+    {ErrorKind::kCancelled, "cancelled while queued"},
+    {ErrorKind::kLeafUnavailable, "the leaf is leaving"},
+    {ErrorKind::kLeafUnavailable, "the leaf is ejected"},
+    {ErrorKind::kLeafUnavailable, "the leaf can't be reached"},
+    {ErrorKind::kPeerUnavailable, "this daemon has no share of the leaf"},
+};
+
+}  // namespace
+
+LeafChannel::LeafChannel(boost::asio::io_context& loop,
+                         std::shared_ptr<GatewayContext> shared,
+                         std::shared_ptr<CallIndex> calls)
+    : loop(loop),
+      context(std::move(shared)),
+      calls(std::move(calls)),
+      queue(this->context->settings.queued_per_slot),
+      health(this->context->settings, this->context->ejections),
+      pool(std::make_shared<LeafPool>(loop, this->context)),
+      timer(loop) {}
+
+void LeafChannel::configure(const release::BackendServer& fresh,
+                            std::size_t share,
+                            bool warm) {
+  const TimePoint now = Clock::now();
+  if (!this->limit) {
+    this->limit = std::make_unique<AimdLimit>(
+        fresh.slots, this->context->settings.most_limit_per_slot);
+    this->pool->on_change([weak = this->weak_from_this()] {
+      if (const auto self = weak.lock()) {
+        self->pump();
+      }
+    });
+  }
+  this->leaf = fresh;
+  this->keep_warm = warm;
+  this->retired = false;
+  this->limit->declare(fresh.slots);
+  this->queue.resize(this->context->settings.queued_per_slot *
+                     std::max<std::size_t>(fresh.slots, 1));
+  this->health.declare(fresh.leaving);
+  this->pool->configure(fresh, share);
+  this->update_wanted();
+  if (this->health.state(now) == LeafState::kLeaving) {
+    this->refuse_all(RefuseReason::kLeaving, now);
+  }
+}
+
+void LeafChannel::retire() {
+  this->retired = true;
+  this->refuse_all(RefuseReason::kNoShare, Clock::now());
+  this->pool->retire();
+}
+
+void LeafChannel::submit(QueuedCall call) {
+  const TimePoint now = Clock::now();
+  call.enqueued = now;
+  if (!this->calls->emplace(call.id, this).second) {
+    // The first call with this id still waits or runs, and gets its answer.
+    this->context->metrics.dropped(DropReason::kDuplicate);
+    call.group->refuse(call.id, make_error(ErrorKind::kInternal,
+                                           "a call with this id runs already"));
+    return;
+  }
+  if (const auto reason = this->closed_for(now)) {
+    this->refuse(call, *reason, now);
+    return;
+  }
+  this->last_demand = now;
+  const Duration pace = std::chrono::duration_cast<Duration>(
+      this->typical / std::max(1.0, this->limit->limit()));
+  const Duration service =
+      this->typical / 4;  // A call may well be quicker than most.
+  LeafQueue::Offer offer = this->queue.offer(call, now, pace, service);
+  if (offer.verdict != LeafQueue::Verdict::kQueued) {
+    this->refuse(call,
+                 offer.verdict == LeafQueue::Verdict::kFull
+                     ? RefuseReason::kFull
+                     : RefuseReason::kHopeless,
+                 now);
+    return;
+  }
+  if (offer.evicted) {
+    this->refuse(*offer.evicted, RefuseReason::kEvicted, now);
+  }
+  this->pump();
+}
+
+void LeafChannel::cancel(const CallId& id) {
+  const TimePoint now = Clock::now();
+  if (const auto queued = this->queue.remove(id)) {
+    this->refuse(*queued, RefuseReason::kCancelled, now);
+    return;
+  }
+  const auto found = this->running.find(id);
+  if (found != this->running.end()) {
+    this->stop(id, found->second);
+  }
+}
+
+void LeafChannel::tick(TimePoint now) {
+  this->health.tick(now);
+  this->pool->trim();
+  this->see_restart(now);
+  this->update_wanted();
+  this->pool->trim();
+  this->pump();
+}
+
+void LeafChannel::see_restart(TimePoint now) {
+  if (!this->pool->take_reopened()) {
+    return;
+  }
+  this->limit->on_cold();
+  const bool ready =
+      this->pool->health().state != backend::LeafHealth::State::kDraining;
+  this->health.on_restart(ready, now);
+}
+
+bool LeafChannel::retired_and_finished() const noexcept {
+  return this->retired && this->queue.empty() && this->running.empty() &&
+         this->pool->connections() == 0;
+}
+
+LeafStatus LeafChannel::status(TimePoint now) const {
+  LeafStatus status;
+  status.leaf = this->leaf.name;
+  status.state = this->retired               ? LeafState::kRetired
+                 : this->pool->unreachable() ? LeafState::kUnreachable
+                                             : this->health.state(now);
+  status.limit = this->limit ? this->limit->limit() : 0;
+  status.in_flight = this->running.size();
+  status.queued = this->queue.size();
+  status.connections = this->pool->connections();
+  status.share = this->pool->share();
+  return status;
+}
+
+std::optional<RefuseReason> LeafChannel::closed_for(TimePoint now) const {
+  if (this->retired) {
+    return RefuseReason::kNoShare;
+  }
+  const LeafState state = this->health.state(now);
+  if (state == LeafState::kLeaving) {
+    return RefuseReason::kLeaving;
+  }
+  if (state == LeafState::kEjected) {
+    return RefuseReason::kEjected;
+  }
+  if (this->pool->unreachable()) {
+    return RefuseReason::kUnreachable;
+  }
+  return std::nullopt;
+}
+
+void LeafChannel::refuse(const QueuedCall& call,
+                         RefuseReason reason,
+                         TimePoint now) {
+  const RefuseEntry& entry = kRefuseTable[static_cast<std::size_t>(reason)];
+  Error error = not_run(entry.kind, this->leaf.name + ": " + entry.message);
+  if (entry.kind == ErrorKind::kOverloaded) {
+    const double ahead = static_cast<double>(this->queue.size());
+    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
+        this->typical * ahead / std::max(1.0, this->limit->limit()));
+    error.retry_after = std::max(wait, kLeastRetryAfter);
+  }
+  this->context->metrics.refused(reason);
+  this->calls->erase(call.id);
+  call.group->refuse(call.id, std::move(error), now - call.enqueued);
+}
+
+void LeafChannel::refuse_all(RefuseReason reason, TimePoint now) {
+  for (const QueuedCall& call : this->queue.take_all()) {
+    this->refuse(call, reason, now);
+  }
+}
+
+void LeafChannel::pump() {
+  const TimePoint now = Clock::now();
+  for (const QueuedCall& call : this->queue.take_expired(now)) {
+    this->refuse(call, RefuseReason::kExpired, now);
+  }
+  if (const auto reason = this->closed_for(now)) {
+    this->refuse_all(*reason, now);
+  }
+  while (!this->queue.empty() && this->running.size() < this->most_running()) {
+    LeafPool::Connection connection = this->pool->take();
+    if (!connection) {
+      break;
+    }
+    this->start(*this->queue.pop(), std::move(connection), now);
+  }
+  this->update_wanted();
+  this->arm_timer();
+}
+
+void LeafChannel::start(QueuedCall call,
+                        LeafPool::Connection connection,
+                        TimePoint now) {
+  const LeafCallBatch& batch = call.group->batch();
+  backend::LeafRequest request;
+  request.id = call.id;
+  request.idempotent = batch.kind == LeafCallKind::kQuery;
+  request.snapshot = batch.snapshot;
+  request.shard = std::move(call.shard);
+  request.priority = call.priority;
+  request.deadline = call.deadline;
+  request.key = batch.key;
+  request.body = batch.body;
+  Running entry{std::move(call.group), call.deadline, now, now - call.enqueued};
+  this->context->metrics.queued(entry.queue_time);
+  this->context->metrics.in_flight_changed(1);
+  this->running_deadlines.emplace(entry.deadline, call.id);
+  this->running.emplace(call.id, std::move(entry));
+  boost::asio::co_spawn(this->loop,
+                        this->run(this->shared_from_this(),
+                                  std::move(connection), std::move(request)),
+                        boost::asio::detached);
+}
+
+Task<void> LeafChannel::run(std::shared_ptr<LeafChannel> /*self*/,
+                            LeafPool::Connection connection,
+                            backend::LeafRequest request) {
+  const CallId id = request.id;
+  const TimePoint give_up =
+      request.deadline + this->context->settings.stop_grace;
+  backend::LeafReply reply =
+      co_await connection->call(std::move(request), give_up);
+  this->pool->give(std::move(connection));
+  this->finish(id, std::move(reply));
+}
+
+void LeafChannel::finish(const CallId& id, backend::LeafReply reply) {
+  const auto found = this->running.find(id);
+  Running entry = std::move(found->second);
+  this->running.erase(found);
+  this->running_deadlines.erase({entry.deadline, id});
+  this->context->metrics.in_flight_changed(-1);
+
+  const TimePoint now = Clock::now();
+  const Duration leaf_time = now - entry.started;
+  this->context->metrics.called(reply.signal, leaf_time);
+  this->learn(reply, leaf_time, now);
+  if (!entry.answered) {
+    this->answer(id, entry, std::move(reply.body));
+  } else if (reply.body) {
+    this->context->metrics.dropped(DropReason::kLate);
+  }
+  this->calls->erase(id);
+  this->pump();
+}
+
+void LeafChannel::learn(const backend::LeafReply& reply,
+                        Duration leaf_time,
+                        TimePoint now) {
+  switch (reply.signal) {
+    case LeafSignal::kAnswered:
+      this->typical =
+          this->typical == Duration::zero()
+              ? leaf_time
+              : this->typical + (leaf_time - this->typical) / kAverageOver;
+      this->limit->on_answer(leaf_time, this->running.size() + 1, now);
+      break;
+    case LeafSignal::kOverloaded:
+      this->limit->on_overload(now);
+      break;
+    case LeafSignal::kWarming:
+      this->limit->on_cold();
+      break;
+    case LeafSignal::kForeign:
+      this->context->metrics.dropped(DropReason::kForeign);
+      break;
+    case LeafSignal::kLost:
+      this->context->metrics.dropped(DropReason::kTruncated);
+      break;
+    default:
+      break;
+  }
+  if (this->health.on_reply(reply, now)) {
+    this->context->metrics.ejected();
+    this->limit->on_cold();
+  }
+}
+
+void LeafChannel::answer(const CallId& id,
+                         Running& call,
+                         Result<std::string> body) {
+  call.answered = true;
+  call.group->answer(LeafAnswer{id, std::move(body),
+                                Clock::now() - call.started, call.queue_time});
+}
+
+void LeafChannel::stop(const CallId& id, Running& call) {
+  if (call.cancelled || call.group->batch().kind != LeafCallKind::kQuery) {
+    return;
+  }
+  call.cancelled = true;
+  this->pool->cancel(id);
+}
+
+void LeafChannel::pass_deadlines(TimePoint now) {
+  while (!this->running_deadlines.empty() &&
+         this->running_deadlines.begin()->first <= now) {
+    const CallId id = this->running_deadlines.begin()->second;
+    this->running_deadlines.erase(this->running_deadlines.begin());
+    Running& call = this->running.at(id);
+    if (!call.answered) {
+      const bool query = call.group->batch().kind == LeafCallKind::kQuery;
+      this->answer(id, call,
+                   fail(query ? ErrorKind::kDeadlineExceeded
+                              : ErrorKind::kOutcomeUnknown,
+                        this->leaf.name + ": no answer by the deadline"));
+    }
+    this->stop(id, call);
+  }
+}
+
+void LeafChannel::arm_timer() {
+  std::optional<TimePoint> next = this->queue.next_deadline();
+  if (!this->running_deadlines.empty()) {
+    const TimePoint first = this->running_deadlines.begin()->first;
+    next = next ? std::min(*next, first) : first;
+  }
+  // Deadlines mostly rise, so the timer is moved only where one comes earlier.
+  if (!next || (this->armed_for && *this->armed_for <= *next)) {
+    return;
+  }
+  this->armed_for = next;
+  this->timer.expires_at(*next);
+  this->timer.async_wait(
+      [weak = this->weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+          self->on_timer();
+        }
+      });
+}
+
+void LeafChannel::on_timer() {
+  this->armed_for.reset();
+  this->pass_deadlines(Clock::now());
+  this->pump();
+}
+
+void LeafChannel::update_wanted() {
+  if (this->retired || !this->limit) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  const bool in_use = !this->queue.empty() || !this->running.empty() ||
+                      now - this->last_demand < kLinger;
+  const LeafState state = this->health.state(now);
+  if (state == LeafState::kLeaving) {
+    // One connection shows when the leaf's process goes; the next is opened
+    // only when what it says of itself no longer lags behind its leaving.
+    const bool too_early =
+        this->pool->lost_all() && !this->health.may_return(now);
+    this->pool->want(too_early ? 0 : 1);
+    return;
+  }
+  const std::size_t calls =
+      std::max(this->most_running(), this->running.size());
+  this->pool->want(this->keep_warm || in_use ? calls : 0);
+}
+
+std::size_t LeafChannel::most_running() const noexcept {
+  const double most = this->health.state(Clock::now()) == LeafState::kWarming
+                          ? 1.0
+                          : this->limit->limit();
+  return static_cast<std::size_t>(std::max(1.0, std::floor(most)));
+}
+
+}  // namespace ibismux::gateway
--- a/ibismux/gateway/local_gateway.h
+++ b/ibismux/gateway/local_gateway.h
@@ -9,6 +9,7 @@
 
 #include "ibismux/base/forward.h"
 #include "ibismux/base/task.h"
+#include "ibismux/gateway/forward.h"
 #include "ibismux/gateway/gateway_settings.h"
 #include "ibismux/gateway/leaf_caller.h"
 #include "ibismux/gateway/leaf_status.h"
@@ -28,11 +29,9 @@
   ~LocalGateway() override;
 
   /// Takes up what `release` says of the leafs, and the connections that
-  /// `table` gives to the member called `self`. Leafs that it has no more
-  /// connections to finish the calls they run.
-  void apply(std::shared_ptr<const release::Release> release,
-             std::shared_ptr<const OwnershipTable> table,
-             const std::string& self);
+  /// `table` gives to its own member. Leafs that it has no more connections to
+  /// finish the calls they run.
+  void apply(const release::Release& release, const OwnershipTable& table);
 
   void call(LeafCallBatch batch,
             boost::asio::any_io_executor executor,
--- /dev/null
+++ b/ibismux/gateway/ownership_builder.cc
@@ -0,0 +1,36 @@
+#include "ibismux/gateway/ownership_builder.h"
+
+#include <utility>
+
+#include "ibismux/membership/membership_view.h"
+
+namespace ibismux::gateway {
+
+OwnershipBuilder::OwnershipBuilder(const membership::MembershipView& view)
+    : table(std::make_shared<OwnershipTable>()) {
+  this->table->self = view.self;
+  for (const membership::Member& member : view.members) {
+    this->table->members.push_back(member.name);
+  }
+}
+
+void OwnershipBuilder::add(const std::string& leaf,
+                           const std::vector<LeafOwner>& owners) {
+  this->table->leafs.push_back(leaf);
+  for (const LeafOwner& owner : owners) {
+    if (owner.connections > 0) {
+      this->table->owners.push_back(owner);
+    }
+  }
+  this->table->first_owner.push_back(
+      static_cast<std::uint32_t>(this->table->owners.size()));
+}
+
+std::shared_ptr<const OwnershipTable> OwnershipBuilder::build() {
+  for (std::uint32_t i = 0; i < this->table->leafs.size(); ++i) {
+    this->table->index.emplace(this->table->leafs[i], i);
+  }
+  return std::move(this->table);
+}
+
+}  // namespace ibismux::gateway
--- a/ibismux/gateway/ownership_table.h
+++ b/ibismux/gateway/ownership_table.h
@@ -21,6 +21,7 @@
 /// Which daemons reach which leafs, as one daemon sees it. Immutable once it is
 /// published; read through `RcuCell<OwnershipTable>`.
 struct OwnershipTable {
+  std::string self;                  ///< The member that computed it.
   std::vector<std::string> members;  ///< Names, in order.
   std::vector<std::string> leafs;    ///< Names, in the release's order.
   /// The owners of leaf `i`, first choice first, are
@@ -39,6 +40,12 @@
     return std::span(this->owners).subspan(begin, end - begin);
   }
 
+  /// The member that `owner` is. Thread safe.
+  [[nodiscard]] const std::string& member_of(
+      const LeafOwner& owner) const noexcept {
+    return this->members[owner.member];
+  }
+
   /// Owners of the leaf called `name`; none where it is unknown. Thread safe.
   [[nodiscard]] std::span<const LeafOwner> owners_of(
       std::string_view name) const noexcept {
--- a/ibismux/gateway/router.h
+++ b/ibismux/gateway/router.h
@@ -6,7 +6,6 @@
 #include <memory>
 #include <vector>
 
-#include "ibismux/base/forward.h"
 #include "ibismux/base/rcu_cell.h"
 #include "ibismux/gateway/leaf_caller.h"
 #include "ibismux/gateway/ownership_strategy.h"
@@ -22,8 +21,7 @@
  public:
   /// All references outlive the router.
   /// @param remote Null where there are no peers.
-  Router(IoPool& pool,
-         const RcuCell<release::Release>& releases,
+  Router(const RcuCell<release::Release>& releases,
          const RcuCell<membership::MembershipView>& members,
          LocalGateway& local,
          RemoteGateway* remote,
@@ -31,8 +29,8 @@
          prometheus::Registry& metrics);
   ~Router() override;
 
-  /// The release or the membership changed: computes the owners anew on a loop
-  /// of the pool, and tells the local gateway. Call it after each change.
+  /// The release or the membership changed: computes the owners anew on a
+  /// thread of its own, and tells the local gateway. Call it after each change.
   /// Changes that come while one is being computed are taken up together.
   void refresh();
 
@@ -46,7 +44,7 @@
 
  private:
   class Impl;
-  std::shared_ptr<Impl> impl;
+  std::unique_ptr<Impl> impl;
 };
 
 }  // namespace ibismux::gateway
