Decide at the door: concurrency, rates, and priority under overload

A request must be refused before it costs the leafs anything, at once, with the time to come back, and the lowest class first.

A slot is taken first, then every rate rule is asked, then all record one time. Limits of the fleet are split by rank among the members that serve; what does not divide rotates by policy, so the parts add up exactly. Small limits are counted by an exact log, large ones in buckets that never pass the limit. Counts of callers are bounded; a flood of names shares one count instead of pushing busy callers out.

Services that share leafs share one adaptive limit, found from how much longer requests take than usual. A class counts itself and those above it only. One limit for the whole daemon was ruled out: it would shed services whose leafs are idle.

--- /dev/null
+++ b/ibismux/admission/adaptive_limit.cc
@@ -0,0 +1,75 @@
+#include "ibismux/admission/adaptive_limit.h"
+
+#include <algorithm>
+
+namespace ibismux::admission {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A window has at least so many ends of requests, and lasts at least so long.
+constexpr std::uint32_t kFewestEnds = 8;
+constexpr milliseconds kShortestWindow{20};
+/// Requests may take so many times their usual latency: some waiting keeps the
+/// leafs busy, more only adds to the latency.
+constexpr double kTolerance = 2.0;
+/// The share of overloaded ends from which the limit sinks.
+constexpr double kOverloadedShare = 0.1;
+constexpr double kOverloadedCut = 0.85;
+/// A single window changes the limit no more than this.
+constexpr double kDeepestCut = 0.7;
+constexpr double kGrowth = 0.1;
+/// Only a limit that is nearly reached says anything by going well.
+constexpr double kReached = 0.8;
+constexpr double kLeast = 1;
+constexpr double kMost = 100'000;
+
+}  // namespace
+
+void AdaptiveLimit::on_admitted(std::uint32_t in_flight) noexcept {
+  this->peak = std::max(this->peak, in_flight);
+}
+
+void AdaptiveLimit::on_finished(double stretch,
+                                Duration latency,
+                                TimePoint now) noexcept {
+  ++this->finished;
+  this->stretch_sum += stretch;
+  this->latency_sum += latency;
+  this->close_window(now);
+}
+
+void AdaptiveLimit::on_overloaded(TimePoint now) noexcept {
+  ++this->overloaded;
+  this->close_window(now);
+}
+
+void AdaptiveLimit::close_window(TimePoint now) noexcept {
+  const std::uint32_t ends = this->finished + this->overloaded;
+  const Duration usual = this->finished > 0 ? this->latency_sum / this->finished
+                                            : Duration::zero();
+  if (ends < kFewestEnds ||
+      now - this->window_start < std::max<Duration>(kShortestWindow, usual)) {
+    return;
+  }
+  const double stretch =
+      this->finished > 0 ? this->stretch_sum / this->finished : 1;
+  const double refused = static_cast<double>(this->overloaded) / ends;
+  if (refused > kOverloadedShare) {
+    this->value *= kOverloadedCut;
+  } else if (stretch > kTolerance) {
+    this->value *= std::max(kDeepestCut, kTolerance / stretch);
+  } else if (this->peak >= kReached * this->value) {
+    this->value += std::max(1.0, kGrowth * this->value);
+  }
+  this->value = std::clamp(this->value, kLeast, kMost);
+  this->window_start = now;
+  this->finished = 0;
+  this->overloaded = 0;
+  this->stretch_sum = 0;
+  this->latency_sum = Duration::zero();
+  this->peak = 0;
+}
+
+}  // namespace ibismux::admission
--- /dev/null
+++ b/ibismux/admission/adaptive_limit.h
@@ -0,0 +1,44 @@
+#ifndef IBISMUX_ADMISSION_ADAPTIVE_LIMIT_H_
+#define IBISMUX_ADMISSION_ADAPTIVE_LIMIT_H_
+
+#include <cstdint>
+
+#include "ibismux/base/time.h"
+
+namespace ibismux::admission {
+
+/// How many requests at once the leafs behind a group of services can carry,
+/// found from how much longer requests take than when nothing waits.
+///
+/// Not thread safe.
+class AdaptiveLimit {
+ public:
+  explicit AdaptiveLimit(double initial) : value(initial) {}
+
+  [[nodiscard]] double limit() const noexcept { return this->value; }
+
+  /// A request was let in; `in_flight` counts it.
+  void on_admitted(std::uint32_t in_flight) noexcept;
+
+  /// A request ended. @param stretch Its latency over the usual one of its
+  /// service when nothing waits.
+  void on_finished(double stretch, Duration latency, TimePoint now) noexcept;
+
+  /// A request ended because leafs were overloaded.
+  void on_overloaded(TimePoint now) noexcept;
+
+ private:
+  void close_window(TimePoint now) noexcept;
+
+  double value;
+  TimePoint window_start{};
+  std::uint32_t finished = 0;
+  std::uint32_t overloaded = 0;
+  double stretch_sum = 0;
+  Duration latency_sum{};
+  std::uint32_t peak = 0;  ///< Most in flight in this window.
+};
+
+}  // namespace ibismux::admission
+
+#endif  // IBISMUX_ADMISSION_ADAPTIVE_LIMIT_H_
--- /dev/null
+++ b/ibismux/admission/admission.cc
@@ -0,0 +1,172 @@
+#include "ibismux/admission/admission.h"
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+#include <vector>
+
+#include "ibismux/admission/plan_table.h"
+#include "ibismux/membership/membership_view.h"
+#include "ibismux/release/release.h"
+
+namespace ibismux::admission {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Counts kept for callers and services at once. At the largest they take
+/// about 4 KB each.
+constexpr std::size_t kMostGroups = 4096;
+constexpr milliseconds kNotReadyRetry{1000};
+
+tl::unexpected<Error> refuse(ErrorKind kind,
+                             std::string message,
+                             Duration wait) {
+  Error error = make_error(kind, std::move(message));
+  error.execution = Execution::kNotRun;
+  error.retry_after =
+      std::max(milliseconds(1), std::chrono::ceil<milliseconds>(wait));
+  return tl::unexpected<Error>(std::move(error));
+}
+
+/// Slots taken so far by one request, given back together.
+class Slots {
+ public:
+  Slots(std::shared_ptr<const ServicePlan> plan, TimePoint since)
+      : plan(std::move(plan)), since(since) {}
+
+  /// Takes a slot of the load group, then of each policy. On a refusal nothing
+  /// stays taken.
+  [[nodiscard]] std::optional<tl::unexpected<Error>> take(
+      std::vector<LimitUse> wanted) {
+    const Duration wait =
+        this->plan->pool->enter(this->plan->priority, this->since);
+    if (wait > Duration::zero()) {
+      this->plan->metrics->decided(Decision::kShed);
+      return refuse(ErrorKind::kOverloaded, "shed: leafs are overloaded", wait);
+    }
+    for (LimitUse& use : wanted) {
+      if (!use.group->take_slot(*use.share)) {
+        const Duration until = use.group->slot_wait();
+        this->cancel();
+        this->plan->metrics->decided(Decision::kConcurrencyLimited);
+        return refuse(ErrorKind::kRateLimited, "too many requests at once",
+                      until);
+      }
+      this->uses.push_back(std::move(use));
+    }
+    return std::nullopt;
+  }
+
+  [[nodiscard]] std::span<const LimitUse> held() const noexcept {
+    return this->uses;
+  }
+
+  /// Gives all back: the request did not go on.
+  void cancel() {
+    this->plan->pool->leave(this->plan->priority);
+    this->release_groups(std::nullopt);
+  }
+
+  /// Gives all back: the request has ended.
+  void finish(std::optional<ErrorKind> error, TimePoint now) {
+    const Duration latency = std::max(Duration::zero(), now - this->since);
+    this->plan->pool->finish(this->plan->priority, latency, error,
+                             *this->plan->baseline, now);
+    this->release_groups(latency);
+  }
+
+ private:
+  void release_groups(std::optional<Duration> held) {
+    for (const LimitUse& use : std::exchange(this->uses, {})) {
+      use.group->give_slot_back(held);
+    }
+  }
+
+  std::shared_ptr<const ServicePlan> plan;
+  TimePoint since;
+  std::vector<LimitUse> uses;
+};
+
+}  // namespace
+
+class Admission::Impl {
+ public:
+  Impl(const RcuCell<release::Release>& releases,
+       const RcuCell<membership::MembershipView>& members,
+       prometheus::Registry& metrics)
+      : metrics(metrics),
+        groups(kMostGroups),
+        plans(releases, members, this->groups, this->metrics) {}
+
+  Result<Permit> admit(const std::string& service,
+                       const std::string& caller,
+                       TimePoint now);
+
+ private:
+  std::vector<LimitUse> uses_of(const ServicePlan& plan,
+                                const std::string& caller,
+                                TimePoint now);
+
+  AdmissionMetrics metrics;
+  GroupTable groups;
+  PlanTable plans;
+};
+
+Result<Permit> Admission::Impl::admit(const std::string& service,
+                                      const std::string& caller,
+                                      TimePoint now) {
+  const std::shared_ptr<const PlanSet> set = this->plans.current(now);
+  if (set->release->generation == 0) {
+    return refuse(ErrorKind::kNotReady, "no configuration yet", kNotReadyRetry);
+  }
+  const auto found = set->services.find(service);
+  if (found == set->services.end()) {
+    return fail(ErrorKind::kNotFound, "no service " + service);
+  }
+  const std::shared_ptr<const ServicePlan>& plan = found->second;
+  auto slots = std::make_shared<Slots>(plan, now);
+  if (auto refusal = slots->take(this->uses_of(*plan, caller, now))) {
+    return *std::move(refusal);
+  }
+  const Duration wait = check_and_record(slots->held(), now);
+  if (wait > Duration::zero()) {
+    slots->cancel();
+    plan->metrics->decided(Decision::kRateLimited);
+    return refuse(ErrorKind::kRateLimited, "too many requests", wait);
+  }
+  plan->metrics->decided(Decision::kAdmitted);
+  plan->metrics->load(plan->pool->current_limit(), plan->pool->in_flight());
+  return Permit([slots](std::optional<ErrorKind> error, TimePoint end) {
+    slots->finish(error, end);
+  });
+}
+
+std::vector<LimitUse> Admission::Impl::uses_of(const ServicePlan& plan,
+                                               const std::string& caller,
+                                               TimePoint now) {
+  std::vector<LimitUse> uses;
+  uses.reserve(plan.policies.size());
+  for (const PolicyPlan& policy : plan.policies) {
+    uses.push_back({policy.group != nullptr
+                        ? policy.group
+                        : this->groups.get(*policy.policy, caller, now),
+                    policy.share});
+  }
+  return uses;
+}
+
+Admission::Admission(const RcuCell<release::Release>& releases,
+                     const RcuCell<membership::MembershipView>& members,
+                     prometheus::Registry& metrics)
+    : impl(std::make_shared<Impl>(releases, members, metrics)) {}
+Admission::~Admission() = default;
+
+Result<Permit> Admission::admit(const std::string& service,
+                                const std::string& caller,
+                                TimePoint now) {
+  return this->impl->admit(service, caller, now);
+}
+
+}  // namespace ibismux::admission
--- /dev/null
+++ b/ibismux/admission/admission_metrics.cc
@@ -0,0 +1,92 @@
+#include "ibismux/admission/admission_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+
+#include <array>
+
+namespace ibismux::admission {
+
+namespace {
+
+constexpr std::array<const char*, kDecisions> kDecisionNames = {
+    "admitted", "rate_limited", "concurrency_limited", "shed"};
+
+}  // namespace
+
+struct AdmissionMetrics::Families {
+  explicit Families(prometheus::Registry& metrics)
+      : decisions(prometheus::BuildCounter()
+                      .Name("ibismux_admission_total")
+                      .Help("Requests by what admission decided")
+                      .Register(metrics)),
+        limits(prometheus::BuildGauge()
+                   .Name("ibismux_admission_limit")
+                   .Help("Requests at once that its leafs are taken to carry")
+                   .Register(metrics)),
+        in_flight(prometheus::BuildGauge()
+                      .Name("ibismux_admission_in_flight")
+                      .Help("Requests at once to services that share its leafs")
+                      .Register(metrics)),
+        group_count(prometheus::BuildGauge()
+                        .Name("ibismux_admission_counts")
+                        .Help("Counts kept for services and callers")
+                        .Register(metrics)
+                        .Add({})) {}
+
+  prometheus::Family<prometheus::Counter>& decisions;
+  prometheus::Family<prometheus::Gauge>& limits;
+  prometheus::Family<prometheus::Gauge>& in_flight;
+  prometheus::Gauge& group_count;
+};
+
+namespace {
+
+class FamilyMetrics final : public ServiceMetrics {
+ public:
+  template <class Families>
+  FamilyMetrics(Families& families,
+                const std::string& service,
+                Priority priority)
+      : limit(families.limits.Add({{"service", service}})),
+        flights(families.in_flight.Add({{"service", service}})) {
+    for (std::size_t i = 0; i < kDecisions; ++i) {
+      this->counters[i] =
+          &families.decisions.Add({{"service", service},
+                                   {"class", std::string(to_string(priority))},
+                                   {"decision", kDecisionNames[i]}});
+    }
+  }
+
+  void decided(Decision decision) override {
+    this->counters[static_cast<std::size_t>(decision)]->Increment();
+  }
+
+  void load(double limit, std::uint32_t in_flight) override {
+    this->limit.Set(limit);
+    this->flights.Set(in_flight);
+  }
+
+ private:
+  std::array<prometheus::Counter*, kDecisions> counters{};
+  prometheus::Gauge& limit;
+  prometheus::Gauge& flights;
+};
+
+}  // namespace
+
+AdmissionMetrics::AdmissionMetrics(prometheus::Registry& metrics)
+    : families(std::make_unique<Families>(metrics)) {}
+AdmissionMetrics::~AdmissionMetrics() = default;
+
+std::shared_ptr<ServiceMetrics> AdmissionMetrics::service(
+    const std::string& name,
+    Priority priority) {
+  return std::make_shared<FamilyMetrics>(*this->families, name, priority);
+}
+
+void AdmissionMetrics::groups(std::size_t count) {
+  this->families->group_count.Set(static_cast<double>(count));
+}
+
+}  // namespace ibismux::admission
--- /dev/null
+++ b/ibismux/admission/admission_metrics.h
@@ -0,0 +1,55 @@
+#ifndef IBISMUX_ADMISSION_ADMISSION_METRICS_H_
+#define IBISMUX_ADMISSION_ADMISSION_METRICS_H_
+
+#include <prometheus/registry.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "ibismux/base/priority.h"
+
+namespace ibismux::admission {
+
+/// How admission decided.
+enum class Decision : unsigned char {
+  kAdmitted,
+  kRateLimited,         ///< A rate rule.
+  kConcurrencyLimited,  ///< The concurrency of a limit policy.
+  kShed,                ///< The adaptive limit of its load group.
+};
+
+inline constexpr std::size_t kDecisions = 4;
+
+/// The metrics of one service. Thread safe.
+class ServiceMetrics {
+ public:
+  virtual ~ServiceMetrics() = default;
+
+  virtual void decided(Decision decision) = 0;
+  /// The state of the service's load group.
+  virtual void load(double limit, std::uint32_t in_flight) = 0;
+};
+
+/// The metric families of admission. Thread safe.
+class AdmissionMetrics {
+ public:
+  /// @param metrics Outlives the object and all that it hands out.
+  explicit AdmissionMetrics(prometheus::Registry& metrics);
+  ~AdmissionMetrics();
+
+  [[nodiscard]] std::shared_ptr<ServiceMetrics> service(const std::string& name,
+                                                        Priority priority);
+
+  /// How many counts are kept for services and callers.
+  void groups(std::size_t count);
+
+ private:
+  struct Families;
+  std::unique_ptr<Families> families;
+};
+
+}  // namespace ibismux::admission
+
+#endif  // IBISMUX_ADMISSION_ADMISSION_METRICS_H_
--- a/ibismux/admission/forward.h
+++ b/ibismux/admission/forward.h
@@ -4,8 +4,21 @@
 namespace ibismux::admission {
 
 struct AdmissionRequest;
+struct FleetRank;
+struct LimitShare;
+struct LimitUse;
+struct PlanSet;
+struct ServicePlan;
+class AdaptiveLimit;
 class Admission;
+class AdmissionMetrics;
+class GroupTable;
+class LatencyBaseline;
+class LimitGroup;
+class LoadPool;
 class Permit;
+class PlanTable;
+class RateMeter;
 
 }  // namespace ibismux::admission
 
--- /dev/null
+++ b/ibismux/admission/group_table.cc
@@ -0,0 +1,76 @@
+#include "ibismux/admission/group_table.h"
+
+#include <xxhash.h>
+
+namespace ibismux::admission {
+
+namespace {
+
+/// How many of the longest unused are looked at to find an idle one.
+constexpr int kEvictionTries = 4;
+/// Stands for every key that finds the table full; no key of a request is it,
+/// since a line break can't stand in a header field.
+constexpr std::string_view kOverflowKey = "\n";
+
+/// Tells apart policies that have the same name but need other counters.
+std::string full_key(const release::LimitPolicy& policy, std::string_view key) {
+  std::string full = policy.name;
+  for (const release::RateRule& rule : policy.rates) {
+    full += rule.limit <= kLargestExactLimit ? "\nexact " : "\ncounted ";
+    full += std::to_string(rule.window.count());
+  }
+  full += '\n';
+  full += key;
+  return full;
+}
+
+}  // namespace
+
+std::shared_ptr<LimitGroup> GroupTable::get(const release::LimitPolicy& policy,
+                                            std::string_view key,
+                                            TimePoint now) {
+  std::string full = full_key(policy, key);
+  const std::size_t hash = XXH3_64bits(full.data(), full.size());
+  Stripe& stripe = this->stripes[hash % kStripes];
+  std::unique_lock lock(stripe.mutex);
+  const auto found = stripe.by_key.find(full);
+  if (found != stripe.by_key.end()) {
+    stripe.entries.splice(stripe.entries.begin(), stripe.entries,
+                          found->second);
+    return found->second->group;
+  }
+  if (stripe.entries.size() >= this->most_a_stripe && key != kOverflowKey &&
+      !evict_one(stripe, now)) {
+    lock.unlock();
+    return this->get(policy, kOverflowKey, now);
+  }
+  stripe.entries.push_front(
+      {std::move(full), std::make_shared<LimitGroup>(policy)});
+  stripe.by_key.emplace(stripe.entries.front().key, stripe.entries.begin());
+  return stripe.entries.front().group;
+}
+
+std::size_t GroupTable::size() {
+  std::size_t count = 0;
+  for (Stripe& stripe : this->stripes) {
+    const std::lock_guard lock(stripe.mutex);
+    count += stripe.entries.size();
+  }
+  return count;
+}
+
+bool GroupTable::evict_one(Stripe& stripe, TimePoint now) {
+  auto entry = stripe.entries.end();
+  for (int i = 0; i < kEvictionTries && entry != stripe.entries.begin(); ++i) {
+    --entry;
+    // A second owner is a request in flight or a service's plan.
+    if (entry->group.use_count() == 1 && entry->group->idle(now)) {
+      stripe.by_key.erase(entry->key);
+      stripe.entries.erase(entry);
+      return true;
+    }
+  }
+  return false;
+}
+
+}  // namespace ibismux::admission
--- /dev/null
+++ b/ibismux/admission/limit_group.cc
@@ -0,0 +1,83 @@
+#include "ibismux/admission/limit_group.h"
+
+#include <algorithm>
+
+namespace ibismux::admission {
+
+namespace {
+
+/// The newest hold counts for one part in this many.
+constexpr int kHoldMemory = 8;
+
+}  // namespace
+
+LimitGroup::LimitGroup(const release::LimitPolicy& policy) {
+  this->meters.reserve(policy.rates.size());
+  for (const release::RateRule& rule : policy.rates) {
+    this->meters.push_back(make_rate_meter(rule.limit, rule.window));
+  }
+}
+
+bool LimitGroup::take_slot(const LimitShare& share) {
+  const std::lock_guard lock(this->mutex);
+  if (share.limits_concurrency && this->in_flight >= share.concurrency) {
+    return false;
+  }
+  ++this->in_flight;
+  return true;
+}
+
+void LimitGroup::give_slot_back(std::optional<Duration> held) {
+  const std::lock_guard lock(this->mutex);
+  --this->in_flight;
+  if (held.has_value()) {
+    this->usual_hold += (*held - this->usual_hold) / kHoldMemory;
+  }
+}
+
+Duration LimitGroup::slot_wait() {
+  const std::lock_guard lock(this->mutex);
+  return this->usual_hold / std::max<std::uint32_t>(1, this->in_flight);
+}
+
+bool LimitGroup::idle(TimePoint now) {
+  const std::lock_guard lock(this->mutex);
+  return this->in_flight == 0 &&
+         std::all_of(this->meters.begin(), this->meters.end(),
+                     [now](const auto& meter) { return meter->idle(now); });
+}
+
+Duration check_and_record(std::span<const LimitUse> uses, TimePoint now) {
+  // Locked in one order everywhere; two requests that share two groups would
+  // otherwise wait for each other for ever.
+  std::vector<LimitGroup*> groups;
+  groups.reserve(uses.size());
+  for (const LimitUse& use : uses) {
+    groups.push_back(use.group.get());
+  }
+  std::sort(groups.begin(), groups.end(), std::less<>());
+  groups.erase(std::unique(groups.begin(), groups.end()), groups.end());
+  std::vector<std::unique_lock<std::mutex>> locks;
+  locks.reserve(groups.size());
+  for (LimitGroup* group : groups) {
+    locks.emplace_back(group->mutex);
+  }
+  Duration wait = Duration::zero();
+  for (const LimitUse& use : uses) {
+    for (std::size_t i = 0; i < use.group->meters.size(); ++i) {
+      wait = std::max(wait,
+                      use.group->meters[i]->wait(use.share->rates.at(i), now));
+    }
+  }
+  if (wait > Duration::zero()) {
+    return wait;
+  }
+  for (LimitGroup* group : groups) {
+    for (const auto& meter : group->meters) {
+      meter->record(now);
+    }
+  }
+  return Duration::zero();
+}
+
+}  // namespace ibismux::admission
--- /dev/null
+++ b/ibismux/admission/plan_table.cc
@@ -0,0 +1,123 @@
+#include "ibismux/admission/plan_table.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+
+#include "ibismux/admission/pool_finder.h"
+#include "ibismux/membership/membership_view.h"
+#include "ibismux/release/release.h"
+
+namespace ibismux::admission {
+
+namespace {
+
+/// A load group starts with room for so many times the declared slots, and
+/// finds its own limit from there.
+constexpr double kInitialDepth = 4;
+constexpr double kLeastInitial = 4;
+
+FleetRank rank_of(const membership::MembershipView& view) {
+  FleetRank rank{0, static_cast<std::uint32_t>(view.serving())};
+  for (const membership::Member& member : view.members) {
+    rank.rank += member.serves() && member.name < view.self ? 1 : 0;
+  }
+  rank.rank = std::min(rank.rank, rank.count - 1);
+  return rank;
+}
+
+LimitShare share_of(const release::LimitPolicy& policy, FleetRank rank) {
+  const std::uint64_t salt =
+      XXH3_64bits(policy.name.data(), policy.name.size());
+  LimitShare share;
+  share.limits_concurrency = policy.concurrency > 0;
+  share.concurrency = fleet_share(policy.concurrency, rank, salt);
+  for (const release::RateRule& rule : policy.rates) {
+    share.rates.push_back(fleet_share(rule.limit, rank, salt));
+  }
+  return share;
+}
+
+PolicyPlan policy_plan(std::shared_ptr<const release::LimitPolicy> policy,
+                       const std::string& service,
+                       FleetRank rank,
+                       GroupTable& groups,
+                       TimePoint now) {
+  PolicyPlan plan;
+  plan.share = std::make_shared<const LimitShare>(share_of(*policy, rank));
+  if (policy->scope == release::LimitPolicy::Scope::kService) {
+    plan.group = groups.get(*policy, service, now);
+  }
+  plan.policy = std::move(policy);
+  return plan;
+}
+
+double initial_limit(const LoadGroup& group, FleetRank rank) {
+  return std::max(kLeastInitial, kInitialDepth * group.slots / rank.count);
+}
+
+}  // namespace
+
+PlanTable::PlanTable(const RcuCell<release::Release>& releases,
+                     const RcuCell<membership::MembershipView>& members,
+                     GroupTable& groups,
+                     AdmissionMetrics& metrics)
+    : releases(releases),
+      members(members),
+      groups(groups),
+      metrics(metrics),
+      sets(std::make_shared<const PlanSet>()) {}
+
+std::shared_ptr<const PlanSet> PlanTable::current(TimePoint now) {
+  std::shared_ptr<const PlanSet> set = this->sets.read();
+  return set->release == this->releases.read() &&
+                 set->members == this->members.read()
+             ? set
+             : this->rebuild(now);
+}
+
+std::shared_ptr<const PlanSet> PlanTable::rebuild(TimePoint now) {
+  const std::lock_guard lock(this->mutex);
+  const std::shared_ptr<const PlanSet> old = this->sets.read();
+  auto fresh = std::make_shared<PlanSet>();
+  fresh->release = this->releases.read();
+  fresh->members = this->members.read();
+  if (old->release == fresh->release && old->members == fresh->members) {
+    return old;
+  }
+  const FleetRank rank = rank_of(*fresh->members);
+  std::map<std::string, std::shared_ptr<LoadPool>> pools;
+  for (const auto& [name, group] : find_load_groups(*fresh->release)) {
+    const release::ServiceView& service =
+        *fresh->release->services.find(name)->second;
+    const auto known = old->services.find(name);
+    const ServicePlan* before =
+        known == old->services.end() ? nullptr : known->second.get();
+    auto plan = std::make_shared<ServicePlan>();
+    plan->priority = service.spec.priority;
+    for (const auto& policy : service.limits) {
+      plan->policies.push_back(
+          policy_plan(policy, name, rank, this->groups, now));
+    }
+    std::shared_ptr<LoadPool>& pool = pools[group.name];
+    if (pool == nullptr) {
+      pool = before != nullptr
+                 ? before->pool
+                 : std::make_shared<LoadPool>(initial_limit(group, rank));
+    }
+    plan->pool = pool;
+    // A baseline is used under its pool's lock, so it goes with the pool.
+    plan->baseline = before != nullptr && before->pool == pool
+                         ? before->baseline
+                         : std::make_shared<LatencyBaseline>();
+    plan->metrics = before != nullptr && before->priority == plan->priority
+                        ? before->metrics
+                        : this->metrics.service(name, plan->priority);
+    fresh->services.emplace(name, std::move(plan));
+  }
+  this->metrics.groups(this->groups.size());
+  this->sets.write(fresh);
+  return fresh;
+}
+
+}  // namespace ibismux::admission
--- /dev/null
+++ b/ibismux/admission/plan_table.h
@@ -0,0 +1,72 @@
+#ifndef IBISMUX_ADMISSION_PLAN_TABLE_H_
+#define IBISMUX_ADMISSION_PLAN_TABLE_H_
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "ibismux/admission/admission_metrics.h"
+#include "ibismux/admission/fleet_share.h"
+#include "ibismux/admission/group_table.h"
+#include "ibismux/admission/latency_baseline.h"
+#include "ibismux/admission/load_pool.h"
+#include "ibismux/base/rcu_cell.h"
+#include "ibismux/membership/forward.h"
+#include "ibismux/release/forward.h"
+
+namespace ibismux::admission {
+
+/// One policy as a service uses it.
+struct PolicyPlan {
+  std::shared_ptr<const release::LimitPolicy> policy;
+  std::shared_ptr<const LimitShare> share;
+  std::shared_ptr<LimitGroup> group;  ///< Null where each caller has its own.
+};
+
+/// All that a request to one service is checked against.
+struct ServicePlan {
+  Priority priority = Priority::kCatalogue;
+  std::vector<PolicyPlan> policies;
+  std::shared_ptr<LoadPool> pool;
+  std::shared_ptr<LatencyBaseline> baseline;  ///< Under the pool's lock.
+  std::shared_ptr<ServiceMetrics> metrics;
+};
+
+/// The plans of one release for one place in the fleet. Immutable.
+struct PlanSet {
+  std::shared_ptr<const release::Release> release;
+  std::shared_ptr<const membership::MembershipView> members;
+  std::map<std::string, std::shared_ptr<const ServicePlan>, std::less<>>
+      services;
+};
+
+/// Works the plans out anew when the release or the members change, and keeps
+/// what was learnt and counted.
+///
+/// Thread safe.
+class PlanTable {
+ public:
+  /// All outlive the table.
+  PlanTable(const RcuCell<release::Release>& releases,
+            const RcuCell<membership::MembershipView>& members,
+            GroupTable& groups,
+            AdmissionMetrics& metrics);
+
+  [[nodiscard]] std::shared_ptr<const PlanSet> current(TimePoint now);
+
+ private:
+  std::shared_ptr<const PlanSet> rebuild(TimePoint now);
+
+  const RcuCell<release::Release>& releases;
+  const RcuCell<membership::MembershipView>& members;
+  GroupTable& groups;
+  AdmissionMetrics& metrics;
+  RcuCell<PlanSet> sets;
+  std::mutex mutex;  ///< Held by the one that rebuilds.
+};
+
+}  // namespace ibismux::admission
+
+#endif  // IBISMUX_ADMISSION_PLAN_TABLE_H_
--- /dev/null
+++ b/ibismux/admission/sliding_log.cc
@@ -0,0 +1,38 @@
+#include "ibismux/admission/sliding_log.h"
+
+#include <algorithm>
+
+namespace ibismux::admission {
+
+Duration SlidingLog::wait(std::uint32_t limit, TimePoint now) {
+  this->trim(now);
+  if (limit == 0) {
+    return this->window;
+  }
+  if (this->times.size() < limit) {
+    return Duration::zero();
+  }
+  // The limit may have sunk below what is logged: then several must leave.
+  const std::size_t leaving = this->times.size() - limit;
+  return this->times[leaving] + this->window - now;
+}
+
+void SlidingLog::record(TimePoint now) {
+  // Threads read the clock before they get the lock, so times may come out of
+  // order; an unsorted log would let entries outlive their window.
+  this->times.push_back(
+      this->times.empty() ? now : std::max(now, this->times.back()));
+}
+
+bool SlidingLog::idle(TimePoint now) {
+  this->trim(now);
+  return this->times.empty();
+}
+
+void SlidingLog::trim(TimePoint now) {
+  while (!this->times.empty() && now - this->times.front() >= this->window) {
+    this->times.pop_front();
+  }
+}
+
+}  // namespace ibismux::admission
--- /dev/null
+++ b/ibismux/admission/sliding_log.h
@@ -0,0 +1,29 @@
+#ifndef IBISMUX_ADMISSION_SLIDING_LOG_H_
+#define IBISMUX_ADMISSION_SLIDING_LOG_H_
+
+#include <deque>
+
+#include "ibismux/admission/rate_meter.h"
+
+namespace ibismux::admission {
+
+/// Keeps the time of each request in the window: exact, and its memory grows
+/// with the limit.
+class SlidingLog final : public RateMeter {
+ public:
+  explicit SlidingLog(Duration window) : window(window) {}
+
+  [[nodiscard]] Duration wait(std::uint32_t limit, TimePoint now) override;
+  void record(TimePoint now) override;
+  [[nodiscard]] bool idle(TimePoint now) override;
+
+ private:
+  void trim(TimePoint now);
+
+  Duration window;
+  std::deque<TimePoint> times;  ///< Rising.
+};
+
+}  // namespace ibismux::admission
+
+#endif  // IBISMUX_ADMISSION_SLIDING_LOG_H_
--- /dev/null
+++ b/ibismux/admission/window_counter.cc
@@ -0,0 +1,65 @@
+#include "ibismux/admission/window_counter.h"
+
+#include <algorithm>
+
+#include "ibismux/admission/sliding_log.h"
+
+namespace ibismux::admission {
+
+WindowCounter::WindowCounter(Duration window)
+    // Rounded up: buckets that are too narrow would forget too early.
+    : width(std::max<Duration>(Duration(1),
+                               (window + Duration(kBuckets - 1)) / kBuckets)) {}
+
+Duration WindowCounter::wait(std::uint32_t limit, TimePoint now) {
+  this->advance(now);
+  if (limit == 0) {
+    return this->width * kBuckets;
+  }
+  if (this->total < limit) {
+    return Duration::zero();
+  }
+  std::uint64_t left = this->total;
+  std::int64_t bucket = this->newest - kBuckets;
+  for (; bucket < this->newest; ++bucket) {
+    left -= this->at(bucket);
+    if (left < limit) {
+      break;
+    }
+  }
+  // The bucket leaves the ring when the one a ring later begins.
+  const Duration leaves = (bucket + kRing) * this->width;
+  return std::max(Duration(1), leaves - now.time_since_epoch());
+}
+
+void WindowCounter::record(TimePoint now) {
+  this->advance(now);
+  ++this->at(this->newest);
+  ++this->total;
+}
+
+bool WindowCounter::idle(TimePoint now) {
+  this->advance(now);
+  return this->total == 0;
+}
+
+void WindowCounter::advance(TimePoint now) {
+  const std::int64_t current = now.time_since_epoch() / this->width;
+  const std::int64_t steps = std::min(current - this->newest, kRing);
+  for (std::int64_t i = 0; i < steps; ++i) {
+    std::uint32_t& oldest = this->at(current - i);
+    this->total -= oldest;
+    oldest = 0;
+  }
+  this->newest = std::max(this->newest, current);
+}
+
+std::unique_ptr<RateMeter> make_rate_meter(std::uint32_t limit,
+                                           Duration window) {
+  if (limit <= kLargestExactLimit) {
+    return std::make_unique<SlidingLog>(window);
+  }
+  return std::make_unique<WindowCounter>(window);
+}
+
+}  // namespace ibismux::admission
--- /dev/null
+++ b/ibismux/admission/window_counter.h
@@ -0,0 +1,42 @@
+#ifndef IBISMUX_ADMISSION_WINDOW_COUNTER_H_
+#define IBISMUX_ADMISSION_WINDOW_COUNTER_H_
+
+#include <array>
+#include <cstdint>
+
+#include "ibismux/admission/rate_meter.h"
+
+namespace ibismux::admission {
+
+/// Counts requests in buckets of a sixty-fourth of the window, in fixed memory.
+/// A bucket counts until its last instant has left the window, so the limit is
+/// never passed; at most a sixty-fourth of it goes unused.
+class WindowCounter final : public RateMeter {
+ public:
+  explicit WindowCounter(Duration window);
+
+  [[nodiscard]] Duration wait(std::uint32_t limit, TimePoint now) override;
+  void record(TimePoint now) override;
+  [[nodiscard]] bool idle(TimePoint now) override;
+
+ private:
+  static constexpr std::int64_t kBuckets = 64;
+  /// One more than a window holds: the oldest may be partly in it.
+  static constexpr std::int64_t kRing = kBuckets + 1;
+
+  [[nodiscard]] std::uint32_t& at(std::int64_t bucket) noexcept {
+    // Bucket numbers are negative near the clock's epoch.
+    return this
+        ->counts[static_cast<std::size_t>((bucket % kRing + kRing) % kRing)];
+  }
+  void advance(TimePoint now);
+
+  Duration width;
+  std::int64_t newest = 0;  ///< Bucket number of the newest in the ring.
+  std::uint64_t total = 0;
+  std::array<std::uint32_t, kRing> counts{};
+};
+
+}  // namespace ibismux::admission
+
+#endif  // IBISMUX_ADMISSION_WINDOW_COUNTER_H_
--- /dev/null
+++ b/tests/admission/admission_test.cc
@@ -0,0 +1,196 @@
+#include "ibismux/admission/admission.h"
+
+#include "ibismux/membership/membership_view.h"
+#include "ibismux/release/release.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(std::int64_t ms) {
+  return TimePoint(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+void add_service(release::Release& release,
+                 const std::string& name,
+                 Priority priority,
+                 std::uint32_t leaf,
+                 std::vector<release::LimitPolicy> limits = {}) {
+  auto snapshot = std::make_shared<release::SnapshotView>();
+  snapshot->shards.push_back({"s0", 0, 65536, {leaf}});
+  auto service = std::make_shared<release::ServiceView>();
+  service->spec.name = name;
+  service->spec.priority = priority;
+  service->snapshots.push_back(snapshot);
+  for (release::LimitPolicy& limit : limits) {
+    service->limits.push_back(
+        std::make_shared<const release::LimitPolicy>(std::move(limit)));
+  }
+  release.services.emplace(name, service);
+}
+
+std::shared_ptr<release::Release> two_leafs() {
+  auto release = std::make_shared<release::Release>();
+  release->generation = 1;
+  release->leafs.resize(2);
+  return release;
+}
+
+std::shared_ptr<const membership::MembershipView> fleet(std::size_t size) {
+  auto view = std::make_shared<membership::MembershipView>();
+  view->self = "d0";
+  for (std::size_t i = 0; i < size; ++i) {
+    view->members.push_back({"d" + std::to_string(i)});
+  }
+  return view;
+}
+
+struct Door {
+  explicit Door(std::shared_ptr<release::Release> release, std::size_t size = 1)
+      : releases(std::move(release)),
+        members(fleet(size)),
+        admission(this->releases, this->members, this->metrics) {}
+
+  /// Asks until refused; the permits are kept.
+  std::size_t fill(const std::string& service, TimePoint now) {
+    std::size_t count = 0;
+    while (count < 10'000) {
+      Result<Permit> permit = this->admission.admit(service, "c", now);
+      if (!permit.has_value()) {
+        this->refusal = permit.error();
+        return count;
+      }
+      this->permits.push_back(std::move(*permit));
+      ++count;
+    }
+    return count;
+  }
+
+  void finish_all(std::optional<ErrorKind> error, TimePoint now) {
+    for (Permit& permit : this->permits) {
+      permit.finish(error, now);
+    }
+    this->permits.clear();
+  }
+
+  prometheus::Registry metrics;
+  RcuCell<release::Release> releases;
+  RcuCell<membership::MembershipView> members;
+  Admission admission;
+  std::vector<Permit> permits;
+  Error refusal;
+};
+
+release::LimitPolicy rate_policy(release::LimitPolicy::Scope scope,
+                                 std::uint32_t limit) {
+  release::LimitPolicy policy;
+  policy.name = "p";
+  policy.scope = scope;
+  policy.rates.push_back({limit, milliseconds(1000)});
+  return policy;
+}
+
+Test(admission, a_rate_is_kept_and_the_refusal_tells_the_wait) {
+  auto release = two_leafs();
+  add_service(*release, "a", Priority::kBench, 0,
+              {rate_policy(release::LimitPolicy::Scope::kService, 3)});
+  Door door(release);
+  for (int i = 0; i < 3; ++i) {
+    cr_assert(door.fill("a", at(i)) <= 3);
+    door.finish_all(std::nullopt, at(i));
+  }
+  cr_assert(door.refusal.kind == ErrorKind::kRateLimited);
+  cr_assert(door.refusal.execution == Execution::kNotRun);
+  cr_assert(door.refusal.retry_after == milliseconds(998));
+  cr_assert(door.fill("a", at(1000)) == 3);
+}
+
+Test(admission, the_fleet_shares_a_limit) {
+  auto release = two_leafs();
+  release::LimitPolicy policy;
+  policy.name = "p";
+  policy.concurrency = 12;
+  add_service(*release, "a", Priority::kBench, 0, {policy});
+  Door door(release, 4);
+  cr_assert(door.fill("a", at(0)) == 3);
+  cr_assert(door.refusal.kind == ErrorKind::kRateLimited);
+  cr_assert(door.refusal.retry_after.has_value());
+  door.members.write(fleet(3));
+  cr_assert(door.fill("a", at(1)) == 1);
+}
+
+Test(admission, callers_are_counted_apart) {
+  auto release = two_leafs();
+  add_service(*release, "a", Priority::kBench, 0,
+              {rate_policy(release::LimitPolicy::Scope::kCaller, 1)});
+  Door door(release);
+  cr_assert(door.admission.admit("a", "x", at(0)).has_value());
+  cr_assert(!door.admission.admit("a", "x", at(1)).has_value());
+  cr_assert(door.admission.admit("a", "y", at(1)).has_value());
+}
+
+Test(admission, a_permit_that_is_dropped_gives_its_slot_back) {
+  auto release = two_leafs();
+  release::LimitPolicy policy;
+  policy.name = "p";
+  policy.concurrency = 1;
+  add_service(*release, "a", Priority::kBench, 0, {policy});
+  Door door(release);
+  cr_assert(door.fill("a", at(0)) == 1);
+  door.permits.clear();
+  cr_assert(door.fill("a", at(1)) == 1);
+}
+
+Test(admission, a_lower_class_never_keeps_a_higher_one_out) {
+  auto release = two_leafs();
+  add_service(*release, "desk", Priority::kEditor, 0);
+  add_service(*release, "bay", Priority::kDiagnostic, 0);
+  Door door(release);
+  const std::size_t editors = door.fill("desk", at(0));
+  cr_assert(editors > 0 && editors < 10'000);
+  cr_assert(door.refusal.kind == ErrorKind::kOverloaded);
+  cr_assert(door.refusal.execution == Execution::kNotRun);
+  cr_assert(door.refusal.retry_after.has_value());
+  cr_assert(door.fill("bay", at(1)) == editors);
+  cr_assert(door.fill("desk", at(2)) == 0);
+}
+
+Test(admission, services_on_other_leafs_are_not_shed) {
+  auto release = two_leafs();
+  add_service(*release, "desk", Priority::kEditor, 0);
+  add_service(*release, "portal", Priority::kEditor, 1);
+  Door door(release);
+  cr_assert(door.fill("desk", at(0)) > 0);
+  cr_assert(door.fill("portal", at(0)) > 0);
+}
+
+Test(admission, overloaded_leafs_lower_the_limit_and_idle_ones_raise_it) {
+  auto release = two_leafs();
+  add_service(*release, "a", Priority::kBench, 0);
+  Door door(release);
+  const std::size_t first = door.fill("a", at(0));
+  door.finish_all(ErrorKind::kOverloaded, at(50));
+  const std::size_t second = door.fill("a", at(60));
+  cr_assert(second < first);
+  door.finish_all(std::nullopt, at(100));
+  for (int i = 0; i < 20; ++i) {
+    door.fill("a", at(200 + 100 * i));
+    door.finish_all(std::nullopt, at(240 + 100 * i));
+  }
+  cr_assert(door.fill("a", at(5000)) > first);
+}
+
+Test(admission, unknown_services_and_an_unready_daemon_are_told_apart) {
+  Door door(two_leafs());
+  cr_assert(door.admission.admit("x", "c", at(0)).error().kind ==
+            ErrorKind::kNotFound);
+  door.releases.write(std::make_shared<const release::Release>());
+  cr_assert(door.admission.admit("x", "c", at(0)).error().kind ==
+            ErrorKind::kNotReady);
+}
+
+}  // namespace
+}  // namespace ibismux::admission
--- /dev/null
+++ b/tests/admission/limit_group_test.cc
@@ -0,0 +1,115 @@
+#include "ibismux/admission/limit_group.h"
+
+#include <numeric>
+
+#include "ibismux/admission/fleet_share.h"
+#include "ibismux/admission/group_table.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+TimePoint at(std::int64_t ms) {
+  return TimePoint(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+release::LimitPolicy policy_of(std::vector<release::RateRule> rates) {
+  release::LimitPolicy policy;
+  policy.name = "p";
+  policy.rates = std::move(rates);
+  return policy;
+}
+
+LimitUse use_of(const release::LimitPolicy& policy) {
+  auto share = std::make_shared<LimitShare>();
+  for (const release::RateRule& rule : policy.rates) {
+    share->rates.push_back(rule.limit);
+  }
+  return {std::make_shared<LimitGroup>(policy), share};
+}
+
+/// Symptom: fewer requests get through than the limits allow.
+/// Sequence: the rule a second lets a request through and counts it, then the
+/// rule a minute refuses it.
+/// Cause: recording in one rule before all were asked.
+Test(limit_group, a_refusal_uses_nothing_up) {
+  const LimitUse tight = use_of(policy_of({{1, milliseconds(100)}}));
+  const LimitUse wide = use_of(policy_of({{3, milliseconds(60'000)}}));
+  const LimitUse both[] = {wide, tight};
+  cr_assert(check_and_record(both, at(0)) == Duration::zero());
+  for (int i = 1; i < 50; ++i) {
+    cr_assert(check_and_record(both, at(i)) == milliseconds(100 - i));
+  }
+  cr_assert(check_and_record({&wide, 1}, at(60)) == Duration::zero());
+  cr_assert(check_and_record({&wide, 1}, at(61)) == Duration::zero());
+  cr_assert(check_and_record({&wide, 1}, at(62)) > Duration::zero());
+}
+
+Test(limit_group, the_longest_wait_is_told) {
+  const LimitUse use =
+      use_of(policy_of({{1, milliseconds(100)}, {1, milliseconds(5000)}}));
+  cr_assert(check_and_record({&use, 1}, at(0)) == Duration::zero());
+  cr_assert(check_and_record({&use, 1}, at(50)) == milliseconds(4950));
+}
+
+Test(limit_group, one_group_named_twice_counts_once) {
+  const LimitUse use = use_of(policy_of({{2, milliseconds(100)}}));
+  const LimitUse twice[] = {use, use};
+  cr_assert(check_and_record(twice, at(0)) == Duration::zero());
+  cr_assert(check_and_record(twice, at(1)) == Duration::zero());
+  cr_assert(check_and_record(twice, at(2)) > Duration::zero());
+}
+
+Test(limit_group, parts_of_a_limit_add_up_to_it) {
+  for (const std::uint32_t limit : {1U, 3U, 7U, 10U, 1000U}) {
+    for (std::uint32_t count = 1; count <= 9; ++count) {
+      for (const std::uint64_t salt : {0ULL, 5ULL, ~0ULL}) {
+        std::uint32_t sum = 0;
+        for (std::uint32_t rank = 0; rank < count; ++rank) {
+          sum += fleet_share(limit, {rank, count}, salt);
+        }
+        cr_assert(sum == limit);
+      }
+    }
+  }
+}
+
+/// Symptom: memory grows with each made-up caller name, or a caller escapes its
+/// limit by a flood of other names that pushes its count out.
+/// Sequence: many callers, all within their windows; then the first one again.
+/// Cause: a table without bound, or one that forgets counts that still matter.
+Test(group_table, a_flood_of_names_neither_grows_it_nor_frees_a_caller) {
+  const release::LimitPolicy policy = policy_of({{1, milliseconds(1000)}});
+  auto share = std::make_shared<LimitShare>();
+  share->rates.push_back(1);
+  GroupTable table(64);
+  std::size_t admitted = 0;
+  for (int i = 0; i < 5000; ++i) {
+    const LimitUse use{table.get(policy, std::to_string(i), at(0)), share};
+    admitted += check_and_record({&use, 1}, at(0)) == Duration::zero() ? 1 : 0;
+  }
+  cr_assert(table.size() <= 128);
+  cr_assert(admitted <= 128);
+  for (int i = 0; i < 5000; ++i) {
+    const LimitUse use{table.get(policy, std::to_string(i), at(1)), share};
+    cr_assert(check_and_record({&use, 1}, at(1)) > Duration::zero());
+  }
+}
+
+Test(group_table, idle_groups_make_room) {
+  const release::LimitPolicy policy = policy_of({{1, milliseconds(1000)}});
+  auto share = std::make_shared<LimitShare>();
+  share->rates.push_back(1);
+  GroupTable table(16);
+  for (int i = 0; i < 500; ++i) {
+    const TimePoint now = at(2000 * i);
+    const LimitUse use{table.get(policy, std::to_string(i), now), share};
+    cr_assert(check_and_record({&use, 1}, now) == Duration::zero());
+  }
+}
+
+}  // namespace
+}  // namespace ibismux::admission
