--- /dev/null
+++ b/tests/backend/leaf_protocol_test.cc
@@ -0,0 +1,143 @@
+#include "ibismux/backend/leaf_protocol.h"
+
+#include <criterion/criterion.h>
+
+#include "ibismux/backend/leaf_health.h"
+
+namespace ibismux::backend {
+namespace {
+
+LeafRequest request(bool idempotent) {
+  LeafRequest request;
+  request.id = {7, 9};
+  request.idempotent = idempotent;
+  request.snapshot = "s2";
+  request.shard = "a";
+  request.deadline = TimePoint() + std::chrono::milliseconds(100);
+  request.body = std::make_shared<const std::string>("torque");
+  return request;
+}
+
+http::Response answer(int status) {
+  http::Response response;
+  response.status = status;
+  if (status == 200) {
+    response.add("X-Call-Id", to_string(CallId{7, 9}));
+    response.add("X-Snapshot", "s2");
+    response.add("X-Shard", "a");
+    response.body = "hits";
+  }
+  return response;
+}
+
+http::Response refusal(int status, const char* reason) {
+  http::Response response = answer(status);
+  response.add("X-Execution", "not-run");
+  response.add("X-Reason", reason);
+  return response;
+}
+
+struct RefusalCase {
+  int status;
+  const char* reason;
+  ErrorKind kind;
+  LeafSignal signal;
+};
+
+constexpr RefusalCase kRefusals[] = {
+    {410, "snapshot-gone", ErrorKind::kSnapshotGone, LeafSignal::kSnapshotGone},
+    {429, "overloaded", ErrorKind::kOverloaded, LeafSignal::kOverloaded},
+    {503, "draining", ErrorKind::kLeafUnavailable, LeafSignal::kDraining},
+    {503, "warming", ErrorKind::kOverloaded, LeafSignal::kWarming},
+    {499, "", ErrorKind::kCancelled, LeafSignal::kCancelled},
+    {504, "", ErrorKind::kDeadlineExceeded, LeafSignal::kLeafTimeout},
+};
+
+}  // namespace
+
+Test(leaf_protocol, request_says_what_remains) {
+  const auto message =
+      encode_call(request(false), TimePoint() + std::chrono::milliseconds(60));
+  cr_assert(message->target == "/v1/reserve");
+  cr_assert(message->field("X-Deadline-Ms") == "40");
+  cr_assert(message->field("X-Call-Id") == to_string(CallId{7, 9}));
+  cr_assert(message->field("X-Snapshot") == "s2");
+  cr_assert(message->body == "torque");
+}
+
+Test(leaf_protocol, answer_that_echoes_is_used) {
+  const LeafReply reply = interpret(request(true), answer(200));
+  cr_assert(reply.body.has_value());
+  cr_assert(*reply.body == "hits");
+}
+
+// Symptom: hits of another caller's query in an answer.
+// Events: a leaf answers twice, or late; the next call on the connection reads
+// the earlier answer.
+// Cause: an answer was taken for the call that happened to wait.
+Test(leaf_protocol, answer_of_another_call_is_dropped) {
+  for (const char* name : {"X-Call-Id", "X-Snapshot", "X-Shard"}) {
+    http::Response response = answer(200);
+    for (auto& [field, value] : response.fields) {
+      value = field == name ? "other" : value;
+    }
+    const LeafReply reply = interpret(request(true), response);
+    cr_assert(!reply.body);
+    cr_assert(reply.signal == LeafSignal::kForeign);
+    cr_assert(reply.body.error().execution == Execution::kUnknown);
+  }
+}
+
+// Symptom: "not run" for a reservation that ran.
+// Events: a refusal of an earlier call arrives while a later one waits.
+// Cause: a refusal was believed without looking at the call it names.
+Test(leaf_protocol, refusal_of_another_call_is_no_promise) {
+  http::Response response = refusal(429, "overloaded");
+  response.add("X-Call-Id", to_string(CallId{7, 8}));
+  const LeafReply reply = interpret(request(false), response);
+  cr_assert(reply.signal == LeafSignal::kForeign);
+  cr_assert(reply.body.error().kind == ErrorKind::kOutcomeUnknown);
+  cr_assert(reply.body.error().execution == Execution::kUnknown);
+}
+
+Test(leaf_protocol, refusals_keep_the_promise_they_carry) {
+  for (const RefusalCase& row : kRefusals) {
+    const LeafReply promised =
+        interpret(request(false), refusal(row.status, row.reason));
+    cr_assert(promised.signal == row.signal);
+    cr_assert(promised.body.error().kind == row.kind);
+    cr_assert(promised.body.error().execution == Execution::kNotRun);
+  }
+}
+
+// Symptom: a reservation runs twice.
+// Events: the leaf fails it without saying "not run"; it is sent again.
+// Cause: the status alone was taken for proof that it had not run.
+Test(leaf_protocol, reservation_without_promise_is_outcome_unknown) {
+  for (const int status : {429, 499, 500, 503, 504}) {
+    const LeafReply reply = interpret(request(false), answer(status));
+    cr_assert(reply.body.error().kind == ErrorKind::kOutcomeUnknown);
+    cr_assert(reply.body.error().execution == Execution::kUnknown);
+  }
+  const LeafReply lost = interpret(
+      request(false), fail(ErrorKind::kLeafUnavailable, "connection reset"));
+  cr_assert(lost.body.error().kind == ErrorKind::kOutcomeUnknown);
+}
+
+Test(leaf_protocol, leaving_is_seen_on_any_answer) {
+  http::Response response = answer(200);
+  response.add("X-Leaving", "1");
+  cr_assert(interpret(request(true), response).leaving);
+  cr_assert(interpret(request(true), refusal(503, "draining")).leaving);
+  cr_assert(!interpret(request(true), answer(200)).leaving);
+}
+
+Test(leaf_protocol, health_that_makes_no_sense_is_unknown) {
+  cr_assert(parse_health(R"({"state":"warming","load":0.5})").state ==
+            LeafHealth::State::kWarming);
+  for (const char* odd : {"", "[]", "{\"state\":1}", "{\"state\":\"fine\"}"}) {
+    cr_assert(parse_health(odd).state == LeafHealth::State::kUnknown);
+  }
+}
+
+}  // namespace ibismux::backend
