--- a/tests/platform/http_object_store_test.cc
+++ b/tests/platform/http_object_store_test.cc
@@ -207,8 +207,7 @@
     cr_assert(!fixture.get());
   }
   fixture.faults(R"({"outage":false})");
-  cr_assert(
-      testing::wait_until([&] { return fixture.put("a", 0).has_value(); }));
+  cr_assert(comes_to_be_written(fixture));
   cr_assert(fixture.store->state() == PlatformState::kUp);
 }
 
