Measure the policies on virtual time

Whether a change of policy helps can't be read off its code, and runs with sockets take long and vary. bench-policy runs the real admission and query policies over simulated leafs (slots, priority queues, stragglers, refusals) with a seeded generator; a run depends on its seed alone.

--- /dev/null
+++ b/apps/bench-policy/scenario_tail.cc
@@ -0,0 +1,124 @@
+#include <algorithm>
+
+#include "apps/bench-policy/scenarios.h"
+
+namespace ibismux::bench {
+
+namespace {
+
+using boost::json::object;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr double kLoad = 0.4;  ///< Of the capacity.
+constexpr seconds kLength{30};
+
+double to_ms(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+double quantile(const std::vector<double>& sorted, double share) {
+  if (sorted.empty()) {
+    return 0;
+  }
+  const auto index =
+      static_cast<std::size_t>(share * static_cast<double>(sorted.size() - 1));
+  return sorted[index];
+}
+
+release::QueryService service_of(double hedge_budget) {
+  release::QueryService service;
+  service.name = "catalogue";
+  service.deadline = milliseconds(5000);
+  service.min_coverage = 0;
+  service.hedge_budget = hedge_budget;
+  return service;
+}
+
+WorkModel stragglers() {
+  return {milliseconds(10), 0.01, 20};
+}
+
+object run(const ClusterSpec& spec, const query::ReplicaChoice& replicas) {
+  SimCluster cluster(spec, replicas);
+  return summary(cluster.run({{"catalogue", kLoad * SimCluster::capacity(spec),
+                               Duration::zero(), kLength}}));
+}
+
+ClusterSpec spec_of(std::uint32_t shards, double budget, std::uint64_t seed) {
+  ClusterSpec spec;
+  spec.shards = shards;
+  spec.work = stragglers();
+  spec.services = {service_of(budget)};
+  spec.seed = seed;
+  return spec;
+}
+
+}  // namespace
+
+object summary(const std::vector<QueryEnd>& ends) {
+  std::vector<double> latencies;
+  double coverage = 0;
+  std::uint64_t calls = 0;
+  std::uint64_t extra = 0;
+  std::uint64_t failed = 0;
+  for (const QueryEnd& end : ends) {
+    calls += end.calls;
+    extra += end.extra_calls;
+    coverage += end.coverage;
+    failed += end.error.has_value() ? 1 : 0;
+    latencies.push_back(to_ms(end.done - end.sent));
+  }
+  std::sort(latencies.begin(), latencies.end());
+  return {{"queries", ends.size()},
+          {"failed", failed},
+          {"p50_ms", quantile(latencies, 0.5)},
+          {"p99_ms", quantile(latencies, 0.99)},
+          {"p99_9_ms", quantile(latencies, 0.999)},
+          {"coverage", coverage / static_cast<double>(ends.size())},
+          {"extra_calls",
+           static_cast<double>(extra) / static_cast<double>(calls - extra)}};
+}
+
+object run_tail(std::uint64_t seed) {
+  const query::RandomReplica any;
+  const query::CheaperOfTwo cheaper;
+  object result;
+  for (const std::uint32_t shards : {3U, 30U, 230U}) {
+    const ClusterSpec plain = spec_of(shards, 0, seed);
+    const ClusterSpec hedged = spec_of(shards, 0.05, seed);
+    object runs = {{"random", run(plain, any)},
+                   {"cheaper_of_two", run(plain, cheaper)},
+                   {"hedged", run(hedged, cheaper)}};
+    runs["p99_ratio"] = runs["hedged"].at("p99_ms").as_double() /
+                        runs["cheaper_of_two"].at("p99_ms").as_double();
+    result["shards_" + std::to_string(shards)] = std::move(runs);
+  }
+  return result;
+}
+
+object run_single(std::uint64_t seed) {
+  const query::CheaperOfTwo cheaper;
+  ClusterSpec spec = spec_of(3, 0.05, seed);
+  spec.replicas = 1;
+  object result = {{"wait_for_coverage", run(spec, cheaper)}};
+  spec.services[0].answer_by = milliseconds(60);
+  spec.services[0].min_coverage = 0.6;
+  result["answer_by_60_ms"] = run(spec, cheaper);
+  return result;
+}
+
+object run_refusals(std::uint64_t seed) {
+  const query::RandomReplica any;
+  const query::CheaperOfTwo cheaper;
+  ClusterSpec spec = spec_of(30, 0.05, seed);
+  spec.work.slow_share = 0;
+  spec.half_refuse = true;
+  object result = {{"random", run(spec, any)},
+                   {"cheaper_of_two", run(spec, cheaper)}};
+  spec.replicas = 1;
+  result["single_replica"] = run(spec, cheaper);
+  return result;
+}
+
+}  // namespace ibismux::bench
--- /dev/null
+++ b/apps/bench-policy/scenarios.h
@@ -0,0 +1,32 @@
+#ifndef IBISMUX_APPS_BENCH_POLICY_SCENARIOS_H_
+#define IBISMUX_APPS_BENCH_POLICY_SCENARIOS_H_
+
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <vector>
+
+#include "apps/bench-policy/sim_cluster.h"
+
+namespace ibismux::bench {
+
+/// Latencies, coverage and cost of queries, as one JSON object.
+[[nodiscard]] boost::json::object summary(const std::vector<QueryEnd>& ends);
+
+/// 1% of calls 20 times slow, with two replicas: without and with hedges.
+[[nodiscard]] boost::json::object run_tail(std::uint64_t seed);
+
+/// The same with a single replica: answers by `answer_by`, and full coverage.
+[[nodiscard]] boost::json::object run_single(std::uint64_t seed);
+
+/// Half of the leafs refuse.
+[[nodiscard]] boost::json::object run_refusals(std::uint64_t seed);
+
+/// Twice the capacity for 20 s, four classes.
+[[nodiscard]] boost::json::object run_overload(std::uint64_t seed);
+
+/// Several rate rules at once, against limiters in a chain.
+[[nodiscard]] boost::json::object run_limits(std::uint64_t seed);
+
+}  // namespace ibismux::bench
+
+#endif  // IBISMUX_APPS_BENCH_POLICY_SCENARIOS_H_
