--- a/ibismux/backend/leaf_connection.cc
+++ b/ibismux/backend/leaf_connection.cc
@@ -20,6 +20,12 @@
     co_return tl::unexpected(connected.error());
   }
   Result<LeafHealth> health = co_await this->health(deadline);
+  if (health && !keep->usable()) {
+    Error refused =
+        make_error(ErrorKind::kLeafUnavailable, "refused the connection");
+    refused.execution = Execution::kNotRun;
+    co_return tl::unexpected(std::move(refused));
+  }
   if (!health) {
     health.error().execution = Execution::kNotRun;
   }
