Publish releases by conditional update of the head

Any daemon may publish, so nothing but the platform's version check may decide between two that do it at once, and what one leaves undone when it dies must be found by the next.

A publisher writes new chunks, then the head under the condition that its base is still the newest. Lost answers are settled by reading the head back. The audit trail is derived from the changes that the head still shows: a change stays in the head until it is recorded, and its place in the trail follows from its sequence, so recording it twice changes nothing. Chunks carry their generation in their names; one of a generation that has passed and that the head doesn't name can't be named again, so removing it is safe for a publisher with any old view. A lease for the publisher was ruled out: one that lapses while its holder is paused protects nothing that the version check doesn't.

A view that is older than the release in force publishes nothing, since it would take objects that it doesn't know yet for deleted.

--- a/ibismux/release/candidate.cc
+++ b/ibismux/release/candidate.cc
@@ -1,9 +1,11 @@
 #include "ibismux/release/candidate.h"
 
 #include <algorithm>
+#include <array>
 #include <limits>
 #include <optional>
 #include <set>
+#include <tuple>
 #include <utility>
 
 #include "ibismux/release/validator.h"
@@ -48,6 +50,7 @@
 
   Candidate run() {
     this->collect();
+    this->defer();
     for (const auto& [key, change] : this->pending) {
       this->apply(key, change);
     }
@@ -109,6 +112,38 @@
                 .when_ms = record.at_ms != 0 ? record.at_ms : this->now_ms};
   }
 
+  /// Leaves the changes past the most that one release takes for a later one.
+  /// Those rejected before go last, so that they can't hold up the others.
+  void defer() {
+    if (this->pending.size() <= kMostChangesAtOnce) {
+      return;
+    }
+    std::vector<std::tuple<bool, std::size_t, platform::Version, ObjectKey>>
+        order;
+    for (const auto& [key, change] : this->pending) {
+      order.emplace_back(this->base.rejections.contains(key),
+                         layer_of(key.kind, change.spec == nullptr),
+                         change.order(), key);
+    }
+    std::sort(order.begin(), order.end());
+    for (std::size_t i = kMostChangesAtOnce; i < order.size(); ++i) {
+      const ObjectKey& key = std::get<ObjectKey>(order[i]);
+      this->pending.erase(key);
+      const auto before = this->base.rejections.find(key);
+      if (before != this->base.rejections.end()) {
+        this->result.rejections.insert(*before);
+      }
+    }
+  }
+
+  /// Objects of a higher layer are built on those of lower ones: they are
+  /// written after them and deleted before them.
+  static std::size_t layer_of(ObjectKind kind, bool deletion) {
+    constexpr std::array<std::size_t, kObjectKinds> kLayers = {1, 2, 0, 3, 0};
+    const std::size_t layer = kLayers[static_cast<std::size_t>(kind)];
+    return deletion ? kObjectKinds - layer : layer;
+  }
+
   static std::string direct_id(const ObjectKey& key,
                                platform::Version version) {
     return to_string(key) + "@" + std::to_string(version);
--- a/ibismux/release/candidate.h
+++ b/ibismux/release/candidate.h
@@ -9,6 +9,10 @@
 
 namespace ibismux::release {
 
+/// How many changes one release accepts: they stand in its head until they are
+/// in the audit trail, and a head must fit into one value of the platform.
+inline constexpr std::size_t kMostChangesAtOnce = 500;
+
 /// What the release after some base should hold.
 struct Candidate {
   ObjectSet objects;
@@ -23,8 +27,10 @@
 /// place. The newer objects are taken all together if they are valid together.
 /// Where they are not, those with a part in a violation are left out, the
 /// latest write first, until the rest is valid; then each of them is tried
-/// again, the earliest write first. So of two objects that are valid alone but
-/// not together, the one written first is accepted, whichever daemon decides.
+/// again, the earliest write first. Past `kMostChangesAtOnce`, those that
+/// others are built on go first and the rest waits for a later release. So of
+/// two objects that are valid alone but not together, the one written first is
+/// accepted, whichever daemon decides.
 ///
 /// A pure function: the same base and view always give the same candidate.
 /// Precondition: `view.version >= base.head.objects_version`, or an object that
--- /dev/null
+++ b/ibismux/release/garbage.h
@@ -0,0 +1,44 @@
+#ifndef IBISMUX_RELEASE_GARBAGE_H_
+#define IBISMUX_RELEASE_GARBAGE_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "ibismux/platform/stored_object.h"
+#include "ibismux/release/head.h"
+
+namespace ibismux::release {
+
+/// Decides which chunks may be removed from the platform's store.
+///
+/// A chunk is garbage for ever once some head of its own or a later generation
+/// doesn't name it: a later head names only chunks of the head before it, and
+/// new ones whose names carry its own, higher generation. So a publisher that
+/// knows an old head, or a daemon that was paused, can't remove a chunk in use.
+/// The grace is only for readers that are still fetching an older release.
+/// Not thread safe.
+class Garbage {
+ public:
+  /// @param grace For how many generations a chunk is kept after its last use.
+  explicit Garbage(Generation grace) : grace(grace) {}
+
+  /// Notes chunks that are no longer named, as of generation `now`.
+  void add(const std::vector<std::string>& names, Generation now);
+
+  /// Notes what of a whole listing of the collection `releases` isn't named by
+  /// `head`: what publishers left behind that died.
+  void sweep(const platform::Listing& listing, const Head& head);
+
+  /// The chunks that may be removed while `head` is the newest that is known;
+  /// they are forgotten here.
+  [[nodiscard]] std::vector<std::string> due(const Head& head);
+
+ private:
+  Generation grace;
+  std::map<std::string, Generation> unused_since;
+};
+
+}  // namespace ibismux::release
+
+#endif  // IBISMUX_RELEASE_GARBAGE_H_
--- /dev/null
+++ b/ibismux/release/release_writer.cc
@@ -0,0 +1,291 @@
+#include "ibismux/release/release_writer.h"
+
+#include <glog/logging.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "ibismux/release/release_contents.h"
+
+namespace ibismux::release {
+namespace {
+
+constexpr int kMostAttempts = 8;
+constexpr int kMostChunkAttempts = 3;
+// How many audited changes a head still shows, for those who settle a lost
+// answer of their own by it.
+constexpr std::size_t kRecentChanges = 64;
+// A head never grows past this for want of an audit trail: changes then wait.
+constexpr std::size_t kMostUnaudited = 2 * kMostChangesAtOnce;
+
+std::int64_t to_unix_millis(WallTime time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             time.time_since_epoch())
+      .count();
+}
+
+std::vector<std::string> names_of(const Head& head) {
+  std::vector<std::string> names;
+  for (const ChunkRef& chunk : head.chunks) {
+    if (!chunk.hash.empty()) {
+      names.push_back(chunk_name(chunk));
+    }
+  }
+  return names;
+}
+
+/// The names of `before` that `after` doesn't have.
+std::vector<std::string> dropped(const Head& before, const Head& after) {
+  const std::vector<std::string> kept = names_of(after);
+  const std::set<std::string> index(kept.begin(), kept.end());
+  std::vector<std::string> names = names_of(before);
+  std::erase_if(names, [&index](const std::string& name) {
+    return index.contains(name);
+  });
+  return names;
+}
+
+std::vector<Change> recent_changes(const std::vector<Change>& before,
+                                   const std::vector<Change>& fresh,
+                                   std::uint64_t audited) {
+  std::vector<Change> changes = before;
+  changes.insert(changes.end(), fresh.begin(), fresh.end());
+  auto keep = changes.begin();
+  auto left = changes.size();
+  while (left > kRecentChanges && keep->sequence <= audited) {
+    ++keep;
+    --left;
+  }
+  changes.erase(changes.begin(), keep);
+  return changes;
+}
+
+}  // namespace
+
+ReleaseWriter::ReleaseWriter(platform::ObjectStore& store,
+                             ReleaseStore& releases,
+                             PublisherMetrics& metrics,
+                             std::string self,
+                             std::chrono::milliseconds timeout,
+                             WallClock wall_clock)
+    : store(store),
+      releases(releases),
+      metrics(metrics),
+      self(std::move(self)),
+      timeout(timeout),
+      wall_clock(std::move(wall_clock)) {}
+
+TimePoint ReleaseWriter::deadline() const {
+  return Clock::now() + this->timeout;
+}
+
+Head ReleaseWriter::next_head(const ReleaseContents& base,
+                              const ObjectView& view,
+                              const Candidate& candidate,
+                              std::uint64_t audited) {
+  return Head{
+      .generation = base.head.generation + 1,
+      .publication = this->self + "-" + std::to_string(++this->publications),
+      .objects_version = view.version,
+      .change_count = base.head.change_count + candidate.changes.size(),
+      .chunks = {},
+      .recent = recent_changes(base.head.recent, candidate.changes, audited)};
+}
+
+Task<Result<bool>> ReleaseWriter::publish(const ObjectView& view,
+                                          std::uint64_t audited) {
+  Result<void> done;
+  for (int attempt = 0; attempt < kMostAttempts; ++attempt) {
+    const auto base = this->releases.contents();
+    // Whoever published that release saw all that this view shows, and more: an
+    // object that the view doesn't know yet would pass for deleted.
+    if (view.version < base->head.objects_version) {
+      co_return false;
+    }
+    const Candidate candidate =
+        decide(*base, view, to_unix_millis(this->wall_clock()));
+    this->metrics.rejections(candidate.rejections.size());
+    if (!candidate.differs) {
+      co_return false;
+    }
+    if (!this->head.known || this->head.generation != base->head.generation) {
+      done = co_await this->refresh();
+      if (!done) {
+        co_return tl::unexpected<Error>(done.error());
+      }
+      continue;
+    }
+    Head next = this->next_head(*base, view, candidate, audited);
+    if (next.recent.size() > kMostUnaudited) {
+      co_return fail(ErrorKind::kOverloaded,
+                     "changes wait for the audit trail");
+    }
+    Assembly assembly = assemble(*base, candidate.objects, candidate.rejections,
+                                 std::move(next));
+    done = co_await this->advance(std::move(assembly));
+    if (done) {
+      co_return true;
+    }
+    if (done.error().kind != ErrorKind::kConflict) {
+      co_return tl::unexpected<Error>(done.error());
+    }
+  }
+  co_return fail(ErrorKind::kConflict,
+                 "other publishers were first, or the platform's head is "
+                 "behind the release in force");
+}
+
+Task<Result<void>> ReleaseWriter::advance(Assembly assembly) {
+  for (const Assembly::NewChunk& chunk : assembly.chunks) {
+    Assembly::NewChunk copy = chunk;
+    Result<void> done = co_await this->put_chunk(std::move(copy));
+    if (!done) {
+      this->metrics.attempted(PublishOutcome::kNotWritten);
+      co_return done;
+    }
+  }
+  const auto base = this->releases.contents();
+  Result<void> done = co_await this->put_head(assembly);
+  if (!done) {
+    for (Assembly::NewChunk& chunk : assembly.chunks) {
+      this->retired.push_back(std::move(chunk.name));
+    }
+    co_return done;
+  }
+  for (std::string& name : dropped(base->head, assembly.head)) {
+    this->retired.push_back(std::move(name));
+  }
+  const std::size_t changes =
+      assembly.head.change_count - base->head.change_count;
+  this->metrics.accepted(changes);
+  LOG(INFO) << "event=release_published generation=" << assembly.head.generation
+            << " changes=" << changes << " chunks=" << assembly.chunks.size()
+            << " publication=" << assembly.head.publication;
+  co_return Result<void>();
+}
+
+Task<Result<void>> ReleaseWriter::put_chunk(Assembly::NewChunk chunk) {
+  Result<void> done;
+  for (int attempt = 0; attempt < kMostChunkAttempts; ++attempt) {
+    std::string collection = platform::kReleases;
+    std::string name = chunk.name;
+    std::string value = chunk.bytes;
+    const Result<platform::Version> version =
+        co_await this->store.put(std::move(collection), std::move(name),
+                                 std::move(value), 0, this->deadline());
+    // A chunk of that name has these contents: an earlier try took effect, or
+    // another publisher wrote the same.
+    if (version || version.error().kind == ErrorKind::kConflict) {
+      co_return Result<void>();
+    }
+    done = tl::unexpected<Error>(version.error());
+    if (version.error().execution == Execution::kNotRun) {
+      co_return done;
+    }
+  }
+  co_return done;
+}
+
+Task<Result<void>> ReleaseWriter::put_head(const Assembly& assembly) {
+  std::string collection = platform::kReleases;
+  std::string name = kHeadName;
+  std::string bytes = encode_head(assembly.head);
+  std::string value = bytes;
+  const platform::Version expected = this->head.version;
+  const Result<platform::Version> version =
+      co_await this->store.put(std::move(collection), std::move(name),
+                               std::move(value), expected, this->deadline());
+  if (version) {
+    this->metrics.attempted(PublishOutcome::kLanded);
+    this->head = {true, assembly.head.generation, *version};
+    std::vector<std::string> chunks;
+    for (const Assembly::NewChunk& chunk : assembly.chunks) {
+      chunks.push_back(chunk.bytes);
+    }
+    const Result<bool> taken = this->releases.offer(bytes, chunks);
+    co_return taken ? Result<void>() : tl::unexpected<Error>(taken.error());
+  }
+  this->head.known = false;
+  const Error& error = version.error();
+  if (error.kind == ErrorKind::kConflict) {
+    this->metrics.attempted(PublishOutcome::kConflict);
+    co_return tl::unexpected<Error>(error);
+  }
+  if (error.execution == Execution::kNotRun) {
+    this->metrics.attempted(PublishOutcome::kNotWritten);
+    co_return tl::unexpected<Error>(error);
+  }
+  // The update may have taken effect. The head read back tells: if it is this
+  // publication's, or another's that built on it, the next decision finds
+  // nothing left to accept.
+  this->metrics.attempted(PublishOutcome::kAnswerLost);
+  const std::string publication = assembly.head.publication;
+  const Result<void> read = co_await this->refresh();
+  if (!read) {
+    co_return read;
+  }
+  if (this->releases.contents()->head.publication == publication) {
+    co_return Result<void>();
+  }
+  co_return fail(ErrorKind::kConflict, "the head is not this publication's");
+}
+
+Task<Result<std::string>> ReleaseWriter::get_chunk(std::string name) {
+  std::string collection = platform::kReleases;
+  Result<platform::StoredObject> object = co_await this->store.get(
+      std::move(collection), std::move(name), this->deadline());
+  if (!object) {
+    co_return tl::unexpected<Error>(object.error());
+  }
+  co_return std::move(object->value);
+}
+
+Task<Result<void>> ReleaseWriter::take(platform::StoredObject object) {
+  const Result<std::vector<std::string>> missing =
+      this->releases.missing(object.value);
+  if (!missing) {
+    co_return tl::unexpected<Error>(missing.error());
+  }
+  std::vector<std::string> chunks;
+  for (const std::string& name : *missing) {
+    std::string wanted = name;
+    Result<std::string> chunk = co_await this->get_chunk(std::move(wanted));
+    if (!chunk) {
+      co_return tl::unexpected<Error>(chunk.error());
+    }
+    chunks.push_back(std::move(*chunk));
+  }
+  const Result<bool> taken = this->releases.offer(object.value, chunks);
+  if (!taken) {
+    co_return tl::unexpected<Error>(taken.error());
+  }
+  co_return Result<void>();
+}
+
+Task<Result<void>> ReleaseWriter::refresh() {
+  std::string collection = platform::kReleases;
+  std::string name = kHeadName;
+  Result<platform::StoredObject> object = co_await this->store.get(
+      std::move(collection), std::move(name), this->deadline());
+  if (!object && object.error().kind == ErrorKind::kNotFound) {
+    this->head = {true, 0, 0};
+    co_return Result<void>();
+  }
+  if (!object) {
+    co_return tl::unexpected<Error>(object.error());
+  }
+  const Result<Head> decoded = decode_head(object->value);
+  if (!decoded) {
+    co_return tl::unexpected<Error>(decoded.error());
+  }
+  const platform::Version version = object->version;
+  const Result<void> taken = co_await this->take(std::move(*object));
+  if (!taken) {
+    co_return taken;
+  }
+  this->head = {true, decoded->generation, version};
+  co_return Result<void>();
+}
+
+}  // namespace ibismux::release
--- /dev/null
+++ b/tests/release/publication_fleet.h
@@ -0,0 +1,189 @@
+#ifndef IBISMUX_TESTS_RELEASE_PUBLICATION_FLEET_H_
+#define IBISMUX_TESTS_RELEASE_PUBLICATION_FLEET_H_
+
+#include <glog/logging.h>
+#include <prometheus/registry.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "ibismux/release/housekeeping.h"
+#include "ibismux/release/release_contents.h"
+#include "ibismux/release/release_writer.h"
+#include "tests/release/sample_objects.h"
+#include "tests/release/stepping_store.h"
+#include "tests/support/memory_object_store.h"
+
+namespace ibismux::release::testing {
+
+using ibismux::testing::MemoryObjectStore;
+
+/// One daemon that publishes when told to, step by step.
+class SteppedPublisher {
+ public:
+  SteppedPublisher(MemoryObjectStore& store, const std::string& name)
+      : store(store),
+        metrics(this->registry),
+        writer(this->store,
+               this->releases,
+               this->metrics,
+               name,
+               std::chrono::seconds(1),
+               [] { return WallTime(std::chrono::seconds(7)); }),
+        housekeeping(this->store,
+                     this->releases,
+                     this->metrics,
+                     std::chrono::seconds(1),
+                     1) {
+    this->housekeeping.sweep_next();
+    FLAGS_minloglevel = google::GLOG_ERROR;
+  }
+
+  /// Begins to list and publish, unless it is at it.
+  void begin() {
+    if (!this->busy) {
+      this->busy = true;
+      boost::asio::co_spawn(this->loop, publish(this), boost::asio::detached);
+    }
+  }
+
+  /// One step. @return Whether there was one to make.
+  bool step() {
+    this->loop.restart();
+    return this->loop.poll_one() > 0;
+  }
+
+  void finish() {
+    this->begin();
+    while (this->step()) {
+    }
+  }
+
+  ReleaseStore releases;
+  bool busy = false;
+  bool failed = false;  ///< The last time ended with an error.
+
+ private:
+  static Task<void> publish(SteppedPublisher* self) {
+    std::string collection = platform::kObjects;
+    auto listing =
+        co_await self->store.list(std::move(collection), Clock::now());
+    self->failed = !listing;
+    if (listing) {
+      self->mirror.reset(*listing);
+    }
+    for (bool more = listing.has_value(); more;) {
+      const Result<bool> advanced = co_await self->writer.publish(
+          self->mirror.view(), self->housekeeping.recorded());
+      more = advanced && *advanced;
+      self->housekeeping.retire(self->writer.take_retired());
+      const Result<void> tidy =
+          co_await self->housekeeping.run(self->mirror.view());
+      self->failed = !advanced || !tidy;
+    }
+    self->busy = false;
+  }
+
+  boost::asio::io_context loop;
+  SteppingStore store;
+  prometheus::Registry registry;
+  PublisherMetrics metrics;
+  ReleaseWriter writer;
+  Housekeeping housekeeping;
+  ObjectMirror mirror;
+};
+
+/// What must hold of the platform's store at every moment.
+class PublicationInvariants {
+ public:
+  explicit PublicationInvariants(MemoryObjectStore& store) : store(store) {}
+
+  /// @return What does not hold; empty if all does.
+  std::string check() {
+    const platform::StoredObject stored =
+        this->store.peek(platform::kReleases, kHeadName);
+    if (stored.version == 0) {
+      return this->generation == 0 ? "" : "the head is gone";
+    }
+    const Result<Head> head = decode_head(stored.value);
+    if (!head) {
+      return "the head is malformed";
+    }
+    if (head->generation < this->generation) {
+      return "the generation fell";
+    }
+    if (head->generation == this->generation && stored.value != this->bytes) {
+      return "a generation has two heads";
+    }
+    this->generation = head->generation;
+    this->bytes = stored.value;
+    for (const Change& change : head->recent) {
+      if (!this->seen.emplace(change.sequence, change).second &&
+          this->seen[change.sequence] != change) {
+        return "a sequence has two changes";
+      }
+    }
+    return this->load(*head);
+  }
+
+  /// The release that the store holds.
+  [[nodiscard]] std::shared_ptr<const ReleaseContents> contents() const {
+    return this->reader.contents();
+  }
+
+  /// Whether the audit trail shows each change ever seen in a head, once.
+  [[nodiscard]] bool audit_is_complete() const {
+    AuditEntries trail;
+    for (std::uint64_t first = 1; first <= this->seen.size();
+         first += kChangesPerAuditChunk) {
+      const auto chunk =
+          this->store.peek(platform::kAudit, audit_chunk_name(first));
+      const Result<AuditEntries> entries = decode_audit(chunk.value);
+      if (entries) {
+        trail.insert(entries->begin(), entries->end());
+      }
+    }
+    return trail == this->seen &&
+           (trail.empty() || trail.rbegin()->first == trail.size());
+  }
+
+ private:
+  /// A head whose chunks aren't all there is a release that nobody can load.
+  std::string load(const Head& head) {
+    std::vector<std::string> chunks;
+    for (const ChunkRef& ref : head.chunks) {
+      const auto chunk = this->store.peek(platform::kReleases, chunk_name(ref));
+      if (!ref.hash.empty() && chunk.version == 0) {
+        return "a chunk in use is gone";
+      }
+      chunks.push_back(chunk.value);
+    }
+    std::erase(chunks, std::string());
+    const Result<bool> offered = this->reader.offer(this->bytes, chunks);
+    return offered ? "" : offered.error().message;
+  }
+
+  MemoryObjectStore& store;
+  ReleaseStore reader;
+  Generation generation = 0;
+  std::string bytes;
+  AuditEntries seen;
+};
+
+/// Writes `json` (single quotes for double ones) as an operator would.
+inline platform::Version operator_writes(MemoryObjectStore& store,
+                                         std::string json) {
+  for (char& c : json) {
+    c = c == '\'' ? '"' : c;
+  }
+  const std::string name = to_string(record_of(json).key);
+  return store.force_put(platform::kObjects, name, json);
+}
+
+}  // namespace ibismux::release::testing
+
+#endif  // IBISMUX_TESTS_RELEASE_PUBLICATION_FLEET_H_
--- /dev/null
+++ b/tests/release/publication_test.cc
@@ -0,0 +1,246 @@
+#include <memory>
+#include <vector>
+
+#include "tests/release/publication_fleet.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::release {
+namespace {
+
+using testing::MemoryObjectStore;
+using testing::operator_writes;
+using testing::PublicationInvariants;
+using testing::SteppedPublisher;
+
+constexpr const char* kTwinServers[] = {
+    "{'kind':'backend_server','name':'x','spec':{'address':'10.0.9.9',"
+    "'port':80,'zone':'z'}}",
+    "{'kind':'backend_server','name':'y','spec':{'address':'10.0.9.9',"
+    "'port':80,'zone':'z'}}"};
+constexpr const char* kNewLimit =
+    "{'kind':'limit_policy','name':'l1','spec':{'concurrency':3}}";
+
+struct Fixture {
+  Fixture() : invariants(this->store) {
+    for (const char* json : testing::kAllSamples) {
+      operator_writes(this->store, json);
+    }
+  }
+
+  void check() {
+    const std::string broken = this->invariants.check();
+    cr_assert(broken.empty(), "%s", broken.c_str());
+  }
+
+  /// Steps `publisher` to its end, and checks at each step.
+  void finish(SteppedPublisher& publisher) {
+    publisher.begin();
+    while (publisher.step()) {
+      this->check();
+    }
+    cr_assert(!publisher.busy);
+  }
+
+  [[nodiscard]] bool accepted(ObjectKind kind, const std::string& name) const {
+    return this->invariants.contents()->objects.contains({kind, name});
+  }
+  [[nodiscard]] bool rejected(ObjectKind kind, const std::string& name) const {
+    return this->invariants.contents()->rejections.contains({kind, name});
+  }
+
+  MemoryObjectStore store;
+  PublicationInvariants invariants;
+};
+
+Test(publication, puts_what_operators_wrote_in_force) {
+  Fixture test;
+  SteppedPublisher one(test.store, "one");
+  test.finish(one);
+  cr_assert(!one.failed && one.releases.generation() == 1);
+  cr_assert(test.invariants.contents()->objects.size() == 7);
+  cr_assert(test.invariants.audit_is_complete());
+}
+
+Test(publication, makes_no_write_where_nothing_changed) {
+  Fixture test;
+  SteppedPublisher one(test.store, "one");
+  test.finish(one);
+  const std::size_t writes = test.store.writes();
+  test.finish(one);
+  cr_assert(test.store.writes() == writes);
+}
+
+Test(publication, writes_one_chunk_the_head_and_the_trail_for_one_change) {
+  Fixture test;
+  SteppedPublisher one(test.store, "one");
+  test.finish(one);
+  operator_writes(test.store, kNewLimit);
+  const std::size_t writes = test.store.writes();
+  test.finish(one);
+  cr_assert(test.store.writes() == writes + 3);
+}
+
+/// Symptom: two backend servers of one address are in force, or neither.
+/// Sequence: two operators write them; one daemon publishes the first while
+/// another, which has seen both, is between its chunks and its head.
+/// Cause: a head that is written without the condition that its base is still
+/// the newest.
+Test(publication, accepts_exactly_one_of_two_that_race) {
+  for (int rival_step = 0; rival_step < 24; ++rival_step) {
+    Fixture test;
+    SteppedPublisher one(test.store, "one");
+    SteppedPublisher two(test.store, "two");
+    operator_writes(test.store, kTwinServers[0]);
+    one.begin();
+    for (int i = 0; i < rival_step; ++i) {
+      one.step();
+      test.check();
+    }
+    operator_writes(test.store, kTwinServers[1]);
+    test.finish(two);
+    test.finish(one);
+    test.finish(one);
+    cr_assert(test.accepted(ObjectKind::kBackendServer, "x"));
+    cr_assert(test.rejected(ObjectKind::kBackendServer, "y"));
+    cr_assert(!test.accepted(ObjectKind::kBackendServer, "y"));
+    cr_assert(test.invariants.audit_is_complete());
+  }
+}
+
+/// Symptom: a change is published twice, or is missing from the audit trail.
+/// Sequence: each write of a publication in turn takes effect, or doesn't, and
+/// its answer is lost.
+/// Cause: a lost answer taken for a failure, or for a success.
+Test(publication, settles_a_lost_answer_at_each_step) {
+  for (std::size_t write = 0; write < 16; ++write) {
+    for (const bool takes_effect : {true, false}) {
+      Fixture test;
+      SteppedPublisher one(test.store, "one");
+      one.begin();
+      while (test.store.writes() < write && one.step()) {
+      }
+      takes_effect ? test.store.lose_answers(1) : test.store.lose_requests(1);
+      test.finish(one);
+      test.finish(one);
+      cr_assert(!one.failed);
+      cr_assert(test.invariants.contents()->objects.size() == 7);
+      cr_assert(test.invariants.contents()->head.change_count == 7);
+      cr_assert(one.releases.generation() == 1);
+      cr_assert(test.invariants.audit_is_complete());
+    }
+  }
+}
+
+/// Symptom: a change is in force but not in the audit trail, or is never put in
+/// force.
+/// Sequence: a publisher is killed at each step; another goes on.
+/// Cause: work that only the publisher that began it knows of.
+Test(publication, is_gone_on_with_when_a_publisher_is_killed_at_any_step) {
+  for (int killed_at = 0; killed_at < 64; ++killed_at) {
+    Fixture test;
+    SteppedPublisher one(test.store, "one");
+    SteppedPublisher two(test.store, "two");
+    one.begin();
+    for (int i = 0; i < killed_at; ++i) {
+      one.step();
+      test.check();
+    }
+    const platform::Version written = operator_writes(test.store, kNewLimit);
+    test.finish(two);
+    cr_assert(!two.failed);
+    cr_assert(test.invariants.contents()
+                  ->objects.at({ObjectKind::kLimitPolicy, "l1"})
+                  .version == written);
+    cr_assert(test.invariants.audit_is_complete());
+  }
+}
+
+/// Symptom: a configuration that was replaced comes back.
+/// Sequence: a publisher is stopped at each step, others publish newer changes
+/// many times over and remove old chunks, then it wakes and goes on.
+/// Cause: what it does after waking still counts on what it knew before.
+Test(publication, is_not_undone_by_a_publisher_that_was_stopped) {
+  for (int stopped_at = 0; stopped_at < 40; ++stopped_at) {
+    Fixture test;
+    SteppedPublisher one(test.store, "one");
+    SteppedPublisher two(test.store, "two");
+    one.begin();
+    for (int i = 0; i < stopped_at; ++i) {
+      one.step();
+    }
+    for (int concurrency = 10; concurrency < 16; ++concurrency) {
+      operator_writes(test.store,
+                      "{'kind':'limit_policy','name':'l1','spec':"
+                      "{'concurrency':" +
+                          std::to_string(concurrency) + "}}");
+      test.finish(two);
+    }
+    const platform::Version newest =
+        test.invariants.contents()
+            ->objects.at({ObjectKind::kLimitPolicy, "l1"})
+            .version;
+    test.finish(one);
+    test.finish(two);
+    cr_assert(test.invariants.contents()
+                  ->objects.at({ObjectKind::kLimitPolicy, "l1"})
+                  .version == newest);
+    cr_assert(test.invariants.audit_is_complete());
+  }
+}
+
+Test(publication, removes_a_tombstone_once_its_deletion_is_in_force) {
+  Fixture test;
+  SteppedPublisher one(test.store, "one");
+  test.finish(one);
+  operator_writes(test.store,
+                  "{'kind':'backend_server','name':'a','deleted':true}");
+  test.finish(one);
+  cr_assert(test.rejected(ObjectKind::kBackendServer, "a"));
+  cr_assert(test.store.peek("objects", "backend_server:a").version > 0);
+  operator_writes(test.store,
+                  "{'kind':'shard','name':'low','spec':{'service':'bays',"
+                  "'begin':0,'end':100,'replicas':['b']}}");
+  test.finish(one);
+  cr_assert(!test.accepted(ObjectKind::kBackendServer, "a"));
+  cr_assert(!test.rejected(ObjectKind::kBackendServer, "a"));
+  cr_assert(test.store.peek("objects", "backend_server:a").version == 0);
+}
+
+Test(publication, removes_chunks_that_a_killed_publisher_left_behind) {
+  Fixture test;
+  test.store.force_put("releases", "chunk-1-00000000000000000000000000000000",
+                       "left behind");
+  SteppedPublisher one(test.store, "one");
+  for (int concurrency = 10; concurrency < 13; ++concurrency) {
+    operator_writes(
+        test.store,
+        "{'kind':'limit_policy','name':'l1','spec':{'concurrency':" +
+            std::to_string(concurrency) + "}}");
+    test.finish(one);
+  }
+  cr_assert(
+      test.store.peek("releases", "chunk-1-00000000000000000000000000000000")
+          .version == 0);
+}
+
+Test(publication, takes_many_objects_in_several_releases) {
+  Fixture test;
+  for (std::size_t i = 0; i < 2 * kMostChangesAtOnce; ++i) {
+    operator_writes(
+        test.store,
+        "{'kind':'backend_server','name':'leaf-" + std::to_string(i) +
+            "','spec':{'address':'10.1." + std::to_string(i / 250) + "." +
+            std::to_string(1 + i % 250) + "','port':80,'zone':'z'}}");
+  }
+  SteppedPublisher one(test.store, "one");
+  test.finish(one);
+  cr_assert(test.invariants.contents()->objects.size() ==
+            7 + 2 * kMostChangesAtOnce);
+  cr_assert(test.invariants.contents()->head.generation == 3);
+  cr_assert(test.invariants.contents()->rejections.empty());
+  cr_assert(test.invariants.audit_is_complete());
+}
+
+}  // namespace
+}  // namespace ibismux::release
