--- /dev/null
+++ b/tests/gateway/router_test.cc
@@ -0,0 +1,171 @@
+#include "ibismux/gateway/router.h"
+
+#include <prometheus/registry.h>
+
+#include "ibismux/gateway/remote_gateway.h"
+#include "tests/gateway/fake_leaf.h"
+#include "tests/gateway/fake_peers.h"
+#include "tests/gateway/gateway_harness.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::gateway {
+namespace {
+
+using testing::Answers;
+using testing::eventually;
+using testing::FakeLeaf;
+using testing::FakePeers;
+
+/// One daemon: gateways and router over a view that the test sets.
+class Daemon {
+ public:
+  explicit Daemon(const std::string& name)
+      : pool(1),
+        peers(name),
+        releases(std::make_shared<const release::Release>()),
+        members(std::make_shared<const membership::MembershipView>()),
+        local(this->pool, this->metrics),
+        remote(this->pool, this->peers, this->local, this->metrics),
+        router(this->releases,
+               this->members,
+               this->local,
+               &this->remote,
+               make_ownership("gateway"),
+               this->metrics) {
+    this->pool.start();
+  }
+  ~Daemon() { this->pool.stop(); }
+
+  /// @return Whether the router took the view up.
+  [[nodiscard]] bool see(std::vector<release::BackendServer> leafs,
+                         const std::vector<std::string>& names) {
+    auto release = std::make_shared<release::Release>();
+    release->leafs = std::move(leafs);
+    auto view = std::make_shared<membership::MembershipView>();
+    view->self = this->peers.self().member;
+    for (const std::string& name : names) {
+      view->members.push_back({name, 1, "", 0, "", {}});
+    }
+    this->releases.write(release);
+    this->members.write(view);
+    this->router.refresh();
+    return eventually([&] {
+      const auto table = this->router.ownership().read();
+      return table->members == names &&
+             table->leafs.size() == release->leafs.size();
+    });
+  }
+
+  void call(Answers& answers, std::size_t count, const std::string& leaf) {
+    LeafCallBatch batch;
+    batch.origin = 7;
+    batch.snapshot = "s";
+    batch.deadline = Clock::now() + std::chrono::seconds(20);
+    batch.body = std::make_shared<const std::string>("body");
+    for (std::size_t i = 0; i < count; ++i) {
+      batch.items.push_back({++this->sequence, leaf, "shard"});
+    }
+    this->router.call(std::move(batch), this->pool.at(0).get_executor(),
+                      answers.sink());
+  }
+
+  IoPool pool;
+  prometheus::Registry metrics;
+  FakePeers peers;
+  RcuCell<release::Release> releases;
+  RcuCell<membership::MembershipView> members;
+  LocalGateway local;
+  RemoteGateway remote;
+  Router router;
+  std::uint64_t sequence = 0;
+};
+
+/// A leaf name whose first owner among `names` is `owner`.
+std::string leaf_owned_by(const std::string& owner,
+                          const std::vector<std::string>& names) {
+  membership::MembershipView view;
+  for (const std::string& name : names) {
+    view.members.push_back({name, 1, "", 0, "", {}});
+  }
+  for (int i = 0;; ++i) {
+    release::Release release;
+    release.leafs.emplace_back().name = "leaf" + std::to_string(i);
+    const auto table = make_ownership("gateway")->assign(release, view);
+    if (table->member_of(table->owners_of(std::size_t{0})[0]) == owner) {
+      return release.leafs[0].name;
+    }
+  }
+}
+
+bool all_answered(Answers& answers) {
+  for (std::size_t i = 0; i < answers.size(); ++i) {
+    if (!answers[i].body) {
+      return false;
+    }
+  }
+  return true;
+}
+
+}  // namespace
+
+Test(router, calls_reach_the_leaf_through_its_owner) {
+  const std::vector<std::string> names = {"a", "b"};
+  const std::string name = leaf_owned_by("b", names);
+  FakeLeaf leaf;
+  Daemon a("a");
+  Daemon b("b");
+  a.peers.connect(b.peers);
+  cr_assert(a.see({leaf.object(name)}, names));
+  cr_assert(b.see({leaf.object(name)}, names));
+  Answers answers;
+  a.call(answers, 20, name);
+  cr_assert(answers.wait(20));
+  cr_assert(all_answered(answers));
+  cr_assert(a.peers.frames(peer::MessageKind::kLeafCalls) == 1);
+  // Owners without calls, and stand-bys, do not open connections.
+  cr_assert(leaf.connections() <= 3);
+}
+
+// Symptom: leafs of a failed daemon can't be asked until its failure is agreed.
+// Events: a gateway fails; the entry's frame is certainly not sent.
+// Cause: only a change of the view moved its calls.
+Test(router, unsent_calls_go_to_the_next_owner) {
+  const std::vector<std::string> names = {"a", "b"};
+  const std::string name = leaf_owned_by("b", names);
+  FakeLeaf leaf;
+  Daemon a("a");
+  cr_assert(a.see({leaf.object(name)}, names));
+  Answers answers;
+  a.call(answers, 5, name);
+  cr_assert(answers.wait(5));
+  cr_assert(all_answered(answers));
+}
+
+// Symptom: calls fail while two daemons' views differ.
+// Events: the entry's view names an owner that holds no share in its own view.
+// Cause: the owner's refusal was final although another one may serve.
+Test(router, owner_without_a_share_passes_calls_to_the_next) {
+  const std::vector<std::string> names = {"a", "b"};
+  const std::string name = leaf_owned_by("b", names);
+  FakeLeaf leaf;
+  Daemon a("a");
+  Daemon b("b");
+  a.peers.connect(b.peers);
+  cr_assert(a.see({leaf.object(name)}, names));
+  Answers answers;
+  a.call(answers, 5, name);
+  cr_assert(answers.wait(5));
+  cr_assert(all_answered(answers));
+}
+
+Test(router, leaf_that_nobody_owns_is_refused_not_run) {
+  Daemon a("a");
+  Answers answers;
+  a.call(answers, 2, "unknown");
+  cr_assert(answers.wait(2));
+  cr_assert(answers[1].body.error().kind == ErrorKind::kLeafUnavailable);
+  cr_assert(answers[1].body.error().execution == Execution::kNotRun);
+}
+
+}  // namespace ibismux::gateway
