Give each priority class an adaptive limit of its own

A daemon of seven has room for one or two queries at once; under one limit that the editors' latencies lower, a short burst of bench lookups was shed.

Each class now learns its limit from its own latencies, over the requests of itself and the classes before it. The leafs' queues serve the higher class first, so only the lowest grows slow, and it is shed. A limit grows by each request that goes well while it is half reached; by a whole one if somebody was refused since, so that it comes back fast.

--- a/ibismux/admission/adaptive_limit.cc
+++ b/ibismux/admission/adaptive_limit.cc
@@ -19,9 +19,13 @@
 constexpr double kOverloadedCut = 0.85;
 /// A single window changes the limit no more than this.
 constexpr double kDeepestCut = 0.7;
+/// What a request that went well adds to a limit that is half reached: one for
+/// each turn of the slots, a tenth of the limit where that is more, and a whole
+/// one if somebody was refused since.
 constexpr double kGrowth = 0.1;
-/// Only a limit that is nearly reached says anything by going well.
-constexpr double kReached = 0.8;
+/// Only a limit that is half reached says anything by going well; the other
+/// half is room for a burst.
+constexpr double kReached = 0.5;
 constexpr double kLeast = 1;
 constexpr double kMost = 100'000;
 
@@ -33,19 +37,31 @@
 
 void AdaptiveLimit::on_finished(double stretch,
                                 Duration latency,
+                                std::uint32_t in_flight,
                                 TimePoint now) noexcept {
+  if (stretch <= kTolerance && this->peak >= kReached * this->value) {
+    const double one = this->refused ? 1 : 1 / this->value;
+    this->value = std::min(kMost, this->value + std::max(kGrowth, one));
+    this->refused = false;
+  }
   ++this->finished;
   this->stretch_sum += stretch;
   this->latency_sum += latency;
-  this->close_window(now);
+  this->close_window(in_flight, now);
+}
+
+void AdaptiveLimit::on_refused() noexcept {
+  this->refused = true;
 }
 
-void AdaptiveLimit::on_overloaded(TimePoint now) noexcept {
+void AdaptiveLimit::on_overloaded(std::uint32_t in_flight,
+                                  TimePoint now) noexcept {
   ++this->overloaded;
-  this->close_window(now);
+  this->close_window(in_flight, now);
 }
 
-void AdaptiveLimit::close_window(TimePoint now) noexcept {
+void AdaptiveLimit::close_window(std::uint32_t in_flight,
+                                 TimePoint now) noexcept {
   const std::uint32_t ends = this->finished + this->overloaded;
   const Duration usual = this->finished > 0 ? this->latency_sum / this->finished
                                             : Duration::zero();
@@ -60,16 +76,14 @@
     this->value *= kOverloadedCut;
   } else if (stretch > kTolerance) {
     this->value *= std::max(kDeepestCut, kTolerance / stretch);
-  } else if (this->peak >= kReached * this->value) {
-    this->value += std::max(1.0, kGrowth * this->value);
   }
-  this->value = std::clamp(this->value, kLeast, kMost);
+  this->value = std::max(this->value, kLeast);
   this->window_start = now;
   this->finished = 0;
   this->overloaded = 0;
   this->stretch_sum = 0;
   this->latency_sum = Duration::zero();
-  this->peak = 0;
+  this->peak = in_flight;
 }
 
 }  // namespace ibismux::admission
--- a/ibismux/admission/adaptive_limit.h
+++ b/ibismux/admission/adaptive_limit.h
@@ -20,17 +20,24 @@
   /// A request was let in; `in_flight` counts it.
   void on_admitted(std::uint32_t in_flight) noexcept;
 
+  /// A request was refused for the limit.
+  void on_refused() noexcept;
+
   /// A request ended. @param stretch Its latency over the usual one of its
-  /// service when nothing waits.
-  void on_finished(double stretch, Duration latency, TimePoint now) noexcept;
+  /// service when nothing waits. @param in_flight What is left without it.
+  void on_finished(double stretch,
+                   Duration latency,
+                   std::uint32_t in_flight,
+                   TimePoint now) noexcept;
 
   /// A request ended because leafs were overloaded.
-  void on_overloaded(TimePoint now) noexcept;
+  void on_overloaded(std::uint32_t in_flight, TimePoint now) noexcept;
 
  private:
-  void close_window(TimePoint now) noexcept;
+  void close_window(std::uint32_t in_flight, TimePoint now) noexcept;
 
   double value;
+  bool refused = false;  ///< Since a request last went well.
   TimePoint window_start{};
   std::uint32_t finished = 0;
   std::uint32_t overloaded = 0;
--- a/ibismux/admission/admission.cc
+++ b/ibismux/admission/admission.cc
@@ -137,7 +137,8 @@
     return refuse(ErrorKind::kRateLimited, "too many requests", wait);
   }
   plan->metrics->decided(Decision::kAdmitted);
-  plan->metrics->load(plan->pool->current_limit(), plan->pool->in_flight());
+  plan->metrics->load(plan->pool->current_limit(plan->priority),
+                      plan->pool->in_flight());
   return Permit([slots](std::optional<ErrorKind> error, TimePoint end) {
     slots->finish(error, end);
   });
--- a/ibismux/admission/load_pool.cc
+++ b/ibismux/admission/load_pool.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <numeric>
 
 namespace ibismux::admission {
 
@@ -24,23 +23,30 @@
 
 }  // namespace
 
+LoadPool::LoadPool(double initial_limit)
+    : classes{Class{AdaptiveLimit(initial_limit)},
+              Class{AdaptiveLimit(initial_limit)},
+              Class{AdaptiveLimit(initial_limit)},
+              Class{AdaptiveLimit(initial_limit)}} {
+  static_assert(kPriorities == 4);
+}
+
 Duration LoadPool::enter(Priority priority, TimePoint now) {
   const std::lock_guard lock(this->mutex);
-  const auto own = static_cast<std::size_t>(priority);
-  const std::uint32_t before_it =
-      std::accumulate(this->counts.begin(), this->counts.begin() + own + 1, 0U);
-  if (before_it >= std::max(1.0, this->limit.limit())) {
-    return this->wait(now);
+  Class& own = this->at(priority);
+  const std::uint32_t in_flight = this->in_flight_up_to(priority);
+  if (in_flight >= own.limit.limit()) {
+    own.limit.on_refused();
+    return this->wait(own, now);
   }
-  ++this->counts[own];
-  this->limit.on_admitted(
-      std::accumulate(this->counts.begin(), this->counts.end(), 0U));
+  ++own.in_flight;
+  own.limit.on_admitted(in_flight + 1);
   return Duration::zero();
 }
 
 void LoadPool::leave(Priority priority) {
   const std::lock_guard lock(this->mutex);
-  --this->counts[static_cast<std::size_t>(priority)];
+  --this->at(priority).in_flight;
 }
 
 void LoadPool::finish(Priority priority,
@@ -49,35 +55,45 @@
                       LatencyBaseline& baseline,
                       TimePoint now) {
   const std::lock_guard lock(this->mutex);
-  --this->counts[static_cast<std::size_t>(priority)];
+  Class& own = this->at(priority);
+  --own.in_flight;
+  const std::uint32_t left = this->in_flight_up_to(priority);
   if (error == ErrorKind::kOverloaded) {
-    this->limit.on_overloaded(now);
+    own.limit.on_overloaded(left, now);
   } else if (tells_load(error)) {
-    this->usual_latency += (latency - this->usual_latency) / kLatencyMemory;
-    this->limit.on_finished(baseline.stretch(latency, now), latency, now);
+    own.usual_latency += (latency - own.usual_latency) / kLatencyMemory;
+    own.limit.on_finished(baseline.stretch(latency, now), latency, left, now);
   }
 }
 
-double LoadPool::current_limit() {
+double LoadPool::current_limit(Priority priority) {
   const std::lock_guard lock(this->mutex);
-  return this->limit.limit();
+  return this->at(priority).limit.limit();
 }
 
 std::uint32_t LoadPool::in_flight() {
   const std::lock_guard lock(this->mutex);
-  return std::accumulate(this->counts.begin(), this->counts.end(), 0U);
+  return this->in_flight_up_to(static_cast<Priority>(kPriorities - 1));
+}
+
+std::uint32_t LoadPool::in_flight_up_to(Priority priority) const noexcept {
+  std::uint32_t count = 0;
+  for (std::size_t i = 0; i <= static_cast<std::size_t>(priority); ++i) {
+    count += this->classes[i].in_flight;
+  }
+  return count;
 }
 
-Duration LoadPool::wait(TimePoint now) noexcept {
+Duration LoadPool::wait(Class& own, TimePoint now) noexcept {
   const std::chrono::duration<double> age =
-      std::max(Duration::zero(), now - this->refused_at);
-  this->refused = this->refused * std::exp2(-age / kRefusalHalfLife) + 1;
-  this->refused_at = now;
+      std::max(Duration::zero(), now - own.refused_at);
+  own.refused = own.refused * std::exp2(-age / kRefusalHalfLife) + 1;
+  own.refused_at = now;
   // The slots turn over once in the usual latency; those refused before take
   // their turn first.
-  const double turns = 1 + this->refused / std::max(1.0, this->limit.limit());
+  const double turns = 1 + own.refused / own.limit.limit();
   const Duration wait = std::chrono::duration_cast<Duration>(
-      std::chrono::duration<double>(this->usual_latency) * turns);
+      std::chrono::duration<double>(own.usual_latency) * turns);
   return std::clamp<Duration>(wait, kShortestWait, kLongestWait);
 }
 
--- a/ibismux/admission/load_pool.h
+++ b/ibismux/admission/load_pool.h
@@ -14,16 +14,20 @@
 
 namespace ibismux::admission {
 
-/// The requests in flight to services that share leafs, under one adaptive
-/// limit with strict priority: a class counts only itself and the classes that
-/// go before it. So the lowest is shed first, and nothing that a lower class
-/// has in flight can refuse a higher one; the leafs' queues serve the higher
-/// one first.
+/// The requests in flight to services that share leafs, under adaptive limits
+/// with strict priority.
+///
+/// Each class has its own limit, on the requests of itself and of the classes
+/// that go before it, and learns it from its own latencies. The leafs' queues
+/// serve the higher class first, so under overload it is the lowest whose
+/// latencies grow, and which is shed; nothing that a lower class has in flight
+/// can refuse a higher one. One limit for all classes would shed the higher
+/// ones too, in each short burst of their own.
 ///
 /// Thread safe.
 class LoadPool {
  public:
-  explicit LoadPool(double initial_limit) : limit(initial_limit) {}
+  explicit LoadPool(double initial_limit);
 
   /// Takes a slot. @return Zero if one was free, else about when to come back.
   [[nodiscard]] Duration enter(Priority priority, TimePoint now);
@@ -39,19 +43,28 @@
               LatencyBaseline& baseline,
               TimePoint now);
 
-  [[nodiscard]] double current_limit();
+  [[nodiscard]] double current_limit(Priority priority);
   [[nodiscard]] std::uint32_t in_flight();
 
  private:
-  [[nodiscard]] Duration wait(TimePoint now) noexcept;
+  struct Class {
+    AdaptiveLimit limit;
+    std::uint32_t in_flight = 0;
+    Duration usual_latency{};  ///< Moving average.
+    /// Refused a moment ago, fading: who comes back soon competes with them.
+    double refused = 0;
+    TimePoint refused_at{};
+  };
+
+  [[nodiscard]] Class& at(Priority priority) noexcept {
+    return this->classes[static_cast<std::size_t>(priority)];
+  }
+  /// Of the class and of those before it.
+  [[nodiscard]] std::uint32_t in_flight_up_to(Priority priority) const noexcept;
+  [[nodiscard]] static Duration wait(Class& own, TimePoint now) noexcept;
 
   std::mutex mutex;
-  AdaptiveLimit limit;
-  std::array<std::uint32_t, kPriorities> counts{};
-  Duration usual_latency{};  ///< Moving average.
-  /// Refused a moment ago, fading: who comes back soon competes with them.
-  double refused = 0;
-  TimePoint refused_at{};
+  std::array<Class, kPriorities> classes;
 };
 
 }  // namespace ibismux::admission
--- /dev/null
+++ b/tests/admission/adaptive_limit_test.cc
@@ -0,0 +1,83 @@
+#include "ibismux/admission/adaptive_limit.h"
+
+#include "ibismux/admission/load_pool.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::admission {
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds kUsual{10};
+
+TimePoint at(std::int64_t ms) {
+  return TimePoint(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+/// Ten requests at once that take `stretch` times the usual, from `ms` on.
+void run_ten(AdaptiveLimit& limit, double stretch, int ms) {
+  limit.on_admitted(10);
+  for (std::uint32_t i = 0; i < 10; ++i) {
+    limit.on_finished(stretch, kUsual, 9 - i, at(ms + 30));
+  }
+}
+
+Test(adaptive_limit, it_grows_while_requests_go_well_and_it_is_in_reach) {
+  AdaptiveLimit limit(10);
+  run_ten(limit, 1.1, 0);
+  cr_assert(limit.limit() > 10.7);
+  AdaptiveLimit unused(100);
+  run_ten(unused, 1.1, 0);
+  cr_assert(unused.limit() == 100);
+}
+
+Test(adaptive_limit, waiting_requests_lower_it_but_not_at_once_to_nothing) {
+  AdaptiveLimit limit(10);
+  run_ten(limit, 50, 0);
+  cr_assert(limit.limit() >= 7 && limit.limit() < 10);
+  for (int i = 1; i < 50; ++i) {
+    run_ten(limit, 50, 100 * i);
+  }
+  cr_assert(limit.limit() == 1);
+}
+
+/// Symptom: minutes after an overload requests are still shed though leafs are
+/// idle.
+/// Sequence: an overload lowers the limit to 1; then few requests come, and
+/// each that goes well adds little.
+/// Cause: growth that counts turns of slots only, whatever is being refused.
+Test(adaptive_limit, refusals_make_it_come_back_fast) {
+  AdaptiveLimit limit(1);
+  for (int i = 0; i < 5; ++i) {
+    limit.on_refused();
+    limit.on_admitted(static_cast<std::uint32_t>(limit.limit()));
+    limit.on_finished(1, kUsual, 0, at(100 * i));
+  }
+  cr_assert(limit.limit() == 6);
+}
+
+/// Symptom: bench lookups are shed while editors overload the leafs.
+/// Sequence: editors fill the leafs' queues and take long; bench lookups, which
+/// the queues serve first, take no longer than usual, in short bursts.
+/// Cause: one limit for all classes, which the editors' latencies lower.
+Test(load_pool, a_slow_lower_class_does_not_lower_the_limit_of_a_higher_one) {
+  LoadPool pool(8);
+  LatencyBaseline editors;
+  for (int i = 0; i < 200; ++i) {
+    const TimePoint now = at(10 * i);
+    if (pool.enter(Priority::kEditor, now) == Duration::zero()) {
+      pool.finish(Priority::kEditor, kUsual * (i < 32 ? 1 : 40), std::nullopt,
+                  editors, now);
+    }
+  }
+  cr_assert(pool.current_limit(Priority::kEditor) < 2);
+  cr_assert(pool.current_limit(Priority::kBench) == 8);
+  for (int i = 0; i < 8; ++i) {
+    cr_assert(pool.enter(Priority::kBench, at(3000)) == Duration::zero());
+  }
+  cr_assert(pool.enter(Priority::kEditor, at(3000)) > Duration::zero());
+}
+
+}  // namespace
+}  // namespace ibismux::admission
