Halve a daemon's rate when the platform's cap is reached

A 429 emptied the daemon's bucket and no more. The sum of the shares is four times the platform's rate, because roles are uneven; so a fault that makes all daemons read at once kept the platform at its cap, and a publisher's read found it shut nearly every second time.

--- a/ibismux/platform/call_budget.h
+++ b/ibismux/platform/call_budget.h
@@ -35,9 +35,14 @@
   /// How long until `take()` would succeed; zero where it would now.
   [[nodiscard]] Duration until_next(CallKind kind, TimePoint now) noexcept;
 
-  /// Empties the bucket of `kind`: the platform said that its own cap is
-  /// reached, so that this daemon's store of calls is not there to be spent.
-  void drain(CallKind kind, TimePoint now) noexcept;
+  /// The platform said that its own cap is reached: empties the bucket of
+  /// `kind` and halves its rate. The sum of the shares is above the cap, so
+  /// that a fault which makes every daemon read at once would otherwise keep
+  /// the platform at its cap, and those who publish would find it shut.
+  void rate_limited(CallKind kind, TimePoint now) noexcept;
+
+  /// The platform took a call of `kind`: its rate recovers by a step.
+  void taken(CallKind kind, TimePoint now) noexcept;
 
   /// Replaces the rates; calls saved up stay, up to the new burst.
   void set_rates(const CallRates& rates, TimePoint now) noexcept;
@@ -45,6 +50,7 @@
  private:
   struct Bucket {
     CallRate rate;
+    double factor = 1;  ///< What the platform's cap leaves of the rate.
     double tokens = 0;
     TimePoint filled_at;
   };
--- a/ibismux/platform/http_object_store.cc
+++ b/ibismux/platform/http_object_store.cc
@@ -157,7 +157,9 @@
       this->health.failed(now, this->jitter());
     }
     if (outcome.result == CallResult::kRateLimited) {
-      this->budget.drain(kind, now);
+      this->budget.rate_limited(kind, now);
+    } else if (outcome.health == CallOutcome::Health::kGood) {
+      this->budget.taken(kind, now);
     }
     this->state.store(this->health.state(), std::memory_order_relaxed);
     this->metrics.set_state(this->health.state());
--- a/tests/platform/call_budget_test.cc
+++ b/tests/platform/call_budget_test.cc
@@ -46,11 +46,23 @@
             Duration::max());
 }
 
-Test(call_budget, the_platforms_own_cap_empties_the_bucket) {
+Test(call_budget,
+     the_platforms_own_cap_empties_the_bucket_and_halves_the_rate) {
   CallBudget budget(kRates, kStart);
-  budget.drain(CallKind::kRead, kStart);
-  cr_assert(!budget.take(CallKind::kRead, kStart));
-  cr_assert(budget.take(CallKind::kRead, kStart + milliseconds(100)));
+  budget.rate_limited(CallKind::kRead, kStart);
+  cr_assert(budget.until_next(CallKind::kRead, kStart) == milliseconds(200));
+  for (int i = 0; i < 10; ++i) {
+    budget.taken(CallKind::kRead, kStart);
+  }
+  cr_assert(budget.until_next(CallKind::kRead, kStart) == milliseconds(100));
+}
+
+Test(call_budget, the_rate_never_falls_below_a_tenth) {
+  CallBudget budget(kRates, kStart);
+  for (int i = 0; i < 100; ++i) {
+    budget.rate_limited(CallKind::kRead, kStart);
+  }
+  cr_assert(budget.until_next(CallKind::kRead, kStart) == seconds(1));
 }
 
 Test(call_budget, new_rates_cut_what_was_saved) {
