Give the local gateway its shares before the router sends to it

One cause was in the product: the table was published before the local gateway had its shares, so that calls found no share and went to the stand-by. The order is now the other way round.

--- a/ibismux/gateway/router.cc
+++ b/ibismux/gateway/router.cc
@@ -75,8 +75,10 @@
       auto fresh = this->strategy->assign(*release, *view);
       this->seconds.Observe(
           std::chrono::duration<double>(Clock::now() - started).count());
-      this->table.write(fresh);
+      // First the local gateway: a call that the new table sends there would
+      // else find no share and go on to the next owner.
       this->local.apply(*release, *fresh);
+      this->table.write(fresh);
     }
   }
 
