--- a/ibismux/platform/fleet_budget.cc
+++ b/ibismux/platform/fleet_budget.cc
@@ -11,10 +11,10 @@
   CallRates rates;
   for (std::size_t i = 0; i < kCallKinds; ++i) {
     const double part = fleet.per_second[i] * fleet.oversubscription / daemons;
-    const double rate =
-        std::clamp(part, fleet.least_per_second,
-                   std::max(fleet.most_per_second[i], fleet.least_per_second));
-    rates[i] = {rate, std::max(rate * burst_seconds, fleet.least_burst)};
+    const double least = fleet.least_per_second[i];
+    const double most = std::max(fleet.most_per_second[i], least);
+    const double rate = std::clamp(part, least, most);
+    rates[i] = {rate, std::max(rate * burst_seconds, fleet.least_burst[i])};
   }
   return rates;
 }
--- a/ibismux/platform/fleet_budget.h
+++ b/ibismux/platform/fleet_budget.h
@@ -16,13 +16,14 @@
   /// watch, few publish, a claim's bucket has one owner), so an even part would
   /// starve those who need calls while the rest leaves theirs unused.
   double oversubscription = 4;
-  /// A share is never below this, so that any daemon can start and publish.
-  double least_per_second = 0.5;
+  /// A share is never below this, so that any daemon can start and publish. Few
+  /// daemons of a large fleet write, and those need more than an even part.
+  std::array<double, kCallKinds> least_per_second = {0.5, 5, 0.5};
   /// A share is never above this: what one daemon of a small fleet needs.
   std::array<double, kCallKinds> most_per_second = {50, 40, 20};
   /// What may come at once: the calls of this time, and at least `least_burst`.
   std::chrono::milliseconds burst_time{2000};
-  double least_burst = 12;
+  std::array<double, kCallKinds> least_burst = {12, 20, 12};
 };
 
 /// The share of one of `members` daemons; 0 members count as one. Thread safe.
--- a/tests/platform/call_budget_test.cc
+++ b/tests/platform/call_budget_test.cc
@@ -78,7 +78,7 @@
   const auto large = share_of(fleet, 2400);
   cr_assert(small[0].per_second == 50);
   cr_assert(large[0].per_second == 1000.0 * 4 / 2400);
-  cr_assert(large[1].per_second == fleet.least_per_second);
+  cr_assert(large[1].per_second == fleet.least_per_second[1]);
   cr_assert(share_of(fleet, 0)[0].per_second == 50);
 }
 
--- a/tests/platform/http_object_store_test.cc
+++ b/tests/platform/http_object_store_test.cc
@@ -235,8 +235,8 @@
 Test(http_object_store, a_spent_budget_refuses_at_once_and_by_kind) {
   PlatformSettings settings;
   settings.budget.per_second = {0, 0, 0};
-  settings.budget.least_per_second = 0;
-  settings.budget.least_burst = 2;
+  settings.budget.least_per_second = {0, 0, 0};
+  settings.budget.least_burst = {2, 2, 2};
   Fixture fixture(settings);
   cr_assert(fixture.put("a", 0).has_value());
   cr_assert(fixture.put("b", 1).has_value());
