Hedge a hedge that straggles, and plan the budget's use

A second hedge now follows after twice the delay, to a replica that is at it already where there is no third: a call may be slow where the leaf is not.

The delay now lies where four fifths of the budget are used, or at the service's quantile where that is higher.

Calls given up early no longer count as fast ones; the test for it failed first.

--- a/apps/bench-policy/main.cc
+++ b/apps/bench-policy/main.cc
@@ -1,6 +1,7 @@
 // Measures the policies on virtual time, without sockets:
 //
-//     bench-policy [tail|single|refusals|overload|limits] [--seed N]
+//     bench-policy [tail|quantiles|loads|single|refusals|overload|limits]
+//     [--seed N]
 //
 // Prints one JSON object a scenario. A run depends on its seed alone.
 
@@ -21,6 +22,8 @@
 
 const std::map<std::string, Scenario> kScenarios = {
     {"tail", ibismux::bench::run_tail},
+    {"quantiles", ibismux::bench::run_quantiles},
+    {"loads", ibismux::bench::run_loads},
     {"single", ibismux::bench::run_single},
     {"refusals", ibismux::bench::run_refusals},
     {"overload", ibismux::bench::run_overload},
--- a/apps/bench-policy/scenario_tail.cc
+++ b/apps/bench-policy/scenario_tail.cc
@@ -39,9 +39,11 @@
   return {milliseconds(10), 0.01, 20};
 }
 
-object run(const ClusterSpec& spec, const query::ReplicaChoice& replicas) {
+object run(const ClusterSpec& spec,
+           const query::ReplicaChoice& replicas,
+           double load = kLoad) {
   SimCluster cluster(spec, replicas);
-  return summary(cluster.run({{"catalogue", kLoad * SimCluster::capacity(spec),
+  return summary(cluster.run({{"catalogue", load * SimCluster::capacity(spec),
                                Duration::zero(), kLength}}));
 }
 
@@ -97,6 +99,32 @@
   return result;
 }
 
+object run_quantiles(std::uint64_t seed) {
+  const query::CheaperOfTwo cheaper;
+  object result;
+  for (const std::uint32_t shards : {3U, 30U, 230U}) {
+    object runs;
+    for (const double quantile : {0.9, 0.95, 0.97, 0.98, 0.99}) {
+      ClusterSpec spec = spec_of(shards, 0.05, seed);
+      spec.services[0].hedge_quantile = quantile;
+      runs[std::to_string(quantile).substr(0, 4)] = run(spec, cheaper);
+    }
+    result["shards_" + std::to_string(shards)] = std::move(runs);
+  }
+  return result;
+}
+
+object run_loads(std::uint64_t seed) {
+  const query::CheaperOfTwo cheaper;
+  object result;
+  for (const double load : {0.2, 0.6, 0.8, 0.95}) {
+    result["load_" + std::to_string(load).substr(0, 4)] = {
+        {"plain", run(spec_of(30, 0, seed), cheaper, load)},
+        {"hedged", run(spec_of(30, 0.05, seed), cheaper, load)}};
+  }
+  return result;
+}
+
 object run_single(std::uint64_t seed) {
   const query::CheaperOfTwo cheaper;
   ClusterSpec spec = spec_of(3, 0.05, seed);
--- a/apps/bench-policy/scenarios.h
+++ b/apps/bench-policy/scenarios.h
@@ -15,6 +15,12 @@
 /// 1% of calls 20 times slow, with two replicas: without and with hedges.
 [[nodiscard]] boost::json::object run_tail(std::uint64_t seed);
 
+/// The same over the quantile after which a call may be hedged.
+[[nodiscard]] boost::json::object run_quantiles(std::uint64_t seed);
+
+/// The same over the load, without and with hedges.
+[[nodiscard]] boost::json::object run_loads(std::uint64_t seed);
+
 /// The same with a single replica: answers by `answer_by`, and full coverage.
 [[nodiscard]] boost::json::object run_single(std::uint64_t seed);
 
--- a/ibismux/query/gather.cc
+++ b/ibismux/query/gather.cc
@@ -25,6 +25,9 @@
 constexpr milliseconds kHedgePoll{1};
 /// What a restart is taken to need while the service's latency is unknown.
 constexpr milliseconds kUsualRestart{10};
+/// The most hedges of one shard. The second goes to a replica that is at it
+/// already where there is no third: a call may be slow where the leaf is not.
+constexpr std::uint8_t kMostHedges = 2;
 /// Replicas beyond these are not told apart as tried or not.
 constexpr std::uint32_t kMostReplicas = 64;
 
@@ -185,6 +188,13 @@
   return true;
 }
 
+bool Gather::start_on_any(std::uint32_t shard, TimePoint now) {
+  if (!this->has_untried(shard)) {
+    this->shards[shard].tried = 0;
+  }
+  return this->start_on_untried(shard, now);
+}
+
 void Gather::give_up(std::uint64_t offset, TimePoint now) {
   Call& call = this->calls[offset];
   call.outstanding = false;
@@ -331,19 +341,21 @@
       this->fail_shard(shard, progress.reason);
       continue;
     }
-    if (!this->has_untried(shard)) {
-      progress.tried = 0;
-    }
     ++this->tally.retries;
-    if (!this->start_on_untried(shard, now)) {
+    if (!this->start_on_any(shard, now)) {
       this->fail_shard(shard, progress.reason);
     }
   }
 }
 
 bool Gather::may_hedge(const ShardProgress& progress) const noexcept {
-  return progress.state == ShardState::kOpen && !progress.hedged &&
-         progress.outstanding == 1 && progress.attempts < kMostAttempts;
+  return progress.state == ShardState::kOpen && progress.outstanding > 0 &&
+         progress.hedges < kMostHedges && progress.attempts < kMostAttempts;
+}
+
+TimePoint Gather::hedge_at(const ShardProgress& progress,
+                           Duration delay) noexcept {
+  return progress.last_start + delay * (1 + progress.hedges);
 }
 
 void Gather::hedge(TimePoint now) {
@@ -353,19 +365,16 @@
   }
   for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
     ShardProgress& progress = this->shards[shard];
-    if (!this->may_hedge(progress) || progress.last_start + *delay > now) {
-      continue;
-    }
-    if (!this->has_untried(shard)) {
-      progress.hedged = true;  // There is nobody to ask.
+    if (!this->may_hedge(progress) || this->hedge_at(progress, *delay) > now) {
       continue;
     }
     if (!this->policies.service.take_hedge()) {
       return;
     }
-    progress.hedged = true;
-    ++this->tally.hedges;
-    this->start_on_untried(shard, now);
+    ++progress.hedges;
+    if (this->start_on_any(shard, now)) {
+      ++this->tally.hedges;
+    }
   }
 }
 
@@ -377,10 +386,10 @@
     if (progress.state == ShardState::kOpen && progress.retry_at.has_value()) {
       next = std::min(next, *progress.retry_at);
     }
-    if (delay.has_value() && this->may_hedge(progress) &&
-        this->shard_view(shard).replicas.size() > 1) {
-      next = std::min(next, std::max<TimePoint>(progress.last_start + *delay,
-                                                now + kHedgePoll));
+    if (delay.has_value() && this->may_hedge(progress)) {
+      next =
+          std::min(next, std::max<TimePoint>(this->hedge_at(progress, *delay),
+                                             now + kHedgePoll));
     }
   }
   if (this->gone > 0) {
--- a/ibismux/query/gather.h
+++ b/ibismux/query/gather.h
@@ -90,7 +90,7 @@
     ErrorKind reason = ErrorKind::kDeadlineExceeded;
     std::uint8_t attempts = 0;
     std::uint8_t outstanding = 0;
-    bool hedged = false;
+    std::uint8_t hedges = 0;
     bool snapshot_gone = false;
     std::uint64_t tried = 0;  ///< Bit i: replica i has had a call.
     TimePoint last_start{};
@@ -102,6 +102,8 @@
   void start_call(std::uint32_t shard, std::uint32_t leaf, TimePoint now);
   /// Calls a replica that has had no call yet. @return False if none is left.
   bool start_on_untried(std::uint32_t shard, TimePoint now);
+  /// The same, but begins anew with all of them once each has had one.
+  bool start_on_any(std::uint32_t shard, TimePoint now);
   [[nodiscard]] bool has_untried(std::uint32_t shard);
   void give_up(std::uint64_t offset, TimePoint now);
   void give_up_shard(std::uint32_t shard, TimePoint now);
@@ -124,6 +126,9 @@
   void hedge(TimePoint now);
   void retry_due(TimePoint now);
   [[nodiscard]] bool may_hedge(const ShardProgress& progress) const noexcept;
+  /// When an open shard is worth its next hedge.
+  [[nodiscard]] static TimePoint hedge_at(const ShardProgress& progress,
+                                          Duration delay) noexcept;
   [[nodiscard]] bool restart_in_time(TimePoint now) const noexcept;
   void plan_wake(TimePoint now);
   void judge(TimePoint now);
--- a/ibismux/query/service_policy.cc
+++ b/ibismux/query/service_policy.cc
@@ -10,6 +10,10 @@
 constexpr double kHedgeBurst = 25;
 /// The delay is worked out anew after so many samples.
 constexpr std::uint32_t kSamplesPerRefresh = 64;
+/// What part of the budget the delay is meant to use up. With all of it gone,
+/// a straggler finds none left while calls that are only a little late have
+/// spent it.
+constexpr double kPlannedUse = 0.8;
 /// Weight of the newest call in the moving averages of load.
 constexpr double kLoadWeight = 0.01;
 /// The share of a call's time spent in queues up to which hedges are free, and
@@ -54,7 +58,11 @@
 }
 
 void ServicePolicy::call_abandoned(Duration elapsed) {
-  this->learn(elapsed);
+  // The call would have taken longer. Of one that was out for a moment only,
+  // that says nothing, and counting it would sink the delay.
+  if (elapsed >= this->hedge_delay().value_or(Duration::zero())) {
+    this->learn(elapsed);
+  }
 }
 
 std::optional<Duration> ServicePolicy::hedge_delay() const noexcept {
@@ -76,8 +84,9 @@
     return;
   }
   this->since_refresh = 0;
-  const std::optional<Duration> fresh =
-      this->latencies.at(this->quantile.load(std::memory_order_relaxed));
+  const std::optional<Duration> fresh = this->latencies.at(
+      std::max(this->quantile.load(std::memory_order_relaxed),
+               1 - kPlannedUse * this->share.load(std::memory_order_relaxed)));
   this->delay.store(fresh.value_or(Duration::zero()).count(),
                     std::memory_order_relaxed);
 }
--- a/tests/query/gather_test.cc
+++ b/tests/query/gather_test.cc
@@ -128,6 +128,39 @@
   cr_assert(query.gather.take_result()->hedges == 1);
 }
 
+/// Symptom: one query in a hundred at 230 shards takes as long as a straggler,
+/// though each shard has two replicas and stragglers are hedged.
+/// Sequence: a call straggles, and so does its hedge.
+/// Cause: a hedge that is not itself watched.
+Test(gather, a_hedge_that_straggles_too_is_followed_by_a_last_one) {
+  GatherFixture query(usual_pin(1, 2));
+  query.learn_delay(milliseconds(20));
+  query.gather.on_time(query.at(25));
+  cr_assert(query.gather.take_starts().size() == 1);
+  query.gather.on_time(query.at(50));
+  cr_assert(query.gather.take_starts().empty());
+  query.gather.on_time(query.at(70));
+  const std::vector<GatherCall> last = query.gather.take_starts();
+  cr_assert(last.size() == 1);
+  query.gather.on_time(query.at(500));
+  cr_assert(query.gather.take_starts().empty());
+  query.answer_hit(last[0], 501);
+  cr_assert(query.gather.take_cancels().size() == 2);
+  cr_assert(query.gather.take_result()->hedges == 2);
+}
+
+Test(gather, without_budget_nothing_is_hedged) {
+  GatherFixture query(usual_pin(1, 2));
+  query.learn_delay(milliseconds(20));
+  while (query.service.take_hedge()) {
+  }
+  query.gather.on_time(query.at(25));
+  cr_assert(query.gather.take_starts().empty());
+  query.service.calls_started(1000);
+  query.gather.on_time(query.gather.next_wake());
+  cr_assert(query.gather.take_starts().size() == 1);
+}
+
 Test(gather, a_refusal_is_retried_on_another_replica_within_the_budget) {
   GatherFixture query(usual_pin(1, 2));
   query.refuse(query.started[0], ErrorKind::kOverloaded, 3);
--- /dev/null
+++ b/tests/query/policy_test.cc
@@ -0,0 +1,134 @@
+#include "ibismux/query/service_policy.h"
+
+#include "ibismux/query/deadline_policy.h"
+#include "tests/query/query_fixture.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::query {
+namespace {
+
+TimePoint at(std::int64_t ms) {
+  return TimePoint(std::chrono::hours(1)) + milliseconds(ms);
+}
+
+Test(latency_quantile, it_needs_samples_and_follows_them) {
+  LatencyQuantile latencies;
+  for (int i = 0; i < 99; ++i) {
+    latencies.record(milliseconds(10));
+  }
+  cr_assert(!latencies.at(0.5).has_value());
+  for (int i = 0; i < 10'000; ++i) {
+    latencies.record(milliseconds(i % 100 < 95 ? 10 : 200));
+  }
+  cr_assert(*latencies.at(0.9) < milliseconds(12));
+  cr_assert(*latencies.at(0.97) > milliseconds(180));
+  for (int i = 0; i < 40'000; ++i) {
+    latencies.record(milliseconds(50));
+  }
+  cr_assert(*latencies.at(0.5) >= milliseconds(48));
+}
+
+Test(service_policy, hedges_keep_to_their_share_of_calls) {
+  ServicePolicy policy(0.95, 0.05);
+  int hedges = 0;
+  for (int i = 0; i < 1000; ++i) {
+    policy.calls_started(3);
+    hedges += policy.take_hedge() ? 1 : 0;
+  }
+  cr_assert(hedges <= 151);
+  cr_assert(hedges >= 149);
+}
+
+/// Symptom: under overload hedges add to the queues that made calls slow.
+/// Sequence: load rises, calls wait in queues, more of them pass the delay.
+/// Cause: a budget that depends on the calls alone.
+Test(service_policy, the_budget_shuts_while_calls_queue_or_fail) {
+  ServicePolicy queueing(0.95, 0.05);
+  ServicePolicy failing(0.95, 0.05);
+  for (int i = 0; i < 1000; ++i) {
+    queueing.call_answered(milliseconds(40), milliseconds(30));
+    failing.call_failed();
+  }
+  cr_assert(queueing.openness() == 0);
+  cr_assert(failing.openness() == 0);
+  for (int i = 0; i < 1000; ++i) {
+    queueing.call_answered(milliseconds(10), milliseconds(0));
+  }
+  cr_assert(queueing.openness() == 1);
+}
+
+/// Symptom: the delay sinks until nearly every call is hedged.
+/// Sequence: hedges win, and the calls that they beat are given up.
+/// Cause: only answered calls count, so the slow ones vanish.
+Test(service_policy, calls_that_were_given_up_count_as_slow) {
+  ServicePolicy policy(0.9, 0.05);
+  for (int i = 0; i < 5000; ++i) {
+    if (i % 5 == 0) {
+      policy.call_abandoned(milliseconds(60));
+    } else {
+      policy.call_answered(milliseconds(10), Duration::zero());
+    }
+  }
+  cr_assert(*policy.hedge_delay() >= milliseconds(50));
+}
+
+/// Symptom: after index flips nearly every call is hedged for a while.
+/// Sequence: queries start again a moment after they began; all their calls are
+/// given up at once, and each counts as having taken that moment.
+/// Cause: a time that a call was at least out taken for its latency.
+Test(service_policy, calls_given_up_early_say_nothing) {
+  ServicePolicy policy(0.9, 0.05);
+  for (int i = 0; i < 1000; ++i) {
+    policy.call_answered(milliseconds(50), Duration::zero());
+  }
+  for (int i = 0; i < 100'000; ++i) {
+    policy.call_abandoned(milliseconds(1));
+  }
+  cr_assert(*policy.hedge_delay() >= milliseconds(48));
+}
+
+Test(leaf_stats, slow_busy_and_failing_leafs_cost_more_until_it_is_forgotten) {
+  LeafStats usual;
+  LeafStats slow;
+  LeafStats failing;
+  for (int i = 0; i < 50; ++i) {
+    for (LeafStats* leaf : {&usual, &slow, &failing}) {
+      leaf->call_started();
+    }
+    usual.call_answered(milliseconds(10), at(i));
+    slow.call_answered(milliseconds(100), at(i));
+    failing.call_failed(at(i));
+  }
+  cr_assert(slow.cost(at(50)) > 5 * usual.cost(at(50)));
+  cr_assert(failing.cost(at(50)) > 5 * usual.cost(at(50)));
+  cr_assert(slow.cost(at(60'000)) < 1.1 * usual.cost(at(60'000)));
+  cr_assert(failing.cost(at(60'000)) < 1.1 * usual.cost(at(60'000)));
+  usual.call_started();
+  cr_assert(usual.cost(at(50)) > 10);
+}
+
+Test(replica_choice, the_cheaper_of_two_is_taken) {
+  const Pin pin = pin_of(release_of(1, snapshot_of("n1", 1, 1, 2)));
+  (*pin.leafs)[0]->call_started();
+  const CheaperOfTwo choice;
+  const std::uint32_t candidates[] = {0, 1};
+  for (std::uint64_t random = 0; random < 100; ++random) {
+    const std::uint64_t spread = random * 0x9e3779b97f4a7c15ULL;
+    cr_assert(choice.choose(pin, candidates, spread, at(0)) == 1);
+  }
+}
+
+Test(deadline_policy, coverage_that_cannot_be_reached_fails_at_once) {
+  using Verdict = DeadlinePolicy::Verdict;
+  const DeadlinePolicy policy(at(100), std::nullopt, 0.6);
+  cr_assert(policy.judge(at(1), 0, 5, 5) == Verdict::kWait);
+  cr_assert(policy.judge(at(1), 0, 2, 5) == Verdict::kFail);
+  cr_assert(policy.judge(at(1), 3, 0, 5) == Verdict::kAnswer);
+  cr_assert(policy.judge(at(1), 3, 2, 5) == Verdict::kWait);
+  cr_assert(policy.judge(at(100), 3, 2, 5) == Verdict::kAnswer);
+  cr_assert(policy.judge(at(100), 2, 3, 5) == Verdict::kFail);
+}
+
+}  // namespace
+}  // namespace ibismux::query
