--- a/tests/support/memory_object_store.h
+++ b/tests/support/memory_object_store.h
@@ -2,10 +2,7 @@
 #define TESTS_SUPPORT_MEMORY_OBJECT_STORE_H_
 
 #include <algorithm>
-#include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/as_tuple.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <functional>
@@ -17,6 +14,7 @@
 #include <vector>
 
 #include "ibismux/platform/object_store.h"
+#include "tests/support/waiting_watches.h"
 
 namespace ibismux::testing {
 
@@ -76,7 +74,7 @@
       Version since,
       std::chrono::milliseconds wait) override {
     auto executor = co_await boost::asio::this_coro::executor;
-    auto waiter = std::make_shared<Waiter>(executor);
+    auto waiter = std::make_shared<WaitingWatches::Waiter>(executor);
     {
       std::lock_guard lock(this->mutex);
       ++this->watch_calls;
@@ -88,12 +86,12 @@
         co_return batch;
       }
       waiter->timer.expires_after(wait);
-      this->waiters[waiter.get()] = {collection, waiter};
+      this->waiters.add(waiter, collection);
     }
     co_await waiter->timer.async_wait(
         boost::asio::as_tuple(boost::asio::use_awaitable));
     std::lock_guard lock(this->mutex);
-    this->waiters.erase(waiter.get());
+    this->waiters.remove(*waiter);
     if (this->refuses_reads()) {
       co_return unavailable(Execution::kNotRun);
     }
@@ -144,14 +142,14 @@
   void set_outage(bool down) {
     std::lock_guard lock(this->mutex);
     this->is_down = down;
-    this->wake_all();
+    this->waiters.wake_all();
   }
 
   /// Reads and watches are refused, writes work.
   void set_reads_failing(bool failing) {
     std::lock_guard lock(this->mutex);
     this->reads_failing = failing;
-    this->wake_all();
+    this->waiters.wake_all();
   }
 
   /// The next `count` writes that would succeed take effect, and their writer
@@ -172,7 +170,7 @@
   void set_watch_silent(bool silent) {
     std::lock_guard lock(this->mutex);
     this->watch_silent = silent;
-    this->wake_all();
+    this->waiters.wake_all();
   }
 
   /// Forgets the history up to now: an older watch gets `compacted`.
@@ -180,7 +178,7 @@
     std::lock_guard lock(this->mutex);
     this->compacted_to = this->newest;
     this->history.clear();
-    this->wake_all();
+    this->waiters.wake_all();
   }
 
   /// The next watch of the event's collection begins with `event`, as when an
@@ -188,7 +186,7 @@
   void inject_event(Event event) {
     std::lock_guard lock(this->mutex);
     this->injected.push_back(std::move(event));
-    this->wake_all();
+    this->waiters.wake_all();
   }
 
   /// `hook` runs once, before the next write is looked at: the place for what
@@ -233,7 +231,7 @@
   /// Ends every waiting watch with what there is, mostly nothing.
   void end_watches() {
     std::lock_guard lock(this->mutex);
-    this->wake_all();
+    this->waiters.wake_all();
   }
 
   [[nodiscard]] Version version() const {
@@ -263,18 +261,6 @@
  private:
   static constexpr std::size_t kMostValueBytes = 1024 * 1024;
 
-  /// One waiting watch; its timer is touched on its own executor alone.
-  struct Waiter {
-    explicit Waiter(boost::asio::any_io_executor executor)
-        : executor(executor), timer(executor) {}
-    boost::asio::any_io_executor executor;
-    boost::asio::steady_timer timer;
-  };
-  struct WaitingWatch {
-    std::string collection;
-    std::weak_ptr<Waiter> waiter;
-  };
-
   static tl::unexpected<Error> unavailable(Execution execution) {
     return tl::unexpected(
         Error{ErrorKind::kPlatformUnavailable, "fault of the test", execution});
@@ -345,7 +331,9 @@
       this->objects[{collection, name}] = object;
     }
     this->history.push_back({std::move(object), removal});
-    this->wake(collection);
+    if (!this->watch_silent) {
+      this->waiters.wake(collection);
+    }
     return this->newest;
   }
 
@@ -375,29 +363,6 @@
     return batch;
   }
 
-  void wake(const std::string& collection) {
-    if (this->watch_silent) {
-      return;
-    }
-    for (const auto& [key, watch] : this->waiters) {
-      if (watch.collection == collection) {
-        wake_one(watch);
-      }
-    }
-  }
-
-  void wake_all() {
-    for (const auto& [key, watch] : this->waiters) {
-      wake_one(watch);
-    }
-  }
-
-  static void wake_one(const WaitingWatch& watch) {
-    if (auto waiter = watch.waiter.lock()) {
-      boost::asio::post(waiter->executor, [waiter] { waiter->timer.cancel(); });
-    }
-  }
-
   mutable std::mutex mutex;
   Version newest = 0;
   std::map<std::pair<std::string, std::string>, platform::StoredObject> objects;
@@ -405,7 +370,7 @@
   std::vector<Event> injected;
   Version compacted_to = 0;
   std::vector<platform::HostEntry> host_list;
-  std::map<const Waiter*, WaitingWatch> waiters;
+  WaitingWatches waiters;
 
   bool is_down = false;
   bool reads_failing = false;
