Survive chunked bodies that come byte by byte or never end a line

Beast's parser asserts that five bytes are there when it comes back to a last chunk, so a client that sent them one by one ended the process; and neither the head's nor the body's limit counts the extensions of a chunk and the trailer fields, so a line without end filled the memory. Turning the library's assertions off was ruled out: it hides the next one. The parser now waits for the five bytes, which always come, and refuses with 431 what waits unparsed beyond the head's limit.

--- a/ibismux/http/parser.cc
+++ b/ibismux/http/parser.cc
@@ -105,19 +105,45 @@
   return error == beast_http::error::body_limit ? 413 : 400;
 }
 
+/// Whether `bytes` are too few for Beast's parser to look at.
+///
+/// It asserts that at least the five bytes "0\r\n\r\n" are there when it comes
+/// back to a last chunk, so a client that sends them one by one would end the
+/// process. At any point of a chunked body that many are still to come.
 template <class ParserType>
-ParseStep feed_parser(ParserType& parser, std::string_view bytes) {
-  error_code error;
+bool must_wait(const ParserType& parser, std::string_view bytes) {
+  constexpr std::size_t kLastChunkBytes = 5;
+  return parser.is_header_done() && parser.chunked() &&
+         bytes.size() < kLastChunkBytes;
+}
+
+/// @param most_kept How many bytes may wait for more. Beast's parser bounds the
+/// head, but neither the extensions of a chunk nor the trailer fields: a sender
+/// that never ends a line would fill the memory.
+template <class ParserType>
+ParseStep feed_parser(ParserType& parser,
+                      std::string_view bytes,
+                      std::size_t most_kept) {
   ParseStep step;
+  if (must_wait(parser, bytes)) {
+    return step;
+  }
+  error_code error;
   step.consumed =
       parser.put(boost::asio::buffer(bytes.data(), bytes.size()), error);
-  if (error && error != beast_http::error::need_more) {
-    step.state = ParseState::kFailed;
-    step.status = status_of(error);
-    step.message = error.message();
-  } else if (parser.is_done()) {
+  const bool wants_more = !error || error == beast_http::error::need_more;
+  if (wants_more && parser.is_done()) {
     step.state = ParseState::kDone;
+    return step;
+  }
+  if (wants_more && bytes.size() - step.consumed > most_kept) {
+    error = beast_http::error::header_limit;
+  } else if (wants_more) {
+    return step;
   }
+  step.state = ParseState::kFailed;
+  step.status = status_of(error);
+  step.message = error.message();
   return step;
 }
 
@@ -146,7 +172,7 @@
 }
 
 ParseStep RequestParser::feed(std::string_view bytes) {
-  return feed_parser(*this->impl->parser, bytes);
+  return feed_parser(*this->impl->parser, bytes, this->impl->most_header);
 }
 
 bool RequestParser::take_expect_continue() noexcept {
@@ -199,7 +225,8 @@
   std::size_t skipped = 0;
   for (;;) {
     auto& parser = *this->impl->parser;
-    ParseStep step = feed_parser(parser, bytes.substr(skipped));
+    ParseStep step =
+        feed_parser(parser, bytes.substr(skipped), kMostResponseHeader);
     step.consumed += skipped;
     if (step.state == ParseState::kDone && this->impl->interim()) {
       skipped = step.consumed;
--- a/tests/http/harness.h
+++ b/tests/http/harness.h
@@ -4,6 +4,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/use_future.hpp>
 #include <boost/asio/write.hpp>
 #include <chrono>
@@ -124,6 +128,13 @@
     boost::asio::write(this->socket, boost::asio::buffer(text));
   }
 
+  /// Reads until `end` has come.
+  void read_until(const std::string& end) {
+    std::string text;
+    boost::asio::read_until(this->socket, boost::asio::dynamic_buffer(text),
+                            end);
+  }
+
   /// Reads until the server closes.
   std::string read_all() {
     std::string text;
--- /dev/null
+++ b/tests/http/server_lifetime_test.cc
@@ -0,0 +1,139 @@
+#include "tests/http/harness.h"
+
+#include <future>
+
+#include <criterion/criterion.h>
+
+using namespace ibismux;
+using namespace ibismux::http;
+using namespace ibismux::http::test;
+
+namespace {
+
+/// A handler that runs until its client goes or the test lets it end.
+class Gate {
+ public:
+  Server::Handler handler() {
+    return [this](std::shared_ptr<const Request>,
+                  std::shared_ptr<CancelToken> token) {
+      return hold(this, std::move(token));
+    };
+  }
+
+  std::promise<void> entered;
+  std::promise<void> cancelled;
+  std::promise<void> released;  ///< Set from another thread.
+
+ private:
+  static Task<Response> hold(Gate* gate, std::shared_ptr<CancelToken> token) {
+    token->on_cancel([gate] { gate->cancelled.set_value(); });
+    gate->entered.set_value();
+    auto opened = gate->released.get_future();
+    boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
+    while (opened.wait_for(std::chrono::seconds(0)) !=
+           std::future_status::ready) {
+      timer.expires_after(std::chrono::milliseconds(1));
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    Response response;
+    response.body = "whole";
+    co_return response;
+  }
+};
+
+bool comes(std::promise<void>& promise) {
+  return promise.get_future().wait_for(kLimit) == std::future_status::ready;
+}
+
+}  // namespace
+
+Test(http_server_lifetime, client_that_goes_fires_the_token) {
+  Gate gate;
+  ServerFixture fixture(gate.handler());
+  {
+    RawClient client(fixture.port);
+    client.send("GET / HTTP/1.1\r\n\r\n");
+    cr_assert(comes(gate.entered));
+  }
+  cr_assert(comes(gate.cancelled));
+  gate.released.set_value();
+}
+
+Test(http_server_lifetime, pipelined_bytes_do_not_hide_that_the_client_goes) {
+  Gate gate;
+  ServerFixture fixture(gate.handler());
+  {
+    RawClient client(fixture.port);
+    client.send("GET / HTTP/1.1\r\n\r\nGET /2 HT");
+    cr_assert(comes(gate.entered));
+  }
+  cr_assert(comes(gate.cancelled));
+  gate.released.set_value();
+}
+
+// Symptom: a client that ends its sending side with its request loses the
+// answer to a reservation that ran. Sequence: the end of its stream comes while
+// the handler runs and counts as "gone". Cause: the server can't tell the two
+// apart; so it tells the handler, and still writes what the handler answers.
+Test(http_server_lifetime, half_closed_client_still_gets_its_answer) {
+  Gate gate;
+  ServerFixture fixture(gate.handler());
+  RawClient client(fixture.port);
+  client.send("GET / HTTP/1.1\r\n\r\n");
+  client.socket.shutdown(client.socket.shutdown_send);
+  cr_assert(comes(gate.cancelled));
+  gate.released.set_value();
+  cr_assert(client.read_all().ends_with("\r\n\r\nwhole"));
+}
+
+// Symptom: a planned stop cuts a request in flight. Sequence: the daemon drains
+// while a handler runs, and while the next request is on its way over a
+// connection that looks idle. Cause: "idle" is what the server has seen so far.
+Test(http_server_lifetime, drain_cuts_no_request) {
+  Gate gate;
+  ServerFixture fixture(gate.handler());
+  RawClient busy(fixture.port);
+  busy.send("GET / HTTP/1.1\r\n\r\n");
+  cr_assert(comes(gate.entered));
+  cr_assert(fixture.server.in_flight() == 1);
+  fixture.server.drain();
+  gate.released.set_value();
+  const std::string text = busy.read_all();
+  cr_assert(text.ends_with("\r\n\r\nwhole"));
+  cr_assert(text.find("Connection: close\r\n") != std::string::npos);
+  RawClient* late = nullptr;
+  boost::system::error_code refused;
+  try {
+    late = new RawClient(fixture.port);
+  } catch (const boost::system::system_error& error) {
+    refused = error.code();
+  }
+  cr_assert(refused == boost::asio::error::connection_refused);
+  delete late;
+}
+
+Test(http_server_lifetime, drain_answers_a_request_on_an_idle_connection) {
+  ServerFixture fixture;
+  RawClient client(fixture.port);
+  client.send("GET /1 HTTP/1.1\r\n\r\n");
+  client.read_until("GET /1 ");
+  RawClient idle(fixture.port);
+  fixture.server.drain();
+  client.send("GET /2 HTTP/1.1\r\n\r\n");
+  const std::string text = client.read_all();
+  cr_assert(text.ends_with("GET /2 "));
+  cr_assert(text.find("Connection: close\r\n") != std::string::npos);
+  cr_assert(idle.read_all().empty());
+}
+
+Test(http_server_lifetime, stop_ends_connections_and_fires_tokens) {
+  Gate gate;
+  ServerFixture fixture(gate.handler());
+  RawClient client(fixture.port);
+  client.send("GET / HTTP/1.1\r\n\r\n");
+  cr_assert(comes(gate.entered));
+  fixture.server.stop();
+  cr_assert(client.read_all().empty());
+  cr_assert(comes(gate.cancelled));
+  gate.released.set_value();
+}
