--- a/ibismux/admission/plan_table.cc
+++ b/ibismux/admission/plan_table.cc
@@ -78,7 +78,7 @@
 
 std::shared_ptr<const PlanSet> PlanTable::rebuild(TimePoint now) {
   const std::lock_guard lock(this->mutex);
-  const std::shared_ptr<const PlanSet> old = this->sets.read();
+  std::shared_ptr<const PlanSet> old = this->sets.read();
   auto fresh = std::make_shared<PlanSet>();
   fresh->release = this->releases.read();
   fresh->members = this->members.read();
--- a/ibismux/query/active_query.cc
+++ b/ibismux/query/active_query.cc
@@ -15,13 +15,13 @@
 ActiveQuery::ActiveQuery(QueryContext context,
                          QueryRequest request,
                          std::shared_ptr<ServiceState> service,
-                         GatherPlan plan,
+                         const GatherPlan& plan,
                          asio::any_io_executor executor)
     : context(context),
       request(std::move(request)),
       service(std::move(service)),
       deadline(plan.deadlines.deadline()),
-      gather(std::move(plan),
+      gather(plan,
              GatherPolicies{context.replicas, this->service->policy,
                             context.retries}),
       executor(std::move(executor)),
@@ -140,7 +140,7 @@
   }
   this->context.leafs.call(
       std::move(batch), this->executor,
-      [query = this->shared_from_this()](gateway::LeafAnswer answer) {
+      [query = this->shared_from_this()](const gateway::LeafAnswer& answer) {
         query->on_answer(answer);
       });
 }
--- a/ibismux/query/active_query.h
+++ b/ibismux/query/active_query.h
@@ -35,7 +35,7 @@
   ActiveQuery(QueryContext context,
               QueryRequest request,
               std::shared_ptr<ServiceState> service,
-              GatherPlan plan,
+              const GatherPlan& plan,
               boost::asio::any_io_executor executor);
 
   /// Scatters over the shards of `pin`. Precondition: called once.
--- a/ibismux/query/deadline_policy.h
+++ b/ibismux/query/deadline_policy.h
@@ -71,10 +71,11 @@
   }
 
  private:
+  /// Takes in rounding, so that 3 of 5 meets 0.6.
+  static constexpr double kSlack = 1e-9;
+
   [[nodiscard]] bool enough(std::size_t shards,
                             std::size_t total) const noexcept {
-    // The slack takes in rounding, so that 3 of 5 meets 0.6.
-    constexpr double kSlack = 1e-9;
     return static_cast<double>(shards) + kSlack >=
            this->min_coverage * static_cast<double>(total);
   }
--- a/ibismux/query/gather.cc
+++ b/ibismux/query/gather.cc
@@ -19,15 +19,6 @@
 constexpr milliseconds kUsualRetryAfter{250};
 /// First wait before a replica that refused is asked again; doubles each time.
 constexpr milliseconds kBackoff{4};
-/// How often a newer release is looked for while shards lack the pinned
-/// snapshot, and the closest that two tries for a hedge may lie.
-constexpr milliseconds kReleasePoll{10};
-constexpr milliseconds kHedgePoll{1};
-/// What a restart is taken to need while the service's latency is unknown.
-constexpr milliseconds kUsualRestart{10};
-/// The most hedges of one shard. The second goes to a replica that is at it
-/// already where there is no third: a call may be slow where the leaf is not.
-constexpr std::uint8_t kMostHedges = 2;
 /// Replicas beyond these are not told apart as tried or not.
 constexpr std::uint32_t kMostReplicas = 64;
 
@@ -49,8 +40,8 @@
 
 }  // namespace
 
-Gather::Gather(GatherPlan plan, GatherPolicies policies)
-    : plan(std::move(plan)),
+Gather::Gather(const GatherPlan& plan, GatherPolicies policies)
+    : plan(plan),
       policies(policies),
       random(this->plan.seed),
       merger(this->plan.most_hits),
@@ -110,17 +101,6 @@
   this->judge(now);
 }
 
-void Gather::on_time(TimePoint now) {
-  if (this->is_finished) {
-    return;
-  }
-  this->retry_due(now);
-  this->settle_gone(now);
-  this->hedge(now);
-  this->plan_wake(now);
-  this->judge(now);
-}
-
 void Gather::on_cancel(TimePoint now) {
   if (!this->is_finished) {
     this->finish(fail(ErrorKind::kCancelled, "the caller is gone"), now);
@@ -135,10 +115,6 @@
   return std::exchange(this->cancels, {});
 }
 
-bool Gather::wants_restart(TimePoint now) const noexcept {
-  return !this->is_finished && this->gone > 0 && this->restart_in_time(now);
-}
-
 Result<QueryAnswer> Gather::take_result() {
   return std::move(*this->result);
 }
@@ -317,110 +293,6 @@
   --this->open;
 }
 
-void Gather::settle_gone(TimePoint now) {
-  if (this->gone == 0 || this->restart_in_time(now)) {
-    return;
-  }
-  for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
-    if (std::exchange(this->shards[shard].snapshot_gone, false)) {
-      this->fail_shard(shard, ErrorKind::kSnapshotGone);
-    }
-  }
-  this->gone = 0;
-}
-
-void Gather::retry_due(TimePoint now) {
-  for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
-    ShardProgress& progress = this->shards[shard];
-    if (!progress.retry_at.has_value() || *progress.retry_at > now ||
-        progress.state != ShardState::kOpen) {
-      continue;
-    }
-    if (!this->policies.retries.take()) {
-      ++this->tally.budget_empty;
-      this->fail_shard(shard, progress.reason);
-      continue;
-    }
-    ++this->tally.retries;
-    if (!this->start_on_any(shard, now)) {
-      this->fail_shard(shard, progress.reason);
-    }
-  }
-}
-
-bool Gather::may_hedge(const ShardProgress& progress) const noexcept {
-  return progress.state == ShardState::kOpen && progress.outstanding > 0 &&
-         progress.hedges < kMostHedges && progress.attempts < kMostAttempts;
-}
-
-TimePoint Gather::hedge_at(const ShardProgress& progress,
-                           Duration delay) noexcept {
-  return progress.last_start + delay * (1 + progress.hedges);
-}
-
-void Gather::hedge(TimePoint now) {
-  const std::optional<Duration> delay = this->policies.service.hedge_delay();
-  if (!delay.has_value()) {
-    return;
-  }
-  for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
-    ShardProgress& progress = this->shards[shard];
-    if (!this->may_hedge(progress) || this->hedge_at(progress, *delay) > now) {
-      continue;
-    }
-    if (!this->policies.service.take_hedge()) {
-      return;
-    }
-    ++progress.hedges;
-    if (this->start_on_any(shard, now)) {
-      ++this->tally.hedges;
-    }
-  }
-}
-
-void Gather::plan_wake(TimePoint now) {
-  const std::optional<Duration> delay = this->policies.service.hedge_delay();
-  TimePoint next = this->plan.deadlines.next_change(now);
-  for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
-    const ShardProgress& progress = this->shards[shard];
-    if (progress.state == ShardState::kOpen && progress.retry_at.has_value()) {
-      next = std::min(next, *progress.retry_at);
-    }
-    if (delay.has_value() && this->may_hedge(progress)) {
-      next =
-          std::min(next, std::max<TimePoint>(this->hedge_at(progress, *delay),
-                                             now + kHedgePoll));
-    }
-  }
-  if (this->gone > 0) {
-    next = std::min<TimePoint>(next, now + kReleasePoll);
-  }
-  this->wake = next;
-}
-
-bool Gather::restart_in_time(TimePoint now) const noexcept {
-  const Duration needed =
-      this->policies.service.hedge_delay().value_or(kUsualRestart);
-  return this->tally.restarts == 0 &&
-         now + needed <
-             this->plan.deadlines.restart_limit(
-                 this->merged + this->open - this->gone, this->shards.size());
-}
-
-void Gather::judge(TimePoint now) {
-  switch (this->plan.deadlines.judge(now, this->merged, this->open,
-                                     this->shards.size())) {
-    case DeadlinePolicy::Verdict::kWait:
-      return;
-    case DeadlinePolicy::Verdict::kAnswer:
-      this->finish(this->answer(), now);
-      return;
-    case DeadlinePolicy::Verdict::kFail:
-      this->finish(tl::unexpected<Error>(this->failure()), now);
-      return;
-  }
-}
-
 void Gather::finish(Result<QueryAnswer> outcome, TimePoint now) {
   this->is_finished = true;
   this->result = std::move(outcome);
--- a/ibismux/query/gather.h
+++ b/ibismux/query/gather.h
@@ -26,7 +26,7 @@
   /// How many calls a shard may get, first, hedge and retries together.
   static constexpr std::uint32_t kMostAttempts = 4;
 
-  Gather(GatherPlan plan, GatherPolicies policies);
+  Gather(const GatherPlan& plan, GatherPolicies policies);
 
   /// How many call ids a query of `pin` may need.
   [[nodiscard]] static std::uint64_t ids_needed(const Pin& pin) noexcept;
--- /dev/null
+++ b/ibismux/query/gather_timing.cc
@@ -0,0 +1,148 @@
+// What a query does as time passes: retries that are due, hedges, a restart,
+// the end at `answer_by` or the deadline.
+
+#include <algorithm>
+#include <utility>
+
+#include "ibismux/query/fraction_budget.h"
+#include "ibismux/query/gather.h"
+#include "ibismux/query/service_policy.h"
+
+namespace ibismux::query {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// How often a newer release is looked for while shards lack the pinned
+/// snapshot, and the closest that two tries for a hedge may lie.
+constexpr milliseconds kReleasePoll{10};
+constexpr milliseconds kHedgePoll{1};
+/// What a restart is taken to need while the service's latency is unknown.
+constexpr milliseconds kUsualRestart{10};
+/// The most hedges of one shard. The second goes to a replica that is at it
+/// already where there is no third: a call may be slow where the leaf is not.
+constexpr std::uint8_t kMostHedges = 2;
+
+}  // namespace
+
+void Gather::on_time(TimePoint now) {
+  if (this->is_finished) {
+    return;
+  }
+  this->retry_due(now);
+  this->settle_gone(now);
+  this->hedge(now);
+  this->plan_wake(now);
+  this->judge(now);
+}
+
+bool Gather::wants_restart(TimePoint now) const noexcept {
+  return !this->is_finished && this->gone > 0 && this->restart_in_time(now);
+}
+
+bool Gather::restart_in_time(TimePoint now) const noexcept {
+  const Duration needed =
+      this->policies.service.hedge_delay().value_or(kUsualRestart);
+  return this->tally.restarts == 0 &&
+         now + needed <
+             this->plan.deadlines.restart_limit(
+                 this->merged + this->open - this->gone, this->shards.size());
+}
+
+void Gather::settle_gone(TimePoint now) {
+  if (this->gone == 0 || this->restart_in_time(now)) {
+    return;
+  }
+  for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
+    if (std::exchange(this->shards[shard].snapshot_gone, false)) {
+      this->fail_shard(shard, ErrorKind::kSnapshotGone);
+    }
+  }
+  this->gone = 0;
+}
+
+void Gather::retry_due(TimePoint now) {
+  for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
+    ShardProgress& progress = this->shards[shard];
+    if (!progress.retry_at.has_value() || *progress.retry_at > now ||
+        progress.state != ShardState::kOpen) {
+      continue;
+    }
+    if (!this->policies.retries.take()) {
+      ++this->tally.budget_empty;
+      this->fail_shard(shard, progress.reason);
+      continue;
+    }
+    ++this->tally.retries;
+    if (!this->start_on_any(shard, now)) {
+      this->fail_shard(shard, progress.reason);
+    }
+  }
+}
+
+bool Gather::may_hedge(const ShardProgress& progress) const noexcept {
+  return progress.state == ShardState::kOpen && progress.outstanding > 0 &&
+         progress.hedges < kMostHedges && progress.attempts < kMostAttempts;
+}
+
+TimePoint Gather::hedge_at(const ShardProgress& progress,
+                           Duration delay) noexcept {
+  return progress.last_start + delay * (1 + progress.hedges);
+}
+
+void Gather::hedge(TimePoint now) {
+  const std::optional<Duration> delay = this->policies.service.hedge_delay();
+  if (!delay.has_value()) {
+    return;
+  }
+  for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
+    ShardProgress& progress = this->shards[shard];
+    if (!this->may_hedge(progress) || this->hedge_at(progress, *delay) > now) {
+      continue;
+    }
+    if (!this->policies.service.take_hedge()) {
+      return;
+    }
+    ++progress.hedges;
+    if (this->start_on_any(shard, now)) {
+      ++this->tally.hedges;
+    }
+  }
+}
+
+void Gather::plan_wake(TimePoint now) {
+  const std::optional<Duration> delay = this->policies.service.hedge_delay();
+  TimePoint next = this->plan.deadlines.next_change(now);
+  for (std::uint32_t shard = 0; shard < this->shards.size(); ++shard) {
+    const ShardProgress& progress = this->shards[shard];
+    if (progress.state == ShardState::kOpen && progress.retry_at.has_value()) {
+      next = std::min(next, *progress.retry_at);
+    }
+    if (delay.has_value() && this->may_hedge(progress)) {
+      next =
+          std::min(next, std::max<TimePoint>(this->hedge_at(progress, *delay),
+                                             now + kHedgePoll));
+    }
+  }
+  if (this->gone > 0) {
+    next = std::min<TimePoint>(next, now + kReleasePoll);
+  }
+  this->wake = next;
+}
+
+void Gather::judge(TimePoint now) {
+  switch (this->plan.deadlines.judge(now, this->merged, this->open,
+                                     this->shards.size())) {
+    case DeadlinePolicy::Verdict::kWait:
+      return;
+    case DeadlinePolicy::Verdict::kAnswer:
+      this->finish(this->answer(), now);
+      return;
+    case DeadlinePolicy::Verdict::kFail:
+      this->finish(tl::unexpected<Error>(this->failure()), now);
+      return;
+  }
+}
+
+}  // namespace ibismux::query
--- a/ibismux/query/policy_table.cc
+++ b/ibismux/query/policy_table.cc
@@ -45,7 +45,7 @@
 
 std::shared_ptr<const PolicySet> PolicyTable::rebuild() {
   const std::lock_guard lock(this->mutex);
-  const std::shared_ptr<const PolicySet> old = this->sets.read();
+  std::shared_ptr<const PolicySet> old = this->sets.read();
   std::shared_ptr<const release::Release> release = this->releases.read();
   if (old->release == release) {
     return old;
--- a/ibismux/query/query_engine.cc
+++ b/ibismux/query/query_engine.cc
@@ -83,13 +83,13 @@
   if (service.snapshots.empty()) {
     co_return not_ready("no servable snapshot of " + request.service);
   }
-  GatherPlan plan = plan_of(request, service.spec, this->ids.reserve(1));
+  const GatherPlan plan = plan_of(request, service.spec, this->ids.reserve(1));
   const auto executor = co_await boost::asio::this_coro::executor;
   auto query = std::make_shared<ActiveQuery>(
       QueryContext{this->table, this->leafs, this->ids, this->replicas,
                    this->retries},
-      std::move(request), set->services.find(service.spec.name)->second,
-      std::move(plan), executor);
+      std::move(request), set->services.find(service.spec.name)->second, plan,
+      executor);
   query->start(Pin{set->release, service.snapshots.front(), set->leafs},
                service.spec.priority, cancel);
   Result<QueryAnswer> result = co_await ActiveQuery::finish(query);
