Set the platform's budget for the whole fleet

A share a daemon would have to be changed on every host when hosts are added; the shares follow from the fleet's rate and the members that serve. The switches for hedging and priorities are gone before anybody used them: the budget and the class in the query service say the same.

--- a/ibismux/daemon/daemon.cc
+++ b/ibismux/daemon/daemon.cc
@@ -48,6 +48,10 @@
   platform::PlatformSettings result;
   result.address = settings.platform_address;
   result.port = static_cast<std::uint16_t>(settings.platform_port);
+  result.budget.per_second = {
+      static_cast<double>(settings.fleet_reads_per_second),
+      static_cast<double>(settings.fleet_writes_per_second),
+      static_cast<double>(settings.fleet_watches_per_second)};
   return result;
 }
 
@@ -62,8 +66,11 @@
 }
 
 reservation::ReservationSettings reservation_settings(
-    const settings::Settings&) {
-  return {};
+    const settings::Settings& settings) {
+  reservation::ReservationSettings result;
+  result.retention = std::chrono::duration_cast<std::chrono::seconds>(
+      settings.claim_retention);
+  return result;
 }
 
 }  // namespace
--- a/ibismux/settings/field.cc
+++ b/ibismux/settings/field.cc
@@ -91,13 +91,6 @@
     settings.*field.member = milliseconds(*number);
     return true;
   }
-  bool operator()(const FlagField& field) const {
-    if (!value.is_bool()) {
-      return false;
-    }
-    settings.*field.member = value.as_bool();
-    return true;
-  }
 };
 
 struct Getter {
@@ -112,9 +105,6 @@
   boost::json::value operator()(const MillisField& field) const {
     return (settings.*field.member).count();
   }
-  boost::json::value operator()(const FlagField& field) const {
-    return settings.*field.member;
-  }
 };
 
 struct Describer {
@@ -129,7 +119,6 @@
     return "whole milliseconds from " + std::to_string(field.least.count()) +
            " to " + std::to_string(field.most.count());
   }
-  std::string operator()(const FlagField&) const { return "true or false"; }
 };
 
 constexpr auto kDay = milliseconds(24 * 3600 * 1000);
@@ -178,24 +167,24 @@
           TextField{&Settings::platform_address, TextForm::kAddress}},
     Field{"platform.port", "Its port.",
           NumberField{&Settings::platform_port, 1, kMostPort}},
-    Field{"platform.reads_per_second",
-          "This daemon's share of the platform's read rate.",
-          NumberField{&Settings::platform_reads_per_second, 1, 2000}},
-    Field{"platform.writes_per_second",
-          "This daemon's share of the platform's write rate.",
-          NumberField{&Settings::platform_writes_per_second, 1, 1000}},
+    Field{"platform.fleet_reads_per_second",
+          "Reads that all daemons together may send. The same on all daemons.",
+          NumberField{&Settings::fleet_reads_per_second, 1, 100'000}},
+    Field{"platform.fleet_writes_per_second",
+          "Writes that all daemons together may send. The same on all daemons.",
+          NumberField{&Settings::fleet_writes_per_second, 1, 100'000}},
+    Field{"platform.fleet_watches_per_second",
+          "Watches that all daemons together may begin. The same on all "
+          "daemons.",
+          NumberField{&Settings::fleet_watches_per_second, 1, 100'000}},
 
     Field{"policy.ownership",
           "\"gateway\": each leaf is reached through the daemon that owns it; "
           "\"direct\": each daemon connects to every leaf.",
           TextField{&Settings::ownership, TextForm::kOwnership}},
-    Field{"policy.hedging", "Whether slow calls may be sent twice.",
-          FlagField{&Settings::hedging}},
-    Field{"policy.priorities", "Whether classes are served in order.",
-          FlagField{&Settings::priorities}},
     Field{"policy.claim_retention_ms",
           "How long an idempotency key is remembered. The same on all daemons.",
-          MillisField{&Settings::claim_retention, milliseconds(60'000),
+          MillisField{&Settings::claim_retention, milliseconds(3600'000),
                       30 * kDay}},
 
     Field{"stop.leave_notice_ms",
--- a/ibismux/settings/field.h
+++ b/ibismux/settings/field.h
@@ -44,7 +44,7 @@
 struct Field {
   std::string_view key;  ///< "group.name", or "name" at the top.
   std::string_view comment;
-  std::variant<TextField, NumberField, MillisField, FlagField> binding;
+  std::variant<TextField, NumberField, MillisField> binding;
   bool required = false;
 
   /// What the key takes, in words: "a whole number from 1 to 64".
--- a/ibismux/settings/settings.h
+++ b/ibismux/settings/settings.h
@@ -48,15 +48,14 @@
   /// @{
   std::string platform_address = "127.0.0.1";
   std::uint32_t platform_port = 8090;
-  std::uint32_t platform_reads_per_second = 50;
-  std::uint32_t platform_writes_per_second = 40;
+  std::uint32_t fleet_reads_per_second = 1000;
+  std::uint32_t fleet_writes_per_second = 300;
+  std::uint32_t fleet_watches_per_second = 300;
   /// @}
 
   /// @name Policy
   /// @{
   std::string ownership = "gateway";
-  bool hedging = true;
-  bool priorities = true;
   Millis claim_retention{24 * 3600 * 1000};
   /// @}
 
