Let a refusing leaf cost as much as the queue it would spare

With half of the leafs refusing, each daemon kept trying them: a leaf that refuses at once looks quick and idle, and doubling so small a cost did not outweigh the queue of the replica that carries the load. Recent failures now add a cost of their own (50 ms for the first, doubling).

--- a/ibismux/query/leaf_stats.cc
+++ b/ibismux/query/leaf_stats.cc
@@ -15,6 +15,10 @@
 constexpr std::chrono::duration<double> kFailureHalfLife{1.0};
 /// What an untried leaf is taken to need, in milliseconds.
 constexpr double kUsualLatencyMs = 1.0;
+/// What the first failure adds, in milliseconds; each further one doubles it.
+/// It has to stand against the queue of the replica that serves: a leaf that
+/// refuses at once would otherwise look quick and idle.
+constexpr double kFailureMs = 50.0;
 /// More failures than these make a leaf no worse.
 constexpr double kMostFailures = 8.0;
 
@@ -67,7 +71,7 @@
   const double waiting = std::max(
       0.0,
       static_cast<double>(this->outstanding.load(std::memory_order_relaxed)));
-  return latency * (1.0 + waiting) * std::exp2(failing);
+  return latency * (1.0 + waiting) + kFailureMs * (std::exp2(failing) - 1);
 }
 
 void LeafStats::learn(Duration latency, TimePoint now) noexcept {
