Take no quick failure for a request that went well

When a shard has no replica left, requests fail within a millisecond. Such an end counted as a latency far below the usual one and raised the limit of its class. Failures now count only where they were slow. The test failed first.

--- a/ibismux/admission/latency_baseline.cc
+++ b/ibismux/admission/latency_baseline.cc
@@ -19,6 +19,10 @@
   if (++this->count == kGroup) {
     this->close_group(now);
   }
+  return this->stretch_of(latency);
+}
+
+double LatencyBaseline::stretch_of(Duration latency) const noexcept {
   if (this->least <= Duration::zero()) {
     return 1;
   }
--- a/ibismux/admission/latency_baseline.h
+++ b/ibismux/admission/latency_baseline.h
@@ -17,8 +17,8 @@
   /// there is none.
   [[nodiscard]] double stretch(Duration latency, TimePoint now) noexcept;
 
-  /// Zero while unknown.
-  [[nodiscard]] Duration usual() const noexcept { return this->least; }
+  /// The same without taking it in.
+  [[nodiscard]] double stretch_of(Duration latency) const noexcept;
 
  private:
   void close_group(TimePoint now) noexcept;
--- a/ibismux/admission/load_pool.cc
+++ b/ibismux/admission/load_pool.cc
@@ -15,10 +15,13 @@
 constexpr milliseconds kShortestWait{20};
 constexpr milliseconds kLongestWait{5000};
 
-/// Whether the end says how loaded the leafs are.
-bool tells_load(std::optional<ErrorKind> error) noexcept {
-  return !error.has_value() || *error == ErrorKind::kDeadlineExceeded ||
-         *error == ErrorKind::kCoverageTooLow;
+/// From so many times the usual latency on, a failed request was a slow one.
+constexpr double kSlowFailure = 2.0;
+
+/// Whether a request that ended so may have waited for the leafs.
+bool may_be_slow(ErrorKind error) noexcept {
+  return error == ErrorKind::kDeadlineExceeded ||
+         error == ErrorKind::kCoverageTooLow;
 }
 
 }  // namespace
@@ -58,11 +61,16 @@
   Class& own = this->at(priority);
   --own.in_flight;
   const std::uint32_t left = this->in_flight_up_to(priority);
-  if (error == ErrorKind::kOverloaded) {
-    own.limit.on_overloaded(left, now);
-  } else if (tells_load(error)) {
+  if (!error.has_value()) {
     own.usual_latency += (latency - own.usual_latency) / kLatencyMemory;
     own.limit.on_finished(baseline.stretch(latency, now), latency, left, now);
+  } else if (*error == ErrorKind::kOverloaded) {
+    own.limit.on_overloaded(left, now);
+  } else if (may_be_slow(*error) &&
+             baseline.stretch_of(latency) > kSlowFailure) {
+    // A quick failure says nothing of the load. Counted as a request that went
+    // well, it would raise the limit while leafs are down.
+    own.limit.on_finished(baseline.stretch_of(latency), latency, left, now);
   }
 }
 
--- a/tests/admission/adaptive_limit_test.cc
+++ b/tests/admission/adaptive_limit_test.cc
@@ -23,6 +23,21 @@
   }
 }
 
+/// Bench lookups, three at once, a hundred times; all end alike.
+void run_threes(LoadPool& pool,
+                LatencyBaseline& baseline,
+                std::optional<ErrorKind> error,
+                Duration latency) {
+  for (int i = 0; i < 300; ++i) {
+    cr_assert(pool.enter(Priority::kBench, at(30 * i)) == Duration::zero());
+    if (i % 3 == 2) {
+      for (int j = 0; j < 3; ++j) {
+        pool.finish(Priority::kBench, latency, error, baseline, at(30 * i));
+      }
+    }
+  }
+}
+
 Test(adaptive_limit, it_grows_while_requests_go_well_and_it_is_in_reach) {
   AdaptiveLimit limit(10);
   run_ten(limit, 1.1, 0);
@@ -79,5 +94,36 @@
   cr_assert(pool.enter(Priority::kEditor, at(3000)) > Duration::zero());
 }
 
+/// Symptom: while leafs are down, the limit climbs, and more and more requests
+/// are let in only to fail.
+/// Sequence: a shard has no replica left; each request fails within a
+/// millisecond.
+/// Cause: a quick failure taken for a request that went well.
+Test(load_pool, quick_failures_do_not_raise_a_limit) {
+  LoadPool pool(4);
+  LatencyBaseline baseline;
+  run_threes(pool, baseline, ErrorKind::kCoverageTooLow, milliseconds(1));
+  run_threes(pool, baseline, ErrorKind::kDeadlineExceeded, milliseconds(1));
+  run_threes(pool, baseline, ErrorKind::kCancelled, milliseconds(1));
+  cr_assert(pool.current_limit(Priority::kBench) == 4);
+  run_threes(pool, baseline, std::nullopt, kUsual);
+  cr_assert(pool.current_limit(Priority::kBench) > 4);
+}
+
+Test(load_pool, slow_failures_lower_a_limit) {
+  LoadPool pool(4);
+  LatencyBaseline baseline;
+  for (int i = 0; i < 200; ++i) {
+    if (pool.enter(Priority::kBench, at(100 * i)) == Duration::zero()) {
+      const bool slow = i > 50;
+      pool.finish(
+          Priority::kBench, kUsual * (slow ? 50 : 1),
+          slow ? std::optional(ErrorKind::kDeadlineExceeded) : std::nullopt,
+          baseline, at(100 * i + 50));
+    }
+  }
+  cr_assert(pool.current_limit(Priority::kBench) < 2);
+}
+
 }  // namespace
 }  // namespace ibismux::admission
