Don't let a waiting watch be the probe of an outage

After an outage the first call may be a watch. As the probe it waited up to its whole time at a platform that was up again but quiet, and the other calls were refused meanwhile but for one in each back-off time.

While the platform is held to be down a watch now asks without waiting; its empty answer ends the outage. Refusing watches outright was ruled out: where they are the only calls, nobody would notice the end.

The gauge of waiting watches is no longer set from a destructor, which may run after the metrics' registry is gone when an event loop is destroyed with watches pending.

--- a/ibismux/platform/http_object_store.cc
+++ b/ibismux/platform/http_object_store.cc
@@ -91,26 +91,6 @@
   std::atomic<PlatformState> state{PlatformState::kUp};
 
  private:
-  /// Counts one watch as waiting for as long as it lives.
-  class Waiting {
-   public:
-    Waiting(CallMetrics& metrics, CallKind kind)
-        : metrics(kind == CallKind::kWatch ? &metrics : nullptr) {
-      this->add(1);
-    }
-    ~Waiting() { this->add(-1); }
-    Waiting(const Waiting&) = delete;
-    Waiting& operator=(const Waiting&) = delete;
-
-   private:
-    void add(int change) {
-      if (this->metrics) {
-        this->metrics->add_waiting(change);
-      }
-    }
-    CallMetrics* metrics;
-  };
-
   static Task<Result<http::Response>> exchange(std::shared_ptr<Impl> self,
                                                CallKind kind,
                                                http::Request request,
@@ -120,8 +100,9 @@
     if (!admitted) {
       co_return tl::unexpected(std::move(admitted.error()));
     }
-    const Waiting waiting(self->metrics, kind);
+    self->count_waiting(kind, 1);
     auto response = co_await self->client.send(std::move(request), deadline);
+    self->count_waiting(kind, -1);
     const TimePoint now = Clock::now();
     auto outcome = response ? outcome_of(*response)
                             : outcome_of(response.error(), now - begin,
@@ -166,6 +147,14 @@
     this->metrics.count(kind, outcome.result, now - begin);
   }
 
+  // Not the business of a destructor: a coroutine that is destroyed with its
+  // event loop may outlive the metrics' registry.
+  void count_waiting(CallKind kind, int change) {
+    if (kind == CallKind::kWatch) {
+      this->metrics.add_waiting(change);
+    }
+  }
+
   double jitter() {
     return std::uniform_real_distribution<double>(0, 1)(this->random);
   }
@@ -217,6 +206,11 @@
     std::string collection,
     Version since,
     std::chrono::milliseconds wait) {
+  if (this->state() == PlatformState::kDown) {
+    // This watch is to be the probe: one that waits at a platform that is up
+    // again but quiet would leave the other calls refused meanwhile.
+    wait = std::chrono::milliseconds::zero();
+  }
   auto request = request_to("GET", wire::watch_target(collection, since, wait));
   const TimePoint deadline =
       Clock::now() + wait + this->impl->settings.watch_grace;
--- a/ibismux/platform/http_object_store.h
+++ b/ibismux/platform/http_object_store.h
@@ -45,6 +45,7 @@
                                                TimePoint deadline) override;
   [[nodiscard]] Task<Result<Listing>> list(std::string collection,
                                            TimePoint deadline) override;
+  /// Doesn't wait while the platform is held to be down.
   [[nodiscard]] Task<Result<WatchBatch>> watch(
       std::string collection,
       Version since,
--- a/tests/platform/http_object_store_test.cc
+++ b/tests/platform/http_object_store_test.cc
@@ -86,6 +86,12 @@
       [&fixture] { return fixture.put("a", 0).has_value(); });
 }
 
+bool comes_to_be_watched(Fixture& fixture) {
+  return testing::wait_until([&fixture] {
+    return fixture.watch(0, std::chrono::minutes(4)).has_value();
+  });
+}
+
 bool comes_to_exist(Fixture& fixture) {
   return testing::wait_until([&fixture] { return fixture.get().has_value(); });
 }
@@ -211,6 +217,26 @@
   cr_assert(fixture.store->state() == PlatformState::kUp);
 }
 
+// Symptom: half a minute after an outage the daemon still refuses to publish.
+// Sequence: the first call after the outage is a watch, which waits; the next
+// ones are refused, since no answer has come.
+// Cause: a waiting watch was the probe.
+Test(http_object_store,
+     a_watch_that_is_the_probe_does_not_wait,
+     .timeout = 60) {
+  PlatformSettings settings;
+  settings.health.first_backoff = milliseconds(1);
+  settings.health.longest_backoff = milliseconds(1);
+  Fixture fixture(settings);
+  fixture.faults(R"({"outage":true})");
+  for (int i = 0; i < 3; ++i) {
+    cr_assert(!fixture.watch(0));
+  }
+  fixture.faults(R"({"outage":false})");
+  cr_assert(comes_to_be_watched(fixture));
+  cr_assert(fixture.store->state() == PlatformState::kUp);
+}
+
 Test(http_object_store, a_refused_connection_is_certainly_not_done) {
   Fixture fixture;
   fixture.platform.kill();
