--- a/ibismux/query/deadline_policy.h
+++ b/ibismux/query/deadline_policy.h
@@ -66,6 +66,13 @@
                : this->deadline_at;
   }
 
+  /// Whether so many shards make an answer.
+  [[nodiscard]] bool enough(std::size_t shards,
+                            std::size_t total) const noexcept {
+    return static_cast<double>(shards) + kSlack >=
+           this->min_coverage * static_cast<double>(total);
+  }
+
   [[nodiscard]] TimePoint deadline() const noexcept {
     return this->deadline_at;
   }
@@ -74,12 +81,6 @@
   /// Takes in rounding, so that 3 of 5 meets 0.6.
   static constexpr double kSlack = 1e-9;
 
-  [[nodiscard]] bool enough(std::size_t shards,
-                            std::size_t total) const noexcept {
-    return static_cast<double>(shards) + kSlack >=
-           this->min_coverage * static_cast<double>(total);
-  }
-
   TimePoint deadline_at;
   std::optional<TimePoint> answer_by;
   double min_coverage;
--- a/ibismux/query/gather.cc
+++ b/ibismux/query/gather.cc
@@ -265,7 +265,9 @@
   if (error.kind == ErrorKind::kSnapshotGone && !untried) {
     // Stays open: a restart on a newer snapshot may still mend it.
     progress.snapshot_gone = true;
-    ++this->gone;
+    if (this->gone++ == 0) {
+      this->gone_since = now;
+    }
     this->settle_gone(now);
     return;
   }
--- a/ibismux/query/gather.h
+++ b/ibismux/query/gather.h
@@ -11,6 +11,7 @@
 #include "ibismux/gateway/leaf_call.h"
 #include "ibismux/query/gather_plan.h"
 #include "ibismux/query/hit_merger.h"
+#include "ibismux/query/pin.h"
 #include "ibismux/query/query_answer.h"
 
 namespace ibismux::query {
@@ -151,7 +152,8 @@
   HitMerger merger;
   std::size_t merged = 0;
   std::size_t open = 0;
-  std::size_t gone = 0;    ///< Open shards without the pinned snapshot.
+  std::size_t gone = 0;  ///< Open shards without the pinned snapshot.
+  TimePoint gone_since;
   bool maybe_run = false;  ///< Some leaf may have run a part of the query.
   std::chrono::milliseconds retry_after;
   std::vector<GatherCall> starts;
--- /dev/null
+++ b/ibismux/query/gather_plan.cc
@@ -0,0 +1,46 @@
+#include "ibismux/query/gather_plan.h"
+
+#include <algorithm>
+
+#include "ibismux/query/query_request.h"
+#include "ibismux/release/query_service.h"
+
+namespace ibismux::query {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// What part of the time that a caller waits is kept for the way back, and the
+/// most of it. An answer sent as the caller gives up comes too late, though it
+/// might have been a partial one in time.
+constexpr int kWayBackPart = 20;
+constexpr milliseconds kMostWayBack{10};
+
+milliseconds allowed_time(const QueryRequest& request,
+                          const release::QueryService& spec) {
+  if (!request.deadline.has_value()) {
+    return spec.deadline;
+  }
+  const milliseconds way_back =
+      std::min(kMostWayBack, *request.deadline / kWayBackPart);
+  return std::min(spec.deadline, *request.deadline - way_back);
+}
+
+}  // namespace
+
+GatherPlan make_gather_plan(const QueryRequest& request,
+                            const release::QueryService& spec,
+                            std::uint64_t seed) {
+  const milliseconds allowed = allowed_time(request, spec);
+  std::optional<TimePoint> answer_by;
+  if (spec.answer_by.has_value()) {
+    answer_by = request.received + std::min(*spec.answer_by, allowed);
+  }
+  return GatherPlan{
+      DeadlinePolicy(request.received + allowed, answer_by,
+                     request.min_coverage.value_or(spec.min_coverage)),
+      request.most_hits, seed};
+}
+
+}  // namespace ibismux::query
--- a/ibismux/query/gather_plan.h
+++ b/ibismux/query/gather_plan.h
@@ -2,10 +2,10 @@
 #define IBISMUX_QUERY_GATHER_PLAN_H_
 
 #include <cstdint>
-#include <string>
 
 #include "ibismux/query/deadline_policy.h"
-#include "ibismux/query/pin.h"
+#include "ibismux/query/forward.h"
+#include "ibismux/release/forward.h"
 
 namespace ibismux::query {
 
@@ -16,6 +16,11 @@
   std::uint64_t seed = 0;  ///< Of the choices among replicas.
 };
 
+/// The plan of `request` to the service of `spec`.
+[[nodiscard]] GatherPlan make_gather_plan(const QueryRequest& request,
+                                          const release::QueryService& spec,
+                                          std::uint64_t seed);
+
 /// The policies that a query shares with others. All outlive it.
 struct GatherPolicies {
   const ReplicaChoice& replicas;
--- a/ibismux/query/gather_timing.cc
+++ b/ibismux/query/gather_timing.cc
@@ -18,6 +18,10 @@
 /// snapshot, and the closest that two tries for a hedge may lie.
 constexpr milliseconds kReleasePoll{10};
 constexpr milliseconds kHedgePoll{1};
+/// How long a newer snapshot is waited for where the pinned one gives an answer
+/// that covers enough. A leaf that has lost its index would otherwise hold up
+/// every query until its deadline.
+constexpr milliseconds kNewerSnapshotWait{50};
 /// What a restart is taken to need while the service's latency is unknown.
 constexpr milliseconds kUsualRestart{10};
 /// The most hedges of one shard. The second goes to a replica that is at it
@@ -42,12 +46,18 @@
 }
 
 bool Gather::restart_in_time(TimePoint now) const noexcept {
+  if (this->tally.restarts > 0) {
+    return false;
+  }
+  const std::size_t total = this->shards.size();
+  const std::size_t reachable = this->merged + this->open - this->gone;
+  if (this->plan.deadlines.enough(reachable, total) &&
+      now >= this->gone_since + kNewerSnapshotWait) {
+    return false;
+  }
   const Duration needed =
       this->policies.service.hedge_delay().value_or(kUsualRestart);
-  return this->tally.restarts == 0 &&
-         now + needed <
-             this->plan.deadlines.restart_limit(
-                 this->merged + this->open - this->gone, this->shards.size());
+  return now + needed < this->plan.deadlines.restart_limit(reachable, total);
 }
 
 void Gather::settle_gone(TimePoint now) {
--- a/ibismux/query/query_engine.cc
+++ b/ibismux/query/query_engine.cc
@@ -1,6 +1,5 @@
 #include "ibismux/query/query_engine.h"
 
-#include <algorithm>
 #include <boost/asio/this_coro.hpp>
 #include <utility>
 
@@ -27,21 +26,6 @@
   return tl::unexpected<Error>(std::move(error));
 }
 
-GatherPlan plan_of(const QueryRequest& request,
-                   const release::QueryService& spec,
-                   std::uint64_t seed) {
-  const milliseconds allowed =
-      std::min(spec.deadline, request.deadline.value_or(spec.deadline));
-  std::optional<TimePoint> answer_by;
-  if (spec.answer_by.has_value()) {
-    answer_by = request.received + std::min(*spec.answer_by, allowed);
-  }
-  return GatherPlan{
-      DeadlinePolicy(request.received + allowed, answer_by,
-                     request.min_coverage.value_or(spec.min_coverage)),
-      request.most_hits, seed};
-}
-
 }  // namespace
 
 class QueryEngine::Impl {
@@ -83,7 +67,8 @@
   if (service.snapshots.empty()) {
     co_return not_ready("no servable snapshot of " + request.service);
   }
-  const GatherPlan plan = plan_of(request, service.spec, this->ids.reserve(1));
+  const GatherPlan plan =
+      make_gather_plan(request, service.spec, this->ids.reserve(1));
   const auto executor = co_await boost::asio::this_coro::executor;
   auto query = std::make_shared<ActiveQuery>(
       QueryContext{this->table, this->leafs, this->ids, this->replicas,
--- a/tests/query/policy_test.cc
+++ b/tests/query/policy_test.cc
@@ -1,6 +1,7 @@
 #include "ibismux/query/service_policy.h"
 
 #include "ibismux/query/deadline_policy.h"
+#include "ibismux/query/query_request.h"
 #include "tests/query/query_fixture.h"
 
 #include <criterion/criterion.h>
@@ -130,5 +131,25 @@
   cr_assert(policy.judge(at(100), 2, 3, 5) == Verdict::kFail);
 }
 
+/// Symptom: callers see timeouts where a partial answer was to be had.
+/// Sequence: a caller waits 200 ms, the query ends after 200 ms, and its answer
+/// arrives when the caller has gone.
+/// Cause: the whole of the caller's time used up before the way back.
+Test(gather_plan, a_callers_deadline_leaves_time_for_the_way_back) {
+  release::QueryService spec;
+  spec.deadline = milliseconds(1000);
+  QueryRequest request;
+  request.received = at(0);
+  cr_assert(make_gather_plan(request, spec, 1).deadlines.deadline() ==
+            at(1000));
+  request.deadline = milliseconds(200);
+  cr_assert(make_gather_plan(request, spec, 1).deadlines.deadline() == at(190));
+  request.deadline = milliseconds(10);
+  cr_assert(make_gather_plan(request, spec, 1).deadlines.deadline() == at(10));
+  request.deadline = milliseconds(5000);
+  cr_assert(make_gather_plan(request, spec, 1).deadlines.deadline() ==
+            at(1000));
+}
+
 }  // namespace
 }  // namespace ibismux::query
--- a/tests/query/restart_test.cc
+++ b/tests/query/restart_test.cc
@@ -74,6 +74,29 @@
   cr_assert(answer->coverage.contributed.size() == 2);
 }
 
+/// Symptom: every query takes its whole deadline.
+/// Sequence: a leaf has lost its index; no newer snapshot comes; each query
+/// waits for one to the end, and answers then what it had at once.
+/// Cause: no bound to the wait where a partial answer covers enough.
+Test(restart, an_answer_that_covers_enough_waits_a_moment_only) {
+  GatherFixture query(old_pin(), 0.5);
+  query.answer_hit(query.started[0], 2);
+  query.refuse(query.started[1], ErrorKind::kSnapshotGone, 3);
+  query.answer_hit(query.started[2], 6);
+  query.gather.on_time(query.at(20));
+  cr_assert(!query.gather.finished());
+  query.gather.on_time(query.at(60));
+  cr_assert(query.gather.finished());
+  cr_assert(query.gather.take_result()->coverage.contributed.size() == 2);
+}
+
+Test(restart, an_answer_that_covers_too_little_waits_for_a_newer_snapshot) {
+  GatherFixture query(old_pin());
+  query.refuse(query.started[1], ErrorKind::kSnapshotGone, 3);
+  query.gather.on_time(query.at(900));
+  cr_assert(query.gather.wants_restart(query.at(900)));
+}
+
 Test(restart, another_replica_may_still_hold_the_snapshot) {
   GatherFixture query(pin_of(release_of(1, snapshot_of("n1", 1, 1, 2))));
   query.refuse(query.started[0], ErrorKind::kSnapshotGone, 3);
