Let bench-http run one client alone

A profile needs the samples of one client. perf shows 61% of an exchange in the kernel; strace counts, per exchange of client and server together, one sendto, one sendmsg, four recvfrom of which two find nothing, and half an epoll_wait. The two empty ones are Asio's speculative reads; async_wait in their place was ruled out, as it makes an epoll_ctl each time.

--- a/apps/bench-http/main.cc
+++ b/apps/bench-http/main.cc
@@ -173,14 +173,20 @@
          static_cast<double>(load.exchanges * load.connections);
 }
 
-void run_rounds(const Load& load, std::size_t rounds) {
+/// @param only The name of the one client to run; empty: all.
+void run_rounds(const Load& load, std::size_t rounds, const std::string& only) {
   std::vector<double> micros[std::size(kClients)];
   for (std::size_t round = 0; round < rounds; ++round) {
     for (std::size_t i = 0; i < std::size(kClients); ++i) {
-      micros[i].push_back(micros_per_exchange(kClients[i], load));
+      if (only.empty() || only == kClients[i].name) {
+        micros[i].push_back(micros_per_exchange(kClients[i], load));
+      }
     }
   }
   for (std::size_t i = 0; i < std::size(kClients); ++i) {
+    if (micros[i].empty()) {
+      continue;
+    }
     std::sort(micros[i].begin(), micros[i].end());
     std::cout << boost::json::serialize(boost::json::object{
                      {"client", kClients[i].name},
@@ -199,12 +205,15 @@
 int main(int argc, char** argv) {
   Load load;
   std::size_t rounds = 0;
+  std::string only;
   options::options_description known("bench-http");
   known.add_options()("help", "print this")(
       "connections", options::value(&load.connections)->default_value(16))(
       "exchanges", options::value(&load.exchanges)->default_value(2000),
       "for each connection")("rounds",
-                             options::value(&rounds)->default_value(5));
+                             options::value(&rounds)->default_value(5))(
+      "client", options::value(&only),
+      "only this one: ibismux, beast_async, beast_blocking");
   options::variables_map values;
   options::store(options::parse_command_line(argc, argv, known), values);
   options::notify(values);
@@ -216,7 +225,7 @@
   http::Server server(pool, {}, answer);
   load.port = server.listen("127.0.0.1", 0).value();
   pool.start();
-  run_rounds(load, rounds);
+  run_rounds(load, rounds, only);
   server.stop();
   pool.stop();
 }
