--- a/ibismux/release/audit_trail.cc
+++ b/ibismux/release/audit_trail.cc
@@ -17,14 +17,6 @@
 constexpr int kMostAttempts = 4;
 constexpr std::uint64_t kMostInteger = INT64_MAX;
 
-json::object to_json(const Change& change) {
-  return {
-      {"sequence", change.sequence},     {"change_id", change.change_id},
-      {"object", change.object},         {"from_version", change.from_version},
-      {"to_version", change.to_version}, {"operator", change.who},
-      {"at_ms", change.when_ms},         {"generation", change.generation}};
-}
-
 Result<Change> from_json(const json::object& json) {
   FieldReader reader(json, "audit");
   Change change;
@@ -59,10 +51,18 @@
   return name;
 }
 
+json::object change_to_json(const Change& change) {
+  return {
+      {"sequence", change.sequence},     {"change_id", change.change_id},
+      {"object", change.object},         {"from_version", change.from_version},
+      {"to_version", change.to_version}, {"operator", change.who},
+      {"at_ms", change.when_ms},         {"generation", change.generation}};
+}
+
 std::string encode_audit(const AuditEntries& entries) {
   json::array changes;
   for (const auto& [sequence, change] : entries) {
-    changes.push_back(to_json(change));
+    changes.push_back(change_to_json(change));
   }
   return json::serialize(json::object{{"changes", std::move(changes)}});
 }
--- a/ibismux/release/audit_trail.h
+++ b/ibismux/release/audit_trail.h
@@ -1,6 +1,7 @@
 #ifndef IBISMUX_RELEASE_AUDIT_TRAIL_H_
 #define IBISMUX_RELEASE_AUDIT_TRAIL_H_
 
+#include <boost/json/object.hpp>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -23,6 +24,9 @@
 /// The name of the object that holds change `sequence`. Thread safe.
 [[nodiscard]] std::string audit_chunk_name(std::uint64_t sequence);
 
+/// One entry as operators see it. Thread safe.
+[[nodiscard]] boost::json::object change_to_json(const Change& change);
+
 /// JSON of one audit chunk, and back. Thread safe.
 [[nodiscard]] std::string encode_audit(const AuditEntries& entries);
 [[nodiscard]] Result<AuditEntries> decode_audit(std::string_view text);
