--- a/apps/bench-policy/main.cc
+++ b/apps/bench-policy/main.cc
@@ -1,6 +1,6 @@
 // Measures the policies on virtual time, without sockets:
 //
-//     bench-policy [tail|quantiles|loads|single|refusals|overload|limits]
+//     bench-policy [tail|quantiles|loads|single|refusals|flips|overload|limits]
 //     [--seed N]
 //
 // Prints one JSON object a scenario. A run depends on its seed alone.
@@ -26,6 +26,7 @@
     {"loads", ibismux::bench::run_loads},
     {"single", ibismux::bench::run_single},
     {"refusals", ibismux::bench::run_refusals},
+    {"flips", ibismux::bench::run_flips},
     {"overload", ibismux::bench::run_overload},
     {"limits", ibismux::bench::run_limits}};
 
--- a/apps/bench-policy/scenarios.h
+++ b/apps/bench-policy/scenarios.h
@@ -27,6 +27,9 @@
 /// Half of the leafs refuse.
 [[nodiscard]] boost::json::object run_refusals(std::uint64_t seed);
 
+/// Snapshots flip every 2 s while shards split and merge.
+[[nodiscard]] boost::json::object run_flips(std::uint64_t seed);
+
 /// Twice the capacity for 20 s, four classes.
 [[nodiscard]] boost::json::object run_overload(std::uint64_t seed);
 
--- a/apps/bench-policy/sim_cluster.h
+++ b/apps/bench-policy/sim_cluster.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -10,6 +11,17 @@
 
 namespace ibismux::bench {
 
+/// How index snapshots replace each other while queries run. With each, shards
+/// are split in two or merged again.
+struct FlipModel {
+  Duration every = std::chrono::seconds(2);
+  Duration length{};  ///< Of the run.
+  /// A daemon gets the release at a random time up to this after the flip.
+  Duration release_lag = std::chrono::milliseconds(300);
+  /// A leaf drops the older snapshot at a random time up to this after it.
+  Duration drop_lag = std::chrono::milliseconds(300);
+};
+
 /// What one run simulates.
 struct ClusterSpec {
   std::uint32_t shards = 30;
@@ -21,6 +33,7 @@
   bool half_refuse = false;
   bool admits = false;
   std::vector<release::QueryService> services;
+  std::optional<FlipModel> flips;
   std::uint64_t seed = 1;
 };
 
@@ -49,12 +62,15 @@
 
  private:
   void arrive(const Stream& stream);
+  void plan_flips();
+  void flip(std::uint64_t sequence);
 
+  ClusterSpec spec;
   Timeline timeline;
   TimePoint begin;
   pcg64 random;
   std::vector<std::unique_ptr<SimLeaf>> leafs;
-  std::unique_ptr<RcuCell<release::Release>> releases;
+  std::vector<std::unique_ptr<RcuCell<release::Release>>> releases;
   std::vector<std::unique_ptr<SimDaemon>> daemons;
   std::vector<QueryEnd> ends;
 };
--- a/apps/bench-policy/sim_daemon.cc
+++ b/apps/bench-policy/sim_daemon.cc
@@ -1,5 +1,7 @@
 #include "apps/bench-policy/sim_daemon.h"
 
+#include <algorithm>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -10,6 +12,8 @@
 namespace {
 
 constexpr double kRetryBurst = 100;
+/// More than shards, so that an answer shows the hit of each.
+constexpr std::size_t kMostHits = 1000;
 
 std::shared_ptr<const membership::MembershipView> view_of(
     const std::string& self,
@@ -31,7 +35,24 @@
   }
   return {
       query::DeadlinePolicy(now + spec.deadline, answer_by, spec.min_coverage),
-      10, seed};
+      kMostHits, seed};
+}
+
+bool is_mixed(const query::QueryAnswer& answer) {
+  return std::any_of(
+      answer.hits.begin(), answer.hits.end(),
+      [&answer](const query::Hit& hit) { return hit.text != answer.snapshot; });
+}
+
+/// Each shard of the simulation gives one hit, which bears its name.
+bool is_false_coverage(const query::QueryAnswer& answer) {
+  std::set<std::string> shown;
+  for (const query::Hit& hit : answer.hits) {
+    shown.insert(hit.id);
+  }
+  const auto& named = answer.coverage.contributed;
+  return shown != std::set<std::string>(named.begin(), named.end()) ||
+         named.size() + answer.coverage.missing.size() != answer.coverage.total;
 }
 
 }  // namespace
@@ -107,7 +128,22 @@
   this->perform(query);
 }
 
+void SimDaemon::restart_if_wanted(Query& query) {
+  const TimePoint now = this->world.timeline.now();
+  if (!query.gather.wants_restart(now)) {
+    return;
+  }
+  std::optional<query::Pin> newer = this->table.newer_pin(
+      query.end.service, query.gather.pin().snapshot->sequence);
+  if (newer.has_value()) {
+    const std::uint64_t first =
+        this->ids.reserve(query::Gather::ids_needed(*newer));
+    query.gather.start(*std::move(newer), first, now);
+  }
+}
+
 void SimDaemon::perform(const std::shared_ptr<Query>& query) {
+  this->restart_if_wanted(*query);
   for (const std::uint64_t sequence : query->gather.take_cancels()) {
     const auto sent = query->sent.find(sequence);
     if (sent != query->sent.end()) {
@@ -136,6 +172,8 @@
   sim_call.id = {this->ids.origin(), call.sequence};
   sim_call.priority = query->service->spec.priority;
   sim_call.deadline = query->deadline;
+  sim_call.snapshot = query->gather.pin().snapshot->name;
+  sim_call.shard = query->gather.pin().snapshot->shards[call.shard].name;
   sim_call.answer = [this, query, id = sim_call.id](Result<std::string> body,
                                                     Duration queue_time) {
     this->world.timeline.after(
@@ -176,8 +214,11 @@
   end.done = this->world.timeline.now();
   end.calls = counts.calls;
   end.extra_calls = counts.hedges + counts.retries;
+  end.restarts = counts.restarts;
   if (result.has_value()) {
     end.coverage = result->coverage.share();
+    end.mixed = is_mixed(*result);
+    end.false_coverage = is_false_coverage(*result);
   } else {
     end.error = result.error().kind;
   }
--- a/apps/bench-policy/sim_daemon.h
+++ b/apps/bench-policy/sim_daemon.h
@@ -32,6 +32,9 @@
   double coverage = 0;
   std::uint32_t calls = 0;
   std::uint32_t extra_calls = 0;
+  std::uint32_t restarts = 0;
+  bool mixed = false;           ///< A hit of another snapshot than it names.
+  bool false_coverage = false;  ///< Names other shards than its hits are of.
 };
 
 /// Replaces the network and the leafs for the real policies.
@@ -59,6 +62,7 @@
   struct Query;
 
   void begin(const std::shared_ptr<Query>& query);
+  void restart_if_wanted(Query& query);
   void perform(const std::shared_ptr<Query>& query);
   void send(const std::shared_ptr<Query>& query, const query::GatherCall& call);
   void wake(const std::shared_ptr<Query>& query);
--- a/apps/bench-policy/sim_leaf.cc
+++ b/apps/bench-policy/sim_leaf.cc
@@ -6,6 +6,16 @@
 
 namespace ibismux::bench {
 
+namespace {
+
+/// One hit that tells which snapshot and shard it was drawn from.
+std::string body_of(const SimCall& call) {
+  return R"({"hits":[{"id":")" + call.shard + R"(","score":1,"text":")" +
+         call.snapshot + R"("}]})";
+}
+
+}  // namespace
+
 Duration WorkModel::draw(pcg64& random) const {
   // Half of the mean is fixed, half is exponential.
   std::exponential_distribution<double> spread(1.0);
@@ -24,6 +34,11 @@
     call.answer(fail(ErrorKind::kOverloaded, "refused"), Duration::zero());
     return;
   }
+  const auto held = this->held.find(call.snapshot);
+  if (held != this->held.end() && !held->second) {
+    call.answer(fail(ErrorKind::kSnapshotGone, "gone"), Duration::zero());
+    return;
+  }
   auto job = std::make_shared<Job>(Job{std::move(call), this->timeline.now()});
   this->queues[static_cast<std::size_t>(job->call.priority)].push_back(job);
   this->start_next();
@@ -67,7 +82,7 @@
     }
     std::erase(this->running, job);
     --this->busy;
-    job->call.answer(std::string(R"({"hits":[]})"), queue_time);
+    job->call.answer(body_of(job->call), queue_time);
     this->start_next();
   });
 }
--- a/apps/bench-policy/sim_leaf.h
+++ b/apps/bench-policy/sim_leaf.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <pcg_random.hpp>
 #include <string>
@@ -30,6 +31,8 @@
   CallId id;
   Priority priority = Priority::kCatalogue;
   TimePoint deadline;
+  std::string snapshot;
+  std::string shard;
   std::function<void(Result<std::string>, Duration queue_time)> answer;
 };
 
@@ -43,6 +46,11 @@
   /// From now on it refuses every call.
   void refuse_all() noexcept { this->refuses = true; }
 
+  /// From now on it holds `snapshot`; those that it was never given it holds
+  /// always.
+  void load(const std::string& snapshot) { this->held[snapshot] = true; }
+  void drop(const std::string& snapshot) { this->held[snapshot] = false; }
+
   void submit(SimCall call);
   void cancel(const CallId& id);
 
@@ -65,6 +73,7 @@
   int slots;
   int busy = 0;
   bool refuses = false;
+  std::map<std::string, bool> held;
   std::uint64_t received = 0;
   std::array<std::deque<std::shared_ptr<Job>>, kPriorities> queues;
   std::deque<std::shared_ptr<Job>> running;
--- a/ibismux/query/active_query.cc
+++ b/ibismux/query/active_query.cc
@@ -99,20 +99,13 @@
   if (!this->gather.wants_restart(now)) {
     return;
   }
-  const std::shared_ptr<const PolicySet> set = this->context.table.current();
-  const auto service = set->release->services.find(this->request.service);
-  if (service == set->release->services.end() ||
-      service->second->snapshots.empty()) {
-    return;
-  }
-  const auto& newest = service->second->snapshots.front();
-  if (newest->sequence <= this->gather.pin().snapshot->sequence) {
-    return;
+  std::optional<Pin> newer = this->context.table.newer_pin(
+      this->request.service, this->gather.pin().snapshot->sequence);
+  if (newer.has_value()) {
+    const std::uint64_t first =
+        this->context.ids.reserve(Gather::ids_needed(*newer));
+    this->gather.start(*std::move(newer), first, now);
   }
-  Pin pin{set->release, newest, set->leafs};
-  const std::uint64_t first =
-      this->context.ids.reserve(Gather::ids_needed(pin));
-  this->gather.start(std::move(pin), first, now);
 }
 
 void ActiveQuery::perform() {
--- a/ibismux/query/gather.cc
+++ b/ibismux/query/gather.cc
@@ -263,12 +263,7 @@
   progress.reason = error.kind;
   const bool untried = this->has_untried(shard);
   if (error.kind == ErrorKind::kSnapshotGone && !untried) {
-    // Stays open: a restart on a newer snapshot may still mend it.
-    progress.snapshot_gone = true;
-    if (this->gone++ == 0) {
-      this->gone_since = now;
-    }
-    this->settle_gone(now);
+    this->lose_snapshot(shard, now);
     return;
   }
   if (!retriable(error.kind) || progress.attempts >= kMostAttempts) {
@@ -289,6 +284,15 @@
   }
 }
 
+void Gather::lose_snapshot(std::uint32_t shard, TimePoint now) {
+  this->shards[shard].snapshot_gone = true;
+  this->shards[shard].retry_at.reset();
+  if (this->gone++ == 0) {
+    this->gone_since = now;
+  }
+  this->settle_gone(now);
+}
+
 void Gather::fail_shard(std::uint32_t shard, ErrorKind reason) {
   this->shards[shard].state = ShardState::kFailed;
   this->shards[shard].reason = reason;
--- a/ibismux/query/gather_timing.cc
+++ b/ibismux/query/gather_timing.cc
@@ -79,13 +79,17 @@
         progress.state != ShardState::kOpen) {
       continue;
     }
-    if (!this->policies.retries.take()) {
+    if (this->policies.retries.take()) {
+      ++this->tally.retries;
+      if (this->start_on_any(shard, now)) {
+        continue;
+      }
+    } else {
       ++this->tally.budget_empty;
-      this->fail_shard(shard, progress.reason);
-      continue;
     }
-    ++this->tally.retries;
-    if (!this->start_on_any(shard, now)) {
+    if (progress.reason == ErrorKind::kSnapshotGone) {
+      this->lose_snapshot(shard, now);
+    } else {
       this->fail_shard(shard, progress.reason);
     }
   }
--- a/ibismux/query/policy_table.cc
+++ b/ibismux/query/policy_table.cc
@@ -43,6 +43,21 @@
   return set->release == this->releases.read() ? set : this->rebuild();
 }
 
+std::optional<Pin> PolicyTable::newer_pin(const std::string& service,
+                                          std::uint64_t than) {
+  const std::shared_ptr<const PolicySet> set = this->current();
+  const auto found = set->release->services.find(service);
+  if (found == set->release->services.end() ||
+      found->second->snapshots.empty()) {
+    return std::nullopt;
+  }
+  const auto& newest = found->second->snapshots.front();
+  if (newest->sequence <= than) {
+    return std::nullopt;
+  }
+  return Pin{set->release, newest, set->leafs};
+}
+
 std::shared_ptr<const PolicySet> PolicyTable::rebuild() {
   const std::lock_guard lock(this->mutex);
   std::shared_ptr<const PolicySet> old = this->sets.read();
--- a/ibismux/query/policy_table.h
+++ b/ibismux/query/policy_table.h
@@ -5,10 +5,12 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "ibismux/base/rcu_cell.h"
+#include "ibismux/query/pin.h"
 #include "ibismux/query/query_metrics.h"
 #include "ibismux/query/service_policy.h"
 #include "ibismux/release/forward.h"
@@ -45,6 +47,10 @@
   /// the release has changed.
   [[nodiscard]] std::shared_ptr<const PolicySet> current();
 
+  /// The newest snapshot of `service`, if its sequence is above `than`.
+  [[nodiscard]] std::optional<Pin> newer_pin(const std::string& service,
+                                             std::uint64_t than);
+
  private:
   std::shared_ptr<const PolicySet> rebuild();
 
--- a/tests/query/restart_test.cc
+++ b/tests/query/restart_test.cc
@@ -97,6 +97,20 @@
   cr_assert(query.gather.wants_restart(query.at(900)));
 }
 
+/// Symptom: at each index flip some queries fail though a newer snapshot is in
+/// force.
+/// Sequence: a leaf says that the snapshot is gone; the retry budget is empty,
+/// so the other replica is not asked, and the shard is given up.
+/// Cause: a shard that lacks the snapshot taken for one that has failed.
+Test(restart, it_needs_no_retry_budget) {
+  GatherFixture query(pin_of(release_of(1, snapshot_of("n1", 1, 1, 2))));
+  while (query.retries.take()) {
+  }
+  query.refuse(query.started[0], ErrorKind::kSnapshotGone, 3);
+  cr_assert(!query.gather.finished());
+  cr_assert(query.gather.wants_restart(query.at(3)));
+}
+
 Test(restart, another_replica_may_still_hold_the_snapshot) {
   GatherFixture query(pin_of(release_of(1, snapshot_of("n1", 1, 1, 2))));
   query.refuse(query.started[0], ErrorKind::kSnapshotGone, 3);
