--- a/apps/bench-policy/main.cc
+++ b/apps/bench-policy/main.cc
@@ -1,9 +1,11 @@
 // Measures the policies on virtual time, without sockets:
 //
-//     bench-policy [tail|quantiles|loads|single|refusals|flips|overload|limits]
+//     bench-policy
+//     [tail|quantiles|loads|single|refusals|flips|overload|cost|limits]
 //     [--seed N]
 //
-// Prints one JSON object a scenario. A run depends on its seed alone.
+// Prints one JSON object a scenario. But for `cost`, a run depends on its seed
+// alone.
 
 #include <boost/json/serialize.hpp>
 #include <boost/program_options.hpp>
@@ -27,6 +29,7 @@
     {"single", ibismux::bench::run_single},
     {"refusals", ibismux::bench::run_refusals},
     {"flips", ibismux::bench::run_flips},
+    {"cost", ibismux::bench::run_cost},
     {"overload", ibismux::bench::run_overload},
     {"limits", ibismux::bench::run_limits}};
 
--- a/apps/bench-policy/scenarios.h
+++ b/apps/bench-policy/scenarios.h
@@ -30,6 +30,10 @@
 /// Snapshots flip every 2 s while shards split and merge.
 [[nodiscard]] boost::json::object run_flips(std::uint64_t seed);
 
+/// Processor time of a query and of an admission, on the real clock; the one
+/// scenario that varies from run to run.
+[[nodiscard]] boost::json::object run_cost(std::uint64_t seed);
+
 /// Twice the capacity for 20 s, four classes.
 [[nodiscard]] boost::json::object run_overload(std::uint64_t seed);
 
