Decide membership by probes, suspicion and gossip over fixed links

Daemons must agree closely enough on who serves, without a coordination service and within 3 KB/s each at 2,400 daemons. The engine follows SWIM (probe, indirect probe, suspicion, refutation) but takes its probe targets and gossip links from three hash rings rather than at random: connections then last, a reset is noticed at once, and a change crosses each link once instead of being repeated on random probes. Random targets were ruled out since each probe at 2,400 daemons would open a connection.

--- a/ibismux/membership/forward.h
+++ b/ibismux/membership/forward.h
@@ -3,8 +3,17 @@
 
 namespace ibismux::membership {
 
+struct Commands;
+struct Contact;
 struct Member;
+struct MemberRecord;
+struct MembershipSettings;
 struct MembershipView;
+struct ProbeAnswer;
+struct ProbeMessage;
+class MemberTable;
+class MembershipEngine;
+class MembershipService;
 
 }  // namespace ibismux::membership
 
--- /dev/null
+++ b/ibismux/membership/membership_settings.h
@@ -0,0 +1,38 @@
+#ifndef IBISMUX_MEMBERSHIP_MEMBERSHIP_SETTINGS_H_
+#define IBISMUX_MEMBERSHIP_MEMBERSHIP_SETTINGS_H_
+
+#include <chrono>
+#include <cstddef>
+
+namespace ibismux::membership {
+
+/// The pace of membership. The defaults hold from 2 to 2,400 daemons;
+/// docs/design/membership.md weighs them.
+struct MembershipSettings {
+  std::chrono::milliseconds tick{100};
+  std::chrono::milliseconds probe_interval{500};
+  std::chrono::milliseconds probe_timeout{400};
+  /// Asked when a probe fails, before the target is suspected.
+  std::size_t helpers = 2;
+  /// How long a suspect may refute before it counts as failed.
+  std::chrono::milliseconds suspicion{2000};
+  std::size_t rings = 3;
+  /// How often a failed or not yet met host is tried.
+  std::chrono::milliseconds contact_interval{1000};
+  std::chrono::milliseconds tombstones{2 * 60 * 60 * 1000};
+  /// Records in one gossip message and in one piece of a pull.
+  std::size_t most_records = 128;
+  /// A table that has not changed for so long should equal its neighbours'.
+  std::chrono::milliseconds quiet{2000};
+  /// A tick that is later than this by the clock: the daemon was frozen.
+  std::chrono::milliseconds stall{1000};
+
+  /// How often the platform's host list is read, at least, and for each member
+  /// more: the list grows with the fleet.
+  std::chrono::milliseconds host_list_interval{5000};
+  std::chrono::milliseconds host_list_interval_per_member{200};
+};
+
+}  // namespace ibismux::membership
+
+#endif  // IBISMUX_MEMBERSHIP_MEMBERSHIP_SETTINGS_H_
