Claim idempotency keys in the platform, and issue tickets

A caller that retries after a time-out, or through another daemon, must not order twice. A key is now claimed by a conditional write before its call is sent. Claims live in four bucket objects; the owner of a bucket, by rendezvous hashing over the serving members, commits claims and outcomes in groups. Every "granted" stands in a head that was written over exactly the version it was decided on, so two owners, a frozen owner or a lost answer cost a conflict and a reading back, never a second run. The executor alone can say that its claim is dead; only then is the key set free.

A refusal says "not run" only where no attempt under the key has run. In an outage a key is therefore refused as unknown, at once: an earlier attempt may have run through another daemon, and "not run" would be false. A question about an unused key closes it, so that "not run" stays true.

Tickets name the run of the daemon that issued them; it alone executes them, from its memory, and needs no platform.

Ruled out: leases on keys or buckets (a paused holder still believes in them); letting "unknown" turn into "released" (whoever says so has forgotten the claim); deleting a new segment after a failed head write while that write may still land.

--- a/ibismux/reservation/forward.h
+++ b/ibismux/reservation/forward.h
@@ -3,9 +3,26 @@
 
 namespace ibismux::reservation {
 
+enum class RecordState : unsigned char;
+struct BucketOperation;
+struct ClaimId;
+struct KeyHash;
+struct KeyRecord;
 struct ReservationAnswer;
 struct ReservationRequest;
+struct ReservationSettings;
+struct Segment;
+struct SegmentRef;
+struct Verdict;
+class Archive;
+class Bucket;
+class BucketKeeper;
+class BucketWriter;
+class ClaimClient;
+class LeafRunner;
+class LiveClaims;
 class ReservationEngine;
+class TicketTable;
 
 }  // namespace ibismux::reservation
 
--- a/ibismux/reservation/reservation_engine.h
+++ b/ibismux/reservation/reservation_engine.h
@@ -17,6 +17,7 @@
 #include "ibismux/release/forward.h"
 #include "ibismux/reservation/reservation_answer.h"
 #include "ibismux/reservation/reservation_request.h"
+#include "ibismux/reservation/reservation_settings.h"
 
 namespace ibismux::reservation {
 
@@ -33,17 +34,24 @@
                     gateway::LeafCaller& leafs,
                     peer::PeerNetwork& peers,
                     platform::ObjectStore& store,
-                    prometheus::Registry& metrics);
+                    prometheus::Registry& metrics,
+                    const ReservationSettings& settings = {});
   ~ReservationEngine();
 
   /// Runs `request` unless its key has run, or may have. An error says kNotRun
-  /// only where the leaf certainly did not and will not run it.
+  /// only where the leaf certainly did not and will not run it, and no earlier
+  /// attempt under its key has run either: where that can't be told, as in an
+  /// outage of the platform, it says kUnknown, and coming back with the same
+  /// key is safe.
   /// Errors: kNotFound, kNotReady, kOverloaded, kDeadlineExceeded,
   /// kPlatformUnavailable, kOutcomeUnknown, kKeyReused, kLeafUnavailable.
   [[nodiscard]] Task<Result<ReservationAnswer>> reserve(
       ReservationRequest request);
 
-  /// What is known of `key`. Runs nothing.
+  /// What is known of `key`. Runs nothing. A key that has not been used is
+  /// closed by the question, so that kNotRun stays true: an attempt that comes
+  /// later gets kKeyReused. Errors: kPlatformUnavailable, kOutcomeUnknown,
+  /// kDeadlineExceeded.
   [[nodiscard]] Task<Result<ReservationAnswer>> ask(std::string service,
                                                     std::string key,
                                                     TimePoint deadline);
@@ -51,6 +59,11 @@
   /// A key that only this run of this daemon may execute.
   [[nodiscard]] std::string issue_ticket();
 
+  /// For a planned stop, after the last reservation was answered: waits until
+  /// every outcome is recorded, or `deadline`. What is not is "unknown" to a
+  /// repeat.
+  [[nodiscard]] Task<> flush(TimePoint deadline);
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl;
--- a/tests/reservation/fleet.cc
+++ b/tests/reservation/fleet.cc
@@ -3,13 +3,24 @@
 #include <prometheus/registry.h>
 
 #include <boost/asio/detached.hpp>
+#include <thread>
+
+#include "ibismux/reservation/bucket_owner.h"
+#include "ibismux/reservation/key_hash.h"
 
 namespace ibismux::reservation {
 
 namespace {
 
+/// Loops are never destroyed: what waits on one loop may hold a timer of
+/// another, and a killed daemon's must stay where it is.
+std::vector<std::unique_ptr<IoPool>>& kept_pools() {
+  static std::vector<std::unique_ptr<IoPool>> pools;
+  return pools;
+}
+
 constexpr std::size_t kLeafs = 4;
-constexpr std::chrono::seconds kTestLimit{60};
+constexpr std::chrono::seconds kTestLimit{20};
 
 Task<> fill(Fleet::Outcome outcome, Task<Result<ReservationAnswer>> task) {
   auto result = co_await std::move(task);
@@ -43,21 +54,33 @@
 struct Fleet::Daemon {
   Daemon(std::string name, std::uint64_t number)
       : own{std::move(name), number},
-        pool(1),
+        pool(*kept_pools().emplace_back(std::make_unique<IoPool>(1))),
         members(std::make_shared<membership::MembershipView>()) {}
 
   Incarnation own;
-  IoPool pool;
+  IoPool& pool;
   RcuCell<membership::MembershipView> members;
   prometheus::Registry metrics;
   std::map<std::size_t, membership::Member::State> beliefs;
-  std::unique_ptr<ReservationEngine> engine;
+  bool frozen = false;
+  std::unique_ptr<ReservationEngine> engine;  ///< Null: killed.
 };
 
-Fleet::Fleet(std::size_t daemons) : releases(spares_release()) {
+ReservationSettings Fleet::quick() {
+  ReservationSettings settings;
+  settings.linger = std::chrono::milliseconds(5);
+  settings.least_interval = std::chrono::milliseconds(1);
+  settings.outcome_linger = std::chrono::milliseconds(5);
+  settings.fresh = std::chrono::milliseconds(10);
+  settings.owner_patience = std::chrono::milliseconds(50);
+  return settings;
+}
+
+Fleet::Fleet(std::size_t daemons, ReservationSettings settings)
+    : releases(spares_release()), settings(settings) {
   this->daemons.resize(daemons);
   for (std::size_t i = 0; i < daemons; ++i) {
-    this->start(i, this->next_incarnation++);
+    this->start(i);
   }
   for (std::size_t i = 0; i < daemons; ++i) {
     this->publish(i);
@@ -74,12 +97,13 @@
   return *this->daemons[daemon]->engine;
 }
 
-void Fleet::start(std::size_t daemon, std::uint64_t incarnation) {
-  auto fresh = std::make_unique<Daemon>(this->name(daemon), incarnation);
+void Fleet::start(std::size_t daemon) {
+  auto fresh =
+      std::make_unique<Daemon>(this->name(daemon), this->next_incarnation++);
   auto& network = this->peers.add(fresh->own, fresh->pool.at(0).get_executor());
   fresh->engine = std::make_unique<ReservationEngine>(
       fresh->pool, this->releases, fresh->members, this->leafs, network,
-      this->store, fresh->metrics);
+      this->store, fresh->metrics, this->settings);
   this->daemons[daemon] = std::move(fresh);
 }
 
@@ -135,11 +159,10 @@
     }
     std::size_t handled = 0;
     for (auto& daemon : this->daemons) {
-      handled += daemon->pool.at(0).poll();
+      handled += daemon->frozen ? 0 : daemon->pool.at(0).poll();
     }
-    if (handled == 0) {
-      this->daemons.front()->pool.at(0).run_one_for(
-          std::chrono::milliseconds(1));
+    if (handled == 0) {  // All wait for timers.
+      std::this_thread::sleep_for(std::chrono::microseconds(200));
     }
   }
   return true;
@@ -152,26 +175,46 @@
   return **outcome;
 }
 
+void Fleet::freeze(std::size_t daemon) {
+  this->daemons[daemon]->frozen = true;
+}
+
+void Fleet::thaw(std::size_t daemon) {
+  this->daemons[daemon]->frozen = false;
+}
+
 void Fleet::kill(std::size_t daemon) {
   this->peers.crash(this->name(daemon));
-  const std::uint64_t number = this->next_incarnation++;
+  const Incarnation own = this->daemons[daemon]->own;
   this->dead.push_back(std::move(this->daemons[daemon]));
-  // Its place is taken by one that is not started: no frame reaches it.
-  this->daemons[daemon] = std::make_unique<Daemon>(this->name(daemon), number);
-  this->daemons[daemon]->own.number = this->dead.back()->own.number;
+  this->daemons[daemon] = std::make_unique<Daemon>(own.member, own.number);
   for (std::size_t i = 0; i < this->daemons.size(); ++i) {
     this->believe(i, daemon, membership::Member::State::kFailed);
   }
 }
 
 void Fleet::restart(std::size_t daemon) {
-  this->start(daemon, this->next_incarnation++);
+  this->start(daemon);
   for (std::size_t i = 0; i < this->daemons.size(); ++i) {
     this->believe(i, daemon, membership::Member::State::kAlive);
-    this->publish(daemon);
   }
 }
 
+bool Fleet::alive(std::size_t daemon) const {
+  return this->daemons[daemon]->engine != nullptr;
+}
+
+std::size_t Fleet::owner_of(const std::string& key) const {
+  const auto view = this->daemons.front()->members.read();
+  const std::string owner =
+      bucket_owners(*view, bucket_of(hash_key("spares", key)), 1).front();
+  std::size_t daemon = 0;
+  while (this->name(daemon) != owner) {
+    ++daemon;
+  }
+  return daemon;
+}
+
 void Fleet::believe(std::size_t viewer,
                     std::size_t member,
                     membership::Member::State state) {
--- a/tests/reservation/fleet.h
+++ b/tests/reservation/fleet.h
@@ -28,7 +28,7 @@
  public:
   using Outcome = std::shared_ptr<std::optional<Result<ReservationAnswer>>>;
 
-  explicit Fleet(std::size_t daemons);
+  explicit Fleet(std::size_t daemons, ReservationSettings settings = quick());
   ~Fleet();
 
   /// @name Asking daemon number `daemon`; the outcome fills in during wait()
@@ -55,6 +55,9 @@
 
   /// @name Faults
   /// @{
+  /// Nothing of the daemon runs until it is thawed, as under SIGSTOP.
+  void freeze(std::size_t daemon);
+  void thaw(std::size_t daemon);
   /// The daemon dies; nothing of it runs again. Others see it as failed.
   void kill(std::size_t daemon);
   /// A killed daemon comes back as a new incarnation.
@@ -65,11 +68,18 @@
                membership::Member::State state);
   /// @}
 
+  /// The daemon that commits the claims of `key`.
+  [[nodiscard]] std::size_t owner_of(const std::string& key) const;
+  [[nodiscard]] bool alive(std::size_t daemon) const;
+  [[nodiscard]] std::size_t size() const { return this->daemons.size(); }
   [[nodiscard]] std::string name(std::size_t daemon) const;
   [[nodiscard]] ReservationEngine& engine(std::size_t daemon);
 
   static constexpr std::chrono::milliseconds kPatience{2000};
 
+  /// Settings under which a test need not wait for a group to fill.
+  [[nodiscard]] static ReservationSettings quick();
+
   testing::MemoryObjectStore store;
   testing::FakeLeafCaller leafs;
   tests::FakePeerCluster peers;
@@ -78,9 +88,10 @@
  private:
   struct Daemon;
 
-  void start(std::size_t daemon, std::uint64_t incarnation);
+  void start(std::size_t daemon);
   void publish(std::size_t viewer);
 
+  const ReservationSettings settings;
   std::uint64_t next_incarnation = 1;
   std::vector<std::unique_ptr<Daemon>> daemons;
   std::vector<std::unique_ptr<Daemon>> dead;
