Give the daemon its peers' network and its operators' port

Stopping: readiness turns false first, callers that the balancer still sends are served for a while, then requests in flight end and outcomes are recorded before anything closes. Run by hand as before; membership is still of one.

--- a/ibismux/daemon/daemon.cc
+++ b/ibismux/daemon/daemon.cc
@@ -4,75 +4,55 @@
 #include <prometheus/registry.h>
 
 #include <atomic>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
 #include <random>
+#include <thread>
 
 #include "ibismux/admission/admission.h"
 #include "ibismux/base/io_pool.h"
 #include "ibismux/caller/caller_api.h"
-#include "ibismux/daemon/solo_network.h"
+#include "ibismux/daemon/package_settings.h"
 #include "ibismux/gateway/local_gateway.h"
 #include "ibismux/gateway/ownership_strategy.h"
+#include "ibismux/gateway/remote_gateway.h"
 #include "ibismux/gateway/router.h"
 #include "ibismux/http/server.h"
 #include "ibismux/membership/membership_view.h"
+#include "ibismux/operator/operator_api.h"
+#include "ibismux/operator/operator_ports.h"
+#include "ibismux/peer/tcp_peer_network.h"
 #include "ibismux/platform/http_object_store.h"
-#include "ibismux/platform/platform_settings.h"
 #include "ibismux/query/query_engine.h"
 #include "ibismux/release/publisher.h"
+#include "ibismux/release/publisher_settings.h"
 #include "ibismux/release/release_store.h"
 #include "ibismux/reservation/reservation_engine.h"
-#include "ibismux/reservation/reservation_settings.h"
 #include "ibismux/settings/settings.h"
 
 namespace ibismux::daemon {
 
 namespace {
 
+using std::chrono::milliseconds;
+
+/// How often a stop looks whether the work in flight has ended.
+constexpr milliseconds kStopStep{10};
+
 std::uint64_t draw() {
   std::random_device device;
   return (static_cast<std::uint64_t>(device()) << 32U) | device();
 }
 
-membership::MembershipView alone(const settings::Settings& settings,
-                                 std::uint64_t incarnation) {
+membership::MembershipView alone(const settings::Settings& settings) {
   membership::MembershipView view;
   view.self = settings.member;
-  view.members.push_back({settings.member, incarnation, settings.peer_address,
+  view.members.push_back({settings.member, 0, settings.peer_address,
                           static_cast<std::uint16_t>(settings.peer_port),
                           settings.zone});
   return view;
 }
 
-platform::PlatformSettings platform_settings(
-    const settings::Settings& settings) {
-  platform::PlatformSettings result;
-  result.address = settings.platform_address;
-  result.port = static_cast<std::uint16_t>(settings.platform_port);
-  result.budget.per_second = {
-      static_cast<double>(settings.fleet_reads_per_second),
-      static_cast<double>(settings.fleet_writes_per_second),
-      static_cast<double>(settings.fleet_watches_per_second)};
-  return result;
-}
-
-http::ServerLimits caller_limits(const settings::Settings& settings) {
-  http::ServerLimits limits;
-  limits.header_bytes = settings.caller_header_bytes;
-  limits.body_bytes = settings.caller_body_bytes;
-  limits.connections = settings.caller_connections;
-  limits.idle_timeout = settings.caller_idle_timeout;
-  limits.transfer_timeout = settings.caller_transfer_timeout;
-  return limits;
-}
-
-reservation::ReservationSettings reservation_settings(
-    const settings::Settings& settings) {
-  reservation::ReservationSettings result;
-  result.retention = std::chrono::duration_cast<std::chrono::seconds>(
-      settings.claim_retention);
-  return result;
-}
-
 }  // namespace
 
 class Daemon::Impl {
@@ -80,16 +60,16 @@
   explicit Impl(const settings::Settings& settings)
       : settings(settings),
         pool(settings.threads),
-        incarnation{settings.member, draw()},
         members(std::make_shared<const membership::MembershipView>(
-            alone(settings, incarnation.number))),
+            alone(settings))),
         store(pool, platform_settings(settings), registry, draw()),
-        peers(incarnation),
+        peers(pool, peer_settings(settings), members, registry),
         local(pool, registry),
+        remote(pool, peers, local, registry),
         router(releases.releases(),
                members,
                local,
-               nullptr,
+               &remote,
                gateway::make_ownership(settings.ownership),
                registry),
         queries(draw(), releases.releases(), router, registry),
@@ -107,64 +87,139 @@
                   releases,
                   registry,
                   {},
-                  incarnation,
-                  [] { return std::size_t{0}; }),
+                  peers.self(),
+                  [this] { return this->rank(); }),
         caller_api(
             queries,
             admission,
             reservations,
-            [this] { return this->ready(); },
+            [this] { return this->not_ready_because().empty(); },
             registry,
             draw()),
-        caller_server(pool, caller_limits(settings), caller_api.handler()) {
+        operator_api(this->operator_ports()),
+        caller_server(pool, caller_limits(settings), caller_api.handler()),
+        operator_server(pool, {}, operator_api.handler()) {
     this->releases.on_change([this](Generation) { this->router.refresh(); });
   }
 
   Result<Ports> start() {
-    Ports ports;
+    const auto peer = this->peers.start();
+    if (!peer) {
+      return tl::unexpected(peer.error());
+    }
     const auto caller = this->caller_server.listen(
         this->settings.caller_address,
         static_cast<std::uint16_t>(this->settings.caller_port));
     if (!caller) {
       return tl::unexpected(caller.error());
     }
-    ports.caller = *caller;
+    const auto operators = this->operator_server.listen(
+        this->settings.operator_address,
+        static_cast<std::uint16_t>(this->settings.operator_port));
+    if (!operators) {
+      return tl::unexpected(operators.error());
+    }
     this->router.refresh();
     this->publisher.start();
     this->pool.start();
-    return ports;
+    LOG(INFO) << "event=started member=" << this->settings.member
+              << " incarnation=" << this->peers.self().number
+              << " caller_port=" << *caller << " peer_port=" << *peer
+              << " operator_port=" << *operators;
+    return Ports{*caller, *peer, *operators};
+  }
+
+  void on_drain(std::function<void()> callback) {
+    this->drain_callback = std::move(callback);
   }
 
   void stop() {
+    LOG(INFO) << "event=stopping member=" << this->settings.member;
+    const TimePoint deadline = Clock::now() + this->settings.stop_limit;
     this->leaving.store(true);
+    // Callers that still come in this time are served: the balancer needs a
+    // while to see that this daemon is not ready.
+    std::this_thread::sleep_for(this->settings.leave_notice);
     this->caller_server.drain();
+    this->wait_until(deadline, [this] {
+      return this->caller_server.in_flight() == 0 &&
+             this->local.in_flight() == 0;
+    });
+    this->flush_outcomes(deadline);
     this->publisher.stop();
+    this->peers.say_goodbye();
     this->caller_server.stop();
+    this->operator_server.stop();
+    this->peers.stop();
     this->pool.stop();
+    LOG(INFO) << "event=stopped member=" << this->settings.member;
   }
 
-  [[nodiscard]] bool ready() const {
-    return !this->leaving.load() && this->releases.generation() > 0;
+ private:
+  operators::OperatorPorts operator_ports() {
+    return {
+        .store = this->store,
+        .releases = this->releases,
+        .registry = this->registry,
+        .self = this->peers.self(),
+        .written =
+            [this](const release::ObjectKey& key, platform::Version version) {
+              this->publisher.nudge(key, version);
+            },
+        .in_force =
+            [this](Generation generation) {
+              const bool here = this->releases.generation() >= generation;
+              return operators::InForce{here ? 1U : 0U, 1U};
+            },
+        .not_ready_because = [this] { return this->not_ready_because(); },
+        .drain = [this] { this->drain_callback(); },
+        .sections = {},
+    };
+  }
+
+  [[nodiscard]] std::string not_ready_because() const {
+    if (this->leaving.load()) {
+      return "leaving";
+    }
+    return this->releases.generation() == 0 ? "this daemon has no release yet"
+                                            : "";
+  }
+
+  [[nodiscard]] std::size_t rank() const { return 0; }
+
+  template <class Condition>
+  void wait_until(TimePoint deadline, Condition condition) {
+    while (!condition() && Clock::now() < deadline) {
+      std::this_thread::sleep_for(kStopStep);
+    }
+  }
+
+  void flush_outcomes(TimePoint deadline) {
+    boost::asio::co_spawn(this->pool.at(0), this->reservations.flush(deadline),
+                          boost::asio::use_future)
+        .wait();
   }
 
- private:
   const settings::Settings settings;
   prometheus::Registry registry;
   IoPool pool;
   std::atomic<bool> leaving{false};
-  Incarnation incarnation;
+  std::function<void()> drain_callback = [] {};
   RcuCell<membership::MembershipView> members;
   platform::HttpObjectStore store;
   release::ReleaseStore releases;
-  SoloNetwork peers;
+  peer::TcpPeerNetwork peers;
   gateway::LocalGateway local;
+  gateway::RemoteGateway remote;
   gateway::Router router;
   query::QueryEngine queries;
   admission::Admission admission;
   reservation::ReservationEngine reservations;
   release::Publisher publisher;
   caller::CallerApi caller_api;
+  operators::OperatorApi operator_api;
   http::Server caller_server;
+  http::Server operator_server;
 };
 
 Daemon::Daemon(const settings::Settings& settings)
@@ -175,7 +230,9 @@
   return this->impl->start();
 }
 
-void Daemon::on_drain(std::function<void()>) {}
+void Daemon::on_drain(std::function<void()> callback) {
+  this->impl->on_drain(std::move(callback));
+}
 
 void Daemon::stop() {
   this->impl->stop();
