Spread releases down zone trees, and repair by comparing generations

An accepted release has to be in force on every daemon within seconds, with few calls to the platform and also while it is down. In each availability zone two daemons watch the platform; the others get a release from their parent in the zone's tree, ask a peer now and then what is newer, and read the platform themselves only when nobody's knowledge of it is fresh. How old knowledge is travels with the answers, so a watcher that has lost the platform is noticed. A daemon that publishes tells the watchers of every zone at once.

Tallies of generations go up the trees; whoever is asked how far a generation has come asks the zones' first daemons.

Four tests with real sockets pass: spread to 7 of 7, an outage, every daemon replaced during an outage, an old event.

--- /dev/null
+++ b/ibismux/relay/relay_service.cc
@@ -0,0 +1,510 @@
+#include "ibismux/relay/relay_service.h"
+
+#include <glog/logging.h>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+
+#include <algorithm>
+#include <atomic>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json/object.hpp>
+#include <optional>
+#include <random>
+#include <utility>
+
+#include "ibismux/base/io_pool.h"
+#include "ibismux/peer/peer_network.h"
+#include "ibismux/platform/object_store.h"
+#include "ibismux/relay/in_force_board.h"
+#include "ibismux/relay/relay_engine.h"
+#include "ibismux/relay/relay_metrics.h"
+#include "ibismux/relay/release_fetcher.h"
+#include "ibismux/release/head.h"
+#include "ibismux/release/release_store.h"
+
+namespace ibismux::relay {
+
+namespace {
+
+using peer::MessageKind;
+
+constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
+/// A head longer than this is announced and not sent: many peers have it.
+constexpr std::size_t kMostPushedHead = 2048;
+
+double unit_random() {
+  thread_local std::minstd_rand source{std::random_device{}()};
+  return std::uniform_real_distribution<double>(0.5, 1.0)(source);
+}
+
+}  // namespace
+
+/// All state but the board, the rank and the summary belongs to the pool's
+/// first loop.
+class RelayService::Impl
+    : public std::enable_shared_from_this<RelayService::Impl> {
+ public:
+  Impl(RelaySettings settings,
+       IoPool& pool,
+       peer::PeerNetwork& network,
+       platform::ObjectStore& platform,
+       release::ReleaseStore& releases,
+       const RcuCell<membership::MembershipView>& view,
+       prometheus::Registry& registry)
+      : settings(settings),
+        loop(pool.at(0)),
+        network(network),
+        platform(platform),
+        releases(releases),
+        view(view),
+        metrics(registry),
+        fetcher(this->settings, network, platform, releases),
+        engine(settings, std::random_device{}(), Clock::now()),
+        tick_timer(loop),
+        watch_timer(loop) {}
+
+  void register_handlers();
+  void start();
+  void stop();
+  void applied(Generation generation);
+
+  [[nodiscard]] InForceCount in_force(Generation generation) const;
+  [[nodiscard]] boost::json::value status() const;
+
+  std::atomic<std::size_t> rank{0};
+
+ private:
+  using Self = std::shared_ptr<Impl>;
+
+  static Task<void> run(Self self);
+  static Task<void> watch(Self self);
+  static Task<Result<platform::Version>> watch_once(
+      Self self,
+      std::optional<platform::Version> since);
+  static Task<void> fetch(Self self, std::string peer);
+  static Task<void> take_push(Self self, std::string peer, PushMessage push);
+  static Task<void> read_platform(Self self);
+  static Task<void> send_report(Self self, std::string parent);
+  static Task<void> ask_zones(Self self);
+  static Task<Result<std::string>> answer_report(Self self,
+                                                 Incarnation from,
+                                                 std::string payload);
+  static Task<Result<std::string>> answer_fetch(Self self, std::string payload);
+  static Task<Result<std::string>> serve_on_loop(
+      Self self,
+      Task<Result<std::string>> work);
+
+  void look_at_view();
+  void carry_out();
+  void push(const std::vector<std::string>& peers);
+  void note_failure(const Error& error, const char* source);
+
+  const RelaySettings settings;
+  boost::asio::io_context& loop;
+  peer::PeerNetwork& network;
+  platform::ObjectStore& platform;
+  release::ReleaseStore& releases;
+  const RcuCell<membership::MembershipView>& view;
+  RelayMetrics metrics;
+  ReleaseFetcher fetcher;
+  RelayEngine engine;
+  boost::asio::steady_timer tick_timer;
+  boost::asio::steady_timer watch_timer;
+  mutable InForceBoard board;
+  std::atomic<bool> watching{false};
+  std::atomic<std::int64_t> age_ms{0};
+  std::uint64_t seen_revision = 0;
+  bool asking = false;
+  TimePoint next_question{};
+  bool stopped = false;
+};
+
+void RelayService::Impl::register_handlers() {
+  const std::weak_ptr<Impl> weak = this->weak_from_this();
+  this->network.on_notify(
+      MessageKind::kReleasePush,
+      [weak](const Incarnation& from, std::string payload) {
+        const auto self = weak.lock();
+        auto push = decode_push(payload);
+        if (self && push) {
+          boost::asio::co_spawn(self->loop,
+                                take_push(self, from.member, std::move(*push)),
+                                boost::asio::detached);
+        }
+      });
+  this->network.on_request(
+      MessageKind::kReleaseFetch,
+      [weak](Incarnation, std::string payload) -> Task<Result<std::string>> {
+        return answer_fetch(weak.lock(), std::move(payload));
+      });
+  this->network.on_request(
+      MessageKind::kInForce,
+      [weak](Incarnation from,
+             std::string payload) -> Task<Result<std::string>> {
+        const auto self = weak.lock();
+        return serve_on_loop(
+            self, answer_report(self, std::move(from), std::move(payload)));
+      });
+}
+
+void RelayService::Impl::start() {
+  const auto self = this->shared_from_this();
+  boost::asio::co_spawn(this->loop, run(self), boost::asio::detached);
+  boost::asio::co_spawn(this->loop, watch(self), boost::asio::detached);
+}
+
+void RelayService::Impl::stop() {
+  boost::asio::post(this->loop, [self = this->shared_from_this()] {
+    self->stopped = true;
+    self->tick_timer.cancel();
+    self->watch_timer.cancel();
+  });
+}
+
+void RelayService::Impl::applied(Generation generation) {
+  const Origin origin = ReleaseFetcher::offering();
+  this->metrics.generation->Set(static_cast<double>(generation));
+  if (origin == Origin::kPeer) {
+    this->metrics.from_peers->Increment();
+  } else if (origin == Origin::kPlatform) {
+    this->metrics.from_platform->Increment();
+  }
+  boost::asio::post(this->loop,
+                    [self = this->shared_from_this(), generation, origin] {
+                      self->engine.on_applied(generation, origin, Clock::now());
+                      self->carry_out();
+                    });
+}
+
+Task<void> RelayService::Impl::run(Self self) {
+  while (!self->stopped) {
+    self->look_at_view();
+    const TimePoint now = Clock::now();
+    self->engine.tick(now);
+    self->age_ms = to_millis(self->engine.age(now));
+    self->carry_out();
+    if (!self->asking && now >= self->next_question &&
+        self->board.wanted(now)) {
+      self->asking = true;
+      boost::asio::co_spawn(self->loop, ask_zones(self), boost::asio::detached);
+    }
+    self->tick_timer.expires_after(self->settings.tick);
+    const auto [cancelled] = co_await self->tick_timer.async_wait(kAwait);
+    static_cast<void>(cancelled);
+  }
+}
+
+void RelayService::Impl::look_at_view() {
+  const auto members = this->view.read();
+  if (members->revision == this->seen_revision) {
+    return;
+  }
+  this->seen_revision = members->revision;
+  this->engine.on_view(*members, Clock::now());
+  this->rank = this->engine.tree().fleet_rank();
+  this->board.keep(this->engine.tree().roots());
+  if (this->engine.tree().watches()) {
+    this->watch_timer.cancel();  // It may sleep, not watching.
+  }
+}
+
+void RelayService::Impl::carry_out() {
+  RelayCommands commands = this->engine.take_commands();
+  const auto self = this->shared_from_this();
+  if (!commands.pushes.empty()) {
+    this->push(commands.pushes);
+  }
+  if (commands.fetch) {
+    boost::asio::co_spawn(this->loop, fetch(self, std::move(*commands.fetch)),
+                          boost::asio::detached);
+  }
+  if (commands.read_platform) {
+    boost::asio::co_spawn(this->loop, read_platform(self),
+                          boost::asio::detached);
+  }
+  if (commands.report_to) {
+    boost::asio::co_spawn(this->loop,
+                          send_report(self, std::move(*commands.report_to)),
+                          boost::asio::detached);
+  }
+}
+
+void RelayService::Impl::push(const std::vector<std::string>& peers) {
+  PushMessage message;
+  message.generation = this->releases.generation();
+  message.age = this->engine.age(Clock::now());
+  message.head = this->releases.head();
+  if (message.head.size() > kMostPushedHead) {
+    message.head.clear();
+  }
+  const std::string payload = encode(message);
+  for (const std::string& peer : peers) {
+    this->network.notify(peer, MessageKind::kReleasePush, payload);
+    this->metrics.pushes->Increment();
+  }
+}
+
+Task<void> RelayService::Impl::take_push(Self self,
+                                         std::string peer,
+                                         PushMessage push) {
+  // With the head at hand one round trip for the chunks is enough, or none.
+  if (!push.head.empty() && push.generation > self->releases.generation()) {
+    std::string source = peer;
+    const auto taken = co_await self->fetcher.take_from_peer(
+        std::move(source), std::move(push.head));
+    if (!taken) {
+      self->note_failure(taken.error(), "push");
+    }
+  }
+  if (!self->stopped) {
+    // The store may be ahead of the engine, whose own news of the release is
+    // posted; then this asks for nothing.
+    const Generation beyond =
+        push.generation > self->releases.generation() ? push.generation : 0;
+    self->engine.on_push(peer, beyond, push.age, Clock::now());
+    self->carry_out();
+  }
+}
+
+Task<void> RelayService::Impl::fetch(Self self, std::string peer) {
+  self->metrics.fetches->Increment();
+  const auto age = co_await self->fetcher.from_peer(std::move(peer));
+  if (!age && age.error().kind != ErrorKind::kPeerUnavailable) {
+    self->note_failure(age.error(), "peer");
+  }
+  if (!self->stopped) {
+    self->engine.on_fetched(age ? std::optional<Duration>(*age) : std::nullopt,
+                            Clock::now());
+    self->carry_out();
+  }
+}
+
+Task<void> RelayService::Impl::read_platform(Self self) {
+  self->metrics.self_help_reads->Increment();
+  const auto version = co_await self->fetcher.from_platform();
+  if (self->stopped) {
+    co_return;
+  }
+  if (version) {
+    self->engine.on_platform_seen(Clock::now());
+  } else {
+    self->note_failure(version.error(), "platform");
+  }
+  self->engine.on_platform_read_done();
+}
+
+/// Watches the platform for as long as this daemon is one of its zone's
+/// watchers.
+Task<void> RelayService::Impl::watch(Self self) {
+  std::optional<platform::Version> since;
+  Duration pause = self->settings.first_watch_retry;
+  while (!self->stopped) {
+    self->watching = self->engine.tree().watches();
+    if (!self->watching) {
+      since.reset();
+      self->watch_timer.expires_after(self->settings.compare_interval);
+      const auto [woken] = co_await self->watch_timer.async_wait(kAwait);
+      static_cast<void>(woken);
+      continue;
+    }
+    const auto next = co_await watch_once(self, since);
+    if (next) {
+      since = *next;
+      pause = self->settings.first_watch_retry;
+      self->engine.on_platform_seen(Clock::now());
+      continue;
+    }
+    self->note_failure(next.error(), "watch");
+    since.reset();
+    self->watch_timer.expires_after(
+        std::chrono::duration_cast<Duration>(pause * unit_random()));
+    pause = std::min<Duration>(pause * 2, self->settings.most_watch_retry);
+    const auto [cancelled] = co_await self->watch_timer.async_wait(kAwait);
+    static_cast<void>(cancelled);
+  }
+}
+
+/// One watch, or the read that comes before the first.
+Task<Result<platform::Version>> RelayService::Impl::watch_once(
+    Self self,
+    std::optional<platform::Version> since) {
+  if (!since) {
+    co_return co_await self->fetcher.from_platform();
+  }
+  std::string collection = platform::kReleases;
+  auto batch = co_await self->platform.watch(std::move(collection), *since,
+                                             self->settings.watch_wait);
+  if (!batch) {
+    co_return tl::unexpected<Error>(batch.error());
+  }
+  if (batch->compacted) {
+    co_return fail(ErrorKind::kPlatformUnavailable, "the history is gone");
+  }
+  const platform::Version version = batch->version;
+  std::string head;
+  for (const auto& event : batch->events) {
+    if (event.object.name == release::kHeadName && !event.removed) {
+      head = event.object.value;  // The last one counts.
+    }
+  }
+  if (!head.empty()) {
+    const auto taken = co_await self->fetcher.take_from_platform(
+        std::move(head), std::move(*batch));
+    if (!taken) {
+      co_return tl::unexpected<Error>(taken.error());
+    }
+  }
+  co_return version;
+}
+
+Task<void> RelayService::Impl::send_report(Self self, std::string parent) {
+  const InForceReport report{false, self->engine.subtree()};
+  const TimePoint deadline = Clock::now() + self->settings.request_timeout;
+  std::string payload = encode(report);
+  const auto answer = co_await self->network.request(
+      std::move(parent), MessageKind::kInForce, std::move(payload), deadline);
+  static_cast<void>(answer);  // Reports are repeated.
+}
+
+Task<void> RelayService::Impl::ask_zones(Self self) {
+  const std::vector<std::string> roots = self->engine.tree().roots();
+  const TimePoint deadline = Clock::now() + self->settings.request_timeout;
+  for (const std::string& root : roots) {
+    if (root == self->network.self().member) {
+      self->board.put(root, self->engine.subtree());
+      continue;
+    }
+    std::string target = root;
+    std::string payload = encode(InForceReport{true, {}});
+    const auto response = co_await self->network.request(
+        std::move(target), MessageKind::kInForce, std::move(payload), deadline);
+    auto tallies = response ? decode_in_force_answer(*response)
+                            : Result<Tallies>(Tallies{});
+    self->board.put(root, tallies.value_or(Tallies{}));
+  }
+  self->asking = false;
+  self->next_question = Clock::now() + self->settings.ask_interval;
+}
+
+Task<Result<std::string>> RelayService::Impl::answer_report(
+    Self self,
+    Incarnation from,
+    std::string payload) {
+  auto report = decode_report(payload);
+  if (!report) {
+    co_return tl::unexpected<Error>(report.error());
+  }
+  if (report->question) {
+    co_return encode_in_force_answer(self->engine.subtree());
+  }
+  self->engine.on_report(from.member, std::move(report->tallies), Clock::now());
+  co_return std::string();
+}
+
+Task<Result<std::string>> RelayService::Impl::answer_fetch(
+    Self self,
+    std::string payload) {
+  if (!self) {
+    co_return fail(ErrorKind::kNotReady, "no releases here");
+  }
+  const auto request = decode_fetch_request(payload);
+  if (!request) {
+    co_return tl::unexpected<Error>(request.error());
+  }
+  const std::chrono::milliseconds age(self->age_ms.load());
+  co_return encode(self->fetcher.answer(*request, age));
+}
+
+Task<Result<std::string>> RelayService::Impl::serve_on_loop(
+    Self self,
+    Task<Result<std::string>> work) {
+  if (!self) {
+    co_return fail(ErrorKind::kNotReady, "no releases here");
+  }
+  Result<std::string> result = co_await boost::asio::co_spawn(
+      self->loop, std::move(work), boost::asio::use_awaitable);
+  co_return result;
+}
+
+void RelayService::Impl::note_failure(const Error& error, const char* source) {
+  this->metrics.rejected->Increment();
+  LOG_EVERY_N(WARNING, 20) << "event=release_not_taken source=" << source
+                           << " error=\"" << to_string(error) << "\"";
+}
+
+InForceCount RelayService::Impl::in_force(Generation generation) const {
+  const Tallies fleet = this->board.read(Clock::now());
+  InForceCount count;
+  count.members = this->view.read()->serving();
+  const std::size_t here = this->releases.generation() >= generation ? 1 : 0;
+  count.reached =
+      std::min(count.members, std::max(here, fleet.reached(generation)));
+  return count;
+}
+
+boost::json::value RelayService::Impl::status() const {
+  boost::json::object out;
+  out["generation"] = this->releases.generation();
+  out["watches_platform"] = this->watching.load();
+  out["platform_age_ms"] = this->age_ms.load();
+  out["rank"] = this->rank.load();
+  boost::json::object reached;
+  const Tallies fleet = this->board.read(Clock::now());
+  for (const auto& [generation, members] : fleet.counts()) {
+    reached[std::to_string(generation)] = members;
+  }
+  out["members_by_generation"] = std::move(reached);
+  return out;
+}
+
+RelayService::RelayService(RelaySettings settings,
+                           IoPool& pool,
+                           peer::PeerNetwork& network,
+                           platform::ObjectStore& platform,
+                           release::ReleaseStore& releases,
+                           const RcuCell<membership::MembershipView>& view,
+                           prometheus::Registry& registry)
+    : impl(std::make_shared<Impl>(settings,
+                                  pool,
+                                  network,
+                                  platform,
+                                  releases,
+                                  view,
+                                  registry)) {
+  this->impl->register_handlers();
+}
+
+RelayService::~RelayService() {
+  this->stop();
+}
+
+void RelayService::start() {
+  this->impl->start();
+}
+
+void RelayService::stop() {
+  this->impl->stop();
+}
+
+void RelayService::applied(Generation generation) {
+  this->impl->applied(generation);
+}
+
+InForceCount RelayService::in_force(Generation generation) const {
+  return this->impl->in_force(generation);
+}
+
+std::size_t RelayService::rank() const noexcept {
+  return this->impl->rank.load();
+}
+
+boost::json::value RelayService::status() const {
+  return this->impl->status();
+}
+
+}  // namespace ibismux::relay
--- /dev/null
+++ b/ibismux/relay/release_fetcher.h
@@ -0,0 +1,84 @@
+#ifndef IBISMUX_RELAY_RELEASE_FETCHER_H_
+#define IBISMUX_RELAY_RELEASE_FETCHER_H_
+
+#include <string>
+#include <vector>
+
+#include "ibismux/base/error.h"
+#include "ibismux/base/task.h"
+#include "ibismux/base/time.h"
+#include "ibismux/platform/stored_object.h"
+#include "ibismux/relay/messages.h"
+#include "ibismux/relay/relay_engine.h"
+#include "ibismux/relay/relay_settings.h"
+
+namespace ibismux::peer {
+class PeerNetwork;
+}
+
+namespace ibismux::platform {
+class ObjectStore;
+}
+
+namespace ibismux::release {
+class ReleaseStore;
+}
+
+namespace ibismux::relay {
+
+/// Brings a head's missing chunks together and offers the release to the
+/// store, which takes only what is newer and whole.
+///
+/// Thread safe; must outlive its tasks.
+class ReleaseFetcher {
+ public:
+  ReleaseFetcher(const RelaySettings& settings,
+                 peer::PeerNetwork& network,
+                 platform::ObjectStore& platform,
+                 release::ReleaseStore& releases)
+      : settings(settings),
+        network(network),
+        platform(platform),
+        releases(releases) {}
+
+  /// Asks `peer` for what is newer and takes it. @return How old the peer's
+  /// knowledge of the platform is.
+  [[nodiscard]] Task<Result<Duration>> from_peer(std::string peer);
+
+  /// Takes the release of `head`, with the chunks it lacks from `peer`.
+  [[nodiscard]] Task<Result<bool>> take_from_peer(std::string peer,
+                                                  std::string head);
+
+  /// Reads the head in the platform and takes it. @return Its version there; 0
+  /// if there is none.
+  [[nodiscard]] Task<Result<platform::Version>> from_platform();
+
+  /// Takes the release of `head`, with chunks from `batch` where it has them,
+  /// else from the platform.
+  [[nodiscard]] Task<Result<bool>> take_from_platform(
+      std::string head,
+      platform::WatchBatch batch);
+
+  /// The answer to a peer's request.
+  [[nodiscard]] FetchAnswer answer(const FetchRequest& request,
+                                   Duration age) const;
+
+  /// Where the release comes from that this thread is offering to the store.
+  /// The store's listener is called with the generation alone.
+  [[nodiscard]] static Origin offering() noexcept;
+
+ private:
+  Result<bool> offer(const std::string& head,
+                     const std::vector<std::string>& chunks,
+                     Origin origin);
+  Task<Result<FetchAnswer>> ask(std::string peer, FetchRequest request);
+
+  const RelaySettings& settings;
+  peer::PeerNetwork& network;
+  platform::ObjectStore& platform;
+  release::ReleaseStore& releases;
+};
+
+}  // namespace ibismux::relay
+
+#endif  // IBISMUX_RELAY_RELEASE_FETCHER_H_
--- /dev/null
+++ b/ibismux/relay/spread_tree.cc
@@ -0,0 +1,76 @@
+#include "ibismux/relay/spread_tree.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "ibismux/membership/member_record.h"
+
+namespace ibismux::relay {
+
+namespace {
+
+constexpr std::uint64_t kTreeSalt = 32;
+
+std::pair<std::uint64_t, std::string> key_of(const std::string& name) {
+  return {membership::name_hash(name, kTreeSalt), name};
+}
+
+}  // namespace
+
+SpreadTree::Zones SpreadTree::order(const membership::MembershipView& view) {
+  std::map<std::string, std::vector<std::pair<std::uint64_t, std::string>>>
+      keyed;
+  for (const membership::Member& member : view.members) {
+    if (member.serves()) {
+      keyed[member.zone].push_back(key_of(member.name));
+    }
+  }
+  Zones zones;
+  for (auto& [zone, keys] : keyed) {
+    std::sort(keys.begin(), keys.end());
+    for (auto& [hash, name] : keys) {
+      zones[zone].push_back(std::move(name));
+    }
+  }
+  return zones;
+}
+
+void SpreadTree::rebuild(const membership::MembershipView& view) {
+  this->watcher = false;
+  this->above.reset();
+  this->below.clear();
+  this->tops.clear();
+  this->firsts.clear();
+  this->rank = 0;
+  const auto own_key = key_of(view.self);
+  for (const auto& [zone, names] : order(view)) {
+    this->firsts.push_back(names.front());
+    for (std::size_t i = 0; i < names.size(); ++i) {
+      if (i < this->watchers && names[i] != view.self) {
+        this->tops.push_back(names[i]);
+      }
+      this->rank += key_of(names[i]) < own_key ? 1 : 0;
+    }
+    this->place(view.self, names);
+  }
+}
+
+void SpreadTree::place(const std::string& self,
+                       const std::vector<std::string>& zone) {
+  const auto found = std::find(zone.begin(), zone.end(), self);
+  if (found == zone.end()) {
+    return;
+  }
+  const auto index = static_cast<std::size_t>(found - zone.begin());
+  this->watcher = index < this->watchers;
+  if (index > 0) {
+    this->above = zone[(index - 1) / this->fan_out];
+  }
+  const std::size_t first = index * this->fan_out + 1;
+  for (std::size_t i = first; i < first + this->fan_out && i < zone.size();
+       ++i) {
+    this->below.push_back(zone[i]);
+  }
+}
+
+}  // namespace ibismux::relay
--- /dev/null
+++ b/ibismux/relay/spread_tree.h
@@ -0,0 +1,67 @@
+#ifndef IBISMUX_RELAY_SPREAD_TREE_H_
+#define IBISMUX_RELAY_SPREAD_TREE_H_
+
+#include <cstddef>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ibismux/membership/membership_view.h"
+
+namespace ibismux::relay {
+
+/// One daemon's place in the trees down which releases go: a tree for each
+/// availability zone, so that a release crosses between zones once.
+///
+/// The members of a zone that serve stand in the order of a hash of their
+/// names, as a heap of bounded fan-out; the first of them watch the platform.
+/// Daemons whose views differ build different trees; then some miss a push, and
+/// find out when they compare generations. Not thread safe.
+class SpreadTree {
+ public:
+  SpreadTree(std::size_t watchers, std::size_t fan_out)
+      : watchers(watchers), fan_out(fan_out) {}
+
+  void rebuild(const membership::MembershipView& view);
+
+  /// Whether this daemon watches the platform for its zone.
+  [[nodiscard]] bool watches() const noexcept { return this->watcher; }
+  /// Where this daemon reports to; nobody for the first of its zone.
+  [[nodiscard]] const std::optional<std::string>& parent() const noexcept {
+    return this->above;
+  }
+  [[nodiscard]] const std::vector<std::string>& children() const noexcept {
+    return this->below;
+  }
+  /// Whom a daemon that has a new release first tells: the watchers of each
+  /// zone, without this daemon.
+  [[nodiscard]] const std::vector<std::string>& entries() const noexcept {
+    return this->tops;
+  }
+  /// The first member of each zone, this daemon perhaps among them.
+  [[nodiscard]] const std::vector<std::string>& roots() const noexcept {
+    return this->firsts;
+  }
+  /// This daemon's position in an order of the whole fleet, from 0; the size
+  /// of the fleet if it doesn't serve.
+  [[nodiscard]] std::size_t fleet_rank() const noexcept { return this->rank; }
+
+ private:
+  using Zones = std::map<std::string, std::vector<std::string>>;
+  static Zones order(const membership::MembershipView& view);
+  void place(const std::string& self, const std::vector<std::string>& zone);
+
+  std::size_t watchers;
+  std::size_t fan_out;
+  bool watcher = false;
+  std::optional<std::string> above;
+  std::vector<std::string> below;
+  std::vector<std::string> tops;
+  std::vector<std::string> firsts;
+  std::size_t rank = 0;
+};
+
+}  // namespace ibismux::relay
+
+#endif  // IBISMUX_RELAY_SPREAD_TREE_H_
--- /dev/null
+++ b/tests/relay/relay_service_test.cc
@@ -0,0 +1,114 @@
+#include "ibismux/relay/relay_service.h"
+
+#include "ibismux/release/assembly.h"
+#include "ibismux/release/release_contents.h"
+#include "tests/release/sample_objects.h"
+#include "tests/support/daemon_fleet.h"
+
+// Criterion's macros come after Boost's headers.
+#include <criterion/criterion.h>
+
+namespace ibismux::relay {
+namespace {
+
+using tests::ControlNode;
+using tests::DaemonFleet;
+
+struct Encoded {
+  std::string head;
+  std::vector<release::Assembly::NewChunk> chunks;
+};
+
+Encoded encode_release(Generation generation) {
+  release::Head head;
+  head.generation = generation;
+  head.publication = "p" + std::to_string(generation);
+  const release::Assembly assembly = release::assemble(
+      {}, release::testing::sample_objects(), {}, std::move(head));
+  return {release::encode_head(assembly.head), assembly.chunks};
+}
+
+/// Puts a release on the platform, as a publisher does.
+void publish(DaemonFleet& fleet, Generation generation) {
+  const Encoded encoded = encode_release(generation);
+  for (const auto& chunk : encoded.chunks) {
+    fleet.platform.force_put(platform::kReleases, chunk.name, chunk.bytes);
+  }
+  fleet.platform.force_put(platform::kReleases, release::kHeadName,
+                           encoded.head);
+}
+
+/// Puts a release into one daemon's store, as its publisher does.
+void publish_at(ControlNode& node, Generation generation) {
+  const Encoded encoded = encode_release(generation);
+  std::vector<std::string> chunks;
+  for (const auto& chunk : encoded.chunks) {
+    chunks.push_back(chunk.bytes);
+  }
+  cr_assert(node.releases.offer(encoded.head, chunks).value_or(false));
+}
+
+Test(relay_service, a_release_on_the_platform_reaches_every_daemon) {
+  DaemonFleet fleet(7);
+  cr_assert(fleet.wait_for_members());
+  publish(fleet, 1);
+  cr_assert(fleet.wait_for_generation(1));
+  publish(fleet, 2);
+  cr_assert(fleet.wait_for_generation(2));
+  cr_assert(fleet.wait([](const ControlNode& node) {
+    const InForceCount count = node.relay.in_force(2);
+    return count.reached == 7 && count.members == 7;
+  }));
+  cr_assert(fleet.nodes[0]->relay.in_force(3).reached == 0);
+}
+
+// Symptom: an accepted change is not in force elsewhere while the platform is
+// down.
+// Sequence: a daemon publishes; the platform goes down before others read it.
+// Cause: only the platform would carry releases.
+Test(relay_service, peers_carry_a_release_while_the_platform_is_down) {
+  DaemonFleet fleet(7);
+  publish(fleet, 1);
+  cr_assert(fleet.wait_for_members());
+  cr_assert(fleet.wait_for_generation(1));
+  fleet.platform.set_outage(true);
+  fleet.platform.end_watches();
+  publish_at(*fleet.nodes[3], 2);
+  cr_assert(fleet.wait_for_generation(2));
+}
+
+// Symptom: after a rolling restart in an outage nobody has a configuration.
+// Sequence: the platform is down; every daemon is replaced, one after another.
+// Cause: a new daemon that only asks the platform gets nothing.
+Test(relay_service, every_daemon_is_replaced_during_an_outage) {
+  DaemonFleet fleet(5);
+  publish(fleet, 4);
+  cr_assert(fleet.wait_for_members());
+  cr_assert(fleet.wait_for_generation(4));
+  fleet.platform.set_outage(true);
+  fleet.platform.end_watches();
+  for (std::size_t i = 0; i < 5; ++i) {
+    fleet.start(i);
+    cr_assert(fleet.wait_for_generation(4));
+  }
+  cr_assert(fleet.wait_for_members());
+}
+
+// Symptom: a daemon goes back to an older configuration.
+// Sequence: an old head arrives late, as an event of the platform.
+// Cause: events are taken for news without comparing generations.
+Test(relay_service, an_old_event_does_nothing) {
+  DaemonFleet fleet(3);
+  publish(fleet, 5);
+  cr_assert(fleet.wait_for_members());
+  cr_assert(fleet.wait_for_generation(5));
+  publish(fleet, 3);
+  publish(fleet, 6);
+  cr_assert(fleet.wait_for_generation(6));
+  for (const auto& [i, node] : fleet.nodes) {
+    cr_assert(node->releases.generation() == 6);
+  }
+}
+
+}  // namespace
+}  // namespace ibismux::relay
