--- a/ibismux/daemon/daemon.cc
+++ b/ibismux/daemon/daemon.cc
@@ -18,12 +18,17 @@
 #include "ibismux/gateway/remote_gateway.h"
 #include "ibismux/gateway/router.h"
 #include "ibismux/http/server.h"
+#include "ibismux/membership/contact_book.h"
+#include "ibismux/membership/membership_service.h"
+#include "ibismux/membership/membership_settings.h"
 #include "ibismux/membership/membership_view.h"
 #include "ibismux/operator/operator_api.h"
 #include "ibismux/operator/operator_ports.h"
 #include "ibismux/peer/tcp_peer_network.h"
 #include "ibismux/platform/http_object_store.h"
 #include "ibismux/query/query_engine.h"
+#include "ibismux/relay/relay_service.h"
+#include "ibismux/relay/relay_settings.h"
 #include "ibismux/release/publisher.h"
 #include "ibismux/release/publisher_settings.h"
 #include "ibismux/release/release_store.h"
@@ -53,6 +58,26 @@
   return view;
 }
 
+peer::TcpPeerNetwork::Seeds seeds_of(
+    const std::vector<membership::Contact>& contacts) {
+  peer::TcpPeerNetwork::Seeds seeds;
+  for (const membership::Contact& contact : contacts) {
+    seeds[contact.name] = {contact.address, contact.port};
+  }
+  return seeds;
+}
+
+boost::json::value members_json(const membership::MembershipView& view) {
+  boost::json::array rows;
+  for (const membership::Member& member : view.members) {
+    rows.push_back({{"name", member.name},
+                    {"zone", member.zone},
+                    {"incarnation", std::to_string(member.incarnation)},
+                    {"state", membership::to_string(member.state)}});
+  }
+  return rows;
+}
+
 }  // namespace
 
 class Daemon::Impl {
@@ -64,6 +89,16 @@
             alone(settings))),
         store(pool, platform_settings(settings), registry, draw()),
         peers(pool, peer_settings(settings), members, registry),
+        membership(membership_settings(settings),
+                   pool,
+                   peers,
+                   store,
+                   members,
+                   registry,
+                   [this](const std::vector<membership::Contact>& contacts) {
+                     this->peers.set_seeds(seeds_of(contacts));
+                   }),
+        relay({}, pool, peers, store, releases, members, registry),
         local(pool, registry),
         remote(pool, peers, local, registry),
         router(releases.releases(),
@@ -88,7 +123,7 @@
                   registry,
                   {},
                   peers.self(),
-                  [this] { return this->rank(); }),
+                  [this] { return this->relay.rank(); }),
         caller_api(
             queries,
             admission,
@@ -99,7 +134,14 @@
         operator_api(this->operator_ports()),
         caller_server(pool, caller_limits(settings), caller_api.handler()),
         operator_server(pool, {}, operator_api.handler()) {
-    this->releases.on_change([this](Generation) { this->router.refresh(); });
+    this->releases.on_change([this](Generation generation) {
+      this->router.refresh();
+      this->relay.applied(generation);
+    });
+    this->membership.on_view([this](const membership::MembershipView& view) {
+      this->router.refresh();
+      this->store.set_members(view.serving());
+    });
   }
 
   Result<Ports> start() {
@@ -120,6 +162,9 @@
       return tl::unexpected(operators.error());
     }
     this->router.refresh();
+    this->membership.start(this->settings.peer_address, *peer,
+                           this->settings.zone);
+    this->relay.start();
     this->publisher.start();
     this->pool.start();
     LOG(INFO) << "event=started member=" << this->settings.member
@@ -137,6 +182,7 @@
     LOG(INFO) << "event=stopping member=" << this->settings.member;
     const TimePoint deadline = Clock::now() + this->settings.stop_limit;
     this->leaving.store(true);
+    this->membership.announce_leaving();
     // Callers that still come in this time are served: the balancer needs a
     // while to see that this daemon is not ready.
     std::this_thread::sleep_for(this->settings.leave_notice);
@@ -147,6 +193,8 @@
     });
     this->flush_outcomes(deadline);
     this->publisher.stop();
+    this->relay.stop();
+    this->membership.stop();
     this->peers.say_goodbye();
     this->caller_server.stop();
     this->operator_server.stop();
@@ -168,12 +216,24 @@
             },
         .in_force =
             [this](Generation generation) {
-              const bool here = this->releases.generation() >= generation;
-              return operators::InForce{here ? 1U : 0U, 1U};
+              const auto count = this->relay.in_force(generation);
+              return operators::InForce{count.reached, count.members};
             },
         .not_ready_because = [this] { return this->not_ready_because(); },
         .drain = [this] { this->drain_callback(); },
-        .sections = {},
+        .sections = this->sections(),
+    };
+  }
+
+  std::vector<operators::StatusSection> sections() {
+    return {
+        {"members", [this] { return members_json(*this->members.read()); }},
+        {"relay", [this] { return this->relay.status(); }},
+        {"platform",
+         [this] {
+           return boost::json::value{
+               {"state", platform::to_string(this->store.state())}};
+         }},
     };
   }
 
@@ -185,8 +245,6 @@
                                             : "";
   }
 
-  [[nodiscard]] std::size_t rank() const { return 0; }
-
   template <class Condition>
   void wait_until(TimePoint deadline, Condition condition) {
     while (!condition() && Clock::now() < deadline) {
@@ -209,6 +267,8 @@
   platform::HttpObjectStore store;
   release::ReleaseStore releases;
   peer::TcpPeerNetwork peers;
+  membership::MembershipService membership;
+  relay::RelayService relay;
   gateway::LocalGateway local;
   gateway::RemoteGateway remote;
   gateway::Router router;
--- a/ibismux/daemon/package_settings.cc
+++ b/ibismux/daemon/package_settings.cc
@@ -26,6 +26,13 @@
   return result;
 }
 
+membership::MembershipSettings membership_settings(
+    const settings::Settings& settings) {
+  membership::MembershipSettings result;
+  result.probe_interval = settings.probe_interval;
+  return result;
+}
+
 reservation::ReservationSettings reservation_settings(
     const settings::Settings& settings) {
   reservation::ReservationSettings result;
--- a/ibismux/daemon/package_settings.h
+++ b/ibismux/daemon/package_settings.h
@@ -2,6 +2,7 @@
 #define IBISMUX_DAEMON_PACKAGE_SETTINGS_H_
 
 #include "ibismux/http/server.h"
+#include "ibismux/membership/membership_settings.h"
 #include "ibismux/peer/peer_settings.h"
 #include "ibismux/platform/platform_settings.h"
 #include "ibismux/reservation/reservation_settings.h"
@@ -15,6 +16,8 @@
     const settings::Settings& settings);
 [[nodiscard]] peer::PeerSettings peer_settings(
     const settings::Settings& settings);
+[[nodiscard]] membership::MembershipSettings membership_settings(
+    const settings::Settings& settings);
 [[nodiscard]] reservation::ReservationSettings reservation_settings(
     const settings::Settings& settings);
 [[nodiscard]] http::ServerLimits caller_limits(
--- a/ibismux/membership/membership_view.h
+++ b/ibismux/membership/membership_view.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace ibismux::membership {
@@ -24,6 +25,14 @@
   }
 };
 
+/// As status pages name it. Thread safe.
+[[nodiscard]] constexpr std::string_view to_string(
+    Member::State state) noexcept {
+  constexpr std::string_view kNames[] = {"alive", "suspect", "leaving",
+                                         "failed"};
+  return kNames[static_cast<std::size_t>(state)];
+}
+
 /// What this daemon believes of the fleet, itself included; in order of names.
 /// Views of two daemons may differ; safety never depends on them.
 struct MembershipView {
