--- a/ibismux/operator/object_handlers.cc
+++ b/ibismux/operator/object_handlers.cc
@@ -211,25 +211,34 @@
   const Result<release::ObjectKey> key = read_key(call.route);
   const Result<std::uint64_t> version =
       read_number(*call.request, "version", 0, INT64_MAX);
+  const Result<std::uint64_t> seen =
+      read_number(*call.request, "seen", 0, INT64_MAX);
   const Result<std::chrono::milliseconds> wait = read_wait(*call.request);
-  if (!key || !version || !wait) {
+  if (!key || !version || !seen || !wait) {
     co_return error_response(!key       ? key.error()
                              : !version ? version.error()
+                             : !seen    ? seen.error()
                                         : wait.error());
   }
-  // A view older than the write can't be told from one that has it settled but
-  // for the version; so a caller that knows it waits for a verdict on it.
   const bool everywhere = call.request->parameter("until") == "in_force";
-  std::function<bool()> reached = [this, key, version, everywhere] {
+  const auto status = [this, key = *key, version = *version, seen = *seen] {
     const auto contents = this->ports.releases.contents();
-    const auto status = release::status_of(*contents, *key, *version);
-    return status.state != release::ObjectState::kPending &&
-           (!everywhere || status.state == release::ObjectState::kRejected ||
-            this->ports.in_force(status.generation).everywhere());
+    // Until a release has seen all that its operator wrote, a verdict may still
+    // change: what is valid only with a later write is rejected before it.
+    return contents->head.objects_version < seen
+               ? release::ObjectStatus{.state = release::ObjectState::kPending}
+               : release::status_of(*contents, key, version);
+  };
+  std::function<bool()> reached = [this, status, everywhere] {
+    const release::ObjectStatus now = status();
+    return now.state != release::ObjectState::kPending &&
+           (!everywhere || now.state == release::ObjectState::kRejected ||
+            this->ports.in_force(now.generation).everywhere());
   };
   co_await poll(std::move(reached), call.client, *wait);
+  const release::ObjectStatus now = status();
   json::object out = key_json(*key);
-  out["status"] = this->status_of(*key, *version);
+  out["status"] = status_json(now, this->ports.in_force(now.generation));
   co_return json_response(200, out);
 }
 
--- a/ibismux/release/field_reader.cc
+++ b/ibismux/release/field_reader.cc
@@ -63,6 +63,7 @@
 
 void FieldReader::refuse(std::string_view field, std::string_view allowed) {
   if (!this->error) {
+    this->refused_field = field;
     this->error = make_error(ErrorKind::kInvalidRequest,
                              this->where + ": " + std::string(field) +
                                  " must be " + std::string(allowed));
--- a/ibismux/release/field_reader.h
+++ b/ibismux/release/field_reader.h
@@ -71,6 +71,11 @@
   /// The first error; a field that was never asked for is one.
   [[nodiscard]] Result<void> finish();
 
+  /// The field of the first error; empty before there is one.
+  [[nodiscard]] const std::string& refused() const noexcept {
+    return this->refused_field;
+  }
+
  private:
   [[nodiscard]] std::optional<std::uint64_t> whole(std::string_view field,
                                                    std::uint64_t least,
@@ -81,6 +86,7 @@
   std::string where;
   std::vector<std::string_view> known;
   std::optional<Error> error;
+  std::string refused_field;
 };
 
 }  // namespace ibismux::release
--- a/ibismux/release/object_codec.cc
+++ b/ibismux/release/object_codec.cc
@@ -118,7 +118,23 @@
   return reader.finish();
 }
 
-Result<void> read_body(FieldReader& reader, ObjectRecord& record) {
+/// The same as `parse_spec`, and which field an error is about.
+Result<ObjectSpec> read_checked_spec(const ObjectKey& key,
+                                     const json::object& json,
+                                     std::string& refused) {
+  FieldReader reader(json, where_of(key) + ": spec");
+  ObjectSpec spec = read_spec(key, reader);
+  const Result<void> done = reader.finish();
+  if (!done) {
+    refused = "spec." + reader.refused();
+    return tl::unexpected<Error>(done.error());
+  }
+  return spec;
+}
+
+Result<void> read_body(FieldReader& reader,
+                       ObjectRecord& record,
+                       std::string& refused) {
   reader.flag("deleted", record.deleted);
   const json::value* spec = reader.take(
       "spec", record.deleted ? FieldReader::kOptional : FieldReader::kRequired);
@@ -127,10 +143,12 @@
     reader.refuse("spec", "an object");
   }
   if (const Result<void> done = reader.finish(); !done) {
+    refused = reader.refused();
     return tl::unexpected<Error>(done.error());
   }
   if (spec != nullptr && !record.deleted) {
-    Result<ObjectSpec> read = parse_spec(record.key, spec->get_object());
+    Result<ObjectSpec> read =
+        read_checked_spec(record.key, spec->get_object(), refused);
     if (!read) {
       return tl::unexpected<Error>(read.error());
     }
@@ -141,12 +159,17 @@
 
 }  // namespace
 
-Result<ObjectRecord> parse_object(const json::object& json) {
+Result<ObjectRecord> parse_object(const json::object& json,
+                                  std::string* refused) {
   FieldReader reader(json, where_of(json));
   ObjectRecord record;
   record.key = read_key(reader);
-  const Result<void> done = read_body(reader, record);
+  std::string field;
+  const Result<void> done = read_body(reader, record, field);
   if (!done) {
+    if (refused != nullptr) {
+      *refused = std::move(field);
+    }
     return tl::unexpected<Error>(done.error());
   }
   return record;
@@ -168,13 +191,8 @@
 }
 
 Result<ObjectSpec> parse_spec(const ObjectKey& key, const json::object& json) {
-  FieldReader reader(json, where_of(key) + ": spec");
-  ObjectSpec spec = read_spec(key, reader);
-  const Result<void> done = reader.finish();
-  if (!done) {
-    return tl::unexpected<Error>(done.error());
-  }
-  return spec;
+  std::string refused;
+  return read_checked_spec(key, json, refused);
 }
 
 json::object spec_to_json(const ObjectSpec& spec) {
--- a/ibismux/release/object_codec.h
+++ b/ibismux/release/object_codec.h
@@ -31,8 +31,10 @@
 /// The object that `json` describes, without regard to other objects.
 /// kInvalidRequest names the object, the field and what is allowed.
 /// Thread safe.
-[[nodiscard]] Result<ObjectRecord> parse_object(
-    const boost::json::object& json);
+/// @param refused Where not null, gets the path of the field that an error is
+/// about, such as `spec.end`.
+[[nodiscard]] Result<ObjectRecord> parse_object(const boost::json::object& json,
+                                                std::string* refused = nullptr);
 
 /// The same of a text. Comments and trailing commas are allowed. Thread safe.
 [[nodiscard]] Result<ObjectRecord> parse_object(std::string_view text);
