Check that a loop's end frees an exchange

The test left it to the address sanitizer to see the leak. It now holds a weak reference to the request: still held while the loop is stopped, gone once it is destroyed.

--- a/tests/http/client_faults_test.cc
+++ b/tests/http/client_faults_test.cc
@@ -1,5 +1,6 @@
 #include "tests/http/harness.h"
 
+#include <boost/asio/detached.hpp>
 #include <functional>
 #include <future>
 #include <thread>
@@ -94,6 +95,12 @@
   ScriptedServer::wait_for_close(socket);
 }
 
+/// Owns the connection while it waits, as a coroutine of the product does.
+Task<> hold_exchange(std::shared_ptr<ClientConnection> client,
+                     std::shared_ptr<const Request> request) {
+  co_await client->exchange(std::move(request), soon());
+}
+
 }  // namespace
 
 Test(http_client_faults, responses_cut_short_are_errors) {
@@ -228,22 +235,26 @@
 // Symptom: the daemon leaks, or touches freed memory, when it ends with calls
 // in flight. Sequence: the event loop is destroyed while an exchange waits for
 // its response. Cause: the waiting coroutine owns the connection and the
-// connection owns the coroutine. Seen by the address sanitizer's build.
+// connection owns the coroutine.
 Test(http_client_faults, loop_that_ends_within_an_exchange_frees_it) {
   std::promise<void> arrived;
   ScriptedServer server(1, [&arrived](tcp::socket& socket) {
     arrived.set_value();
     ScriptedServer::wait_for_close(socket);
   });
-  IoPool pool(1);
-  pool.start();
-  auto client = std::make_unique<TestClient>(pool, server.port);
-  cr_assert(run(pool, client->connection->connect(soon())).has_value());
-  auto pending = boost::asio::co_spawn(
-      pool.at(0),
-      client->connection->exchange(std::make_shared<const Request>(), soon()),
-      boost::asio::use_future);
-  client.reset();
-  arrived.get_future().wait();
-  pool.stop();
+  auto request = std::make_shared<const Request>();
+  const std::weak_ptr<const Request> held = request;
+  {
+    IoPool pool(1);
+    pool.start();
+    auto client = std::make_shared<ClientConnection>("127.0.0.1", server.port);
+    cr_assert(run(pool, client->connect(soon())).has_value());
+    boost::asio::co_spawn(pool.at(0), hold_exchange(client, std::move(request)),
+                          boost::asio::detached);
+    arrived.get_future().wait();
+    pool.stop();
+    client.reset();
+    cr_assert(!held.expired());
+  }
+  cr_assert(held.expired());
 }
