--- a/ibismux/daemon/daemon.cc
+++ b/ibismux/daemon/daemon.cc
@@ -12,6 +12,7 @@
 #include "ibismux/admission/admission.h"
 #include "ibismux/base/io_pool.h"
 #include "ibismux/caller/caller_api.h"
+#include "ibismux/daemon/leaf_status_cache.h"
 #include "ibismux/daemon/package_settings.h"
 #include "ibismux/gateway/local_gateway.h"
 #include "ibismux/gateway/ownership_strategy.h"
@@ -43,6 +44,8 @@
 
 /// How often a stop looks whether the work in flight has ended.
 constexpr milliseconds kStopStep{10};
+/// How old the status page's part on leafs may be.
+constexpr milliseconds kLeafStatusInterval{1000};
 
 std::uint64_t draw() {
   std::random_device device;
@@ -100,6 +103,7 @@
                    }),
         relay({}, pool, peers, store, releases, members, registry),
         local(pool, registry),
+        leaf_status(pool.at(0), local),
         remote(pool, peers, local, registry),
         router(releases.releases(),
                members,
@@ -165,6 +169,7 @@
     this->membership.start(this->settings.peer_address, *peer,
                            this->settings.zone);
     this->relay.start();
+    this->leaf_status.start(kLeafStatusInterval);
     this->publisher.start();
     this->pool.start();
     LOG(INFO) << "event=started member=" << this->settings.member
@@ -228,6 +233,7 @@
   std::vector<operators::StatusSection> sections() {
     return {
         {"members", [this] { return members_json(*this->members.read()); }},
+        {"leafs", [this] { return this->leaf_status.json(); }},
         {"relay", [this] { return this->relay.status(); }},
         {"platform",
          [this] {
@@ -270,6 +276,7 @@
   membership::MembershipService membership;
   relay::RelayService relay;
   gateway::LocalGateway local;
+  LeafStatusCache leaf_status;
   gateway::RemoteGateway remote;
   gateway::Router router;
   query::QueryEngine queries;
