--- a/ibismux/gateway/ownership_builder.cc
+++ b/ibismux/gateway/ownership_builder.cc
@@ -2,13 +2,19 @@
 
 #include <utility>
 
+#include "ibismux/gateway/connection_share.h"
 #include "ibismux/membership/membership_view.h"
 
 namespace ibismux::gateway {
 
-OwnershipBuilder::OwnershipBuilder(const membership::MembershipView& view)
+OwnershipBuilder::OwnershipBuilder(const membership::MembershipView& view,
+                                   std::size_t leafs)
     : table(std::make_shared<OwnershipTable>()) {
   this->table->self = view.self;
+  this->table->members.reserve(view.members.size());
+  this->table->leafs.reserve(leafs);
+  this->table->first_owner.reserve(leafs + 1);
+  this->table->owners.reserve(leafs * kRanks);
   for (const membership::Member& member : view.members) {
     this->table->members.push_back(member.name);
   }
@@ -27,6 +33,7 @@
 }
 
 std::shared_ptr<const OwnershipTable> OwnershipBuilder::build() {
+  this->table->index.reserve(this->table->leafs.size());
   for (std::uint32_t i = 0; i < this->table->leafs.size(); ++i) {
     this->table->index.emplace(this->table->leafs[i], i);
   }
--- a/ibismux/gateway/ownership_builder.h
+++ b/ibismux/gateway/ownership_builder.h
@@ -14,7 +14,8 @@
 class OwnershipBuilder {
  public:
   /// Members keep the positions that they have in `view`.
-  explicit OwnershipBuilder(const membership::MembershipView& view);
+  /// @param leafs How many will be added, about.
+  OwnershipBuilder(const membership::MembershipView& view, std::size_t leafs);
 
   /// The next leaf, with its owners in order; those without connections are
   /// left out.
