Remember a slow leaf whose calls are all given up

With one leaf of sixty 20 times slow, hedging did worse than none: every call there was hedged and given up after 25 ms, so nobody learnt that it takes 200 ms; what was known faded, and the leaf was tried again and again. A call given up now keeps alive what is known where that had faded below its time.

--- a/apps/bench-policy/main.cc
+++ b/apps/bench-policy/main.cc
@@ -1,7 +1,7 @@
 // Measures the policies on virtual time, without sockets:
 //
 //     bench-policy
-//     [tail|quantiles|loads|single|refusals|flips|overload|cost|limits]
+//     [tail|quantiles|loads|single|slow_leaf|refusals|flips|overload|cost|limits]
 //     [--seed N]
 //
 // Prints one JSON object a scenario. But for `cost`, a run depends on its seed
@@ -27,6 +27,7 @@
     {"quantiles", ibismux::bench::run_quantiles},
     {"loads", ibismux::bench::run_loads},
     {"single", ibismux::bench::run_single},
+    {"slow_leaf", ibismux::bench::run_slow_leaf},
     {"refusals", ibismux::bench::run_refusals},
     {"flips", ibismux::bench::run_flips},
     {"cost", ibismux::bench::run_cost},
--- a/apps/bench-policy/scenario_cost.cc
+++ b/apps/bench-policy/scenario_cost.cc
@@ -14,6 +14,7 @@
 constexpr std::uint32_t kReplicas = 2;
 constexpr int kHitsALeaf = 10;
 constexpr int kTextBytes = 100;
+constexpr int kQueries = 500;
 constexpr int kAdmissions = 200'000;
 
 /// Processor time of this thread.
@@ -55,7 +56,6 @@
 
 /// Processor time of one query with all its answers, in microseconds.
 double query_cost(std::uint32_t shards, std::uint64_t seed) {
-  constexpr int kQueries = 500;
   pcg64 random(seed);
   const query::Pin pin = pin_of(shards);
   const std::string body = body_of(random);
--- a/apps/bench-policy/scenario_tail.cc
+++ b/apps/bench-policy/scenario_tail.cc
@@ -136,6 +136,20 @@
   return result;
 }
 
+object run_slow_leaf(std::uint64_t seed) {
+  const query::RandomReplica any;
+  const query::CheaperOfTwo cheaper;
+  ClusterSpec plain = spec_of(30, 0, seed);
+  plain.work.slow_share = 0;
+  plain.slow_leafs = 1;
+  ClusterSpec hedged = plain;
+  hedged.services = {service_of(0.05)};
+  return {{"random", run(plain, any)},
+          {"cheaper_of_two", run(plain, cheaper)},
+          {"random_hedged", run(hedged, any)},
+          {"hedged", run(hedged, cheaper)}};
+}
+
 object run_refusals(std::uint64_t seed) {
   const query::RandomReplica any;
   const query::CheaperOfTwo cheaper;
--- a/apps/bench-policy/scenarios.h
+++ b/apps/bench-policy/scenarios.h
@@ -24,6 +24,9 @@
 /// The same with a single replica: answers by `answer_by`, and full coverage.
 [[nodiscard]] boost::json::object run_single(std::uint64_t seed);
 
+/// One leaf of sixty is 20 times slow, for every call.
+[[nodiscard]] boost::json::object run_slow_leaf(std::uint64_t seed);
+
 /// Half of the leafs refuse.
 [[nodiscard]] boost::json::object run_refusals(std::uint64_t seed);
 
--- a/apps/bench-policy/sim_cluster.cc
+++ b/apps/bench-policy/sim_cluster.cc
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::chrono::microseconds kOneWay{500};
+constexpr int kSlowLeaf = 20;
 
 std::string snapshot_name(std::uint64_t sequence) {
   return "n" + std::to_string(sequence);
@@ -66,8 +67,10 @@
                        const query::ReplicaChoice& replicas)
     : spec(spec), begin(this->timeline.now()), random(spec.seed) {
   for (std::uint32_t i = 0; i < spec.shards * spec.replicas; ++i) {
+    WorkModel work = spec.work;
+    work.mean *= i < spec.slow_leafs ? kSlowLeaf : 1;
     this->leafs.push_back(std::make_unique<SimLeaf>(
-        this->timeline, this->random, spec.work, spec.slots));
+        this->timeline, this->random, work, spec.slots));
     if (spec.half_refuse && i % 2 == 1) {
       this->leafs.back()->refuse_all();
     }
--- a/apps/bench-policy/sim_cluster.h
+++ b/apps/bench-policy/sim_cluster.h
@@ -31,6 +31,8 @@
   WorkModel work;
   /// Every second leaf refuses, so of each pair of replicas one.
   bool half_refuse = false;
+  /// So many of the first leafs are 20 times slow, for every call.
+  std::uint32_t slow_leafs = 0;
   bool admits = false;
   std::vector<release::QueryService> services;
   std::optional<FlipModel> flips;
--- a/apps/bench-policy/sim_daemon.cc
+++ b/apps/bench-policy/sim_daemon.cc
@@ -58,9 +58,8 @@
 }  // namespace
 
 struct SimDaemon::Query {
-  Query(query::GatherPlan plan, query::GatherPolicies policies)
-      : deadline(plan.deadlines.deadline()),
-        gather(std::move(plan), policies) {}
+  Query(const query::GatherPlan& plan, query::GatherPolicies policies)
+      : deadline(plan.deadlines.deadline()), gather(plan, policies) {}
 
   TimePoint deadline;
   query::Gather gather;
@@ -76,7 +75,7 @@
 
 SimDaemon::SimDaemon(SimWorld world,
                      const RcuCell<release::Release>& releases,
-                     std::string name,
+                     const std::string& name,
                      std::size_t fleet,
                      const query::ReplicaChoice& replicas,
                      bool admits)
--- a/apps/bench-policy/sim_daemon.h
+++ b/apps/bench-policy/sim_daemon.h
@@ -51,7 +51,7 @@
 
   SimDaemon(SimWorld world,
             const RcuCell<release::Release>& releases,
-            std::string name,
+            const std::string& name,
             std::size_t fleet,
             const query::ReplicaChoice& replicas,
             bool admits);
--- a/ibismux/query/leaf_stats.cc
+++ b/ibismux/query/leaf_stats.cc
@@ -54,8 +54,18 @@
 
 void LeafStats::call_abandoned(Duration elapsed, TimePoint now) noexcept {
   this->call_ended();
-  if (to_ms(elapsed) > this->latency_ms.load(std::memory_order_relaxed)) {
+  const double known = this->latency_ms.load(std::memory_order_relaxed);
+  const double faded =
+      known * fade(this->learned_at.load(std::memory_order_relaxed), now,
+                   kLatencyHalfLife);
+  if (to_ms(elapsed) >= known) {
     this->learn(elapsed, now);
+  } else if (to_ms(elapsed) >= faded) {
+    // A slow leaf whose calls are all hedged never finishes one. Were its
+    // latency let fade, it would be asked again and again, and each time need
+    // a hedge; this call bears out what was known.
+    this->learned_at.store(now.time_since_epoch().count(),
+                           std::memory_order_relaxed);
   }
 }
 
--- a/tests/query/policy_test.cc
+++ b/tests/query/policy_test.cc
@@ -109,6 +109,25 @@
   cr_assert(usual.cost(at(50)) > 10);
 }
 
+/// Symptom: with hedges a slow leaf gets more calls than without, each of which
+/// needs a hedge.
+/// Sequence: the leaf was slow; each call to it is hedged and given up before
+/// it ends; two seconds later it counts as quick again.
+/// Cause: what was learnt fades, and a call given up bears nothing out.
+Test(leaf_stats, calls_given_up_bear_out_that_a_leaf_is_slow) {
+  LeafStats leaf;
+  leaf.call_started();
+  leaf.call_answered(milliseconds(200), at(0));
+  for (int i = 1; i <= 20; ++i) {
+    leaf.call_started();
+    leaf.call_abandoned(milliseconds(25), at(1000 * i));
+  }
+  cr_assert(leaf.cost(at(20'000)) > 20);
+  leaf.call_started();
+  leaf.call_abandoned(milliseconds(1), at(30'000));
+  cr_assert(leaf.cost(at(30'000)) < 10);
+}
+
 Test(replica_choice, the_cheaper_of_two_is_taken) {
   const Pin pin = pin_of(release_of(1, snapshot_of("n1", 1, 1, 2)));
   (*pin.leafs)[0]->call_started();
