Run experiments against a whole site on one machine

tools/bench starts the stand-ins and daemons for one experiment, runs baseline and product in the same run, and prints one JSON object last. So far: cost, tail and overload. The stand-in leafs take names of their own for it.

--- a/standins/leaf/main.cc
+++ b/standins/leaf/main.cc
@@ -14,6 +14,7 @@
 #include <boost/json/serialize.hpp>
 #include <boost/program_options.hpp>
 #include <iostream>
+#include <sstream>
 #include <thread>
 
 #include "standins/leaf/control.h"
@@ -26,6 +27,7 @@
 struct Arguments {
   unsigned leafs = 3;
   std::string prefix = "leaf-";
+  std::string names;
   std::string address = "127.0.0.1";
   std::string history;
   std::string config = "{}";
@@ -38,6 +40,8 @@
   list.add_options()("help", "print this")(
       "leafs", options::value(&arguments.leafs), "how many")(
       "prefix", options::value(&arguments.prefix), "of the names")(
+      "names", options::value(&arguments.names),
+      "of the leafs, by commas, in place of --leafs and --prefix")(
       "address", options::value(&arguments.address), "to listen on")(
       "history", options::value(&arguments.history), "file of executions")(
       "config", options::value(&arguments.config),
@@ -59,6 +63,19 @@
   return true;
 }
 
+std::vector<std::string> names_of(const Arguments& arguments) {
+  std::vector<std::string> names;
+  std::istringstream list(arguments.names);
+  std::string name;
+  while (std::getline(list, name, ',')) {
+    names.push_back(name);
+  }
+  for (unsigned i = 0; arguments.names.empty() && i < arguments.leafs; ++i) {
+    names.push_back(arguments.prefix + std::to_string(i + 1));
+  }
+  return names;
+}
+
 /// One descriptor a connection: the default soft limit is soon reached.
 void raise_descriptor_limit() {
   rlimit limit{};
@@ -84,10 +101,11 @@
   boost::json::value config = boost::json::parse(arguments.config);
   boost::json::object ports;
   std::vector<std::unique_ptr<fake_leaf::Leaf>> leafs;
-  for (unsigned i = 0; i < arguments.leafs; ++i) {
+  for (const std::string& name : names_of(arguments)) {
+    const std::size_t i = leafs.size();
     leafs.push_back(std::make_unique<fake_leaf::Leaf>(
-        arguments.prefix + std::to_string(i + 1), *loops[i % loops.size()],
-        history, arguments.address, arguments.seed + i));
+        name, *loops[i % loops.size()], history, arguments.address,
+        arguments.seed + i));
     fake_leaf::Leaf& leaf = *leafs.back();
     if (auto problem = leaf.config.merge(config.as_object())) {
       std::cerr << *problem << "\n";
--- /dev/null
+++ b/tools/bench_lib/__init__.py
@@ -0,0 +1,1 @@
+"""What the experiments of tools/bench share."""
--- /dev/null
+++ b/tools/bench_lib/catalog.py
@@ -0,0 +1,31 @@
+"""Every experiment by its name."""
+
+import time
+import traceback
+
+from bench_lib import queries
+from bench_lib.fleet import Fleet, busy_share
+from bench_lib.verdict import Verdict
+
+EXPERIMENTS = {
+    "cost": queries.cost,
+    "tail": queries.tail,
+    "overload": queries.overload,
+}
+
+
+def run(name):
+    """One experiment's result; what goes wrong in it makes it a failure."""
+    verdict = Verdict()
+    busy = busy_share()
+    begin = time.monotonic()
+    try:
+        with Fleet(name) as fleet:
+            EXPERIMENTS[name](fleet, verdict)
+    except Exception as problem:  # pylint: disable=broad-except
+        traceback.print_exc()
+        verdict.goal(f"runs to its end ({problem})", False)
+    result = verdict.result(name, {"load_per_cpu_before": busy,
+                                   "load_per_cpu_after": busy_share()})
+    result["seconds"] = round(time.monotonic() - begin, 1)
+    return result
--- /dev/null
+++ b/tools/bench_lib/fleet.py
@@ -0,0 +1,258 @@
+"""A whole small site on this machine: platform, leafs and daemons."""
+
+import json
+import os
+import pathlib
+import shutil
+import signal
+import socket
+import subprocess
+import time
+import urllib.parse
+
+from bench_lib import objects, rest
+from bench_lib.process import Process, stop_all
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+BUILD = pathlib.Path(os.environ.get("IBISMUX_BUILD", ROOT / "build"))
+PROGRAMS = {
+    "ibismuxd": "apps/ibismuxd/ibismuxd",
+    "ibismuxctl": "apps/ibismuxctl/ibismuxctl",
+    "ibismux-load": "apps/ibismux-load/ibismux-load",
+    "ibismux-check": "apps/ibismux-check/ibismux-check",
+    "bench-bare-client": "apps/bench-bare-client/bench-bare-client",
+    "bench-fanout": "apps/bench-fanout/bench-fanout",
+    "bench-policy": "apps/bench-policy/bench-policy",
+    "ibismux-fake-leaf": "standins/leaf/ibismux-fake-leaf",
+    "ibismux-fake-platform": "standins/platform/ibismux-fake-platform",
+}
+ZONES = ("zone-a", "zone-b", "zone-c")
+# Hundreds of objects are written at once before a run; experiments on control
+# pass AS_SHIPPED instead.
+SET_UP_BUDGET = {"platform.fleet_reads_per_second": 20000,
+                 "platform.fleet_writes_per_second": 5000}
+AS_SHIPPED = {"platform.fleet_reads_per_second": 1000,
+              "platform.fleet_writes_per_second": 300}
+
+
+def program(name):
+    return str(BUILD / PROGRAMS[name])
+
+
+def free_ports(count):
+    """Ports free now: held all at once, so that no two are the same."""
+    sockets = [socket.socket() for _ in range(count)]
+    for one in sockets:
+        one.bind(("127.0.0.1", 0))
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+class Daemon(Process):
+    """One ibismuxd with a settings file of its own."""
+
+    def __init__(self, folder, index, zone, platform_port, overrides):
+        self.member = f"host-{index + 1}"
+        self.zone = zone
+        self.caller, self.peer, self.operator = free_ports(3)
+        settings = {
+            "member": self.member, "zone": zone,
+            "threads": overrides.pop("threads", 2),
+            "caller": {"address": "127.0.0.1", "port": self.caller},
+            "peer": {"address": "127.0.0.1", "port": self.peer},
+            "operator": {"address": "127.0.0.1", "port": self.operator},
+            "platform": {"address": "127.0.0.1", "port": platform_port}}
+        for key, value in overrides.items():
+            group, name = key.split(".")
+            settings.setdefault(group, {})[name] = value
+        path = folder / f"{self.member}.json"
+        path.write_text(json.dumps(settings, indent=1))
+        super().__init__(self.member,
+                         [program("ibismuxd"), "--settings", path],
+                         folder / f"{self.member}.log")
+
+    def is_ready(self):
+        try:
+            rest.call(self.operator, "GET", "/readyz", timeout=1)
+            return True
+        except (OSError, rest.RestError):
+            return False
+
+    def status(self):
+        return rest.call(self.operator, "GET", "/v1/status")
+
+
+class Fleet:
+    """Starts and stops everything; use as a context manager."""
+
+    def __init__(self, name):
+        self.folder = BUILD / "bench" / name
+        shutil.rmtree(self.folder, ignore_errors=True)
+        self.folder.mkdir(parents=True)
+        self.platform = None
+        self.leafs = None
+        self.leaf_ports = {}
+        self.daemons = []
+        self.objects = []
+        self.history = []
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        self.stop_daemons()
+        stop_all([one for one in (self.leafs, self.platform) if one])
+
+    def stop_daemons(self):
+        stop_all(self.daemons)
+        self.daemons = []
+
+    def start_platform(self, *arguments):
+        arguments = arguments or ("--reads-per-second", 0,
+                                  "--writes-per-second", 0)
+        self.platform = Process(
+            "platform", [program("ibismux-fake-platform"), *arguments],
+            self.folder / "platform.log").start()
+
+    def platform_faults(self, **faults):
+        rest.call(self.platform.ready["port"], "PUT", "/fake/faults", faults)
+
+    def platform_stats(self):
+        return rest.call(self.platform.ready["port"], "GET", "/fake/stats")
+
+    def start_leafs(self, names, config=None, history=False, threads=4):
+        arguments = [program("ibismux-fake-leaf"), "--names", ",".join(names),
+                     "--threads", threads,
+                     "--config", json.dumps(config or {})]
+        if history:
+            path = self.folder / "leafs.jsonl"
+            self.history.append(path)
+            arguments += ["--history", path]
+        self.leafs = Process("leafs", arguments,
+                             self.folder / "leafs.log").start()
+        self.leaf_ports = self.leafs.ready["leafs"]
+
+    def leaf_change(self, name, **change):
+        rest.call(self.leafs.ready["control"], "PUT",
+                  f"/fake/leafs/{name}", change)
+
+    def leaf_stats(self):
+        return rest.call(self.leafs.ready["control"], "GET", "/fake/stats")
+
+    def leaf_objects(self, names, **spec):
+        return [objects.leaf(name, self.leaf_ports[name],
+                             ZONES[i % len(ZONES)], **spec)
+                for i, name in enumerate(names)]
+
+    def start_daemons(self, count, zones=ZONES, seconds=20, **overrides):
+        port = self.platform.ready["port"]
+        self.daemons = [
+            Daemon(self.folder, i, zones[i % len(zones)], port,
+                   {**SET_UP_BUDGET, **overrides}) for i in range(count)]
+        self.tell_hosts()
+        for daemon in self.daemons:
+            daemon.start(wait=False)
+        for daemon in self.daemons:
+            daemon.wait_ready()
+
+    def tell_hosts(self, leaving=()):
+        rest.call(self.platform.ready["port"], "PUT", "/fake/hosts", {
+            "hosts": [{"name": one.member, "zone": one.zone,
+                       "peer_address": f"127.0.0.1:{one.peer}",
+                       "leaving": one.member in leaving}
+                      for one in self.daemons]})
+
+    def wait_ready(self, seconds=15):
+        end = time.monotonic() + seconds
+        for daemon in self.daemons:
+            while not daemon.is_ready():
+                if time.monotonic() > end:
+                    raise RuntimeError(f"{daemon.member} is not ready")
+                time.sleep(0.05)
+
+    def apply(self, list_of_objects, seconds=20):
+        path = self.folder / f"objects-{time.monotonic_ns()}.json"
+        path.write_text(json.dumps({"objects": list_of_objects}))
+        addresses = ",".join(f"127.0.0.1:{one.operator}"
+                             for one in self.daemons)
+        done = subprocess.run(
+            [program("ibismuxctl"), "--address", addresses, "--wait",
+             "--timeout", str(seconds), "--operator", "bench", "apply",
+             str(path)], capture_output=True, text=True,
+            timeout=seconds + 10, check=False)
+        if done.returncode != 0:
+            raise RuntimeError(f"apply: exit {done.returncode}: "
+                               f"{(done.stdout + done.stderr)[-600:]}")
+
+    def put(self, item, daemon=0):
+        """Writes one object through one daemon; does not wait."""
+        kind, name = item["kind"], urllib.parse.quote(item["name"])
+        return rest.call(self.daemons[daemon].operator, "PUT",
+                         f"/v1/objects/{kind}/{name}", item["spec"],
+                         {"X-Operator": "bench"})
+
+    def daemon_cpu_seconds(self):
+        return sum(one.cpu_seconds() for one in self.daemons)
+
+    def load_command(self, experiment, label, history=False):
+        addresses = ",".join(f"127.0.0.1:{one.caller}:{one.operator}"
+                             for one in self.daemons)
+        arguments = [program("ibismux-load"), "--daemons", addresses,
+                     "--plot", self.folder / f"{label}.png"]
+        if history:
+            path = self.folder / f"load-{label}.jsonl"
+            self.history.append(path)
+            arguments += ["--history", path]
+        return [str(one) for one in [*arguments, experiment]]
+
+    def load(self, experiment, label, history=False, during=None):
+        """Runs the load tool; `during(begin)` runs beside it."""
+        path = ROOT / "bench" / "experiments" / f"{experiment}.json"
+        child = subprocess.Popen(self.load_command(path, label, history),
+                                 stdout=subprocess.PIPE, text=True)
+        try:
+            if during:
+                during(time.monotonic())
+            output, _ = child.communicate(timeout=60)
+        finally:
+            if child.poll() is None:
+                child.kill()
+        if child.returncode != 0:
+            raise RuntimeError(f"ibismux-load: exit {child.returncode}")
+        result = json.loads(output.strip().splitlines()[-1])
+        draw(self.folder / f"{label}.png.gp")
+        return result
+
+    def check_history(self, *arguments):
+        """Runs ibismux-check over all that was recorded."""
+        if self.leafs:
+            rest.call(self.leafs.ready["control"], "POST", "/fake/flush", {})
+        done = subprocess.run(
+            [program("ibismux-check"), *arguments,
+             *[str(path) for path in self.history if path.exists()]],
+            capture_output=True, text=True, timeout=60, check=False)
+        lines = done.stdout.strip().splitlines()
+        summary = json.loads(lines[-1]) if lines else {}
+        summary["exit"] = done.returncode
+        summary["first_violations"] = lines[:-1][:3]
+        return summary
+
+    def pause(self, daemon, seconds):
+        """Freezes a daemon for a while."""
+        self.daemons[daemon].signal(signal.SIGSTOP)
+        time.sleep(seconds)
+        self.daemons[daemon].signal(signal.SIGCONT)
+
+
+def draw(script):
+    """Draws a plot where gnuplot is there."""
+    if shutil.which("gnuplot") and script.exists():
+        subprocess.run(["gnuplot", str(script)], capture_output=True,
+                       timeout=20, check=False)
+
+
+def busy_share():
+    """Load average per processor: figures taken above 1 are doubtful."""
+    return round(os.getloadavg()[0] / (os.cpu_count() or 1), 2)
