Tell queries, reservations and key look-ups apart in the usual latency

A service that answers key look-ups in a millisecond and queries in twenty took the first for what a request takes when nothing waits: its queries seemed twenty times slow, and all but one at a time were shed. Each kind of work has its own baseline now; admit() takes it as a last argument, a query where absent.

--- a/ibismux/admission/admission.cc
+++ b/ibismux/admission/admission.cc
@@ -33,8 +33,8 @@
 /// Slots taken so far by one request, given back together.
 class Slots {
  public:
-  Slots(std::shared_ptr<const ServicePlan> plan, TimePoint since)
-      : plan(std::move(plan)), since(since) {}
+  Slots(std::shared_ptr<const ServicePlan> plan, Work work, TimePoint since)
+      : plan(std::move(plan)), work(work), since(since) {}
 
   /// Takes a slot of the load group, then of each policy. On a refusal nothing
   /// stays taken.
@@ -73,7 +73,7 @@
   void finish(std::optional<ErrorKind> error, TimePoint now) {
     const Duration latency = std::max(Duration::zero(), now - this->since);
     this->plan->pool->finish(this->plan->priority, latency, error,
-                             *this->plan->baseline, now);
+                             this->plan->baselines->at(this->work), now);
     this->release_groups(latency);
   }
 
@@ -85,6 +85,7 @@
   }
 
   std::shared_ptr<const ServicePlan> plan;
+  Work work;
   TimePoint since;
   std::vector<LimitUse> uses;
 };
@@ -102,7 +103,8 @@
 
   Result<Permit> admit(const std::string& service,
                        const std::string& caller,
-                       TimePoint now);
+                       TimePoint now,
+                       Work work);
 
  private:
   std::vector<LimitUse> uses_of(const ServicePlan& plan,
@@ -116,7 +118,8 @@
 
 Result<Permit> Admission::Impl::admit(const std::string& service,
                                       const std::string& caller,
-                                      TimePoint now) {
+                                      TimePoint now,
+                                      Work work) {
   const std::shared_ptr<const PlanSet> set = this->plans.current(now);
   if (set->release->generation == 0) {
     return refuse(ErrorKind::kNotReady, "no configuration yet", kNotReadyRetry);
@@ -126,7 +129,7 @@
     return fail(ErrorKind::kNotFound, "no service " + service);
   }
   const std::shared_ptr<const ServicePlan>& plan = found->second;
-  auto slots = std::make_shared<Slots>(plan, now);
+  auto slots = std::make_shared<Slots>(plan, work, now);
   if (auto refusal = slots->take(this->uses_of(*plan, caller, now))) {
     return *std::move(refusal);
   }
@@ -166,8 +169,9 @@
 
 Result<Permit> Admission::admit(const std::string& service,
                                 const std::string& caller,
-                                TimePoint now) {
-  return this->impl->admit(service, caller, now);
+                                TimePoint now,
+                                Work work) {
+  return this->impl->admit(service, caller, now, work);
 }
 
 }  // namespace ibismux::admission
--- a/ibismux/admission/forward.h
+++ b/ibismux/admission/forward.h
@@ -16,6 +16,7 @@
 class LatencyBaseline;
 class LimitGroup;
 class LoadPool;
+class Baselines;
 class Permit;
 class PlanTable;
 class RateMeter;
--- a/ibismux/admission/plan_table.cc
+++ b/ibismux/admission/plan_table.cc
@@ -107,9 +107,9 @@
     }
     plan->pool = pool;
     // A baseline is used under its pool's lock, so it goes with the pool.
-    plan->baseline = before != nullptr && before->pool == pool
-                         ? before->baseline
-                         : std::make_shared<LatencyBaseline>();
+    plan->baselines = before != nullptr && before->pool == pool
+                          ? before->baselines
+                          : std::make_shared<Baselines>();
     plan->metrics = before != nullptr && before->priority == plan->priority
                         ? before->metrics
                         : this->metrics.service(name, plan->priority);
--- a/tests/admission/admission_test.cc
+++ b/tests/admission/admission_test.cc
@@ -183,6 +183,26 @@
   cr_assert(door.fill("a", at(5000)) > first);
 }
 
+/// Symptom: a service's queries are shed while its leafs are idle.
+/// Sequence: callers ask what became of reservation keys, which takes a
+/// millisecond; then queries come, which take twenty.
+/// Cause: one usual latency for all that a service does.
+Test(admission, quick_key_lookups_do_not_make_queries_seem_slow) {
+  auto release = two_leafs();
+  add_service(*release, "a", Priority::kBench, 0);
+  Door door(release);
+  for (int i = 0; i < 600; ++i) {
+    const bool query = i >= 100;
+    const Work work = query ? Work::kQuery : Work::kKeyLookup;
+    for (int j = 0; j < 2; ++j) {
+      Result<Permit> permit = door.admission.admit("a", "c", at(50 * i), work);
+      cr_assert(permit.has_value());
+      door.permits.push_back(std::move(*permit));
+    }
+    door.finish_all(std::nullopt, at(50 * i + (query ? 20 : 1)));
+  }
+}
+
 Test(admission, unknown_services_and_an_unready_daemon_are_told_apart) {
   Door door(two_leafs());
   cr_assert(door.admission.admit("x", "c", at(0)).error().kind ==
