Refuse at once what higher priorities will overtake; let limits grow by half

At twice the capacity, calls of low priority waited out their whole deadline to hear that they had not run: the expected wait counted the calls that waited, not those of higher priority that would still come. It now does, by their rate of late. The test fails without it.

The price is some editor answers that would have slipped in.

A limit held at the slots leaves the leaf idle for each round trip; one of twice the slots puts calls into the leaf's own queue, where priorities don't count. So the ceiling is one and a half.

--- a/ibismux/gateway/gateway_settings.h
+++ b/ibismux/gateway/gateway_settings.h
@@ -14,7 +14,7 @@
   /// Calls that may wait for a leaf, for each of its slots.
   std::size_t queued_per_slot = 64;
   /// Most that a leaf's limit may grow to, as a multiple of its slots.
-  double most_limit_per_slot = 2.0;
+  double most_limit_per_slot = 1.5;
   /// How long a connection may take to open.
   Duration connect_timeout = std::chrono::seconds(1);
   /// How long after a call's deadline the leaf's word that it stopped is
--- a/ibismux/gateway/leaf_queue.cc
+++ b/ibismux/gateway/leaf_queue.cc
@@ -4,12 +4,19 @@
 
 namespace ibismux::gateway {
 
+namespace {
+
+/// The least part of a leaf that is reckoned to be left for a low priority.
+constexpr double kLeastLeft = 0.02;
+
+}  // namespace
+
 LeafQueue::Offer LeafQueue::offer(QueuedCall& call,
                                   TimePoint now,
                                   Duration pace,
                                   Duration service) {
   Offer result;
-  result.wait = pace * static_cast<std::int64_t>(this->ahead_of(call));
+  result.wait = this->wait_of(call, now, pace);
   if (now + result.wait + service > call.deadline) {
     result.verdict = Verdict::kHopeless;
     return result;
@@ -21,6 +28,7 @@
       return result;
     }
   }
+  this->rates[static_cast<std::size_t>(call.priority)].add(now);
   const Key key{call.deadline, ++this->arrivals};
   this->index[call.id] = Place{call.priority, key};
   const Priority priority = call.priority;
@@ -71,12 +79,23 @@
   return earliest;
 }
 
-std::size_t LeafQueue::ahead_of(const QueuedCall& call) const noexcept {
-  std::size_t ahead = 0;
-  for (std::size_t i = 0; i <= static_cast<std::size_t>(call.priority); ++i) {
+Duration LeafQueue::wait_of(const QueuedCall& call,
+                            TimePoint now,
+                            Duration pace) const noexcept {
+  const auto own = static_cast<std::size_t>(call.priority);
+  std::size_t ahead = this->lines[own].size();
+  double overtaking = 0;
+  for (std::size_t i = 0; i < own; ++i) {
     ahead += this->lines[i].size();
+    overtaking += this->rates[i].per_second(now);
   }
-  return ahead;
+  // Calls of higher priority that come later still go first: where they take
+  // the whole leaf, a call of low priority would wait for its deadline in vain,
+  // and its caller would hear of it only then.
+  const double seconds = std::chrono::duration<double>(pace).count();
+  const double left = std::max(kLeastLeft, 1.0 - overtaking * seconds);
+  return std::chrono::duration_cast<Duration>(
+      pace * static_cast<double>(ahead) / left);
 }
 
 std::optional<QueuedCall> LeafQueue::evict_below(Priority priority) {
--- a/ibismux/gateway/leaf_queue.h
+++ b/ibismux/gateway/leaf_queue.h
@@ -12,6 +12,7 @@
 
 #include "ibismux/base/priority.h"
 #include "ibismux/base/time.h"
+#include "ibismux/gateway/arrival_rate.h"
 #include "ibismux/gateway/queued_call.h"
 
 namespace ibismux::gateway {
@@ -30,7 +31,8 @@
 
   struct Offer {
     Verdict verdict = Verdict::kQueued;
-    /// How long those ahead are expected to take.
+    /// How long those ahead are expected to take, and those of higher
+    /// priority that come meanwhile.
     Duration wait{};
     /// A call of lower priority that gave way.
     std::optional<QueuedCall> evicted = std::nullopt;
@@ -77,13 +79,16 @@
   [[nodiscard]] Line& line(Priority priority) noexcept {
     return this->lines[static_cast<std::size_t>(priority)];
   }
-  [[nodiscard]] std::size_t ahead_of(const QueuedCall& call) const noexcept;
+  [[nodiscard]] Duration wait_of(const QueuedCall& call,
+                                 TimePoint now,
+                                 Duration pace) const noexcept;
   [[nodiscard]] std::optional<QueuedCall> evict_below(Priority priority);
   QueuedCall take(Line& line, Line::iterator position);
 
   std::size_t capacity;
   std::uint64_t arrivals = 0;
   std::array<Line, kPriorities> lines;
+  std::array<ArrivalRate, kPriorities> rates;  ///< Of calls taken in.
   std::unordered_map<CallId, Place> index;
 };
 
--- a/tests/gateway/leaf_queue_test.cc
+++ b/tests/gateway/leaf_queue_test.cc
@@ -69,6 +69,33 @@
                 .verdict == LeafQueue::Verdict::kQueued);
 }
 
+// Symptom: editors wait a second to hear that their call was not run.
+// Events: calls of high priority take the whole leaf; a few of low priority
+// queue, and none is ever started.
+// Cause: only the calls that wait were counted, not those that will overtake.
+Test(leaf_queue, call_that_will_be_overtaken_is_refused_at_once) {
+  LeafQueue queue(100);
+  constexpr milliseconds kPace{10};
+  TimePoint now = kStart;
+  for (std::uint64_t i = 1; i <= 400; ++i) {
+    QueuedCall urgent = call(i, Priority::kDiagnostic, 100'000);
+    (void)queue.offer(urgent, now, kPace, kPace);
+    (void)queue.pop();
+    now += kPace;
+  }
+  QueuedCall first = call(1001, Priority::kEditor, 5000);
+  cr_assert(queue.offer(first, now, kPace, kPace).verdict ==
+            LeafQueue::Verdict::kQueued);
+  QueuedCall second = call(1002, Priority::kEditor, 5000 - 600);
+  cr_assert(queue.offer(second, now, kPace, kPace).verdict ==
+            LeafQueue::Verdict::kHopeless);
+  // With the urgent calls gone for a while, there is room again.
+  QueuedCall later = call(1003, Priority::kEditor, 100'000);
+  cr_assert(
+      queue.offer(later, now + std::chrono::seconds(5), kPace, kPace).verdict ==
+      LeafQueue::Verdict::kQueued);
+}
+
 Test(leaf_queue, expired_and_cancelled_calls_leave) {
   LeafQueue queue(10);
   (void)offer(queue, call(1, Priority::kBench, 10));
