Count what a draining server may still have to answer

A daemon that stops drains its server and waits until nothing is in flight. The count held only handlers that run, so it was 0 while a request was arriving, in the half second that an idle connection is given, and before the loops had heard of the drain: the stop that follows cut those. in_flight() now counts a request from its first byte, idle connections in their grace, and the drain itself until every loop has done it; a connection that turns idle within a drain drains too. Connections that wait in the backlog are accepted before the listener closes. The grace is a limit of the server, so that tests need no luck with it.

--- a/ibismux/http/server.cc
+++ b/ibismux/http/server.cc
@@ -39,16 +39,17 @@
   [[nodiscard]] Result<std::uint16_t> bind(const std::string& address,
                                            std::uint16_t port);
   void accept();
-  void close() {
-    ErrorCode ignored;
-    this->acceptor.close(ignored);
-    this->pause.cancel();
-  }
+  void close();
+
+  /// Takes the connections that already wait, whose clients may have sent
+  /// their requests, and closes.
+  void accept_rest();
 
  private:
   void on_accept(const ErrorCode& error,
                  TcpSocket socket,
                  const std::shared_ptr<ServerLoop>& loop);
+  void serve(TcpSocket socket, const std::shared_ptr<ServerLoop>& loop);
   void rest();
 
   const std::shared_ptr<ServerCore> core;
@@ -103,6 +104,12 @@
     this->rest();
     return;
   }
+  this->serve(std::move(socket), loop);
+  this->accept();
+}
+
+void Listener::serve(TcpSocket socket,
+                     const std::shared_ptr<ServerLoop>& loop) {
   if (this->core->connections.load() >= this->core->limits.connections) {
     ErrorCode ignored;
     const Response full =
@@ -117,12 +124,33 @@
     // Counted from here on, so that a burst can't pass the limit.
     const auto connection =
         std::make_shared<ServerConnection>(std::move(socket), this->core, loop);
-    asio::post(loop->context, [connection, loop] {
-      loop->connections.insert(connection);
-      connection->start();
-    });
+    asio::post(loop->context,
+               [connection, loop, counted = Counted(this->core->in_flight)] {
+                 loop->connections.insert(connection);
+                 connection->start();
+               });
   }
-  this->accept();
+}
+
+void Listener::accept_rest() {
+  ErrorCode error;
+  this->acceptor.cancel(error);
+  this->acceptor.non_blocking(true, error);
+  while (!error) {
+    const auto& loop = this->loops[this->turn++ % this->loops.size()];
+    TcpSocket socket(loop->context.get_executor());
+    this->acceptor.accept(socket, error);
+    if (!error) {
+      this->serve(std::move(socket), loop);
+    }
+  }
+  this->close();
+}
+
+void Listener::close() {
+  ErrorCode ignored;
+  this->acceptor.close(ignored);
+  this->pause.cancel();
 }
 
 void Listener::rest() {
@@ -161,13 +189,16 @@
     return bound;
   }
 
-  /// Stops accepting, then does `visit` to each connection on its own loop.
-  void for_all(void (ServerConnection::*visit)()) {
+  /// Does `end` to each listener, and `visit` to each connection on its own
+  /// loop. Counts as in flight until it is done.
+  void for_all(void (Listener::*end)(), void (ServerConnection::*visit)()) {
     for (const auto& listener : this->listeners) {
-      asio::post(this->pool.at(0), [listener] { listener->close(); });
+      asio::post(this->pool.at(0), [listener, end, counted = this->hold()] {
+        ((*listener).*end)();
+      });
     }
     for (const auto& loop : this->loops) {
-      asio::post(loop->context, [loop, visit] {
+      asio::post(loop->context, [loop, visit, counted = this->hold()] {
         const auto all = loop->connections;
         for (const auto& connection : all) {
           ((*connection).*visit)();
@@ -176,6 +207,10 @@
     }
   }
 
+  [[nodiscard]] std::shared_ptr<Counted> hold() const {
+    return std::make_shared<Counted>(this->core->in_flight);
+  }
+
   IoPool& pool;
   const std::shared_ptr<ServerCore> core;
   std::vector<std::shared_ptr<ServerLoop>> loops;
@@ -196,7 +231,7 @@
 
 void Server::drain() {
   this->impl->core->draining = true;
-  this->impl->for_all(&ServerConnection::drain);
+  this->impl->for_all(&Listener::accept_rest, &ServerConnection::drain);
 }
 
 std::size_t Server::connections() const noexcept {
@@ -208,7 +243,7 @@
 }
 
 void Server::stop() {
-  this->impl->for_all(&ServerConnection::close);
+  this->impl->for_all(&Listener::close, &ServerConnection::close);
 }
 
 }  // namespace ibismux::http
--- a/ibismux/http/server.h
+++ b/ibismux/http/server.h
@@ -27,6 +27,9 @@
   /// How long a request may take to arrive once its first byte is here, and an
   /// answer to be taken off. Bounds slow and half-closed clients.
   Duration transfer_timeout = std::chrono::seconds(10);
+  /// How long a connection must have been idle to be closed once the server
+  /// drains: its client's next request may be on the way.
+  Duration drain_grace = std::chrono::milliseconds(500);
 };
 
 /// An HTTP/1.1 keep-alive server over an `IoPool`.
@@ -48,12 +51,17 @@
   [[nodiscard]] Result<std::uint16_t> listen(const std::string& address,
                                              std::uint16_t port);
 
-  /// Accepts no more, closes idle connections, and gives each request in flight
-  /// its answer with `Connection: close`. Thread safe.
+  /// Accepts no more, closes connections that stay idle for the grace, and
+  /// gives each request in flight its answer with `Connection: close`. Thread
+  /// safe.
   void drain();
 
-  /// Open connections, and requests being handled. Thread safe.
+  /// Open connections. Thread safe.
   [[nodiscard]] std::size_t connections() const noexcept;
+
+  /// Requests that arrive, are handled or are answered; after `drain()` also
+  /// idle connections within their grace. Once it is 0 after `drain()`,
+  /// `stop()` cuts nothing. Thread safe.
   [[nodiscard]] std::size_t in_flight() const noexcept;
 
   /// Closes everything at once. Thread safe.
--- a/ibismux/http/server_connection.cc
+++ b/ibismux/http/server_connection.cc
@@ -23,7 +23,6 @@
 // before the client has read it.
 constexpr std::size_t kMostDropped = 8 * 1024 * 1024;
 constexpr Duration kMostLinger = std::chrono::seconds(2);
-constexpr Duration kDrainGrace = std::chrono::milliseconds(500);
 
 std::string remote_of(const TcpSocket& socket) {
   ErrorCode error;
@@ -51,15 +50,20 @@
 void ServerConnection::start() {
   ErrorCode ignored;
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  this->arm_timer(Clock::now() + this->timer_period());
   this->await_request();
-  this->arm_timer(this->deadline);
 }
 
 void ServerConnection::drain() {
-  if (this->phase == Phase::kIdle) {
-    this->deadline = std::min(this->deadline, Clock::now() + kDrainGrace);
-    this->arm_timer(this->deadline);
+  if (this->phase != Phase::kIdle) {
+    return;
   }
+  // Counted, or whoever waits for the last request would stop the server while
+  // the next one of this client is on its way.
+  this->count_in_flight();
+  const TimePoint end = Clock::now() + this->core->limits.drain_grace;
+  this->deadline = std::min(this->deadline, end);
+  this->arm_timer(this->deadline);
 }
 
 void ServerConnection::close() {
@@ -87,6 +91,9 @@
   this->request->remote = this->remote;
   this->parser.start(*this->request);
   this->parse();
+  if (this->core->draining.load()) {
+    this->drain();
+  }
 }
 
 void ServerConnection::read() {
@@ -139,6 +146,7 @@
   if (!this->input.empty()) {
     if (this->phase == Phase::kIdle) {
       this->phase = Phase::kReading;
+      this->count_in_flight();
       this->set_deadline(this->core->limits.transfer_timeout);
     }
     const ParseStep step = this->parser.feed(this->input);
@@ -174,7 +182,6 @@
   this->phase = Phase::kHandling;
   this->deadline = TimePoint::max();
   this->token = std::make_shared<CancelToken>();
-  this->in_flight.emplace(this->core->in_flight);
   auto done = [self = this->shared_from_this()](
                   const std::exception_ptr& thrown, Response response) {
     self->on_answer(thrown, std::move(response));
@@ -264,6 +271,13 @@
   this->read();
 }
 
+void ServerConnection::count_in_flight() {
+  // Not counted anew, which would show 0 in between.
+  if (!this->in_flight) {
+    this->in_flight.emplace(this->core->in_flight);
+  }
+}
+
 void ServerConnection::set_deadline(Duration from_now) {
   this->deadline = Clock::now() + from_now;
 }
@@ -289,9 +303,12 @@
   if (this->phase == Phase::kClosed) {
     return;
   }
-  const Duration period = std::min(this->core->limits.idle_timeout,
-                                   this->core->limits.transfer_timeout);
-  this->arm_timer(std::min(this->deadline, now + period));
+  this->arm_timer(std::min(this->deadline, now + this->timer_period()));
+}
+
+Duration ServerConnection::timer_period() const {
+  return std::min(this->core->limits.idle_timeout,
+                  this->core->limits.transfer_timeout);
 }
 
 void ServerConnection::on_deadline() {
--- a/ibismux/http/server_connection.h
+++ b/ibismux/http/server_connection.h
@@ -60,8 +60,10 @@
   void on_written(const boost::system::error_code& error, bool keep_alive);
   void linger();
   void send_continue();
+  void count_in_flight();
   void set_deadline(Duration from_now);
   void arm_timer(TimePoint when);
+  [[nodiscard]] Duration timer_period() const;
   void on_timer();
   void on_deadline();
 
--- a/tests/http/server_lifetime_test.cc
+++ b/tests/http/server_lifetime_test.cc
@@ -1,6 +1,7 @@
 #include "tests/http/harness.h"
 
 #include <future>
+#include <thread>
 
 #include <criterion/criterion.h>
 
@@ -112,17 +113,38 @@
   delete late;
 }
 
-Test(http_server_lifetime, drain_answers_a_request_on_an_idle_connection) {
-  ServerFixture fixture;
+// Symptom: a planned stop cuts a request in flight. Sequence: the daemon
+// drains, sees nothing in flight and stops; a client's next request was on its
+// way over a connection that had been idle. Cause: "idle" is what the server
+// has seen.
+Test(http_server_lifetime, drain_waits_for_requests_on_the_way) {
+  ServerLimits limits;
+  limits.drain_grace = kLimit;
+  ServerFixture fixture(echo, limits);
   RawClient client(fixture.port);
   client.send("GET /1 HTTP/1.1\r\n\r\n");
   client.read_until("GET /1 ");
-  RawClient idle(fixture.port);
+  RawClient waiting(fixture.port);
   fixture.server.drain();
+  cr_assert(fixture.server.in_flight() > 0);
   client.send("GET /2 HTTP/1.1\r\n\r\n");
+  waiting.send("GET /3 HTTP/1.1\r\n\r\n");
+  while (fixture.server.in_flight() > 0) {
+    std::this_thread::yield();
+  }
+  fixture.server.stop();
   const std::string text = client.read_all();
   cr_assert(text.ends_with("GET /2 "));
   cr_assert(text.find("Connection: close\r\n") != std::string::npos);
+  cr_assert(waiting.read_all().ends_with("GET /3 "));
+}
+
+Test(http_server_lifetime, drain_closes_what_stays_idle) {
+  ServerLimits limits;
+  limits.drain_grace = std::chrono::milliseconds(1);
+  ServerFixture fixture(echo, limits);
+  RawClient idle(fixture.port);
+  fixture.server.drain();
   cr_assert(idle.read_all().empty());
 }
 
