--- a/tools/bench_lib/changes.py
+++ b/tools/bench_lib/changes.py
@@ -56,7 +56,7 @@
 
 
 def drain(fleet, verdict):
-    """Leafs drain, leave, are lost and start cold under load."""
+    """Leafs drain, leave, start cold, are lost, or are slow, under load."""
     names = [f"leaf-{i + 1}" for i in range(8)]
     fleet.start_platform()
     fleet.start_leafs(names, {"service_ms": 8, "slots": 4, "queue": 50,
@@ -88,6 +88,7 @@
         at(12)
         fleet.leaf_change("leaf-5", state="down")
         at(14)
+        fleet.leaf_change("leaf-5", state="ready")
         fleet.leaf_change("leaf-6", health_state="ready", health_load=0,
                           service_ms=80)
 
--- a/tools/bench_lib/fleet.py
+++ b/tools/bench_lib/fleet.py
@@ -122,6 +122,11 @@
     def platform_stats(self):
         return rest.call(self.platform.ready["port"], "GET", "/fake/stats")
 
+    def platform_calls(self):
+        """How many calls of each kind the platform has counted."""
+        return {kind: sum(by_status.values()) for kind, by_status
+                in self.platform_stats()["calls"].items()}
+
     def start_leafs(self, names, config=None, history=False, threads=4):
         arguments = [program("ibismux-fake-leaf"), "--names", ",".join(names),
                      "--threads", threads,
--- a/tools/bench_lib/reservations.py
+++ b/tools/bench_lib/reservations.py
@@ -13,7 +13,7 @@
 
 
 def platform_writes(fleet):
-    return fleet.platform_stats()["writes"]
+    return fleet.platform_calls().get("write", 0)
 
 
 def faults(fleet, begin, seed):
