Serve callers that the balancer still sends to a leaving daemon

Cause: the rolling restart experiment had 4 requests refused as not_ready 35 to 55 ms after SIGTERM, before the balancer could know. The caller interface asked the same question as the readiness probe. It now refuses only without a release; the probe alone says that the daemon leaves.

--- a/ibismux/daemon/daemon.cc
+++ b/ibismux/daemon/daemon.cc
@@ -132,7 +132,10 @@
             queries,
             admission,
             reservations,
-            [this] { return this->not_ready_because().empty(); },
+            // A balancer goes on sending callers for a while after readiness
+            // turned false; refusing them would be seen as failed requests at
+            // each restart, so they are served until the caller port closes.
+            [this] { return this->releases.generation() > 0; },
             registry,
             draw()),
         operator_api(this->operator_ports()),
