--- a/ibismux/caller/answer_renderer.cc
+++ b/ibismux/caller/answer_renderer.cc
@@ -17,6 +17,10 @@
 
 namespace json = boost::json;
 
+// By `reservation::KeyState`.
+constexpr std::string_view kStateNames[] = {"not_run", "running", "run",
+                                            "unknown"};
+
 /// An answer's JSON tree, out of one arena: an answer may name hundreds of
 /// shards and a thousand hits.
 class Tree {
@@ -41,9 +45,7 @@
 };
 
 std::string_view name_of(reservation::KeyState state) noexcept {
-  constexpr std::string_view kNames[] = {"not_run", "running", "run",
-                                         "unknown"};
-  return kNames[static_cast<std::size_t>(state)];
+  return kStateNames[static_cast<std::size_t>(state)];
 }
 
 std::string_view name_of(Execution execution) noexcept {
--- a/ibismux/caller/caller_metrics.cc
+++ b/ibismux/caller/caller_metrics.cc
@@ -9,10 +9,10 @@
 constexpr std::string_view kSuccess = "ok";
 
 const prometheus::Histogram::BucketBoundaries& buckets() {
-  static const prometheus::Histogram::BucketBoundaries kSeconds = {
+  static const prometheus::Histogram::BucketBoundaries seconds = {
       0.002, 0.005, 0.01, 0.02, 0.035, 0.05, 0.075, 0.1, 0.15,
       0.22,  0.35,  0.5,  1.0,  2.0,   5.0,  15.0,  60.0};
-  return kSeconds;
+  return seconds;
 }
 
 }  // namespace
--- a/ibismux/caller/routes.cc
+++ b/ibismux/caller/routes.cc
@@ -23,7 +23,7 @@
 };
 
 const std::vector<Pattern>& patterns() {
-  static const std::vector<Pattern> kPatterns = {
+  static const std::vector<Pattern> table = {
       {"POST", {"v1", "services", kService, "query"}, Operation::kQuery},
       {"POST",
        {"v1", "services", kService, "reservations"},
@@ -33,7 +33,7 @@
        Operation::kAskKey},
       {"POST", {"v1", "tickets"}, Operation::kIssueTicket},
   };
-  return kPatterns;
+  return table;
 }
 
 bool matches(const Pattern& pattern, const std::vector<std::string>& parts) {
--- a/ibismux/http/client_connection.cc
+++ b/ibismux/http/client_connection.cc
@@ -164,7 +164,7 @@
   self->phase = Phase::kConnecting;
   self->arm_timer(deadline);
   co_await asio::async_initiate<const asio::use_awaitable_t<>&, void()>(
-      [](Waiter&& waiter, Impl* impl, asio::ip::tcp::endpoint endpoint) {
+      [](Waiter&& waiter, Impl* impl, const asio::ip::tcp::endpoint& endpoint) {
         impl->waiter.emplace(std::move(waiter));
         impl->socket->async_connect(
             endpoint, Completion<&Impl::on_connect>(impl->shared_from_this()));
--- a/ibismux/http/parser.cc
+++ b/ibismux/http/parser.cc
@@ -19,6 +19,7 @@
 // Body memory taken ahead on the word of Content-Length alone.
 constexpr std::uint64_t kMostReserved = 64 * 1024;
 constexpr std::size_t kUsualFields = 12;
+constexpr std::size_t kLastChunkBytes = 5;  // "0\r\n\r\n"
 
 /// Writes what Beast's parser reports straight into a message of ours.
 template <bool is_request, class MessageType>
@@ -117,7 +118,6 @@
 /// process. At any point of a chunked body that many are still to come.
 template <class ParserType>
 bool must_wait(const ParserType& parser, std::string_view bytes) {
-  constexpr std::size_t kLastChunkBytes = 5;
   return parser.is_header_done() && parser.chunked() &&
          bytes.size() < kLastChunkBytes;
 }
--- a/ibismux/http/wire_format.cc
+++ b/ibismux/http/wire_format.cc
@@ -11,6 +11,8 @@
 
 namespace {
 
+constexpr int kClientClosedRequest = 499;
+
 void append_number(std::string& out, std::size_t number) {
   char digits[std::numeric_limits<std::size_t>::digits10 + 1];
   const auto [end, error] =
@@ -48,7 +50,6 @@
 }
 
 std::string_view reason_of(int status) {
-  constexpr int kClientClosedRequest = 499;
   if (status == kClientClosedRequest) {
     return "Client Closed Request";
   }
