Let a quiet bucket commit a few times without waiting

At 10 reservations/s a claim could wait 100 ms behind the commit of somebody else's outcome, though the platform had nothing to do.

--- a/ibismux/reservation/bucket_writer.cc
+++ b/ibismux/reservation/bucket_writer.cc
@@ -61,9 +61,10 @@
   for (const Queued& queued : this->queue) {
     const bool outcome = queued.operation.kind == OperationKind::kRecord;
     urgent += outcome ? 0 : 1;
-    due = std::min(due, outcome
-                            ? queued.since + this->settings.outcome_linger
-                            : after(this->last_commit, this->settings.linger));
+    due = std::min(
+        due, outcome ? queued.since + this->settings.outcome_linger
+                     : this->paid_until -
+                           this->settings.linger * (this->settings.burst - 1));
     due = std::min(due, queued.deadline);
   }
   if (urgent >= this->settings.full_batch || this->write_again) {
@@ -230,6 +231,7 @@
   Candidate written = std::move(*this->candidate);
   this->candidate.reset();
   this->last_commit = now;
+  this->paid_until = std::max(this->paid_until, now) + this->settings.linger;
   this->write_again = !version;
   if (!version) {
     this->must_load = true;
--- a/ibismux/reservation/bucket_writer.h
+++ b/ibismux/reservation/bucket_writer.h
@@ -128,6 +128,7 @@
   std::optional<NewSegment> segment;
   std::vector<std::pair<std::string, platform::Version>> garbage;
   TimePoint last_commit = TimePoint::min();
+  TimePoint paid_until;      ///< Each commit moves it on by `linger`.
   bool write_again = false;  ///< The last head write failed: don't linger.
   std::vector<Completion> completions;
 };
--- a/ibismux/reservation/reservation_settings.h
+++ b/ibismux/reservation/reservation_settings.h
@@ -12,11 +12,14 @@
   /// @name Group commit of one bucket
   /// @{
 
-  /// A bucket that has not committed for this long commits at once.
+  /// A bucket commits once in this time on average...
   std::chrono::milliseconds linger{100};
-  /// So many waiting claims don't wait for `linger`...
+  /// ...and so often at once after a quiet time, without waiting.
+  int burst = 4;
+  /// So many waiting claims don't wait for that...
   std::size_t full_batch = 16;
-  /// ...but for this, which bounds the platform's load: `kBuckets` over it.
+  /// ...but only for this since the last commit, which bounds the platform's
+  /// load: `kBuckets` over it.
   std::chrono::milliseconds least_interval{25};
   /// Outcomes that no claim comes along with are written after this.
   std::chrono::milliseconds outcome_linger{250};
--- a/tests/reservation/bucket_writer_test.cc
+++ b/tests/reservation/bucket_writer_test.cc
@@ -111,8 +111,14 @@
   cr_assert(rig.head_writes == 1);
 }
 
+ReservationSettings no_burst() {
+  ReservationSettings settings;
+  settings.burst = 1;
+  return settings;
+}
+
 Test(bucket_writer, claims_under_load_share_one_write) {
-  Rig rig;
+  Rig rig(no_burst());
   (void)rig.writer.submit(claim(1, 1), kStart, kStart + seconds(1));
   rig.go(kStart);
   const TimePoint soon = kStart + milliseconds(30);
@@ -128,6 +134,20 @@
   cr_assert(rig.verdicts.size() == 17);
 }
 
+Test(bucket_writer, a_few_claims_after_a_quiet_time_do_not_wait) {
+  Rig rig;
+  TimePoint now = kStart;
+  for (std::uint64_t key = 1; key <= 7; ++key) {
+    now += milliseconds(26);
+    (void)rig.writer.submit(claim(key, key), now, now + seconds(1));
+    rig.go(now);
+  }
+  // Five commits at 26 to 130 ms have used up 526 ms; the sixth is due when no
+  // more than three times 100 ms of that lie ahead.
+  cr_assert(rig.head_writes == 5);
+  cr_assert(rig.writer.wake_at() == kStart + milliseconds(226));
+}
+
 Test(bucket_writer, outcomes_ride_on_the_next_claim) {
   Rig rig;
   (void)rig.writer.submit(claim(1, 1), kStart, kStart + seconds(1));
