--- a/apps/bench-policy/scenario_limits.cc
+++ b/apps/bench-policy/scenario_limits.cc
@@ -61,7 +61,7 @@
   }
 
   [[nodiscard]] Duration pass(TimePoint now) {
-    return admission::check_and_record({&this->use, 1}, now);
+    return admission::check_and_record({&this->use, 1}, now).wait;
   }
 
  private:
--- a/ibismux/admission/admission.cc
+++ b/ibismux/admission/admission.cc
@@ -49,6 +49,7 @@
     for (LimitUse& use : wanted) {
       if (!use.group->take_slot(*use.share)) {
         const Duration until = use.group->slot_wait();
+        this->plan->policies[this->uses.size()].refused->Increment();
         this->cancel();
         this->plan->metrics->decided(Decision::kConcurrencyLimited);
         return refuse(ErrorKind::kRateLimited, "too many requests at once",
@@ -133,11 +134,12 @@
   if (auto refusal = slots->take(this->uses_of(*plan, caller, now))) {
     return *std::move(refusal);
   }
-  const Duration wait = check_and_record(slots->held(), now);
-  if (wait > Duration::zero()) {
+  const RateVerdict rates = check_and_record(slots->held(), now);
+  if (rates.wait > Duration::zero()) {
     slots->cancel();
+    plan->policies[rates.binding].refused->Increment();
     plan->metrics->decided(Decision::kRateLimited);
-    return refuse(ErrorKind::kRateLimited, "too many requests", wait);
+    return refuse(ErrorKind::kRateLimited, "too many requests", rates.wait);
   }
   plan->metrics->decided(Decision::kAdmitted);
   plan->metrics->load(plan->pool->current_limit(plan->priority),
--- a/ibismux/admission/admission_metrics.cc
+++ b/ibismux/admission/admission_metrics.cc
@@ -28,6 +28,10 @@
                       .Name("ibismux_admission_in_flight")
                       .Help("Requests at once to services that share its leafs")
                       .Register(metrics)),
+        refusals(prometheus::BuildCounter()
+                     .Name("ibismux_admission_limit_refusals_total")
+                     .Help("Requests refused by the limit policy that bound")
+                     .Register(metrics)),
         group_count(prometheus::BuildGauge()
                         .Name("ibismux_admission_counts")
                         .Help("Counts kept for services and callers")
@@ -37,6 +41,7 @@
   prometheus::Family<prometheus::Counter>& decisions;
   prometheus::Family<prometheus::Gauge>& limits;
   prometheus::Family<prometheus::Gauge>& in_flight;
+  prometheus::Family<prometheus::Counter>& refusals;
   prometheus::Gauge& group_count;
 };
 
@@ -85,6 +90,10 @@
   return std::make_shared<FamilyMetrics>(*this->families, name, priority);
 }
 
+prometheus::Counter& AdmissionMetrics::refused_by(const std::string& policy) {
+  return this->families->refusals.Add({{"policy", policy}});
+}
+
 void AdmissionMetrics::groups(std::size_t count) {
   this->families->group_count.Set(static_cast<double>(count));
 }
--- a/ibismux/admission/admission_metrics.h
+++ b/ibismux/admission/admission_metrics.h
@@ -1,6 +1,7 @@
 #ifndef IBISMUX_ADMISSION_ADMISSION_METRICS_H_
 #define IBISMUX_ADMISSION_ADMISSION_METRICS_H_
 
+#include <prometheus/counter.h>
 #include <prometheus/registry.h>
 
 #include <cstddef>
@@ -42,6 +43,9 @@
   [[nodiscard]] std::shared_ptr<ServiceMetrics> service(const std::string& name,
                                                         Priority priority);
 
+  /// Counts the requests that `policy` refused.
+  [[nodiscard]] prometheus::Counter& refused_by(const std::string& policy);
+
   /// How many counts are kept for services and callers.
   void groups(std::size_t count);
 
--- a/ibismux/admission/limit_group.cc
+++ b/ibismux/admission/limit_group.cc
@@ -47,7 +47,7 @@
                      [now](const auto& meter) { return meter->idle(now); });
 }
 
-Duration check_and_record(std::span<const LimitUse> uses, TimePoint now) {
+RateVerdict check_and_record(std::span<const LimitUse> uses, TimePoint now) {
   // Locked in one order everywhere; two requests that share two groups would
   // otherwise wait for each other for ever.
   std::vector<LimitGroup*> groups;
@@ -62,22 +62,25 @@
   for (LimitGroup* group : groups) {
     locks.emplace_back(group->mutex);
   }
-  Duration wait = Duration::zero();
-  for (const LimitUse& use : uses) {
-    for (std::size_t i = 0; i < use.group->meters.size(); ++i) {
-      wait = std::max(wait,
-                      use.group->meters[i]->wait(use.share->rates.at(i), now));
+  RateVerdict verdict;
+  for (std::size_t use = 0; use < uses.size(); ++use) {
+    for (std::size_t rule = 0; rule < uses[use].group->meters.size(); ++rule) {
+      const Duration wait = uses[use].group->meters[rule]->wait(
+          uses[use].share->rates.at(rule), now);
+      if (wait > verdict.wait) {
+        verdict = {wait, use};
+      }
     }
   }
-  if (wait > Duration::zero()) {
-    return wait;
+  if (verdict.wait > Duration::zero()) {
+    return verdict;
   }
   for (LimitGroup* group : groups) {
     for (const auto& meter : group->meters) {
       meter->record(now);
     }
   }
-  return Duration::zero();
+  return verdict;
 }
 
 }  // namespace ibismux::admission
--- a/ibismux/admission/limit_group.h
+++ b/ibismux/admission/limit_group.h
@@ -42,8 +42,9 @@
   [[nodiscard]] bool idle(TimePoint now);
 
  private:
-  friend Duration check_and_record(std::span<const struct LimitUse> uses,
-                                   TimePoint now);
+  friend struct RateVerdict check_and_record(
+      std::span<const struct LimitUse> uses,
+      TimePoint now);
 
   std::mutex mutex;
   std::uint32_t in_flight = 0;
@@ -57,6 +58,12 @@
   std::shared_ptr<const LimitShare> share;
 };
 
+/// What the rate rules of a request say together.
+struct RateVerdict {
+  Duration wait{};          ///< Zero if the request was recorded.
+  std::size_t binding = 0;  ///< Else which use makes it wait longest.
+};
+
 /// Asks every rate rule of every group; only if all let the request through it
 /// is recorded, in all of them with the one time `now`. Thread safe.
 ///
@@ -64,10 +71,8 @@
 /// by the later rule has used up the earlier one for nothing, and where a
 /// caller waits in between, the earlier one holds a time at which nothing was
 /// sent, which leaves its window too soon.
-///
-/// @return Zero if the request was recorded, else how long until it could be.
-[[nodiscard]] Duration check_and_record(std::span<const LimitUse> uses,
-                                        TimePoint now);
+[[nodiscard]] RateVerdict check_and_record(std::span<const LimitUse> uses,
+                                           TimePoint now);
 
 }  // namespace ibismux::admission
 
--- a/ibismux/admission/plan_table.cc
+++ b/ibismux/admission/plan_table.cc
@@ -98,6 +98,7 @@
     for (const auto& policy : service.limits) {
       plan->policies.push_back(
           policy_plan(policy, name, rank, this->groups, now));
+      plan->policies.back().refused = &this->metrics.refused_by(policy->name);
     }
     std::shared_ptr<LoadPool>& pool = pools[group.name];
     if (pool == nullptr) {
--- a/ibismux/admission/plan_table.h
+++ b/ibismux/admission/plan_table.h
@@ -25,6 +25,7 @@
   std::shared_ptr<const release::LimitPolicy> policy;
   std::shared_ptr<const LimitShare> share;
   std::shared_ptr<LimitGroup> group;  ///< Null where each caller has its own.
+  prometheus::Counter* refused = nullptr;  ///< Counts what it refuses.
 };
 
 /// The usual latencies of one service.
--- a/tests/admission/admission_test.cc
+++ b/tests/admission/admission_test.cc
@@ -122,6 +122,31 @@
   cr_assert(door.fill("a", at(1)) == 1);
 }
 
+Test(admission, the_policy_that_binds_is_counted) {
+  auto release = two_leafs();
+  release::LimitPolicy wide =
+      rate_policy(release::LimitPolicy::Scope::kService, 10);
+  release::LimitPolicy tight =
+      rate_policy(release::LimitPolicy::Scope::kCaller, 1);
+  wide.name = "wide";
+  tight.name = "tight";
+  add_service(*release, "a", Priority::kBench, 0, {wide, tight});
+  Door door(release);
+  cr_assert(door.fill("a", at(0)) == 1);
+  double tight_refusals = 0;
+  double others = 0;
+  for (const auto& family : door.metrics.Collect()) {
+    if (family.name == "ibismux_admission_limit_refusals_total") {
+      for (const auto& metric : family.metric) {
+        (metric.label[0].value == "tight" ? tight_refusals : others) +=
+            metric.counter.value;
+      }
+    }
+  }
+  cr_assert(tight_refusals == 1);
+  cr_assert(others == 0);
+}
+
 Test(admission, callers_are_counted_apart) {
   auto release = two_leafs();
   add_service(*release, "a", Priority::kBench, 0,
--- a/tests/admission/limit_group_test.cc
+++ b/tests/admission/limit_group_test.cc
@@ -39,28 +39,28 @@
   const LimitUse tight = use_of(policy_of({{1, milliseconds(100)}}));
   const LimitUse wide = use_of(policy_of({{3, milliseconds(60'000)}}));
   const LimitUse both[] = {wide, tight};
-  cr_assert(check_and_record(both, at(0)) == Duration::zero());
+  cr_assert(check_and_record(both, at(0)).wait == Duration::zero());
   for (int i = 1; i < 50; ++i) {
-    cr_assert(check_and_record(both, at(i)) == milliseconds(100 - i));
+    cr_assert(check_and_record(both, at(i)).wait == milliseconds(100 - i));
   }
-  cr_assert(check_and_record({&wide, 1}, at(60)) == Duration::zero());
-  cr_assert(check_and_record({&wide, 1}, at(61)) == Duration::zero());
-  cr_assert(check_and_record({&wide, 1}, at(62)) > Duration::zero());
+  cr_assert(check_and_record({&wide, 1}, at(60)).wait == Duration::zero());
+  cr_assert(check_and_record({&wide, 1}, at(61)).wait == Duration::zero());
+  cr_assert(check_and_record({&wide, 1}, at(62)).wait > Duration::zero());
 }
 
 Test(limit_group, the_longest_wait_is_told) {
   const LimitUse use =
       use_of(policy_of({{1, milliseconds(100)}, {1, milliseconds(5000)}}));
-  cr_assert(check_and_record({&use, 1}, at(0)) == Duration::zero());
-  cr_assert(check_and_record({&use, 1}, at(50)) == milliseconds(4950));
+  cr_assert(check_and_record({&use, 1}, at(0)).wait == Duration::zero());
+  cr_assert(check_and_record({&use, 1}, at(50)).wait == milliseconds(4950));
 }
 
 Test(limit_group, one_group_named_twice_counts_once) {
   const LimitUse use = use_of(policy_of({{2, milliseconds(100)}}));
   const LimitUse twice[] = {use, use};
-  cr_assert(check_and_record(twice, at(0)) == Duration::zero());
-  cr_assert(check_and_record(twice, at(1)) == Duration::zero());
-  cr_assert(check_and_record(twice, at(2)) > Duration::zero());
+  cr_assert(check_and_record(twice, at(0)).wait == Duration::zero());
+  cr_assert(check_and_record(twice, at(1)).wait == Duration::zero());
+  cr_assert(check_and_record(twice, at(2)).wait > Duration::zero());
 }
 
 Test(limit_group, parts_of_a_limit_add_up_to_it) {
@@ -89,13 +89,14 @@
   std::size_t admitted = 0;
   for (int i = 0; i < 5000; ++i) {
     const LimitUse use{table.get(policy, std::to_string(i), at(0)), share};
-    admitted += check_and_record({&use, 1}, at(0)) == Duration::zero() ? 1 : 0;
+    admitted +=
+        check_and_record({&use, 1}, at(0)).wait == Duration::zero() ? 1 : 0;
   }
   cr_assert(table.size() <= 128);
   cr_assert(admitted <= 128);
   for (int i = 0; i < 5000; ++i) {
     const LimitUse use{table.get(policy, std::to_string(i), at(1)), share};
-    cr_assert(check_and_record({&use, 1}, at(1)) > Duration::zero());
+    cr_assert(check_and_record({&use, 1}, at(1)).wait > Duration::zero());
   }
 }
 
@@ -107,7 +108,7 @@
   for (int i = 0; i < 500; ++i) {
     const TimePoint now = at(2000 * i);
     const LimitUse use{table.get(policy, std::to_string(i), now), share};
-    cr_assert(check_and_record({&use, 1}, now) == Duration::zero());
+    cr_assert(check_and_record({&use, 1}, now).wait == Duration::zero());
   }
 }
 
