--- a/tests/gateway/local_gateway_test.cc
+++ b/tests/gateway/local_gateway_test.cc
@@ -132,10 +132,16 @@
   harness.call(answers, 1, 1, LeafCallKind::kReservation);
   cr_assert(holds(leaf, 1));
   harness.gateway.cancel({{1, 1}});
-  leaf.hold(false);
+  // Cancels go out in order: that of a query shows that none went before it.
+  harness.call(answers, 2);
+  cr_assert(holds(leaf, 2));
+  harness.gateway.cancel({{1, 2}});
   cr_assert(answers.wait(1));
-  cr_assert(answers[0].body.has_value());
-  cr_assert(leaf.count("/v1/cancel") == 0);
+  cr_assert(answers[0].id.sequence == 2);
+  cr_assert(leaf.count("/v1/cancel") == 1);
+  leaf.hold(false);
+  cr_assert(answers.wait(2));
+  cr_assert(answers[1].body.has_value());
 }
 
 Test(local_gateway, deadline_ends_a_running_call_and_frees_the_leaf) {
