Give a load group that splits a limit of its own for each half

When services that shared leafs were moved apart, both kept the pool they had in common and went on to shed each other. Only the first half keeps it now. The test fails without the change.

--- a/ibismux/admission/plan_table.cc
+++ b/ibismux/admission/plan_table.cc
@@ -3,6 +3,7 @@
 #include <xxhash.h>
 
 #include <algorithm>
+#include <set>
 
 #include "ibismux/admission/pool_finder.h"
 #include "ibismux/membership/membership_view.h"
@@ -56,6 +57,37 @@
   return std::max(kLeastInitial, kInitialDepth * group.slots / rank.count);
 }
 
+const ServicePlan* plan_in(const PlanSet& set, const std::string& service) {
+  const auto found = set.services.find(service);
+  return found == set.services.end() ? nullptr : found->second.get();
+}
+
+/// Gives each load group the pool that its services had, with what it learnt.
+class PoolChooser {
+ public:
+  PoolChooser(const PlanSet& old, FleetRank rank) : old(old), rank(rank) {}
+
+  std::shared_ptr<LoadPool> pool(const std::string& service,
+                                 const LoadGroup& group) {
+    std::shared_ptr<LoadPool>& pool = this->pools[group.name];
+    if (pool == nullptr) {
+      const ServicePlan* before = plan_in(this->old, service);
+      // Of a group that has split only one half may keep the pool: in one pool
+      // the halves would shed each other, though they share no leaf any more.
+      pool = before != nullptr && this->taken.insert(before->pool.get()).second
+                 ? before->pool
+                 : std::make_shared<LoadPool>(initial_limit(group, this->rank));
+    }
+    return pool;
+  }
+
+ private:
+  const PlanSet& old;
+  FleetRank rank;
+  std::map<std::string, std::shared_ptr<LoadPool>> pools;
+  std::set<const LoadPool*> taken;
+};
+
 }  // namespace
 
 PlanTable::PlanTable(const RcuCell<release::Release>& releases,
@@ -86,13 +118,11 @@
     return old;
   }
   const FleetRank rank = rank_of(*fresh->members);
-  std::map<std::string, std::shared_ptr<LoadPool>> pools;
+  PoolChooser pools(*old, rank);
   for (const auto& [name, group] : find_load_groups(*fresh->release)) {
     const release::ServiceView& service =
         *fresh->release->services.find(name)->second;
-    const auto known = old->services.find(name);
-    const ServicePlan* before =
-        known == old->services.end() ? nullptr : known->second.get();
+    const ServicePlan* before = plan_in(*old, name);
     auto plan = std::make_shared<ServicePlan>();
     plan->priority = service.spec.priority;
     for (const auto& policy : service.limits) {
@@ -100,15 +130,9 @@
           policy_plan(policy, name, rank, this->groups, now));
       plan->policies.back().refused = &this->metrics.refused_by(policy->name);
     }
-    std::shared_ptr<LoadPool>& pool = pools[group.name];
-    if (pool == nullptr) {
-      pool = before != nullptr
-                 ? before->pool
-                 : std::make_shared<LoadPool>(initial_limit(group, rank));
-    }
-    plan->pool = pool;
+    plan->pool = pools.pool(name, group);
     // A baseline is used under its pool's lock, so it goes with the pool.
-    plan->baselines = before != nullptr && before->pool == pool
+    plan->baselines = before != nullptr && before->pool == plan->pool
                           ? before->baselines
                           : std::make_shared<Baselines>();
     plan->metrics = before != nullptr && before->priority == plan->priority
--- a/tests/admission/admission_test.cc
+++ b/tests/admission/admission_test.cc
@@ -192,6 +192,23 @@
   cr_assert(door.fill("portal", at(0)) > 0);
 }
 
+/// Symptom: a service is shed though its leafs are idle.
+/// Sequence: two services share a leaf; one of them moves to another leaf.
+/// Cause: both went on with the limit that they had in common.
+Test(admission, a_service_that_moves_to_other_leafs_is_shed_apart) {
+  auto together = two_leafs();
+  add_service(*together, "desk", Priority::kEditor, 0);
+  add_service(*together, "portal", Priority::kEditor, 0);
+  Door door(together);
+  cr_assert(door.fill("desk", at(0)) > 0);
+  cr_assert(door.fill("portal", at(0)) == 0);
+  auto apart = two_leafs();
+  add_service(*apart, "desk", Priority::kEditor, 0);
+  add_service(*apart, "portal", Priority::kEditor, 1);
+  door.releases.write(apart);
+  cr_assert(door.fill("portal", at(1)) > 0);
+}
+
 Test(admission, overloaded_leafs_lower_the_limit_and_idle_ones_raise_it) {
   auto release = two_leafs();
   add_service(*release, "a", Priority::kBench, 0);
