Reserve a message's fields at the first one

A request to a leaf has six fields; adding them one by one moved all of them at the first, second, third and fifth.

--- a/apps/bench-http/main.cc
+++ b/apps/bench-http/main.cc
@@ -69,7 +69,9 @@
   http::Request request;
   request.method = "POST";
   request.target = "/v1/query";
-  request.fields = kRequestFields;
+  for (const auto& [name, value] : kRequestFields) {
+    request.add(name, value);
+  }
   request.body = kRequestBody;
   return request;
 }
--- a/ibismux/http/message.cc
+++ b/ibismux/http/message.cc
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr std::size_t kUsualFields = 8;
+
 char lower(char c) noexcept {
   return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c;
 }
@@ -55,6 +57,9 @@
 }
 
 void Message::add(std::string_view name, std::string_view value) {
+  if (this->fields.capacity() == 0) {
+    this->fields.reserve(kUsualFields);
+  }
   this->fields.emplace_back(name, value);
 }
 
