Report limits in force and connections by role; forget peers that are gone

The gauge of limits was never set, and connections for cancels were counted with those for calls. Both are now reported as differences from what was last said, so that sums over all leafs stay right.

--- a/ibismux/gateway/gateway_metrics.cc
+++ b/ibismux/gateway/gateway_metrics.cc
@@ -79,8 +79,13 @@
   this->ejections = &counter(registry, "ibismux_leaf_ejections_total",
                              "Leafs ejected for failing calls")
                          .Add({});
-  this->connections = &gauge(registry, "ibismux_leaf_connections",
-                             "Connections to leafs, open or being opened");
+  auto& connection_family =
+      prometheus::BuildGauge()
+          .Name("ibismux_leaf_connections")
+          .Help("Connections to leafs, open or being opened, by role")
+          .Register(registry);
+  this->call_connections = &connection_family.Add({{"role", "call"}});
+  this->control_connections = &connection_family.Add({{"role", "control"}});
   this->in_flight =
       &gauge(registry, "ibismux_leaf_calls_running", "Calls that leafs run");
   this->limits = &gauge(registry, "ibismux_leaf_limits",
--- a/ibismux/gateway/gateway_metrics.h
+++ b/ibismux/gateway/gateway_metrics.h
@@ -50,7 +50,10 @@
   void cancel_sent() { this->cancels->Increment(); }
   void ejected() { this->ejections->Increment(); }
   void connection_opened(bool success);
-  void connections_changed(double by) { this->connections->Increment(by); }
+  void connections_changed(double calls, double controls) {
+    this->call_connections->Increment(calls);
+    this->control_connections->Increment(controls);
+  }
   void in_flight_changed(double by) { this->in_flight->Increment(by); }
   void limit_changed(double by) { this->limits->Increment(by); }
 
@@ -63,7 +66,8 @@
   prometheus::Histogram* queue_seconds = nullptr;
   prometheus::Counter* cancels = nullptr;
   prometheus::Counter* ejections = nullptr;
-  prometheus::Gauge* connections = nullptr;
+  prometheus::Gauge* call_connections = nullptr;
+  prometheus::Gauge* control_connections = nullptr;
   prometheus::Gauge* in_flight = nullptr;
   prometheus::Gauge* limits = nullptr;
 };
--- a/ibismux/gateway/leaf_channel.cc
+++ b/ibismux/gateway/leaf_channel.cc
@@ -73,6 +73,7 @@
   this->health.declare(fresh.leaving);
   this->pool->configure(fresh, share);
   this->update_wanted();
+  this->report_limit();
   if (this->health.state(now) == LeafState::kLeaving) {
     this->refuse_all(RefuseReason::kLeaving, now);
   }
@@ -82,6 +83,7 @@
   this->retired = true;
   this->refuse_all(RefuseReason::kNoShare, Clock::now());
   this->pool->retire();
+  this->report_limit();
 }
 
 void LeafChannel::submit(QueuedCall call) {
@@ -136,9 +138,16 @@
   this->see_restart(now);
   this->update_wanted();
   this->pool->trim();
+  this->report_limit();
   this->pump();
 }
 
+void LeafChannel::report_limit() {
+  const double now = this->retired ? 0 : this->limit->limit();
+  this->context->metrics.limit_changed(now - this->reported_limit);
+  this->reported_limit = now;
+}
+
 void LeafChannel::see_restart(TimePoint now) {
   if (!this->pool->take_reopened()) {
     return;
--- a/ibismux/gateway/leaf_channel.h
+++ b/ibismux/gateway/leaf_channel.h
@@ -89,6 +89,7 @@
   void arm_timer();
   void on_timer();
   void see_restart(TimePoint now);
+  void report_limit();
   void update_wanted();
   [[nodiscard]] std::size_t most_running() const noexcept;
 
@@ -108,6 +109,7 @@
   std::set<std::pair<TimePoint, CallId>> running_deadlines;
   Duration typical{};  ///< Moving average of leaf times.
   TimePoint last_demand{};
+  double reported_limit = 0;  ///< What the metrics say now.
   boost::asio::steady_timer timer;
   std::optional<TimePoint> armed_for;
 };
--- a/ibismux/gateway/leaf_pool.cc
+++ b/ibismux/gateway/leaf_pool.cc
@@ -31,7 +31,7 @@
   this->most = share;
   this->retired = share == 0;
   if (moved) {
-    this->changed(-static_cast<double>(this->waiting.size()));
+    this->report();
     this->waiting.clear();
     this->last_failed = false;
   }
@@ -52,7 +52,7 @@
       ++this->taken;
       return connection;
     }
-    this->changed(-1);
+    this->report();
     this->note_loss();
   }
   return nullptr;
@@ -66,7 +66,7 @@
     return;
   }
   connection->close();
-  this->changed(-1);
+  this->report();
   if (!surplus) {
     this->note_loss();
   }
@@ -96,7 +96,7 @@
           this->connections() > this->most)) {
     this->waiting.front()->close();
     this->waiting.erase(this->waiting.begin());
-    this->changed(-1);
+    this->report();
   }
   const bool needs_no_control =
       !this->wants_control() ||
@@ -104,7 +104,7 @@
   if (this->control && !this->control_busy && needs_no_control) {
     this->control->close();
     this->control = nullptr;
-    this->changed(-1);
+    this->report();
   }
   this->start_opening();
 }
@@ -154,7 +154,7 @@
     this->control = nullptr;
   }
   const std::size_t dropped = before - this->connections();
-  this->changed(-static_cast<double>(dropped));
+  this->report();
   if (dropped > 0) {
     this->note_loss();
   }
@@ -165,8 +165,15 @@
                                       this->taken == 0 && !this->control);
 }
 
-void LeafPool::changed(double by) {
-  this->context->metrics.connections_changed(by);
+void LeafPool::report() {
+  const std::size_t calls = this->waiting.size() + this->taken + this->opening;
+  const std::size_t controls = this->control ? 1 : 0;
+  this->context->metrics.connections_changed(
+      static_cast<double>(calls) - static_cast<double>(this->reported_calls),
+      static_cast<double>(controls) -
+          static_cast<double>(this->reported_controls));
+  this->reported_calls = calls;
+  this->reported_controls = controls;
 }
 
 void LeafPool::start_opening() {
@@ -199,7 +206,7 @@
 
 Task<bool> LeafPool::open_one(bool for_control) {
   ++this->opening;
-  this->changed(1);
+  this->report();
   auto connection = std::make_shared<backend::LeafConnection>(
       this->leaf.address, this->leaf.port);
   const TimePoint deadline =
@@ -209,7 +216,7 @@
   --this->opening;
   this->context->metrics.connection_opened(opened.has_value());
   if (!opened || this->retired || this->connections() >= this->most) {
-    this->changed(-1);
+    this->report();
     connection->close();
     this->last_failed = !opened;
     this->next_pause = std::clamp(this->next_pause * 2,
@@ -258,7 +265,7 @@
   this->control_busy = false;
   if (!connection->usable() && this->control == connection) {
     this->control = nullptr;
-    this->changed(-1);
+    this->report();
     this->start_opening();
   }
 }
--- a/ibismux/gateway/leaf_pool.h
+++ b/ibismux/gateway/leaf_pool.h
@@ -81,7 +81,7 @@
   [[nodiscard]] bool wants_control() const noexcept;
   [[nodiscard]] bool may_open() const noexcept;
   void drop_unusable();
-  void changed(double by);
+  void report();
   void note_loss() noexcept;
   void start_opening();
   Task<void> open_all(std::shared_ptr<LeafPool> self);
@@ -111,6 +111,8 @@
   Duration next_pause{};
   std::deque<CallId> cancels;
   backend::LeafHealth last_health;
+  std::size_t reported_calls = 0;  ///< What the metrics say now.
+  std::size_t reported_controls = 0;
 };
 
 }  // namespace ibismux::gateway
--- a/ibismux/gateway/remote_gateway.cc
+++ b/ibismux/gateway/remote_gateway.cc
@@ -231,8 +231,18 @@
     for (auto& [batch, list] : by_batch) {
       deliver(batch, std::move(list));
     }
-    const std::shared_ptr<PeerCalls> peer = this->peer_calls(from.member);
-    boost::asio::post(peer->loop(), [peer] { peer->abandon(); });
+    this->abandon_calls_of(from.member);
+  }
+
+  /// Forgets the peer too: hosts come and go under new names for ever.
+  void abandon_calls_of(const std::string& member) {
+    std::lock_guard lock(this->mutex);
+    const auto found = this->serving.find(member);
+    if (found != this->serving.end()) {
+      const std::shared_ptr<PeerCalls> peer = std::move(found->second);
+      this->serving.erase(found);
+      boost::asio::post(peer->loop(), [peer] { peer->abandon(); });
+    }
   }
 
   [[nodiscard]] std::shared_ptr<PeerCalls> peer_calls(
