Keep a server's counters alive while something counts in them

The count of a drain or a stop that waits in an event loop outlived the server: a pool stopped right after its server destroyed the wait, which wrote into freed memory.

--- a/ibismux/http/server.cc
+++ b/ibismux/http/server.cc
@@ -125,7 +125,8 @@
     const auto connection =
         std::make_shared<ServerConnection>(std::move(socket), this->core, loop);
     asio::post(loop->context,
-               [connection, loop, counted = Counted(this->core->in_flight)] {
+               [connection, loop,
+                counted = Counted(this->core, &ServerCore::in_flight)] {
                  loop->connections.insert(connection);
                  connection->start();
                });
@@ -208,7 +209,7 @@
   }
 
   [[nodiscard]] std::shared_ptr<Counted> hold() const {
-    return std::make_shared<Counted>(this->core->in_flight);
+    return std::make_shared<Counted>(this->core, &ServerCore::in_flight);
   }
 
   IoPool& pool;
--- a/ibismux/http/server_connection.cc
+++ b/ibismux/http/server_connection.cc
@@ -42,7 +42,7 @@
     : socket(std::move(socket)),
       core(std::move(core)),
       loop(std::move(loop)),
-      counted(this->core->connections),
+      counted(this->core, &ServerCore::connections),
       remote(remote_of(this->socket)),
       timer(this->socket.get_executor()),
       parser(this->core->limits.header_bytes, this->core->limits.body_bytes) {}
@@ -274,7 +274,7 @@
 void ServerConnection::count_in_flight() {
   // Not counted anew, which would show 0 in between.
   if (!this->in_flight) {
-    this->in_flight.emplace(this->core->in_flight);
+    this->in_flight.emplace(this->core, &ServerCore::in_flight);
   }
 }
 
--- a/ibismux/http/server_core.h
+++ b/ibismux/http/server_core.h
@@ -22,23 +22,28 @@
   std::atomic<bool> draining{false};
 };
 
-/// Counts one thing while it lives.
+/// Counts one thing in a counter of a server while it lives. Thread safe.
 class Counted {
  public:
-  explicit Counted(std::atomic<std::size_t>& counter) : counter(&counter) {
-    counter.fetch_add(1, std::memory_order_relaxed);
+  using Counter = std::atomic<std::size_t> ServerCore::*;
+
+  /// Keeps `core` alive: what counts may wait in an event loop that outlives
+  /// the server.
+  Counted(std::shared_ptr<ServerCore> core, Counter counter)
+      : core(std::move(core)), counter(counter) {
+    ((*this->core).*counter).fetch_add(1, std::memory_order_relaxed);
   }
-  Counted(Counted&& other) noexcept
-      : counter(std::exchange(other.counter, nullptr)) {}
+  Counted(Counted&&) noexcept = default;
   Counted& operator=(Counted&&) = delete;
   ~Counted() {
-    if (this->counter != nullptr) {
-      this->counter->fetch_sub(1, std::memory_order_release);
+    if (this->core) {
+      ((*this->core).*this->counter).fetch_sub(1, std::memory_order_release);
     }
   }
 
  private:
-  std::atomic<std::size_t>* counter;
+  std::shared_ptr<ServerCore> core;
+  Counter counter;
 };
 
 /// The connections that live on one event loop; touched by its thread alone.
