--- a/ibismux/reservation/keyed_runner.cc
+++ b/ibismux/reservation/keyed_runner.cc
@@ -1,10 +1,6 @@
 #include "ibismux/reservation/keyed_runner.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "ibismux/membership/membership_view.h"
@@ -13,24 +9,17 @@
 #include "ibismux/reservation/leaf_runner.h"
 #include "ibismux/reservation/live_claims.h"
 #include "ibismux/reservation/outcome_recorder.h"
+#include "ibismux/reservation/pause.h"
 #include "ibismux/reservation/random_source.h"
 
 namespace ibismux::reservation {
 
-namespace asio = boost::asio;
-
 namespace {
 
 constexpr std::chrono::milliseconds kFirstPoll{10};
 constexpr std::chrono::milliseconds kLongestPoll{200};
 constexpr std::chrono::milliseconds kPlatformRetryAfter{1000};
 
-Task<> sleep_until(TimePoint time) {
-  auto executor = co_await asio::this_coro::executor;
-  asio::steady_timer timer(executor, time);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 tl::unexpected<Error> unknown(std::string message) {
   return fail(ErrorKind::kOutcomeUnknown, std::move(message));
 }
@@ -162,7 +151,7 @@
         }
       }
     }
-    co_await sleep_until(std::min(deadline, Clock::now() + poll));
+    co_await pause_until(std::min(deadline, Clock::now() + poll));
     poll = std::min(poll * 2, kLongestPoll);
   }
   co_return not_claimed(std::move(last));
--- a/ibismux/reservation/leaf_runner.cc
+++ b/ibismux/reservation/leaf_runner.cc
@@ -10,6 +10,7 @@
 #include "ibismux/gateway/leaf_caller.h"
 #include "ibismux/release/release.h"
 #include "ibismux/reservation/leaf_choice.h"
+#include "ibismux/reservation/pause.h"
 
 namespace ibismux::reservation {
 
@@ -47,12 +48,6 @@
   co_return std::move(*pending->answer);
 }
 
-Task<> sleep_for(Duration time) {
-  auto executor = co_await asio::this_coro::executor;
-  asio::steady_timer timer(executor, time);
-  co_await timer.async_wait(kAwait);
-}
-
 /// Refusals that another try may turn into a run.
 bool worth_retrying(const Error& error) {
   return error.execution == Execution::kNotRun &&
@@ -124,7 +119,7 @@
     if (!worth_retrying(error) || !in_time || !this->budget.spend()) {
       co_return tl::unexpected<Error>(std::move(error));
     }
-    co_await sleep_for(backoff);
+    co_await pause_until(Clock::now() + backoff);
     backoff = std::min<Duration>(backoff * 2, kLongestBackoff);
   }
 }
--- a/ibismux/reservation/outcome_recorder.cc
+++ b/ibismux/reservation/outcome_recorder.cc
@@ -1,18 +1,15 @@
 #include "ibismux/reservation/outcome_recorder.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "ibismux/base/io_pool.h"
 #include "ibismux/base/time.h"
 #include "ibismux/reservation/claim_client.h"
 #include "ibismux/reservation/live_claims.h"
+#include "ibismux/reservation/pause.h"
 #include "ibismux/reservation/random_source.h"
 
 namespace ibismux::reservation {
@@ -47,7 +44,6 @@
 
 Task<> OutcomeRecorder::keep_trying(std::shared_ptr<OutcomeRecorder> self,
                                     KeyRecord outcome) {
-  auto executor = co_await asio::this_coro::executor;
   std::chrono::milliseconds backoff = kFirstBackoff;
   while (!self->stopping) {
     BucketOperation operation{OperationKind::kRecord, outcome};
@@ -57,8 +53,7 @@
       self->live->remove(outcome.claim);
       co_return;
     }
-    asio::steady_timer timer(executor, jittered(backoff));
-    co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    co_await pause_until(Clock::now() + jittered(backoff));
     backoff = std::min(backoff * 2, kLongestBackoff);
   }
 }
--- a/ibismux/reservation/reservation_engine.cc
+++ b/ibismux/reservation/reservation_engine.cc
@@ -3,10 +3,6 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 #include <vector>
 
@@ -22,6 +18,7 @@
 #include "ibismux/reservation/leaf_runner.h"
 #include "ibismux/reservation/live_claims.h"
 #include "ibismux/reservation/outcome_recorder.h"
+#include "ibismux/reservation/pause.h"
 #include "ibismux/reservation/reply_codec.h"
 #include "ibismux/reservation/reservation_metrics.h"
 #include "ibismux/reservation/ticket_runner.h"
@@ -236,12 +233,8 @@
 }
 
 Task<> ReservationEngine::Impl::flush(TimePoint deadline) {
-  auto executor = co_await boost::asio::this_coro::executor;
-  boost::asio::steady_timer timer(executor);
   while (this->live->size() > 0 && Clock::now() < deadline) {
-    timer.expires_after(kFlushPoll);
-    co_await timer.async_wait(
-        boost::asio::as_tuple(boost::asio::use_awaitable));
+    co_await pause_until(Clock::now() + kFlushPoll);
   }
 }
 
--- a/ibismux/reservation/ticket_runner.cc
+++ b/ibismux/reservation/ticket_runner.cc
@@ -1,10 +1,6 @@
 #include "ibismux/reservation/ticket_runner.h"
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/this_coro.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
 #include "ibismux/membership/membership_view.h"
@@ -14,13 +10,12 @@
 #include "ibismux/reservation/gen/reservation_types.h"
 #include "ibismux/reservation/key_hash.h"
 #include "ibismux/reservation/leaf_runner.h"
+#include "ibismux/reservation/pause.h"
 #include "ibismux/reservation/random_source.h"
 #include "ibismux/reservation/reply_codec.h"
 
 namespace ibismux::reservation {
 
-namespace asio = boost::asio;
-
 namespace {
 
 constexpr std::chrono::milliseconds kFirstPoll{5};
@@ -80,12 +75,6 @@
   }
 }
 
-Task<> sleep_until(TimePoint time) {
-  auto executor = co_await asio::this_coro::executor;
-  asio::steady_timer timer(executor, time);
-  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
-}
-
 }  // namespace
 
 TicketRunner::TicketRunner(const ReservationSettings& settings,
@@ -143,7 +132,7 @@
     if (Clock::now() >= deadline) {
       co_return unknown("an earlier attempt is still running");
     }
-    co_await sleep_until(std::min(deadline, Clock::now() + poll));
+    co_await pause_until(std::min(deadline, Clock::now() + poll));
     poll = std::min(poll * 2, kLongestPoll);
     start = this->start(*ticket, request, entry);
   }
--- a/tests/reservation/fleet.cc
+++ b/tests/reservation/fleet.cc
@@ -200,6 +200,12 @@
   }
 }
 
+void Fleet::replace_unseen(std::size_t daemon) {
+  this->dead.push_back(std::move(this->daemons[daemon]));
+  this->start(daemon);
+  this->publish(daemon);
+}
+
 bool Fleet::alive(std::size_t daemon) const {
   return this->daemons[daemon]->engine != nullptr;
 }
--- a/tests/reservation/fleet.h
+++ b/tests/reservation/fleet.h
@@ -60,6 +60,8 @@
   void thaw(std::size_t daemon);
   /// The daemon dies; nothing of it runs again. Others see it as failed.
   void kill(std::size_t daemon);
+  /// The daemon dies and comes back as a new incarnation, and nobody hears.
+  void replace_unseen(std::size_t daemon);
   /// A killed daemon comes back as a new incarnation.
   void restart(std::size_t daemon);
   /// What `viewer` believes of `member`.
--- a/tests/reservation/keyed_test.cc
+++ b/tests/reservation/keyed_test.cc
@@ -301,6 +301,23 @@
   }
 }
 
+// Symptom: an order is executed again after its daemon was restarted.
+// Events: the entry is replaced while its call is at the leaf, the others have
+// not heard of it and ask the new run whether the old one's claim is dead.
+// Cause: the new run knows nothing of the claim, which looks like "dead".
+Test(keyed, a_later_run_of_the_executor_can_not_release_its_claim) {
+  Fleet fleet(3);
+  const Cast cast(fleet);
+  fleet.leafs.plan(always(Fate::kRunsWhenReleased));
+  auto first = fleet.reserve(cast.entry, cast.key, "fuse");
+  cr_assert(calls_held(fleet, 1));
+  fleet.replace_unseen(cast.entry);
+  fleet.leafs.plan(nullptr);
+  auto repeat = fleet.reserve(cast.other, cast.key, "fuse", milliseconds(150));
+  cr_assert(fleet.get(repeat).error().kind == ErrorKind::kOutcomeUnknown);
+  cr_assert(fleet.leafs.calls() == 1);
+}
+
 Test(keyed, the_owners_death_loses_no_outcome) {
   Fleet fleet(3);
   const Cast cast(fleet);
