End a connection only when both sides know that all was read

Two goodbyes that crossed counted as a graceful end, though a peer that stopped at once might not have read what was sent before its goodbye arrived. The frames were lost and nobody was told; a query would have waited for its whole deadline. Now a goodbye that answers another acknowledges it, and only an acknowledged end is graceful; any other is a loss.

--- a/ibismux/peer/peer_connection.cc
+++ b/ibismux/peer/peer_connection.cc
@@ -18,6 +18,10 @@
 namespace {
 
 constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
+/// Correlation of a goodbye that says that the peer's was read, and with it all
+/// that came before. Two goodbyes that cross prove nothing: either side may end
+/// with frames of the other unread, and those would be lost unnoticed.
+constexpr std::uint64_t kAck = 1;
 constexpr std::size_t kReadBytes = 16 * 1024;
 /// A write buffer that a burst made larger than this is given back.
 constexpr std::size_t kKeptBytes = 256 * 1024;
@@ -46,8 +50,7 @@
 
 Task<void> PeerConnection::read(std::shared_ptr<PeerConnection> self) {
   std::string reason = co_await self->read_frames();
-  const bool graceful = self->goodbye_sent && self->goodbye_received;
-  self->shut(graceful, std::move(reason));
+  self->shut(self->ack_received, std::move(reason));
 }
 
 /// Reads until the connection ends, and says why it did.
@@ -120,6 +123,7 @@
   }
   if (header.role == FrameRole::kGoodbye) {
     this->goodbye_received = true;
+    this->ack_received = this->ack_received || header.correlation == kAck;
   }
   if (const auto hearer = this->owner.lock()) {
     hearer->on_frame(this->shared_from_this(), header, std::move(payload));
@@ -178,12 +182,13 @@
 }
 
 void PeerConnection::say_goodbye() {
-  if (this->closed || this->goodbye_sent) {
+  const bool ack = this->goodbye_received;
+  if (this->closed || this->ack_sent || (this->goodbye_sent && !ack)) {
     return;
   }
-  this->goodbye_sent = true;
+  (ack ? this->ack_sent : this->goodbye_sent) = true;
   std::string frame;
-  append_frame(frame, 0, FrameRole::kGoodbye, 0, "");
+  append_frame(frame, 0, FrameRole::kGoodbye, ack ? kAck : 0, "");
   this->metrics.sent(0, frame.size());
   this->append(frame);
 }
@@ -194,7 +199,7 @@
 }
 
 void PeerConnection::finish_if_done() {
-  const bool agreed = this->goodbye_sent && this->goodbye_received;
+  const bool agreed = this->ack_sent && this->ack_received;
   if (agreed && this->serving == 0 && this->in_write.empty() &&
       this->outbox.empty()) {
     this->shut(true, "goodbye");
--- a/ibismux/peer/peer_connection.h
+++ b/ibismux/peer/peer_connection.h
@@ -28,7 +28,7 @@
     virtual void on_frame(std::shared_ptr<PeerConnection> connection,
                           FrameHeader header,
                           std::string payload) = 0;
-    /// Once. `graceful`: both sides had said goodbye, so nothing was lost.
+    /// Once. `graceful`: the peer has acknowledged that it read all.
     virtual void on_closed(std::shared_ptr<PeerConnection> connection,
                            bool graceful,
                            std::string reason) = 0;
@@ -53,8 +53,10 @@
                        std::uint8_t kind,
                        std::uint64_t correlation,
                        std::string_view payload);
-  /// Says that this side starts nothing more here. The connection closes when
-  /// both sides have said so and all that was asked is answered.
+  /// Says that this side starts nothing more here; to a peer that has said so
+  /// too, also that all from it was read. The connection closes when both sides
+  /// have told each other the latter. Precondition: no request of this side
+  /// waits for its response on it.
   void say_goodbye();
   /// Cuts the connection; on_closed runs before this returns.
   void close(std::string reason);
@@ -71,9 +73,13 @@
   [[nodiscard]] bool dialled() const noexcept { return this->by_us; }
   /// Whether new work may go out on it.
   [[nodiscard]] bool usable() const noexcept {
-    return !this->closed && !this->goodbye_sent && !this->goodbye_received;
+    return !this->closed && !this->goodbye_sent && !this->ack_sent &&
+           !this->goodbye_received;
+  }
+  /// Whether the peer waits for this side's goodbye.
+  [[nodiscard]] bool owes_goodbye() const noexcept {
+    return !this->closed && this->goodbye_received && !this->ack_sent;
   }
-  [[nodiscard]] bool leaving() const noexcept { return this->goodbye_received; }
   /// Bytes that wait to be written. Thread safe.
   [[nodiscard]] std::size_t queued() const noexcept {
     return this->waiting.load(std::memory_order_relaxed);
@@ -106,6 +112,8 @@
   std::size_t serving = 0;
   bool goodbye_sent = false;
   bool goodbye_received = false;
+  bool ack_sent = false;
+  bool ack_received = false;
   bool closed = false;
 };
 
--- a/ibismux/peer/peer_link.cc
+++ b/ibismux/peer/peer_link.cc
@@ -300,9 +300,7 @@
       return;
     case FrameRole::kGoodbye:
       this->choose_connection();
-      if (this->unused()) {
-        connection->say_goodbye();
-      }
+      this->return_goodbyes();
       return;
     case FrameRole::kHello:
       return;  // The connection refuses it.
@@ -343,6 +341,23 @@
     this->pending.erase(found);
   }
   request->complete(std::move(outcome));
+  this->return_goodbyes();
+}
+
+/// Answers the goodbyes of peers, once no request of this side is open.
+void PeerLink::return_goodbyes() {
+  {
+    std::lock_guard lock(this->mutex);
+    if (!this->pending.empty()) {
+      return;
+    }
+  }
+  const auto all = this->connections;
+  for (const auto& connection : all) {
+    if (connection->owes_goodbye()) {
+      connection->say_goodbye();
+    }
+  }
 }
 
 void PeerLink::abandon(bool handed_only,
@@ -373,6 +388,10 @@
     return;  // One that was cut together with another.
   }
   if (graceful) {
+    if (this->connections.empty()) {
+      // A stop doesn't wait for responses; their requests must not either.
+      this->abandon(true, reason, Execution::kUnknown);
+    }
     this->choose_connection();
     return;
   }
@@ -391,6 +410,7 @@
 }
 
 void PeerLink::close_if_idle(TimePoint now) {
+  this->return_goodbyes();
   if (now - this->last_used < this->context->settings.idle_timeout) {
     return;
   }
--- a/ibismux/peer/peer_link.h
+++ b/ibismux/peer/peer_link.h
@@ -89,6 +89,7 @@
   void flush();
   void cut(const std::string& reason);
   void choose_connection();
+  void return_goodbyes();
   void respond(std::uint64_t correlation, Result<std::string> outcome);
   void abandon(bool handed_only,
                const std::string& reason,
--- a/ibismux/peer/peer_metrics.cc
+++ b/ibismux/peer/peer_metrics.cc
@@ -85,9 +85,11 @@
   this->count(this->in, kind, bytes);
 }
 void PeerMetrics::connection_opened() noexcept {
+  ++this->open;
   this->connections->Increment();
 }
 void PeerMetrics::connection_closed() noexcept {
+  --this->open;
   this->connections->Decrement();
 }
 void PeerMetrics::connection_lost() noexcept {
--- a/ibismux/peer/peer_metrics.h
+++ b/ibismux/peer/peer_metrics.h
@@ -32,6 +32,9 @@
   void queue_full() noexcept;
   void frame_rejected() noexcept;
 
+  [[nodiscard]] std::size_t open_connections() const noexcept {
+    return this->open.load();
+  }
   /// Bytes of control frames in both directions, headers included, since the
   /// start.
   [[nodiscard]] std::uint64_t control_bytes() const noexcept {
@@ -56,6 +59,7 @@
   prometheus::Counter* full;
   prometheus::Counter* rejected;
   std::atomic<std::uint64_t> control{0};
+  std::atomic<std::size_t> open{0};
 };
 
 }  // namespace ibismux::peer
--- a/ibismux/peer/tcp_peer_network.cc
+++ b/ibismux/peer/tcp_peer_network.cc
@@ -284,6 +284,10 @@
   this->impl->end(&PeerLink::say_goodbye);
 }
 
+std::size_t TcpPeerNetwork::connections() const noexcept {
+  return this->impl->context->metrics.open_connections();
+}
+
 void TcpPeerNetwork::stop() {
   this->impl->end(&PeerLink::stop);
 }
--- a/ibismux/peer/tcp_peer_network.h
+++ b/ibismux/peer/tcp_peer_network.h
@@ -50,6 +50,9 @@
   /// Stops accepting and says goodbye to all, so that they don't take this
   /// daemon for lost. Thread safe.
   void say_goodbye();
+  /// How many connections are open: after `say_goodbye`, how many peers have
+  /// not agreed yet; cutting those counts as a loss with them. Thread safe.
+  [[nodiscard]] std::size_t connections() const noexcept;
   /// Stops accepting and cuts what is open. Thread safe; idempotent.
   void stop();
   /// @}
--- a/tests/peer/peer_faults_test.cc
+++ b/tests/peer/peer_faults_test.cc
@@ -196,15 +196,39 @@
   cr_assert(pair.a.network.notify("b", MessageKind::kGossip, "1"));
   cr_assert(pair.b.heard.wait(1).size() == 1);
   pair.a.network.say_goodbye();
-  RawPeer probe(pair.b.port);  // b still serves others.
-  probe.send_hello(RawPeer::hello("raw"));
-  cr_assert(probe.receive_hello().has_value());
+  while (pair.a.network.connections() > 0) {
+    std::this_thread::yield();
+  }
   pair.a.stop();
-  cr_assert(pair.b.network.notify("a", MessageKind::kGossip, "2"));
   // The dial that this makes fails; it is the only loss.
+  cr_assert(pair.b.network.notify("a", MessageKind::kGossip, "2"));
   const auto lost = pair.b.lost.wait(1);
   cr_assert(lost.size() == 1 && lost[0].number == 0);
 }
 
+// Symptom: a query that went to a gateway that was stopping waits for its whole
+// deadline.
+// Sequence: a peer says goodbye and ends without reading what was sent to it
+// before its goodbye arrived.
+// Cause: two goodbyes were taken for proof that both sides had read all; only
+// an acknowledgement is.
+Test(peer_faults, a_goodbye_without_acknowledgement_is_a_loss) {
+  PeerNode node("a");
+  node.start();
+  RawPeer raw(node.port);
+  raw.send_hello(RawPeer::hello("raw"));
+  cr_assert(raw.receive_hello().has_value());
+  while (!node.network.notify("raw", MessageKind::kGossip, "work")) {
+    std::this_thread::yield();
+  }
+  std::string goodbye;
+  append_frame(goodbye, 0, FrameRole::kGoodbye, 0, "");
+  raw.send(goodbye);
+  cr_assert(raw.receive() == "work");
+  cr_assert(raw.receive() == "");  // Its goodbye.
+  raw.socket.close();
+  cr_assert(node.lost.wait(1).size() == 1);
+}
+
 }  // namespace
 }  // namespace ibismux::peer
