Allow no hedge at a hedge budget of nothing

Each budget began with a token, so a service that switches hedges off still got one a daemon, as a run with three daemons showed: 3 hedges in 1,934 queries.

--- a/ibismux/query/fraction_budget.h
+++ b/ibismux/query/fraction_budget.h
@@ -13,9 +13,10 @@
 /// Thread safe.
 class FractionBudget {
  public:
-  /// @param burst The most tokens kept for later; it starts with one.
-  explicit FractionBudget(double burst)
-      : most(to_units(std::max(1.0, burst))), units(kUnitsPerToken) {}
+  /// @param burst The most tokens kept for later.
+  /// @param initial Tokens to start with.
+  explicit FractionBudget(double burst, double initial = 0)
+      : most(to_units(std::max(1.0, burst))), units(to_units(initial)) {}
 
   /// Pays in for `calls` ordinary calls. @param share Of a token, each.
   void pay_in(std::size_t calls, double share) noexcept {
--- a/ibismux/query/query_engine.cc
+++ b/ibismux/query/query_engine.cc
@@ -17,6 +17,8 @@
 
 /// The most retries that may be saved up, over all services.
 constexpr double kRetryBurst = 100;
+/// Retries that the first queries after a start may use.
+constexpr double kFirstRetries = 10;
 /// When a caller should come back to a daemon that has no configuration.
 constexpr milliseconds kNotReadyRetry{1000};
 
@@ -38,7 +40,7 @@
         ids(origin),
         metrics(metrics),
         table(releases, this->metrics),
-        retries(kRetryBurst) {}
+        retries(kRetryBurst, kFirstRetries) {}
 
   Task<Result<QueryAnswer>> run(QueryRequest request,
                                 std::shared_ptr<http::CancelToken> cancel);
--- a/tests/query/policy_test.cc
+++ b/tests/query/policy_test.cc
@@ -41,6 +41,12 @@
   cr_assert(hedges >= 149);
 }
 
+Test(service_policy, a_budget_of_nothing_allows_no_hedge) {
+  ServicePolicy policy(0.95, 0);
+  policy.calls_started(100'000);
+  cr_assert(!policy.take_hedge());
+}
+
 /// Symptom: under overload hedges add to the queues that made calls slow.
 /// Sequence: load rises, calls wait in queues, more of them pass the delay.
 /// Cause: a budget that depends on the calls alone.
