Test platform and daemon failures with real processes

What must hold when the platform is down, slow or loses answers, and when daemons die or freeze, had been tested in one process only. The new tests start the stand-ins and two or three daemons, cause the failure and wait on what the daemons report, never on a fixed time.

Site (tests/support) starts the processes, declares one service and reads status. A hang of the whole platform was no test of the late write, since the daemon reads before it writes, so the stand-in can now hang writes alone, and put the store away without the host list.

Not landed: a test in which watches fall silent without an error fails, since a publisher that watches never lists again. It is reported, not eased.

--- a/standins/platform/faults.cc
+++ b/standins/platform/faults.cc
@@ -26,7 +26,9 @@
 };
 
 constexpr Switch kSwitches[] = {{"outage", &Faults::outage},
+                                {"store_outage", &Faults::store_outage},
                                 {"hang", &Faults::hang},
+                                {"hang_writes", &Faults::hang_writes},
                                 {"fail_reads", &Faults::fail_reads},
                                 {"silent_watch", &Faults::silent_watch},
                                 {"old_events", &Faults::old_events}};
--- a/standins/platform/faults.h
+++ b/standins/platform/faults.h
@@ -12,7 +12,9 @@
 /// What goes wrong now; PUT /fake/faults sets the members that its JSON names.
 struct Faults {
   bool outage = false;        ///< Every call answers 503.
+  bool store_outage = false;  ///< Every call but the host list does.
   bool hang = false;          ///< Every call waits until this is switched off.
+  bool hang_writes = false;   ///< The same for writes alone.
   bool fail_reads = false;    ///< Reads and watches answer 503.
   double lose_answers = 0;    ///< Share of writes that are done and then cut.
   double lose_requests = 0;   ///< Share of writes that are cut undone.
@@ -22,9 +24,9 @@
   std::chrono::milliseconds latency_spread{0};  ///< Uniform, on top.
   std::chrono::milliseconds host_lag{0};        ///< Of the host list.
 
-  /// Takes over the members that `change` names: outage, hang, fail_reads,
-  /// lose_answers, lose_requests, silent_watch, old_events, latency_ms,
-  /// latency_spread_ms, host_lag_ms.
+  /// Takes over the members that `change` names: outage, store_outage, hang,
+  /// hang_writes, fail_reads, lose_answers, lose_requests, silent_watch,
+  /// old_events, latency_ms, latency_spread_ms, host_lag_ms.
   /// @return What is wrong with `change`; empty where nothing is. Nothing is
   /// taken over then.
   std::string apply(const boost::json::object& change);
--- a/standins/platform/service.cc
+++ b/standins/platform/service.cc
@@ -112,14 +112,14 @@
   if (!this->stats.admit(kind, Clock::now())) {
     co_return error(429, "rate cap");
   }
-  while (this->faults.hang) {
+  while (this->faults.hang ||
+         (this->faults.hang_writes && kind == Kind::kWrite)) {
     co_await this->wait_for_news(Clock::time_point::max());
   }
   const auto latency =
       this->faults.latency + this->dice.up_to(this->faults.latency_spread);
   co_await this->pause(latency / 2);
-  if (this->faults.outage ||
-      (this->faults.fail_reads && kind != Kind::kWrite)) {
+  if (this->is_out(kind, call.path[1] == "hosts")) {
     co_return error(503, "outage");
   }
   Reply answer;
@@ -144,16 +144,21 @@
   while (
       Clock::now() < limit && this->store.reaches(*since) &&
       (this->faults.silent_watch || !this->store.changed(collection, *since)) &&
-      !this->faults.outage && !this->faults.fail_reads) {
+      !this->is_out(Kind::kWatch, false)) {
     co_await this->wait_for_news(limit);
   }
   this->stats.watch_ends();
-  if (this->faults.outage || this->faults.fail_reads) {
+  if (this->is_out(Kind::kWatch, false)) {
     co_return error(503, "outage");
   }
   co_return this->changes(collection, *since);
 }
 
+bool Service::is_out(Kind kind, bool host_list) const {
+  return this->faults.outage || (this->faults.store_outage && !host_list) ||
+         (this->faults.fail_reads && kind != Kind::kWrite);
+}
+
 asio::awaitable<void> Service::pause(std::chrono::milliseconds time) {
   if (time.count() > 0) {
     asio::steady_timer timer(this->loop, time);
--- a/standins/platform/service.h
+++ b/standins/platform/service.h
@@ -58,6 +58,7 @@
 
   boost::asio::awaitable<Reply> serve(Call call, Kind kind);
   boost::asio::awaitable<Reply> watch(Call call);
+  [[nodiscard]] bool is_out(Kind kind, bool host_list) const;
   boost::asio::awaitable<void> pause(std::chrono::milliseconds time);
   /// Suspends until a write or a change of the faults, at most until `limit`.
   boost::asio::awaitable<void> wait_for_news(Clock::time_point limit);
--- /dev/null
+++ b/tests/process/daemon_failure_test.cc
@@ -0,0 +1,100 @@
+#include <csignal>
+
+#include "tests/support/site.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux {
+namespace {
+
+using testing::Site;
+
+std::string with_deadline(int milliseconds) {
+  return "{\"deadline_ms\":" + std::to_string(milliseconds) + "}";
+}
+
+/// Three daemons with the service in force on all.
+struct Trio : Site {
+  Trio() {
+    for (int i = 0; i < 3; ++i) {
+      this->start_daemon();
+    }
+    const bool declared = this->declare_service(0);
+    cr_assert(declared);
+  }
+
+  bool comes_to_be_in_force(std::size_t daemon, int deadline) {
+    return this->wait_for_deadline(daemon, "manuals", deadline);
+  }
+
+  bool comes_to_answer(std::size_t daemon) {
+    return testing::wait_until(
+        [this, daemon] { return this->answers_in_full(daemon); });
+  }
+};
+
+// Symptom: changes wait for a daemon that is gone.
+// Sequence: a daemon that publishes is killed between two changes, and the next
+// change comes through another one.
+// Cause: publishing hung on one daemon.
+Test(daemon_failure, any_daemon_may_be_killed_between_changes) {
+  for (std::size_t victim : {0, 1, 2}) {
+    Trio site;
+    site.daemon(victim).kill();
+    const std::size_t left = (victim + 1) % 3;
+    const std::size_t other = (victim + 2) % 3;
+    cr_assert(site.declare(left, "query_service:manuals", with_deadline(4000))
+                  .status == 200);
+    cr_assert(site.comes_to_be_in_force(left, 4000));
+    cr_assert(site.comes_to_be_in_force(other, 4000));
+    cr_assert(site.comes_to_answer(left));
+    cr_assert(site.comes_to_answer(other));
+  }
+}
+
+// Symptom: an old configuration comes back.
+// Sequence: a daemon that publishes is frozen; the others take two changes into
+// force; it goes on where it stopped.
+// Cause: it published, or served, what it knew before.
+Test(daemon_failure, a_frozen_daemon_brings_nothing_old_back) {
+  Trio site;
+  site.daemon(0).signal(SIGSTOP);
+  for (int deadline : {4000, 4001}) {
+    cr_assert(site.declare(1, "query_service:manuals", with_deadline(deadline))
+                  .status == 200);
+    cr_assert(site.comes_to_be_in_force(1, deadline));
+  }
+  const auto generation = site.generation(1);
+  site.daemon(0).signal(SIGCONT);
+  cr_assert(site.comes_to_be_in_force(0, 4001));
+  cr_assert(site.generation(0) >= generation);
+  cr_assert(site.comes_to_be_in_force(2, 4001));
+  cr_assert(site.deadline_ms(1, "manuals") == 4001);
+  cr_assert(site.comes_to_answer(0));
+}
+
+// Symptom: a daemon that lost its publisher's answer, and its life with it,
+// leaves a change that nobody finishes.
+// Sequence: a change is written through a daemon that is killed at once, before
+// or while it publishes.
+// Cause: only the daemon that took the write knew of it.
+Test(daemon_failure, a_change_outlives_the_daemon_that_took_it) {
+  Trio site;
+  for (std::size_t victim : {0, 1}) {
+    const int deadline = 4000 + static_cast<int>(victim);
+    cr_assert(
+        site.declare(victim, "query_service:manuals", with_deadline(deadline))
+            .status == 200);
+    site.daemon(victim).kill();
+    cr_assert(site.comes_to_be_in_force(2, deadline));
+  }
+}
+
+Test(daemon_failure, a_planned_stop_ends_with_status_0) {
+  Trio site;
+  cr_assert(site.daemon(1).terminate() == 0);
+  cr_assert(site.comes_to_answer(0));
+}
+
+}  // namespace
+}  // namespace ibismux
--- /dev/null
+++ b/tests/support/site.h
@@ -0,0 +1,109 @@
+#ifndef TESTS_SUPPORT_SITE_H_
+#define TESTS_SUPPORT_SITE_H_
+
+#include <boost/json/object.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "ibismux/http/message.h"
+#include "tests/support/process.h"
+
+namespace ibismux::testing {
+
+/// A small site out of real processes: the stand-ins for the platform and for
+/// three leafs, and daemons.
+///
+/// Its service "manuals" has shards s1 to s3, each on all leafs, and one
+/// snapshot. Every wait is on a state that a process reports. A call that gets
+/// no answer throws std::runtime_error. Not thread safe.
+class Site {
+ public:
+  static constexpr std::size_t kLeafs = 3;
+
+  explicit Site(std::vector<std::string> platform_arguments = {});
+
+  /// @name Daemons
+  /// @{
+
+  /// Starts one more and tells the platform's host list of it; its number.
+  std::size_t start_daemon();
+  /// Ends `daemon` with SIGTERM, and starts one of its name on other ports.
+  void replace_daemon(std::size_t daemon);
+  [[nodiscard]] Process& daemon(std::size_t daemon) {
+    return this->daemons[daemon];
+  }
+  [[nodiscard]] std::size_t size() const { return this->daemons.size(); }
+  /// What all processes logged, for the message of a failed test.
+  [[nodiscard]] std::string logs() const;
+  /// @}
+
+  /// @name Stand-ins
+  /// @{
+  [[nodiscard]] Process& platform() { return this->platform_process; }
+  /// Switches faults of the platform: a JSON object.
+  void platform_faults(const std::string& change);
+  [[nodiscard]] boost::json::object platform_stats();
+  /// Changes all leafs: a JSON object.
+  void leaf_config(const std::string& change);
+  /// @}
+
+  /// @name Operators, through one daemon
+  /// @{
+  http::Response operate(std::size_t daemon,
+                         const std::string& method,
+                         const std::string& target,
+                         const std::string& body = {});
+  /// Writes one object.
+  http::Response declare(std::size_t daemon,
+                         const std::string& object,
+                         const std::string& spec);
+  /// Writes all that the service needs, and waits until it is in force on every
+  /// daemon. False where that did not come.
+  bool declare_service(std::size_t daemon);
+
+  [[nodiscard]] boost::json::object status(std::size_t daemon);
+  [[nodiscard]] std::uint64_t generation(std::size_t daemon);
+  /// State of one object: pending, accepted, rejected or absent.
+  [[nodiscard]] std::string state(std::size_t daemon,
+                                  const std::string& object);
+  bool wait_for_state(std::size_t daemon,
+                      const std::string& object,
+                      std::string_view state);
+  /// `deadline_ms` of a query service as it is in force; 0 where there is none.
+  [[nodiscard]] std::int64_t deadline_ms(std::size_t daemon,
+                                         const std::string& service);
+  bool wait_for_deadline(std::size_t daemon,
+                         const std::string& service,
+                         std::int64_t deadline_ms);
+  bool wait_for_generation(std::size_t daemon, std::uint64_t generation);
+  bool wait_until_ready(std::size_t daemon);
+  /// @}
+
+  /// @name Callers
+  /// @{
+  http::Response call(
+      std::size_t daemon,
+      const std::string& target,
+      const std::string& body,
+      std::vector<std::pair<std::string, std::string>> fields = {});
+  /// Whether a query is answered with all three shards.
+  bool answers_in_full(std::size_t daemon);
+  /// @}
+
+ private:
+  [[nodiscard]] Process launch(const std::string& member);
+  void publish_host_list();
+
+  Process platform_process;
+  Process leafs;
+  std::vector<Process> daemons;
+  std::size_t launched = 0;
+};
+
+}  // namespace ibismux::testing
+
+#endif  // TESTS_SUPPORT_SITE_H_
