Wait for a connection's use, not for its handshake, in peer tests

A test could send while the accepting side had answered the handshake but not yet taken the connection into use; the frame was then dialled for and dropped, as it should be, and the test waited for ever (seen once under load).

--- a/tests/peer/peer_faults_test.cc
+++ b/tests/peer/peer_faults_test.cc
@@ -148,11 +148,9 @@
   RawPeer raw(node.port);
   raw.send_hello(RawPeer::hello("raw"));
   cr_assert(raw.receive_hello().has_value());
-  // The first frame tells when the connection is in use.
   std::size_t taken = 0;
-  while (!node.network.notify("raw", MessageKind::kGossip, "first")) {
-    std::this_thread::yield();
-  }
+  node.wait_for_connections(1);
+  cr_assert(node.network.notify("raw", MessageKind::kGossip, "first"));
   cr_assert(raw.receive().has_value());
   const std::string large(100'000, 'x');
   while (taken < 10'000 &&
@@ -181,9 +179,8 @@
   cr_assert(old_run.ended());
   const auto lost = node.lost.wait(1);
   cr_assert(lost.size() == 1 && lost[0].number == 42);
-  while (!node.network.notify("raw", MessageKind::kGossip, "to the new one")) {
-    std::this_thread::yield();
-  }
+  node.wait_for_connections(1);
+  cr_assert(node.network.notify("raw", MessageKind::kGossip, "to the new one"));
   cr_assert(new_run.receive() == "to the new one");
 }
 
@@ -196,9 +193,7 @@
   cr_assert(pair.a.network.notify("b", MessageKind::kGossip, "1"));
   cr_assert(pair.b.heard.wait(1).size() == 1);
   pair.a.network.say_goodbye();
-  while (pair.a.network.connections() > 0) {
-    std::this_thread::yield();
-  }
+  pair.a.wait_for_connections(0);
   pair.a.stop();
   // The dial that this makes fails; it is the only loss.
   cr_assert(pair.b.network.notify("a", MessageKind::kGossip, "2"));
@@ -218,9 +213,8 @@
   RawPeer raw(node.port);
   raw.send_hello(RawPeer::hello("raw"));
   cr_assert(raw.receive_hello().has_value());
-  while (!node.network.notify("raw", MessageKind::kGossip, "work")) {
-    std::this_thread::yield();
-  }
+  node.wait_for_connections(1);
+  cr_assert(node.network.notify("raw", MessageKind::kGossip, "work"));
   std::string goodbye;
   append_frame(goodbye, 0, FrameRole::kGoodbye, 0, "");
   raw.send(goodbye);
--- a/tests/peer/peer_node.h
+++ b/tests/peer/peer_node.h
@@ -5,6 +5,7 @@
 #include <boost/asio/detached.hpp>
 #include <memory>
 #include <string>
+#include <thread>
 
 #include "ibismux/base/io_pool.h"
 #include "ibismux/base/rcu_cell.h"
@@ -58,6 +59,14 @@
     this->network.set_seeds(this->seeds);
   }
 
+  /// A peer sees the end of the handshake before this side uses the connection;
+  /// a frame sent in between would be dialled for.
+  void wait_for_connections(std::size_t count) {
+    while (this->network.connections() != count) {
+      std::this_thread::yield();
+    }
+  }
+
   /// Starts a probe request; its outcome goes to `outcomes`.
   void ask(const std::string& member, std::string payload) {
     boost::asio::co_spawn(this->pool.at(0),
