--- a/ibismux/query/leaf_stats.h
+++ b/ibismux/query/leaf_stats.h
@@ -27,6 +27,11 @@
   /// A call was given up after `elapsed`: it would have taken at least that.
   void call_abandoned(Duration elapsed, TimePoint now) noexcept;
 
+  /// Calls that have not ended.
+  [[nodiscard]] std::int32_t calls_outstanding() const noexcept {
+    return this->outstanding.load(std::memory_order_relaxed);
+  }
+
   /// How much one more call is likely to cost there; lower is better. Rises
   /// with latency, calls outstanding and recent failures; old knowledge fades,
   /// so that a leaf that was slow is tried again.
