Test that failures double no reservation, by the leafs' own record

Whether an order ran twice shows only in what the leafs ran. The tests now read the leafs' history: half of the platform's answers lost while each key is sent through two daemons, a daemon killed after its claim and the order sent again, and a platform that is away (a key runs nothing; a ticket runs once).

--- a/tests/process/daemon_failure_test.cc
+++ b/tests/process/daemon_failure_test.cc
@@ -1,36 +1,15 @@
 #include <csignal>
 
-#include "tests/support/site.h"
+#include "tests/process/declared_site.h"
 
 #include <criterion/criterion.h>
 
 namespace ibismux {
 namespace {
 
-using testing::Site;
-
-std::string with_deadline(int milliseconds) {
-  return "{\"deadline_ms\":" + std::to_string(milliseconds) + "}";
-}
-
 /// Three daemons with the service in force on all.
-struct Trio : Site {
-  Trio() {
-    for (int i = 0; i < 3; ++i) {
-      this->start_daemon();
-    }
-    const bool declared = this->declare_service(0);
-    cr_assert(declared);
-  }
-
-  bool comes_to_be_in_force(std::size_t daemon, int deadline) {
-    return this->wait_for_deadline(daemon, "manuals", deadline);
-  }
-
-  bool comes_to_answer(std::size_t daemon) {
-    return testing::wait_until(
-        [this, daemon] { return this->answers_in_full(daemon); });
-  }
+struct Trio : DeclaredSite {
+  Trio() : DeclaredSite(3) {}
 };
 
 // Symptom: changes wait for a daemon that is gone.
--- a/tests/process/platform_failure_test.cc
+++ b/tests/process/platform_failure_test.cc
@@ -3,7 +3,7 @@
 #include <boost/json/parse.hpp>
 #include <set>
 
-#include "tests/support/site.h"
+#include "tests/process/declared_site.h"
 
 #include <criterion/criterion.h>
 
@@ -12,18 +12,9 @@
 
 using testing::Site;
 
-std::string with_deadline(int milliseconds) {
-  return "{\"deadline_ms\":" + std::to_string(milliseconds) + "}";
-}
-
 /// Two daemons with the service in force on both.
-struct Pair : Site {
-  Pair() {
-    this->start_daemon();
-    this->start_daemon();
-    const bool declared = this->declare_service(0);
-    cr_assert(declared);
-  }
+struct Pair : DeclaredSite {
+  Pair() : DeclaredSite(2) {}
 
   bool both_answer() {
     return this->answers_in_full(0) && this->answers_in_full(1);
--- /dev/null
+++ b/tests/process/reservation_failure_test.cc
@@ -0,0 +1,124 @@
+#include <boost/json/parse.hpp>
+#include <future>
+
+#include "tests/process/declared_site.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux {
+namespace {
+
+constexpr int kReservations = 12;
+
+std::string key_of(int i) {
+  return "order-" + std::to_string(i);
+}
+
+http::Response reserve_under(DeclaredSite& site,
+                             std::size_t daemon,
+                             const std::string& key) {
+  return site.call(daemon, "/v1/services/manuals/reservations", "one element",
+                   {{"Idempotency-Key", key},
+                    {"X-Item", "kettle"},
+                    {"X-Deadline-Ms", "4000"}});
+}
+
+http::Response reserve(DeclaredSite& site, std::size_t daemon, int i) {
+  return reserve_under(site, daemon, key_of(i));
+}
+
+/// Whether the leafs' own record agrees with the answers: no key more than
+/// once, and none that was answered "not run".
+bool ran_at_most_once(DeclaredSite& site) {
+  for (const auto& [key, runs] : site.reservation_runs()) {
+    if (runs > 1) {
+      return false;
+    }
+  }
+  return true;
+}
+
+/// A refusal that says "not run" while the key was run.
+bool lied(DeclaredSite& site, int i, const http::Response& answer) {
+  const auto body = boost::json::parse(answer.body);
+  const auto* execution = body.as_object().if_contains("execution");
+  return execution != nullptr && execution->as_string() == "not_run" &&
+         site.reservation_runs().contains(key_of(i));
+}
+
+// Symptom: a spare is promised to two families.
+// Sequence: the answer to the claim of a key is lost; the caller gives up and
+// asks again, at another daemon.
+// Cause: a claim whose answer was lost was taken for not made.
+Test(reservation_failure, lost_answers_of_the_platform_double_no_reservation) {
+  DeclaredSite site(2);
+  site.platform_faults(R"({"lose_answers":0.5,"seed":5})");
+  for (int i = 0; i < kReservations; ++i) {
+    const auto first = reserve(site, 0, i);
+    cr_assert(!lied(site, i, first), "%s", first.body.c_str());
+    (void)reserve(site, 1, i);
+  }
+  site.platform_faults(R"({"lose_answers":0})");
+  for (int i = 0; i < kReservations; ++i) {
+    (void)reserve(site, i % 2, i);
+  }
+  cr_assert(ran_at_most_once(site));
+  cr_assert(!site.reservation_runs().empty());
+}
+
+// Symptom: an order is carried out twice.
+// Sequence: the daemon is killed while the leaf works on the order; the caller
+// sends it again, with the same key, through another daemon.
+// Cause: what had been sent was known to the dead daemon alone.
+Test(reservation_failure, a_daemon_killed_on_the_way_doubles_no_reservation) {
+  DeclaredSite site(2);
+  site.leaf_config(R"({"service_ms":300})");
+  auto first = std::async(std::launch::async, [&site] {
+    try {
+      return reserve(site, 0, 1).status;
+    } catch (const std::exception&) {
+      return 0;
+    }
+  });
+  // The claim stands before the order is sent.
+  cr_assert(testing::wait_until(
+      [&site] { return site.platform_object_count("claims") > 0; }));
+  site.daemon(0).kill();
+  (void)first.get();
+  for (int attempt = 0; attempt < 3; ++attempt) {
+    const auto again = reserve(site, 1, 1);
+    cr_assert(!lied(site, 1, again), "%s", again.body.c_str());
+  }
+  cr_assert(ran_at_most_once(site));
+}
+
+// Symptom: an order is carried out that nobody will know of when it is sent
+// again.
+// Sequence: the platform is away, so that the key can't be claimed.
+// Cause: the order was sent without its claim. The answer must not say "not
+// run" either: an earlier attempt under the same key may have been.
+Test(reservation_failure, without_the_platform_a_key_runs_nothing) {
+  DeclaredSite site(2);
+  site.platform().kill();
+  const auto refused = reserve(site, 0, 1);
+  cr_assert(refused.status >= 500, "%s", refused.body.c_str());
+  const auto body = boost::json::parse(refused.body);
+  cr_assert(body.at("execution").as_string() == "unknown");
+  cr_assert(site.reservation_runs().empty());
+}
+
+Test(reservation_failure, without_the_platform_a_ticket_runs_once) {
+  DeclaredSite site(2);
+  site.platform().kill();
+  const auto issued = site.call(0, "/v1/tickets", "");
+  const std::string ticket(
+      boost::json::parse(issued.body).at("ticket").as_string());
+  for (std::size_t daemon : {0, 0, 1}) {
+    (void)reserve_under(site, daemon, ticket);
+  }
+  const auto runs = site.reservation_runs();
+  cr_assert(runs.size() == 1 && runs.at(ticket) == 1);
+}
+
+}  // namespace
+}  // namespace ibismux
--- a/tests/support/site.cc
+++ b/tests/support/site.cc
@@ -1,15 +1,13 @@
 #include "tests/support/site.h"
 
-#include <stdlib.h>
-#include <unistd.h>
-
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
-#include <filesystem>
+#include <fstream>
 #include <stdexcept>
 
 #include "tests/support/http_call.h"
+#include "tests/support/temporary_file.h"
 
 namespace ibismux::testing {
 
@@ -19,27 +17,6 @@
 
 constexpr int kOk = 200;
 
-/// A file of its own for as long as a daemon needs it to start.
-class SettingsFile {
- public:
-  explicit SettingsFile(const std::string& text) : path("/tmp/ibismux-XXXXXX") {
-    const int file = ::mkstemp(this->path.data());
-    if (file < 0 || ::write(file, text.data(), text.size()) !=
-                        static_cast<ssize_t>(text.size())) {
-      throw std::runtime_error("no settings file");
-    }
-    ::close(file);
-  }
-  ~SettingsFile() { ::unlink(this->path.c_str()); }
-  SettingsFile(const SettingsFile&) = delete;
-  SettingsFile& operator=(const SettingsFile&) = delete;
-
-  [[nodiscard]] const std::string& name() const { return this->path; }
-
- private:
-  std::string path;
-};
-
 std::vector<std::string> with_port(std::vector<std::string> arguments) {
   arguments.insert(arguments.end(), {"--port", "0"});
   return arguments;
@@ -53,7 +30,10 @@
 }
 
 json::object object_of(const http::Response& response) {
-  return json::parse(response.body).as_object();
+  json::parse_options options;
+  // The platform shows values as they are, and some are binary.
+  options.allow_invalid_utf8 = true;
+  return json::parse(response.body, {}, options).as_object();
 }
 
 std::string path_of(const std::string& object) {
@@ -68,7 +48,8 @@
     : platform_process("ibismux-fake-platform",
                        with_port(std::move(platform_arguments))),
       leafs("ibismux-fake-leaf",
-            {"--leafs", std::to_string(kLeafs), "--threads", "1"}) {
+            {"--leafs", std::to_string(kLeafs), "--threads", "1", "--history",
+             history.name()}) {
   (void)this->platform_process.ready_line();
   (void)this->leafs.ready_line();
 }
@@ -83,7 +64,7 @@
       {"operator", {{"address", "127.0.0.1"}, {"port", 0}}},
       {"platform",
        {{"address", "127.0.0.1"}, {"port", this->platform_process.port()}}}};
-  const SettingsFile file(json::serialize(settings));
+  const TemporaryFile file(json::serialize(settings));
   Process process("ibismuxd", {"--settings", file.name()});
   (void)process.ready_line();
   return process;
@@ -137,6 +118,12 @@
       http_call(this->platform_process.port(), "GET", "/fake/stats")));
 }
 
+std::size_t Site::platform_object_count(const std::string& collection) {
+  const auto answer = answer_of(http_call(this->platform_process.port(), "GET",
+                                          "/v1/objects/" + collection));
+  return object_of(answer).at("objects").as_array().size();
+}
+
 void Site::leaf_config(const std::string& change) {
   const auto answer = answer_of(
       http_call(this->leafs.port("control"), "PUT", "/fake/leafs/*", change));
@@ -145,6 +132,20 @@
   }
 }
 
+std::map<std::string, std::size_t> Site::reservation_runs() {
+  (void)answer_of(
+      http_call(this->leafs.port("control"), "POST", "/fake/flush"));
+  std::map<std::string, std::size_t> runs;
+  std::ifstream file(this->history.name());
+  for (std::string line; std::getline(file, line);) {
+    const json::value row = json::parse(line);
+    if (row.at("kind").as_string() == "reserve") {
+      ++runs[std::string(row.at("key").as_string())];
+    }
+  }
+  return runs;
+}
+
 http::Response Site::operate(std::size_t daemon,
                              const std::string& method,
                              const std::string& target,
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -3,7 +3,7 @@
 
 #include <boost/json/object.hpp>
 #include <cstdint>
-#include <memory>
+#include <map>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -11,6 +11,7 @@
 
 #include "ibismux/http/message.h"
 #include "tests/support/process.h"
+#include "tests/support/temporary_file.h"
 
 namespace ibismux::testing {
 
@@ -47,8 +48,13 @@
   /// Switches faults of the platform: a JSON object.
   void platform_faults(const std::string& change);
   [[nodiscard]] boost::json::object platform_stats();
+  [[nodiscard]] std::size_t platform_object_count(
+      const std::string& collection);
   /// Changes all leafs: a JSON object.
   void leaf_config(const std::string& change);
+  /// How often leafs ran, or began, a reservation, by its key. Those that are
+  /// still running are not counted yet.
+  [[nodiscard]] std::map<std::string, std::size_t> reservation_runs();
   /// @}
 
   /// @name Operators, through one daemon
@@ -98,6 +104,7 @@
   [[nodiscard]] Process launch(const std::string& member);
   void publish_host_list();
 
+  TemporaryFile history;  ///< What the leafs ran.
   Process platform_process;
   Process leafs;
   std::vector<Process> daemons;
