--- a/ibismux/membership/membership_engine.h
+++ b/ibismux/membership/membership_engine.h
@@ -91,6 +91,7 @@
   void accept(const MemberRecord& record,
               const std::string& source,
               TimePoint now);
+  void add_differing(const ProbeMessage& message, ProbeAnswer& answer) const;
   void on_answer(const std::string& target,
                  const std::vector<MemberRecord>& records,
                  TimePoint now);
--- a/ibismux/peer/peer_link.cc
+++ b/ibismux/peer/peer_link.cc
@@ -3,25 +3,20 @@
 #include <glog/logging.h>
 
 #include <algorithm>
-#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <random>
 #include <utility>
 
 #include "ibismux/peer/error_message.h"
 #include "ibismux/peer/peer_context.h"
-#include "ibismux/peer/socket_options.h"
+#include "ibismux/peer/peer_dialer.h"
 
 namespace ibismux::peer {
 
 namespace {
 
-constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
-
 /// Connections to one peer beyond this are cut: two come from crossing dials,
 /// the rest from a peer that opened new ones instead of using those.
 constexpr std::size_t kMostConnections = 4;
@@ -136,7 +131,8 @@
 }
 
 Task<void> PeerLink::dial(std::shared_ptr<PeerLink> self) {
-  Result<std::shared_ptr<PeerConnection>> connection = co_await self->connect();
+  Result<std::shared_ptr<PeerConnection>> connection =
+      co_await dial_peer(self->member, self->loop, self->context);
   if (connection) {
     self->adopt(*connection);
   } else {
@@ -144,54 +140,6 @@
   }
 }
 
-Task<Result<std::shared_ptr<PeerConnection>>> PeerLink::connect() {
-  const auto where = this->context->address_of(this->member);
-  if (!where) {
-    co_return fail(ErrorKind::kPeerUnavailable, "no address");
-  }
-  auto socket = std::make_shared<boost::asio::ip::tcp::socket>(this->loop);
-  boost::asio::steady_timer timer(this->loop);
-  timer.expires_after(this->context->settings.connect_timeout);
-  timer.async_wait([socket](boost::system::error_code cancelled) {
-    if (!cancelled) {
-      boost::system::error_code ignored;
-      socket->close(ignored);
-    }
-  });
-  boost::system::error_code invalid;
-  const auto address = boost::asio::ip::make_address(where->address, invalid);
-  const boost::asio::ip::tcp::endpoint endpoint(address, where->port);
-  const auto [error] = co_await socket->async_connect(endpoint, kAwait);
-  if (error) {
-    co_return fail(ErrorKind::kPeerUnavailable, error.message());
-  }
-  set_peer_options(*socket);
-  const Introduction ours = this->context->introduction();
-  const Result<void> sent = co_await send_introduction(*socket, ours);
-  if (!sent) {
-    co_return tl::unexpected<Error>(sent.error());
-  }
-  const Result<Introduction> theirs = co_await read_introduction(*socket);
-  if (!theirs) {
-    co_return tl::unexpected<Error>(theirs.error());
-  }
-  timer.cancel();
-  std::string refusal = theirs->refusal.empty()
-                            ? reason_to_refuse(ours, *theirs)
-                            : "refused by the peer: " + theirs->refusal;
-  if (refusal.empty() && theirs->self.member != this->member &&
-      !parse_endpoint(this->member)) {
-    refusal = "another member, " + theirs->self.member + ", answers there";
-  }
-  if (!refusal.empty()) {
-    this->context->note_refusal(this->member, refusal);
-    co_return fail(ErrorKind::kPeerUnavailable, refusal);
-  }
-  co_return std::make_shared<PeerConnection>(
-      std::move(*socket), theirs->self, true,
-      this->context->settings.most_queued_bytes, this->context->metrics);
-}
-
 void PeerLink::dial_failed(const Error& error) {
   bool dropped = false;
   {
--- a/ibismux/peer/peer_link.h
+++ b/ibismux/peer/peer_link.h
@@ -84,7 +84,6 @@
 
   // These run on the loop, without the mutex.
   static Task<void> dial(std::shared_ptr<PeerLink> self);
-  Task<Result<std::shared_ptr<PeerConnection>>> connect();
   void dial_failed(const Error& error);
   void flush();
   void cut(const std::string& reason);
