--- a/ibismux/query/gather.cc
+++ b/ibismux/query/gather.cc
@@ -1,6 +1,7 @@
 #include "ibismux/query/gather.h"
 
 #include <algorithm>
+#include <array>
 #include <utility>
 
 #include "ibismux/query/fraction_budget.h"
@@ -328,7 +329,24 @@
   return answer;
 }
 
-Error Gather::failure() const {
+std::string Gather::missing_in_words() const {
+  std::array<std::size_t, kErrorKinds> counts{};
+  for (const ShardProgress& progress : this->shards) {
+    if (progress.state == ShardState::kFailed) {
+      ++counts[static_cast<std::size_t>(progress.reason)];
+    }
+  }
+  std::string words;
+  for (std::size_t i = 0; i < counts.size(); ++i) {
+    if (counts[i] > 0) {
+      words += ", " + std::to_string(counts[i]) + " " +
+               std::string(error_entry(static_cast<ErrorKind>(i)).name);
+    }
+  }
+  return words;
+}
+
+Error Gather::failure(TimePoint now) const {
   std::size_t overloaded = 0;
   std::size_t outstanding = 0;
   for (const ShardProgress& progress : this->shards) {
@@ -342,12 +360,13 @@
   ErrorKind kind = ErrorKind::kCoverageTooLow;
   if (overloaded == missing) {
     kind = ErrorKind::kOverloaded;
-  } else if (this->open > 0 && outstanding > 0) {
+  } else if (now >= this->plan.deadlines.deadline()) {
     kind = ErrorKind::kDeadlineExceeded;
   }
-  Error error = make_error(kind, std::to_string(this->merged) + " of " +
-                                     std::to_string(this->shards.size()) +
-                                     " shards answered");
+  Error error =
+      make_error(kind, std::to_string(this->merged) + " of " +
+                           std::to_string(this->shards.size()) +
+                           " shards answered" + this->missing_in_words());
   error.execution = this->maybe_run || outstanding > 0 ? Execution::kUnknown
                                                        : Execution::kNotRun;
   error.retry_after = this->retry_after;
--- a/ibismux/query/gather.h
+++ b/ibismux/query/gather.h
@@ -140,7 +140,9 @@
   /// @}
 
   [[nodiscard]] QueryAnswer answer();
-  [[nodiscard]] Error failure() const;
+  [[nodiscard]] Error failure(TimePoint now) const;
+  /// Missing shards by reason, in words: "2 peer_unavailable".
+  [[nodiscard]] std::string missing_in_words() const;
   [[nodiscard]] const release::ShardView& shard_view(
       std::uint32_t shard) const noexcept;
 
--- a/ibismux/query/gather_timing.cc
+++ b/ibismux/query/gather_timing.cc
@@ -154,7 +154,7 @@
       this->finish(this->answer(), now);
       return;
     case DeadlinePolicy::Verdict::kFail:
-      this->finish(tl::unexpected<Error>(this->failure()), now);
+      this->finish(tl::unexpected<Error>(this->failure(now)), now);
       return;
   }
 }
--- a/ibismux/query/hit_merger.h
+++ b/ibismux/query/hit_merger.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "ibismux/query/hit_reader.h"
 #include "ibismux/query/query_answer.h"
 
 namespace ibismux::query {
@@ -30,6 +31,7 @@
 
  private:
   std::size_t most;
+  HitReader reader;
   std::vector<Hit> heap;  ///< A heap whose front is the worst hit kept.
 };
 
--- a/tests/query/hit_merger_test.cc
+++ b/tests/query/hit_merger_test.cc
@@ -30,6 +30,14 @@
       R"({"hits":[{"id":"a","score":1,"text":""},{"id":"b"}]})",
       R"({"hits":[{"id":"a","score":1e999,"text":""}]})",
       R"({"hits":[]} x)",
+      R"({"other":[]})",
+      R"({"hits":[[]]})",
+      R"({"hits":null})",
+      R"({"hits":[],"hits":1})",
+      R"({"hits":[{"id":"a","score":1,"text":{"id":"b"}}]})",
+      R"({"hits":[{"id":["a"],"score":1,"text":""}]})",
+      R"({"hits":[{"id":"a","score":1,"text":"\ud800"}]})",
+      R"("hits")",
   };
   for (const char* const body : bodies) {
     HitMerger merger(3);
@@ -38,6 +46,20 @@
   }
 }
 
+Test(hit_merger, what_is_not_known_is_passed_over_and_escapes_are_resolved) {
+  HitMerger merger(3);
+  cr_assert(merger.merge(
+      R"({"took":{"hits":[1],"id":2},"hits":[{"more":{"id":3,"text":[4]},)"
+      R"("text":"a\u00e9\n\"b","id":"x","other":null,"score":-1e2},)"
+      R"({"id":"","score":18446744073709551615,"text":""}],"end":["id"]})",
+      "s1"));
+  const std::vector<Hit> hits = merger.take();
+  cr_assert(hits.size() == 2);
+  cr_assert(hits[0].id.empty() && hits[0].score > 1e19);
+  cr_assert(hits[1].id == "x" && hits[1].score == -100);
+  cr_assert(hits[1].text == "a\u00e9\n\"b");
+}
+
 Test(hit_merger, no_hits_are_an_answer_too) {
   HitMerger merger(3);
   cr_assert(merger.merge(R"({"hits":[]})", "s1"));
