--- a/ibismux/relay/relay_service.cc
+++ b/ibismux/relay/relay_service.cc
@@ -19,12 +19,11 @@
 
 #include "ibismux/base/io_pool.h"
 #include "ibismux/peer/peer_network.h"
-#include "ibismux/platform/object_store.h"
 #include "ibismux/relay/in_force_board.h"
 #include "ibismux/relay/relay_engine.h"
 #include "ibismux/relay/relay_metrics.h"
 #include "ibismux/relay/release_fetcher.h"
-#include "ibismux/release/head.h"
+#include "ibismux/relay/release_watch.h"
 #include "ibismux/release/release_store.h"
 
 namespace ibismux::relay {
@@ -37,14 +36,9 @@
 /// A head longer than this is announced and not sent: many peers have it.
 constexpr std::size_t kMostPushedHead = 2048;
 
-double unit_random() {
-  thread_local std::minstd_rand source{std::random_device{}()};
-  return std::uniform_real_distribution<double>(0.5, 1.0)(source);
-}
-
 }  // namespace
 
-/// All state but the board, the rank and the summary belongs to the pool's
+/// All state but the board, the rank and the age belongs to the pool's
 /// first loop.
 class RelayService::Impl
     : public std::enable_shared_from_this<RelayService::Impl> {
@@ -59,14 +53,16 @@
       : settings(settings),
         loop(pool.at(0)),
         network(network),
-        platform(platform),
         releases(releases),
         view(view),
         metrics(registry),
         fetcher(this->settings, network, platform, releases),
         engine(settings, std::random_device{}(), Clock::now()),
-        tick_timer(loop),
-        watch_timer(loop) {}
+        watch(std::make_shared<ReleaseWatch>(this->settings,
+                                             loop,
+                                             platform,
+                                             this->fetcher)),
+        tick_timer(loop) {}
 
   void register_handlers();
   void start();
@@ -82,10 +78,6 @@
   using Self = std::shared_ptr<Impl>;
 
   static Task<void> run(Self self);
-  static Task<void> watch(Self self);
-  static Task<Result<platform::Version>> watch_once(
-      Self self,
-      std::optional<platform::Version> since);
   static Task<void> fetch(Self self, std::string peer);
   static Task<void> take_push(Self self, std::string peer, PushMessage push);
   static Task<void> read_platform(Self self);
@@ -100,6 +92,7 @@
       Task<Result<std::string>> work);
 
   void look_at_view();
+  void take_watch_outcome(const Result<void>& outcome);
   void carry_out();
   void push(const std::vector<std::string>& peers);
   void note_failure(const Error& error, const char* source);
@@ -107,16 +100,14 @@
   const RelaySettings settings;
   boost::asio::io_context& loop;
   peer::PeerNetwork& network;
-  platform::ObjectStore& platform;
   release::ReleaseStore& releases;
   const RcuCell<membership::MembershipView>& view;
   RelayMetrics metrics;
   ReleaseFetcher fetcher;
   RelayEngine engine;
+  std::shared_ptr<ReleaseWatch> watch;
   boost::asio::steady_timer tick_timer;
-  boost::asio::steady_timer watch_timer;
   mutable InForceBoard board;
-  std::atomic<bool> watching{false};
   std::atomic<std::int64_t> age_ms{0};
   std::uint64_t seen_revision = 0;
   bool asking = false;
@@ -155,14 +146,19 @@
 void RelayService::Impl::start() {
   const auto self = this->shared_from_this();
   boost::asio::co_spawn(this->loop, run(self), boost::asio::detached);
-  boost::asio::co_spawn(this->loop, watch(self), boost::asio::detached);
+  this->watch->start(
+      [weak = this->weak_from_this()](const Result<void>& outcome) {
+        if (const auto self = weak.lock()) {
+          self->take_watch_outcome(outcome);
+        }
+      });
 }
 
 void RelayService::Impl::stop() {
   boost::asio::post(this->loop, [self = this->shared_from_this()] {
     self->stopped = true;
     self->tick_timer.cancel();
-    self->watch_timer.cancel();
+    self->watch->stop();
   });
 }
 
@@ -208,9 +204,7 @@
   this->engine.on_view(*members, Clock::now());
   this->rank = this->engine.tree().fleet_rank();
   this->board.keep(this->engine.tree().roots());
-  if (this->engine.tree().watches()) {
-    this->watch_timer.cancel();  // It may sleep, not watching.
-  }
+  this->watch->set_active(this->engine.tree().watches());
 }
 
 void RelayService::Impl::carry_out() {
@@ -298,68 +292,12 @@
   self->engine.on_platform_read_done();
 }
 
-/// Watches the platform for as long as this daemon is one of its zone's
-/// watchers.
-Task<void> RelayService::Impl::watch(Self self) {
-  std::optional<platform::Version> since;
-  Duration pause = self->settings.first_watch_retry;
-  while (!self->stopped) {
-    self->watching = self->engine.tree().watches();
-    if (!self->watching) {
-      since.reset();
-      self->watch_timer.expires_after(self->settings.compare_interval);
-      const auto [woken] = co_await self->watch_timer.async_wait(kAwait);
-      static_cast<void>(woken);
-      continue;
-    }
-    const auto next = co_await watch_once(self, since);
-    if (next) {
-      since = *next;
-      pause = self->settings.first_watch_retry;
-      self->engine.on_platform_seen(Clock::now());
-      continue;
-    }
-    self->note_failure(next.error(), "watch");
-    since.reset();
-    self->watch_timer.expires_after(
-        std::chrono::duration_cast<Duration>(pause * unit_random()));
-    pause = std::min<Duration>(pause * 2, self->settings.most_watch_retry);
-    const auto [cancelled] = co_await self->watch_timer.async_wait(kAwait);
-    static_cast<void>(cancelled);
-  }
-}
-
-/// One watch, or the read that comes before the first.
-Task<Result<platform::Version>> RelayService::Impl::watch_once(
-    Self self,
-    std::optional<platform::Version> since) {
-  if (!since) {
-    co_return co_await self->fetcher.from_platform();
-  }
-  std::string collection = platform::kReleases;
-  auto batch = co_await self->platform.watch(std::move(collection), *since,
-                                             self->settings.watch_wait);
-  if (!batch) {
-    co_return tl::unexpected<Error>(batch.error());
-  }
-  if (batch->compacted) {
-    co_return fail(ErrorKind::kPlatformUnavailable, "the history is gone");
-  }
-  const platform::Version version = batch->version;
-  std::string head;
-  for (const auto& event : batch->events) {
-    if (event.object.name == release::kHeadName && !event.removed) {
-      head = event.object.value;  // The last one counts.
-    }
-  }
-  if (!head.empty()) {
-    const auto taken = co_await self->fetcher.take_from_platform(
-        std::move(head), std::move(*batch));
-    if (!taken) {
-      co_return tl::unexpected<Error>(taken.error());
-    }
+void RelayService::Impl::take_watch_outcome(const Result<void>& outcome) {
+  if (outcome) {
+    this->engine.on_platform_seen(Clock::now());
+  } else {
+    this->note_failure(outcome.error(), "watch");
   }
-  co_return version;
 }
 
 Task<void> RelayService::Impl::send_report(Self self, std::string parent) {
@@ -450,7 +388,7 @@
 boost::json::value RelayService::Impl::status() const {
   boost::json::object out;
   out["generation"] = this->releases.generation();
-  out["watches_platform"] = this->watching.load();
+  out["watches_platform"] = this->watch->active();
   out["platform_age_ms"] = this->age_ms.load();
   out["rank"] = this->rank.load();
   boost::json::object reached;
--- /dev/null
+++ b/ibismux/relay/release_watch.cc
@@ -0,0 +1,119 @@
+#include "ibismux/relay/release_watch.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+#include <utility>
+
+#include "ibismux/platform/object_store.h"
+#include "ibismux/relay/release_fetcher.h"
+#include "ibismux/release/head.h"
+
+namespace ibismux::relay {
+
+namespace {
+
+constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
+
+/// Between half of `pause` and the whole.
+Duration jittered(Duration pause) {
+  thread_local std::minstd_rand source{std::random_device{}()};
+  std::uniform_real_distribution<double> part(0.5, 1.0);
+  return std::chrono::duration_cast<Duration>(pause * part(source));
+}
+
+}  // namespace
+
+ReleaseWatch::ReleaseWatch(const RelaySettings& settings,
+                           boost::asio::io_context& loop,
+                           platform::ObjectStore& platform,
+                           ReleaseFetcher& fetcher)
+    : settings(settings),
+      loop(loop),
+      platform(platform),
+      fetcher(fetcher),
+      timer(loop) {}
+
+void ReleaseWatch::start(Listener listener) {
+  this->listener = std::move(listener);
+  boost::asio::co_spawn(this->loop, run(this->shared_from_this()),
+                        boost::asio::detached);
+}
+
+void ReleaseWatch::stop() {
+  this->stopped = true;
+  this->timer.cancel();
+}
+
+void ReleaseWatch::set_active(bool active) {
+  if (!this->wanted.exchange(active) && active) {
+    this->timer.cancel();
+  }
+}
+
+Task<void> ReleaseWatch::sleep(Self self, Duration pause) {
+  self->timer.expires_after(pause);
+  const auto [cancelled] = co_await self->timer.async_wait(kAwait);
+  static_cast<void>(cancelled);
+}
+
+Task<void> ReleaseWatch::run(Self self) {
+  std::optional<platform::Version> since;
+  Duration pause = self->settings.first_watch_retry;
+  while (!self->stopped) {
+    if (!self->wanted) {
+      since.reset();
+      co_await sleep(self, self->settings.compare_interval);
+      continue;
+    }
+    const auto next = co_await step(self, since);
+    if (next) {
+      since = *next;
+      pause = self->settings.first_watch_retry;
+      self->listener({});
+      continue;
+    }
+    since.reset();
+    self->listener(tl::unexpected<Error>(next.error()));
+    co_await sleep(self, jittered(pause));
+    pause = std::min<Duration>(pause * 2, self->settings.most_watch_retry);
+  }
+}
+
+/// One watch, or the read that comes before the first.
+Task<Result<platform::Version>> ReleaseWatch::step(
+    Self self,
+    std::optional<platform::Version> since) {
+  if (!since) {
+    co_return co_await self->fetcher.from_platform();
+  }
+  std::string collection = platform::kReleases;
+  auto batch = co_await self->platform.watch(std::move(collection), *since,
+                                             self->settings.watch_wait);
+  if (!batch) {
+    co_return tl::unexpected<Error>(batch.error());
+  }
+  if (batch->compacted) {
+    co_return fail(ErrorKind::kPlatformUnavailable, "the history is gone");
+  }
+  const platform::Version version = batch->version;
+  std::string head;
+  for (const auto& event : batch->events) {
+    if (event.object.name == release::kHeadName && !event.removed) {
+      head = event.object.value;  // The last one counts.
+    }
+  }
+  if (!head.empty()) {
+    const auto taken = co_await self->fetcher.take_from_platform(
+        std::move(head), std::move(*batch));
+    if (!taken) {
+      co_return tl::unexpected<Error>(taken.error());
+    }
+  }
+  co_return version;
+}
+
+}  // namespace ibismux::relay
--- /dev/null
+++ b/ibismux/relay/release_watch.h
@@ -0,0 +1,67 @@
+#ifndef IBISMUX_RELAY_RELEASE_WATCH_H_
+#define IBISMUX_RELAY_RELEASE_WATCH_H_
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+
+#include "ibismux/base/error.h"
+#include "ibismux/base/task.h"
+#include "ibismux/platform/stored_object.h"
+#include "ibismux/relay/relay_settings.h"
+
+namespace ibismux::platform {
+class ObjectStore;
+}
+
+namespace ibismux::relay {
+
+class ReleaseFetcher;
+
+/// Watches the platform's releases while this daemon is one of its zone's
+/// watchers, and gives the store what is new.
+///
+/// Belongs to one loop; only `active()` is thread safe.
+class ReleaseWatch : public std::enable_shared_from_this<ReleaseWatch> {
+ public:
+  /// Hears of each answer of the platform, and of each failure.
+  using Listener = std::function<void(const Result<void>&)>;
+
+  /// Precondition: the references outlive the loop's thread.
+  ReleaseWatch(const RelaySettings& settings,
+               boost::asio::io_context& loop,
+               platform::ObjectStore& platform,
+               ReleaseFetcher& fetcher);
+
+  /// Call once.
+  void start(Listener listener);
+  void stop();
+  /// Whether this daemon is a watcher.
+  void set_active(bool active);
+  [[nodiscard]] bool active() const noexcept { return this->wanted.load(); }
+
+ private:
+  using Self = std::shared_ptr<ReleaseWatch>;
+
+  static Task<void> run(Self self);
+  static Task<void> sleep(Self self, Duration pause);
+  static Task<Result<platform::Version>> step(
+      Self self,
+      std::optional<platform::Version> since);
+
+  const RelaySettings& settings;
+  boost::asio::io_context& loop;
+  platform::ObjectStore& platform;
+  ReleaseFetcher& fetcher;
+  boost::asio::steady_timer timer;
+  Listener listener;
+  std::atomic<bool> wanted{false};
+  bool stopped = false;
+};
+
+}  // namespace ibismux::relay
+
+#endif  // IBISMUX_RELAY_RELEASE_WATCH_H_
