Test the spread's decisions in passed-in time

Trees reach each member once, tallies never claim too much, an announcement during a fetch is followed up, stale knowledge of peers doesn't keep a daemon from the platform, and a cold start of 2,400 spreads its reads.

--- /dev/null
+++ b/tests/relay/relay_engine_test.cc
@@ -0,0 +1,190 @@
+#include "ibismux/relay/relay_engine.h"
+
+#include <algorithm>
+#include <set>
+
+// Criterion's macros come after the other headers.
+#include <criterion/criterion.h>
+
+namespace ibismux::relay {
+namespace {
+
+using namespace std::chrono_literals;
+using membership::Member;
+using membership::MembershipView;
+
+/// `count` members in `zones` zones, as member `self` sees them.
+MembershipView view_of(std::size_t count, std::size_t zones, std::size_t self) {
+  MembershipView view;
+  view.revision = 1;
+  for (std::size_t i = 0; i < count; ++i) {
+    Member member;
+    member.name = "d" + std::to_string(1000 + i);
+    member.zone = "z" + std::to_string(i % zones);
+    view.members.push_back(member);
+  }
+  view.self = view.members[self].name;
+  return view;
+}
+
+TimePoint start_time() {
+  return TimePoint(1h);
+}
+
+Test(spread_tree, every_member_is_reached_once_by_bounded_fan_out) {
+  constexpr std::size_t kMembers = 150;
+  std::map<std::string, std::set<std::string>> below;
+  std::size_t roots = 0;
+  std::size_t watchers = 0;
+  for (std::size_t i = 0; i < kMembers; ++i) {
+    const MembershipView view = view_of(kMembers, 3, i);
+    SpreadTree tree(2, 8);
+    tree.rebuild(view);
+    cr_assert(tree.children().size() <= 8);
+    roots += tree.parent() ? 0 : 1;
+    watchers += tree.watches() ? 1 : 0;
+    for (const std::string& child : tree.children()) {
+      for (auto& [parent, children] : below) {
+        cr_assert(!children.contains(child));
+      }
+      below[view.self].insert(child);
+    }
+  }
+  std::size_t reached = 0;
+  for (const auto& [parent, children] : below) {
+    reached += children.size();
+  }
+  cr_assert(roots == 3 && watchers == 6);
+  cr_assert(reached == kMembers - roots);
+}
+
+Test(spread_tree, ranks_order_the_whole_fleet) {
+  std::set<std::size_t> ranks;
+  for (std::size_t i = 0; i < 30; ++i) {
+    SpreadTree tree(2, 8);
+    tree.rebuild(view_of(30, 3, i));
+    ranks.insert(tree.fleet_rank());
+  }
+  cr_assert(ranks.size() == 30 && *ranks.rbegin() == 29);
+}
+
+Test(tallies, never_claim_more_than_is_true) {
+  Tallies tallies;
+  for (Generation generation = 1; generation <= 9; ++generation) {
+    tallies.add(generation, 1);
+  }
+  cr_assert(tallies.members() == 9);
+  cr_assert(tallies.counts().size() == 4);
+  for (Generation generation = 1; generation <= 9; ++generation) {
+    cr_assert(tallies.reached(generation) <= 10 - generation);
+  }
+  cr_assert(tallies.reached(9) == 1);
+}
+
+Test(relay_engine, a_newer_push_makes_it_fetch_and_an_older_one_nothing) {
+  RelayEngine engine({}, 1, start_time());
+  engine.on_view(view_of(7, 3, 0), start_time());
+  engine.on_applied(5, Origin::kPeer, start_time());
+  static_cast<void>(engine.take_commands());
+  engine.on_push("d1001", 4, 0s, start_time());
+  cr_assert(!engine.take_commands().fetch);
+  engine.on_push("d1001", 6, 0s, start_time());
+  cr_assert(engine.take_commands().fetch == "d1001");
+}
+
+// Symptom: a daemon stays behind until the next comparison.
+// Sequence: two releases come soon after each other; the second is announced
+// while the first is fetched.
+// Cause: an announcement during a fetch is forgotten.
+Test(relay_engine, an_announcement_during_a_fetch_is_followed_up) {
+  RelayEngine engine({}, 1, start_time());
+  engine.on_view(view_of(7, 3, 0), start_time());
+  engine.on_push("d1001", 1, 0s, start_time());
+  cr_assert(engine.take_commands().fetch == "d1001");
+  engine.on_push("d1002", 2, 0s, start_time());
+  cr_assert(!engine.take_commands().fetch);
+  engine.on_applied(1, Origin::kPeer, start_time());
+  engine.on_fetched(0s, start_time());
+  cr_assert(engine.take_commands().fetch == "d1002");
+}
+
+// Symptom: a zone serves old configuration though the platform has newer.
+// Sequence: its watchers have lost the platform but answer their peers.
+// Cause: hearing from a peer was taken for hearing from the platform.
+Test(relay_engine, old_knowledge_of_peers_does_not_keep_it_from_the_platform) {
+  RelayEngine engine({}, 1, start_time());
+  engine.on_view(view_of(7, 3, 0), start_time());
+  engine.on_applied(1, Origin::kPeer, start_time());
+  TimePoint now = start_time();
+  std::size_t reads = 0;
+  for (; now < start_time() + 25s; now += 50ms) {
+    engine.on_fetched(now - start_time(), now);
+    engine.tick(now);
+    reads += engine.take_commands().read_platform ? 1 : 0;
+  }
+  cr_assert(reads == 0);
+  for (; now < start_time() + 125s; now += 50ms) {
+    engine.on_fetched(now - start_time(), now);
+    engine.tick(now);
+    if (engine.take_commands().read_platform) {
+      ++reads;
+      engine.on_platform_read_done();  // It failed.
+    }
+  }
+  // One each 7.5 to 12.5 s, from the 30th second on.
+  cr_assert(reads >= 7 && reads <= 14);
+  engine.on_fetched(0s, now);
+  for (; now < start_time() + 150s; now += 50ms) {
+    engine.tick(now);
+    cr_assert(!engine.take_commands().read_platform);
+  }
+}
+
+// Symptom: the platform refuses everybody when the whole fleet starts.
+// Sequence: 2,400 daemons start in one second; none has a release.
+// Cause: all read the platform at once.
+Test(relay_engine, a_cold_start_spreads_the_reads) {
+  constexpr std::size_t kMembers = 2400;
+  std::map<std::int64_t, std::size_t> reads_by_second;
+  for (std::size_t i = 0; i < kMembers; i += 8) {
+    RelayEngine engine({}, i, start_time());
+    engine.on_view(view_of(kMembers, 16, i), start_time());
+    const bool watches = engine.tree().watches();
+    for (TimePoint now = start_time(); now < start_time() + 15s; now += 50ms) {
+      engine.tick(now);
+      const bool read = engine.take_commands().read_platform;
+      cr_assert(watches || !read || now >= start_time() + 2s);
+      reads_by_second[(now - start_time()) / 1s] += read ? 1 : 0;
+    }
+  }
+  for (const auto& [second, reads] : reads_by_second) {
+    cr_assert(reads * 8 < 500, "%zu reads in one second", reads * 8);
+  }
+}
+
+Test(relay_engine, tallies_of_a_subtree_go_up_when_they_change) {
+  for (std::size_t i = 0; i < 40; ++i) {
+    RelayEngine engine({}, 1, start_time());
+    engine.on_view(view_of(40, 1, i), start_time());
+    if (!engine.tree().parent() || engine.tree().children().empty()) {
+      continue;
+    }
+    engine.on_applied(3, Origin::kPeer, start_time());
+    Tallies child;
+    child.add(2, 4);
+    engine.on_report(engine.tree().children().front(), child, start_time());
+    engine.tick(start_time());
+    cr_assert(engine.take_commands().report_to == engine.tree().parent());
+    cr_assert(engine.subtree().members() == 5);
+    cr_assert(engine.subtree().reached(3) == 1);
+    engine.tick(start_time() + 50ms);
+    cr_assert(!engine.take_commands().report_to);
+    engine.tick(start_time() + 40s);  // The child is silent.
+    cr_assert(engine.subtree().members() == 1);
+    return;
+  }
+  cr_assert_fail("no inner member");
+}
+
+}  // namespace
+}  // namespace ibismux::relay
