--- a/tests/relay/relay_service_test.cc
+++ b/tests/relay/relay_service_test.cc
@@ -110,5 +110,29 @@
   }
 }
 
+// Symptom: a paused daemon comes back and undoes what happened meanwhile.
+// Sequence: a daemon is frozen with its connections open; the others take it
+// for failed and go on to a newer release; it wakes.
+// Cause: it would trust its old timers and its old release.
+Test(relay_service, a_frozen_daemon_wakes_and_catches_up) {
+  DaemonFleet fleet(4);
+  publish(fleet, 1);
+  cr_assert(fleet.wait_for_members());
+  cr_assert(fleet.wait_for_generation(1));
+  const auto thaw = fleet.nodes[2]->freeze();
+  cr_assert(fleet.wait([](const ControlNode& node) {
+    const auto view = node.view.read();
+    return view->self == DaemonFleet::name(2) || view->serving() == 3;
+  }));
+  publish(fleet, 2);
+  cr_assert(fleet.wait([](const ControlNode& node) {
+    return node.view.read()->self == DaemonFleet::name(2) ||
+           node.releases.generation() == 2;
+  }));
+  thaw->set_value();
+  cr_assert(fleet.wait_for_generation(2));
+  cr_assert(fleet.wait_for_members());
+}
+
 }  // namespace
 }  // namespace ibismux::relay
--- a/tests/support/daemon_fleet.h
+++ b/tests/support/daemon_fleet.h
@@ -1,11 +1,11 @@
 #ifndef TESTS_SUPPORT_DAEMON_FLEET_H_
 #define TESTS_SUPPORT_DAEMON_FLEET_H_
 
+#include <boost/asio/post.hpp>
 #include <chrono>
-#include <condition_variable>
+#include <future>
 #include <map>
 #include <memory>
-#include <mutex>
 #include <string>
 #include <thread>
 #include <vector>
@@ -58,6 +58,16 @@
     this->pool.stop();
   }
 
+  /// Stops the daemon's thread, as SIGSTOP does: its kernel goes on to accept
+  /// and acknowledge. Ends when the returned promise is kept.
+  [[nodiscard]] std::shared_ptr<std::promise<void>> freeze() {
+    auto thaw = std::make_shared<std::promise<void>>();
+    boost::asio::post(this->pool.at(0), [waiting = thaw->get_future().share()] {
+      waiting.wait();
+    });
+    return thaw;
+  }
+
   [[nodiscard]] std::string endpoint() const {
     return "127.0.0.1:" + std::to_string(this->port);
   }
