--- a/apps/ibismux-load/answer_check.cc
+++ b/apps/ibismux-load/answer_check.cc
@@ -29,15 +29,15 @@
 }
 
 const json::object& part(const json::object& object, std::string_view key) {
-  static const json::object kNone;
+  static const json::object none;
   const json::value* value = object.if_contains(key);
-  return value != nullptr && value->is_object() ? value->as_object() : kNone;
+  return value != nullptr && value->is_object() ? value->as_object() : none;
 }
 
 const json::array& list(const json::object& object, std::string_view key) {
-  static const json::array kNone;
+  static const json::array none;
   const json::value* value = object.if_contains(key);
-  return value != nullptr && value->is_array() ? value->as_array() : kNone;
+  return value != nullptr && value->is_array() ? value->as_array() : none;
 }
 
 /// A stand-in's hit says where it is from: `snapshot|shard|body_hash`.
--- a/apps/ibismux-load/experiment.cc
+++ b/apps/ibismux-load/experiment.cc
@@ -61,7 +61,7 @@
 const Setters<ServiceLoad>& service_setters() {
   using S = ServiceLoad;
   using V = const json::value&;
-  static const Setters<S> kSetters = {
+  static const Setters<S> setters = {
       {"name", [](S& s, V v) { s.name = text(v); }},
       {"group", [](S& s, V v) { s.group = text(v); }},
       {"kind", [](S& s, V v) { s.reservation = text(v) == "reservation"; }},
@@ -77,13 +77,13 @@
       {"other_body_share",
        [](S& s, V v) { s.other_body_share = number<double>(v); }},
   };
-  return kSetters;
+  return setters;
 }
 
 const Setters<Phase>& phase_setters() {
   using P = Phase;
   using V = const json::value&;
-  static const Setters<P> kSetters = {
+  static const Setters<P> setters = {
       {"name", [](P& p, V v) { p.name = text(v); }},
       {"seconds",
        [](P& p, V v) {
@@ -97,7 +97,7 @@
          }
        }},
   };
-  return kSetters;
+  return setters;
 }
 
 struct Reading {
@@ -128,7 +128,7 @@
 const Setters<Reading>& experiment_setters() {
   using R = Reading;
   using V = const json::value&;
-  static const Setters<R> kSetters = {
+  static const Setters<R> setters = {
       {"seed", [](R& r, V v) { r.experiment.seed = number<std::uint64_t>(v); }},
       {"threads",
        [](R& r, V v) { r.experiment.threads = number<std::size_t>(v); }},
@@ -139,7 +139,7 @@
       {"services", take_services},
       {"phases", take_phases},
   };
-  return kSetters;
+  return setters;
 }
 
 }  // namespace
--- a/apps/ibismux-load/main.cc
+++ b/apps/ibismux-load/main.cc
@@ -108,6 +108,7 @@
   }
   const ibismux::TimePoint begin = ibismux::Clock::now() + kStartDelay;
   std::vector<std::thread> threads;
+  threads.reserve(workers.size());
   for (auto& worker : workers) {
     threads.emplace_back([&worker, begin] { worker->run(begin); });
   }
--- a/apps/ibismux-load/report.cc
+++ b/apps/ibismux-load/report.cc
@@ -116,8 +116,8 @@
        << png
        << "'\nset multiplot layout 2,1\nset key outside\n"
           "set xlabel 'second'\nset ylabel 'p99, ms'\nset logscale y\nplot ";
-  const char* kColumns[] = {"8", "4"};
-  for (const char* column : kColumns) {
+  const char* columns[] = {"8", "4"};
+  for (const char* column : columns) {
     bool first = true;
     for (const auto& [group, seconds] : recorder.groups) {
       file << (first ? "" : ", ") << "'" << csv << "' using 1:(stringcolumn(2) "
@@ -125,7 +125,7 @@
            << " : 1/0) with linespoints title '" << group << "'";
       first = false;
     }
-    if (column == kColumns[0]) {
+    if (column == columns[0]) {
       file << "\nunset logscale y\nset ylabel 'good answers a second'\nplot ";
     }
   }
--- a/apps/ibismux-load/worker.cc
+++ b/apps/ibismux-load/worker.cc
@@ -127,7 +127,6 @@
   }
   if (service.keyed && this->chance(service.burst_share)) {
     for (std::size_t i = 1; i < this->balancer.size(); ++i) {
-      Job copy = job;
       this->spawn(this->repeat_at(job, i));
     }
   }
@@ -242,7 +241,8 @@
     co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
   }
   this->record(job, facts);
-  if (!job.key.empty() && this->chance(job.service->other_body_share)) {
+  if (!job.key.empty() && facts.state == "run" &&
+      this->chance(job.service->other_body_share)) {
     co_await this->repeat_with_other_body(std::move(job));
   }
 }
--- a/standins/leaf/main.cc
+++ b/standins/leaf/main.cc
@@ -127,6 +127,7 @@
                    {"leafs", ports}, {"control", control.port()}})
             << std::endl;
   std::vector<std::thread> threads;
+  threads.reserve(loops.size());
   for (auto& loop : loops) {
     threads.emplace_back([&loop] {
       const auto guard = asio::make_work_guard(*loop);
