Let a draining server answer those who are just connecting

The last request now stays counted until the next wait has begun; accepts that are done are served; and a draining server goes on accepting for the grace, then drops the first packets of new connections, waits for the half-open ones, accepts those and closes.

The test of draining took the refusal of new connections for immediate; it now asks for it once nothing is in flight, which is the promise.

--- a/ibismux/http/server.cc
+++ b/ibismux/http/server.cc
@@ -1,7 +1,12 @@
 #include "ibismux/http/server.h"
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/post.hpp>
+#include <cstdint>
+#include <iterator>
 #include <utility>
 #include <vector>
 
@@ -18,10 +23,37 @@
 namespace asio = boost::asio;
 using ErrorCode = boost::system::error_code;
 
+// How long half-open connections have to complete before a draining server
+// closes its listening socket: many round trips between zones.
+constexpr Duration kHandshakeTime = std::chrono::milliseconds(50);
+
 // How long accepting rests when the process has no descriptor left; without
 // the rest the loop would spin on the error.
 constexpr Duration kAcceptPause = std::chrono::milliseconds(20);
 
+/// Makes a listening socket begin no new connection; those that are half open
+/// still complete.
+///
+/// A connection that completes between the last accept and the close is reset
+/// together with its request: its client sees an exchange cut by a planned
+/// stop. A client whose first packet is dropped sends it again after a second
+/// and is refused then, before it has sent a request.
+void drop_new_connections(TcpAcceptor& acceptor) {
+  // The filter sees a packet from its TCP header on.
+  constexpr std::uint32_t kFlagsOffset = 13;
+  constexpr std::uint32_t kSyn = 0x02;
+  constexpr std::uint32_t kDrop = 0;
+  constexpr std::uint32_t kPass = 0xffffffff;
+  sock_filter code[] = {BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
+                        BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, kSyn, 0, 1),
+                        BPF_STMT(BPF_RET | BPF_K, kDrop),
+                        BPF_STMT(BPF_RET | BPF_K, kPass)};
+  const sock_fprog program{std::size(code), code};
+  // Where the system refuses filters, the short gap remains.
+  ::setsockopt(acceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &program,
+               sizeof program);
+}
+
 /// Accepts connections and deals them to the loops in turn.
 ///
 /// Belongs to the pool's first loop, which is the first to be destroyed: a
@@ -34,16 +66,18 @@
       : core(std::move(core)),
         loops(std::move(loops)),
         acceptor(pool.at(0).get_executor()),
-        pause(pool.at(0).get_executor()) {}
+        pause(pool.at(0).get_executor()),
+        closing(pool.at(0).get_executor()) {}
 
   [[nodiscard]] Result<std::uint16_t> bind(const std::string& address,
                                            std::uint16_t port);
   void accept();
   void close();
 
-  /// Takes the connections that already wait, whose clients may have sent
-  /// their requests, and closes.
-  void accept_rest();
+  /// Serves new connections for the grace, then takes those that are half open
+  /// or wait, whose clients may have sent their requests, and closes.
+  /// @param counted Counts as in flight until then.
+  void drain(std::shared_ptr<Counted> counted);
 
  private:
   void on_accept(const ErrorCode& error,
@@ -51,11 +85,15 @@
                  const std::shared_ptr<ServerLoop>& loop);
   void serve(TcpSocket socket, const std::shared_ptr<ServerLoop>& loop);
   void rest();
+  void accept_rest();
+  template <class Next>
+  void after(Duration wait, Next next);
 
   const std::shared_ptr<ServerCore> core;
   const std::vector<std::shared_ptr<ServerLoop>> loops;
   TcpAcceptor acceptor;
   Timer pause;
+  Timer closing;
   std::size_t turn = 0;
 };
 
@@ -97,15 +135,18 @@
 void Listener::on_accept(const ErrorCode& error,
                          TcpSocket socket,
                          const std::shared_ptr<ServerLoop>& loop) {
+  if (!error) {
+    // Also when the acceptor was closed since: the client may have sent.
+    this->serve(std::move(socket), loop);
+  }
   if (!this->acceptor.is_open()) {
     return;
   }
   if (error) {
     this->rest();
-    return;
+  } else {
+    this->accept();
   }
-  this->serve(std::move(socket), loop);
-  this->accept();
 }
 
 void Listener::serve(TcpSocket socket,
@@ -133,9 +174,15 @@
   }
 }
 
+void Listener::drain(std::shared_ptr<Counted> counted) {
+  this->after(this->core->limits.drain_grace, [this, counted] {
+    drop_new_connections(this->acceptor);
+    this->after(kHandshakeTime, [this, counted] { this->accept_rest(); });
+  });
+}
+
 void Listener::accept_rest() {
   ErrorCode error;
-  this->acceptor.cancel(error);
   this->acceptor.non_blocking(true, error);
   while (!error) {
     const auto& loop = this->loops[this->turn++ % this->loops.size()];
@@ -152,6 +199,19 @@
   ErrorCode ignored;
   this->acceptor.close(ignored);
   this->pause.cancel();
+  this->closing.cancel();
+}
+
+/// Runs `next` later, unless the listener is closed by then.
+template <class Next>
+void Listener::after(Duration wait, Next next) {
+  this->closing.expires_after(wait);
+  this->closing.async_wait(
+      [self = this->shared_from_this(), next](const ErrorCode& error) {
+        if (!error && self->acceptor.is_open()) {
+          next();
+        }
+      });
 }
 
 void Listener::rest() {
@@ -190,14 +250,31 @@
     return bound;
   }
 
-  /// Does `end` to each listener, and `visit` to each connection on its own
-  /// loop. Counts as in flight until it is done.
-  void for_all(void (Listener::*end)(), void (ServerConnection::*visit)()) {
+  void drain() {
+    this->core->draining = true;
     for (const auto& listener : this->listeners) {
-      asio::post(this->pool.at(0), [listener, end, counted = this->hold()] {
-        ((*listener).*end)();
+      asio::post(this->pool.at(0), [listener, counted = this->hold()] {
+        listener->drain(counted);
       });
     }
+    this->visit_all(&ServerConnection::drain);
+  }
+
+  void stop() {
+    this->core->stopped = true;
+    for (const auto& listener : this->listeners) {
+      asio::post(this->pool.at(0), [listener] { listener->close(); });
+    }
+    this->visit_all(&ServerConnection::close);
+  }
+
+  IoPool& pool;
+  const std::shared_ptr<ServerCore> core;
+
+ private:
+  /// Does `visit` to each connection on its own loop; counts as in flight until
+  /// it is done.
+  void visit_all(void (ServerConnection::*visit)()) {
     for (const auto& loop : this->loops) {
       asio::post(loop->context, [loop, visit, counted = this->hold()] {
         const auto all = loop->connections;
@@ -212,8 +289,6 @@
     return std::make_shared<Counted>(this->core, &ServerCore::in_flight);
   }
 
-  IoPool& pool;
-  const std::shared_ptr<ServerCore> core;
   std::vector<std::shared_ptr<ServerLoop>> loops;
   std::vector<std::shared_ptr<Listener>> listeners;
 };
@@ -231,8 +306,7 @@
 }
 
 void Server::drain() {
-  this->impl->core->draining = true;
-  this->impl->for_all(&Listener::accept_rest, &ServerConnection::drain);
+  this->impl->drain();
 }
 
 std::size_t Server::connections() const noexcept {
@@ -244,7 +318,7 @@
 }
 
 void Server::stop() {
-  this->impl->for_all(&Listener::close, &ServerConnection::close);
+  this->impl->stop();
 }
 
 }  // namespace ibismux::http
--- a/ibismux/http/server.h
+++ b/ibismux/http/server.h
@@ -27,8 +27,8 @@
   /// How long a request may take to arrive once its first byte is here, and an
   /// answer to be taken off. Bounds slow and half-closed clients.
   Duration transfer_timeout = std::chrono::seconds(10);
-  /// How long a connection must have been idle to be closed once the server
-  /// drains: its client's next request may be on the way.
+  /// Once the server drains: how long it still takes new connections, and how
+  /// long one must have been idle to be closed. Requests may be on the way.
   Duration drain_grace = std::chrono::milliseconds(500);
 };
 
@@ -51,17 +51,17 @@
   [[nodiscard]] Result<std::uint16_t> listen(const std::string& address,
                                              std::uint16_t port);
 
-  /// Accepts no more, closes connections that stay idle for the grace, and
-  /// gives each request in flight its answer with `Connection: close`. Thread
-  /// safe.
+  /// Gives each request that is here or still comes its answer with
+  /// `Connection: close`; closes connections that stay idle for the grace, and
+  /// after the grace accepts no more. Thread safe.
   void drain();
 
   /// Open connections. Thread safe.
   [[nodiscard]] std::size_t connections() const noexcept;
 
   /// Requests that arrive, are handled or are answered; after `drain()` also
-  /// idle connections within their grace. Once it is 0 after `drain()`,
-  /// `stop()` cuts nothing. Thread safe.
+  /// whatever is within its grace. Once it is 0 after `drain()`, `stop()` cuts
+  /// nothing. Thread safe.
   [[nodiscard]] std::size_t in_flight() const noexcept;
 
   /// Closes everything at once. Thread safe.
--- a/ibismux/http/server_connection.cc
+++ b/ibismux/http/server_connection.cc
@@ -49,6 +49,10 @@
 
 void ServerConnection::start() {
   ErrorCode ignored;
+  if (this->core->stopped.load()) {
+    this->close();
+    return;
+  }
   this->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
   this->arm_timer(Clock::now() + this->timer_period());
   this->await_request();
@@ -91,8 +95,15 @@
   this->request->remote = this->remote;
   this->parser.start(*this->request);
   this->parse();
+  if (this->phase != Phase::kIdle) {
+    return;
+  }
+  // The last request stays counted until here: a drain that saw 0 in between
+  // would be followed by a stop.
   if (this->core->draining.load()) {
     this->drain();
+  } else {
+    this->in_flight.reset();
   }
 }
 
@@ -237,7 +248,6 @@
   if (this->phase == Phase::kClosed) {
     return;
   }
-  this->in_flight.reset();
   this->token.reset();
   if (error) {
     this->close();
@@ -250,6 +260,7 @@
 
 void ServerConnection::linger() {
   this->phase = Phase::kLingering;
+  this->in_flight.reset();
   this->set_deadline(
       std::min(this->core->limits.transfer_timeout, kMostLinger));
   ErrorCode ignored;
--- a/ibismux/http/server_core.h
+++ b/ibismux/http/server_core.h
@@ -20,6 +20,7 @@
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> in_flight{0};
   std::atomic<bool> draining{false};
+  std::atomic<bool> stopped{false};
 };
 
 /// Counts one thing in a counter of a server while it lives. Thread safe.
--- a/tests/http/server_lifetime_test.cc
+++ b/tests/http/server_lifetime_test.cc
@@ -42,6 +42,21 @@
   }
 };
 
+void wait_for_none_in_flight(const Server& server) {
+  while (server.in_flight() > 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+}
+
+boost::system::error_code connect_error(std::uint16_t port) {
+  try {
+    RawClient client(port);
+  } catch (const boost::system::system_error& error) {
+    return error.code();
+  }
+  return {};
+}
+
 bool comes(std::promise<void>& promise) {
   return promise.get_future().wait_for(kLimit) == std::future_status::ready;
 }
@@ -88,11 +103,12 @@
 }
 
 // Symptom: a planned stop cuts a request in flight. Sequence: the daemon drains
-// while a handler runs, and while the next request is on its way over a
-// connection that looks idle. Cause: "idle" is what the server has seen so far.
+// while a handler runs, and closes. Cause: a close that doesn't wait.
 Test(http_server_lifetime, drain_cuts_no_request) {
   Gate gate;
-  ServerFixture fixture(gate.handler());
+  ServerLimits limits;
+  limits.drain_grace = std::chrono::milliseconds(1);
+  ServerFixture fixture(gate.handler(), limits);
   RawClient busy(fixture.port);
   busy.send("GET / HTTP/1.1\r\n\r\n");
   cr_assert(comes(gate.entered));
@@ -102,15 +118,9 @@
   const std::string text = busy.read_all();
   cr_assert(text.ends_with("\r\n\r\nwhole"));
   cr_assert(text.find("Connection: close\r\n") != std::string::npos);
-  RawClient* late = nullptr;
-  boost::system::error_code refused;
-  try {
-    late = new RawClient(fixture.port);
-  } catch (const boost::system::system_error& error) {
-    refused = error.code();
-  }
-  cr_assert(refused == boost::asio::error::connection_refused);
-  delete late;
+  wait_for_none_in_flight(fixture.server);
+  cr_assert(connect_error(fixture.port) ==
+            boost::asio::error::connection_refused);
 }
 
 // Symptom: a planned stop cuts a request in flight. Sequence: the daemon
@@ -119,24 +129,25 @@
 // has seen.
 Test(http_server_lifetime, drain_waits_for_requests_on_the_way) {
   ServerLimits limits;
-  limits.drain_grace = kLimit;
+  limits.drain_grace = std::chrono::seconds(5);
   ServerFixture fixture(echo, limits);
   RawClient client(fixture.port);
   client.send("GET /1 HTTP/1.1\r\n\r\n");
   client.read_until("GET /1 ");
   RawClient waiting(fixture.port);
   fixture.server.drain();
+  RawClient late(fixture.port);
   cr_assert(fixture.server.in_flight() > 0);
   client.send("GET /2 HTTP/1.1\r\n\r\n");
   waiting.send("GET /3 HTTP/1.1\r\n\r\n");
-  while (fixture.server.in_flight() > 0) {
-    std::this_thread::yield();
-  }
+  late.send("GET /4 HTTP/1.1\r\n\r\n");
+  wait_for_none_in_flight(fixture.server);
   fixture.server.stop();
   const std::string text = client.read_all();
   cr_assert(text.ends_with("GET /2 "));
   cr_assert(text.find("Connection: close\r\n") != std::string::npos);
   cr_assert(waiting.read_all().ends_with("GET /3 "));
+  cr_assert(late.read_all().ends_with("GET /4 "));
 }
 
 Test(http_server_lifetime, drain_closes_what_stays_idle) {
