Answer a cancelled query at once, and leave late leafs a moment to stop

A cancelled query that a leaf ran was answered when the leaf said that it had stopped, or at the deadline where it didn't; now at once. Its slot stays taken until the leaf is done. A test with a leaf that ignores cancels holds it to that.

Each call that passed its deadline sent a cancel, although leafs know the deadline and most stop by themselves; the cancel now goes out only to those that still run 50 ms later.

--- a/ibismux/gateway/gateway_loop.cc
+++ b/ibismux/gateway/gateway_loop.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "ibismux/gateway/call_group.h"
+#include "ibismux/gateway/refusal.h"
 
 namespace ibismux::gateway {
 
@@ -46,8 +47,7 @@
     const auto found = this->channels.find(item.leaf);
     if (found == this->channels.end()) {
       this->context->metrics.refused(RefuseReason::kNoShare);
-      group->refuse(id, not_run(ErrorKind::kPeerUnavailable,
-                                item.leaf + ": this daemon has no share"));
+      group->refuse(id, refusal(RefuseReason::kNoShare, item.leaf));
       continue;
     }
     found->second->submit(QueuedCall{id, batch.priority, batch.deadline,
--- a/ibismux/gateway/leaf_channel.cc
+++ b/ibismux/gateway/leaf_channel.cc
@@ -7,6 +7,7 @@
 
 #include "ibismux/gateway/aimd_limit.h"
 #include "ibismux/gateway/call_group.h"
+#include "ibismux/gateway/refusal.h"
 
 namespace ibismux::gateway {
 
@@ -17,27 +18,11 @@
 constexpr int kAverageOver = 16;
 /// A stand-by's connections close after this long without a call.
 constexpr Duration kLinger = std::chrono::seconds(10);
+/// How long after its deadline a leaf may take to stop a call by itself.
+constexpr Duration kStopPatience = std::chrono::milliseconds(50);
 /// The least that a refused caller is told to wait.
 constexpr std::chrono::milliseconds kLeastRetryAfter{50};
 
-struct RefuseEntry {
-  ErrorKind kind;
-  const char* message;
-};
-
-/// In the order of `RefuseReason`.
-constexpr RefuseEntry kRefuseTable[kRefuseReasons] = {
-    {ErrorKind::kOverloaded, "the leaf's queue is full"},
-    {ErrorKind::kOverloaded, "the leaf's queue is too long for the deadline"},
-    {ErrorKind::kOverloaded, "gave way to a call of higher priority"},
-    {ErrorKind::kDeadlineExceeded, "the deadline passed in the leaf's queue"},
-    {ErrorKind::kCancelled, "cancelled while queued"},
-    {ErrorKind::kLeafUnavailable, "the leaf is leaving"},
-    {ErrorKind::kLeafUnavailable, "the leaf is ejected"},
-    {ErrorKind::kLeafUnavailable, "the leaf can't be reached"},
-    {ErrorKind::kPeerUnavailable, "this daemon has no share of the leaf"},
-};
-
 }  // namespace
 
 LeafChannel::LeafChannel(boost::asio::io_context& loop,
@@ -126,14 +111,21 @@
     this->refuse(*queued, RefuseReason::kCancelled, now);
     return;
   }
-  const auto found = this->running.find(id);
-  if (found != this->running.end()) {
-    this->stop(id, found->second);
+  RunningCall* call = this->running.find(id);
+  if (call == nullptr || call->group->batch().kind != LeafCallKind::kQuery) {
+    return;
+  }
+  this->stop(id, *call);
+  if (!call->answered) {
+    this->answer(id, *call,
+                 fail(ErrorKind::kCancelled,
+                      this->leaf.name + ": cancelled while it ran"));
   }
 }
 
 void LeafChannel::tick(TimePoint now) {
   this->health.tick(now);
+  this->stop_overdue(now);
   this->pool->trim();
   this->see_restart(now);
   this->update_wanted();
@@ -197,9 +189,8 @@
 void LeafChannel::refuse(const QueuedCall& call,
                          RefuseReason reason,
                          TimePoint now) {
-  const RefuseEntry& entry = kRefuseTable[static_cast<std::size_t>(reason)];
-  Error error = not_run(entry.kind, this->leaf.name + ": " + entry.message);
-  if (entry.kind == ErrorKind::kOverloaded) {
+  Error error = refusal(reason, this->leaf.name);
+  if (error.kind == ErrorKind::kOverloaded) {
     const double ahead = static_cast<double>(this->queue.size());
     const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
         this->typical * ahead / std::max(1.0, this->limit->limit()));
@@ -248,11 +239,11 @@
   request.deadline = call.deadline;
   request.key = batch.key;
   request.body = batch.body;
-  Running entry{std::move(call.group), call.deadline, now, now - call.enqueued};
+  RunningCall entry{std::move(call.group), call.deadline, now,
+                    now - call.enqueued};
   this->context->metrics.queued(entry.queue_time);
   this->context->metrics.in_flight_changed(1);
-  this->running_deadlines.emplace(entry.deadline, call.id);
-  this->running.emplace(call.id, std::move(entry));
+  this->running.add(call.id, std::move(entry));
   boost::asio::co_spawn(this->loop,
                         this->run(this->shared_from_this(),
                                   std::move(connection), std::move(request)),
@@ -272,10 +263,7 @@
 }
 
 void LeafChannel::finish(const CallId& id, backend::LeafReply reply) {
-  const auto found = this->running.find(id);
-  Running entry = std::move(found->second);
-  this->running.erase(found);
-  this->running_deadlines.erase({entry.deadline, id});
+  RunningCall entry = this->running.remove(id);
   this->context->metrics.in_flight_changed(-1);
 
   const TimePoint now = Clock::now();
@@ -284,7 +272,7 @@
   this->learn(reply, leaf_time, now);
   if (!entry.answered) {
     this->answer(id, entry, std::move(reply.body));
-  } else if (reply.body) {
+  } else if (reply.body && !entry.cancelled) {
     this->context->metrics.dropped(DropReason::kLate);
   }
   this->calls->erase(id);
@@ -324,14 +312,14 @@
 }
 
 void LeafChannel::answer(const CallId& id,
-                         Running& call,
+                         RunningCall& call,
                          Result<std::string> body) {
   call.answered = true;
   call.group->answer(LeafAnswer{id, std::move(body),
                                 Clock::now() - call.started, call.queue_time});
 }
 
-void LeafChannel::stop(const CallId& id, Running& call) {
+void LeafChannel::stop(const CallId& id, RunningCall& call) {
   if (call.cancelled || call.group->batch().kind != LeafCallKind::kQuery) {
     return;
   }
@@ -340,11 +328,8 @@
 }
 
 void LeafChannel::pass_deadlines(TimePoint now) {
-  while (!this->running_deadlines.empty() &&
-         this->running_deadlines.begin()->first <= now) {
-    const CallId id = this->running_deadlines.begin()->second;
-    this->running_deadlines.erase(this->running_deadlines.begin());
-    Running& call = this->running.at(id);
+  for (const CallId& id : this->running.pass_deadlines(now)) {
+    RunningCall& call = *this->running.find(id);
     if (!call.answered) {
       const bool query = call.group->batch().kind == LeafCallKind::kQuery;
       this->answer(id, call,
@@ -352,15 +337,20 @@
                               : ErrorKind::kOutcomeUnknown,
                         this->leaf.name + ": no answer by the deadline"));
     }
-    this->stop(id, call);
+  }
+}
+
+void LeafChannel::stop_overdue(TimePoint now) {
+  // Leafs know the deadline too, so that most need no word.
+  for (const CallId& id : this->running.take_overdue(now - kStopPatience)) {
+    this->stop(id, *this->running.find(id));
   }
 }
 
 void LeafChannel::arm_timer() {
   std::optional<TimePoint> next = this->queue.next_deadline();
-  if (!this->running_deadlines.empty()) {
-    const TimePoint first = this->running_deadlines.begin()->first;
-    next = next ? std::min(*next, first) : first;
+  if (const auto first = this->running.next_deadline()) {
+    next = next ? std::min(*next, *first) : first;
   }
   // Deadlines mostly rise, so the timer is moved only where one comes earlier.
   if (!next || (this->armed_for && *this->armed_for <= *next)) {
--- a/ibismux/gateway/leaf_channel.h
+++ b/ibismux/gateway/leaf_channel.h
@@ -5,10 +5,8 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <unordered_map>
-#include <utility>
 
 #include "ibismux/backend/leaf_reply.h"
 #include "ibismux/backend/leaf_request.h"
@@ -20,6 +18,7 @@
 #include "ibismux/gateway/leaf_pool.h"
 #include "ibismux/gateway/leaf_queue.h"
 #include "ibismux/gateway/leaf_status.h"
+#include "ibismux/gateway/running_calls.h"
 
 namespace ibismux::gateway {
 
@@ -51,7 +50,8 @@
   /// Queues `call`, or answers it at once.
   void submit(QueuedCall call);
 
-  /// The answer of `id` is no longer wanted.
+  /// The answer of `id` is no longer wanted. A query is answered at once, and
+  /// the leaf is asked to stop it.
   void cancel(const CallId& id);
 
   /// To be called a few times a second: what no call or timer brings about.
@@ -62,15 +62,6 @@
   [[nodiscard]] LeafStatus status(TimePoint now) const;
 
  private:
-  struct Running {
-    std::shared_ptr<CallGroup> group;
-    TimePoint deadline;
-    TimePoint started;
-    Duration queue_time{};
-    bool answered = false;
-    bool cancelled = false;
-  };
-
   [[nodiscard]] std::optional<RefuseReason> closed_for(TimePoint now) const;
   void refuse(const QueuedCall& call, RefuseReason reason, TimePoint now);
   void refuse_all(RefuseReason reason, TimePoint now);
@@ -83,9 +74,10 @@
   void learn(const backend::LeafReply& reply,
              Duration leaf_time,
              TimePoint now);
-  void answer(const CallId& id, Running& call, Result<std::string> body);
-  void stop(const CallId& id, Running& call);
+  void answer(const CallId& id, RunningCall& call, Result<std::string> body);
+  void stop(const CallId& id, RunningCall& call);
   void pass_deadlines(TimePoint now);
+  void stop_overdue(TimePoint now);
   void arm_timer();
   void on_timer();
   void see_restart(TimePoint now);
@@ -105,8 +97,7 @@
   LeafHealthPolicy health;
   std::shared_ptr<LeafPool> pool;
 
-  std::unordered_map<CallId, Running> running;
-  std::set<std::pair<TimePoint, CallId>> running_deadlines;
+  RunningCalls running;
   Duration typical{};  ///< Moving average of leaf times.
   TimePoint last_demand{};
   double reported_limit = 0;  ///< What the metrics say now.
--- a/tests/gateway/fake_leaf.h
+++ b/tests/gateway/fake_leaf.h
@@ -62,6 +62,12 @@
     }
   }
 
+  /// Cancel calls are answered from now on, and not heeded.
+  void ignore_cancels() {
+    std::lock_guard lock(this->mutex);
+    this->ignoring = true;
+  }
+
   [[nodiscard]] int count(const std::string& target) {
     std::lock_guard lock(this->mutex);
     return this->counts[target];
@@ -113,6 +119,9 @@
 
   void cancel(const std::string& id) {
     std::lock_guard lock(this->mutex);
+    if (this->ignoring) {
+      return;
+    }
     this->cancelled[id] = true;
     const auto found = this->held_calls.find(id);
     if (found != this->held_calls.end()) {
@@ -138,6 +147,7 @@
   std::mutex mutex;
   Twist change;
   bool holding = false;
+  bool ignoring = false;
   std::map<std::string, Timer> held_calls;
   std::map<std::string, bool> cancelled;
   std::map<std::string, int> counts;
--- a/tests/gateway/local_gateway_test.cc
+++ b/tests/gateway/local_gateway_test.cc
@@ -99,8 +99,33 @@
   harness.gateway.cancel({{1, 1}});
   cr_assert(answers.wait(1));
   cr_assert(answers[0].body.error().kind == ErrorKind::kCancelled);
+  cr_assert(eventually([&] { return harness.status().in_flight == 0; }));
   cr_assert(leaf.count("/v1/cancel") == 1);
   cr_assert(harness.status().connections >= open);
+  cr_assert(answers.size() == 1);
+}
+
+// Symptom: a caller that gave up still waits.
+// Events: a query is cancelled; its leaf does not heed the cancel call.
+// Cause: the answer was held back until the leaf's own.
+Test(local_gateway, cancelled_query_is_answered_at_once) {
+  FakeLeaf leaf;
+  GatewayHarness harness;
+  harness.apply({leaf.object()});
+  leaf.ignore_cancels();
+  leaf.hold(true);
+  Answers answers;
+  harness.call(answers, 1);
+  cr_assert(holds(leaf, 1));
+  harness.gateway.cancel({{1, 1}});
+  cr_assert(answers.wait(1));
+  cr_assert(
+      failed_with(answers[0], ErrorKind::kCancelled, Execution::kUnknown));
+  // The leaf is still at it, so its slot is not given to another call.
+  cr_assert(harness.status().in_flight == 1);
+  leaf.hold(false);
+  cr_assert(eventually([&] { return harness.status().in_flight == 0; }));
+  cr_assert(answers.size() == 1);
 }
 
 Test(local_gateway, queued_call_is_cancelled_not_run) {
@@ -138,6 +163,7 @@
   harness.gateway.cancel({{1, 2}});
   cr_assert(answers.wait(1));
   cr_assert(answers[0].id.sequence == 2);
+  cr_assert(eventually([&] { return harness.status().in_flight == 1; }));
   cr_assert(leaf.count("/v1/cancel") == 1);
   leaf.hold(false);
   cr_assert(answers.wait(2));
