Say unknown of a key that was refused at the door

A caller that believes it orders a second time elsewhere. The door now says unknown where a request names a key, also for a question and while there is no release; the test failed first. Ruled out: looking the key up before the door, which would put refused work on the platform in an overload.

--- a/ibismux/caller/caller_api.cc
+++ b/ibismux/caller/caller_api.cc
@@ -24,6 +24,22 @@
   std::shared_ptr<http::CancelToken> cancel;
 };
 
+/// Whether the request names a reservation's key, in its path or a field.
+bool has_key(const http::Request& request, const Route& route) {
+  return !route.key.empty() || (route.operation == Operation::kReserve &&
+                                !request.field("Idempotency-Key").empty());
+}
+
+/// A refusal before anything was looked up. "Not run" would be taken as said of
+/// the key, whose earlier attempt may have run; a caller that believes it
+/// orders a second time elsewhere. To come back with the same key is safe.
+Error at_door(Error error, bool keyed) {
+  if (keyed) {
+    error.execution = Execution::kUnknown;
+  }
+  return error;
+}
+
 }  // namespace
 
 class CallerApi::Impl : public std::enable_shared_from_this<CallerApi::Impl> {
@@ -83,7 +99,9 @@
   } else if (!id) {
     answer = tl::unexpected(id.error());
   } else if (!this->ports.ready()) {
-    answer = fail(ErrorKind::kNotReady, "this daemon has no release yet");
+    answer = tl::unexpected(at_door(
+        make_error(ErrorKind::kNotReady, "this daemon has no release yet"),
+        has_key(*request, *route)));
   } else {
     seen.service = std::move(route->service);
     seen.key = std::move(route->key);
@@ -134,7 +152,7 @@
   }
   auto permit = this->admit(call.incoming, request->caller);
   if (!permit) {
-    co_return tl::unexpected(permit.error());
+    co_return tl::unexpected(at_door(permit.error(), !request->key.empty()));
   }
   // A caller that goes away doesn't end a reservation: it may have run.
   auto answer = co_await this->ports.reserve(std::move(*request));
@@ -156,7 +174,7 @@
   }
   auto permit = this->admit(call.incoming, question->caller);
   if (!permit) {
-    co_return tl::unexpected(permit.error());
+    co_return tl::unexpected(at_door(permit.error(), true));
   }
   auto answer = co_await this->ports.ask(call.incoming.service, question->key,
                                          question->deadline);
--- a/tests/caller/caller_api_test.cc
+++ b/tests/caller/caller_api_test.cc
@@ -162,6 +162,30 @@
   cr_assert(fixture.counted("bays", "overloaded") == 1);
 }
 
+// Symptom: a caller is told "not run" of a key that has run, and orders again
+// elsewhere.
+// Sequence: the first attempt runs, its answer is lost; the repeat under the
+// same key is refused at the door.
+// Cause: the door knows this attempt alone, but "not run" is said of the key.
+Test(caller_api, refusal_at_the_door_says_nothing_of_a_key) {
+  Fixture fixture;
+  fixture.stage.refuse_at_door =
+      make_error(ErrorKind::kOverloaded, "no slot left");
+  const std::string target = "/v1/services/bays/reservations";
+  const auto keyed = fixture.send(
+      "POST", target, {{"X-Item", "kettle"}, {"Idempotency-Key", "k1"}});
+  cr_assert(keyed.status == 503);
+  cr_assert(keyed.body.find(R"("execution":"unknown")") != std::string::npos);
+  const auto asked = fixture.send("GET", target + "/k1");
+  cr_assert(asked.body.find(R"("execution":"unknown")") != std::string::npos);
+  const auto unkeyed = fixture.send("POST", target, {{"X-Item", "kettle"}});
+  cr_assert(unkeyed.body.find(R"("execution":"not_run")") != std::string::npos);
+  fixture.stage.ready = false;
+  const auto early = fixture.send(
+      "POST", target, {{"X-Item", "kettle"}, {"Idempotency-Key", "k1"}});
+  cr_assert(early.body.find(R"("execution":"unknown")") != std::string::npos);
+}
+
 Test(caller_api, wrong_form_and_not_ready_never_reach_the_door) {
   Fixture fixture;
   cr_assert(fixture.query({{"X-Deadline-Ms", "0"}}).status == 400);
