--- a/ibismux/membership/membership_view.h
+++ b/ibismux/membership/membership_view.h
@@ -25,12 +25,13 @@
   }
 };
 
+inline constexpr std::string_view kMemberStateNames[] = {"alive", "suspect",
+                                                         "leaving", "failed"};
+
 /// As status pages name it. Thread safe.
 [[nodiscard]] constexpr std::string_view to_string(
     Member::State state) noexcept {
-  constexpr std::string_view kNames[] = {"alive", "suspect", "leaving",
-                                         "failed"};
-  return kNames[static_cast<std::size_t>(state)];
+  return kMemberStateNames[static_cast<std::size_t>(state)];
 }
 
 /// What this daemon believes of the fleet, itself included; in order of names.
