--- a/apps/bench-control-sim/sim_fleet.cc
+++ b/apps/bench-control-sim/sim_fleet.cc
@@ -40,6 +40,16 @@
   }
 }
 
+void SimFleet::introduce_all() {
+  std::vector<membership::MemberRecord> records;
+  for (const Daemon& daemon : this->daemons) {
+    records.push_back(daemon.members->members().self());
+  }
+  for (Daemon& daemon : this->daemons) {
+    daemon.members->on_gossip(daemon.name, records, this->clock);
+  }
+}
+
 void SimFleet::boot(std::size_t index) {
   Daemon& daemon = this->daemons[index];
   daemon.run = ++this->runs;
@@ -87,6 +97,10 @@
     return;
   }
   daemon.members->tick(this->clock);
+  if (daemon.seen != daemon.members->revision()) {
+    daemon.seen = daemon.members->revision();
+    daemon.relay->on_view(daemon.members->view(), this->clock);
+  }
   daemon.relay->tick(this->clock);
   this->carry_out(index);
   this->later(MembershipSettings{}.tick,
@@ -98,10 +112,6 @@
   if (daemon.run == 0) {
     return;
   }
-  if (daemon.seen != daemon.members->revision()) {
-    daemon.seen = daemon.members->revision();
-    daemon.relay->on_view(daemon.members->view(), this->clock);
-  }
   this->carry_out_membership(index);
   this->carry_out_relay(index);
 }
@@ -319,11 +329,12 @@
 
 bool SimFleet::agreed() const {
   std::uint64_t digest = 0;
+  const std::size_t running = this->running();
   for (const Daemon& daemon : this->daemons) {
     if (daemon.run != 0) {
       const std::uint64_t theirs = daemon.members->members().digest();
       if ((digest != 0 && digest != theirs) ||
-          daemon.members->serving() != this->running()) {
+          daemon.members->serving() != running) {
         return false;
       }
       digest = theirs;
--- a/apps/bench-control-sim/sim_fleet.h
+++ b/apps/bench-control-sim/sim_fleet.h
@@ -32,6 +32,10 @@
  public:
   SimFleet(std::size_t daemons, std::size_t zones, std::uint64_t seed);
 
+  /// Makes all know all, in place of a cold start, whose cost grows with the
+  /// cube of the fleet here.
+  void introduce_all();
+
   /// Lets virtual time pass.
   void run(std::chrono::milliseconds time);
 
