Tell how long a reservation's claim took

Admission learns from latency how much the leafs carry. The answer now carries the claim's time, so that it can be left out; the caller interface doesn't use it yet.

--- a/ibismux/reservation/claim_client.cc
+++ b/ibismux/reservation/claim_client.cc
@@ -179,10 +179,12 @@
     co_return false;
   }
   auto status = peer::decode<gen::ClaimStatus>(*reply);
+  if (!status) {
+    co_return false;
+  }
   // A later run of that daemon knows nothing of the claim: it can't tell.
-  co_return status&& static_cast<std::uint64_t>(status->incarnation) ==
-          record.executor.number &&
-      !status->live;
+  const auto answering = static_cast<std::uint64_t>(status->incarnation);
+  co_return answering == record.executor.number && !status->live;
 }
 
 }  // namespace ibismux::reservation
--- a/ibismux/reservation/reservation_answer.h
+++ b/ibismux/reservation/reservation_answer.h
@@ -3,6 +3,8 @@
 
 #include <string>
 
+#include "ibismux/base/time.h"
+
 namespace ibismux::reservation {
 
 /// What is known of a key. `kNotRun` and `kRun` never change again.
@@ -14,6 +16,8 @@
   std::string shard;
   std::string body;     ///< The leaf's answer, where `state` is kRun.
   bool repeat = false;  ///< Recorded earlier; nothing was run now.
+  /// How long the key's claim took: time that says nothing about the leafs.
+  Duration claim_time{};
 };
 
 }  // namespace ibismux::reservation
--- a/tests/reservation/keyed_test.cc
+++ b/tests/reservation/keyed_test.cc
@@ -66,6 +66,7 @@
   Fleet fleet(3);
   auto first = fleet.reserve_now(0, "order-1", "fuse");
   cr_assert(first.has_value() && !first->repeat);
+  cr_assert(first->claim_time > Duration::zero());
   for (std::size_t daemon = 0; daemon < 3; ++daemon) {
     auto again = fleet.reserve_now(daemon, "order-1", "fuse");
     cr_assert(again.has_value());
