--- a/tests/http/exchange_test.cc
+++ b/tests/http/exchange_test.cc
@@ -10,6 +10,13 @@
 
 namespace {
 
+Task<Response> echo_host(std::shared_ptr<const Request> request,
+                         std::shared_ptr<CancelToken>) {
+  Response response;
+  response.body = request->field("Host");
+  co_return response;
+}
+
 Task<Response> throwing(std::shared_ptr<const Request>,
                         std::shared_ptr<CancelToken>) {
   throw std::runtime_error("secret detail");
@@ -82,3 +89,10 @@
       run(fixture.pool, send_twice(std::move(pool), &fixture.server));
   cr_assert(connections == 1);
 }
+
+Test(http_exchange, names_its_host) {
+  ServerFixture fixture(echo_host);
+  TestClient client(fixture.pool, fixture.port);
+  const auto answer = client.send(Request{});
+  cr_assert(answer->body == "127.0.0.1:" + std::to_string(fixture.port));
+}
