Keep the order of kinds in one place

The publisher and ibismuxctl each had a table of which kinds build on which, and a new kind would have had to be put into both.

--- a/apps/ibismuxctl/object_files.cc
+++ b/apps/ibismuxctl/object_files.cc
@@ -1,7 +1,6 @@
 #include "object_files.h"
 
 #include <algorithm>
-#include <array>
 #include <boost/json/array.hpp>
 #include <filesystem>
 #include <map>
@@ -117,13 +116,6 @@
   return add_all(document, items->get_array(), "objects.", places, records);
 }
 
-/// Objects of a higher layer name those of lower ones.
-std::size_t layer_of(const release::ObjectRecord& record) {
-  constexpr std::array<std::size_t, release::kObjectKinds> kLayers = {1, 2, 0,
-                                                                      3, 0};
-  return kLayers[static_cast<std::size_t>(record.key.kind)];
-}
-
 }  // namespace
 
 Result<std::vector<release::ObjectRecord>> load_objects(
@@ -146,9 +138,10 @@
       }
     }
   }
-  std::stable_sort(
-      records.begin(), records.end(),
-      [](const auto& a, const auto& b) { return layer_of(a) < layer_of(b); });
+  std::stable_sort(records.begin(), records.end(),
+                   [](const auto& a, const auto& b) {
+                     return layer_of(a.key.kind) < layer_of(b.key.kind);
+                   });
   return records;
 }
 
--- a/ibismux/release/candidate.cc
+++ b/ibismux/release/candidate.cc
@@ -1,7 +1,6 @@
 #include "ibismux/release/candidate.h"
 
 #include <algorithm>
-#include <array>
 #include <iterator>
 #include <limits>
 #include <optional>
@@ -134,7 +133,9 @@
         order;
     for (const auto& [key, change] : this->pending) {
       order.emplace_back(this->base.rejections.contains(key),
-                         layer_of(key.kind, change.spec == nullptr),
+                         change.spec == nullptr
+                             ? kObjectKinds - layer_of(key.kind)
+                             : layer_of(key.kind),
                          change.order(), key);
     }
     std::sort(order.begin(), order.end());
@@ -148,14 +149,6 @@
     }
   }
 
-  /// Objects of a higher layer are built on those of lower ones: they are
-  /// written after them and deleted before them.
-  static std::size_t layer_of(ObjectKind kind, bool deletion) {
-    constexpr std::array<std::size_t, kObjectKinds> kLayers = {1, 2, 0, 3, 0};
-    const std::size_t layer = kLayers[static_cast<std::size_t>(kind)];
-    return deletion ? kObjectKinds - layer : layer;
-  }
-
   static std::string direct_id(const ObjectKey& key,
                                platform::Version version) {
     return to_string(key) + "@" + std::to_string(version);
--- a/ibismux/release/object_key.h
+++ b/ibismux/release/object_key.h
@@ -32,6 +32,13 @@
 [[nodiscard]] std::optional<ObjectKind> object_kind_of(
     std::string_view name) noexcept;
 
+/// Objects name only objects of lower layers, so they are best written from the
+/// lowest layer up and deleted from the highest down.
+[[nodiscard]] constexpr std::size_t layer_of(ObjectKind kind) noexcept {
+  constexpr std::array<std::size_t, kObjectKinds> kLayers = {1, 2, 0, 3, 0};
+  return kLayers[static_cast<std::size_t>(kind)];
+}
+
 /// Names one object; unique in the whole fleet.
 struct ObjectKey {
   ObjectKind kind = ObjectKind::kQueryService;
