--- a/ibismux/gateway/gateway_loop.cc
+++ b/ibismux/gateway/gateway_loop.cc
@@ -40,7 +40,7 @@
 }
 
 void GatewayLoop::call(std::vector<LeafCallBatch::Item> items,
-                       std::shared_ptr<CallGroup> group) {
+                       const std::shared_ptr<CallGroup>& group) {
   const LeafCallBatch& batch = group->batch();
   for (LeafCallBatch::Item& item : items) {
     const CallId id{batch.origin, item.sequence};
--- a/ibismux/gateway/gateway_loop.h
+++ b/ibismux/gateway/gateway_loop.h
@@ -33,7 +33,7 @@
 
   /// Queues the calls, or answers them at once.
   void call(std::vector<LeafCallBatch::Item> items,
-            std::shared_ptr<CallGroup> group);
+            const std::shared_ptr<CallGroup>& group);
 
   /// Ids that are not of this loop are ignored.
   void cancel(const std::vector<CallId>& ids);
