--- a/apps/bench-bare-client/main.cc
+++ b/apps/bench-bare-client/main.cc
@@ -79,8 +79,8 @@
   double size = 0;
   double resident = 0;
   file >> size >> resident;
-  constexpr double page_kb = 4;
-  return resident * page_kb;
+  constexpr double kPageKb = 4;
+  return resident * kPageKb;
 }
 
 class BareClient {
