Measure what a call costs through another daemon

The size to design for sends almost every leaf call through another daemon; the cost experiment has one daemon and none of that.

--- a/tools/bench_lib/catalog.py
+++ b/tools/bench_lib/catalog.py
@@ -3,12 +3,13 @@
 import time
 import traceback
 
-from bench_lib import changes, control, queries, reservations, sites
+from bench_lib import changes, control, hops, queries, reservations, sites
 from bench_lib.fleet import Fleet, busy_share
 from bench_lib.verdict import Verdict
 
 EXPERIMENTS = {
     "cost": queries.cost,
+    "hop": hops.hop,
     "tail": queries.tail,
     "overload": queries.overload,
     "snapshot": changes.snapshot,
