--- a/ibismux/http/server.cc
+++ b/ibismux/http/server.cc
@@ -77,7 +77,7 @@
   /// Serves new connections for the grace, then takes those that are half open
   /// or wait, whose clients may have sent their requests, and closes.
   /// @param counted Counts as in flight until then.
-  void drain(std::shared_ptr<Counted> counted);
+  void drain(const std::shared_ptr<Counted>& counted);
 
  private:
   void on_accept(const ErrorCode& error,
@@ -174,7 +174,7 @@
   }
 }
 
-void Listener::drain(std::shared_ptr<Counted> counted) {
+void Listener::drain(const std::shared_ptr<Counted>& counted) {
   this->after(this->core->limits.drain_grace, [this, counted] {
     drop_new_connections(this->acceptor);
     this->after(kHandshakeTime, [this, counted] { this->accept_rest(); });
