--- a/ibismux/reservation/forward.h
+++ b/ibismux/reservation/forward.h
@@ -11,7 +11,6 @@
 struct ReservationAnswer;
 struct ReservationRequest;
 struct ReservationSettings;
-struct Segment;
 struct SegmentRef;
 struct Verdict;
 class Archive;
