Mend what the linter found over the whole tree

Mended: parameters copied without need, two values that could not be moved, captures of structured bindings, which C++20 allows and clang 14 does not.

--- a/apps/bench-gateway/main.cc
+++ b/apps/bench-gateway/main.cc
@@ -160,7 +160,7 @@
   batch.items.push_back({sequence, leaf, "shard"});
   ledger.sent(priority);
   gateway.call(std::move(batch), pool.at(0).get_executor(),
-               [&ledger, priority, now](gateway::LeafAnswer answer) {
+               [&ledger, priority, now](const gateway::LeafAnswer& answer) {
                  ledger.ended(priority, answer, Clock::now() - now);
                });
 }
--- a/apps/ibismux-load/recorder.cc
+++ b/apps/ibismux-load/recorder.cc
@@ -70,7 +70,7 @@
 }
 
 void Tally::merge(const Tally& other) {
-  static constexpr std::uint64_t Tally::*counts[] = {
+  static constexpr std::uint64_t Tally::*kCounts[] = {
       &Tally::sent,       &Tally::ok,
       &Tally::cut,        &Tally::foreign,
       &Tally::shards,     &Tally::contributed,
@@ -78,7 +78,7 @@
       &Tally::leaf_calls, &Tally::retries,
       &Tally::restarts,   &Tally::attempts,
       &Tally::repeats,    &Tally::no_retry_after};
-  for (const auto count : counts) {
+  for (const auto count : kCounts) {
     this->*count += other.*count;
   }
   for (const auto& [kind, number] : other.refused) {
--- a/apps/ibismuxctl/commands.cc
+++ b/apps/ibismuxctl/commands.cc
@@ -44,7 +44,7 @@
 }  // namespace
 
 const std::vector<Commands::Entry>& Commands::entries() {
-  static const std::vector<Entry> kEntries = {
+  static const std::vector<Entry> table = {
       {"apply", &Commands::apply, 1, kAnyCount},
       {"get", &Commands::get, 0, 2},
       {"delete", &Commands::remove, 2, 2},
@@ -55,7 +55,7 @@
       {"drain", &Commands::drain, 0, 0},
       {"version", &Commands::version, 0, 0},
   };
-  return kEntries;
+  return table;
 }
 
 Commands::Commands(Options options, Client& client)
@@ -219,7 +219,7 @@
       "&wait_ms=" + std::to_string(to_millis(kPollWait)) +
       (this->options.wait ? "&until=in_force" : "");
   for (;;) {
-    const Result<Answer> answer = this->call("GET", target);
+    Result<Answer> answer = this->call("GET", target);
     const bool over = Clock::now() >= deadline;
     if (over || (answer && (!answer->ok() || this->settled(*answer)))) {
       return answer;
--- a/apps/ibismuxctl/object_files.cc
+++ b/apps/ibismuxctl/object_files.cc
@@ -87,7 +87,7 @@
                      Places& places,
                      std::vector<release::ObjectRecord>& records) {
   for (std::size_t i = 0; i < items.size(); ++i) {
-    const Result<void> added =
+    Result<void> added =
         add(document, items[i], prefix + std::to_string(i), places, records);
     if (!added) {
       return added;
--- a/ibismux/base/ids.h
+++ b/ibismux/base/ids.h
@@ -13,7 +13,7 @@
 struct CallId {
   std::uint64_t origin = 0;
   std::uint64_t sequence = 0;
-
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   [[nodiscard]] auto operator<=>(const CallId&) const noexcept = default;
 };
 
@@ -26,7 +26,7 @@
 struct Incarnation {
   std::string member;
   std::uint64_t number = 0;
-
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   [[nodiscard]] auto operator<=>(const Incarnation&) const noexcept = default;
 };
 
--- a/ibismux/gateway/remote_calls.cc
+++ b/ibismux/gateway/remote_calls.cc
@@ -10,9 +10,9 @@
                          LeafCaller::Sink sink)
     : member(std::move(member)),
       kind(kind),
-      executor(executor),
+      executor(std::move(executor)),
       sink(std::move(sink)),
-      deadline(executor) {}
+      deadline(this->executor) {}
 
 void RemoteCalls::add(const Batch& batch) {
   for (const CallId& id : batch->ids) {
--- a/ibismux/gateway/remote_gateway.cc
+++ b/ibismux/gateway/remote_gateway.cc
@@ -79,12 +79,12 @@
     const auto on = [&](MessageKind kind,
                         void (Impl::*handle)(const Incarnation&,
                                              const std::string&)) {
-      this->peers.on_notify(
-          kind, [weak, handle](const Incarnation& from, std::string payload) {
-            if (const auto self = weak.lock()) {
-              ((*self).*handle)(from, payload);
-            }
-          });
+      this->peers.on_notify(kind, [weak, handle](const Incarnation& from,
+                                                 const std::string& payload) {
+        if (const auto self = weak.lock()) {
+          ((*self).*handle)(from, payload);
+        }
+      });
     };
     on(MessageKind::kLeafCalls, &Impl::on_calls);
     on(MessageKind::kLeafAnswers, &Impl::on_answers);
--- a/ibismux/history/run_index.cc
+++ b/ibismux/history/run_index.cc
@@ -53,9 +53,9 @@
 }
 
 const std::vector<Instant>& RunIndex::begins(std::string_view body_hash) const {
-  static const std::vector<Instant> kNone;
+  static const std::vector<Instant> none;
   const auto found = this->watched.find(hash_of(body_hash));
-  return found == this->watched.end() ? kNone : found->second;
+  return found == this->watched.end() ? none : found->second;
 }
 
 }  // namespace ibismux::history
--- a/ibismux/membership/member_table.cc
+++ b/ibismux/membership/member_table.cc
@@ -4,7 +4,7 @@
 
 namespace ibismux::membership {
 
-MemberTable::MemberTable(MemberRecord self, TimePoint now)
+MemberTable::MemberTable(const MemberRecord& self, TimePoint now)
     : own_name(self.member.name) {
   this->apply(self, now);
 }
--- a/ibismux/membership/member_table.h
+++ b/ibismux/membership/member_table.h
@@ -28,7 +28,7 @@
   };
   using Rows = std::map<std::string, Row, std::less<>>;
 
-  explicit MemberTable(MemberRecord self, TimePoint now);
+  MemberTable(const MemberRecord& self, TimePoint now);
 
   /// Takes `record` if it supersedes what is known. @return Whether it did.
   bool apply(const MemberRecord& record, TimePoint now);
--- a/ibismux/membership/membership_engine.cc
+++ b/ibismux/membership/membership_engine.cc
@@ -292,10 +292,10 @@
     this->next_self_defence = now + kSelfDefence;
   }
   self.epoch = claim.epoch + 1;
-  this->restate_self(std::move(self), now);
+  this->restate_self(self, now);
 }
 
-void MembershipEngine::restate_self(MemberRecord fresh, TimePoint now) {
+void MembershipEngine::restate_self(const MemberRecord& fresh, TimePoint now) {
   if (this->table.apply(fresh, now)) {
     this->note_change(fresh, "", now);
   }
--- a/ibismux/membership/membership_engine.h
+++ b/ibismux/membership/membership_engine.h
@@ -96,7 +96,7 @@
                  const std::vector<MemberRecord>& records,
                  TimePoint now);
   void refute(const MemberRecord& claim, TimePoint now);
-  void restate_self(MemberRecord fresh, TimePoint now);
+  void restate_self(const MemberRecord& fresh, TimePoint now);
   void note_change(const MemberRecord& record,
                    const std::string& source,
                    TimePoint now);
--- a/ibismux/membership/membership_service.cc
+++ b/ibismux/membership/membership_service.cc
@@ -134,17 +134,18 @@
 
 void MembershipService::Impl::register_handlers() {
   const std::weak_ptr<Impl> weak = this->weak_from_this();
-  this->network.on_notify(MessageKind::kGossip, [weak](const Incarnation& from,
-                                                       std::string payload) {
-    const auto self = weak.lock();
-    auto records = decode_gossip(payload);
-    if (self && records) {
-      self->on_loop([member = from.member,
-                     records = std::move(*records)](MembershipEngine& engine) {
-        engine.on_gossip(member, records, Clock::now());
+  this->network.on_notify(
+      MessageKind::kGossip,
+      [weak](const Incarnation& from, const std::string& payload) {
+        const auto self = weak.lock();
+        auto records = decode_gossip(payload);
+        if (self && records) {
+          self->on_loop([member = from.member, records = std::move(*records)](
+                            MembershipEngine& engine) {
+            engine.on_gossip(member, records, Clock::now());
+          });
+        }
       });
-    }
-  });
   this->network.on_request(
       MessageKind::kProbe,
       [weak](Incarnation from,
@@ -155,7 +156,8 @@
       });
   this->network.on_request(
       MessageKind::kIndirectProbe,
-      [weak](Incarnation, std::string payload) -> Task<Result<std::string>> {
+      [weak](const Incarnation&,
+             std::string payload) -> Task<Result<std::string>> {
         const auto self = weak.lock();
         return serve_on_loop(self, answer_indirect(self, std::move(payload)));
       });
--- a/ibismux/peer/pending_request.h
+++ b/ibismux/peer/pending_request.h
@@ -18,8 +18,9 @@
 /// the requester's executor.
 class PendingRequest : public std::enable_shared_from_this<PendingRequest> {
  public:
-  PendingRequest(boost::asio::any_io_executor executor, TimePoint deadline)
-      : timer(std::move(executor), deadline) {}
+  PendingRequest(const boost::asio::any_io_executor& executor,
+                 TimePoint deadline)
+      : timer(executor, deadline) {}
 
   /// Ends the wait; the first outcome counts. Thread safe.
   void complete(Result<std::string> outcome) {
--- a/ibismux/peer/tcp_peer_network.cc
+++ b/ibismux/peer/tcp_peer_network.cc
@@ -204,7 +204,7 @@
     link =
         std::make_shared<PeerLink>(member, this->pool.at(hash), this->context);
   }
-  const auto result = link;
+  auto result = link;
   this->links.write(std::move(fresh));
   return result;
 }
@@ -242,7 +242,8 @@
 void TcpPeerNetwork::Impl::for_each_link(void (*action)(PeerLink&)) {
   const auto known = this->links.read();
   for (const auto& [member, link] : *known) {
-    boost::asio::post(link->executor(), [link, action] { action(*link); });
+    boost::asio::post(link->executor(),
+                      [link = link, action] { action(*link); });
   }
 }
 
@@ -254,7 +255,8 @@
   });
   const auto known = this->links.read();
   for (const auto& [member, link] : *known) {
-    boost::asio::post(link->executor(), [link, how] { ((*link).*how)(); });
+    boost::asio::post(link->executor(),
+                      [link = link, how] { ((*link).*how)(); });
   }
 }
 
--- a/ibismux/relay/relay_service.cc
+++ b/ibismux/relay/relay_service.cc
@@ -119,7 +119,7 @@
   const std::weak_ptr<Impl> weak = this->weak_from_this();
   this->network.on_notify(
       MessageKind::kReleasePush,
-      [weak](const Incarnation& from, std::string payload) {
+      [weak](const Incarnation& from, const std::string& payload) {
         const auto self = weak.lock();
         auto push = decode_push(payload);
         if (self && push) {
@@ -130,7 +130,8 @@
       });
   this->network.on_request(
       MessageKind::kReleaseFetch,
-      [weak](Incarnation, std::string payload) -> Task<Result<std::string>> {
+      [weak](const Incarnation&,
+             std::string payload) -> Task<Result<std::string>> {
         return answer_fetch(weak.lock(), std::move(payload));
       });
   this->network.on_request(
--- a/ibismux/release/assembly.cc
+++ b/ibismux/release/assembly.cc
@@ -77,7 +77,7 @@
 Assembly assemble(const ReleaseContents& base,
                   const ObjectSet& objects,
                   const RejectionSet& rejections,
-                  Head head) {
+                  const Head& head) {
   std::size_t buckets =
       buckets_for(objects.size() + rejections.size(), base.chunks.size());
   for (;; buckets *= 2) {
--- a/ibismux/release/assembly.h
+++ b/ibismux/release/assembly.h
@@ -31,7 +31,7 @@
 [[nodiscard]] Assembly assemble(const ReleaseContents& base,
                                 const ObjectSet& objects,
                                 const RejectionSet& rejections,
-                                Head head);
+                                const Head& head);
 
 }  // namespace ibismux::release
 
--- a/ibismux/release/object_key.h
+++ b/ibismux/release/object_key.h
@@ -43,7 +43,7 @@
 struct ObjectKey {
   ObjectKind kind = ObjectKind::kQueryService;
   std::string name;
-
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   [[nodiscard]] auto operator<=>(const ObjectKey&) const = default;
 };
 
--- a/ibismux/release/publisher.cc
+++ b/ibismux/release/publisher.cc
@@ -306,7 +306,7 @@
                      ReleaseStore& releases,
                      prometheus::Registry& registry,
                      PublisherSettings settings,
-                     Incarnation self,
+                     const Incarnation& self,
                      Rank rank,
                      WallClock wall_clock)
     : impl(std::make_shared<Impl>(loop,
--- a/ibismux/release/publisher.h
+++ b/ibismux/release/publisher.h
@@ -41,7 +41,7 @@
             ReleaseStore& releases,
             prometheus::Registry& registry,
             PublisherSettings settings,
-            Incarnation self,
+            const Incarnation& self,
             Rank rank,
             WallClock wall_clock = std::chrono::system_clock::now);
   ~Publisher();
--- a/ibismux/release/validator.cc
+++ b/ibismux/release/validator.cc
@@ -170,6 +170,7 @@
              std::tie(b->begin, b->end, b->name);
     });
     std::vector<ObjectKey> others;
+    others.reserve(shards.size());
     for (const Shard* shard : shards) {
       others.push_back(ObjectKey{ObjectKind::kShard, shard->name});
     }
--- a/ibismux/reservation/claim_id.h
+++ b/ibismux/reservation/claim_id.h
@@ -12,7 +12,7 @@
 struct ClaimId {
   std::uint64_t high = 0;
   std::uint64_t low = 0;
-
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   [[nodiscard]] auto operator<=>(const ClaimId&) const noexcept = default;
 };
 
--- a/ibismux/reservation/key_hash.h
+++ b/ibismux/reservation/key_hash.h
@@ -20,7 +20,7 @@
 struct KeyHash {
   std::uint64_t high = 0;
   std::uint64_t low = 0;
-
+  // NOLINTNEXTLINE(modernize-use-nullptr): clang-tidy 14 misreads <=>.
   [[nodiscard]] auto operator<=>(const KeyHash&) const noexcept = default;
 };
 
--- a/ibismux/reservation/reservation_engine.cc
+++ b/ibismux/reservation/reservation_engine.cc
@@ -145,10 +145,11 @@
       {MessageKind::kTicketRun, &Impl::on_ticket_run},
   };
   for (const auto& [kind, handler] : kHandlers) {
-    peers.on_request(kind, [weak = this->weak_from_this(), handler = handler](
-                               Incarnation /*from*/, std::string payload) {
-      return handle(weak, handler, std::move(payload));
-    });
+    peers.on_request(kind,
+                     [weak = this->weak_from_this(), handler = handler](
+                         const Incarnation& /*from*/, std::string payload) {
+                       return handle(weak, handler, std::move(payload));
+                     });
   }
 }
 
