--- a/apps/bench-release/main.cc
+++ b/apps/bench-release/main.cc
@@ -94,7 +94,7 @@
             .objects_version = view.version,
             .change_count = base->head.change_count + candidate.changes.size()};
   const Assembly assembly =
-      assemble(*base, candidate.objects, candidate.rejections, std::move(head));
+      assemble(*base, candidate.objects, candidate.rejections, head);
   const std::string bytes = encode_head(assembly.head);
   costs.assemble_ms.push_back(millis_since(start));
   std::vector<std::string> chunks;
--- a/ibismux/settings/field.h
+++ b/ibismux/settings/field.h
@@ -13,7 +13,12 @@
 namespace ibismux::settings {
 
 /// What a text value must look like.
-enum class TextForm : unsigned char { kName, kAddress, kHostAddress, kOwnership };
+enum class TextForm : unsigned char {
+  kName,
+  kAddress,
+  kHostAddress,
+  kOwnership
+};
 
 /// A text setting.
 struct TextField {
