--- a/ibismux/release/release_writer.cc
+++ b/ibismux/release/release_writer.cc
@@ -121,8 +121,8 @@
       co_return fail(ErrorKind::kOverloaded,
                      "changes wait for the audit trail");
     }
-    Assembly assembly = assemble(*base, candidate.objects, candidate.rejections,
-                                 std::move(next));
+    Assembly assembly =
+        assemble(*base, candidate.objects, candidate.rejections, next);
     done = co_await this->advance(std::move(assembly));
     if (done) {
       co_return true;
