Count a peer connection from when it is in use, not when it is made

The test waits until the connection is counted and then sends; the count rose when the object was made, before the link had chosen it. A frame sent in between was queued for a dial, and a goodbye that arrived meanwhile left it unsent. The leak report was what the failed assertion left behind. A connection whose link was stopped before it was adopted also stayed counted for ever.

Ruled out: a lost frame in the product. The loss was reported to the sender, as it has to be where the peer can't be dialled.

Change: a link chooses a connection before it starts reading it, and the count rises with the start.

--- a/ibismux/peer/peer_connection.cc
+++ b/ibismux/peer/peer_connection.cc
@@ -38,12 +38,11 @@
       by_us(dialled),
       most_queued(most_queued),
       metrics(metrics),
-      buffer(kReadBytes) {
-  this->metrics.connection_opened();
-}
+      buffer(kReadBytes) {}
 
 void PeerConnection::start(std::weak_ptr<Owner> owner) {
   this->owner = std::move(owner);
+  this->metrics.connection_opened();
   boost::asio::co_spawn(this->socket.get_executor(),
                         read(this->shared_from_this()), boost::asio::detached);
 }
--- a/ibismux/peer/peer_link.cc
+++ b/ibismux/peer/peer_link.cc
@@ -186,8 +186,10 @@
     std::lock_guard lock(this->mutex);
     this->backoff.succeeded();
   }
-  connection->start(this->weak_from_this());
+  // In this order a connection that is counted as open is one that frames go
+  // out on; else a frame sent in between would be dialled for.
   this->choose_connection();
+  connection->start(this->weak_from_this());
 }
 
 void PeerLink::choose_connection() {
--- a/tests/http/exchange_test.cc
+++ b/tests/http/exchange_test.cc
@@ -3,6 +3,7 @@
 #include <criterion/criterion.h>
 
 #include "ibismux/http/client_pool.h"
+#include "tests/support/bound_port.h"
 
 using namespace ibismux;
 using namespace ibismux::http;
@@ -68,14 +69,10 @@
 }
 
 Test(http_exchange, refused_connection_is_not_run) {
-  std::uint16_t free_port = 0;
-  {
-    ServerFixture gone;
-    free_port = gone.port;
-  }
+  const tests::BoundPort nobody;
   IoPool pool(1);
   pool.start();
-  TestClient client(pool, free_port);
+  TestClient client(pool, nobody.port());
   const auto answer = client.send(post(""));
   cr_assert(!answer.has_value());
   cr_assert(answer.error().kind == ErrorKind::kLeafUnavailable);
--- a/tests/peer/peer_node.h
+++ b/tests/peer/peer_node.h
@@ -59,8 +59,8 @@
     this->network.set_seeds(this->seeds);
   }
 
-  /// A peer sees the end of the handshake before this side uses the connection;
-  /// a frame sent in between would be dialled for.
+  /// A peer sees the end of the handshake before this side uses the connection:
+  /// a frame sent in between would be dialled for. Once counted, it is in use.
   void wait_for_connections(std::size_t count) {
     while (this->network.connections() != count) {
       std::this_thread::yield();
--- a/tests/peer/tcp_peer_network_test.cc
+++ b/tests/peer/tcp_peer_network_test.cc
@@ -1,6 +1,7 @@
 #include "ibismux/peer/tcp_peer_network.h"
 
 #include "tests/peer/peer_node.h"
+#include "tests/support/bound_port.h"
 
 // Criterion's macros come after Boost's headers.
 #include <criterion/criterion.h>
@@ -101,14 +102,9 @@
 // Cause: a refused dial must fail what waited for it as never sent.
 Test(tcp_peer_network, a_request_that_was_never_sent_says_so) {
   PeerNode a("a");
-  std::uint16_t port = 0;
-  {
-    PeerNode b("b");
-    b.start();
-    port = b.port;
-  }
+  const tests::BoundPort nobody;
   a.start();
-  a.knows("b", port);
+  a.knows("b", nobody.port());
   a.ask("b", "hi");
   const auto outcomes = a.outcomes.wait(1);
   cr_assert(outcomes.size() == 1 && !outcomes[0]);
