Read load from how long calls wait for leafs, not from latency

Cause: the door shed queries whose replicas had room. Its limit sank with the latency of requests over the least that the service ever took. One leaf ten times slower lengthens every query that meets it, by its work and by the queue before that leaf alone; a cold start and a reservation's claim did the same. A daemon started in an overload took the overloaded latency for the usual one and shed nobody.

Ruled out: raising the tolerance, which only moves the factor at which a slow leaf counts; leaving it to the share of slow requests, since with eight shards most queries meet the slow leaf; kinds of work with baselines of their own, which was in place and told apart look-ups but not claims.

Change: an answer tells how long its calls waited at their gateways and how long the leafs worked. A call's stretch is both over the work, at most 5; a request's is the mean over its calls. Baselines and kinds of work are gone.

--- a/apps/bench-policy/main.cc
+++ b/apps/bench-policy/main.cc
@@ -1,7 +1,7 @@
 // Measures the policies on virtual time, without sockets:
 //
 //     bench-policy
-//     [tail|quantiles|loads|single|slow_leaf|refusals|flips|overload|cost|limits]
+//     [tail|quantiles|loads|single|slow_leaf|refusals|flips|overload|door|cost|limits]
 //     [--seed N]
 //
 // Prints one JSON object a scenario. But for `cost`, a run depends on its seed
@@ -31,6 +31,7 @@
     {"refusals", ibismux::bench::run_refusals},
     {"flips", ibismux::bench::run_flips},
     {"cost", ibismux::bench::run_cost},
+    {"door", ibismux::bench::run_door},
     {"overload", ibismux::bench::run_overload},
     {"limits", ibismux::bench::run_limits}};
 
--- a/apps/bench-policy/scenario_cost.cc
+++ b/apps/bench-policy/scenario_cost.cc
@@ -108,7 +108,7 @@
     now += std::chrono::microseconds(100);
     auto permit = admission.admit("catalogue", std::to_string(i % 1000), now);
     if (permit.has_value()) {
-      permit->finish(std::nullopt, now);
+      permit->finish({}, now);
     }
   }
   return std::chrono::duration<double, std::micro>(cpu_time() - begin).count() /
--- a/apps/bench-policy/scenarios.h
+++ b/apps/bench-policy/scenarios.h
@@ -40,6 +40,10 @@
 /// Twice the capacity for 20 s, four classes.
 [[nodiscard]] boost::json::object run_overload(std::uint64_t seed);
 
+/// A quarter of the capacity, with a door: one leaf 20 times slow, or 5% of
+/// calls 10 times slow. Nothing is overloaded.
+[[nodiscard]] boost::json::object run_door(std::uint64_t seed);
+
 /// Several rate rules at once, against limiters in a chain.
 [[nodiscard]] boost::json::object run_limits(std::uint64_t seed);
 
--- a/apps/bench-policy/sim_daemon.cc
+++ b/apps/bench-policy/sim_daemon.cc
@@ -174,12 +174,12 @@
   sim_call.snapshot = query->gather.pin().snapshot->name;
   sim_call.shard = query->gather.pin().snapshot->shards[call.shard].name;
   sim_call.answer = [this, query, id = sim_call.id](Result<std::string> body,
-                                                    Duration queue_time) {
+                                                    Duration queue_time,
+                                                    Duration leaf_time) {
     this->world.timeline.after(
         this->world.one_way,
-        [this, query, id, queue_time, body = std::move(body)] {
-          gateway::LeafAnswer answer{id, body};
-          answer.queue_time = queue_time;
+        [this, query, id, queue_time, leaf_time, body = std::move(body)] {
+          const gateway::LeafAnswer answer{id, body, leaf_time, queue_time};
           query->gather.on_answer(answer, this->world.timeline.now());
           this->perform(query);
         });
@@ -214,7 +214,9 @@
   end.calls = counts.calls;
   end.extra_calls = counts.hedges + counts.retries;
   end.restarts = counts.restarts;
+  LeafWait wait;
   if (result.has_value()) {
+    wait = result->leaf_wait;
     end.coverage = result->coverage.share();
     end.mixed = is_mixed(*result);
     end.false_coverage = is_false_coverage(*result);
@@ -222,7 +224,7 @@
     end.error = result.error().kind;
   }
   if (query.permit.has_value()) {
-    query.permit->finish(end.error, end.done);
+    query.permit->finish({end.error, wait}, end.done);
   }
   query.done(end);
 }
--- a/apps/bench-policy/sim_leaf.cc
+++ b/apps/bench-policy/sim_leaf.cc
@@ -31,12 +31,14 @@
 void SimLeaf::submit(SimCall call) {
   ++this->received;
   if (this->refuses) {
-    call.answer(fail(ErrorKind::kOverloaded, "refused"), Duration::zero());
+    call.answer(fail(ErrorKind::kOverloaded, "refused"), Duration::zero(),
+                Duration::zero());
     return;
   }
   const auto held = this->held.find(call.snapshot);
   if (held != this->held.end() && !held->second) {
-    call.answer(fail(ErrorKind::kSnapshotGone, "gone"), Duration::zero());
+    call.answer(fail(ErrorKind::kSnapshotGone, "gone"), Duration::zero(),
+                Duration::zero());
     return;
   }
   auto job = std::make_shared<Job>(Job{std::move(call), this->timeline.now()});
@@ -76,13 +78,14 @@
   ++this->busy;
   this->running.push_back(job);
   const Duration queue_time = this->timeline.now() - job->queued;
-  this->timeline.after(this->work.draw(this->random), [this, job, queue_time] {
+  const Duration work = this->work.draw(this->random);
+  this->timeline.after(work, [this, job, queue_time, work] {
     if (job->gone) {
       return;
     }
     std::erase(this->running, job);
     --this->busy;
-    job->call.answer(body_of(job->call), queue_time);
+    job->call.answer(body_of(job->call), queue_time, work);
     this->start_next();
   });
 }
--- a/apps/bench-policy/sim_leaf.h
+++ b/apps/bench-policy/sim_leaf.h
@@ -33,7 +33,9 @@
   TimePoint deadline;
   std::string snapshot;
   std::string shard;
-  std::function<void(Result<std::string>, Duration queue_time)> answer;
+  std::function<
+      void(Result<std::string>, Duration queue_time, Duration leaf_time)>
+      answer;
 };
 
 /// A leaf with its gateway's queue: slots, a queue by priority in front, and
--- a/ibismux/admission/adaptive_limit.cc
+++ b/ibismux/admission/adaptive_limit.cc
@@ -11,12 +11,12 @@
 /// A window has at least so many ends of requests, and lasts at least so long.
 constexpr std::uint32_t kFewestEnds = 8;
 constexpr milliseconds kShortestWindow{20};
-/// Requests may take so many times their usual latency: some waiting keeps the
-/// leafs busy, more only adds to the latency.
+/// Calls may take so many times their work: some waiting keeps the leafs busy,
+/// more only adds to the latency.
 constexpr double kTolerance = 2.0;
 /// Load makes nearly all requests wait, a straggling leaf only those that meet
 /// it. So more than this share of them has to be over the tolerance, and none
-/// counts for more than so many times its usual latency.
+/// counts for more than so many times its work.
 constexpr double kWaitingShare = 0.5;
 constexpr double kMostStretch = 5.0;
 /// The share of overloaded ends from which the limit sinks.
--- a/ibismux/admission/adaptive_limit.h
+++ b/ibismux/admission/adaptive_limit.h
@@ -8,7 +8,7 @@
 namespace ibismux::admission {
 
 /// How many requests at once the leafs behind a group of services can carry,
-/// found from how much longer requests take than when nothing waits.
+/// found from how long their calls wait for the leafs.
 ///
 /// Not thread safe.
 class AdaptiveLimit {
@@ -23,8 +23,8 @@
   /// A request was refused for the limit.
   void on_refused() noexcept;
 
-  /// A request ended. @param stretch Its latency over the usual one of its
-  /// service when nothing waits. @param in_flight What is left without it.
+  /// A request ended. @param stretch Of its calls, waiting and work over work
+  /// alone; 1 if none waited. @param in_flight What is left without it.
   void on_finished(double stretch,
                    Duration latency,
                    std::uint32_t in_flight,
--- a/ibismux/admission/admission.cc
+++ b/ibismux/admission/admission.cc
@@ -33,8 +33,8 @@
 /// Slots taken so far by one request, given back together.
 class Slots {
  public:
-  Slots(std::shared_ptr<const ServicePlan> plan, Work work, TimePoint since)
-      : plan(std::move(plan)), work(work), since(since) {}
+  Slots(std::shared_ptr<const ServicePlan> plan, TimePoint since)
+      : plan(std::move(plan)), since(since) {}
 
   /// Takes a slot of the load group, then of each policy. On a refusal nothing
   /// stays taken.
@@ -71,10 +71,9 @@
   }
 
   /// Gives all back: the request has ended.
-  void finish(std::optional<ErrorKind> error, TimePoint now) {
+  void finish(const RequestEnd& end, TimePoint now) {
     const Duration latency = std::max(Duration::zero(), now - this->since);
-    this->plan->pool->finish(this->plan->priority, latency, error,
-                             this->plan->baselines->at(this->work), now);
+    this->plan->pool->finish(this->plan->priority, latency, end, now);
     this->release_groups(latency);
   }
 
@@ -86,7 +85,6 @@
   }
 
   std::shared_ptr<const ServicePlan> plan;
-  Work work;
   TimePoint since;
   std::vector<LimitUse> uses;
 };
@@ -104,8 +102,7 @@
 
   Result<Permit> admit(const std::string& service,
                        const std::string& caller,
-                       TimePoint now,
-                       Work work);
+                       TimePoint now);
 
  private:
   std::vector<LimitUse> uses_of(const ServicePlan& plan,
@@ -119,8 +116,7 @@
 
 Result<Permit> Admission::Impl::admit(const std::string& service,
                                       const std::string& caller,
-                                      TimePoint now,
-                                      Work work) {
+                                      TimePoint now) {
   const std::shared_ptr<const PlanSet> set = this->plans.current(now);
   if (set->release->generation == 0) {
     return refuse(ErrorKind::kNotReady, "no configuration yet", kNotReadyRetry);
@@ -130,7 +126,7 @@
     return fail(ErrorKind::kNotFound, "no service " + service);
   }
   const std::shared_ptr<const ServicePlan>& plan = found->second;
-  auto slots = std::make_shared<Slots>(plan, work, now);
+  auto slots = std::make_shared<Slots>(plan, now);
   if (auto refusal = slots->take(this->uses_of(*plan, caller, now))) {
     return *std::move(refusal);
   }
@@ -144,9 +140,8 @@
   plan->metrics->decided(Decision::kAdmitted);
   plan->metrics->load(plan->pool->current_limit(plan->priority),
                       plan->pool->in_flight());
-  return Permit([slots](std::optional<ErrorKind> error, TimePoint end) {
-    slots->finish(error, end);
-  });
+  return Permit(
+      [slots](const RequestEnd& end, TimePoint at) { slots->finish(end, at); });
 }
 
 std::vector<LimitUse> Admission::Impl::uses_of(const ServicePlan& plan,
@@ -171,9 +166,8 @@
 
 Result<Permit> Admission::admit(const std::string& service,
                                 const std::string& caller,
-                                TimePoint now,
-                                Work work) {
-  return this->impl->admit(service, caller, now, work);
+                                TimePoint now) {
+  return this->impl->admit(service, caller, now);
 }
 
 }  // namespace ibismux::admission
--- a/ibismux/admission/admission.h
+++ b/ibismux/admission/admission.h
@@ -7,7 +7,6 @@
 #include <string>
 
 #include "ibismux/admission/permit.h"
-#include "ibismux/admission/work.h"
 #include "ibismux/base/error.h"
 #include "ibismux/base/priority.h"
 #include "ibismux/base/rcu_cell.h"
@@ -32,11 +31,9 @@
   /// Lets a request of `caller` to `service` in, or refuses at once:
   /// kRateLimited or kOverloaded, both kNotRun and with `retry_after`, or
   /// kNotFound, kNotReady.
-  /// @param work Tells apart requests that take differently long.
   [[nodiscard]] Result<Permit> admit(const std::string& service,
                                      const std::string& caller,
-                                     TimePoint now,
-                                     Work work = Work::kQuery);
+                                     TimePoint now);
 
  private:
   friend class Permit;
--- a/ibismux/admission/load_pool.cc
+++ b/ibismux/admission/load_pool.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "ibismux/admission/request_end.h"
+
 namespace ibismux::admission {
 
 namespace {
@@ -54,26 +56,35 @@
 
 void LoadPool::finish(Priority priority,
                       Duration latency,
-                      std::optional<ErrorKind> error,
-                      LatencyBaseline& baseline,
+                      const RequestEnd& end,
                       TimePoint now) {
   const std::lock_guard lock(this->mutex);
   Class& own = this->at(priority);
   --own.in_flight;
   const std::uint32_t left = this->in_flight_up_to(priority);
-  if (!error.has_value()) {
-    own.usual_latency += (latency - own.usual_latency) / kLatencyMemory;
-    own.limit.on_finished(baseline.stretch(latency, now), latency, left, now);
-  } else if (*error == ErrorKind::kOverloaded) {
+  if (end.error == ErrorKind::kOverloaded) {
     own.limit.on_overloaded(left, now);
-  } else if (may_be_slow(*error) &&
-             baseline.stretch_of(latency) > kSlowFailure) {
-    // A quick failure says nothing of the load. Counted as a request that went
-    // well, it would raise the limit while leafs are down.
-    own.limit.on_finished(baseline.stretch_of(latency), latency, left, now);
+  } else if (end.error.has_value()) {
+    if (may_be_slow(*end.error) && stretch_of(own, latency) > kSlowFailure) {
+      // A quick failure says nothing of the load. Counted as a request that
+      // went well, it would raise the limit while leafs are down.
+      own.limit.on_finished(stretch_of(own, latency), latency, left, now);
+    }
+  } else if (const auto stretch = end.leaf_wait.stretch()) {
+    own.usual_latency += own.usual_latency > Duration::zero()
+                             ? (latency - own.usual_latency) / kLatencyMemory
+                             : latency;
+    own.limit.on_finished(*stretch, latency, left, now);
   }
 }
 
+double LoadPool::stretch_of(const Class& own, Duration latency) noexcept {
+  return own.usual_latency <= Duration::zero()
+             ? 1
+             : static_cast<double>(latency.count()) /
+                   static_cast<double>(own.usual_latency.count());
+}
+
 double LoadPool::current_limit(Priority priority) {
   const std::lock_guard lock(this->mutex);
   return this->at(priority).limit.limit();
--- a/ibismux/admission/load_pool.h
+++ b/ibismux/admission/load_pool.h
@@ -4,11 +4,9 @@
 #include <array>
 #include <cstdint>
 #include <mutex>
-#include <optional>
 
 #include "ibismux/admission/adaptive_limit.h"
-#include "ibismux/admission/latency_baseline.h"
-#include "ibismux/base/error.h"
+#include "ibismux/admission/forward.h"
 #include "ibismux/base/priority.h"
 #include "ibismux/base/time.h"
 
@@ -18,11 +16,11 @@
 /// with strict priority.
 ///
 /// Each class has its own limit, on the requests of itself and of the classes
-/// that go before it, and learns it from its own latencies. The leafs' queues
-/// serve the higher class first, so under overload it is the lowest whose
-/// latencies grow, and which is shed; nothing that a lower class has in flight
-/// can refuse a higher one. One limit for all classes would shed the higher
-/// ones too, in each short burst of their own.
+/// that go before it, and learns it from how long its own calls waited for
+/// leafs. The leafs' queues serve the higher class first, so under overload it
+/// is the lowest that waits, and which is shed; nothing that a lower class has
+/// in flight can refuse a higher one. One limit for all classes would shed the
+/// higher ones too, in each short burst of their own.
 ///
 /// Thread safe.
 class LoadPool {
@@ -35,12 +33,10 @@
   /// Gives a slot back that was never used.
   void leave(Priority priority);
 
-  /// Gives a slot back. @param baseline Of the request's service; used only
-  /// under this pool's lock.
+  /// Gives a slot back and learns from how the request went.
   void finish(Priority priority,
               Duration latency,
-              std::optional<ErrorKind> error,
-              LatencyBaseline& baseline,
+              const RequestEnd& end,
               TimePoint now);
 
   [[nodiscard]] double current_limit(Priority priority);
@@ -61,6 +57,9 @@
   }
   /// Of the class and of those before it.
   [[nodiscard]] std::uint32_t in_flight_up_to(Priority priority) const noexcept;
+  /// A failed request's latency over the usual one of those that go well.
+  [[nodiscard]] static double stretch_of(const Class& own,
+                                         Duration latency) noexcept;
   [[nodiscard]] static Duration wait(Class& own, TimePoint now) noexcept;
 
   std::mutex mutex;
--- a/ibismux/admission/permit.h
+++ b/ibismux/admission/permit.h
@@ -2,10 +2,9 @@
 #define IBISMUX_ADMISSION_PERMIT_H_
 
 #include <functional>
-#include <optional>
 #include <utility>
 
-#include "ibismux/base/error.h"
+#include "ibismux/admission/request_end.h"
 #include "ibismux/base/time.h"
 
 namespace ibismux::admission {
@@ -13,8 +12,8 @@
 /// A slot held while a request runs; given back on destruction. Move-only.
 class Permit {
  public:
-  /// How a request ended: when, and the error if it failed.
-  using Release = std::function<void(std::optional<ErrorKind>, TimePoint)>;
+  /// How a request ended, and when.
+  using Release = std::function<void(const RequestEnd&, TimePoint)>;
 
   explicit Permit(Release release) : release(std::move(release)) {}
   Permit(Permit&& other) noexcept
@@ -22,14 +21,14 @@
   Permit& operator=(Permit&&) = delete;
   ~Permit() {
     if (this->release) {
-      this->release(ErrorKind::kCancelled, Clock::now());
+      this->release({ErrorKind::kCancelled, {}}, Clock::now());
     }
   }
 
   /// Gives the slot back and tells the limiter how the request went, from which
   /// it learns how much the service can carry. Precondition: not called yet.
-  void finish(std::optional<ErrorKind> error, TimePoint now) {
-    std::exchange(this->release, nullptr)(error, now);
+  void finish(const RequestEnd& end, TimePoint now) {
+    std::exchange(this->release, nullptr)(end, now);
   }
 
  private:
--- a/ibismux/admission/plan_table.cc
+++ b/ibismux/admission/plan_table.cc
@@ -131,10 +131,6 @@
       plan->policies.back().refused = &this->metrics.refused_by(policy->name);
     }
     plan->pool = pools.pool(name, group);
-    // A baseline is used under its pool's lock, so it goes with the pool.
-    plan->baselines = before != nullptr && before->pool == plan->pool
-                          ? before->baselines
-                          : std::make_shared<Baselines>();
     plan->metrics = before != nullptr && before->priority == plan->priority
                         ? before->metrics
                         : this->metrics.service(name, plan->priority);
--- a/ibismux/admission/plan_table.h
+++ b/ibismux/admission/plan_table.h
@@ -1,7 +1,6 @@
 #ifndef IBISMUX_ADMISSION_PLAN_TABLE_H_
 #define IBISMUX_ADMISSION_PLAN_TABLE_H_
 
-#include <array>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -11,9 +10,7 @@
 #include "ibismux/admission/admission_metrics.h"
 #include "ibismux/admission/fleet_share.h"
 #include "ibismux/admission/group_table.h"
-#include "ibismux/admission/latency_baseline.h"
 #include "ibismux/admission/load_pool.h"
-#include "ibismux/admission/work.h"
 #include "ibismux/base/rcu_cell.h"
 #include "ibismux/membership/forward.h"
 #include "ibismux/release/forward.h"
@@ -28,23 +25,11 @@
   prometheus::Counter* refused = nullptr;  ///< Counts what it refuses.
 };
 
-/// The usual latencies of one service.
-class Baselines {
- public:
-  [[nodiscard]] LatencyBaseline& at(Work work) noexcept {
-    return this->by_work[static_cast<std::size_t>(work)];
-  }
-
- private:
-  std::array<LatencyBaseline, kWorks> by_work;
-};
-
 /// All that a request to one service is checked against.
 struct ServicePlan {
   Priority priority = Priority::kCatalogue;
   std::vector<PolicyPlan> policies;
   std::shared_ptr<LoadPool> pool;
-  std::shared_ptr<Baselines> baselines;  ///< Under the pool's lock.
   std::shared_ptr<ServiceMetrics> metrics;
 };
 
--- a/ibismux/caller/caller_api.cc
+++ b/ibismux/caller/caller_api.cc
@@ -66,8 +66,7 @@
   [[nodiscard]] Task<Answer> issue_ticket(Call call);
 
   [[nodiscard]] Result<admission::Permit> admit(const IncomingRequest& incoming,
-                                                const std::string& caller,
-                                                admission::Work work);
+                                                const std::string& caller);
   void record(const IncomingRequest& incoming,
               const Answer& answer,
               http::Response& response);
@@ -132,18 +131,17 @@
   if (!request) {
     co_return tl::unexpected(request.error());
   }
-  auto permit =
-      this->admit(call.incoming, request->caller, admission::Work::kQuery);
+  auto permit = this->admit(call.incoming, request->caller);
   if (!permit) {
     co_return tl::unexpected(permit.error());
   }
   auto answer =
       co_await this->ports.query(std::move(*request), std::move(call.cancel));
   if (!answer) {
-    permit->finish(answer.error().kind, Clock::now());
+    permit->finish({answer.error().kind, {}}, Clock::now());
     co_return tl::unexpected(answer.error());
   }
-  permit->finish(std::nullopt, Clock::now());
+  permit->finish({std::nullopt, answer->leaf_wait}, Clock::now());
   co_return render_query(call.incoming.request_id, *answer);
 }
 
@@ -152,8 +150,7 @@
   if (!request) {
     co_return tl::unexpected(request.error());
   }
-  auto permit = this->admit(call.incoming, request->caller,
-                            admission::Work::kReservation);
+  auto permit = this->admit(call.incoming, request->caller);
   if (!permit) {
     co_return tl::unexpected(at_door(permit.error(), !request->key.empty()));
   }
@@ -163,10 +160,10 @@
     answer = fail(ErrorKind::kOutcomeUnknown, "the reservation may have run");
   }
   if (!answer) {
-    permit->finish(answer.error().kind, Clock::now());
+    permit->finish({answer.error().kind, {}}, Clock::now());
     co_return tl::unexpected(answer.error());
   }
-  permit->finish(std::nullopt, Clock::now());
+  permit->finish({std::nullopt, answer->leaf_wait}, Clock::now());
   co_return render_reservation(call.incoming.request_id, *answer);
 }
 
@@ -175,18 +172,17 @@
   if (!question) {
     co_return tl::unexpected(question.error());
   }
-  auto permit =
-      this->admit(call.incoming, question->caller, admission::Work::kKeyLookup);
+  auto permit = this->admit(call.incoming, question->caller);
   if (!permit) {
     co_return tl::unexpected(at_door(permit.error(), true));
   }
   auto answer = co_await this->ports.ask(call.incoming.service, question->key,
                                          question->deadline);
   if (!answer) {
-    permit->finish(answer.error().kind, Clock::now());
+    permit->finish({answer.error().kind, {}}, Clock::now());
     co_return tl::unexpected(answer.error());
   }
-  permit->finish(std::nullopt, Clock::now());
+  permit->finish({std::nullopt, answer->leaf_wait}, Clock::now());
   co_return render_key(call.incoming.request_id, question->key, *answer);
 }
 
@@ -196,9 +192,8 @@
 
 Result<admission::Permit> CallerApi::Impl::admit(
     const IncomingRequest& incoming,
-    const std::string& caller,
-    admission::Work work) {
-  return this->ports.admit(incoming.service, caller, Clock::now(), work);
+    const std::string& caller) {
+  return this->ports.admit(incoming.service, caller, Clock::now());
 }
 
 void CallerApi::Impl::record(const IncomingRequest& incoming,
--- a/ibismux/caller/caller_api_engines.cc
+++ b/ibismux/caller/caller_api_engines.cc
@@ -14,9 +14,8 @@
                      std::function<bool()> ready) {
   CallerPorts ports;
   ports.admit = [&admission](const std::string& service,
-                             const std::string& caller, TimePoint now,
-                             admission::Work work) {
-    return admission.admit(service, caller, now, work);
+                             const std::string& caller, TimePoint now) {
+    return admission.admit(service, caller, now);
   };
   ports.query = [&queries](query::QueryRequest request,
                            std::shared_ptr<http::CancelToken> cancel) {
--- a/ibismux/caller/caller_ports.h
+++ b/ibismux/caller/caller_ports.h
@@ -6,7 +6,6 @@
 #include <string>
 
 #include "ibismux/admission/permit.h"
-#include "ibismux/admission/work.h"
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
@@ -23,8 +22,7 @@
 struct CallerPorts {
   std::function<Result<admission::Permit>(const std::string& service,
                                           const std::string& caller,
-                                          TimePoint now,
-                                          admission::Work work)>
+                                          TimePoint now)>
       admit;
   std::function<Task<Result<query::QueryAnswer>>(
       query::QueryRequest,
--- a/ibismux/query/gather.cc
+++ b/ibismux/query/gather.cc
@@ -68,6 +68,7 @@
   this->starts.reserve(total);
   this->shards.assign(total, ShardProgress{});
   this->merger.clear();
+  this->leaf_wait = {};
   this->merged = 0;
   this->open = total;
   this->gone = 0;
@@ -229,6 +230,7 @@
   const Duration latency = now - call.started;
   (*this->pinned.leafs)[call.leaf]->call_answered(latency, now);
   this->policies.service.call_answered(latency, answer.queue_time);
+  this->leaf_wait.add(answer.queue_time, answer.leaf_time);
   this->gone -= this->shards[shard].snapshot_gone ? 1 : 0;
   this->shards[shard].snapshot_gone = false;
   this->shards[shard].state = ShardState::kMerged;
@@ -326,6 +328,7 @@
   answer.hedges = this->tally.hedges;
   answer.retries = this->tally.retries;
   answer.restarts = this->tally.restarts;
+  answer.leaf_wait = this->leaf_wait;
   return answer;
 }
 
--- a/ibismux/query/gather.h
+++ b/ibismux/query/gather.h
@@ -155,6 +155,7 @@
   std::vector<ShardProgress> shards;
   std::vector<std::uint32_t> candidates;  ///< Scratch of a choice.
   HitMerger merger;
+  LeafWait leaf_wait;
   std::size_t merged = 0;
   std::size_t open = 0;
   std::size_t gone = 0;  ///< Open shards without the pinned snapshot.
--- a/ibismux/query/query_answer.h
+++ b/ibismux/query/query_answer.h
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "ibismux/base/error.h"
+#include "ibismux/base/leaf_wait.h"
 
 namespace ibismux::query {
 
@@ -48,6 +49,7 @@
   std::uint32_t hedges = 0;
   std::uint32_t retries = 0;
   std::uint32_t restarts = 0;  ///< Whole restarts on a newer snapshot.
+  LeafWait leaf_wait;          ///< Of the calls that were merged.
 };
 
 }  // namespace ibismux::query
--- a/ibismux/reservation/keyed_runner.cc
+++ b/ibismux/reservation/keyed_runner.cc
@@ -74,9 +74,7 @@
     error.retry_after = kPlatformRetryAfter;
     co_return not_claimed(std::move(error));
   }
-  const TimePoint begin = Clock::now();
   Result<Answer> answer = co_await this->acquire(claim, deadline);
-  const Duration claim_time = Clock::now() - begin;
   if (!answer || answer->has_value()) {
     // The claim is dead from here on: this daemon runs only what acquire()
     // granted. A copy of it that is committed late is released by the first
@@ -85,15 +83,10 @@
     if (!answer) {
       co_return tl::unexpected<Error>(std::move(answer).error());
     }
-    (*answer)->claim_time = claim_time;
     co_return std::move(**answer);
   }
-  Result<ReservationAnswer> executed =
-      co_await this->execute(std::move(request), std::move(claim), deadline);
-  if (executed) {
-    executed->claim_time = claim_time;
-  }
-  co_return executed;
+  co_return co_await this->execute(std::move(request), std::move(claim),
+                                   deadline);
 }
 
 Task<Result<ReservationAnswer>> KeyedRunner::execute(ReservationRequest request,
--- a/ibismux/reservation/leaf_runner.cc
+++ b/ibismux/reservation/leaf_runner.cc
@@ -111,8 +111,10 @@
     gateway::LeafAnswer answer =
         co_await call_once(this->leafs, std::move(batch));
     if (answer.body) {
-      co_return ReservationAnswer{KeyState::kRun, choice->shard,
-                                  std::move(*answer.body), false};
+      ReservationAnswer ran{
+          KeyState::kRun, choice->shard, std::move(*answer.body), false, {}};
+      ran.leaf_wait.add(answer.queue_time, answer.leaf_time);
+      co_return ran;
     }
     Error error = std::move(answer.body).error();
     const bool in_time = Clock::now() + backoff < deadline;
--- a/ibismux/reservation/reservation_answer.h
+++ b/ibismux/reservation/reservation_answer.h
@@ -3,7 +3,7 @@
 
 #include <string>
 
-#include "ibismux/base/time.h"
+#include "ibismux/base/leaf_wait.h"
 
 namespace ibismux::reservation {
 
@@ -16,8 +16,9 @@
   std::string shard;
   std::string body;     ///< The leaf's answer, where `state` is kRun.
   bool repeat = false;  ///< Recorded earlier; nothing was run now.
-  /// How long the key's claim took: time that says nothing about the leafs.
-  Duration claim_time{};
+  /// Of the call that ran it; of none for a repeat. The time that the key's
+  /// claim took is not in it, since that says nothing about the leafs.
+  LeafWait leaf_wait;
 };
 
 }  // namespace ibismux::reservation
--- a/tests/admission/adaptive_limit_test.cc
+++ b/tests/admission/adaptive_limit_test.cc
@@ -1,6 +1,7 @@
 #include "ibismux/admission/adaptive_limit.h"
 
 #include "ibismux/admission/load_pool.h"
+#include "ibismux/admission/request_end.h"
 
 #include <criterion/criterion.h>
 
@@ -23,16 +24,22 @@
   }
 }
 
+/// Of a request whose calls took `stretch` times their work.
+LeafWait waited(int stretch) {
+  LeafWait wait;
+  wait.add(kUsual * (stretch - 1), kUsual);
+  return wait;
+}
+
 /// Bench lookups, three at once, a hundred times; all end alike.
 void run_threes(LoadPool& pool,
-                LatencyBaseline& baseline,
                 std::optional<ErrorKind> error,
                 Duration latency) {
   for (int i = 0; i < 300; ++i) {
     cr_assert(pool.enter(Priority::kBench, at(30 * i)) == Duration::zero());
     if (i % 3 == 2) {
       for (int j = 0; j < 3; ++j) {
-        pool.finish(Priority::kBench, latency, error, baseline, at(30 * i));
+        pool.finish(Priority::kBench, latency, {error, waited(1)}, at(30 * i));
       }
     }
   }
@@ -89,15 +96,15 @@
 /// Symptom: bench lookups are shed while editors overload the leafs.
 /// Sequence: editors fill the leafs' queues and take long; bench lookups, which
 /// the queues serve first, take no longer than usual, in short bursts.
-/// Cause: one limit for all classes, which the editors' latencies lower.
+/// Cause: one limit for all classes, which the editors' waiting lowers.
 Test(load_pool, a_slow_lower_class_does_not_lower_the_limit_of_a_higher_one) {
   LoadPool pool(8);
-  LatencyBaseline editors;
   for (int i = 0; i < 200; ++i) {
     const TimePoint now = at(10 * i);
     if (pool.enter(Priority::kEditor, now) == Duration::zero()) {
-      pool.finish(Priority::kEditor, kUsual * (i < 32 ? 1 : 40), std::nullopt,
-                  editors, now);
+      const int stretch = i < 32 ? 1 : 40;
+      pool.finish(Priority::kEditor, kUsual * stretch,
+                  {std::nullopt, waited(stretch)}, now);
     }
   }
   cr_assert(pool.current_limit(Priority::kEditor) < 2);
@@ -115,25 +122,24 @@
 /// Cause: a quick failure taken for a request that went well.
 Test(load_pool, quick_failures_do_not_raise_a_limit) {
   LoadPool pool(4);
-  LatencyBaseline baseline;
-  run_threes(pool, baseline, ErrorKind::kCoverageTooLow, milliseconds(1));
-  run_threes(pool, baseline, ErrorKind::kDeadlineExceeded, milliseconds(1));
-  run_threes(pool, baseline, ErrorKind::kCancelled, milliseconds(1));
+  run_threes(pool, ErrorKind::kCoverageTooLow, milliseconds(1));
+  run_threes(pool, ErrorKind::kDeadlineExceeded, milliseconds(1));
+  run_threes(pool, ErrorKind::kCancelled, milliseconds(1));
   cr_assert(pool.current_limit(Priority::kBench) == 4);
-  run_threes(pool, baseline, std::nullopt, kUsual);
+  run_threes(pool, std::nullopt, kUsual);
   cr_assert(pool.current_limit(Priority::kBench) > 4);
 }
 
 Test(load_pool, slow_failures_lower_a_limit) {
   LoadPool pool(4);
-  LatencyBaseline baseline;
   for (int i = 0; i < 200; ++i) {
     if (pool.enter(Priority::kBench, at(100 * i)) == Duration::zero()) {
       const bool slow = i > 50;
       pool.finish(
           Priority::kBench, kUsual * (slow ? 50 : 1),
-          slow ? std::optional(ErrorKind::kDeadlineExceeded) : std::nullopt,
-          baseline, at(100 * i + 50));
+          {slow ? std::optional(ErrorKind::kDeadlineExceeded) : std::nullopt,
+           waited(1)},
+          at(100 * i + 50));
     }
   }
   cr_assert(pool.current_limit(Priority::kBench) < 2);
--- a/tests/admission/admission_test.cc
+++ b/tests/admission/admission_test.cc
@@ -39,6 +39,13 @@
   return release;
 }
 
+/// Of a request whose calls waited for nothing.
+LeafWait idle_leafs() {
+  LeafWait wait;
+  wait.add(Duration::zero(), milliseconds(10));
+  return wait;
+}
+
 std::shared_ptr<const membership::MembershipView> fleet(std::size_t size) {
   auto view = std::make_shared<membership::MembershipView>();
   view->self = "d0";
@@ -70,8 +77,12 @@
   }
 
   void finish_all(std::optional<ErrorKind> error, TimePoint now) {
+    this->finish_all({error, idle_leafs()}, now);
+  }
+
+  void finish_all(const RequestEnd& end, TimePoint now) {
     for (Permit& permit : this->permits) {
-      permit.finish(error, now);
+      permit.finish(end, now);
     }
     this->permits.clear();
   }
@@ -228,21 +239,64 @@
 /// Symptom: a service's queries are shed while its leafs are idle.
 /// Sequence: callers ask what became of reservation keys, which takes a
 /// millisecond; then queries come, which take twenty.
-/// Cause: one usual latency for all that a service does.
+/// Cause: one usual latency for all that a service does, and load read from it.
 Test(admission, quick_key_lookups_do_not_make_queries_seem_slow) {
   auto release = two_leafs();
   add_service(*release, "a", Priority::kBench, 0);
   Door door(release);
   for (int i = 0; i < 600; ++i) {
     const bool query = i >= 100;
-    const Work work = query ? Work::kQuery : Work::kKeyLookup;
     for (int j = 0; j < 2; ++j) {
-      Result<Permit> permit = door.admission.admit("a", "c", at(50 * i), work);
+      Result<Permit> permit = door.admission.admit("a", "c", at(50 * i));
       cr_assert(permit.has_value());
       door.permits.push_back(std::move(*permit));
     }
-    door.finish_all(std::nullopt, at(50 * i + (query ? 20 : 1)));
+    door.finish_all({std::nullopt, query ? idle_leafs() : LeafWait()},
+                    at(50 * i + (query ? 20 : 1)));
+  }
+}
+
+/// Symptom: queries are refused as overloaded while their leafs have room.
+/// Sequence: one of eight leafs becomes twenty times slower; a query that meets
+/// it takes as much longer, the queue there included, and most queries do.
+/// Cause: load read from the latency of requests. A slow leaf's work lengthens
+/// it, and the queue that builds up before that leaf alone.
+Test(admission, a_slow_leaf_is_no_overload) {
+  auto release = two_leafs();
+  add_service(*release, "a", Priority::kBench, 0);
+  Door door(release);
+  for (int i = 0; i < 400; ++i) {
+    const bool slow = i >= 100;
+    LeafWait wait;
+    for (int call = 0; call < 7; ++call) {
+      wait.add(milliseconds(1), milliseconds(8));
+    }
+    wait.add(milliseconds(slow ? 400 : 1), milliseconds(slow ? 160 : 8));
+    for (int j = 0; j < 3; ++j) {
+      Result<Permit> permit = door.admission.admit("a", "c", at(600 * i));
+      cr_assert(permit.has_value());
+      door.permits.push_back(std::move(*permit));
+    }
+    door.finish_all({std::nullopt, wait}, at(600 * i + (slow ? 560 : 10)));
+  }
+}
+
+/// Symptom: under overload nobody is shed, and requests end at their deadlines.
+/// Sequence: a daemon starts while its leafs are overloaded; it has never seen
+/// a request that did not wait. Cause: load read from latencies against the
+/// least that was ever seen.
+Test(admission, a_daemon_that_starts_in_an_overload_sheds) {
+  auto release = two_leafs();
+  add_service(*release, "a", Priority::kBench, 0);
+  Door door(release);
+  const std::size_t first = door.fill("a", at(0));
+  LeafWait wait;
+  wait.add(milliseconds(60), milliseconds(10));
+  for (int i = 1; i < 20; ++i) {
+    door.finish_all({std::nullopt, wait}, at(100 * i));
+    cr_assert(door.fill("a", at(100 * i)) > 0);
   }
+  cr_assert(door.permits.size() < first / 2);
 }
 
 Test(admission, unknown_services_and_an_unready_daemon_are_told_apart) {
--- a/tests/caller/caller_api_test.cc
+++ b/tests/caller/caller_api_test.cc
@@ -50,13 +50,15 @@
 
 CallerPorts ports_of(Backstage& stage) {
   CallerPorts ports;
-  ports.admit = [&stage](const std::string&, const std::string&, TimePoint,
-                         admission::Work) -> Result<admission::Permit> {
+  ports.admit = [&stage](const std::string&, const std::string&,
+                         TimePoint) -> Result<admission::Permit> {
     if (stage.refuse_at_door) {
       return tl::unexpected(*stage.refuse_at_door);
     }
     return admission::Permit(
-        [&stage](auto error, TimePoint) { stage.finished.push_back(error); });
+        [&stage](const admission::RequestEnd& end, TimePoint) {
+          stage.finished.push_back(end.error);
+        });
   };
   ports.query = [&stage](query::QueryRequest request, auto) {
     return run_query(&stage, std::move(request));
--- a/tests/reservation/keyed_test.cc
+++ b/tests/reservation/keyed_test.cc
@@ -66,11 +66,12 @@
   Fleet fleet(3);
   auto first = fleet.reserve_now(0, "order-1", "fuse");
   cr_assert(first.has_value() && !first->repeat);
-  cr_assert(first->claim_time > Duration::zero());
+  cr_assert(first->leaf_wait.stretch().has_value());
   for (std::size_t daemon = 0; daemon < 3; ++daemon) {
     auto again = fleet.reserve_now(daemon, "order-1", "fuse");
     cr_assert(again.has_value());
     cr_assert(again->repeat);
+    cr_assert(!again->leaf_wait.stretch().has_value());
     cr_assert(again->body == first->body);
     cr_assert(again->shard == first->shard);
   }
