--- a/apps/bench-policy/scenario_door.cc
+++ b/apps/bench-policy/scenario_door.cc
@@ -49,6 +49,11 @@
     ClusterSpec spec = spec_of(shards, seed);
     spec.slow_leafs = 1;
     result["slow_leaf_of_" + std::to_string(2 * shards)] = run(spec);
+    spec.slow_from = kLength / 2;
+    result["becomes_slow_of_" + std::to_string(2 * shards)] = run(spec);
+    spec.services[0].hedge_budget = 0;
+    result["no_hedges_of_" + std::to_string(2 * shards)] = run(spec);
+    spec.services[0].hedge_budget = release::QueryService().hedge_budget;
     spec.slow_leafs = 0;
     spec.work.slow_share = 0.05;
     spec.work.slow_factor = 10;
--- a/apps/bench-policy/sim_cluster.cc
+++ b/apps/bench-policy/sim_cluster.cc
@@ -67,10 +67,13 @@
                        const query::ReplicaChoice& replicas)
     : spec(spec), begin(this->timeline.now()), random(spec.seed) {
   for (std::uint32_t i = 0; i < spec.shards * spec.replicas; ++i) {
-    WorkModel work = spec.work;
-    work.mean *= i < spec.slow_leafs ? kSlowLeaf : 1;
     this->leafs.push_back(std::make_unique<SimLeaf>(
-        this->timeline, this->random, work, spec.slots));
+        this->timeline, this->random, spec.work, spec.slots));
+    if (i < spec.slow_leafs) {
+      this->timeline.at(
+          this->begin + spec.slow_from,
+          [leaf = this->leafs.back().get()] { leaf->slow_down(kSlowLeaf); });
+    }
     if (spec.half_refuse && i % 2 == 1) {
       this->leafs.back()->refuse_all();
     }
--- a/apps/bench-policy/sim_cluster.h
+++ b/apps/bench-policy/sim_cluster.h
@@ -33,6 +33,7 @@
   bool half_refuse = false;
   /// So many of the first leafs are 20 times slow, for every call.
   std::uint32_t slow_leafs = 0;
+  Duration slow_from{};  ///< After the start.
   bool admits = false;
   std::vector<release::QueryService> services;
   std::optional<FlipModel> flips;
--- a/apps/bench-policy/sim_leaf.h
+++ b/apps/bench-policy/sim_leaf.h
@@ -45,6 +45,9 @@
   SimLeaf(Timeline& timeline, pcg64& random, WorkModel work, int slots)
       : timeline(timeline), random(random), work(work), slots(slots) {}
 
+  /// From now on calls take `factor` times the work.
+  void slow_down(int factor) noexcept { this->work.mean *= factor; }
+
   /// From now on it refuses every call.
   void refuse_all() noexcept { this->refuses = true; }
 
