--- a/apps/bench-policy/sim_daemon.cc
+++ b/apps/bench-policy/sim_daemon.cc
@@ -143,8 +143,16 @@
 
 void SimDaemon::perform(const std::shared_ptr<Query>& query) {
   this->restart_if_wanted(*query);
-  this->tell(*query, query->gather.take_cancels(), &SimLeaf::cancel);
-
+  for (const std::uint64_t sequence : query->gather.take_cancels()) {
+    const auto sent = query->sent.find(sequence);
+    if (sent != query->sent.end()) {
+      this->world.timeline.after(
+          this->world.one_way,
+          [leaf = sent->second, id = CallId{this->ids.origin(), sequence}] {
+            leaf->cancel(id);
+          });
+    }
+  }
   for (const query::GatherCall& call : query->gather.take_starts()) {
     this->send(query, call);
   }
@@ -155,20 +163,6 @@
   }
 }
 
-void SimDaemon::tell(const Query& query,
-                     const std::vector<std::uint64_t>& sequences,
-                     void (SimLeaf::*what)(const CallId&)) {
-  for (const std::uint64_t sequence : sequences) {
-    const auto sent = query.sent.find(sequence);
-    if (sent != query.sent.end()) {
-      this->world.timeline.after(
-          this->world.one_way,
-          [leaf = sent->second, id = CallId{this->ids.origin(), sequence},
-           what] { (leaf->*what)(id); });
-    }
-  }
-}
-
 void SimDaemon::send(const std::shared_ptr<Query>& query,
                      const query::GatherCall& call) {
   SimLeaf* leaf = this->world.leafs[call.leaf].get();
--- a/apps/bench-policy/sim_daemon.h
+++ b/apps/bench-policy/sim_daemon.h
@@ -65,10 +65,6 @@
   void restart_if_wanted(Query& query);
   void perform(const std::shared_ptr<Query>& query);
   void send(const std::shared_ptr<Query>& query, const query::GatherCall& call);
-  /// Sends word of each of these calls to its leaf.
-  void tell(const Query& query,
-            const std::vector<std::uint64_t>& sequences,
-            void (SimLeaf::*what)(const CallId&));
   void wake(const std::shared_ptr<Query>& query);
   void end(Query& query);
 
--- a/apps/bench-policy/sim_leaf.cc
+++ b/apps/bench-policy/sim_leaf.cc
@@ -62,23 +62,6 @@
   }
 }
 
-void SimLeaf::withdraw(const CallId& id) {
-  for (auto& queue : this->queues) {
-    const auto found =
-        std::find_if(queue.begin(), queue.end(),
-                     [&id](const auto& job) { return job->call.id == id; });
-    if (found != queue.end()) {
-      const std::shared_ptr<Job> job = *found;
-      queue.erase(found);
-      Error error = make_error(ErrorKind::kCancelled, "withdrawn");
-      error.execution = Execution::kNotRun;
-      job->call.answer(tl::unexpected<Error>(std::move(error)),
-                       this->timeline.now() - job->queued, Duration::zero());
-      return;
-    }
-  }
-}
-
 void SimLeaf::start_next() {
   for (auto& queue : this->queues) {
     while (this->busy < this->slots && !queue.empty()) {
--- a/apps/bench-policy/sim_leaf.h
+++ b/apps/bench-policy/sim_leaf.h
@@ -58,8 +58,6 @@
 
   void submit(SimCall call);
   void cancel(const CallId& id);
-  /// Gives the call back, not run, if it still waits.
-  void withdraw(const CallId& id);
 
   [[nodiscard]] std::uint64_t calls() const noexcept { return this->received; }
 
--- a/ibismux/query/gather.cc
+++ b/ibismux/query/gather.cc
@@ -66,7 +66,6 @@
   this->calls.reserve(total + total / 8 + 1);
   this->starts.clear();
   this->starts.reserve(total);
-  this->withdrawals.clear();
   this->shards.assign(total, ShardProgress{});
   this->merger.clear();
   this->leaf_wait = {};
@@ -118,10 +117,6 @@
   return std::exchange(this->cancels, {});
 }
 
-std::vector<std::uint64_t> Gather::take_withdrawals() noexcept {
-  return std::exchange(this->withdrawals, {});
-}
-
 Result<QueryAnswer> Gather::take_result() {
   return std::move(*this->result);
 }
@@ -178,34 +173,6 @@
   return this->start_on_untried(shard, now);
 }
 
-void Gather::withdraw(std::uint32_t shard) {
-  ShardProgress& progress = this->shards[shard];
-  if (progress.moved || !this->has_untried(shard)) {
-    return;
-  }
-  progress.moved = true;
-  for (std::uint64_t i = 0; i < this->calls.size(); ++i) {
-    if (this->calls[i].outstanding && this->calls[i].shard == shard) {
-      this->calls[i].withdrawn = true;
-      this->withdrawals.push_back(this->first_sequence + i);
-    }
-  }
-}
-
-bool Gather::move_call(const Call& waited, TimePoint now) {
-  const Call call = waited;  // Starting another moves the calls in memory.
-  if (!this->has_untried(call.shard)) {
-    return false;
-  }
-  // What it waited teaches as much as an answer would have.
-  (*this->pinned.leafs)[call.leaf]->call_abandoned(now - call.started, now);
-  this->policies.service.call_abandoned(now - call.started);
-  ++this->tally.moves;
-  this->start_on_untried(call.shard, now);
-  this->plan_wake(now);
-  return true;
-}
-
 void Gather::give_up(std::uint64_t offset, TimePoint now) {
   Call& call = this->calls[offset];
   call.outstanding = false;
@@ -275,10 +242,6 @@
 void Gather::on_error(Call& call, const Error& error, TimePoint now) {
   const std::uint32_t shard = call.shard;
   this->maybe_run |= error.execution != Execution::kNotRun;
-  if (call.withdrawn && error.kind == ErrorKind::kCancelled &&
-      error.execution == Execution::kNotRun && this->move_call(call, now)) {
-    return;
-  }
   if (error.retry_after.has_value()) {
     this->retry_after = std::max(this->retry_after, *error.retry_after);
   }
@@ -343,7 +306,6 @@
   this->is_finished = true;
   this->result = std::move(outcome);
   this->starts.clear();
-  this->withdrawals.clear();
   this->give_up_all(now);
 }
 
@@ -362,7 +324,7 @@
       answer.coverage.missing.push_back({name, progress.reason});
     }
   }
-  answer.leaf_calls = this->tally.calls - this->tally.moves;
+  answer.leaf_calls = this->tally.calls;
   answer.hedges = this->tally.hedges;
   answer.retries = this->tally.retries;
   answer.restarts = this->tally.restarts;
--- a/ibismux/query/gather.h
+++ b/ibismux/query/gather.h
@@ -19,7 +19,7 @@
 /// One query from its first call to its answer, without sockets or clock.
 ///
 /// Its owner feeds it answers and time, and after each input performs what
-/// `take_starts`, `take_withdrawals` and `take_cancels` give, until `finished`.
+/// `take_starts` and `take_cancels` give, until `finished`.
 ///
 /// Not thread safe; belongs to one event loop.
 class Gather {
@@ -59,9 +59,6 @@
   /// @{
   [[nodiscard]] std::vector<GatherCall> take_starts() noexcept;
   [[nodiscard]] std::vector<std::uint64_t> take_cancels() noexcept;
-  /// Calls to take back if they still wait for their leaf. Each ends as any
-  /// other: with kCancelled and kNotRun if it was taken back.
-  [[nodiscard]] std::vector<std::uint64_t> take_withdrawals() noexcept;
   [[nodiscard]] TimePoint next_wake() const noexcept { return this->wake; }
   /// Whether shards have lost the pinned snapshot and a restart on a newer one
   /// would still end in time. The owner looks for one now and at each wake.
@@ -87,7 +84,6 @@
     std::uint32_t leaf = 0;
     TimePoint started;
     bool outstanding = true;
-    bool withdrawn = false;  ///< Was asked back; it may run nevertheless.
   };
 
   struct ShardProgress {
@@ -96,7 +92,6 @@
     std::uint8_t attempts = 0;
     std::uint8_t outstanding = 0;
     std::uint8_t hedges = 0;
-    bool moved = false;  ///< Its calls were asked back once.
     bool snapshot_gone = false;
     std::uint64_t tried = 0;  ///< Bit i: replica i has had a call.
     TimePoint last_start{};
@@ -111,11 +106,6 @@
   /// The same, but begins anew with all of them once each has had one.
   bool start_on_any(std::uint32_t shard, TimePoint now);
   [[nodiscard]] bool has_untried(std::uint32_t shard);
-  /// Asks the shard's calls back, if another replica may take them.
-  void withdraw(std::uint32_t shard);
-  /// A call that was asked back was: another replica gets it. @return False if
-  /// there is none.
-  bool move_call(const Call& waited, TimePoint now);
   void give_up(std::uint64_t offset, TimePoint now);
   void give_up_shard(std::uint32_t shard, TimePoint now);
   void give_up_all(TimePoint now);
@@ -174,7 +164,6 @@
   std::chrono::milliseconds retry_after;
   std::vector<GatherCall> starts;
   std::vector<std::uint64_t> cancels;
-  std::vector<std::uint64_t> withdrawals;
   TimePoint wake;
   GatherCounts tally;
   bool is_finished = false;
--- a/ibismux/query/gather_plan.h
+++ b/ibismux/query/gather_plan.h
@@ -42,7 +42,6 @@
   std::uint32_t calls = 0;
   std::uint32_t hedges = 0;
   std::uint32_t retries = 0;
-  std::uint32_t moves = 0;  ///< Calls that replaced one that never ran.
   std::uint32_t restarts = 0;
   std::uint32_t foreign = 0;    ///< Answers that match no call of this query.
   std::uint32_t late = 0;       ///< Answers to calls that were given up.
--- a/ibismux/query/gather_timing.cc
+++ b/ibismux/query/gather_timing.cc
@@ -116,12 +116,7 @@
       continue;
     }
     if (!this->policies.service.take_hedge()) {
-      // A call that still waits for its leaf costs no leaf anything, so moving
-      // it needs no budget. Without this, the calls that queued before a leaf
-      // that became slow would sit there for as long as the budget is spent,
-      // though the other replica idles.
-      this->withdraw(shard);
-      continue;
+      return;
     }
     ++progress.hedges;
     if (this->start_on_any(shard, now)) {
--- a/ibismux/query/query_metrics.cc
+++ b/ibismux/query/query_metrics.cc
@@ -107,7 +107,6 @@
         first_calls(families.leaf_calls.Add(labels(service, "cause", "first"))),
         hedges(families.leaf_calls.Add(labels(service, "cause", "hedge"))),
         retries(families.leaf_calls.Add(labels(service, "cause", "retry"))),
-        moves(families.leaf_calls.Add(labels(service, "cause", "move"))),
         restarts(families.restarts.Add({{"service", service}})),
         foreign(families.dropped.Add(labels(service, "reason", "foreign"))),
         late(families.dropped.Add(labels(service, "reason", "late"))),
@@ -160,11 +159,9 @@
   }
 
   void count_calls(const GatherCounts& counts) {
-    this->first_calls.Increment(counts.calls - counts.hedges - counts.retries -
-                                counts.moves);
+    this->first_calls.Increment(counts.calls - counts.hedges - counts.retries);
     this->hedges.Increment(counts.hedges);
     this->retries.Increment(counts.retries);
-    this->moves.Increment(counts.moves);
     this->restarts.Increment(counts.restarts);
     this->foreign.Increment(counts.foreign);
     this->late.Increment(counts.late);
@@ -178,7 +175,6 @@
   prometheus::Counter& first_calls;
   prometheus::Counter& hedges;
   prometheus::Counter& retries;
-  prometheus::Counter& moves;
   prometheus::Counter& restarts;
   prometheus::Counter& foreign;
   prometheus::Counter& late;
