Dial a leaf that is gone again within 250 ms

The status page showed the returned leaf as unreachable for another second: dials were spaced up to 2 s. Until then the slow leaf was the only replica of a shard and could carry 75 of 120 calls a second; its queue grew to 47.

Change: the pause after a failed dial doubles to 250 ms while no connection to the leaf is open, where a dial costs the leaf nothing; it still doubles to 2 s while others are, where the leaf turns a surplus away. The rule is a class of its own.

--- a/ibismux/gateway/gateway_settings.h
+++ b/ibismux/gateway/gateway_settings.h
@@ -23,6 +23,8 @@
   /// Pause after a failed connection; doubles up to `longest_pause`.
   Duration reconnect_pause = std::chrono::milliseconds(50);
   Duration longest_pause = std::chrono::seconds(2);
+  /// The same while no connection to the leaf is open.
+  Duration longest_pause_alone = std::chrono::milliseconds(250);
   /// How long a leaf that said it leaves gets nothing, whatever it says of its
   /// health, which lags.
   Duration leaving_hold = std::chrono::seconds(5);
--- a/ibismux/gateway/leaf_pool.cc
+++ b/ibismux/gateway/leaf_pool.cc
@@ -21,7 +21,10 @@
 
 LeafPool::LeafPool(boost::asio::io_context& loop,
                    std::shared_ptr<GatewayContext> context)
-    : loop(loop), context(std::move(context)), timer(loop) {}
+    : loop(loop),
+      context(std::move(context)),
+      timer(loop),
+      reconnect(this->context->settings) {}
 
 void LeafPool::configure(const release::BackendServer& fresh,
                          std::size_t share) {
@@ -219,13 +222,11 @@
     this->report();
     connection->close();
     this->last_failed = !opened;
-    this->next_pause = std::clamp(this->next_pause * 2,
-                                  this->context->settings.reconnect_pause,
-                                  this->context->settings.longest_pause);
+    this->next_pause = this->reconnect.failed(this->connections() == 0);
     co_return false;
   }
   this->last_failed = false;
-  this->next_pause = Duration::zero();
+  this->reconnect.opened();
   this->last_health = *opened;
   this->reopened = this->reopened || this->all_lost;
   this->all_lost = false;
--- a/ibismux/gateway/leaf_pool.h
+++ b/ibismux/gateway/leaf_pool.h
@@ -15,6 +15,7 @@
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
 #include "ibismux/gateway/gateway_context.h"
+#include "ibismux/gateway/reconnect_pause.h"
 #include "ibismux/release/backend_server.h"
 
 namespace ibismux::gateway {
@@ -108,6 +109,7 @@
   bool last_failed = false;
   bool all_lost = false;
   bool reopened = false;
+  ReconnectPause reconnect;
   Duration next_pause{};
   std::deque<CallId> cancels;
   backend::LeafHealth last_health;
--- /dev/null
+++ b/tests/gateway/reconnect_pause_test.cc
@@ -0,0 +1,41 @@
+#include "ibismux/gateway/reconnect_pause.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::gateway {
+namespace {
+
+using std::chrono::milliseconds;
+
+Duration after_failures(ReconnectPause& pause, int failures, bool alone) {
+  Duration last{};
+  for (int i = 0; i < failures; ++i) {
+    last = pause.failed(alone);
+  }
+  return last;
+}
+
+Test(reconnect_pause, it_doubles_up_to_a_limit_and_begins_anew) {
+  const GatewaySettings settings;
+  ReconnectPause pause(settings);
+  cr_assert(pause.failed(false) == milliseconds(50));
+  cr_assert(pause.failed(false) == milliseconds(100));
+  cr_assert(after_failures(pause, 10, false) == settings.longest_pause);
+  pause.opened();
+  cr_assert(pause.failed(false) == milliseconds(50));
+}
+
+/// Symptom: queries wait most of a second and are refused as overloaded though
+/// a leaf that was lost has been back for a second.
+/// Sequence: a leaf is gone for 2 s; it comes back; the replica that stood in
+/// for it becomes slow.
+/// Cause: dials to a leaf that is gone were spaced up to 2 s, as if they cost
+/// it anything.
+Test(reconnect_pause, a_leaf_that_is_back_is_found_soon) {
+  const GatewaySettings settings;
+  ReconnectPause pause(settings);
+  cr_assert(after_failures(pause, 20, true) == milliseconds(250));
+}
+
+}  // namespace
+}  // namespace ibismux::gateway
