--- a/tools/bench_lib/catalog.py
+++ b/tools/bench_lib/catalog.py
@@ -3,7 +3,8 @@
 import time
 import traceback
 
-from bench_lib import changes, control, hops, queries, reservations, sites
+from bench_lib import (changes, control, hops, queries, reservations, sites,
+                       tails)
 from bench_lib.fleet import Fleet, busy_share
 from bench_lib.verdict import Verdict
 
@@ -11,6 +12,8 @@
     "cost": queries.cost,
     "hop": hops.hop,
     "tail": queries.tail,
+    "single": tails.single,
+    "refusals": tails.refusals,
     "overload": queries.overload,
     "snapshot": changes.snapshot,
     "drain": changes.drain,
--- a/tools/bench_lib/fleet.py
+++ b/tools/bench_lib/fleet.py
@@ -285,6 +285,11 @@
         summary["first_violations"] = lines[:-1][:3]
         return summary
 
+    @staticmethod
+    def sleep_until(moment):
+        """Waits for a moment of `time.monotonic()`."""
+        time.sleep(max(0, moment - time.monotonic()))
+
     def pause(self, daemon, seconds):
         """Freezes a daemon for a while."""
         self.daemons[daemon].signal(signal.SIGSTOP)
