Send fewer hedges where they don't win

Cause: with leafs that are all about equally quick, one call in thirty was hedged, and few of the hedges came first: the delay followed from how many calls are late, whatever a hedge brings.

Change: the share of late hedges that won is kept. Below 0.35 the share of calls to be hedged shrinks in proportion, to a tenth at least, so that it is noticed when hedges help again.

--- a/apps/bench-policy/main.cc
+++ b/apps/bench-policy/main.cc
@@ -1,7 +1,7 @@
 // Measures the policies on virtual time, without sockets:
 //
 //     bench-policy
-//     [tail|quantiles|loads|single|slow_leaf|refusals|flips|overload|door|cost|limits]
+//     [tail|calm|quantiles|loads|single|slow_leaf|refusals|flips|overload|door|cost|limits]
 //     [--seed N]
 //
 // Prints one JSON object a scenario. But for `cost`, a run depends on its seed
@@ -25,6 +25,7 @@
 const std::map<std::string, Scenario> kScenarios = {
     {"tail", ibismux::bench::run_tail},
     {"quantiles", ibismux::bench::run_quantiles},
+    {"calm", ibismux::bench::run_calm},
     {"loads", ibismux::bench::run_loads},
     {"single", ibismux::bench::run_single},
     {"slow_leaf", ibismux::bench::run_slow_leaf},
--- a/apps/bench-policy/scenario_tail.cc
+++ b/apps/bench-policy/scenario_tail.cc
@@ -114,6 +114,20 @@
   return result;
 }
 
+object run_calm(std::uint64_t seed) {
+  const query::CheaperOfTwo cheaper;
+  object result;
+  for (const std::uint32_t shards : {3U, 30U, 230U}) {
+    ClusterSpec plain = spec_of(shards, 0, seed);
+    plain.work.slow_share = 0;
+    ClusterSpec hedged = plain;
+    hedged.services = {service_of(0.05)};
+    result["shards_" + std::to_string(shards)] = {
+        {"plain", run(plain, cheaper)}, {"hedged", run(hedged, cheaper)}};
+  }
+  return result;
+}
+
 object run_loads(std::uint64_t seed) {
   const query::CheaperOfTwo cheaper;
   object result;
--- a/apps/bench-policy/scenarios.h
+++ b/apps/bench-policy/scenarios.h
@@ -18,7 +18,10 @@
 /// The same over the quantile after which a call may be hedged.
 [[nodiscard]] boost::json::object run_quantiles(std::uint64_t seed);
 
-/// The same over the load, without and with hedges.
+/// Without slow calls, where hedges can help little.
+[[nodiscard]] boost::json::object run_calm(std::uint64_t seed);
+
+/// The first over the load, without and with hedges.
 [[nodiscard]] boost::json::object run_loads(std::uint64_t seed);
 
 /// The same with a single replica: answers by `answer_by`, and full coverage.
--- a/ibismux/query/gather.cc
+++ b/ibismux/query/gather.cc
@@ -231,6 +231,9 @@
   (*this->pinned.leafs)[call.leaf]->call_answered(latency, now);
   this->policies.service.call_answered(latency, answer.queue_time);
   this->leaf_wait.add(answer.queue_time, answer.leaf_time);
+  if (this->shards[shard].hedges > 0) {
+    this->policies.service.hedge_settled(call.hedge);
+  }
   this->gone -= this->shards[shard].snapshot_gone ? 1 : 0;
   this->shards[shard].snapshot_gone = false;
   this->shards[shard].state = ShardState::kMerged;
--- a/ibismux/query/gather.h
+++ b/ibismux/query/gather.h
@@ -84,6 +84,7 @@
     std::uint32_t leaf = 0;
     TimePoint started;
     bool outstanding = true;
+    bool hedge = false;
   };
 
   struct ShardProgress {
--- a/ibismux/query/gather_timing.cc
+++ b/ibismux/query/gather_timing.cc
@@ -120,6 +120,7 @@
     }
     ++progress.hedges;
     if (this->start_on_any(shard, now)) {
+      this->calls.back().hedge = true;
       ++this->tally.hedges;
     }
   }
--- a/ibismux/query/service_policy.cc
+++ b/ibismux/query/service_policy.cc
@@ -16,14 +16,23 @@
 constexpr double kPlannedUse = 0.8;
 /// Weight of the newest call in the moving averages of load.
 constexpr double kLoadWeight = 0.01;
+/// The same for the newest hedge.
+constexpr double kHedgeWeight = 0.02;
+/// Where fewer hedges than this win, fewer are sent: most would only add a call
+/// that ends after the one it stands in for. Some are always sent, or nobody
+/// would notice that they have come to help.
+constexpr double kWorthwhile = 0.35;
+constexpr double kLeastUse = 0.1;
 /// The share of a call's time spent in queues up to which hedges are free, and
 /// from which there are none. The same for the share of calls that fail.
 constexpr double kOpenBelow = 0.2;
 constexpr double kShutAbove = 0.5;
 
-void average_in(std::atomic<double>& average, double value) noexcept {
+void average_in(std::atomic<double>& average,
+                double value,
+                double weight = kLoadWeight) noexcept {
   const double old = average.load(std::memory_order_relaxed);
-  average.store(old + kLoadWeight * (value - old), std::memory_order_relaxed);
+  average.store(old + weight * (value - old), std::memory_order_relaxed);
 }
 
 }  // namespace
@@ -65,6 +74,19 @@
   }
 }
 
+void ServicePolicy::hedge_settled(bool won) noexcept {
+  average_in(this->won_share, won ? 1 : 0, kHedgeWeight);
+}
+
+double ServicePolicy::hedged_share() const noexcept {
+  const double late =
+      std::min(1 - this->quantile.load(std::memory_order_relaxed),
+               kPlannedUse * this->share.load(std::memory_order_relaxed));
+  return late * std::clamp(this->won_share.load(std::memory_order_relaxed) /
+                               kWorthwhile,
+                           kLeastUse, 1.0);
+}
+
 std::optional<Duration> ServicePolicy::hedge_delay() const noexcept {
   const Duration known(this->delay.load(std::memory_order_relaxed));
   return known == Duration::zero() ? std::nullopt : std::optional(known);
@@ -84,9 +106,8 @@
     return;
   }
   this->since_refresh = 0;
-  const std::optional<Duration> fresh = this->latencies.at(
-      std::max(this->quantile.load(std::memory_order_relaxed),
-               1 - kPlannedUse * this->share.load(std::memory_order_relaxed)));
+  const std::optional<Duration> fresh =
+      this->latencies.at(1 - this->hedged_share());
   this->delay.store(fresh.value_or(Duration::zero()).count(),
                     std::memory_order_relaxed);
 }
--- a/ibismux/query/service_policy.h
+++ b/ibismux/query/service_policy.h
@@ -39,6 +39,9 @@
   /// delay would sink until everything is hedged.
   void call_abandoned(Duration elapsed);
 
+  /// A shard that was hedged got its answer. @param won Whether of a hedge.
+  void hedge_settled(bool won) noexcept;
+
   /// How long a call may be out before it is worth a hedge; absent while too
   /// little is known.
   [[nodiscard]] std::optional<Duration> hedge_delay() const noexcept;
@@ -53,6 +56,8 @@
 
  private:
   void learn(Duration latency);
+  /// The share of calls that are to be hedged.
+  [[nodiscard]] double hedged_share() const noexcept;
 
   std::atomic<double> quantile;
   std::atomic<double> share;
@@ -60,6 +65,7 @@
   std::atomic<Duration::rep> delay{0};  ///< 0 while unknown.
   std::atomic<double> queue_share{0};   ///< Moving average, 0 to 1.
   std::atomic<double> failure_share{0};
+  std::atomic<double> won_share{1};  ///< Of hedges; moving average.
 
   std::mutex mutex;  ///< Guards the two below.
   LatencyQuantile latencies;
--- a/tests/query/policy_test.cc
+++ b/tests/query/policy_test.cc
@@ -1,5 +1,7 @@
 #include "ibismux/query/service_policy.h"
 
+#include <cmath>
+
 #include "ibismux/query/deadline_policy.h"
 #include "ibismux/query/query_request.h"
 #include "tests/query/query_fixture.h"
@@ -13,6 +15,14 @@
   return TimePoint(std::chrono::hours(1)) + milliseconds(ms);
 }
 
+/// From 10 ms to 1.25 s, each a twentieth longer than the one before.
+void answer_some(ServicePolicy& policy) {
+  for (int i = 0; i < 5000; ++i) {
+    const double ms = 10 * std::pow(1.05, i % 100);
+    policy.call_answered(milliseconds(std::lround(ms)), Duration::zero());
+  }
+}
+
 Test(latency_quantile, it_needs_samples_and_follows_them) {
   LatencyQuantile latencies;
   for (int i = 0; i < 99; ++i) {
@@ -80,6 +90,27 @@
   cr_assert(*policy.hedge_delay() >= milliseconds(50));
 }
 
+/// Symptom: leafs get one call in thirty more than shards ask, and no answer
+/// comes earlier for it.
+/// Sequence: all leafs are about equally quick; the latest few calls in a
+/// hundred are hedged, and each ends before its hedge does. Cause: a delay that
+/// follows from how many calls are late, whatever a hedge brings.
+Test(service_policy, hedges_that_do_not_win_become_fewer) {
+  ServicePolicy policy(0.95, 0.05);
+  answer_some(policy);
+  const Duration at_first = *policy.hedge_delay();
+  for (int i = 0; i < 300; ++i) {
+    policy.hedge_settled(false);
+  }
+  answer_some(policy);
+  cr_assert(*policy.hedge_delay() > at_first);
+  for (int i = 0; i < 300; ++i) {
+    policy.hedge_settled(i % 2 == 0);
+  }
+  answer_some(policy);
+  cr_assert(*policy.hedge_delay() == at_first);
+}
+
 /// Symptom: after index flips nearly every call is hedged for a while.
 /// Sequence: queries start again a moment after they began; all their calls are
 /// given up at once, and each counts as having taken that moment.
