Cut half of the daemons off from the other half, with real processes

Cause: docs/PROOFS.md had this proved for membership in passed-in time only.

A daemon announces the address at which it listens, so nothing can stand between two daemons by settings alone, and the host list is the same for all. Ruled out: network namespaces (rights that a build need not have), a preloaded library (clashes with sanitizers), an address to announce as a setting (product code). Instead "ibismuxd-cut" is the daemon with connect() wrapped by the linker: what goes to 127.0.3.0/24 goes to PeerCut, a forwarder in the test, which knows both ends of each connection and can reset, stall and heal.

Three tests: connections reset while changes are written on both sides; a silent cut under queries and keyed reservations of ibismux-load, its record and the leafs' held to ibismux-check; the platform away during the cut and a daemon restarted on each side. Site learns zones, status counts and the change of one leaf.

--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -25,7 +25,7 @@
 std::string find_program(const std::string& name) {
   namespace fs = std::filesystem;
   const fs::path build = IBISMUX_BUILD_DIR;
-  for (const char* folder : {"apps", "standins"}) {
+  for (const char* folder : {"apps", "standins", "tests"}) {
     std::error_code ignored;
     for (const auto& entry : fs::directory_iterator(build / folder, ignored)) {
       const auto file = entry.path() / name;
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -25,7 +25,8 @@
 /// is killed when this object or the test's own process goes. Not thread safe.
 class Process {
  public:
-  /// Starts `program`, the name of a target below apps/ or standins/.
+  /// Starts `program`, the name of a target below apps/, standins/ or
+  /// tests/.
   /// Throws std::runtime_error where it can't be started.
   Process(const std::string& program, std::vector<std::string> arguments);
   ~Process();
--- a/tests/support/site.cc
+++ b/tests/support/site.cc
@@ -1,5 +1,6 @@
 #include "tests/support/site.h"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
@@ -7,6 +8,7 @@
 #include <stdexcept>
 
 #include "tests/support/http_call.h"
+#include "tests/support/peer_cut.h"
 #include "tests/support/temporary_file.h"
 
 namespace ibismux::testing {
@@ -17,11 +19,6 @@
 
 constexpr int kOk = 200;
 
-std::vector<std::string> with_port(std::vector<std::string> arguments) {
-  arguments.insert(arguments.end(), {"--port", "0"});
-  return arguments;
-}
-
 http::Response answer_of(Result<http::Response> result) {
   if (!result) {
     throw std::runtime_error(to_string(result.error()));
@@ -44,9 +41,10 @@
 
 }  // namespace
 
-Site::Site(std::vector<std::string> platform_arguments)
-    : platform_process("ibismux-fake-platform",
-                       with_port(std::move(platform_arguments))),
+Site::Site(PeerCut* cut, std::size_t zones)
+    : cut(cut),
+      zones(zones),
+      platform_process("ibismux-fake-platform", {"--port", "0"}),
       leafs("ibismux-fake-leaf",
             {"--leafs", std::to_string(kLeafs), "--threads", "1", "--history",
              history.name()}) {
@@ -54,32 +52,43 @@
   (void)this->leafs.ready_line();
 }
 
-Process Site::launch(const std::string& member) {
+std::string Site::peer_address(std::size_t daemon) const {
+  return this->cut != nullptr ? PeerCut::address_of(daemon) : "127.0.0.1";
+}
+
+std::string Site::zone(std::size_t i) const {
+  return "z" + std::to_string(i % this->zones + 1);
+}
+
+Process Site::launch(std::size_t daemon) {
   const json::object settings = {
-      {"member", member},
-      {"zone", "z1"},
+      {"member", "host-" + std::to_string(daemon + 1)},
+      {"zone", this->zone(daemon)},
       {"threads", 2},
       {"caller", {{"address", "127.0.0.1"}, {"port", 0}}},
-      {"peer", {{"address", "127.0.0.1"}, {"port", 0}}},
+      {"peer", {{"address", this->peer_address(daemon)}, {"port", 0}}},
       {"operator", {{"address", "127.0.0.1"}, {"port", 0}}},
       {"platform",
        {{"address", "127.0.0.1"}, {"port", this->platform_process.port()}}}};
   const TemporaryFile file(json::serialize(settings));
-  Process process("ibismuxd", {"--settings", file.name()});
+  if (this->cut != nullptr) {
+    this->cut->prepare(daemon);
+  }
+  Process process(this->cut != nullptr ? "ibismuxd-cut" : "ibismuxd",
+                  {"--settings", file.name()});
   (void)process.ready_line();
   return process;
 }
 
 std::size_t Site::start_daemon() {
-  this->daemons.push_back(
-      this->launch("host-" + std::to_string(this->daemons.size() + 1)));
+  this->daemons.push_back(this->launch(this->daemons.size()));
   this->publish_host_list();
   return this->daemons.size() - 1;
 }
 
 void Site::replace_daemon(std::size_t daemon) {
   this->daemons[daemon].terminate();
-  this->daemons[daemon] = this->launch("host-" + std::to_string(daemon + 1));
+  this->daemons[daemon] = this->launch(daemon);
   this->publish_host_list();
 }
 
@@ -96,9 +105,9 @@
   for (std::size_t i = 0; i < this->daemons.size(); ++i) {
     hosts.push_back(json::object{
         {"name", "host-" + std::to_string(i + 1)},
-        {"peer_address",
-         "127.0.0.1:" + std::to_string(this->daemons[i].port("peer"))},
-        {"zone", "z1"},
+        {"peer_address", this->peer_address(i) + ":" +
+                             std::to_string(this->daemons[i].port("peer"))},
+        {"zone", this->zone(i)},
         {"leaving", false}});
   }
   (void)answer_of(http_call(this->platform_process.port(), "PUT", "/fake/hosts",
@@ -124,19 +133,23 @@
   return object_of(answer).at("objects").as_array().size();
 }
 
-void Site::leaf_config(const std::string& change) {
-  const auto answer = answer_of(
-      http_call(this->leafs.port("control"), "PUT", "/fake/leafs/*", change));
+void Site::leaf_config(const std::string& change, const std::string& leaf) {
+  const auto answer = answer_of(http_call(this->leafs.port("control"), "PUT",
+                                          "/fake/leafs/" + leaf, change));
   if (answer.status != kOk) {
     throw std::runtime_error(answer.body);
   }
 }
 
-std::map<std::string, std::size_t> Site::reservation_runs() {
+const std::string& Site::leaf_history() {
   (void)answer_of(
       http_call(this->leafs.port("control"), "POST", "/fake/flush"));
+  return this->history.name();
+}
+
+std::map<std::string, std::size_t> Site::reservation_runs() {
   std::map<std::string, std::size_t> runs;
-  std::ifstream file(this->history.name());
+  std::ifstream file(this->leaf_history());
   for (std::string line; std::getline(file, line);) {
     const json::value row = json::parse(line);
     if (row.at("kind").as_string() == "reserve") {
@@ -163,11 +176,13 @@
 
 bool Site::declare_service(std::size_t daemon) {
   const json::object& ports = this->leafs.ready_line().at("leafs").as_object();
+  std::size_t number = 0;
   for (const auto& [leaf, port] : ports) {
     this->declare(
         daemon, "backend_server:" + std::string(leaf),
-        json::serialize(json::object{
-            {"address", "127.0.0.1"}, {"port", port}, {"zone", "z1"}}));
+        json::serialize(json::object{{"address", "127.0.0.1"},
+                                     {"port", port},
+                                     {"zone", this->zone(number++)}}));
   }
   constexpr std::uint32_t kEnds[] = {0, 20'000, 40'000, 65'536};
   for (int i = 1; i <= 3; ++i) {
@@ -202,6 +217,14 @@
       .to_number<std::uint64_t>();
 }
 
+std::size_t Site::alive(std::size_t daemon) {
+  const json::object status = this->status(daemon);
+  const json::array& members = status.at("members").as_array();
+  return std::count_if(members.begin(), members.end(), [](const auto& member) {
+    return member.at("state").as_string() == "alive";
+  });
+}
+
 std::string Site::state(std::size_t daemon, const std::string& object) {
   const auto answer = this->operate(daemon, "GET", path_of(object) + "/status");
   const json::object body = object_of(answer);
@@ -210,6 +233,15 @@
                            : answer.body;
 }
 
+std::size_t Site::reached(std::size_t daemon, const std::string& object) {
+  const auto answer = this->operate(daemon, "GET", path_of(object) + "/status");
+  const json::value body = object_of(answer);
+  boost::system::error_code none;
+  const json::value* count =
+      body.find_pointer("/status/in_force/reached", none);
+  return count != nullptr ? count->to_number<std::size_t>() : 0;
+}
+
 std::int64_t Site::deadline_ms(std::size_t daemon, const std::string& service) {
   const auto answer = this->operate(daemon, "GET", "/v1/objects/query_service");
   const json::object body = object_of(answer);
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -15,6 +15,8 @@
 
 namespace ibismux::testing {
 
+class PeerCut;
+
 /// A small site out of real processes: the stand-ins for the platform and for
 /// three leafs, and daemons.
 ///
@@ -25,7 +27,9 @@
  public:
   static constexpr std::size_t kLeafs = 3;
 
-  explicit Site(std::vector<std::string> platform_arguments = {});
+  /// With `cut`, which must live longer, daemons reach each other through it.
+  /// Daemons and leafs take turns in the zones "z1" to "zN".
+  explicit Site(PeerCut* cut = nullptr, std::size_t zones = 1);
 
   /// @name Daemons
   /// @{
@@ -50,11 +54,13 @@
   [[nodiscard]] boost::json::object platform_stats();
   [[nodiscard]] std::size_t platform_object_count(
       const std::string& collection);
-  /// Changes all leafs: a JSON object.
-  void leaf_config(const std::string& change);
+  /// Changes one leaf, or all: a JSON object.
+  void leaf_config(const std::string& change, const std::string& leaf = "*");
   /// How often leafs ran, or began, a reservation, by its key. Those that are
   /// still running are not counted yet.
   [[nodiscard]] std::map<std::string, std::size_t> reservation_runs();
+  /// File of what the leafs ran, brought up to date.
+  [[nodiscard]] const std::string& leaf_history();
   /// @}
 
   /// @name Operators, through one daemon
@@ -73,9 +79,14 @@
 
   [[nodiscard]] boost::json::object status(std::size_t daemon);
   [[nodiscard]] std::uint64_t generation(std::size_t daemon);
+  /// How many daemons are alive, as `daemon` sees it.
+  [[nodiscard]] std::size_t alive(std::size_t daemon);
   /// State of one object: pending, accepted, rejected or absent.
   [[nodiscard]] std::string state(std::size_t daemon,
                                   const std::string& object);
+  /// On how many daemons an object is in force, as its status says on `daemon`.
+  [[nodiscard]] std::size_t reached(std::size_t daemon,
+                                    const std::string& object);
   bool wait_for_state(std::size_t daemon,
                       const std::string& object,
                       std::string_view state);
@@ -101,14 +112,18 @@
   /// @}
 
  private:
-  [[nodiscard]] Process launch(const std::string& member);
+  [[nodiscard]] Process launch(std::size_t daemon);
+  [[nodiscard]] std::string peer_address(std::size_t daemon) const;
+  /// Of the daemon or leaf that is the `i`th, from 0.
+  [[nodiscard]] std::string zone(std::size_t i) const;
   void publish_host_list();
 
+  PeerCut* const cut;
+  const std::size_t zones;
   TemporaryFile history;  ///< What the leafs ran.
   Process platform_process;
   Process leafs;
   std::vector<Process> daemons;
-  std::size_t launched = 0;
 };
 
 }  // namespace ibismux::testing
