Freeze each daemon while every key goes through all at once

Cause: the tests of reservations with real processes killed a daemon, but froze none, and sent a key through one daemon at a time.

Each of four daemons in turn gets SIGSTOP while ibismux-load sends every key through all four, until the others have replaced it, and SIGCONT then; as there are four buckets and three leafs, each entry, gateway and bucket owner is frozen once. The load's record and the leafs' are held to ibismux-check.

--- a/tests/process/reservation_failure_test.cc
+++ b/tests/process/reservation_failure_test.cc
@@ -1,7 +1,10 @@
 #include <boost/json/parse.hpp>
+#include <csignal>
 #include <future>
+#include <memory>
 
 #include "tests/process/declared_site.h"
+#include "tests/process/recorded_load.h"
 
 #include <criterion/criterion.h>
 
@@ -120,5 +123,36 @@
   cr_assert(runs.size() == 1 && runs.at(ticket) == 1);
 }
 
+// Symptom: an order runs twice, or is said not to have run though it did.
+// Sequence: every order is sent through all daemons at once. Each daemon in
+// turn is frozen in the middle of that, as entry, as gateway of its leafs and
+// as owner of its buckets, until the others have replaced it; then it goes on
+// with all that it had at hand.
+// Cause: a daemon that woke sent, or committed, what had been taken over.
+Test(reservation_failure, daemons_that_wake_double_no_key_sent_through_all) {
+  const std::vector<std::size_t> all{0, 1, 2, 3};
+  DeclaredSite site(all.size());
+  std::vector<std::unique_ptr<RecordedLoad>> loads;
+  for (const std::size_t frozen : all) {
+    cr_assert(site.come_to_see(all, all.size()));
+    const std::size_t before = site.reservation_runs().size();
+    loads.push_back(std::make_unique<RecordedLoad>(
+        site, all, 41 + static_cast<int>(frozen), 5, 1.0));
+    cr_assert(site.come_to_run(before + 10));
+    site.daemon(frozen).signal(SIGSTOP);
+    std::vector<std::size_t> others = all;
+    std::erase(others, frozen);
+    cr_assert(site.come_to_see(others, others.size()));
+    site.daemon(frozen).signal(SIGCONT);
+    cr_assert(loads.back()->end() > 0);
+  }
+  std::vector<std::string> files{site.leaf_history()};
+  for (const auto& load : loads) {
+    files.push_back(load->history());
+  }
+  const std::string violations = violations_in(files);
+  cr_assert(violations.empty(), "%s", violations.c_str());
+}
+
 }  // namespace
 }  // namespace ibismux
