Begin hedging after 30 calls of a service instead of 128

Cause: a service that each of seven daemons gets six queries a second of went without hedges for four to seven seconds after a start: no delay is known before 100 samples, and it was worked out at every 64th.

Change: 30 samples, and a new delay every 32.

--- a/apps/bench-policy/main.cc
+++ b/apps/bench-policy/main.cc
@@ -1,7 +1,7 @@
 // Measures the policies on virtual time, without sockets:
 //
 //     bench-policy
-//     [tail|calm|quantiles|loads|single|slow_leaf|refusals|flips|overload|door|cost|limits]
+//     [tail|calm|quantiles|loads|low_rate|single|slow_leaf|refusals|flips|overload|door|cost|limits]
 //     [--seed N]
 //
 // Prints one JSON object a scenario. But for `cost`, a run depends on its seed
@@ -27,6 +27,7 @@
     {"quantiles", ibismux::bench::run_quantiles},
     {"calm", ibismux::bench::run_calm},
     {"loads", ibismux::bench::run_loads},
+    {"low_rate", ibismux::bench::run_low_rate},
     {"single", ibismux::bench::run_single},
     {"slow_leaf", ibismux::bench::run_slow_leaf},
     {"refusals", ibismux::bench::run_refusals},
--- a/apps/bench-policy/scenario_tail.cc
+++ b/apps/bench-policy/scenario_tail.cc
@@ -12,6 +12,8 @@
 
 constexpr double kLoad = 0.4;  ///< Of the capacity.
 constexpr seconds kLength{30};
+/// Queries a second of a small service, over all daemons.
+constexpr double kLowRate = 40;
 
 double to_ms(Duration duration) {
   return std::chrono::duration<double, std::milli>(duration).count();
@@ -128,6 +130,18 @@
   return result;
 }
 
+object run_low_rate(std::uint64_t seed) {
+  const query::CheaperOfTwo cheaper;
+  object result;
+  for (const int length : {4, 30}) {
+    const ClusterSpec spec = spec_of(5, 0.05, seed);
+    SimCluster cluster(spec, cheaper);
+    result["seconds_" + std::to_string(length)] = summary(cluster.run(
+        {{"catalogue", kLowRate, Duration::zero(), seconds(length)}}));
+  }
+  return result;
+}
+
 object run_loads(std::uint64_t seed) {
   const query::CheaperOfTwo cheaper;
   object result;
--- a/apps/bench-policy/scenarios.h
+++ b/apps/bench-policy/scenarios.h
@@ -21,6 +21,9 @@
 /// Without slow calls, where hedges can help little.
 [[nodiscard]] boost::json::object run_calm(std::uint64_t seed);
 
+/// 1% of calls 20 times slow, at 6 queries a second and daemon.
+[[nodiscard]] boost::json::object run_low_rate(std::uint64_t seed);
+
 /// The first over the load, without and with hedges.
 [[nodiscard]] boost::json::object run_loads(std::uint64_t seed);
 
--- a/ibismux/query/latency_quantile.h
+++ b/ibismux/query/latency_quantile.h
@@ -16,7 +16,7 @@
 class LatencyQuantile {
  public:
   /// Until so many samples are in there is no quantile.
-  static constexpr std::uint32_t kFewestSamples = 100;
+  static constexpr std::uint32_t kFewestSamples = 30;
   static constexpr std::uint32_t kSamplesPerHalving = 8192;
 
   LatencyQuantile();
--- a/ibismux/query/service_policy.cc
+++ b/ibismux/query/service_policy.cc
@@ -8,8 +8,9 @@
 
 /// The most hedges that may be saved up.
 constexpr double kHedgeBurst = 25;
-/// The delay is worked out anew after so many samples.
-constexpr std::uint32_t kSamplesPerRefresh = 64;
+/// The delay is worked out anew after so many samples. A service that each
+/// daemon gets few queries of would otherwise go without hedges for seconds.
+constexpr std::uint32_t kSamplesPerRefresh = 32;
 /// What part of the budget the delay is meant to use up. With all of it gone,
 /// a straggler finds none left while calls that are only a little late have
 /// spent it.
