Let calls wait for the owners of a newer release

Cause: the router read the table in force and refused a leaf that it lacked, as if nobody owned it. The table is computed on a thread of its own, after the release is in force: a daemon that has just started, or that has just taken a release with new leafs, refused all calls to them until the thread was through. Each shard spent a retry token on a retry that ended the same way, and a daemon starts with ten.

Ruled out: an empty view (membership publishes the daemon itself before any release can arrive); the local gateway (it is told before the table is written).

Change: a batch with a leaf that an older table lacks waits for the table of the release in force, once; cancels reach it meanwhile.

Not shown: that this is the cause of queries refused after a daemon was killed.

--- a/ibismux/gateway/direct_ownership.cc
+++ b/ibismux/gateway/direct_ownership.cc
@@ -13,7 +13,7 @@
 std::shared_ptr<const OwnershipTable> DirectOwnership::assign(
     const release::Release& release,
     const membership::MembershipView& view) const {
-  OwnershipBuilder builder(view, release.leafs.size());
+  OwnershipBuilder builder(release, view);
   const auto self = std::find_if(
       view.members.begin(), view.members.end(),
       [&](const membership::Member& m) { return m.name == view.self; });
--- a/ibismux/gateway/gateway_ownership.cc
+++ b/ibismux/gateway/gateway_ownership.cc
@@ -167,7 +167,7 @@
       own_zone(zones, zone, owners);
     }
   }
-  OwnershipBuilder builder(view, release.leafs.size());
+  OwnershipBuilder builder(release, view);
   std::vector<LeafOwner> list;
   for (std::size_t i = 0; i < owners.size(); ++i) {
     list.clear();
--- a/ibismux/gateway/ownership_builder.cc
+++ b/ibismux/gateway/ownership_builder.cc
@@ -4,12 +4,15 @@
 
 #include "ibismux/gateway/connection_share.h"
 #include "ibismux/membership/membership_view.h"
+#include "ibismux/release/release.h"
 
 namespace ibismux::gateway {
 
-OwnershipBuilder::OwnershipBuilder(const membership::MembershipView& view,
-                                   std::size_t leafs)
+OwnershipBuilder::OwnershipBuilder(const release::Release& release,
+                                   const membership::MembershipView& view)
     : table(std::make_shared<OwnershipTable>()) {
+  const std::size_t leafs = release.leafs.size();
+  this->table->generation = release.generation;
   this->table->self = view.self;
   this->table->members.reserve(view.members.size());
   this->table->leafs.reserve(leafs);
--- a/ibismux/gateway/ownership_builder.h
+++ b/ibismux/gateway/ownership_builder.h
@@ -7,6 +7,7 @@
 
 #include "ibismux/gateway/ownership_table.h"
 #include "ibismux/membership/forward.h"
+#include "ibismux/release/forward.h"
 
 namespace ibismux::gateway {
 
@@ -14,8 +15,9 @@
 class OwnershipBuilder {
  public:
   /// Members keep the positions that they have in `view`.
-  /// @param leafs How many will be added, about.
-  OwnershipBuilder(const membership::MembershipView& view, std::size_t leafs);
+  /// @param release Whose leafs will be added.
+  OwnershipBuilder(const release::Release& release,
+                   const membership::MembershipView& view);
 
   /// The next leaf, with its owners in order; those without connections are
   /// left out.
--- a/ibismux/gateway/ownership_table.h
+++ b/ibismux/gateway/ownership_table.h
@@ -8,6 +8,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "ibismux/base/ids.h"
+
 namespace ibismux::gateway {
 
 /// One daemon that may hold connections to a leaf.
@@ -21,6 +23,7 @@
 /// Which daemons reach which leafs, as one daemon sees it. Immutable once it is
 /// published; read through `RcuCell<OwnershipTable>`.
 struct OwnershipTable {
+  Generation generation = 0;         ///< Of the release it was computed from.
   std::string self;                  ///< The member that computed it.
   std::vector<std::string> members;  ///< Names, in order.
   std::vector<std::string> leafs;    ///< Names, in the release's order.
--- a/ibismux/gateway/router.cc
+++ b/ibismux/gateway/router.cc
@@ -3,6 +3,7 @@
 #include <prometheus/counter.h>
 #include <prometheus/histogram.h>
 
+#include <algorithm>
 #include <chrono>
 #include <condition_variable>
 #include <mutex>
@@ -13,6 +14,7 @@
 #include "ibismux/gateway/ownership_table.h"
 #include "ibismux/gateway/remote_gateway.h"
 #include "ibismux/gateway/routed_batch.h"
+#include "ibismux/gateway/waiting_batches.h"
 #include "ibismux/membership/membership_view.h"
 #include "ibismux/release/release.h"
 
@@ -59,14 +61,45 @@
     this->wake.notify_one();
   }
 
+  void call(WaitingBatches::Entry entry) {
+    auto table = this->table.read();
+    entry.generation = this->releases.read()->generation;
+    if (table->generation < entry.generation && lacks_owners(*table, entry)) {
+      this->waiting.add(std::move(entry));
+      // The table that the entry waits for may have been computed since: with
+      // no further one it would wait for ever.
+      this->refresh();
+      return;
+    }
+    this->send(std::move(table), std::move(entry));
+  }
+
   const RcuCell<release::Release>& releases;
   const RcuCell<membership::MembershipView>& members;
   LocalGateway& local;
   RemoteGateway* remote;
   std::unique_ptr<OwnershipStrategy> strategy;
   RcuCell<OwnershipTable> table;
+  WaitingBatches waiting;
 
  private:
+  static bool lacks_owners(const OwnershipTable& table,
+                           const WaitingBatches::Entry& entry) {
+    return std::any_of(entry.batch.items.begin(), entry.batch.items.end(),
+                       [&](const LeafCallBatch::Item& item) {
+                         return table.owners_of(item.leaf).empty();
+                       });
+  }
+
+  void send(std::shared_ptr<const OwnershipTable> owners,
+            WaitingBatches::Entry entry) {
+    std::make_shared<RoutedBatch>(
+        RoutedBatch::Routes{this->local, this->remote, std::move(owners)},
+        std::move(entry.batch), std::move(entry.executor),
+        std::move(entry.sink))
+        ->send();
+  }
+
   void work() {
     while (this->wait_for_change()) {
       const TimePoint started = Clock::now();
@@ -79,6 +112,10 @@
       // else find no share and go on to the next owner.
       this->local.apply(*release, *fresh);
       this->table.write(fresh);
+      for (WaitingBatches::Entry& entry :
+           this->waiting.take(fresh->generation)) {
+        this->send(fresh, std::move(entry));
+      }
     }
   }
 
@@ -127,14 +164,11 @@
 void Router::call(LeafCallBatch batch,
                   boost::asio::any_io_executor executor,
                   Sink sink) {
-  RoutedBatch::Routes routes{this->impl->local, this->impl->remote,
-                             this->impl->table.read()};
-  std::make_shared<RoutedBatch>(std::move(routes), std::move(batch),
-                                std::move(executor), std::move(sink))
-      ->send();
+  this->impl->call({0, std::move(batch), std::move(executor), std::move(sink)});
 }
 
 void Router::cancel(std::vector<CallId> calls) {
+  this->impl->waiting.cancel(calls);
   if (this->impl->remote != nullptr) {
     this->impl->remote->cancel(calls);
   }
--- a/ibismux/gateway/router.h
+++ b/ibismux/gateway/router.h
@@ -14,7 +14,9 @@
 
 namespace ibismux::gateway {
 
-/// Sends each call to the daemon that owns its leaf, which may be this one.
+/// Sends each call to the daemon that owns its leaf, which may be this one. A
+/// call whose leaf came with a release that the owners are still computed for
+/// waits until they are.
 ///
 /// All methods are thread safe.
 class Router : public LeafCaller {
--- a/tests/gateway/router_test.cc
+++ b/tests/gateway/router_test.cc
@@ -18,6 +18,38 @@
 using testing::FakeLeaf;
 using testing::FakePeers;
 
+/// Computes nothing while it is held: as where a release has just come, and the
+/// table for it takes its time.
+class HeldOwnership : public OwnershipStrategy {
+ public:
+  struct Latch {
+    std::mutex mutex;
+    std::condition_variable opened;
+    bool held = false;
+
+    void hold(bool now) {
+      std::lock_guard lock(this->mutex);
+      this->held = now;
+      this->opened.notify_all();
+    }
+  };
+
+  explicit HeldOwnership(Latch& latch)
+      : latch(latch), inner(make_ownership("gateway")) {}
+
+  [[nodiscard]] std::shared_ptr<const OwnershipTable> assign(
+      const release::Release& release,
+      const membership::MembershipView& view) const override {
+    std::unique_lock lock(this->latch.mutex);
+    this->latch.opened.wait(lock, [this] { return !this->latch.held; });
+    return this->inner->assign(release, view);
+  }
+
+ private:
+  Latch& latch;
+  std::unique_ptr<OwnershipStrategy> inner;
+};
+
 /// One daemon: gateways and router over a view that the test sets.
 class Daemon {
  public:
@@ -32,7 +64,7 @@
                this->members,
                this->local,
                &this->remote,
-               make_ownership("gateway"),
+               std::make_unique<HeldOwnership>(this->latch),
                this->metrics) {
     this->pool.start();
   }
@@ -41,7 +73,19 @@
   /// @return Whether the router took the view up.
   [[nodiscard]] bool see(std::vector<release::BackendServer> leafs,
                          const std::vector<std::string>& names) {
+    const std::size_t count = leafs.size();
+    this->tell(std::move(leafs), names);
+    return eventually([&] {
+      const auto table = this->router.ownership().read();
+      return table->members == names && table->leafs.size() == count;
+    });
+  }
+
+  /// The next release, and a view.
+  void tell(std::vector<release::BackendServer> leafs,
+            const std::vector<std::string>& names) {
     auto release = std::make_shared<release::Release>();
+    release->generation = this->releases.read()->generation + 1;
     release->leafs = std::move(leafs);
     auto view = std::make_shared<membership::MembershipView>();
     view->self = this->peers.self().member;
@@ -51,11 +95,6 @@
     this->releases.write(release);
     this->members.write(view);
     this->router.refresh();
-    return eventually([&] {
-      const auto table = this->router.ownership().read();
-      return table->members == names &&
-             table->leafs.size() == release->leafs.size();
-    });
   }
 
   void call(Answers& answers, std::size_t count, const std::string& leaf) {
@@ -71,6 +110,7 @@
                       answers.sink());
   }
 
+  HeldOwnership::Latch latch;
   IoPool pool;
   prometheus::Registry metrics;
   FakePeers peers;
@@ -114,6 +154,18 @@
   return 0;
 }
 
+/// Has `daemon` call `name` `count` times after a release brought the leaf
+/// "fresh", and before its owners are known.
+void call_too_early(Daemon& daemon,
+                    const FakeLeaf& leaf,
+                    Answers& answers,
+                    std::size_t count,
+                    const std::string& name = "fresh") {
+  daemon.latch.hold(true);
+  daemon.tell({leaf.object("fresh")}, {"a"});
+  daemon.call(answers, count, name);
+}
+
 bool all_answered(Answers& answers) {
   for (std::size_t i = 0; i < answers.size(); ++i) {
     if (!answers[i].body) {
@@ -177,6 +229,50 @@
   cr_assert(all_answered(answers));
 }
 
+// Symptom: calls to leafs of the newest release are refused as if nobody owned
+// them.
+// Sequence: a daemon starts, or a release brings new leafs: it is in force, and
+// queries name its leafs, while their owners are still being computed.
+// Cause: the older table was taken for the whole truth. Each shard spent a
+// token on a retry that ended the same way; a daemon that has just started has
+// ten.
+Test(router, calls_wait_for_the_table_of_a_newer_release) {
+  FakeLeaf leaf;
+  Daemon a("a");
+  Answers answers;
+  call_too_early(a, leaf, answers, 6);
+  a.latch.hold(false);
+  cr_assert(answers.wait(6));
+  cr_assert(all_answered(answers));
+}
+
+Test(router, call_that_waits_for_a_table_is_cancelled_not_run) {
+  FakeLeaf leaf;
+  Daemon a("a");
+  Answers answers;
+  call_too_early(a, leaf, answers, 2);
+  a.router.cancel({{7, 1}});
+  cr_assert(answers.wait(1));
+  cr_assert(answers[0].id.sequence == 1);
+  cr_assert(answers[0].body.error().kind == ErrorKind::kCancelled);
+  cr_assert(answers[0].body.error().execution == Execution::kNotRun);
+  a.latch.hold(false);
+  cr_assert(answers.wait(2));
+  cr_assert(answers[1].body.has_value());
+  cr_assert(leaf.count("/v1/query") == 1);
+}
+
+Test(router, call_waits_for_one_table_only) {
+  FakeLeaf leaf;
+  Daemon a("a");
+  Answers answers;
+  call_too_early(a, leaf, answers, 1, "unknown");
+  a.latch.hold(false);
+  cr_assert(answers.wait(1));
+  cr_assert(answers[0].body.error().kind == ErrorKind::kLeafUnavailable);
+  cr_assert(answers[0].body.error().execution == Execution::kNotRun);
+}
+
 Test(router, leaf_that_nobody_owns_is_refused_not_run) {
   Daemon a("a");
   Answers answers;
