Send queries that waited for a failed dial to the next owner

Cause: the first call to a gateway that is gone starts a dial, and all that come until it fails wait for it. They ended as if the gateway might have run them, so each took a token of the query's retry budget; only calls that came during the back-off went to the next owner. The doubling back-off repeats this until the view changes.

Ruled out: the loss of the connection itself (calls in flight end once, and their retry meets another replica).

Change: where no incarnation was reached, a query ends as not sent, and the router passes it to the next rank. A reservation stays open in its outcome: the peer may hold it from a connection that both sides agreed to close.

--- a/ibismux/gateway/remote_gateway.cc
+++ b/ibismux/gateway/remote_gateway.cc
@@ -48,6 +48,31 @@
 
 }  // namespace
 
+/// The end of a call that its gateway did not get.
+LeafAnswer unsent_answer(const CallId& id, const Batch& batch) {
+  return {id,
+          tl::unexpected(not_run(ErrorKind::kPeerUnavailable,
+                                 batch->member + ": not sent")),
+          {},
+          {}};
+}
+
+/// The end of a call whose gateway `lost` is gone.
+LeafAnswer lost_answer(const CallId& id,
+                       const Batch& batch,
+                       const Incarnation& lost) {
+  // No incarnation was reached: a dial failed that frames waited for. The next
+  // owner may have the query at once; else it would take a retry token, and
+  // with none left fail though its leaf and two stand-bys are there. Notice:
+  // retries rise with each failed dial. A query may be sent again whatever
+  // became of it; a reservation may not, for the peer may hold it from a
+  // connection that both sides agreed to close.
+  const bool dial_failed = lost.number == 0;
+  return dial_failed && batch->kind == LeafCallKind::kQuery
+             ? unsent_answer(id, batch)
+             : unanswered(id, batch, ErrorKind::kPeerUnavailable);
+}
+
 class RemoteGateway::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(IoPool& pool,
@@ -139,12 +164,7 @@
     std::vector<LeafAnswer> answers;
     for (const CallId& id : batch->ids) {
       if (this->calls.take(id, batch->member)) {
-        answers.push_back(
-            {id,
-             tl::unexpected(not_run(ErrorKind::kPeerUnavailable,
-                                    batch->member + ": not sent")),
-             {},
-             {}});
+        answers.push_back(unsent_answer(id, batch));
       }
     }
     if (answers.size() == batch->ids.size()) {
@@ -224,8 +244,7 @@
   void on_lost(const Incarnation& from) {
     std::map<Batch, std::vector<LeafAnswer>> by_batch;
     for (const auto& [id, batch] : this->calls.take_all(from.member)) {
-      by_batch[batch].push_back(
-          unanswered(id, batch, ErrorKind::kPeerUnavailable));
+      by_batch[batch].push_back(lost_answer(id, batch, from));
       this->lost->Increment();
     }
     for (auto& [batch, list] : by_batch) {
--- a/tests/gateway/fake_peers.h
+++ b/tests/gateway/fake_peers.h
@@ -95,6 +95,16 @@
 
   void lose(const std::string& member) { this->lost({member, 1}); }
 
+  /// The dial that withheld frames waited for fails: they are dropped.
+  void fail_dial(const std::string& member) {
+    {
+      std::lock_guard lock(this->mutex);
+      this->withheld.clear();
+      this->cut = true;
+    }
+    this->lost({member, 0});
+  }
+
   [[nodiscard]] int frames(peer::MessageKind kind) {
     std::lock_guard lock(this->mutex);
     return this->sent[kind];
--- a/tests/gateway/remote_gateway_test.cc
+++ b/tests/gateway/remote_gateway_test.cc
@@ -178,6 +178,18 @@
                             Execution::kUnknown));
 }
 
+// A peer may still hold what was sent on a connection that both sides agreed to
+// close, so a failed dial says nothing certain of a reservation.
+Test(remote_gateway, failed_dial_leaves_the_outcome_of_reservations_open) {
+  Pair pair;
+  Answers reservations;
+  cr_assert(pair.call(reservations, 1, LeafCallKind::kReservation));
+  pair.entry_peers.fail_dial("gateway");
+  cr_assert(reservations.wait(1));
+  cr_assert(all_failed_with(reservations, ErrorKind::kOutcomeUnknown,
+                            Execution::kUnknown));
+}
+
 // Symptom: a query gets one answer twice, or another query's.
 // Events: a gateway answers after it was given up, or twice.
 // Cause: an answer was delivered without checking that its call still waits.
--- a/tests/gateway/router_test.cc
+++ b/tests/gateway/router_test.cc
@@ -92,8 +92,11 @@
     for (const std::string& name : names) {
       view->members.push_back({name, 1, "", 0, "", {}});
     }
-    this->releases.write(release);
+    // In this order, as in the daemon, which is in its own view before a
+    // release can reach it: a table of the new release over a view without
+    // members, which the router may compute between the two, has no owners.
     this->members.write(view);
+    this->releases.write(release);
     this->router.refresh();
   }
 
@@ -212,6 +215,27 @@
   cr_assert(all_answered(answers));
 }
 
+// Symptom: after a daemon was killed, queries spend the retry budget on its
+// leafs though stand-bys are there; with none left they fail.
+// Sequence: the connection to the gateway is gone; a call starts a dial and
+// waits for it; the dial fails.
+// Cause: the call ended like one that the gateway may have run. Only calls that
+// came while the next dial had to wait went to the next owner.
+Test(router, queries_that_waited_for_a_failed_dial_go_to_the_next_owner) {
+  const std::vector<std::string> names = {"a", "b"};
+  FakeLeaf leaf;
+  Daemon a("a");
+  Daemon b("b");
+  a.peers.connect(b.peers);
+  cr_assert(a.see(leafs_of(leaf), names));
+  a.peers.withhold(true);
+  Answers answers;
+  a.call(answers, 5, leaf_owned_by("b", a.router));
+  a.peers.fail_dial("b");
+  cr_assert(answers.wait(5));
+  cr_assert(all_answered(answers));
+}
+
 // Symptom: calls fail while two daemons' views differ.
 // Events: the entry's view names an owner that holds no share in its own view.
 // Cause: the owner's refusal was final although another one may serve.
