Split what a leaf can take from its channel

The limit, the health and the typical time of a leaf are one decision without sockets: LeafCapacity.

--- a/ibismux/gateway/leaf_channel.cc
+++ b/ibismux/gateway/leaf_channel.cc
@@ -3,9 +3,7 @@
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <cmath>
 
-#include "ibismux/gateway/aimd_limit.h"
 #include "ibismux/gateway/call_group.h"
 #include "ibismux/gateway/refusal.h"
 
@@ -15,13 +13,10 @@
 
 using backend::LeafSignal;
 
-constexpr int kAverageOver = 16;
 /// A stand-by's connections close after this long without a call.
 constexpr Duration kLinger = std::chrono::seconds(10);
 /// How long after its deadline a leaf may take to stop a call by itself.
 constexpr Duration kStopPatience = std::chrono::milliseconds(50);
-/// The least that a refused caller is told to wait.
-constexpr std::chrono::milliseconds kLeastRetryAfter{50};
 
 }  // namespace
 
@@ -32,7 +27,7 @@
       context(std::move(shared)),
       calls(std::move(calls)),
       queue(this->context->settings.queued_per_slot),
-      health(this->context->settings, this->context->ejections),
+      capacity(this->context->settings, this->context->ejections),
       pool(std::make_shared<LeafPool>(loop, this->context)),
       timer(loop) {}
 
@@ -40,26 +35,21 @@
                             std::size_t share,
                             bool warm) {
   const TimePoint now = Clock::now();
-  if (!this->limit) {
-    this->limit = std::make_unique<AimdLimit>(
-        fresh.slots, this->context->settings.most_limit_per_slot);
-    this->pool->on_change([weak = this->weak_from_this()] {
-      if (const auto self = weak.lock()) {
-        self->pump();
-      }
-    });
-  }
+  this->pool->on_change([weak = this->weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->pump();
+    }
+  });
   this->leaf = fresh;
   this->keep_warm = warm;
   this->retired = false;
-  this->limit->declare(fresh.slots);
+  this->capacity.declare(fresh.slots, fresh.leaving);
   this->queue.resize(this->context->settings.queued_per_slot *
                      std::max<std::size_t>(fresh.slots, 1));
-  this->health.declare(fresh.leaving);
   this->pool->configure(fresh, share);
   this->update_wanted();
   this->report_limit();
-  if (this->health.state(now) == LeafState::kLeaving) {
+  if (this->capacity.state(now) == LeafState::kLeaving) {
     this->refuse_all(RefuseReason::kLeaving, now);
   }
 }
@@ -86,11 +76,8 @@
     return;
   }
   this->last_demand = now;
-  const Duration pace = std::chrono::duration_cast<Duration>(
-      this->typical / std::max(1.0, this->limit->limit()));
-  const Duration service =
-      this->typical / 4;  // A call may well be quicker than most.
-  LeafQueue::Offer offer = this->queue.offer(call, now, pace, service);
+  LeafQueue::Offer offer = this->queue.offer(call, now, this->capacity.pace(),
+                                             this->capacity.service());
   if (offer.verdict != LeafQueue::Verdict::kQueued) {
     this->refuse(call,
                  offer.verdict == LeafQueue::Verdict::kFull
@@ -124,7 +111,7 @@
 }
 
 void LeafChannel::tick(TimePoint now) {
-  this->health.tick(now);
+  this->capacity.tick(now);
   this->stop_overdue(now);
   this->pool->trim();
   this->see_restart(now);
@@ -135,7 +122,7 @@
 }
 
 void LeafChannel::report_limit() {
-  const double now = this->retired ? 0 : this->limit->limit();
+  const double now = this->retired ? 0 : this->capacity.limit();
   this->context->metrics.limit_changed(now - this->reported_limit);
   this->reported_limit = now;
 }
@@ -144,10 +131,9 @@
   if (!this->pool->take_reopened()) {
     return;
   }
-  this->limit->on_cold();
   const bool ready =
       this->pool->health().state != backend::LeafHealth::State::kDraining;
-  this->health.on_restart(ready, now);
+  this->capacity.on_restart(ready, now);
 }
 
 bool LeafChannel::retired_and_finished() const noexcept {
@@ -160,8 +146,8 @@
   status.leaf = this->leaf.name;
   status.state = this->retired               ? LeafState::kRetired
                  : this->pool->unreachable() ? LeafState::kUnreachable
-                                             : this->health.state(now);
-  status.limit = this->limit ? this->limit->limit() : 0;
+                                             : this->capacity.state(now);
+  status.limit = this->capacity.limit();
   status.in_flight = this->running.size();
   status.queued = this->queue.size();
   status.connections = this->pool->connections();
@@ -173,7 +159,7 @@
   if (this->retired) {
     return RefuseReason::kNoShare;
   }
-  const LeafState state = this->health.state(now);
+  const LeafState state = this->capacity.state(now);
   if (state == LeafState::kLeaving) {
     return RefuseReason::kLeaving;
   }
@@ -191,10 +177,7 @@
                          TimePoint now) {
   Error error = refusal(reason, this->leaf.name);
   if (error.kind == ErrorKind::kOverloaded) {
-    const double ahead = static_cast<double>(this->queue.size());
-    const auto wait = std::chrono::duration_cast<std::chrono::milliseconds>(
-        this->typical * ahead / std::max(1.0, this->limit->limit()));
-    error.retry_after = std::max(wait, kLeastRetryAfter);
+    error.retry_after = this->capacity.retry_after(this->queue.size());
   }
   this->context->metrics.refused(reason);
   this->calls->erase(call.id);
@@ -215,7 +198,8 @@
   if (const auto reason = this->closed_for(now)) {
     this->refuse_all(*reason, now);
   }
-  while (!this->queue.empty() && this->running.size() < this->most_running()) {
+  while (!this->queue.empty() &&
+         this->running.size() < this->capacity.most_running(now)) {
     LeafPool::Connection connection = this->pool->take();
     if (!connection) {
       break;
@@ -282,32 +266,14 @@
 void LeafChannel::learn(const backend::LeafReply& reply,
                         Duration leaf_time,
                         TimePoint now) {
-  switch (reply.signal) {
-    case LeafSignal::kAnswered:
-      this->typical =
-          this->typical == Duration::zero()
-              ? leaf_time
-              : this->typical + (leaf_time - this->typical) / kAverageOver;
-      this->limit->on_answer(leaf_time, this->running.size() + 1, now);
-      break;
-    case LeafSignal::kOverloaded:
-      this->limit->on_overload(now);
-      break;
-    case LeafSignal::kWarming:
-      this->limit->on_cold();
-      break;
-    case LeafSignal::kForeign:
-      this->context->metrics.dropped(DropReason::kForeign);
-      break;
-    case LeafSignal::kLost:
-      this->context->metrics.dropped(DropReason::kTruncated);
-      break;
-    default:
-      break;
+  if (reply.signal == LeafSignal::kForeign) {
+    this->context->metrics.dropped(DropReason::kForeign);
+  } else if (reply.signal == LeafSignal::kLost) {
+    this->context->metrics.dropped(DropReason::kTruncated);
   }
-  if (this->health.on_reply(reply, now)) {
+  if (this->capacity.on_reply(reply, leaf_time, this->running.size() + 1,
+                              now)) {
     this->context->metrics.ejected();
-    this->limit->on_cold();
   }
 }
 
@@ -374,31 +340,24 @@
 }
 
 void LeafChannel::update_wanted() {
-  if (this->retired || !this->limit) {
+  if (this->retired) {
     return;
   }
   const TimePoint now = Clock::now();
   const bool in_use = !this->queue.empty() || !this->running.empty() ||
                       now - this->last_demand < kLinger;
-  const LeafState state = this->health.state(now);
+  const LeafState state = this->capacity.state(now);
   if (state == LeafState::kLeaving) {
     // One connection shows when the leaf's process goes; the next is opened
     // only when what it says of itself no longer lags behind its leaving.
     const bool too_early =
-        this->pool->lost_all() && !this->health.may_return(now);
+        this->pool->lost_all() && !this->capacity.may_return(now);
     this->pool->want(too_early ? 0 : 1);
     return;
   }
   const std::size_t calls =
-      std::max(this->most_running(), this->running.size());
+      std::max(this->capacity.most_running(now), this->running.size());
   this->pool->want(this->keep_warm || in_use ? calls : 0);
 }
 
-std::size_t LeafChannel::most_running() const noexcept {
-  const double most = this->health.state(Clock::now()) == LeafState::kWarming
-                          ? 1.0
-                          : this->limit->limit();
-  return static_cast<std::size_t>(std::max(1.0, std::floor(most)));
-}
-
 }  // namespace ibismux::gateway
--- a/ibismux/gateway/leaf_channel.h
+++ b/ibismux/gateway/leaf_channel.h
@@ -12,9 +12,8 @@
 #include "ibismux/backend/leaf_request.h"
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
-#include "ibismux/gateway/concurrency_limit.h"
 #include "ibismux/gateway/gateway_context.h"
-#include "ibismux/gateway/leaf_health_policy.h"
+#include "ibismux/gateway/leaf_capacity.h"
 #include "ibismux/gateway/leaf_pool.h"
 #include "ibismux/gateway/leaf_queue.h"
 #include "ibismux/gateway/leaf_status.h"
@@ -83,7 +82,6 @@
   void see_restart(TimePoint now);
   void report_limit();
   void update_wanted();
-  [[nodiscard]] std::size_t most_running() const noexcept;
 
   boost::asio::io_context& loop;
   std::shared_ptr<GatewayContext> context;
@@ -93,12 +91,10 @@
   bool keep_warm = false;
   bool retired = false;
   LeafQueue queue;
-  std::unique_ptr<ConcurrencyLimit> limit;
-  LeafHealthPolicy health;
+  LeafCapacity capacity;
   std::shared_ptr<LeafPool> pool;
 
   RunningCalls running;
-  Duration typical{};  ///< Moving average of leaf times.
   TimePoint last_demand{};
   double reported_limit = 0;  ///< What the metrics say now.
   boost::asio::steady_timer timer;
