Take generators that heed every bit of their seed

Cause: pcg64_fast ignores the two low bits of its seed. Four queries in a row chose the same replicas; both threads of the load tool sent the same arrivals, so that each request came twice at one instant; leafs of the stand-in drew their stragglers in groups of up to four. The editor desk's p99 of 277 ms in bajio was such a group of stragglers meeting one service.

Two tests that failed first: queries in a row choose replicas apart, and seeds that follow each other give other arrivals.

--- a/apps/ibismux-load/arrivals.h
+++ b/apps/ibismux-load/arrivals.h
@@ -35,7 +35,7 @@
 
   const Experiment& experiment;
   double share;
-  pcg64_fast random;
+  pcg64 random;
   std::size_t phase = 0;
   Duration now{0};
   Duration phase_end{0};
--- a/apps/ibismux-load/balancer.h
+++ b/apps/ibismux-load/balancer.h
@@ -65,7 +65,7 @@
 
   std::vector<Daemon> daemons;
   bool random_order;
-  pcg64_fast random;
+  pcg64 random;
   std::size_t turn = 0;
 };
 
--- a/apps/ibismux-load/worker.h
+++ b/apps/ibismux-load/worker.h
@@ -68,7 +68,7 @@
   Balancer balancer;
   Arrivals arrivals;
   Recorder recorder;
-  pcg64_fast random;
+  pcg64 random;
   TimePoint begin;
   std::uint64_t sequence = 0;
   std::size_t open_tasks = 0;
--- a/ibismux/query/gather.h
+++ b/ibismux/query/gather.h
@@ -149,7 +149,7 @@
 
   GatherPlan plan;
   GatherPolicies policies;
-  pcg64_fast random;
+  pcg64 random;
   Pin pinned;
   std::uint64_t first_sequence = 0;
   std::vector<Call> calls;  ///< At their sequence less `first_sequence`.
--- a/standins/leaf/leaf.h
+++ b/standins/leaf/leaf.h
@@ -92,7 +92,7 @@
   boost::asio::io_context& loop;
   History& history;
   boost::asio::ip::tcp::acceptor acceptor;
-  pcg64_fast random;
+  pcg64 random;
   Clock::time_point cold_since{};
   std::size_t running = 0;
   std::deque<Call*> waiting;
--- a/tests/load/arrivals_test.cc
+++ b/tests/load/arrivals_test.cc
@@ -46,8 +46,10 @@
   return counts;
 }
 
-std::vector<Arrival> all(const Experiment& experiment, double share) {
-  Arrivals arrivals(experiment, share, kSeed);
+std::vector<Arrival> all(const Experiment& experiment,
+                         double share,
+                         std::uint64_t seed = kSeed) {
+  Arrivals arrivals(experiment, share, seed);
   std::vector<Arrival> list;
   while (const auto arrival = arrivals.next()) {
     list.push_back(*arrival);
@@ -99,3 +101,13 @@
   const std::vector<Arrival> list = all(experiment, 1);
   cr_assert(list.front().at >= std::chrono::seconds(20));
 }
+
+/// Symptom: every request of a load is sent twice at the same instant.
+/// Sequence: two threads take seeds that follow each other.
+/// Cause: a generator that ignores the two low bits of its seed.
+Test(arrivals, seeds_that_follow_each_other_give_other_arrivals) {
+  const std::vector<Arrival> one = all(two_services(), 1, 1000);
+  const std::vector<Arrival> next = all(two_services(), 1, 1001);
+  cr_assert(!one.empty() && !next.empty());
+  cr_assert(one.front().at != next.front().at);
+}
--- a/tests/query/gather_test.cc
+++ b/tests/query/gather_test.cc
@@ -11,6 +11,31 @@
   return pin_of(release_of(1, snapshot_of("n1", 1, shards, replicas)));
 }
 
+/// The leaf of each shard's first call.
+std::vector<std::uint32_t> first_leafs(std::uint64_t seed) {
+  const RandomReplica replicas;
+  ServicePolicy service(0.95, 0.05);
+  FractionBudget retries(100);
+  Gather gather(
+      {DeadlinePolicy(GatherFixture::at(1000), std::nullopt, 1.0), 10, seed},
+      {replicas, service, retries});
+  gather.start(usual_pin(64, 3), GatherFixture::kFirst, GatherFixture::at(0));
+  std::vector<std::uint32_t> leafs;
+  for (const GatherCall& call : gather.take_starts()) {
+    leafs.push_back(call.leaf);
+  }
+  return leafs;
+}
+
+/// Symptom: some leafs get four calls at once while others idle.
+/// Sequence: queries take seeds that follow each other.
+/// Cause: a generator that ignores the two low bits of its seed, so that four
+/// queries in a row choose the same replicas.
+Test(gather, queries_in_a_row_choose_replicas_apart) {
+  cr_assert(first_leafs(8) != first_leafs(9));
+  cr_assert(first_leafs(8) == first_leafs(8));
+}
+
 Test(gather, the_whole_answer_names_every_shard) {
   GatherFixture query(usual_pin(3, 1));
   cr_assert(query.started.size() == 3);
