--- a/apps/bench-control-sim/main.cc
+++ b/apps/bench-control-sim/main.cc
@@ -34,7 +34,7 @@
   std::size_t daemons = 0;
   double idle_bytes = 0;  // Each a second and daemon, sent and received.
   double busy_bytes = 0;
-  double release_bytes = 0;
+  double release_bytes = 0;  // At exactly the planned pace.
   double platform_reads = 0;
   double reset_ms = 0;   // Until all suspect a killed daemon.
   double silent_ms = 0;  // Until all take a silent one for failed.
@@ -61,12 +61,15 @@
 }
 
 /// Restarts and changes at the planned pace per daemon and fleet.
-void run_busy(SimFleet& fleet, std::size_t daemons) {
+/// @return How many changes there were, of the planned that are no whole
+/// number.
+int run_busy(SimFleet& fleet, std::size_t daemons) {
   const double restarts = kRestartsADay / kDaysSeconds *
                           static_cast<double>(daemons) / kPlannedDaemons;
   const double changes = kChangesADay / kDaysSeconds;
   double restart_due = 0;
   double change_due = 0;
+  int published = 0;
   for (auto passed = 0s; passed < kMeasured; passed += 1s) {
     restart_due += restarts;
     change_due += changes;
@@ -84,15 +87,19 @@
     }
     if (change_due >= 1) {
       change_due -= 1;
+      ++published;
       fleet.publish(fleet.random(daemons));
     }
   }
+  return published;
 }
 
-Row measure(std::size_t daemons) {
+Row measure(std::size_t daemons, std::size_t head, std::size_t chunk) {
   Row row;
   row.daemons = daemons;
   SimFleet fleet(daemons, daemons < 100 ? 3 : 16, 1);
+  fleet.head_bytes = head;
+  fleet.chunk_bytes = chunk;
   if (daemons > kMostColdStart) {
     fleet.introduce_all();
   }
@@ -112,14 +119,17 @@
       per_daemon_second(busy.membership_bytes + busy.relay_bytes -
                             idle.membership_bytes - idle.relay_bytes,
                         daemons);
-  run_busy(fleet, daemons);
+  const double published = run_busy(fleet, daemons);
+  const double planned = kChangesADay / kDaysSeconds *
+                         std::chrono::duration<double>(kMeasured).count();
   const SimCounts& end = fleet.counts();
   row.busy_bytes =
       per_daemon_second(end.membership_bytes + end.relay_bytes -
                             busy.membership_bytes - busy.relay_bytes,
                         daemons);
   row.release_bytes =
-      per_daemon_second(end.release_bytes - busy.release_bytes, daemons);
+      per_daemon_second(end.release_bytes - busy.release_bytes, daemons) *
+      planned / published;
   row.platform_reads =
       static_cast<double>(end.platform_reads - busy.platform_reads) /
       std::chrono::duration<double>(kMeasured).count();
@@ -178,10 +188,16 @@
 int main(int argc, char** argv) {
   namespace options = boost::program_options;
   std::string sizes;
+  std::size_t head = 0;
+  std::size_t chunk = 0;
   options::options_description description("bench-control-sim");
   description.add_options()("help", "Prints this.")(
       "sizes", options::value(&sizes)->default_value("7,30,100,200,800,2400"),
-      "How many daemons, several with commas.");
+      "How many daemons, several with commas.")(
+      "head-bytes", options::value(&head)->default_value(2000),
+      "Bytes of a head, as bench-release measures them.")(
+      "chunk-bytes", options::value(&chunk)->default_value(4000),
+      "Bytes of the chunks and index chunks of one change.");
   options::variables_map values;
   options::store(options::parse_command_line(argc, argv, description), values);
   options::notify(values);
@@ -192,7 +208,7 @@
   std::vector<Row> rows;
   std::stringstream list(sizes);
   for (std::string size; std::getline(list, size, ',');) {
-    rows.push_back(measure(std::stoul(size)));
+    rows.push_back(measure(std::stoul(size), head, chunk));
     std::cerr << "measured " << size << " daemons\n";
   }
   print(rows);
--- a/apps/bench-control-sim/sim_fleet.cc
+++ b/apps/bench-control-sim/sim_fleet.cc
@@ -249,26 +249,19 @@
         const Duration age = this->daemons[to].relay->age(this->clock);
         std::size_t answer =
             relay::encode(relay::FetchAnswer{theirs, "", {}, age}).size();
-        // A daemon with nothing takes every chunk; that is not control traffic
-        // of a change, and is left out.
-        const bool newer = theirs > have;
-        const Duration chunks =
-            newer ? 2 * this->trip(from, to) : Duration::zero();
-        if (newer && have != 0) {
-          this->counted.release_bytes +=
-              this->head_bytes + this->chunk_bytes + 2 * kOverhead;
+        // The chunks come with the head. A daemon with nothing takes every
+        // chunk; that is not control traffic of a change, and is left out.
+        if (theirs > have && have != 0) {
+          this->counted.release_bytes += this->head_bytes + this->chunk_bytes;
         }
-        this->send(
-            to, from, answer, this->counted.relay_bytes,
-            [this, from, theirs, age, chunks, run = this->daemons[from].run] {
-              this->later(chunks, [this, from, theirs, age, run] {
-                if (this->daemons[from].run == run) {
-                  this->apply(from, theirs, relay::Origin::kPeer);
-                  this->daemons[from].relay->on_fetched(age, this->clock);
-                  this->carry_out(from);
-                }
-              });
-            });
+        this->send(to, from, answer, this->counted.relay_bytes,
+                   [this, from, theirs, age, run = this->daemons[from].run] {
+                     if (this->daemons[from].run == run) {
+                       this->apply(from, theirs, relay::Origin::kPeer);
+                       this->daemons[from].relay->on_fetched(age, this->clock);
+                       this->carry_out(from);
+                     }
+                   });
       });
 }
 
--- a/apps/bench-release/main.cc
+++ b/apps/bench-release/main.cc
@@ -2,10 +2,14 @@
 // services of 230 leafs each: the time to decide, to encode, to take the
 // release in, and the bytes that move. Prints one JSON object.
 
+#include <malloc.h>
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <cstdlib>
+#include <fstream>
 #include <iostream>
 #include <string>
 #include <vector>
@@ -74,8 +78,11 @@
   std::vector<double> decide_ms;
   std::vector<double> assemble_ms;
   std::vector<double> take_ms;
-  std::size_t head_bytes = 0;
+  std::size_t head_bytes = 0;    // With recent changes, all audited.
+  std::size_t recent_bytes = 0;  // Of these, the changes.
+  std::size_t index_bytes = 0;
   std::size_t chunk_bytes = 0;
+  std::size_t written = 0;  // Chunks, index chunks and the head.
 };
 
 /// Publishes what `view` holds, as a publisher and a reader would.
@@ -92,18 +99,32 @@
   Head head{.generation = base->head.generation + 1,
             .publication = "bench",
             .objects_version = view.version,
-            .change_count = base->head.change_count + candidate.changes.size()};
+            .change_count = base->head.change_count + candidate.changes.size(),
+            .recent = base->head.recent};
+  head.recent.insert(head.recent.end(), candidate.changes.begin(),
+                     candidate.changes.end());
+  if (head.recent.size() > kRecentChanges) {
+    head.recent.erase(
+        head.recent.begin(),
+        head.recent.end() - static_cast<std::ptrdiff_t>(kRecentChanges));
+  }
   const Assembly assembly =
       assemble(*base, candidate.objects, candidate.rejections, head);
   const std::string bytes = encode_head(assembly.head);
   costs.assemble_ms.push_back(millis_since(start));
   std::vector<std::string> chunks;
-  costs.chunk_bytes = 0;
+  costs.chunk_bytes = costs.index_bytes = 0;
+  costs.written = assembly.chunks.size() + 1;
   for (const Assembly::NewChunk& chunk : assembly.chunks) {
-    costs.chunk_bytes += chunk.bytes.size();
+    (parse_chunk_name(chunk.name).is_index ? costs.index_bytes
+                                           : costs.chunk_bytes) +=
+        chunk.bytes.size();
     chunks.push_back(chunk.bytes);
   }
   costs.head_bytes = bytes.size();
+  head = assembly.head;
+  head.recent.clear();
+  costs.recent_bytes = bytes.size() - encode_head(head).size();
   start = Clock::now();
   if (!store.offer(bytes, chunks)) {
     std::abort();
@@ -112,6 +133,67 @@
   return true;
 }
 
+struct Memory {
+  std::size_t heap = 0;      // In use, in bytes.
+  std::size_t resident = 0;  // Of the process, in bytes.
+};
+
+Memory memory_now() {
+  malloc_trim(0);
+  std::ifstream statm("/proc/self/statm");
+  std::size_t size = 0;
+  std::size_t resident = 0;
+  statm >> size >> resident;
+  const struct mallinfo2 info = mallinfo2();
+  return {info.uordblks + info.hblkhd,
+          resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE))};
+}
+
+boost::json::object megabytes_since(const Memory& before) {
+  constexpr double kMegabyte = 1024.0 * 1024.0;
+  const Memory now = memory_now();
+  const auto grown = [](std::size_t a, std::size_t b) {
+    return (static_cast<double>(b) - static_cast<double>(a)) / kMegabyte;
+  };
+  return {{"heap_mb", grown(before.heap, now.heap)},
+          {"resident_mb", grown(before.resident, now.resident)}};
+}
+
+/// The parts of the release in force in `store` that were written after `have`.
+std::vector<std::string> parts_since(const ReleaseStore& store,
+                                     Generation have) {
+  std::vector<std::string> parts;
+  for (const std::string& name : store.written_since(have)) {
+    parts.push_back(store.chunk(name).value());
+  }
+  return parts;
+}
+
+/// What a daemon that only reads holds: one release, and two while requests
+/// that began with the old one are under way. `change` advances `publisher`.
+template <class Change>
+boost::json::object measure_memory(const ReleaseStore& publisher,
+                                   Change change) {
+  std::vector<std::string> parts = parts_since(publisher, 0);
+  const Memory before = memory_now();
+  ReleaseStore reader;
+  if (!reader.offer(publisher.head(), parts)) {
+    std::abort();
+  }
+  boost::json::object one = megabytes_since(before);
+  const auto old_contents = reader.contents();
+  const auto old_release = reader.releases().read();
+  const Generation have = publisher.generation();
+  change();
+  const Memory after_change = memory_now();
+  parts = parts_since(publisher, have);
+  if (!reader.offer(publisher.head(), parts)) {
+    std::abort();
+  }
+  boost::json::object both = megabytes_since(after_change);
+  return {{"one_release", std::move(one)}, {"second_release", std::move(both)}};
+}
+
 }  // namespace
 
 int main(int count, char** words) {
@@ -136,17 +218,29 @@
     publish(view, store, change);
   }
   const auto contents = store.contents();
+  boost::json::object memory = measure_memory(store, [&] {
+    BackendServer server = server_of(0);
+    server.slots = 5;
+    put(view, std::move(server));
+    Costs ignored;
+    publish(view, store, ignored);
+  });
   std::cout << boost::json::serialize(boost::json::object{
                    {"leafs", leafs},
                    {"objects", contents->objects.size()},
-                   {"chunks", contents->chunks.size()},
+                   {"chunks", contents->parts.chunks.size()},
+                   {"indexes", contents->parts.indexes.size()},
                    {"import_ms", import_ms},
                    {"import_releases", first.take_ms.size()},
                    {"decide_ms", median(change.decide_ms)},
                    {"assemble_ms", median(change.assemble_ms)},
                    {"take_ms", median(change.take_ms)},
                    {"head_bytes", change.head_bytes},
-                   {"chunk_bytes", change.chunk_bytes}})
+                   {"recent_bytes", change.recent_bytes},
+                   {"index_bytes", change.index_bytes},
+                   {"chunk_bytes", change.chunk_bytes},
+                   {"written", change.written},
+                   {"memory", std::move(memory)}})
             << std::endl;
   return 0;
 }
--- a/ibismux/relay/release_fetcher.cc
+++ b/ibismux/relay/release_fetcher.cc
@@ -1,10 +1,12 @@
 #include "ibismux/relay/release_fetcher.h"
 
+#include <iterator>
 #include <utility>
 
 #include "ibismux/peer/peer_network.h"
 #include "ibismux/platform/object_store.h"
 #include "ibismux/release/head.h"
+#include "ibismux/release/release_parts.h"
 #include "ibismux/release/release_store.h"
 
 namespace ibismux::relay {
@@ -28,8 +30,12 @@
     co_return tl::unexpected<Error>(answer.error());
   }
   if (!answer->head.empty()) {
-    const auto taken =
-        co_await this->take_from_peer(std::move(peer), std::move(answer->head));
+    std::vector<std::string> fetched;
+    for (auto& [name, contents] : answer->chunks) {
+      fetched.push_back(std::move(contents));
+    }
+    const auto taken = co_await this->take_from_peer(
+        std::move(peer), std::move(answer->head), std::move(fetched));
     if (!taken) {
       co_return tl::unexpected<Error>(taken.error());
     }
@@ -37,14 +43,28 @@
   co_return answer->age;
 }
 
-Task<Result<bool>> ReleaseFetcher::take_from_peer(std::string peer,
-                                                  std::string head) {
-  auto missing = this->releases.missing(head);
-  if (!missing) {
-    co_return tl::unexpected<Error>(missing.error());
+Task<Result<bool>> ReleaseFetcher::take_from_peer(
+    std::string peer,
+    std::string head,
+    std::vector<std::string> fetched) {
+  for (int level = 0; level < release::kPartLevels; ++level) {
+    auto missing = this->releases.missing(head, fetched);
+    if (!missing) {
+      co_return tl::unexpected<Error>(missing.error());
+    }
+    std::string source = peer;
+    const auto done =
+        co_await this->fetch(std::move(source), std::move(*missing), fetched);
+    if (!done) {
+      co_return tl::unexpected<Error>(done.error());
+    }
   }
-  std::vector<std::string> chunks;
-  std::vector<std::string> wanted = std::move(*missing);
+  co_return this->offer(head, fetched, Origin::kPeer);
+}
+
+Task<Result<void>> ReleaseFetcher::fetch(std::string peer,
+                                         std::vector<std::string> wanted,
+                                         std::vector<std::string>& parts) {
   while (!wanted.empty()) {
     FetchRequest request{this->releases.generation(), wanted};
     std::string source = peer;
@@ -57,14 +77,14 @@
       return answer->chunks.contains(name);
     });
     for (auto& [name, contents] : answer->chunks) {
-      chunks.push_back(std::move(contents));
+      parts.push_back(std::move(contents));
     }
     if (wanted.size() == before) {
       // It has gone on to a newer release, and will tell.
       co_return fail(ErrorKind::kNotFound, peer + " lacks " + wanted.front());
     }
   }
-  co_return this->offer(head, chunks, Origin::kPeer);
+  co_return Result<void>();
 }
 
 Origin ReleaseFetcher::offering() noexcept {
@@ -121,34 +141,58 @@
   if (decoded && decoded->generation <= this->releases.generation()) {
     co_return false;  // An old event: nothing is read for it.
   }
-  const auto missing = this->releases.missing(head);
-  if (!missing) {
-    co_return tl::unexpected<Error>(missing.error());
-  }
-  std::map<std::string, std::string> known;
+  KnownParts known;
   for (auto& event : batch.events) {
     if (!event.removed) {
       known[event.object.name] = std::move(event.object.value);
     }
   }
   std::vector<std::string> chunks;
-  for (const std::string& wanted : *missing) {
-    const auto found = known.find(wanted);
+  for (int level = 0; level < release::kPartLevels; ++level) {
+    auto missing = this->releases.missing(head, chunks);
+    if (!missing) {
+      co_return tl::unexpected<Error>(missing.error());
+    }
+    const auto done = co_await this->read(std::move(*missing), known, chunks);
+    if (!done) {
+      co_return tl::unexpected<Error>(done.error());
+    }
+  }
+  co_return this->offer(head, chunks, Origin::kPlatform);
+}
+
+Task<Result<void>> ReleaseFetcher::read(std::vector<std::string> wanted,
+                                        KnownParts& known,
+                                        std::vector<std::string>& parts) {
+  for (std::string& name : wanted) {
+    const auto found = known.find(name);
     if (found != known.end()) {
-      chunks.push_back(std::move(found->second));
+      parts.push_back(std::move(found->second));
       continue;
     }
     const TimePoint deadline = Clock::now() + this->settings.platform_timeout;
     std::string collection = platform::kReleases;
-    std::string name = wanted;
-    auto chunk = co_await this->platform.get(std::move(collection),
-                                             std::move(name), deadline);
-    if (!chunk) {
-      co_return tl::unexpected<Error>(chunk.error());
+    auto part = co_await this->platform.get(std::move(collection),
+                                            std::move(name), deadline);
+    if (!part) {
+      co_return tl::unexpected<Error>(part.error());
     }
-    chunks.push_back(std::move(chunk->value));
+    parts.push_back(std::move(part->value));
   }
-  co_return this->offer(head, chunks, Origin::kPlatform);
+  co_return Result<void>();
+}
+
+bool ReleaseFetcher::add(const std::string& name,
+                         FetchAnswer& answer,
+                         std::size_t& bytes) const {
+  auto contents = this->releases.chunk(name);
+  if (!contents ||
+      (bytes != 0 && bytes + contents->size() > kMostAnswerBytes)) {
+    return false;
+  }
+  bytes += contents->size();
+  answer.chunks.emplace(name, std::move(*contents));
+  return true;
 }
 
 FetchAnswer ReleaseFetcher::answer(const FetchRequest& request,
@@ -157,16 +201,22 @@
   answer.age = age;
   answer.generation = this->releases.generation();
   std::size_t bytes = 0;
+  std::vector<std::string> implied;
   for (const std::string& name : request.chunks) {
-    auto contents = this->releases.chunk(name);
-    if (contents &&
-        (bytes == 0 || bytes + contents->size() <= kMostAnswerBytes)) {
-      bytes += contents->size();
-      answer.chunks.emplace(name, std::move(*contents));
+    if (this->add(name, answer, bytes) &&
+        release::parse_chunk_name(name).is_index) {
+      std::vector<std::string> under =
+          this->releases.written_since(request.have, name);
+      std::move(under.begin(), under.end(), std::back_inserter(implied));
     }
   }
   if (request.chunks.empty() && answer.generation > request.have) {
     answer.head = this->releases.head();
+    bytes = answer.head.size();
+    implied = this->releases.written_since(request.have);
+  }
+  for (const std::string& name : implied) {
+    static_cast<void>(this->add(name, answer, bytes));
   }
   return answer;
 }
--- a/ibismux/relay/release_fetcher.h
+++ b/ibismux/relay/release_fetcher.h
@@ -1,6 +1,8 @@
 #ifndef IBISMUX_RELAY_RELEASE_FETCHER_H_
 #define IBISMUX_RELAY_RELEASE_FETCHER_H_
 
+#include <cstddef>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -46,8 +48,11 @@
   [[nodiscard]] Task<Result<Duration>> from_peer(std::string peer);
 
   /// Takes the release of `head`, with the chunks it lacks from `peer`.
-  [[nodiscard]] Task<Result<bool>> take_from_peer(std::string peer,
-                                                  std::string head);
+  /// @param fetched Chunks that came with the head.
+  [[nodiscard]] Task<Result<bool>> take_from_peer(
+      std::string peer,
+      std::string head,
+      std::vector<std::string> fetched = {});
 
   /// Reads the head in the platform and takes it. @return Its version there; 0
   /// if there is none.
@@ -59,7 +64,9 @@
       std::string head,
       platform::WatchBatch batch);
 
-  /// The answer to a peer's request.
+  /// The answer to a peer's request. With a head, and with an index chunk, goes
+  /// what is under it that the peer can't have: else each level of a release
+  /// would cost a round trip on each level of the tree.
   [[nodiscard]] FetchAnswer answer(const FetchRequest& request,
                                    Duration age) const;
 
@@ -68,10 +75,25 @@
   [[nodiscard]] static Origin offering() noexcept;
 
  private:
+  /// What the events of a watch showed, by name.
+  using KnownParts = std::map<std::string, std::string>;
+
   Result<bool> offer(const std::string& head,
                      const std::vector<std::string>& chunks,
                      Origin origin);
   Task<Result<FetchAnswer>> ask(std::string peer, FetchRequest request);
+  /// Appends the parts named `wanted`, in one or more answers of `peer`.
+  Task<Result<void>> fetch(std::string peer,
+                           std::vector<std::string> wanted,
+                           std::vector<std::string>& parts);
+  /// Appends the parts named `wanted`, out of `known` or the platform.
+  Task<Result<void>> read(std::vector<std::string> wanted,
+                          KnownParts& known,
+                          std::vector<std::string>& parts);
+  /// Adds the part of that name to `answer`, if it is here and there is room.
+  bool add(const std::string& name,
+           FetchAnswer& answer,
+           std::size_t& bytes) const;
 
   const RelaySettings& settings;
   peer::PeerNetwork& network;
--- a/ibismux/release/assembly.cc
+++ b/ibismux/release/assembly.cc
@@ -1,27 +1,26 @@
 #include "ibismux/release/assembly.h"
 
 #include <algorithm>
+#include <bit>
 #include <utility>
 
 namespace ibismux::release {
 namespace {
 
-// A change of one object moves one chunk and one head. With n objects of 150
-// bytes in chunks of k, and 20 bytes of head a chunk, that is 150 k + 20 n / k
-// bytes; at the 30,000 objects to design for it is least at k = 63.
-constexpr std::size_t kObjectsPerChunk = 64;
-constexpr std::size_t kFewestBuckets = 16;
 constexpr std::size_t kMostBuckets = 32768;
 // Well below the megabyte that the platform takes, since one change may add to
 // a chunk before it is split.
 constexpr std::size_t kMostChunkBytes = 512 * 1024;
 
-std::size_t buckets_for(std::size_t objects, std::size_t before) {
-  std::size_t buckets = std::max(before, kFewestBuckets);
-  if (objects <= 2 * kObjectsPerChunk * buckets) {
+std::size_t buckets_for(std::size_t objects,
+                        std::size_t before,
+                        const ReleaseLayout& layout) {
+  std::size_t buckets = std::max(before, layout.fewest_chunks);
+  if (objects <= 2 * layout.objects_per_chunk * buckets) {
     return buckets;
   }
-  while (objects > kObjectsPerChunk * buckets && buckets < kMostBuckets) {
+  while (objects > layout.objects_per_chunk * buckets &&
+         buckets < kMostBuckets) {
     buckets *= 2;
   }
   return buckets;
@@ -44,7 +43,7 @@
 bool is_unchanged(const ReleaseContents& base,
                   std::size_t bucket,
                   const Chunk& chunk) {
-  const auto& stored = base.chunks[bucket];
+  const auto& stored = base.parts.chunks[bucket];
   return stored == nullptr ? chunk.empty() : stored->chunk == chunk;
 }
 
@@ -52,10 +51,10 @@
 bool fill(const ReleaseContents& base,
           const std::vector<Chunk>& chunks,
           Assembly& assembly) {
-  const bool same_buckets = chunks.size() == base.chunks.size();
+  const bool same_buckets = chunks.size() == base.parts.chunks.size();
   for (std::size_t i = 0; i < chunks.size(); ++i) {
     if (same_buckets && is_unchanged(base, i, chunks[i])) {
-      assembly.head.chunks.push_back(base.head.chunks[i]);
+      assembly.refs.push_back(base.parts.refs[i]);
       continue;
     }
     ChunkRef ref{assembly.head.generation, ""};
@@ -67,27 +66,63 @@
       ref.hash = content_hash(bytes);
       assembly.chunks.push_back({chunk_name(ref), std::move(bytes)});
     }
-    assembly.head.chunks.push_back(std::move(ref));
+    assembly.refs.push_back(std::move(ref));
   }
   return true;
 }
 
+/// About the square root of the number of chunks, so that head and index chunk
+/// are of one size.
+std::size_t indexes_for(std::size_t buckets) {
+  const auto doublings = static_cast<unsigned>(std::bit_width(buckets)) - 1;
+  return std::size_t{1} << (doublings / 2);
+}
+
+/// Has the head name the chunks through index chunks.
+void put_indexes(const ReleaseContents& base, Assembly& assembly) {
+  const std::size_t count = indexes_for(assembly.refs.size());
+  const std::size_t run = assembly.refs.size() / count;
+  const bool same_runs = base.head.indexes.size() == count;
+  for (std::size_t i = 0; i < count; ++i) {
+    const auto first =
+        assembly.refs.begin() + static_cast<std::ptrdiff_t>(i * run);
+    const std::vector<ChunkRef> chunks(
+        first, first + static_cast<std::ptrdiff_t>(run));
+    if (same_runs && base.parts.indexes[i]->chunks == chunks) {
+      assembly.head.indexes.push_back(base.head.indexes[i]);
+      continue;
+    }
+    std::string bytes = encode_index(chunks);
+    ChunkRef ref{assembly.head.generation, content_hash(bytes)};
+    assembly.chunks.push_back({index_name(ref), std::move(bytes)});
+    assembly.head.indexes.push_back(std::move(ref));
+  }
+}
+
 }  // namespace
 
 Assembly assemble(const ReleaseContents& base,
                   const ObjectSet& objects,
                   const RejectionSet& rejections,
-                  const Head& head) {
-  std::size_t buckets =
-      buckets_for(objects.size() + rejections.size(), base.chunks.size());
+                  const Head& head,
+                  const ReleaseLayout& layout) {
+  std::size_t buckets = buckets_for(objects.size() + rejections.size(),
+                                    base.parts.chunks.size(), layout);
   for (;; buckets *= 2) {
-    Assembly assembly{head, {}};
+    Assembly assembly{head, {}, {}};
     assembly.head.chunks.clear();
+    assembly.head.indexes.clear();
     const bool fits =
         fill(base, distribute(objects, rejections, buckets), assembly);
-    if (fits || buckets >= kMostBuckets) {
-      return assembly;
+    if (!fits && buckets < kMostBuckets) {
+      continue;
+    }
+    if (buckets > layout.most_direct_chunks) {
+      put_indexes(base, assembly);
+    } else {
+      assembly.head.chunks = assembly.refs;
     }
+    return assembly;
   }
 }
 
--- a/ibismux/release/garbage.cc
+++ b/ibismux/release/garbage.cc
@@ -1,16 +1,15 @@
 #include "ibismux/release/garbage.h"
 
+#include <iterator>
 #include <set>
 
 namespace ibismux::release {
 namespace {
 
-std::set<std::string> names_in(const Head& head) {
-  std::set<std::string> names;
-  for (const ChunkRef& chunk : head.chunks) {
-    names.insert(chunk_name(chunk));
-  }
-  return names;
+std::set<std::string> names_in(const ReleaseContents& release) {
+  std::vector<std::string> names = names_of(release.head, release.parts.refs);
+  return {std::make_move_iterator(names.begin()),
+          std::make_move_iterator(names.end())};
 }
 
 }  // namespace
@@ -21,24 +20,25 @@
   }
 }
 
-void Garbage::sweep(const platform::Listing& listing, const Head& head) {
-  const std::set<std::string> named = names_in(head);
+void Garbage::sweep(const platform::Listing& listing,
+                    const ReleaseContents& newest) {
+  const std::set<std::string> named = names_in(newest);
   for (const platform::StoredObject& object : listing.objects) {
     if (chunk_generation(object.name) != 0 && !named.contains(object.name)) {
-      this->unused_since.emplace(object.name, head.generation);
+      this->unused_since.emplace(object.name, newest.head.generation);
     }
   }
 }
 
-std::vector<std::string> Garbage::due(const Head& head) {
-  const std::set<std::string> named = names_in(head);
+std::vector<std::string> Garbage::due(const ReleaseContents& newest) {
+  const std::set<std::string> named = names_in(newest);
   std::vector<std::string> names;
   for (auto it = this->unused_since.begin(); it != this->unused_since.end();) {
     const auto& [name, since] = *it;
     if (named.contains(name)) {
       it = this->unused_since.erase(it);
-    } else if (since + this->grace <= head.generation &&
-               chunk_generation(name) <= head.generation) {
+    } else if (since + this->grace <= newest.head.generation &&
+               chunk_generation(name) <= newest.head.generation) {
       names.push_back(name);
       it = this->unused_since.erase(it);
     } else {
--- a/ibismux/release/garbage.h
+++ b/ibismux/release/garbage.h
@@ -6,17 +6,20 @@
 #include <vector>
 
 #include "ibismux/platform/stored_object.h"
-#include "ibismux/release/head.h"
+#include "ibismux/release/release_contents.h"
 
 namespace ibismux::release {
 
-/// Decides which chunks may be removed from the platform's store.
+/// Decides which chunks and index chunks may be removed from the platform's
+/// store.
 ///
 /// A chunk is garbage for ever once some head of its own or a later generation
 /// doesn't name it: a later head names only chunks of the head before it, and
-/// new ones whose names carry its own, higher generation. So a publisher that
-/// knows an old head, or a daemon that was paused, can't remove a chunk in use.
-/// The grace is only for readers that are still fetching an older release.
+/// new ones whose names carry its own, higher generation. It is the same where
+/// an index chunk stands between them: one that stays names what it named, and
+/// a new one what the head before named or what is new itself. So a publisher
+/// that knows an old head, or a daemon that was paused, can't remove a chunk in
+/// use. The grace is only for readers that are still fetching an older release.
 /// Not thread safe.
 class Garbage {
  public:
@@ -27,12 +30,12 @@
   void add(const std::vector<std::string>& names, Generation now);
 
   /// Notes what of a whole listing of the collection `releases` isn't named by
-  /// `head`: what publishers left behind that died.
-  void sweep(const platform::Listing& listing, const Head& head);
+  /// `newest`: what publishers left behind that died.
+  void sweep(const platform::Listing& listing, const ReleaseContents& newest);
 
-  /// The chunks that may be removed while `head` is the newest that is known;
-  /// they are forgotten here.
-  [[nodiscard]] std::vector<std::string> due(const Head& head);
+  /// The names that may be removed while `newest` is the newest release that is
+  /// known; they are forgotten here.
+  [[nodiscard]] std::vector<std::string> due(const ReleaseContents& newest);
 
  private:
   Generation grace;
--- a/ibismux/release/gen/release_types.cpp
+++ b/ibismux/release/gen/release_types.cpp
@@ -385,6 +385,10 @@
 void Head::__set_recent(const std::vector<Change> & val) {
   this->recent = val;
 }
+
+void Head::__set_indexes(const std::vector<ChunkRef> & val) {
+  this->indexes = val;
+}
 std::ostream& operator<<(std::ostream& out, const Head& obj)
 {
   obj.printTo(out);
@@ -485,6 +489,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->indexes.clear();
+            uint32_t _size14;
+            ::apache::thrift::protocol::TType _etype17;
+            xfer += iprot->readListBegin(_etype17, _size14);
+            this->indexes.resize(_size14);
+            uint32_t _i18;
+            for (_i18 = 0; _i18 < _size14; ++_i18)
+            {
+              xfer += this->indexes[_i18].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.indexes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -521,10 +545,10 @@
   xfer += oprot->writeFieldBegin("chunks", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->chunks.size()));
-    std::vector<ChunkRef> ::const_iterator _iter14;
-    for (_iter14 = this->chunks.begin(); _iter14 != this->chunks.end(); ++_iter14)
+    std::vector<ChunkRef> ::const_iterator _iter19;
+    for (_iter19 = this->chunks.begin(); _iter19 != this->chunks.end(); ++_iter19)
     {
-      xfer += (*_iter14).write(oprot);
+      xfer += (*_iter19).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -533,10 +557,22 @@
   xfer += oprot->writeFieldBegin("recent", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->recent.size()));
-    std::vector<Change> ::const_iterator _iter15;
-    for (_iter15 = this->recent.begin(); _iter15 != this->recent.end(); ++_iter15)
+    std::vector<Change> ::const_iterator _iter20;
+    for (_iter20 = this->recent.begin(); _iter20 != this->recent.end(); ++_iter20)
+    {
+      xfer += (*_iter20).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("indexes", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->indexes.size()));
+    std::vector<ChunkRef> ::const_iterator _iter21;
+    for (_iter21 = this->indexes.begin(); _iter21 != this->indexes.end(); ++_iter21)
     {
-      xfer += (*_iter15).write(oprot);
+      xfer += (*_iter21).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -555,26 +591,29 @@
   swap(a.change_count, b.change_count);
   swap(a.chunks, b.chunks);
   swap(a.recent, b.recent);
+  swap(a.indexes, b.indexes);
   swap(a.__isset, b.__isset);
 }
 
-Head::Head(const Head& other16) {
-  generation = other16.generation;
-  publication = other16.publication;
-  objects_version = other16.objects_version;
-  change_count = other16.change_count;
-  chunks = other16.chunks;
-  recent = other16.recent;
-  __isset = other16.__isset;
-}
-Head& Head::operator=(const Head& other17) {
-  generation = other17.generation;
-  publication = other17.publication;
-  objects_version = other17.objects_version;
-  change_count = other17.change_count;
-  chunks = other17.chunks;
-  recent = other17.recent;
-  __isset = other17.__isset;
+Head::Head(const Head& other22) {
+  generation = other22.generation;
+  publication = other22.publication;
+  objects_version = other22.objects_version;
+  change_count = other22.change_count;
+  chunks = other22.chunks;
+  recent = other22.recent;
+  indexes = other22.indexes;
+  __isset = other22.__isset;
+}
+Head& Head::operator=(const Head& other23) {
+  generation = other23.generation;
+  publication = other23.publication;
+  objects_version = other23.objects_version;
+  change_count = other23.change_count;
+  chunks = other23.chunks;
+  recent = other23.recent;
+  indexes = other23.indexes;
+  __isset = other23.__isset;
   return *this;
 }
 void Head::printTo(std::ostream& out) const {
@@ -586,6 +625,119 @@
   out << ", " << "change_count=" << to_string(change_count);
   out << ", " << "chunks=" << to_string(chunks);
   out << ", " << "recent=" << to_string(recent);
+  out << ", " << "indexes=" << to_string(indexes);
+  out << ")";
+}
+
+
+IndexChunk::~IndexChunk() noexcept {
+}
+
+
+void IndexChunk::__set_chunks(const std::vector<ChunkRef> & val) {
+  this->chunks = val;
+}
+std::ostream& operator<<(std::ostream& out, const IndexChunk& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t IndexChunk::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->chunks.clear();
+            uint32_t _size24;
+            ::apache::thrift::protocol::TType _etype27;
+            xfer += iprot->readListBegin(_etype27, _size24);
+            this->chunks.resize(_size24);
+            uint32_t _i28;
+            for (_i28 = 0; _i28 < _size24; ++_i28)
+            {
+              xfer += this->chunks[_i28].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.chunks = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t IndexChunk::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("IndexChunk");
+
+  xfer += oprot->writeFieldBegin("chunks", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->chunks.size()));
+    std::vector<ChunkRef> ::const_iterator _iter29;
+    for (_iter29 = this->chunks.begin(); _iter29 != this->chunks.end(); ++_iter29)
+    {
+      xfer += (*_iter29).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(IndexChunk &a, IndexChunk &b) {
+  using ::std::swap;
+  swap(a.chunks, b.chunks);
+  swap(a.__isset, b.__isset);
+}
+
+IndexChunk::IndexChunk(const IndexChunk& other30) {
+  chunks = other30.chunks;
+  __isset = other30.__isset;
+}
+IndexChunk& IndexChunk::operator=(const IndexChunk& other31) {
+  chunks = other31.chunks;
+  __isset = other31.__isset;
+  return *this;
+}
+void IndexChunk::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "IndexChunk(";
+  out << "chunks=" << to_string(chunks);
   out << ")";
 }
 
@@ -733,21 +885,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ChunkObject::ChunkObject(const ChunkObject& other18) {
-  object = other18.object;
-  version = other18.version;
-  generation = other18.generation;
-  change_id = other18.change_id;
-  spec = other18.spec;
-  __isset = other18.__isset;
-}
-ChunkObject& ChunkObject::operator=(const ChunkObject& other19) {
-  object = other19.object;
-  version = other19.version;
-  generation = other19.generation;
-  change_id = other19.change_id;
-  spec = other19.spec;
-  __isset = other19.__isset;
+ChunkObject::ChunkObject(const ChunkObject& other32) {
+  object = other32.object;
+  version = other32.version;
+  generation = other32.generation;
+  change_id = other32.change_id;
+  spec = other32.spec;
+  __isset = other32.__isset;
+}
+ChunkObject& ChunkObject::operator=(const ChunkObject& other33) {
+  object = other33.object;
+  version = other33.version;
+  generation = other33.generation;
+  change_id = other33.change_id;
+  spec = other33.spec;
+  __isset = other33.__isset;
   return *this;
 }
 void ChunkObject::printTo(std::ostream& out) const {
@@ -905,21 +1057,21 @@
   swap(a.__isset, b.__isset);
 }
 
-ChunkRejection::ChunkRejection(const ChunkRejection& other20) {
-  object = other20.object;
-  version = other20.version;
-  generation = other20.generation;
-  change_id = other20.change_id;
-  reason = other20.reason;
-  __isset = other20.__isset;
-}
-ChunkRejection& ChunkRejection::operator=(const ChunkRejection& other21) {
-  object = other21.object;
-  version = other21.version;
-  generation = other21.generation;
-  change_id = other21.change_id;
-  reason = other21.reason;
-  __isset = other21.__isset;
+ChunkRejection::ChunkRejection(const ChunkRejection& other34) {
+  object = other34.object;
+  version = other34.version;
+  generation = other34.generation;
+  change_id = other34.change_id;
+  reason = other34.reason;
+  __isset = other34.__isset;
+}
+ChunkRejection& ChunkRejection::operator=(const ChunkRejection& other35) {
+  object = other35.object;
+  version = other35.version;
+  generation = other35.generation;
+  change_id = other35.change_id;
+  reason = other35.reason;
+  __isset = other35.__isset;
   return *this;
 }
 void ChunkRejection::printTo(std::ostream& out) const {
@@ -977,14 +1129,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->objects.clear();
-            uint32_t _size22;
-            ::apache::thrift::protocol::TType _etype25;
-            xfer += iprot->readListBegin(_etype25, _size22);
-            this->objects.resize(_size22);
-            uint32_t _i26;
-            for (_i26 = 0; _i26 < _size22; ++_i26)
+            uint32_t _size36;
+            ::apache::thrift::protocol::TType _etype39;
+            xfer += iprot->readListBegin(_etype39, _size36);
+            this->objects.resize(_size36);
+            uint32_t _i40;
+            for (_i40 = 0; _i40 < _size36; ++_i40)
             {
-              xfer += this->objects[_i26].read(iprot);
+              xfer += this->objects[_i40].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -997,14 +1149,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->rejections.clear();
-            uint32_t _size27;
-            ::apache::thrift::protocol::TType _etype30;
-            xfer += iprot->readListBegin(_etype30, _size27);
-            this->rejections.resize(_size27);
-            uint32_t _i31;
-            for (_i31 = 0; _i31 < _size27; ++_i31)
+            uint32_t _size41;
+            ::apache::thrift::protocol::TType _etype44;
+            xfer += iprot->readListBegin(_etype44, _size41);
+            this->rejections.resize(_size41);
+            uint32_t _i45;
+            for (_i45 = 0; _i45 < _size41; ++_i45)
             {
-              xfer += this->rejections[_i31].read(iprot);
+              xfer += this->rejections[_i45].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1033,10 +1185,10 @@
   xfer += oprot->writeFieldBegin("objects", ::apache::thrift::protocol::T_LIST, 1);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->objects.size()));
-    std::vector<ChunkObject> ::const_iterator _iter32;
-    for (_iter32 = this->objects.begin(); _iter32 != this->objects.end(); ++_iter32)
+    std::vector<ChunkObject> ::const_iterator _iter46;
+    for (_iter46 = this->objects.begin(); _iter46 != this->objects.end(); ++_iter46)
     {
-      xfer += (*_iter32).write(oprot);
+      xfer += (*_iter46).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1045,10 +1197,10 @@
   xfer += oprot->writeFieldBegin("rejections", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->rejections.size()));
-    std::vector<ChunkRejection> ::const_iterator _iter33;
-    for (_iter33 = this->rejections.begin(); _iter33 != this->rejections.end(); ++_iter33)
+    std::vector<ChunkRejection> ::const_iterator _iter47;
+    for (_iter47 = this->rejections.begin(); _iter47 != this->rejections.end(); ++_iter47)
     {
-      xfer += (*_iter33).write(oprot);
+      xfer += (*_iter47).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1066,15 +1218,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Chunk::Chunk(const Chunk& other34) {
-  objects = other34.objects;
-  rejections = other34.rejections;
-  __isset = other34.__isset;
+Chunk::Chunk(const Chunk& other48) {
+  objects = other48.objects;
+  rejections = other48.rejections;
+  __isset = other48.__isset;
 }
-Chunk& Chunk::operator=(const Chunk& other35) {
-  objects = other35.objects;
-  rejections = other35.rejections;
-  __isset = other35.__isset;
+Chunk& Chunk::operator=(const Chunk& other49) {
+  objects = other49.objects;
+  rejections = other49.rejections;
+  __isset = other49.__isset;
   return *this;
 }
 void Chunk::printTo(std::ostream& out) const {
--- a/ibismux/release/gen/release_types.h
+++ b/ibismux/release/gen/release_types.h
@@ -27,6 +27,8 @@
 
 class Head;
 
+class IndexChunk;
+
 class ChunkObject;
 
 class ChunkRejection;
@@ -176,13 +178,14 @@
 std::ostream& operator<<(std::ostream& out, const Change& obj);
 
 typedef struct _Head__isset {
-  _Head__isset() : generation(false), publication(false), objects_version(false), change_count(false), chunks(false), recent(false) {}
+  _Head__isset() : generation(false), publication(false), objects_version(false), change_count(false), chunks(false), recent(false), indexes(false) {}
   bool generation :1;
   bool publication :1;
   bool objects_version :1;
   bool change_count :1;
   bool chunks :1;
   bool recent :1;
+  bool indexes :1;
 } _Head__isset;
 
 class Head : public virtual ::apache::thrift::TBase {
@@ -204,6 +207,7 @@
   int64_t change_count;
   std::vector<ChunkRef>  chunks;
   std::vector<Change>  recent;
+  std::vector<ChunkRef>  indexes;
 
   _Head__isset __isset;
 
@@ -219,6 +223,8 @@
 
   void __set_recent(const std::vector<Change> & val);
 
+  void __set_indexes(const std::vector<ChunkRef> & val);
+
   bool operator == (const Head & rhs) const
   {
     if (!(generation == rhs.generation))
@@ -233,6 +239,8 @@
       return false;
     if (!(recent == rhs.recent))
       return false;
+    if (!(indexes == rhs.indexes))
+      return false;
     return true;
   }
   bool operator != (const Head &rhs) const {
@@ -251,6 +259,48 @@
 
 std::ostream& operator<<(std::ostream& out, const Head& obj);
 
+typedef struct _IndexChunk__isset {
+  _IndexChunk__isset() : chunks(false) {}
+  bool chunks :1;
+} _IndexChunk__isset;
+
+class IndexChunk : public virtual ::apache::thrift::TBase {
+ public:
+
+  IndexChunk(const IndexChunk&);
+  IndexChunk& operator=(const IndexChunk&);
+  IndexChunk() noexcept {
+  }
+
+  virtual ~IndexChunk() noexcept;
+  std::vector<ChunkRef>  chunks;
+
+  _IndexChunk__isset __isset;
+
+  void __set_chunks(const std::vector<ChunkRef> & val);
+
+  bool operator == (const IndexChunk & rhs) const
+  {
+    if (!(chunks == rhs.chunks))
+      return false;
+    return true;
+  }
+  bool operator != (const IndexChunk &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const IndexChunk & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(IndexChunk &a, IndexChunk &b);
+
+std::ostream& operator<<(std::ostream& out, const IndexChunk& obj);
+
 typedef struct _ChunkObject__isset {
   _ChunkObject__isset() : object(false), version(false), generation(false), change_id(false), spec(false) {}
   bool object :1;
--- a/ibismux/release/head.h
+++ b/ibismux/release/head.h
@@ -1,6 +1,7 @@
 #ifndef IBISMUX_RELEASE_HEAD_H_
 #define IBISMUX_RELEASE_HEAD_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -8,22 +9,17 @@
 #include "ibismux/base/error.h"
 #include "ibismux/base/ids.h"
 #include "ibismux/platform/stored_object.h"
+#include "ibismux/release/chunk_ref.h"
 
 namespace ibismux::release {
 
 /// Name of the head in the platform's collection `releases`.
 inline constexpr const char* kHeadName = "head";
 
-/// Where a group of objects stands. Its position in the head is its bucket.
-struct ChunkRef {
-  /// The generation that the chunk was written for. As part of its name it
-  /// keeps a chunk from being deleted by one daemon while another, which builds
-  /// on an older head, is about to name the same contents again.
-  Generation generation = 0;
-  std::string hash;  ///< XXH3-128, 32 hexadecimal digits; empty: no objects.
-
-  [[nodiscard]] bool operator==(const ChunkRef&) const = default;
-};
+/// How many audited changes a head still shows, for operators' tools that watch
+/// and come a few generations late; those that are later list again. Each moves
+/// about 100 bytes to every daemon with every change.
+inline constexpr std::size_t kRecentChanges = 8;
 
 /// One accepted change of one object, as the audit trail shows it.
 struct Change {
@@ -45,8 +41,11 @@
   std::string publication;  ///< Id of the update that wrote it.
   platform::Version objects_version = 0;
   std::uint64_t change_count = 0;  ///< Sequence of the newest change.
-  std::vector<ChunkRef> chunks;    ///< A power of two of them.
-  std::vector<Change> recent;      ///< In order of sequence.
+  /// By bucket, a power of two of them; none where there are indexes.
+  std::vector<ChunkRef> chunks;
+  /// Index chunks, a power of two of them, each for an equal run of buckets.
+  std::vector<ChunkRef> indexes;
+  std::vector<Change> recent;  ///< In order of sequence.
 
   [[nodiscard]] bool operator==(const Head&) const = default;
 };
@@ -57,16 +56,6 @@
 /// kProtocolError where `bytes` are no head. Thread safe.
 [[nodiscard]] Result<Head> decode_head(const std::string& bytes);
 
-/// The name of a chunk among peers and in the platform's collection `releases`.
-/// Thread safe.
-[[nodiscard]] std::string chunk_name(const ChunkRef& chunk);
-
-/// The generation in the name of a chunk; 0 for any other name. Thread safe.
-[[nodiscard]] Generation chunk_generation(const std::string& name);
-
-/// XXH3-128 of `bytes`, 32 hexadecimal digits. Thread safe.
-[[nodiscard]] std::string content_hash(const std::string& bytes);
-
 }  // namespace ibismux::release
 
 #endif  // IBISMUX_RELEASE_HEAD_H_
--- a/ibismux/release/housekeeping.cc
+++ b/ibismux/release/housekeeping.cc
@@ -85,14 +85,14 @@
   if (!listing) {
     co_return tl::unexpected<Error>(listing.error());
   }
-  this->garbage.sweep(*listing, this->releases.contents()->head);
+  this->garbage.sweep(*listing, *this->releases.contents());
   this->sweep_due = false;
   co_return Result<void>();
 }
 
 Task<Result<void>> Housekeeping::remove_chunks() {
   const auto contents = this->releases.contents();
-  std::vector<std::string> names = this->garbage.due(contents->head);
+  std::vector<std::string> names = this->garbage.due(*contents);
   for (std::string& name : names) {
     std::string chunk = name;
     const Result<void> removed = co_await this->remove_chunk(std::move(chunk));
--- a/ibismux/release/release_contents.cc
+++ b/ibismux/release/release_contents.cc
@@ -31,13 +31,12 @@
 
 }  // namespace
 
-Result<std::shared_ptr<const ReleaseContents>> make_contents(
-    const ReleaseContents& base,
-    Head head,
-    std::vector<ChunkPointer> chunks) {
+Result<std::shared_ptr<const ReleaseContents>>
+make_contents(const ReleaseContents& base, Head head, ReleaseParts parts) {
   auto contents = std::make_shared<ReleaseContents>();
   // Another number of buckets shares no chunk with the base.
-  const bool builds_on = chunks.size() == base.chunks.size();
+  const auto& chunks = parts.chunks;
+  const bool builds_on = chunks.size() == base.parts.chunks.size();
   if (builds_on) {
     contents->objects = base.objects;
     contents->rejections = base.rejections;
@@ -45,13 +44,13 @@
   for (std::size_t i = 0; i < chunks.size(); ++i) {
     if (!builds_on) {
       add(*contents, chunks[i]);
-    } else if (chunks[i] != base.chunks[i]) {
-      take_out(*contents, base.chunks[i]);
+    } else if (chunks[i] != base.parts.chunks[i]) {
+      take_out(*contents, base.parts.chunks[i]);
       add(*contents, chunks[i]);
     }
   }
   contents->head = std::move(head);
-  contents->chunks = std::move(chunks);
+  contents->parts = std::move(parts);
   const std::vector<Violation> violations = validate(contents->objects);
   if (!violations.empty()) {
     return fail(ErrorKind::kInvalidRequest, violations.front().message);
--- a/ibismux/release/release_store.cc
+++ b/ibismux/release/release_store.cc
@@ -1,31 +1,13 @@
 #include "ibismux/release/release_store.h"
 
 #include <mutex>
-#include <unordered_map>
 #include <utility>
 
 #include "ibismux/release/compiler.h"
+#include "ibismux/release/part_finder.h"
 #include "ibismux/release/release_contents.h"
 
 namespace ibismux::release {
-namespace {
-
-using ChunkIndex =
-    std::unordered_map<std::string, std::shared_ptr<const StoredChunk>>;
-
-/// The chunks of `contents` by their hashes: contents that come back under
-/// another generation need not be fetched again.
-ChunkIndex index_of(const ReleaseContents& contents) {
-  ChunkIndex index;
-  for (std::size_t i = 0; i < contents.chunks.size(); ++i) {
-    if (contents.chunks[i] != nullptr) {
-      index.emplace(contents.head.chunks[i].hash, contents.chunks[i]);
-    }
-  }
-  return index;
-}
-
-}  // namespace
 
 class ReleaseStore::Impl {
  public:
@@ -72,23 +54,12 @@
                     const std::string& bytes,
                     const std::vector<std::string>& chunks) {
     const std::shared_ptr<const ReleaseContents> base = this->contents();
-    ChunkIndex index = index_of(*base);
-    for (const std::string& chunk : chunks) {
-      if (Result<void> added = add(chunk, index); !added) {
-        return added;
-      }
+    Result<ReleaseParts> parts =
+        PartFinder(base->head, base->parts, chunks).find(head);
+    if (!parts) {
+      return tl::unexpected<Error>(parts.error());
     }
-    std::vector<std::shared_ptr<const StoredChunk>> stored;
-    for (const ChunkRef& ref : head.chunks) {
-      const auto found = index.find(ref.hash);
-      if (found == index.end() && !ref.hash.empty()) {
-        return fail(ErrorKind::kProtocolError,
-                    "release " + std::to_string(head.generation) + " lacks " +
-                        chunk_name(ref));
-      }
-      stored.push_back(ref.hash.empty() ? nullptr : found->second);
-    }
-    auto contents = make_contents(*base, std::move(head), std::move(stored));
+    auto contents = make_contents(*base, std::move(head), std::move(*parts));
     if (!contents) {
       return tl::unexpected<Error>(contents.error());
     }
@@ -96,20 +67,6 @@
     return {};
   }
 
-  static Result<void> add(const std::string& bytes, ChunkIndex& index) {
-    std::string hash = content_hash(bytes);
-    if (index.contains(hash)) {
-      return {};
-    }
-    Result<Chunk> chunk = decode_chunk(bytes);
-    if (!chunk) {
-      return tl::unexpected<Error>(chunk.error());
-    }
-    index.emplace(std::move(hash), std::make_shared<const StoredChunk>(
-                                       StoredChunk{bytes, std::move(*chunk)}));
-    return {};
-  }
-
   void put_in_force(std::shared_ptr<const ReleaseContents> contents,
                     const std::string& bytes) {
     this->releases.write(compile(contents->objects, contents->head.generation));
@@ -145,29 +102,26 @@
 
 std::optional<std::string> ReleaseStore::chunk(const std::string& name) const {
   const std::shared_ptr<const ReleaseContents> contents = this->contents();
-  for (std::size_t i = 0; i < contents->chunks.size(); ++i) {
-    if (contents->chunks[i] != nullptr &&
-        chunk_name(contents->head.chunks[i]) == name) {
-      return contents->chunks[i]->bytes;
-    }
-  }
-  return std::nullopt;
+  const std::string* bytes = find_part(contents->head, contents->parts, name);
+  return bytes == nullptr ? std::nullopt : std::optional(*bytes);
+}
+
+std::vector<std::string> ReleaseStore::written_since(
+    Generation have,
+    const std::string& index) const {
+  const std::shared_ptr<const ReleaseContents> contents = this->contents();
+  return release::written_since(contents->head, contents->parts, have, index);
 }
 
 Result<std::vector<std::string>> ReleaseStore::missing(
-    const std::string& head) const {
+    const std::string& head,
+    const std::vector<std::string>& fetched) const {
   const Result<Head> decoded = decode_head(head);
   if (!decoded) {
     return tl::unexpected<Error>(decoded.error());
   }
-  const ChunkIndex index = index_of(*this->contents());
-  std::vector<std::string> names;
-  for (const ChunkRef& chunk : decoded->chunks) {
-    if (!chunk.hash.empty() && !index.contains(chunk.hash)) {
-      names.push_back(chunk_name(chunk));
-    }
-  }
-  return names;
+  const std::shared_ptr<const ReleaseContents> contents = this->contents();
+  return PartFinder(contents->head, contents->parts, fetched).missing(*decoded);
 }
 
 Result<bool> ReleaseStore::offer(const std::string& head,
--- a/ibismux/release/release_store.h
+++ b/ibismux/release/release_store.h
@@ -15,8 +15,8 @@
 namespace ibismux::release {
 
 /// The newest release that this daemon knows, in the form that requests read
-/// and in the form that peers and the platform exchange: a head, and chunks
-/// that the head names by their content hash.
+/// and in the form that peers and the platform exchange: a head, chunks that it
+/// names by their content hash, and at large sites index chunks between them.
 ///
 /// Thread safe. The generation only rises.
 class ReleaseStore {
@@ -32,19 +32,28 @@
   [[nodiscard]] Generation generation() const noexcept;
   /// The encoded head in force; empty before the first.
   [[nodiscard]] std::string head() const;
-  /// A chunk of the head in force. `name` is as `missing()` gives it, which is
-  /// also its name in the platform's collection `releases`.
+  /// A chunk or index chunk of the release in force. `name` is as `missing()`
+  /// gives it, which is also its name in the platform's collection `releases`.
   [[nodiscard]] std::optional<std::string> chunk(const std::string& name) const;
   /// The release in force with its objects and their status; never null.
   [[nodiscard]] std::shared_ptr<const ReleaseContents> contents() const;
-  /// The names of the chunks that the encoded `head` names and this store
-  /// lacks; an error if it can't be decoded.
+  /// The names of the chunks and index chunks that the encoded `head` names and
+  /// that are neither here nor in `fetched`; an error if it can't be decoded.
+  /// What stands under an index chunk is not known before that is fetched: ask
+  /// again with what came, `kPartLevels` times at most.
   [[nodiscard]] Result<std::vector<std::string>> missing(
-      const std::string& head) const;
+      const std::string& head,
+      const std::vector<std::string>& fetched = {}) const;
+  /// The names of the parts of the release in force that were written after
+  /// generation `have`, which is what a daemon with that release lacks; of
+  /// those, the ones under the index chunk `index`, unless that is empty.
+  [[nodiscard]] std::vector<std::string> written_since(
+      Generation have,
+      const std::string& index = "") const;
   /// @}
 
   /// Puts the release of `head` in force if its generation is higher than the
-  /// one in force. `chunks` holds the contents of those that were missing.
+  /// one in force. `chunks` holds the contents of what was missing.
   /// @return Whether it is now in force; an error, with nothing changed, if a
   /// hash doesn't match or the contents are not a valid release.
   [[nodiscard]] Result<bool> offer(const std::string& head,
--- a/ibismux/release/release_writer.cc
+++ b/ibismux/release/release_writer.cc
@@ -13,9 +13,6 @@
 
 constexpr int kMostAttempts = 8;
 constexpr int kMostChunkAttempts = 3;
-// How many audited changes a head still shows, for those who settle a lost
-// answer of their own by it.
-constexpr std::size_t kRecentChanges = 64;
 // A head never grows past this for want of an audit trail: changes then wait.
 constexpr std::size_t kMostUnaudited = 2 * kMostChangesAtOnce;
 
@@ -25,21 +22,12 @@
       .count();
 }
 
-std::vector<std::string> names_of(const Head& head) {
-  std::vector<std::string> names;
-  for (const ChunkRef& chunk : head.chunks) {
-    if (!chunk.hash.empty()) {
-      names.push_back(chunk_name(chunk));
-    }
-  }
-  return names;
-}
-
 /// The names of `before` that `after` doesn't have.
-std::vector<std::string> dropped(const Head& before, const Head& after) {
-  const std::vector<std::string> kept = names_of(after);
+std::vector<std::string> dropped(const ReleaseContents& before,
+                                 const Assembly& after) {
+  const std::vector<std::string> kept = names_of(after.head, after.refs);
   const std::set<std::string> index(kept.begin(), kept.end());
-  std::vector<std::string> names = names_of(before);
+  std::vector<std::string> names = names_of(before.head, before.parts.refs);
   std::erase_if(names, [&index](const std::string& name) {
     return index.contains(name);
   });
@@ -68,13 +56,15 @@
                              PublisherMetrics& metrics,
                              std::string self,
                              std::chrono::milliseconds timeout,
-                             WallClock wall_clock)
+                             WallClock wall_clock,
+                             ReleaseLayout layout)
     : store(store),
       releases(releases),
       metrics(metrics),
       self(std::move(self)),
       timeout(timeout),
-      wall_clock(std::move(wall_clock)) {}
+      wall_clock(std::move(wall_clock)),
+      layout(layout) {}
 
 TimePoint ReleaseWriter::deadline() const {
   return Clock::now() + this->timeout;
@@ -90,6 +80,7 @@
       .objects_version = view.version,
       .change_count = base.head.change_count + candidate.changes.size(),
       .chunks = {},
+      .indexes = {},
       .recent = recent_changes(base.head.recent, candidate.changes, audited)};
 }
 
@@ -121,8 +112,8 @@
       co_return fail(ErrorKind::kOverloaded,
                      "changes wait for the audit trail");
     }
-    Assembly assembly =
-        assemble(*base, candidate.objects, candidate.rejections, next);
+    Assembly assembly = assemble(*base, candidate.objects, candidate.rejections,
+                                 next, this->layout);
     done = co_await this->advance(std::move(assembly));
     if (done) {
       co_return true;
@@ -153,7 +144,7 @@
     }
     co_return done;
   }
-  for (std::string& name : dropped(base->head, assembly.head)) {
+  for (std::string& name : dropped(*base, assembly)) {
     this->retired.push_back(std::move(name));
   }
   const std::size_t changes =
@@ -242,19 +233,21 @@
 }
 
 Task<Result<void>> ReleaseWriter::take(platform::StoredObject object) {
-  const Result<std::vector<std::string>> missing =
-      this->releases.missing(object.value);
-  if (!missing) {
-    co_return tl::unexpected<Error>(missing.error());
-  }
   std::vector<std::string> chunks;
-  for (const std::string& name : *missing) {
-    std::string wanted = name;
-    Result<std::string> chunk = co_await this->get_chunk(std::move(wanted));
-    if (!chunk) {
-      co_return tl::unexpected<Error>(chunk.error());
+  for (int level = 0; level < kPartLevels; ++level) {
+    const Result<std::vector<std::string>> missing =
+        this->releases.missing(object.value, chunks);
+    if (!missing) {
+      co_return tl::unexpected<Error>(missing.error());
+    }
+    for (const std::string& name : *missing) {
+      std::string wanted = name;
+      Result<std::string> chunk = co_await this->get_chunk(std::move(wanted));
+      if (!chunk) {
+        co_return tl::unexpected<Error>(chunk.error());
+      }
+      chunks.push_back(std::move(*chunk));
     }
-    chunks.push_back(std::move(*chunk));
   }
   const Result<bool> taken = this->releases.offer(object.value, chunks);
   if (!taken) {
--- a/ibismux/release/release_writer.h
+++ b/ibismux/release/release_writer.h
@@ -20,7 +20,8 @@
 namespace ibismux::release {
 
 /// Writes the next release to the platform's store: its new chunks first, then
-/// the head by a conditional update, which alone decides.
+/// its new index chunks, then the head by a conditional update, which alone
+/// decides.
 ///
 /// Belongs to one event loop; not thread safe.
 class ReleaseWriter {
@@ -38,7 +39,8 @@
                 PublisherMetrics& metrics,
                 std::string self,
                 std::chrono::milliseconds timeout,
-                WallClock wall_clock);
+                WallClock wall_clock,
+                ReleaseLayout layout = {});
 
   /// Publishes what of `view` can be accepted at once, if the release in force
   /// differs from that; on success the release store has it.
@@ -87,6 +89,7 @@
   std::string self;
   std::chrono::milliseconds timeout;
   WallClock wall_clock;
+  ReleaseLayout layout;
   std::uint64_t publications = 0;
   KnownHead head;
   Retired retired;
--- a/tests/relay/relay_service_test.cc
+++ b/tests/relay/relay_service_test.cc
@@ -1,5 +1,6 @@
 #include "ibismux/relay/relay_service.h"
 
+#include "ibismux/relay/release_fetcher.h"
 #include "ibismux/release/assembly.h"
 #include "ibismux/release/release_contents.h"
 #include "tests/release/sample_objects.h"
@@ -19,18 +20,26 @@
   std::vector<release::Assembly::NewChunk> chunks;
 };
 
-Encoded encode_release(Generation generation) {
+/// By it, the few objects of the sample have index chunks.
+constexpr release::ReleaseLayout kTwoLevels{.objects_per_chunk = 1,
+                                            .fewest_chunks = 16,
+                                            .most_direct_chunks = 8};
+
+Encoded encode_release(Generation generation,
+                       const release::ReleaseLayout& layout = {}) {
   release::Head head;
   head.generation = generation;
   head.publication = "p" + std::to_string(generation);
   const release::Assembly assembly = release::assemble(
-      {}, release::testing::sample_objects(), {}, std::move(head));
+      {}, release::testing::sample_objects(), {}, std::move(head), layout);
   return {release::encode_head(assembly.head), assembly.chunks};
 }
 
 /// Puts a release on the platform, as a publisher does.
-void publish(DaemonFleet& fleet, Generation generation) {
-  const Encoded encoded = encode_release(generation);
+void publish(DaemonFleet& fleet,
+             Generation generation,
+             const release::ReleaseLayout& layout = {}) {
+  const Encoded encoded = encode_release(generation, layout);
   for (const auto& chunk : encoded.chunks) {
     fleet.platform.force_put(platform::kReleases, chunk.name, chunk.bytes);
   }
@@ -39,8 +48,10 @@
 }
 
 /// Puts a release into one daemon's store, as its publisher does.
-void publish_at(ControlNode& node, Generation generation) {
-  const Encoded encoded = encode_release(generation);
+void publish_at(ControlNode& node,
+                Generation generation,
+                const release::ReleaseLayout& layout = {}) {
+  const Encoded encoded = encode_release(generation, layout);
   std::vector<std::string> chunks;
   for (const auto& chunk : encoded.chunks) {
     chunks.push_back(chunk.bytes);
@@ -77,6 +88,51 @@
   cr_assert(fleet.wait_for_generation(2));
 }
 
+// Symptom: a large site's change reaches the publisher's daemon alone.
+// Sequence: releases with index chunks, from the platform, then in an outage
+// from a peer, then to a daemon that has nothing.
+// Cause: a fetch that ends with what the head names, and not with what the
+// index chunks name.
+Test(relay_service, a_release_with_index_chunks_takes_the_same_ways) {
+  DaemonFleet fleet(5);
+  cr_assert(fleet.wait_for_members());
+  publish(fleet, 1, kTwoLevels);
+  cr_assert(fleet.wait_for_generation(1));
+  fleet.platform.set_outage(true);
+  fleet.platform.end_watches();
+  publish_at(*fleet.nodes[3], 2, kTwoLevels);
+  cr_assert(fleet.wait_for_generation(2));
+  fleet.start(1);
+  cr_assert(fleet.wait_for_generation(2));
+  for (const auto& [i, node] : fleet.nodes) {
+    cr_assert(node->releases.contents()->head.indexes.size() == 4);
+    cr_assert(node->releases.contents()->objects.size() == 7);
+  }
+}
+
+// Symptom: a change takes three round trips on each level of the tree.
+// Sequence: a daemon asks for what is newer; another asks for an index chunk.
+// Cause: an answer with only what was asked for by name.
+Test(relay_service, an_answer_brings_what_the_asker_cannot_have) {
+  DaemonFleet fleet(1);
+  cr_assert(fleet.wait_for_members());
+  publish_at(*fleet.nodes[0], 2, kTwoLevels);
+  auto& node = *fleet.nodes[0];
+  const RelaySettings settings;
+  const ReleaseFetcher fetcher(settings, node.network, fleet.platform,
+                               node.releases);
+  const FetchAnswer newer = fetcher.answer({1, {}}, Duration::zero());
+  cr_assert(newer.head == node.releases.head());
+  cr_assert(newer.chunks.size() == node.releases.written_since(1).size());
+  const std::string index =
+      release::index_name(node.releases.contents()->head.indexes[0]);
+  const FetchAnswer under = fetcher.answer({1, {index}}, Duration::zero());
+  cr_assert(under.chunks.size() ==
+            1 + node.releases.written_since(1, index).size());
+  cr_assert(fetcher.answer({2, {index}}, Duration::zero()).chunks.size() == 1);
+  cr_assert(fetcher.answer({2, {}}, Duration::zero()).chunks.empty());
+}
+
 // Symptom: after a rolling restart in an outage nobody has a configuration.
 // Sequence: the platform is down; every daemon is replaced, one after another.
 // Cause: a new daemon that only asks the platform gets nothing.
--- a/tests/release/publication_fleet.h
+++ b/tests/release/publication_fleet.h
@@ -25,15 +25,19 @@
 /// One daemon that publishes when told to, step by step.
 class SteppedPublisher {
  public:
-  SteppedPublisher(MemoryObjectStore& store, const std::string& name)
+  SteppedPublisher(MemoryObjectStore& store,
+                   const std::string& name,
+                   const ReleaseLayout& layout = {})
       : store(store),
         metrics(this->registry),
-        writer(this->store,
-               this->releases,
-               this->metrics,
-               name,
-               std::chrono::seconds(1),
-               [] { return WallTime(std::chrono::seconds(7)); }),
+        writer(
+            this->store,
+            this->releases,
+            this->metrics,
+            name,
+            std::chrono::seconds(1),
+            [] { return WallTime(std::chrono::seconds(7)); },
+            layout),
         housekeeping(this->store,
                      this->releases,
                      this->metrics,
@@ -162,19 +166,30 @@
     return stored.version != 0 && stored.version <= change.from_version;
   }
 
-  /// A head whose chunks aren't all there is a release that nobody can load.
+  /// A head of which not all is there is a release that nobody can load.
   std::string load(const Head& head) {
-    std::vector<std::string> chunks;
-    for (const ChunkRef& ref : head.chunks) {
-      const auto chunk = this->store.peek(platform::kReleases, chunk_name(ref));
-      if (!ref.hash.empty() && chunk.version == 0) {
+    std::vector<std::string> parts;
+    for (int level = 0; level < kPartLevels; ++level) {
+      const auto missing = this->reader.missing(this->bytes, parts);
+      if (!missing) {
+        return missing.error().message;
+      }
+      for (const std::string& name : *missing) {
+        parts.push_back(this->store.peek(platform::kReleases, name).value);
+      }
+    }
+    const Result<bool> offered = this->reader.offer(this->bytes, parts);
+    if (!offered) {
+      return offered.error().message;
+    }
+    // Also what the reader has had from before.
+    const auto contents = this->reader.contents();
+    for (const std::string& name : names_of(head, contents->parts.refs)) {
+      if (this->store.peek(platform::kReleases, name).version == 0) {
         return "a chunk in use is gone";
       }
-      chunks.push_back(chunk.value);
     }
-    std::erase(chunks, std::string());
-    const Result<bool> offered = this->reader.offer(this->bytes, chunks);
-    return offered ? "" : offered.error().message;
+    return "";
   }
 
   MemoryObjectStore& store;
--- a/tests/release/publication_property_test.cc
+++ b/tests/release/publication_property_test.cc
@@ -49,7 +49,8 @@
 /// One run of operators, publishers and faults, told by a list of numbers.
 class Run {
  public:
-  Run() : invariants(this->store) {
+  explicit Run(const ReleaseLayout& layout)
+      : layout(layout), invariants(this->store) {
     for (std::size_t i = 0; i < kPublishers; ++i) {
       this->replace(i);
     }
@@ -72,7 +73,8 @@
     const std::string name = "p" + std::to_string(++this->incarnations);
     // The one that is replaced is kept, for its loop owns its coroutine.
     this->gone.push_back(std::move(this->publishers[i]));
-    this->publishers[i] = std::make_unique<SteppedPublisher>(this->store, name);
+    this->publishers[i] =
+        std::make_unique<SteppedPublisher>(this->store, name, this->layout);
   }
 
   /// Most choices are steps of some publisher; the others are events.
@@ -150,6 +152,7 @@
     return "";
   }
 
+  const ReleaseLayout layout;
   MemoryObjectStore store;
   PublicationInvariants invariants;
   std::unique_ptr<SteppedPublisher> publishers[kPublishers];
@@ -157,13 +160,19 @@
   std::size_t incarnations = 0;
 };
 
-bool any_interleaving_keeps_the_invariants() {
+/// With it, the few objects here take a release from one level to two, and its
+/// index chunks are rewritten as at a large site.
+constexpr ReleaseLayout kTwoLevels{.objects_per_chunk = 1,
+                                   .fewest_chunks = 2,
+                                   .most_direct_chunks = 4};
+
+bool any_interleaving_keeps_the_invariants(const ReleaseLayout& layout) {
   // rapidcheck takes its seed from the environment alone.
   setenv("RC_PARAMS", "seed=20261202 max_success=600 max_size=400", 1);
-  return rc::check("interleavings of publishers", [] {
+  return rc::check("interleavings of publishers", [&layout] {
     const auto choices = *rc::gen::container<std::vector<unsigned>>(
         rc::gen::inRange(0U, kChoices));
-    Run run;
+    Run run(layout);
     const std::string broken = run.play(choices);
     if (!broken.empty()) {
       RC_FAIL(broken);
@@ -177,7 +186,14 @@
 /// and replaced, answers and requests are lost, operators write and delete.
 /// Cause: one publisher's step that counts on no other coming between.
 Test(publication, keeps_its_promises_in_any_interleaving) {
-  cr_assert(any_interleaving_keeps_the_invariants());
+  cr_assert(any_interleaving_keeps_the_invariants({}));
+}
+
+/// Symptom: as above, or an index chunk in use is gone.
+/// Sequence: as above, while the release grows from one level to two.
+/// Cause: index chunks kept, named or removed otherwise than chunks.
+Test(publication, keeps_its_promises_with_index_chunks) {
+  cr_assert(any_interleaving_keeps_the_invariants(kTwoLevels));
 }
 
 }  // namespace
--- a/tests/release/publication_test.cc
+++ b/tests/release/publication_test.cc
@@ -1,4 +1,6 @@
 #include <memory>
+#include <set>
+#include <string>
 #include <vector>
 
 #include "tests/release/publication_fleet.h"
@@ -81,6 +83,49 @@
   cr_assert(test.store.writes() == writes + 3);
 }
 
+/// The layout that gives the seven sample objects index chunks.
+constexpr ReleaseLayout kTwoLevels{.objects_per_chunk = 1,
+                                   .fewest_chunks = 16,
+                                   .most_direct_chunks = 8};
+
+Test(publication, writes_one_index_chunk_more_at_a_large_site) {
+  Fixture test;
+  SteppedPublisher one(test.store, "one", kTwoLevels);
+  test.finish(one);
+  operator_writes(test.store, kNewLimit);
+  const std::size_t writes = test.store.writes();
+  test.finish(one);
+  cr_assert(test.store.writes() == writes + 4);
+}
+
+/// Symptom: the platform fills up with index chunks.
+/// Sequence: a large site goes through many changes, and publishers die.
+/// Cause: only chunks are taken for garbage.
+Test(publication, keeps_no_more_than_the_grace_of_old_index_chunks) {
+  Fixture test;
+  const std::string left = "index-1-00000000000000000000000000000000";
+  test.store.force_put("releases", left, "left behind");
+  SteppedPublisher one(test.store, "one", kTwoLevels);
+  std::set<std::string> ever;
+  for (int concurrency = 10; concurrency < 16; ++concurrency) {
+    operator_writes(
+        test.store,
+        "{'kind':'limit_policy','name':'l1','spec':{'concurrency':" +
+            std::to_string(concurrency) + "}}");
+    test.finish(one);
+    for (const ChunkRef& ref : test.invariants.contents()->head.indexes) {
+      ever.insert(index_name(ref));
+    }
+  }
+  cr_assert(test.store.peek("releases", left).version == 0);
+  cr_assert(ever.size() == 4 + 5);
+  std::size_t kept = 0;
+  for (const std::string& name : ever) {
+    kept += test.store.peek("releases", name).version == 0 ? 0 : 1;
+  }
+  cr_assert(kept == 4 + 1);  // The grace is of one generation.
+}
+
 /// Symptom: two backend servers of one address are in force, or neither.
 /// Sequence: two operators write them; one daemon publishes the first while
 /// another, which has seen both, is between its chunks and its head.
--- a/tests/release/release_store_test.cc
+++ b/tests/release/release_store_test.cc
@@ -15,13 +15,20 @@
   std::vector<std::string> chunks;
 };
 
+/// By it, the few objects here have index chunks.
+constexpr ReleaseLayout kTwoLevels{.objects_per_chunk = 1,
+                                   .fewest_chunks = 16,
+                                   .most_direct_chunks = 8};
+
 Encoded encode(const ReleaseContents& base,
                const ObjectSet& objects,
-               Generation generation) {
+               Generation generation,
+               const ReleaseLayout& layout = {}) {
   const Assembly assembly =
       assemble(base, objects, {},
                Head{.generation = generation,
-                    .publication = "p" + std::to_string(generation)});
+                    .publication = "p" + std::to_string(generation)},
+               layout);
   Encoded encoded{encode_head(assembly.head), {}};
   for (const Assembly::NewChunk& chunk : assembly.chunks) {
     encoded.chunks.push_back(chunk.bytes);
@@ -99,5 +106,67 @@
   cr_assert(!done && done.error().kind == ErrorKind::kInvalidRequest);
 }
 
+/// The sample with a changed limit policy, on top of what `store` holds.
+Encoded next_of_two_levels(ReleaseStore& store) {
+  const Encoded first =
+      encode(*store.contents(), testing::sample_objects(), 1, kTwoLevels);
+  cr_assert(store.offer(first.head, first.chunks).value_or(false));
+  ObjectSet objects = testing::sample_objects();
+  testing::put(objects,
+               "{'kind':'limit_policy','name':'l1','spec':{'concurrency':8}}",
+               9);
+  return encode(*store.contents(), objects, 2, kTwoLevels);
+}
+
+Test(release_store, asks_for_one_index_chunk_and_then_for_one_chunk) {
+  ReleaseStore store;
+  const Encoded next = next_of_two_levels(store);
+  cr_assert(decode_head(next.head)->indexes.size() == 4);
+  cr_assert(next.chunks.size() == 2);
+  const auto indexes = store.missing(next.head);
+  cr_assert(indexes && indexes->size() == 1);
+  cr_assert(indexes->front().starts_with("index-2-"));
+  const auto chunks = store.missing(next.head, {next.chunks.back()});
+  cr_assert(chunks && chunks->size() == 1);
+  cr_assert(chunks->front().starts_with("chunk-2-"));
+  cr_assert(*store.offer(next.head, next.chunks));
+
+  cr_assert(store.chunk(indexes->front()) == next.chunks.back());
+  cr_assert(store.chunk(chunks->front()) == next.chunks.front());
+  const std::vector<std::string> both = {indexes->front(), chunks->front()};
+  cr_assert(store.written_since(1) == both);
+  cr_assert(store.written_since(1, indexes->front()) == *chunks);
+  cr_assert(store.written_since(2).empty());
+}
+
+/// Symptom: a daemon asks for the same chunk for ever, or takes objects from a
+/// wrong one.
+/// Sequence: an index chunk is damaged on its way.
+/// Cause: what was fetched is taken for what was asked for.
+Test(release_store, refuses_an_index_chunk_that_does_not_match_its_hash) {
+  ReleaseStore store;
+  Encoded next = next_of_two_levels(store);
+  next.chunks.back() += "x";
+  const auto missing = store.missing(next.head, next.chunks);
+  cr_assert(missing && missing->front().starts_with("index-2-"));
+  cr_assert(!store.offer(next.head, next.chunks));
+  cr_assert(store.generation() == 1);
+}
+
+Test(release_store, refuses_a_head_with_malformed_indexes) {
+  const ChunkRef ref{1, content_hash("")};
+  Head head{.generation = 1, .publication = "p"};
+  cr_assert(!decode_head(encode_head(head)));
+  head.indexes = {ref, ref, ref};
+  cr_assert(!decode_head(encode_head(head)));
+  head.indexes = {ref, ChunkRef{1, ""}};
+  cr_assert(!decode_head(encode_head(head)));
+  head.indexes = {ref, ref};
+  cr_assert(decode_head(encode_head(head)).has_value());
+  head.chunks = {ref};
+  cr_assert(!decode_head(encode_head(head)));
+  cr_assert(!decode_index(encode_index({})));
+}
+
 }  // namespace
 }  // namespace ibismux::release
--- a/thrift/relay.thrift
+++ b/thrift/relay.thrift
@@ -12,8 +12,10 @@
   3: i64 age_ms
 }
 
-/// kReleaseFetch: "what is newer than this?", or the contents of chunks.
+/// kReleaseFetch: "what is newer than this?", or the contents of chunks and
+/// index chunks.
 struct FetchRequest {
+  /// The generation in force at the asker.
   1: i64 have
   2: list<string> chunks
 }
@@ -22,7 +24,8 @@
   1: i64 generation
   /// Of the release in force; empty where it is not newer.
   2: binary head
-  /// Those asked for that the answerer has and that fit in.
+  /// Those asked for that the answerer has and that fit in; with a head, or an
+  /// index chunk, also those under it that are newer than what the asker has.
   3: map<string, binary> chunks
   4: i64 age_ms
 }
--- a/thrift/release.thrift
+++ b/thrift/release.thrift
@@ -1,9 +1,9 @@
-// A release as the platform keeps it and as daemons exchange it: one head, and
-// content-addressed chunks. docs/design/configuration.md explains the choices.
+// A release as the platform keeps it and as daemons exchange it: one head,
+// content-addressed chunks, and at large sites index chunks between them. docs/design/configuration.md explains the choices.
 
 namespace cpp ibismux.release.gen
 
-// One chunk of the head: where a group of objects stands.
+// One chunk of a head or an index chunk: where a group of objects stands.
 struct ChunkRef {
   1: i64 generation,  // For which it was written; part of its name.
   2: binary hash,     // XXH3-128, 16 bytes, high first; empty: no objects.
@@ -26,8 +26,14 @@
   2: string publication,   // Id of the update that wrote this head.
   3: i64 objects_version,  // Of the platform's store; the objects as of it.
   4: i64 change_count,     // Sequence of the newest change.
-  5: list<ChunkRef> chunks,
-  6: list<Change> recent,  // In order of sequence.
+  5: list<ChunkRef> chunks,   // By bucket; empty where there are indexes.
+  6: list<Change> recent,     // In order of sequence.
+  7: list<ChunkRef> indexes,  // Index chunks; empty at small sites.
+}
+
+// An index chunk: where the chunks of a run of buckets stand.
+struct IndexChunk {
+  1: list<ChunkRef> chunks,
 }
 
 struct ChunkObject {
