Take releases in on a loop that serves no requests

Ruled out: running the whole publisher on another loop. Its calls to the platform wait in the pool's loops and those of the relay in the other's, so neither loop could be destroyed first.

Change: relay and publisher take a `WorkLoop` through their constructors and run offers, decisions and encoding there, going on where they were. Without one they work where they run, as before. The store's lock and its comparison of generations are as they were, so only a higher one is ever applied, whichever thread offers. The daemon doesn't give a loop yet.

The new test has the serving loop take a turn while a release is put in force; with no work loop it fails (after its limit of 60 s). It also offers an older release after a newer one. The publisher's tests run with a work loop.

--- a/ibismux/relay/relay_service.cc
+++ b/ibismux/relay/relay_service.cc
@@ -49,14 +49,15 @@
        platform::ObjectStore& platform,
        release::ReleaseStore& releases,
        const RcuCell<membership::MembershipView>& view,
-       prometheus::Registry& registry)
+       prometheus::Registry& registry,
+       release::WorkLoop work)
       : settings(settings),
         loop(pool.at(0)),
         network(network),
         releases(releases),
         view(view),
         metrics(registry),
-        fetcher(this->settings, network, platform, releases),
+        fetcher(this->settings, network, platform, releases, work),
         engine(settings, std::random_device{}(), Clock::now()),
         watch(std::make_shared<ReleaseWatch>(this->settings,
                                              loop,
@@ -407,14 +408,16 @@
                            platform::ObjectStore& platform,
                            release::ReleaseStore& releases,
                            const RcuCell<membership::MembershipView>& view,
-                           prometheus::Registry& registry)
+                           prometheus::Registry& registry,
+                           release::WorkLoop work)
     : impl(std::make_shared<Impl>(settings,
                                   pool,
                                   network,
                                   platform,
                                   releases,
                                   view,
-                                  registry)) {
+                                  registry,
+                                  work)) {
   this->impl->register_handlers();
 }
 
--- a/ibismux/relay/relay_service.h
+++ b/ibismux/relay/relay_service.h
@@ -9,6 +9,7 @@
 #include "ibismux/base/rcu_cell.h"
 #include "ibismux/membership/membership_view.h"
 #include "ibismux/relay/relay_settings.h"
+#include "ibismux/release/work_loop.h"
 
 namespace prometheus {
 class Registry;
@@ -46,13 +47,15 @@
  public:
   /// Registers the network's handlers. Precondition: the network has not
   /// started; all references outlive this and the pool's threads.
+  /// @param work Where releases are put in force.
   RelayService(RelaySettings settings,
                IoPool& pool,
                peer::PeerNetwork& network,
                platform::ObjectStore& platform,
                release::ReleaseStore& releases,
                const RcuCell<membership::MembershipView>& view,
-               prometheus::Registry& registry);
+               prometheus::Registry& registry,
+               release::WorkLoop work = nullptr);
   ~RelayService();
 
   /// Call once, after the network has started.
--- a/ibismux/relay/release_fetcher.cc
+++ b/ibismux/relay/release_fetcher.cc
@@ -59,7 +59,8 @@
       co_return tl::unexpected<Error>(done.error());
     }
   }
-  co_return this->offer(head, fetched, Origin::kPeer);
+  co_return co_await this->offer(std::move(head), std::move(fetched),
+                                 Origin::kPeer);
 }
 
 Task<Result<void>> ReleaseFetcher::fetch(std::string peer,
@@ -91,13 +92,16 @@
   return offered_from;
 }
 
-Result<bool> ReleaseFetcher::offer(const std::string& head,
-                                   const std::vector<std::string>& chunks,
-                                   Origin origin) {
-  offered_from = origin;
-  auto taken = this->releases.offer(head, chunks);
-  offered_from = Origin::kPublishedHere;
-  return taken;
+Task<Result<bool>> ReleaseFetcher::offer(std::string head,
+                                         std::vector<std::string> chunks,
+                                         Origin origin) {
+  auto work = [this, &head, &chunks, origin] {
+    offered_from = origin;
+    auto taken = this->releases.offer(head, chunks);
+    offered_from = Origin::kPublishedHere;
+    return taken;
+  };
+  co_return co_await release::run_on(this->work, work);
 }
 
 Task<Result<FetchAnswer>> ReleaseFetcher::ask(std::string peer,
@@ -158,7 +162,8 @@
       co_return tl::unexpected<Error>(done.error());
     }
   }
-  co_return this->offer(head, chunks, Origin::kPlatform);
+  co_return co_await this->offer(std::move(head), std::move(chunks),
+                                 Origin::kPlatform);
 }
 
 Task<Result<void>> ReleaseFetcher::read(std::vector<std::string> wanted,
--- a/ibismux/relay/release_fetcher.h
+++ b/ibismux/relay/release_fetcher.h
@@ -13,6 +13,7 @@
 #include "ibismux/relay/messages.h"
 #include "ibismux/relay/relay_engine.h"
 #include "ibismux/relay/relay_settings.h"
+#include "ibismux/release/work_loop.h"
 
 namespace ibismux::peer {
 class PeerNetwork;
@@ -34,14 +35,17 @@
 /// Thread safe; must outlive its tasks.
 class ReleaseFetcher {
  public:
+  /// @param work Where releases are put in force.
   ReleaseFetcher(const RelaySettings& settings,
                  peer::PeerNetwork& network,
                  platform::ObjectStore& platform,
-                 release::ReleaseStore& releases)
+                 release::ReleaseStore& releases,
+                 release::WorkLoop work = nullptr)
       : settings(settings),
         network(network),
         platform(platform),
-        releases(releases) {}
+        releases(releases),
+        work(work) {}
 
   /// Asks `peer` for what is newer and takes it. @return How old the peer's
   /// knowledge of the platform is.
@@ -78,9 +82,11 @@
   /// What the events of a watch showed, by name.
   using KnownParts = std::map<std::string, std::string>;
 
-  Result<bool> offer(const std::string& head,
-                     const std::vector<std::string>& chunks,
-                     Origin origin);
+  /// Offers the release to the store, on the work loop. Of several at a time
+  /// the store takes one after another, and none that is not newer.
+  Task<Result<bool>> offer(std::string head,
+                           std::vector<std::string> chunks,
+                           Origin origin);
   Task<Result<FetchAnswer>> ask(std::string peer, FetchRequest request);
   /// Appends the parts named `wanted`, in one or more answers of `peer`.
   Task<Result<void>> fetch(std::string peer,
@@ -99,6 +105,7 @@
   peer::PeerNetwork& network;
   platform::ObjectStore& platform;
   release::ReleaseStore& releases;
+  release::WorkLoop work;
 };
 
 }  // namespace ibismux::relay
--- a/ibismux/release/publisher.cc
+++ b/ibismux/release/publisher.cc
@@ -55,7 +55,8 @@
        PublisherSettings settings,
        const Incarnation& self,
        Rank rank,
-       WallClock wall_clock)
+       WallClock wall_clock,
+       WorkLoop work)
       : loop(loop),
         store(store),
         releases(releases),
@@ -67,12 +68,15 @@
                this->metrics,
                self.member + "/" + std::to_string(self.number),
                settings.call_timeout,
-               std::move(wall_clock)),
+               std::move(wall_clock),
+               {},
+               work),
         housekeeping(store,
                      releases,
                      this->metrics,
                      settings.call_timeout,
                      settings.garbage_grace),
+        work(work),
         timer(loop),
         backoff(settings) {}
 
@@ -194,7 +198,7 @@
   Task<Result<void>> publish() {
     this->unfinished = true;
     const std::size_t place = std::min(this->rank(), this->settings.watchers);
-    if (place > 0 && this->differs()) {
+    if (place > 0 && co_await this->differs()) {
       co_await this->sleep(this->settings.rank_step *
                            static_cast<std::int64_t>(place));
     }
@@ -226,10 +230,13 @@
   }
 
   /// Whether the mirror shows something that the release in force lacks.
-  [[nodiscard]] bool differs() const {
+  [[nodiscard]] Task<bool> differs() {
     const auto base = this->releases.contents();
-    return this->mirror.view().version >= base->head.objects_version &&
-           decide(*base, this->mirror.view(), 0).differs;
+    auto deciding = [this, &base] {
+      return this->mirror.view().version >= base->head.objects_version &&
+             decide(*base, this->mirror.view(), 0).differs;
+    };
+    co_return co_await run_on(this->work, deciding);
   }
 
   Task<void> stand_by_turn() {
@@ -288,6 +295,7 @@
   PublisherMetrics metrics;
   ReleaseWriter writer;
   Housekeeping housekeeping;
+  WorkLoop work;
   boost::asio::steady_timer timer;
   Backoff backoff;
   ObjectMirror mirror;
@@ -308,7 +316,8 @@
                      PublisherSettings settings,
                      const Incarnation& self,
                      Rank rank,
-                     WallClock wall_clock)
+                     WallClock wall_clock,
+                     WorkLoop work)
     : impl(std::make_shared<Impl>(loop,
                                   store,
                                   releases,
@@ -316,7 +325,8 @@
                                   settings,
                                   self,
                                   std::move(rank),
-                                  std::move(wall_clock))) {}
+                                  std::move(wall_clock),
+                                  work)) {}
 
 Publisher::~Publisher() {
   this->stop();
--- a/ibismux/release/publisher.h
+++ b/ibismux/release/publisher.h
@@ -13,6 +13,7 @@
 #include "ibismux/release/object_key.h"
 #include "ibismux/release/publisher_settings.h"
 #include "ibismux/release/release_store.h"
+#include "ibismux/release/work_loop.h"
 
 namespace prometheus {
 class Registry;
@@ -36,6 +37,7 @@
 
   /// @param loop,store,releases,registry Outlive this; the work runs on `loop`.
   /// @param rank Is called on `loop`.
+  /// @param work Where releases are decided on, encoded and put in force.
   Publisher(boost::asio::io_context& loop,
             platform::ObjectStore& store,
             ReleaseStore& releases,
@@ -43,7 +45,8 @@
             PublisherSettings settings,
             const Incarnation& self,
             Rank rank,
-            WallClock wall_clock = std::chrono::system_clock::now);
+            WallClock wall_clock = std::chrono::system_clock::now,
+            WorkLoop work = nullptr);
   ~Publisher();
   Publisher(const Publisher&) = delete;
   Publisher& operator=(const Publisher&) = delete;
--- a/ibismux/release/release_writer.cc
+++ b/ibismux/release/release_writer.cc
@@ -57,14 +57,16 @@
                              std::string self,
                              std::chrono::milliseconds timeout,
                              WallClock wall_clock,
-                             ReleaseLayout layout)
+                             ReleaseLayout layout,
+                             WorkLoop work)
     : store(store),
       releases(releases),
       metrics(metrics),
       self(std::move(self)),
       timeout(timeout),
       wall_clock(std::move(wall_clock)),
-      layout(layout) {}
+      layout(layout),
+      work(work) {}
 
 TimePoint ReleaseWriter::deadline() const {
   return Clock::now() + this->timeout;
@@ -94,8 +96,11 @@
     if (view.version < base->head.objects_version) {
       co_return false;
     }
-    const Candidate candidate =
-        decide(*base, view, to_unix_millis(this->wall_clock()));
+    const std::int64_t now_ms = to_unix_millis(this->wall_clock());
+    auto deciding = [&base, &view, now_ms] {
+      return decide(*base, view, now_ms);
+    };
+    const Candidate candidate = co_await run_on(this->work, deciding);
     this->metrics.rejections(candidate.rejections.size());
     if (!candidate.differs) {
       co_return false;
@@ -112,8 +117,11 @@
       co_return fail(ErrorKind::kOverloaded,
                      "changes wait for the audit trail");
     }
-    Assembly assembly = assemble(*base, candidate.objects, candidate.rejections,
-                                 next, this->layout);
+    auto assembling = [this, &base, &candidate, &next] {
+      return assemble(*base, candidate.objects, candidate.rejections, next,
+                      this->layout);
+    };
+    Assembly assembly = co_await run_on(this->work, assembling);
     done = co_await this->advance(std::move(assembly));
     if (done) {
       co_return true;
@@ -194,7 +202,10 @@
     for (const Assembly::NewChunk& chunk : assembly.chunks) {
       chunks.push_back(chunk.bytes);
     }
-    const Result<bool> taken = this->releases.offer(bytes, chunks);
+    auto offering = [this, &bytes, &chunks] {
+      return this->releases.offer(bytes, chunks);
+    };
+    const Result<bool> taken = co_await run_on(this->work, offering);
     co_return taken ? Result<void>() : tl::unexpected<Error>(taken.error());
   }
   this->head.known = false;
@@ -249,7 +260,10 @@
       chunks.push_back(std::move(*chunk));
     }
   }
-  const Result<bool> taken = this->releases.offer(object.value, chunks);
+  auto offering = [this, &object, &chunks] {
+    return this->releases.offer(object.value, chunks);
+  };
+  const Result<bool> taken = co_await run_on(this->work, offering);
   if (!taken) {
     co_return tl::unexpected<Error>(taken.error());
   }
--- a/ibismux/release/release_writer.h
+++ b/ibismux/release/release_writer.h
@@ -16,6 +16,7 @@
 #include "ibismux/release/candidate.h"
 #include "ibismux/release/publisher_metrics.h"
 #include "ibismux/release/release_store.h"
+#include "ibismux/release/work_loop.h"
 
 namespace ibismux::release {
 
@@ -33,6 +34,7 @@
   using Retired = std::vector<std::string>;
 
   /// @param store,releases,metrics Outlive this.
+  /// @param work Where releases are decided on, encoded and put in force.
   /// @param self Unique to this run of this daemon; begins publication ids.
   ReleaseWriter(platform::ObjectStore& store,
                 ReleaseStore& releases,
@@ -40,7 +42,8 @@
                 std::string self,
                 std::chrono::milliseconds timeout,
                 WallClock wall_clock,
-                ReleaseLayout layout = {});
+                ReleaseLayout layout = {},
+                WorkLoop work = nullptr);
 
   /// Publishes what of `view` can be accepted at once, if the release in force
   /// differs from that; on success the release store has it.
@@ -90,6 +93,7 @@
   std::chrono::milliseconds timeout;
   WallClock wall_clock;
   ReleaseLayout layout;
+  WorkLoop work;
   std::uint64_t publications = 0;
   KnownHead head;
   Retired retired;
--- a/tests/relay/relay_service_test.cc
+++ b/tests/relay/relay_service_test.cc
@@ -1,5 +1,10 @@
 #include "ibismux/relay/relay_service.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_future.hpp>
+#include <future>
+
 #include "ibismux/relay/release_fetcher.h"
 #include "ibismux/release/assembly.h"
 #include "ibismux/release/release_contents.h"
@@ -133,6 +138,80 @@
   cr_assert(fetcher.answer({2, {}}, Duration::zero()).chunks.empty());
 }
 
+/// A fetcher with two loops: `pool` serves, `offers` puts in force.
+struct OfferRig {
+  OfferRig()
+      : view(std::make_shared<const membership::MembershipView>()),
+        network(pool, peer::PeerSettings{}, view, registry),
+        fetcher(settings, network, platform, releases, &offers.at(0)) {
+    this->pool.start();
+    this->offers.start();
+  }
+  ~OfferRig() {
+    this->offers.stop();
+    this->pool.stop();
+  }
+
+  void put(Generation generation) {
+    const Encoded encoded = encode_release(generation);
+    for (const auto& chunk : encoded.chunks) {
+      this->platform.force_put(platform::kReleases, chunk.name, chunk.bytes);
+    }
+    this->platform.force_put(platform::kReleases, release::kHeadName,
+                             encoded.head);
+  }
+
+  /// Takes what is on the platform. @return Whether there was no error.
+  bool take() {
+    return boost::asio::co_spawn(this->pool.at(0),
+                                 this->fetcher.from_platform(),
+                                 boost::asio::use_future)
+        .get()
+        .has_value();
+  }
+
+  /// Has the store's listener wait until the serving loop has done a turn.
+  void expect_turns() {
+    this->releases.on_change([this](Generation) {
+      this->origin = ReleaseFetcher::offering();
+      auto turned = std::make_shared<std::promise<void>>();
+      auto turn = turned->get_future();
+      boost::asio::post(this->pool.at(0), [turned] { turned->set_value(); });
+      this->served =
+          turn.wait_for(std::chrono::seconds(60)) == std::future_status::ready;
+    });
+  }
+
+  IoPool pool{1};
+  IoPool offers{1};
+  RcuCell<membership::MembershipView> view;
+  prometheus::Registry registry;
+  ibismux::testing::MemoryObjectStore platform;
+  release::ReleaseStore releases;
+  peer::TcpPeerNetwork network;
+  const RelaySettings settings;
+  ReleaseFetcher fetcher;
+  bool served = false;
+  Origin origin = Origin::kPublishedHere;
+};
+
+// Symptom: with each change of a large site, a twentieth of a second and more
+// in which queries of one loop are not served.
+// Sequence: a release is put in force while requests come.
+// Cause: the release is validated and compiled on the loop that serves.
+Test(relay_service, a_loop_serves_while_a_release_is_put_in_force) {
+  OfferRig rig;
+  rig.expect_turns();
+  rig.put(5);
+  cr_assert(rig.take());
+  cr_assert(rig.served);
+  cr_assert(rig.origin == Origin::kPlatform);
+  cr_assert(rig.releases.generation() == 5);
+  rig.put(3);
+  cr_assert(rig.take());
+  cr_assert(rig.releases.generation() == 5);
+}
+
 // Symptom: after a rolling restart in an outage nobody has a configuration.
 // Sequence: the platform is down; every daemon is replaced, one after another.
 // Cause: a new daemon that only asks the platform gets nothing.
--- a/tests/release/publisher_test.cc
+++ b/tests/release/publisher_test.cc
@@ -3,6 +3,7 @@
 #include <memory>
 #include <vector>
 
+#include "ibismux/base/io_pool.h"
 #include "tests/release/publication_fleet.h"
 
 #include <criterion/criterion.h>
@@ -33,18 +34,25 @@
          const std::string& name,
          std::size_t rank)
       : rank(rank),
-        publisher(loop,
-                  store,
-                  releases,
-                  registry,
-                  quick_settings(),
-                  {name, 1},
-                  [this] { return this->rank; }) {
+        publisher(
+            loop,
+            store,
+            releases,
+            registry,
+            quick_settings(),
+            {name, 1},
+            [this] { return this->rank; },
+            std::chrono::system_clock::now,
+            &work.at(0)) {
     FLAGS_minloglevel = google::GLOG_ERROR;
+    this->work.start();
     this->publisher.start();
   }
 
+  ~Daemon() { this->work.stop(); }
+
   std::size_t rank;
+  IoPool work{1};
   ReleaseStore releases;
   prometheus::Registry registry;
   Publisher publisher;
