Measure the memory of releases while one is taken in

Cause: the 64 MB for control were not measured with 36,158 objects.

Change: bench-release also counts the heap in use of one release, of two that are held at a time, the most while the second is taken in, and of a publisher's view.

Sharing unchanged parts between releases is left open.

--- a/apps/bench-release/main.cc
+++ b/apps/bench-release/main.cc
@@ -6,12 +6,14 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <atomic>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include "ibismux/base/time.h"
@@ -138,25 +140,47 @@
   std::size_t resident = 0;  // Of the process, in bytes.
 };
 
+std::size_t heap_now() {
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
 Memory memory_now() {
   malloc_trim(0);
   std::ifstream statm("/proc/self/statm");
   std::size_t size = 0;
   std::size_t resident = 0;
   statm >> size >> resident;
-  const struct mallinfo2 info = mallinfo2();
-  return {info.uordblks + info.hblkhd,
+  return {heap_now(),
           resident * static_cast<std::size_t>(sysconf(_SC_PAGESIZE))};
 }
 
+double megabytes(std::size_t before, std::size_t now) {
+  return (static_cast<double>(now) - static_cast<double>(before)) /
+         (1024.0 * 1024.0);
+}
+
 boost::json::object megabytes_since(const Memory& before) {
-  constexpr double kMegabyte = 1024.0 * 1024.0;
   const Memory now = memory_now();
-  const auto grown = [](std::size_t a, std::size_t b) {
-    return (static_cast<double>(b) - static_cast<double>(a)) / kMegabyte;
-  };
-  return {{"heap_mb", grown(before.heap, now.heap)},
-          {"resident_mb", grown(before.resident, now.resident)}};
+  return {{"heap_mb", megabytes(before.heap, now.heap)},
+          {"resident_mb", megabytes(before.resident, now.resident)}};
+}
+
+/// The most heap that is in use while `work` runs, looked at every 100 us.
+template <class Work>
+std::size_t most_heap_during(Work work) {
+  std::atomic<bool> done{false};
+  std::size_t most = heap_now();
+  std::thread sampler([&done, &most] {
+    while (!done.load()) {
+      most = std::max(most, heap_now());
+      std::this_thread::sleep_for(std::chrono::microseconds(100));
+    }
+  });
+  work();
+  done.store(true);
+  sampler.join();
+  return most;
 }
 
 /// The parts of the release in force in `store` that were written after `have`.
@@ -185,12 +209,15 @@
   const auto old_release = reader.releases().read();
   const Generation have = publisher.generation();
   change();
-  const Memory after_change = memory_now();
   parts = parts_since(publisher, have);
-  if (!reader.offer(publisher.head(), parts)) {
-    std::abort();
-  }
+  const Memory after_change = memory_now();
+  const std::size_t most = most_heap_during([&] {
+    if (!reader.offer(publisher.head(), parts)) {
+      std::abort();
+    }
+  });
   boost::json::object both = megabytes_since(after_change);
+  both["most_heap_mb"] = megabytes(after_change.heap, most);
   return {{"one_release", std::move(one)}, {"second_release", std::move(both)}};
 }
 
@@ -200,10 +227,12 @@
   const std::size_t leafs =
       count > 1 ? std::strtoul(words[1], nullptr, 10) : 83;
   ObjectView view;
+  const Memory before_view = memory_now();
   for (std::size_t done = 0; done < leafs; done += kLeafsPerService) {
     put_service(view, done / kLeafsPerService,
                 std::min(kLeafsPerService, leafs - done));
   }
+  boost::json::object view_memory = megabytes_since(before_view);
   ReleaseStore store;
   Costs first;
   const TimePoint start = Clock::now();
@@ -225,6 +254,7 @@
     Costs ignored;
     publish(view, store, ignored);
   });
+  memory["publishers_view"] = std::move(view_memory);
   std::cout << boost::json::serialize(boost::json::object{
                    {"leafs", leafs},
                    {"objects", contents->objects.size()},
