Put releases in force on a thread of their own in the daemon

Change: the daemon owns a loop that serves nothing; relay and publisher get it through their constructors. It is stopped after the loops that post to it.

test_process and the 19 other test programs pass; tail latency during a change at that size was not measured.

--- a/ibismux/daemon/daemon.cc
+++ b/ibismux/daemon/daemon.cc
@@ -103,7 +103,14 @@
                    [this](const std::vector<membership::Contact>& contacts) {
                      this->peers.set_seeds(seeds_of(contacts));
                    }),
-        relay({}, pool, peers, store, releases, members, registry),
+        relay({},
+              pool,
+              peers,
+              store,
+              releases,
+              members,
+              registry,
+              &release_pool.at(0)),
         local(pool, registry),
         leaf_status(pool.at(0), local),
         remote(pool, peers, local, registry),
@@ -129,7 +136,9 @@
                   registry,
                   {},
                   peers.self(),
-                  [this] { return this->relay.rank(); }),
+                  [this] { return this->relay.rank(); },
+                  std::chrono::system_clock::now,
+                  &release_pool.at(0)),
         caller_api(
             queries,
             admission,
@@ -176,6 +185,7 @@
     this->relay.start();
     this->leaf_status.start(kLeafStatusInterval);
     this->publisher.start();
+    this->release_pool.start();
     this->pool.start();
     LOG(INFO) << "event=started member=" << this->settings.member
               << " incarnation=" << this->peers.self().number
@@ -213,6 +223,7 @@
     this->operator_server.stop();
     this->peers.stop();
     this->pool.stop();
+    this->release_pool.stop();
     LOG(INFO) << "event=stopped member=" << this->settings.member;
   }
 
@@ -277,6 +288,8 @@
   const settings::Settings settings;
   prometheus::Registry registry;
   IoPool pool;
+  /// Serves no requests; see release::WorkLoop. Destroyed before `pool`.
+  IoPool release_pool{1};
   std::atomic<bool> leaving{false};
   std::function<void()> drain_callback = [] {};
   RcuCell<membership::MembershipView> members;
