Wait for the leaf's own count of connections

Cause: a test of the connection limit failed under AddressSanitizer. It waits until each gateway reports its whole share and then compares the leaf's count. A gateway counts a connection from when it begins to open it; the leaf counts it from when it has accepted it.

Ruled out: a share that is passed. Each gateway reported its own share and no connection had failed; the leaf's count was behind, not ahead. The leak report was what the failed assertion left behind.

Change: the test waits for the leaf's count, and then looks at each gateway's once more, so that one that goes on opening is seen.

--- a/tests/gateway/leaf_faults_test.cc
+++ b/tests/gateway/leaf_faults_test.cc
@@ -25,6 +25,10 @@
          answer.body.error().execution == execution;
 }
 
+bool sees_connections(FakeLeaf& leaf, std::size_t count) {
+  return eventually([&] { return leaf.connections() == count; });
+}
+
 bool has_queued(GatewayHarness& harness, std::size_t count) {
   return eventually([&] { return harness.status().queued >= count; });
 }
@@ -90,8 +94,10 @@
         [&] { return holders[i].status().connections == kLimit / 4; }));
     cr_assert(has_queued(holders[i], 1));
   }
-  cr_assert(leaf.connections() == kHolders * (kLimit / 4));
+  // A holder counts a connection from when it begins to open it.
+  cr_assert(sees_connections(leaf, kHolders * (kLimit / 4)));
   for (GatewayHarness& holder : holders) {
+    cr_assert(holder.status().connections == kLimit / 4);
     cr_assert(
         holder.metric("ibismux_leaf_connections_opened_total", "failed") == 0);
   }
