Let no test reach a program of another test

Found by reading, after the same was seen in test_peer: four tests dialled a port that had merely been free, or took "refused" there for their own server's end; and the daemons of a test dial ports that a killed platform or daemon has left. There a stand-in of another test would have answered with its own objects, and a daemon of the same name would have been taken for a member.

Change: tests dial a port that is bound with nobody listening. The end of a listener is looked up among this process's own sockets; the old check held for any listener, so that this is the stricter one, and it is also made before the drain. The fake platform listens with SO_REUSEPORT, so that a test holds its port from before it starts till after it is gone. Each test's daemons are a cluster of their own, which refuses strangers.

--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -63,6 +63,19 @@
   return std::nullopt;
 }
 
+/// Shares its port with whoever holds it meanwhile: a test does, so that no
+/// other program is dialled there when this one is gone.
+tcp::acceptor listen(asio::io_context& loop, const tcp::endpoint& where) {
+  using ReusePort =
+      asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
+  tcp::acceptor acceptor(loop, where.protocol());
+  acceptor.set_option(tcp::acceptor::reuse_address(true));
+  acceptor.set_option(ReusePort(true));
+  acceptor.bind(where);
+  acceptor.listen();
+  return acceptor;
+}
+
 asio::awaitable<void> accept_all(tcp::acceptor& acceptor,
                                  fake_platform::Service& service) {
   for (;;) {
@@ -94,7 +107,7 @@
       fake_platform::Stats(arguments.reads_per_second,
                            arguments.writes_per_second),
       faults, arguments.seed);
-  tcp::acceptor acceptor(loop, tcp::endpoint(ip, arguments.port));
+  tcp::acceptor acceptor = listen(loop, {ip, arguments.port});
   asio::co_spawn(loop, accept_all(acceptor, service), asio::detached);
   asio::signal_set signals(loop, SIGTERM, SIGINT);
   signals.async_wait([&loop](auto, int) { loop.stop(); });
--- a/tests/gateway/leaf_faults_test.cc
+++ b/tests/gateway/leaf_faults_test.cc
@@ -1,6 +1,7 @@
 #include "tests/gateway/fake_leaf.h"
 #include "tests/gateway/gateway_harness.h"
 #include "tests/gateway/raw_leaf.h"
+#include "tests/support/bound_port.h"
 
 #include <criterion/criterion.h>
 
@@ -111,11 +112,12 @@
 // Events: a leaf's host is down; its port refuses connections.
 // Cause: calls stayed in the queue until their deadline.
 Test(leaf_faults, unreachable_leaf_is_refused_at_once) {
+  const tests::BoundPort nobody;
   release::BackendServer object;
-  {
-    FakeLeaf gone;
-    object = gone.object();
-  }
+  object.name = "leaf";
+  object.address = "127.0.0.1";
+  object.port = nobody.port();
+  object.connect_cost = std::chrono::milliseconds(1);
   GatewayHarness harness;
   harness.apply({object});
   Answers answers;
--- a/tests/http/server_lifetime_test.cc
+++ b/tests/http/server_lifetime_test.cc
@@ -1,6 +1,11 @@
 #include "tests/http/harness.h"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <filesystem>
 #include <future>
+#include <string>
 #include <thread>
 
 #include <criterion/criterion.h>
@@ -48,13 +53,25 @@
   }
 }
 
-boost::system::error_code connect_error(std::uint16_t port) {
-  try {
-    RawClient client(port);
-  } catch (const boost::system::system_error& error) {
-    return error.code();
+/// Whether a socket of this process listens at `port`. To dial it would not
+/// tell: a port that is free again may be another test's.
+bool listens(std::uint16_t port) {
+  for (const auto& entry :
+       std::filesystem::directory_iterator("/proc/self/fd")) {
+    const int file = std::stoi(entry.path().filename());
+    int listening = 0;
+    socklen_t size = sizeof listening;
+    sockaddr_in address{};
+    socklen_t length = sizeof address;
+    if (::getsockopt(file, SOL_SOCKET, SO_ACCEPTCONN, &listening, &size) == 0 &&
+        listening != 0 &&
+        ::getsockname(file, reinterpret_cast<sockaddr*>(&address), &length) ==
+            0 &&
+        ntohs(address.sin_port) == port) {
+      return true;
+    }
   }
-  return {};
+  return false;
 }
 
 bool comes(std::promise<void>& promise) {
@@ -113,14 +130,14 @@
   busy.send("GET / HTTP/1.1\r\n\r\n");
   cr_assert(comes(gate.entered));
   cr_assert(fixture.server.in_flight() == 1);
+  cr_assert(listens(fixture.port));
   fixture.server.drain();
   gate.released.set_value();
   const std::string text = busy.read_all();
   cr_assert(text.ends_with("\r\n\r\nwhole"));
   cr_assert(text.find("Connection: close\r\n") != std::string::npos);
   wait_for_none_in_flight(fixture.server);
-  cr_assert(connect_error(fixture.port) ==
-            boost::asio::error::connection_refused);
+  cr_assert(!listens(fixture.port));
 }
 
 // Symptom: a planned stop cuts a request in flight. Sequence: the daemon
--- a/tests/peer/peer_faults_test.cc
+++ b/tests/peer/peer_faults_test.cc
@@ -4,6 +4,7 @@
 
 #include "tests/peer/peer_node.h"
 #include "tests/peer/raw_peer.h"
+#include "tests/support/bound_port.h"
 
 // Criterion's macros come after Boost's headers.
 #include <criterion/criterion.h>
@@ -196,6 +197,8 @@
   pair.a.wait_for_connections(0);
   pair.a.stop();
   // The dial that this makes fails; it is the only loss.
+  const tests::BoundPort nobody;
+  pair.b.knows("a", nobody.port());
   cr_assert(pair.b.network.notify("a", MessageKind::kGossip, "2"));
   const auto lost = pair.b.lost.wait(1);
   cr_assert(lost.size() == 1 && lost[0].number == 0);
--- a/tests/platform/http_object_store_test.cc
+++ b/tests/platform/http_object_store_test.cc
@@ -8,6 +8,7 @@
 
 #include "ibismux/base/io_pool.h"
 #include "ibismux/platform/settled_writer.h"
+#include "tests/support/bound_port.h"
 #include "tests/support/http_call.h"
 #include "tests/support/process.h"
 #include "tests/support/run_task.h"
@@ -238,9 +239,17 @@
 }
 
 Test(http_object_store, a_refused_connection_is_certainly_not_done) {
-  Fixture fixture;
-  fixture.platform.kill();
-  const auto refused = fixture.put("a", 0);
+  const tests::BoundPort nobody;
+  PlatformSettings settings;
+  settings.address = "127.0.0.1";
+  settings.port = nobody.port();
+  prometheus::Registry registry;
+  IoPool pool(1);
+  HttpObjectStore store(pool, settings, registry, 1);
+  pool.start();
+  const auto refused =
+      run_task(store.put("c", "n", "a", 0, Fixture::deadline()));
+  pool.stop();
   cr_assert(refused.error().kind == ErrorKind::kPlatformUnavailable);
   cr_assert(refused.error().execution == Execution::kNotRun);
 }
--- a/tests/support/daemon_fleet.h
+++ b/tests/support/daemon_fleet.h
@@ -1,6 +1,8 @@
 #ifndef TESTS_SUPPORT_DAEMON_FLEET_H_
 #define TESTS_SUPPORT_DAEMON_FLEET_H_
 
+#include <unistd.h>
+
 #include <boost/asio/post.hpp>
 #include <chrono>
 #include <future>
@@ -88,6 +90,9 @@
     peer::PeerSettings settings;
     settings.member = name;
     settings.zone = zone;
+    // A port that one daemon left may be a daemon's of another test, and of the
+    // same name: to this cluster it is a stranger.
+    settings.cluster = "test-" + std::to_string(::getpid());
     return settings;
   }
 
--- a/tests/support/site.cc
+++ b/tests/support/site.cc
@@ -1,5 +1,7 @@
 #include "tests/support/site.h"
 
+#include <unistd.h>
+
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
@@ -44,7 +46,8 @@
 Site::Site(PeerCut* cut, std::size_t zones)
     : cut(cut),
       zones(zones),
-      platform_process("ibismux-fake-platform", {"--port", "0"}),
+      platform_process("ibismux-fake-platform",
+                       {"--port", std::to_string(this->platform_port.port())}),
       leafs("ibismux-fake-leaf",
             {"--leafs", std::to_string(kLeafs), "--threads", "1", "--history",
              history.name()}) {
@@ -63,6 +66,9 @@
 Process Site::launch(std::size_t daemon) {
   const json::object settings = {
       {"member", "host-" + std::to_string(daemon + 1)},
+      // A port that one daemon left may be a daemon's of another test, and of
+      // the same name: to this cluster it is a stranger.
+      {"cluster", "test-" + std::to_string(::getpid())},
       {"zone", this->zone(daemon)},
       {"threads", 2},
       {"caller", {{"address", "127.0.0.1"}, {"port", 0}}},
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "ibismux/http/message.h"
+#include "tests/support/bound_port.h"
 #include "tests/support/process.h"
 #include "tests/support/temporary_file.h"
 
@@ -120,7 +121,9 @@
 
   PeerCut* const cut;
   const std::size_t zones;
-  TemporaryFile history;  ///< What the leafs ran.
+  TemporaryFile history;           ///< What the leafs ran.
+  tests::BoundPort platform_port;  ///< Held, or another test's may be dialled
+                                   ///< when the platform is gone.
   Process platform_process;
   Process leafs;
   std::vector<Process> daemons;
