Count a test's short deadline from where its request goes out

Cause: two tests give a call 50 ms, and expect that the time runs out while the request is with the server. They counted from before the connection was opened and, once, across two threads. On a busy machine the time could pass before a byte was sent; the answer is then "not run", rightly, and the test fails.

A longer time would hide it.

Change: the connection stands before the time begins, and the time begins on the loop that sends, right before it does.

--- a/tests/http/client_faults_test.cc
+++ b/tests/http/client_faults_test.cc
@@ -204,7 +204,7 @@
   pool.start();
   TestClient client(pool, server.port);
   const auto answer =
-      client.send(Request{}, Clock::now() + std::chrono::milliseconds(50));
+      client.send_within(Request{}, std::chrono::milliseconds(50));
   cr_assert(
       is(answer.error(), ErrorKind::kDeadlineExceeded, Execution::kUnknown));
   cr_assert(!client.usable());
--- a/tests/http/harness.h
+++ b/tests/http/harness.h
@@ -79,6 +79,13 @@
                exchange(this->connection, std::move(request), deadline));
   }
 
+  /// Sends with a deadline that is set once the connection stands, on its own
+  /// loop: so that it passes while the request is out, and not before.
+  Result<Response> send_within(Request request, Duration allowed) {
+    return run(this->pool,
+               exchange_within(this->connection, std::move(request), allowed));
+  }
+
   bool usable() { return run(this->pool, ask_usable(this->connection)); }
 
   IoPool& pool;
@@ -107,6 +114,18 @@
     const auto shared = std::make_shared<const Request>(std::move(request));
     co_return co_await connection->exchange(shared, deadline);
   }
+
+  static Task<Result<Response>> exchange_within(
+      std::shared_ptr<ClientConnection> connection,
+      Request request,
+      Duration allowed) {
+    auto connected = co_await connection->connect(soon());
+    if (!connected) {
+      co_return tl::unexpected(connected.error());
+    }
+    const auto shared = std::make_shared<const Request>(std::move(request));
+    co_return co_await connection->exchange(shared, Clock::now() + allowed);
+  }
 };
 
 inline Request post(std::string body) {
--- a/tests/platform/http_object_store_test.cc
+++ b/tests/platform/http_object_store_test.cc
@@ -4,6 +4,7 @@
 #include <prometheus/text_serializer.h>
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/use_future.hpp>
 #include <boost/json/parse.hpp>
 
 #include "ibismux/base/io_pool.h"
@@ -93,6 +94,22 @@
   });
 }
 
+/// Afterwards the store has a connection, which the next call goes out on.
+bool comes_to_answer(Fixture& fixture) {
+  return testing::wait_until([&fixture] {
+    return fixture.get().error().kind == ErrorKind::kNotFound;
+  });
+}
+
+/// A write whose time is counted from where it is sent: on the store's loop.
+Result<Version> put_on_its_loop(Fixture& fixture) {
+  return boost::asio::co_spawn(
+             fixture.pool.at(0),
+             fixture.store->put("c", "n /%", "a", 0, Fixture::deadline()),
+             boost::asio::use_future)
+      .get();
+}
+
 bool comes_to_exist(Fixture& fixture) {
   return testing::wait_until([&fixture] { return fixture.get().has_value(); });
 }
@@ -258,8 +275,9 @@
   PlatformSettings settings;
   settings.call_timeout = milliseconds(50);
   Fixture fixture(settings);
+  cr_assert(comes_to_answer(fixture));
   fixture.faults(R"({"hang":true})");
-  const auto late = fixture.put("a", 0);
+  const auto late = put_on_its_loop(fixture);
   cr_assert(late.error().kind == ErrorKind::kPlatformUnavailable);
   cr_assert(late.error().execution == Execution::kUnknown);
   fixture.faults(R"({"hang":false})");
