--- a/apps/ibismux-load/recorder.cc
+++ b/apps/ibismux-load/recorder.cc
@@ -33,11 +33,12 @@
     total += count;
   }
   double seen = 0;
-  for (auto&& bin : boost::histogram::indexed(
-           this->counts, boost::histogram::coverage::all)) {
-    seen += *bin;
+  // The bins below and above the range have the numbers -1 and size().
+  const Axis& axis = this->counts.axis();
+  for (int bin = -1; bin <= axis.size(); ++bin) {
+    seen += this->counts.at(bin);
     if (total > 0 && seen >= share * total) {
-      return bin.bin(0).upper();
+      return axis.value(bin + 1);
     }
   }
   return 0;
