Write the common part of a history row once

Cause: a query's and a reservation's row of the load generator's history were built by the same nine lines.

Change: history_row() makes those; the rest is added. The members come in another order; docs/HISTORY.md and the checker go by name.

--- a/apps/ibismux-load/worker.cc
+++ b/apps/ibismux-load/worker.cc
@@ -267,26 +267,34 @@
       .add(facts, Clock::now() - job.intended);
 }
 
+json::object Worker::history_row(std::string_view type,
+                                 const Job& job,
+                                 TimePoint sent,
+                                 const AnswerFacts& facts) {
+  return {{"type", type},
+          {"request_id", job.id},
+          {"service", job.service->name},
+          {"body_hash", job.hash},
+          {"sent_us", to_micros(sent)},
+          {"done_us", to_micros(Clock::now())},
+          {"status", facts.status},
+          {"error", facts.error},
+          {"execution", facts.execution}};
+}
+
 void Worker::record_query(const Job& job,
                           TimePoint sent,
                           const AnswerFacts& facts) {
   if (!this->history.enabled()) {
     return;
   }
-  this->history.add({{"type", "query"},
-                     {"request_id", job.id},
-                     {"service", job.service->name},
-                     {"body_hash", job.hash},
-                     {"sent_us", to_micros(sent)},
-                     {"done_us", to_micros(Clock::now())},
-                     {"status", facts.status},
-                     {"error", facts.error},
-                     {"execution", facts.execution},
-                     {"snapshot", facts.snapshot},
-                     {"total", facts.shards},
-                     {"contributed", names_of(facts.body, "contributed")},
-                     {"missing", names_of(facts.body, "missing")},
-                     {"hits", hits_of(facts.body)}});
+  json::object row = history_row("query", job, sent, facts);
+  row["snapshot"] = facts.snapshot;
+  row["total"] = facts.shards;
+  row["contributed"] = names_of(facts.body, "contributed");
+  row["missing"] = names_of(facts.body, "missing");
+  row["hits"] = hits_of(facts.body);
+  this->history.add(row);
 }
 
 void Worker::record_attempt(const Job& job,
@@ -295,18 +303,11 @@
   if (!this->history.enabled()) {
     return;
   }
-  this->history.add({{"type", "reservation"},
-                     {"request_id", job.id},
-                     {"service", job.service->name},
-                     {"key", job.key},
-                     {"body_hash", job.hash},
-                     {"sent_us", to_micros(sent)},
-                     {"done_us", to_micros(Clock::now())},
-                     {"status", facts.status},
-                     {"error", facts.error},
-                     {"execution", facts.execution},
-                     {"state", facts.state},
-                     {"result", facts.result}});
+  json::object row = history_row("reservation", job, sent, facts);
+  row["key"] = job.key;
+  row["state"] = facts.state;
+  row["result"] = facts.result;
+  this->history.add(row);
 }
 
 }  // namespace ibismux::load
--- a/apps/ibismux-load/worker.h
+++ b/apps/ibismux-load/worker.h
@@ -2,10 +2,12 @@
 #define APPS_IBISMUX_LOAD_WORKER_H_
 
 #include <boost/asio/io_context.hpp>
+#include <boost/json/object.hpp>
 #include <cstdint>
 #include <memory>
 #include <pcg_random.hpp>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "apps/ibismux-load/arrivals.h"
@@ -57,6 +59,12 @@
   [[nodiscard]] http::Request request_of(const Job& job) const;
   void start(const Arrival& arrival);
   void record(const Job& job, const AnswerFacts& facts);
+  /// What both kinds of row have; the caller adds the rest.
+  [[nodiscard]] static boost::json::object history_row(
+      std::string_view type,
+      const Job& job,
+      TimePoint sent,
+      const AnswerFacts& facts);
   void record_query(const Job& job, TimePoint sent, const AnswerFacts& facts);
   void record_attempt(const Job& job, TimePoint sent, const AnswerFacts& facts);
   [[nodiscard]] bool chance(double share);
