Match the callers' and the operators' paths by one function

Cause: caller/ and operator/ each had a route matcher.

Change: http/path_pattern.h matches a path against "/v1/objects/{kind}/{name}" and gives the names; both packages keep a table of patterns. The answer to a wrong method stays each interface's own, as do the checks of names.

Ruled out: one table class for both, which differ in what they say of a wrong method.

--- a/ibismux/operator/routes.cc
+++ b/ibismux/operator/routes.cc
@@ -1,19 +1,16 @@
 #include "ibismux/operator/routes.h"
 
 #include <array>
-#include <optional>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "ibismux/http/message.h"
+#include "ibismux/http/path_pattern.h"
 
 namespace ibismux::operators {
 namespace {
 
-// Parts of a pattern that stand for a name.
-constexpr std::string_view kKind = "{kind}";
-constexpr std::string_view kName = "{name}";
-
 struct Pattern {
   std::string_view method;
   std::string_view path;
@@ -37,24 +34,10 @@
     {"GET", "/readyz", Operation::kReady},
 }};
 
-/// The route of `parts` by `pattern`, whose method isn't looked at.
-std::optional<Route> match(const Pattern& pattern,
-                           const std::vector<std::string>& parts) {
-  const std::vector<std::string> wanted = http::split_path(pattern.path);
-  if (wanted.size() != parts.size()) {
-    return std::nullopt;
-  }
-  Route route{pattern.operation, "", ""};
-  for (std::size_t i = 0; i < parts.size(); ++i) {
-    if (wanted[i] == kKind) {
-      route.kind = parts[i];
-    } else if (wanted[i] == kName) {
-      route.name = parts[i];
-    } else if (wanted[i] != parts[i]) {
-      return std::nullopt;
-    }
-  }
-  return route;
+/// @param names The kind and the object's name, as far as the path has them.
+Route route_of(Operation operation, std::vector<std::string> names) {
+  names.resize(2);
+  return {operation, std::move(names[0]), std::move(names[1])};
 }
 
 }  // namespace
@@ -63,12 +46,12 @@
   const std::vector<std::string> parts = http::split_path(request.path());
   std::string allowed;
   for (const Pattern& pattern : kPatterns) {
-    std::optional<Route> route = match(pattern, parts);
-    if (!route) {
+    auto names = http::match_path(pattern.path, parts);
+    if (!names) {
       continue;
     }
     if (pattern.method == request.method) {
-      return *std::move(route);
+      return route_of(pattern.operation, *std::move(names));
     }
     allowed += (allowed.empty() ? "" : ", ") + std::string(pattern.method);
   }
