Move the sending and answering of probes to a file of its own

It runs the engine, and it speaks the probes' messages.

Change: membership_probing.cc has the probes; the class that both implement is declared in membership_service_impl.h.

--- a/ibismux/membership/membership_service.cc
+++ b/ibismux/membership/membership_service.cc
@@ -2,20 +2,14 @@
 
 #include <glog/logging.h>
 
-#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <optional>
 #include <random>
 #include <utility>
 
-#include "ibismux/base/io_pool.h"
-#include "ibismux/membership/membership_engine.h"
-#include "ibismux/membership/membership_metrics.h"
+#include "ibismux/membership/membership_service_impl.h"
 #include "ibismux/peer/peer_endpoint.h"
 #include "ibismux/peer/peer_network.h"
 #include "ibismux/platform/object_store.h"
@@ -50,88 +44,6 @@
 
 }  // namespace
 
-/// All state belongs to the pool's first loop.
-class MembershipService::Impl
-    : public std::enable_shared_from_this<MembershipService::Impl> {
- public:
-  Impl(MembershipSettings settings,
-       IoPool& pool,
-       peer::PeerNetwork& network,
-       platform::ObjectStore& platform,
-       RcuCell<MembershipView>& view,
-       prometheus::Registry& registry,
-       ContactSink sink)
-      : settings(settings),
-        loop(pool.at(0)),
-        network(network),
-        platform(platform),
-        view(view),
-        metrics(registry),
-        sink(std::move(sink)),
-        tick_timer(loop),
-        list_timer(loop) {}
-
-  [[nodiscard]] const Incarnation& identity() const noexcept {
-    return this->network.self();
-  }
-  void register_handlers();
-  void start(Member self);
-  void announce_leaving();
-  void stop();
-
-  std::vector<Contact> static_contacts;
-  std::vector<ViewListener> listeners;
-
- private:
-  using Self = std::shared_ptr<Impl>;
-
-  static Task<void> run(Self self);
-  static Task<void> read_host_list(Self self);
-  static Task<void> send_probe(Self self, Commands::Probe probe);
-  static Task<void> send_indirect(Self self, Commands::Indirect indirect);
-  /// Runs `work` on the loop of `self` and gives its result to the caller's.
-  static Task<Result<std::string>> serve_on_loop(
-      Self self,
-      Task<Result<std::string>> work);
-  static Task<Result<std::string>> answer_probe(Self self,
-                                                Incarnation from,
-                                                std::string payload);
-  static Task<Result<std::string>> answer_indirect(Self self,
-                                                   std::string payload);
-  Task<std::optional<ProbeAnswer>> exchange(std::string target,
-                                            ProbeMessage message);
-  void take_contacts(const std::vector<platform::HostEntry>& hosts);
-  void carry_out();
-  void publish();
-  /// Runs `action` on the loop if the service has started and not stopped.
-  template <class Action>
-  void on_loop(Action action);
-
-  const MembershipSettings settings;
-  boost::asio::io_context& loop;
-  peer::PeerNetwork& network;
-  platform::ObjectStore& platform;
-  RcuCell<MembershipView>& view;
-  MembershipMetrics metrics;
-  ContactSink sink;
-  boost::asio::steady_timer tick_timer;
-  boost::asio::steady_timer list_timer;
-  std::optional<MembershipEngine> engine;
-  std::uint64_t published = 0;
-  bool stopped = false;
-};
-
-template <class Action>
-void MembershipService::Impl::on_loop(Action action) {
-  boost::asio::post(this->loop, [self = this->shared_from_this(),
-                                 action = std::move(action)]() mutable {
-    if (self->engine && !self->stopped) {
-      action(*self->engine);
-      self->carry_out();
-    }
-  });
-}
-
 void MembershipService::Impl::register_handlers() {
   const std::weak_ptr<Impl> weak = this->weak_from_this();
   this->network.on_notify(
@@ -267,96 +179,6 @@
   }
 }
 
-Task<std::optional<ProbeAnswer>> MembershipService::Impl::exchange(
-    std::string target,
-    ProbeMessage message) {
-  const TimePoint deadline = Clock::now() + this->settings.probe_timeout;
-  std::string payload = encode(message);
-  auto response = co_await this->network.request(
-      std::move(target), MessageKind::kProbe, std::move(payload), deadline);
-  this->metrics.probed(response.has_value());
-  if (!response) {
-    co_return std::nullopt;
-  }
-  auto answer = decode_answer(*response);
-  if (!answer) {
-    co_return std::nullopt;
-  }
-  co_return std::move(*answer);
-}
-
-Task<void> MembershipService::Impl::send_probe(Self self,
-                                               Commands::Probe probe) {
-  std::string target = probe.target;
-  ProbeMessage message = std::move(probe.message);
-  const auto answer = co_await self->exchange(target, std::move(message));
-  if (!self->stopped) {
-    self->engine->on_probe_result(target, answer, Clock::now());
-    self->carry_out();
-  }
-}
-
-Task<void> MembershipService::Impl::send_indirect(Self self,
-                                                  Commands::Indirect indirect) {
-  // The helper's own probe must fit in.
-  const TimePoint deadline = Clock::now() + 2 * self->settings.probe_timeout;
-  std::string payload = encode_indirect_probe(indirect.target);
-  std::string helper = indirect.helper;
-  const auto response = co_await self->network.request(
-      std::move(helper), MessageKind::kIndirectProbe, std::move(payload),
-      deadline);
-  const auto reached =
-      response ? decode_indirect_answer(*response) : Result<bool>(false);
-  if (!self->stopped) {
-    self->engine->on_indirect_result(indirect.target, reached.value_or(false),
-                                     Clock::now());
-    self->carry_out();
-  }
-}
-
-Task<Result<std::string>> MembershipService::Impl::serve_on_loop(
-    Self self,
-    Task<Result<std::string>> work) {
-  if (!self) {
-    co_return fail(ErrorKind::kNotReady, "no membership here");
-  }
-  Result<std::string> result = co_await boost::asio::co_spawn(
-      self->loop, std::move(work), boost::asio::use_awaitable);
-  co_return result;
-}
-
-Task<Result<std::string>> MembershipService::Impl::answer_probe(
-    Self self,
-    Incarnation from,
-    std::string payload) {
-  const auto message = decode_probe(payload);
-  if (!message) {
-    co_return tl::unexpected<Error>(message.error());
-  }
-  if (!self->engine || self->stopped) {
-    co_return fail(ErrorKind::kNotReady, "no membership here");
-  }
-  const ProbeAnswer answer =
-      self->engine->on_probe(from, *message, Clock::now());
-  self->carry_out();
-  co_return encode(answer);
-}
-
-Task<Result<std::string>> MembershipService::Impl::answer_indirect(
-    Self self,
-    std::string payload) {
-  auto target = decode_indirect_probe(payload);
-  if (!target) {
-    co_return tl::unexpected<Error>(target.error());
-  }
-  if (!self->engine || self->stopped) {
-    co_return fail(ErrorKind::kNotReady, "no membership here");
-  }
-  ProbeMessage message = self->engine->probe_message(*target);
-  const auto answer = co_await self->exchange(*target, std::move(message));
-  co_return encode_indirect_answer(answer.has_value());
-}
-
 MembershipService::MembershipService(MembershipSettings settings,
                                      IoPool& pool,
                                      peer::PeerNetwork& network,
