--- a/standins/leaf/main.cc
+++ b/standins/leaf/main.cc
@@ -17,6 +17,7 @@
 #include <sstream>
 #include <thread>
 
+#include "standins/command_line.h"
 #include "standins/leaf/control.h"
 
 namespace {
@@ -35,10 +36,10 @@
   std::uint64_t seed = 1;
 };
 
-bool parse(int argc, char** argv, Arguments& arguments) {
+/// @return The exit status where the program shall end now.
+std::optional<int> parse(int argc, char** argv, Arguments& arguments) {
   options::options_description list("ibismux-fake-leaf");
-  list.add_options()("help", "print this")(
-      "leafs", options::value(&arguments.leafs), "how many")(
+  list.add_options()("leafs", options::value(&arguments.leafs), "how many")(
       "prefix", options::value(&arguments.prefix), "of the names")(
       "names", options::value(&arguments.names),
       "of the leafs, by commas, in place of --leafs and --prefix")(
@@ -48,19 +49,7 @@
       "JSON object of sizes and faults, for all leafs")(
       "threads", options::value(&arguments.threads), "event loops")(
       "seed", options::value(&arguments.seed), "of all randomness");
-  options::variables_map values;
-  try {
-    options::store(options::parse_command_line(argc, argv, list), values);
-    options::notify(values);
-  } catch (const options::error& problem) {
-    std::cerr << problem.what() << "\n" << list;
-    return false;
-  }
-  if (values.count("help") > 0) {
-    std::cout << list;
-    return false;
-  }
-  return true;
+  return standins::parse_command_line(argc, argv, list);
 }
 
 std::vector<std::string> names_of(const Arguments& arguments) {
@@ -89,8 +78,8 @@
 
 int main(int argc, char** argv) {
   Arguments arguments;
-  if (!parse(argc, argv, arguments)) {
-    return 2;
+  if (const auto status = parse(argc, argv, arguments)) {
+    return *status;
   }
   raise_descriptor_limit();
   fake_leaf::History history(arguments.history);
--- a/standins/platform/main.cc
+++ b/standins/platform/main.cc
@@ -15,6 +15,7 @@
 #include <csignal>
 #include <iostream>
 
+#include "standins/command_line.h"
 #include "standins/platform/connection.h"
 #include "standins/platform/service.h"
 
@@ -37,8 +38,8 @@
 /// @return The exit status where the program shall end now.
 std::optional<int> parse(int argc, char** argv, Arguments& arguments) {
   options::options_description list("ibismux-fake-platform");
-  list.add_options()("help", "print this")(
-      "address", options::value(&arguments.address), "IP number to listen on")(
+  list.add_options()("address", options::value(&arguments.address),
+                     "IP number to listen on")(
       "port", options::value(&arguments.port), "0: one of the system's")(
       "history", options::value(&arguments.history),
       "how many writes a watch can go back")(
@@ -48,19 +49,7 @@
       "cap; 0: none")("host-lag-ms", options::value(&arguments.host_lag_ms),
                       "how late the host list is")(
       "seed", options::value(&arguments.seed), "of the faults' randomness");
-  options::variables_map values;
-  try {
-    options::store(options::parse_command_line(argc, argv, list), values);
-    options::notify(values);
-  } catch (const options::error& problem) {
-    std::cerr << problem.what() << "\n" << list;
-    return 2;
-  }
-  if (values.count("help") > 0) {
-    std::cout << list;
-    return 0;
-  }
-  return std::nullopt;
+  return standins::parse_command_line(argc, argv, list);
 }
 
 /// Shares its port with whoever holds it meanwhile: a test does, so that no
