Own no leaf and be not ready until the fleet has been joined

Cause: a daemon takes itself for the only one until it hears of others. The first answer, to hold connections open only after 1 s as gateway, spared the leafs and made queries of 230 leafs wait for connections after each change.

Ruled out: to ask the platform who lives, whose list lags; to wait for a fixed time, which a restart under load has not.

Change: the membership engine tells when a daemon has joined: it met another, or the host list names nobody else, or 3 s have passed. Until then it computes no ownership, is not ready, and says why. Contacts are tried at once when they are first listed. The tests with real processes wait until daemons are ready, where they relied on "in force" meaning ready; two of them failed before that.

--- a/ibismux/caller/caller_api.cc
+++ b/ibismux/caller/caller_api.cc
@@ -100,7 +100,7 @@
     answer = tl::unexpected(id.error());
   } else if (!this->ports.ready()) {
     answer = tl::unexpected(at_door(
-        make_error(ErrorKind::kNotReady, "this daemon has no release yet"),
+        make_error(ErrorKind::kNotReady, "this daemon has just started"),
         has_key(*request, *route)));
   } else {
     seen.service = std::move(route->service);
--- a/ibismux/daemon/daemon.cc
+++ b/ibismux/daemon/daemon.cc
@@ -57,6 +57,7 @@
 membership::MembershipView alone(const settings::Settings& settings) {
   membership::MembershipView view;
   view.self = settings.member;
+  view.joined = false;
   view.members.push_back({settings.member, 0, settings.peer_address,
                           static_cast<std::uint16_t>(settings.peer_port),
                           settings.zone});
@@ -130,15 +131,16 @@
                      store,
                      registry,
                      reservation_settings(settings)),
-        publisher(pool.at(0),
-                  store,
-                  releases,
-                  registry,
-                  {},
-                  peers.self(),
-                  [this] { return this->relay.rank(); },
-                  std::chrono::system_clock::now,
-                  &release_pool.at(0)),
+        publisher(
+            pool.at(0),
+            store,
+            releases,
+            registry,
+            {},
+            peers.self(),
+            [this] { return this->relay.rank(); },
+            std::chrono::system_clock::now,
+            &release_pool.at(0)),
         caller_api(
             queries,
             admission,
@@ -146,18 +148,18 @@
             // A balancer goes on sending callers for a while after readiness
             // turned false; refusing them would be seen as failed requests at
             // each restart, so they are served until the caller port closes.
-            [this] { return this->releases.generation() > 0; },
+            [this] { return this->not_started_because().empty(); },
             registry,
             draw()),
         operator_api(this->operator_ports()),
         caller_server(pool, caller_limits(settings), caller_api.handler()),
         operator_server(pool, {}, operator_api.handler()) {
     this->releases.on_change([this](Generation generation) {
-      this->router.refresh();
+      this->refresh_ownership();
       this->relay.applied(generation);
     });
     this->membership.on_view([this](const membership::MembershipView& view) {
-      this->router.refresh();
+      this->refresh_ownership();
       this->store.set_members(view.serving());
     });
   }
@@ -179,7 +181,6 @@
     if (!operators) {
       return tl::unexpected(operators.error());
     }
-    this->router.refresh();
     this->membership.start(this->settings.peer_address, *peer,
                            this->settings.zone);
     this->relay.start();
@@ -268,8 +269,21 @@
     if (this->leaving.load()) {
       return "leaving";
     }
-    return this->releases.generation() == 0 ? "this daemon has no release yet"
-                                            : "";
+    return this->not_started_because();
+  }
+
+  [[nodiscard]] std::string not_started_because() const {
+    if (this->releases.generation() == 0) {
+      return "this daemon has no release yet";
+    }
+    return this->members.read()->joined ? ""
+                                        : "this daemon has met no other yet";
+  }
+
+  void refresh_ownership() {
+    if (this->members.read()->joined) {
+      this->router.refresh();
+    }
   }
 
   template <class Condition>
--- a/ibismux/gateway/leaf_channel.cc
+++ b/ibismux/gateway/leaf_channel.cc
@@ -41,7 +41,7 @@
     }
   });
   this->leaf = fresh;
-  this->warm_up.declare(warm, now);
+  this->keep_warm = warm;
   this->retired = false;
   this->capacity.declare(fresh.slots, fresh.leaving);
   this->queue.resize(this->context->settings.queued_per_slot *
@@ -357,7 +357,7 @@
   }
   const std::size_t calls =
       std::max(this->capacity.most_running(now), this->running.size());
-  this->pool->want(this->warm_up.holds(now) || in_use ? calls : 0);
+  this->pool->want(this->keep_warm || in_use ? calls : 0);
 }
 
 }  // namespace ibismux::gateway
--- a/ibismux/gateway/leaf_channel.h
+++ b/ibismux/gateway/leaf_channel.h
@@ -18,7 +18,6 @@
 #include "ibismux/gateway/leaf_queue.h"
 #include "ibismux/gateway/leaf_status.h"
 #include "ibismux/gateway/running_calls.h"
-#include "ibismux/gateway/warm_up.h"
 
 namespace ibismux::gateway {
 
@@ -38,8 +37,7 @@
               std::shared_ptr<CallIndex> calls);
 
   /// Takes up the declared leaf and this daemon's share of its connections.
-  /// @param keep_warm Whether connections are held open with no call waiting,
-  /// once this has been so for a while.
+  /// @param keep_warm Whether connections are held open with no call waiting.
   void configure(const release::BackendServer& leaf,
                  std::size_t share,
                  bool keep_warm);
@@ -90,7 +88,7 @@
   std::shared_ptr<CallIndex> calls;
 
   release::BackendServer leaf;
-  WarmUp warm_up;
+  bool keep_warm = false;
   bool retired = false;
   LeafQueue queue;
   LeafCapacity capacity;
--- a/ibismux/membership/contact_book.h
+++ b/ibismux/membership/contact_book.h
@@ -16,6 +16,9 @@
   std::uint16_t port = 0;
 };
 
+/// Who named a contact.
+enum class ContactSource : unsigned char { kSettings, kHostList };
+
 /// Hosts to be tried: those listed but not met, and failed members, since a
 /// partition makes each half take the other for failed. Not thread safe.
 class ContactBook {
--- a/ibismux/membership/membership_engine.cc
+++ b/ibismux/membership/membership_engine.cc
@@ -30,6 +30,7 @@
       random(seed),
       table(MemberRecord{std::move(self), epoch}, now),
       overlay(settings.rings),
+      started(now),
       last_tick(now),
       resumed(now),
       last_change(now),
@@ -45,6 +46,7 @@
   this->last_tick = now;
   this->settle_suspects(now);
   this->rebuild_overlay();
+  this->settle_join(now);
   if (now >= this->next_probe) {
     this->next_probe = now + this->settings.probe_interval;
     this->probe_next(now);
@@ -143,8 +145,27 @@
   this->overlay.rebuild(this->table.self().member.name, names);
 }
 
-void MembershipEngine::on_contacts(std::vector<Contact> contacts) {
+void MembershipEngine::on_contacts(std::vector<Contact> contacts,
+                                   ContactSource source) {
   this->contacts.list(std::move(contacts));
+  this->list_heard = this->list_heard || source == ContactSource::kHostList;
+  if (!this->joined) {
+    this->next_contact = this->last_tick;  // With the next tick.
+  }
+}
+
+void MembershipEngine::settle_join(TimePoint now) {
+  // A daemon that takes itself for the only one owns every leaf. Were all of a
+  // site's daemons started at once, each would open its share of each leaf's
+  // connections, together more than the leaf takes. So it waits to meet one of
+  // those that the host list names.
+  const bool alone =
+      this->list_heard && this->contacts.untried(this->table).empty();
+  const bool waited = now - this->started >= this->settings.join_patience;
+  if (!this->joined && (this->live > 1 || alone || waited)) {
+    this->joined = true;
+    ++this->changes;
+  }
 }
 
 void MembershipEngine::on_gossip(const std::string& from,
@@ -261,6 +282,7 @@
   MembershipView view;
   view.revision = this->changes;
   view.self = this->table.self().member.name;
+  view.joined = this->joined;
   view.members.reserve(this->table.rows().size());
   for (const auto& [name, row] : this->table.rows()) {
     view.members.push_back(row.record.member);
--- a/ibismux/membership/membership_engine.h
+++ b/ibismux/membership/membership_engine.h
@@ -41,8 +41,10 @@
   /// Call every `settings.tick`; a call that is much too late is taken as the
   /// end of a freeze.
   void tick(TimePoint now);
-  /// What the platform's host list and the settings name; replaces the former.
-  void on_contacts(std::vector<Contact> contacts);
+  /// What the settings name and, if it could be read, the platform's host list;
+  /// replaces the former.
+  void on_contacts(std::vector<Contact> contacts,
+                   ContactSource source = ContactSource::kHostList);
   void on_gossip(const std::string& from,
                  const std::vector<MemberRecord>& records,
                  TimePoint now);
@@ -71,7 +73,7 @@
   [[nodiscard]] const MemberTable& members() const noexcept {
     return this->table;
   }
-  /// Rises with each change of the table.
+  /// Rises with each change of the view.
   [[nodiscard]] std::uint64_t revision() const noexcept {
     return this->changes;
   }
@@ -103,6 +105,8 @@
 
   void recover_from_stall(TimePoint now);
   void settle_suspects(TimePoint now);
+  /// Notes when this daemon has joined the others, or goes on alone.
+  void settle_join(TimePoint now);
   void probe_next(TimePoint now);
   void try_contacts(TimePoint now);
   void flush_gossip();
@@ -132,7 +136,10 @@
   std::uint64_t changes = 1;
   std::size_t live = 1;
   bool overlay_stale = false;
+  bool list_heard = false;  // The platform's host list.
+  bool joined = false;
   std::size_t turn = 0;
+  TimePoint started;
   TimePoint last_tick;
   TimePoint resumed;  // When the last freeze ended.
   TimePoint last_change;
--- a/ibismux/membership/membership_service.cc
+++ b/ibismux/membership/membership_service.cc
@@ -88,7 +88,7 @@
     const std::uint64_t seed = std::random_device{}();
     self->engine.emplace(self->settings, std::move(member), wall_seconds(),
                          seed, Clock::now());
-    self->take_contacts({});
+    self->take_contacts({}, ContactSource::kSettings);
     self->publish();
     boost::asio::co_spawn(self->loop, run(self), boost::asio::detached);
     boost::asio::co_spawn(self->loop, read_host_list(self),
@@ -126,7 +126,7 @@
     const TimePoint deadline = Clock::now() + kHostListTimeout;
     auto hosts = co_await self->platform.hosts(deadline);
     if (hosts && !self->stopped) {
-      self->take_contacts(*hosts);
+      self->take_contacts(*hosts, ContactSource::kHostList);
     }
     const auto pause =
         self->settings.host_list_interval +
@@ -139,12 +139,13 @@
 }
 
 void MembershipService::Impl::take_contacts(
-    const std::vector<platform::HostEntry>& hosts) {
+    const std::vector<platform::HostEntry>& hosts,
+    ContactSource source) {
   std::vector<Contact> contacts = contacts_of(hosts);
   contacts.insert(contacts.end(), this->static_contacts.begin(),
                   this->static_contacts.end());
   this->sink(contacts);
-  this->engine->on_contacts(std::move(contacts));
+  this->engine->on_contacts(std::move(contacts), source);
 }
 
 void MembershipService::Impl::carry_out() {
--- a/ibismux/membership/membership_service_impl.h
+++ b/ibismux/membership/membership_service_impl.h
@@ -72,7 +72,8 @@
                                                    std::string payload);
   Task<std::optional<ProbeAnswer>> exchange(std::string target,
                                             ProbeMessage message);
-  void take_contacts(const std::vector<platform::HostEntry>& hosts);
+  void take_contacts(const std::vector<platform::HostEntry>& hosts,
+                     ContactSource source);
   void carry_out();
   void publish();
   /// Runs `action` on the loop if the service has started and not stopped.
--- a/ibismux/membership/membership_settings.h
+++ b/ibismux/membership/membership_settings.h
@@ -19,6 +19,8 @@
   std::size_t rings = 3;
   /// How often a failed or not yet met host is tried.
   std::chrono::milliseconds contact_interval{1000};
+  /// After so long without an answer from any, a daemon goes on alone.
+  std::chrono::milliseconds join_patience{3000};
   std::chrono::milliseconds tombstones{2 * 60 * 60 * 1000};
   /// Records in one gossip message and in one piece of a pull.
   std::size_t most_records = 128;
--- a/ibismux/membership/membership_view.h
+++ b/ibismux/membership/membership_view.h
@@ -40,6 +40,9 @@
   std::uint64_t revision = 0;  ///< Local; rises with each change.
   std::string self;
   std::vector<Member> members;
+  /// Whether this daemon has met others, or has reason to believe that there
+  /// are none. Until then "no others" means nothing.
+  bool joined = true;
 
   /// How many members serve; at least 1.
   [[nodiscard]] std::size_t serving() const noexcept {
--- a/tests/membership/membership_engine_test.cc
+++ b/tests/membership/membership_engine_test.cc
@@ -124,6 +124,47 @@
   cr_assert(fleet.agreed());
 }
 
+// Symptom: when all daemons of a site are started at once, leafs refuse
+// connections.
+// Sequence: a daemon has the release before it has met anyone, and takes itself
+// for the owner of every leaf.
+// Cause: "I know of nobody" taken for "there is nobody".
+Test(membership_engine, a_daemon_has_joined_when_it_met_one_of_those_listed) {
+  EngineFleet fleet(3);
+  fleet.run(5s);
+  fleet.start(EngineFleet::name(3));
+  MembershipEngine& fresh = fleet.engine(EngineFleet::name(3));
+  fleet.run(500ms);
+  cr_assert(!fresh.view().joined);
+  const std::uint64_t before = fresh.revision();
+  fresh.on_contacts({{EngineFleet::name(0), "127.0.0.1", 1}});
+  fleet.run(500ms);
+  cr_assert(fresh.view().joined);
+  cr_assert(fresh.revision() > before);
+}
+
+Test(membership_engine, a_daemon_goes_on_alone_where_nobody_is) {
+  EngineFleet fleet(0);
+  const std::string only = EngineFleet::name(0);
+  fleet.start(only);
+  fleet.run(200ms);
+  cr_assert(!fleet.engine(only).view().joined);
+  fleet.engine(only).on_contacts({{only, "127.0.0.1", 1}});
+  fleet.run(200ms);
+  cr_assert(fleet.engine(only).view().joined);
+}
+
+Test(membership_engine, a_daemon_goes_on_alone_where_nobody_answers) {
+  EngineFleet fleet(0);
+  const std::string only = EngineFleet::name(0);
+  fleet.start(only);
+  fleet.engine(only).on_contacts({{EngineFleet::name(1), "127.0.0.1", 9}});
+  fleet.run(2s);
+  cr_assert(!fleet.engine(only).view().joined);
+  fleet.run(2s);
+  cr_assert(fleet.engine(only).view().joined);
+}
+
 // Symptom: a restarted daemon whose clock went back stays failed.
 // Sequence: the new run begins with a lower epoch than the old one had.
 // Cause: others hold the old run's statement, which supersedes the new one's.
--- a/tests/process/declared_site.h
+++ b/tests/process/declared_site.h
@@ -15,7 +15,7 @@
   return "{\"deadline_ms\":" + std::to_string(milliseconds) + "}";
 }
 
-/// Daemons with the service "manuals" in force on all.
+/// Daemons that are ready, with the service "manuals" in force on all.
 class DeclaredSite : public testing::Site {
  public:
   /// Throws std::runtime_error where the service did not come into force.
@@ -29,6 +29,11 @@
     if (!this->declare_service(0)) {
       throw std::runtime_error("not in force:\n" + this->logs());
     }
+    for (std::size_t i = 0; i < daemons; ++i) {
+      if (!this->wait_until_ready(i)) {
+        throw std::runtime_error("not ready:\n" + this->logs());
+      }
+    }
   }
 
   bool comes_to_be_in_force(std::size_t daemon, int deadline) {
