Look for untried hosts only until the fleet is joined

Found on reading: each tick, ten a second, built the set of listed hosts that are not members, in proportion to the fleet, though the answer is used only before a daemon has joined. Behaviour is the same.

--- a/ibismux/membership/membership_engine.cc
+++ b/ibismux/membership/membership_engine.cc
@@ -155,6 +155,9 @@
 }
 
 void MembershipEngine::settle_join(TimePoint now) {
+  if (this->joined) {
+    return;
+  }
   // A daemon that takes itself for the only one owns every leaf. Were all of a
   // site's daemons started at once, each would open its share of each leaf's
   // connections, together more than the leaf takes. So it waits to meet one of
@@ -162,7 +165,7 @@
   const bool alone =
       this->list_heard && this->contacts.untried(this->table).empty();
   const bool waited = now - this->started >= this->settings.join_patience;
-  if (!this->joined && (this->live > 1 || alone || waited)) {
+  if (this->live > 1 || alone || waited) {
     this->joined = true;
     ++this->changes;
   }
