Tell the door of a request's end in one place; open index chunks once

Found on reading: three operations of callers told the door in the same five lines, a release's index chunks were decoded twice when it was put together, and a failure's stretch was worked out twice.

--- a/ibismux/admission/load_pool.cc
+++ b/ibismux/admission/load_pool.cc
@@ -65,10 +65,11 @@
   if (end.error == ErrorKind::kOverloaded) {
     own.limit.on_overloaded(left, now);
   } else if (end.error.has_value()) {
-    if (may_be_slow(*end.error) && stretch_of(own, latency) > kSlowFailure) {
+    const double stretch = stretch_of(own, latency);
+    if (may_be_slow(*end.error) && stretch > kSlowFailure) {
       // A quick failure says nothing of the load. Counted as a request that
       // went well, it would raise the limit while leafs are down.
-      own.limit.on_finished(stretch_of(own, latency), latency, left, now);
+      own.limit.on_finished(stretch, latency, left, now);
     }
   } else if (const auto stretch = end.leaf_wait.stretch()) {
     own.usual_latency += own.usual_latency > Duration::zero()
--- a/ibismux/caller/caller_api.cc
+++ b/ibismux/caller/caller_api.cc
@@ -30,6 +30,18 @@
                                 !request.field("Idempotency-Key").empty());
 }
 
+/// Tells the door how an admitted request ended.
+template <class Outcome>
+void tell_door(admission::Permit& permit, const Result<Outcome>& outcome) {
+  admission::RequestEnd end;
+  if (outcome) {
+    end.leaf_wait = outcome->leaf_wait;
+  } else {
+    end.error = outcome.error().kind;
+  }
+  permit.finish(end, Clock::now());
+}
+
 /// A refusal before anything was looked up. "Not run" would be taken as said of
 /// the key, whose earlier attempt may have run; a caller that believes it
 /// orders a second time elsewhere. To come back with the same key is safe.
@@ -137,11 +149,10 @@
   }
   auto answer =
       co_await this->ports.query(std::move(*request), std::move(call.cancel));
+  tell_door(*permit, answer);
   if (!answer) {
-    permit->finish({answer.error().kind, {}}, Clock::now());
     co_return tl::unexpected(answer.error());
   }
-  permit->finish({std::nullopt, answer->leaf_wait}, Clock::now());
   co_return render_query(call.incoming.request_id, *answer);
 }
 
@@ -159,11 +170,10 @@
   if (answer && answer->state == reservation::KeyState::kUnknown) {
     answer = fail(ErrorKind::kOutcomeUnknown, "the reservation may have run");
   }
+  tell_door(*permit, answer);
   if (!answer) {
-    permit->finish({answer.error().kind, {}}, Clock::now());
     co_return tl::unexpected(answer.error());
   }
-  permit->finish({std::nullopt, answer->leaf_wait}, Clock::now());
   co_return render_reservation(call.incoming.request_id, *answer);
 }
 
@@ -178,11 +188,10 @@
   }
   auto answer = co_await this->ports.ask(call.incoming.service, question->key,
                                          question->deadline);
+  tell_door(*permit, answer);
   if (!answer) {
-    permit->finish({answer.error().kind, {}}, Clock::now());
     co_return tl::unexpected(answer.error());
   }
-  permit->finish({std::nullopt, answer->leaf_wait}, Clock::now());
   co_return render_key(call.incoming.request_id, question->key, *answer);
 }
 
--- a/ibismux/release/part_finder.cc
+++ b/ibismux/release/part_finder.cc
@@ -85,28 +85,31 @@
   if (!names) {
     return names;
   }
-  for (const ChunkRef& ref : parts.refs) {
+  this->add_missing(parts.refs, *names);
+  return names;
+}
+
+void PartFinder::add_missing(const std::vector<ChunkRef>& refs,
+                             std::vector<std::string>& names) const {
+  for (const ChunkRef& ref : refs) {
     if (!ref.hash.empty() && !this->has_chunk(ref.hash)) {
-      names->push_back(chunk_name(ref));
+      names.push_back(chunk_name(ref));
     }
   }
-  return names;
 }
 
 Result<ReleaseParts> PartFinder::find(const Head& head) {
-  const Result<std::vector<std::string>> lacking = this->missing(head);
+  ReleaseParts parts;
+  Result<std::vector<std::string>> lacking = this->open_indexes(head, parts);
   if (!lacking) {
     return tl::unexpected<Error>(lacking.error());
   }
+  this->add_missing(parts.refs, *lacking);
   if (!lacking->empty()) {
     return fail(ErrorKind::kProtocolError, "release " +
                                                std::to_string(head.generation) +
                                                " lacks " + lacking->front());
   }
-  ReleaseParts parts;
-  if (const auto opened = this->open_indexes(head, parts); !opened) {
-    return tl::unexpected<Error>(opened.error());
-  }
   for (const ChunkRef& ref : parts.refs) {
     if (ref.hash.empty()) {
       parts.chunks.push_back(nullptr);
--- a/ibismux/release/part_finder.h
+++ b/ibismux/release/part_finder.h
@@ -47,6 +47,9 @@
   [[nodiscard]] Result<IndexPointer> index(const std::string& hash);
   [[nodiscard]] Result<ChunkPointer> chunk(const std::string& hash);
   [[nodiscard]] bool has_chunk(const std::string& hash) const;
+  /// Appends the names of those chunks that are missing.
+  void add_missing(const std::vector<ChunkRef>& refs,
+                   std::vector<std::string>& names) const;
 
   std::unordered_map<std::string_view, IndexPointer> indexes;
   std::unordered_map<std::string_view, ChunkPointer> chunks;
