--- a/apps/bench-claims/main.cc
+++ b/apps/bench-claims/main.cc
@@ -201,7 +201,7 @@
   std::priority_queue<Event> events;
   std::vector<std::unique_ptr<BucketState>> buckets;
   std::vector<Duration> waits;
-  platform::Version version = 0;
+  store::Version version = 0;
   std::size_t writes = 0;
   std::size_t bytes = 0;
   std::size_t segments = 0;
--- a/apps/bench-policy/scenario_cost.cc
+++ b/apps/bench-policy/scenario_cost.cc
@@ -1,7 +1,7 @@
 #include <ctime>
 
 #include "apps/bench-policy/scenarios.h"
-#include "ibismux/query/fraction_budget.h"
+#include "ibismux/base/fraction_budget.h"
 #include "ibismux/query/leaf_stats.h"
 
 namespace ibismux::bench {
@@ -61,7 +61,7 @@
   const std::string body = body_of(random);
   const query::CheaperOfTwo replicas;
   query::ServicePolicy service(0.95, 0.05);
-  query::FractionBudget retries(100);
+  FractionBudget retries(100);
   const TimePoint now = TimePoint(std::chrono::hours(1));
   std::uint64_t first = 1;
   const auto begin = cpu_time();
--- a/apps/bench-policy/sim_daemon.cc
+++ b/apps/bench-policy/sim_daemon.cc
@@ -5,7 +5,7 @@
 #include <unordered_map>
 #include <utility>
 
-#include "ibismux/query/fraction_budget.h"
+#include "ibismux/base/fraction_budget.h"
 
 namespace ibismux::bench {
 
--- a/apps/bench-policy/sim_daemon.h
+++ b/apps/bench-policy/sim_daemon.h
@@ -75,7 +75,7 @@
   query::QueryMetrics query_metrics;
   query::PolicyTable table;
   query::CallIdSource ids;
-  query::FractionBudget retries;
+  FractionBudget retries;
   admission::Admission admission;
   bool admits;
 };
--- a/ibismux/base/forward.h
+++ b/ibismux/base/forward.h
@@ -5,6 +5,7 @@
 
 enum class ErrorKind : unsigned char;
 struct Error;
+class FractionBudget;
 class IoPool;
 template <class T>
 class RcuCell;
--- a/ibismux/query/fraction_budget.h
+++ b/ibismux/base/fraction_budget.h
@@ -1,11 +1,11 @@
-#ifndef IBISMUX_QUERY_FRACTION_BUDGET_H_
-#define IBISMUX_QUERY_FRACTION_BUDGET_H_
+#ifndef IBISMUX_BASE_FRACTION_BUDGET_H_
+#define IBISMUX_BASE_FRACTION_BUDGET_H_
 
 #include <algorithm>
 #include <atomic>
 #include <cstdint>
 
-namespace ibismux::query {
+namespace ibismux {
 
 /// Extra calls as a share of ordinary ones: each ordinary call pays in a
 /// fraction of a token, each extra call takes a whole one.
@@ -56,6 +56,6 @@
   std::atomic<std::int64_t> units;
 };
 
-}  // namespace ibismux::query
+}  // namespace ibismux
 
-#endif  // IBISMUX_QUERY_FRACTION_BUDGET_H_
+#endif  // IBISMUX_BASE_FRACTION_BUDGET_H_
--- a/ibismux/daemon/daemon.cc
+++ b/ibismux/daemon/daemon.cc
@@ -26,7 +26,6 @@
 #include "ibismux/operator/operator_api.h"
 #include "ibismux/operator/operator_ports.h"
 #include "ibismux/peer/tcp_peer_network.h"
-#include "ibismux/platform/http_object_store.h"
 #include "ibismux/query/query_engine.h"
 #include "ibismux/relay/relay_service.h"
 #include "ibismux/relay/relay_settings.h"
@@ -35,6 +34,8 @@
 #include "ibismux/release/release_store.h"
 #include "ibismux/reservation/reservation_engine.h"
 #include "ibismux/settings/settings.h"
+#include "ibismux/store/http_object_store.h"
+#include "ibismux/store/own_dialect.h"
 
 namespace ibismux::daemon {
 
@@ -93,7 +94,11 @@
         pool(settings.threads),
         members(std::make_shared<const membership::MembershipView>(
             alone(settings))),
-        store(pool, platform_settings(settings), registry, draw()),
+        store(pool,
+              platform_settings(settings),
+              std::make_unique<store::OwnDialect>(),
+              registry,
+              draw()),
         peers(pool, peer_settings(settings), members, registry),
         membership(membership_settings(settings),
                    pool,
@@ -236,7 +241,7 @@
         .registry = this->registry,
         .self = this->peers.self(),
         .written =
-            [this](const release::ObjectKey& key, platform::Version version) {
+            [this](const release::ObjectKey& key, store::Version version) {
               this->publisher.nudge(key, version);
             },
         .in_force =
@@ -260,7 +265,7 @@
         {"platform",
          [this] {
            return boost::json::value{
-               {"state", platform::to_string(this->store.state())}};
+               {"state", store::to_string(this->store.state())}};
          }},
     };
   }
@@ -307,7 +312,7 @@
   std::atomic<bool> leaving{false};
   std::function<void()> drain_callback = [] {};
   RcuCell<membership::MembershipView> members;
-  platform::HttpObjectStore store;
+  store::HttpObjectStore store;
   release::ReleaseStore releases;
   peer::TcpPeerNetwork peers;
   membership::MembershipService membership;
--- a/ibismux/daemon/package_settings.cc
+++ b/ibismux/daemon/package_settings.cc
@@ -4,9 +4,8 @@
 
 namespace ibismux::daemon {
 
-platform::PlatformSettings platform_settings(
-    const settings::Settings& settings) {
-  platform::PlatformSettings result;
+store::PlatformSettings platform_settings(const settings::Settings& settings) {
+  store::PlatformSettings result;
   result.address = settings.platform_address;
   result.port = static_cast<std::uint16_t>(settings.platform_port);
   result.budget.per_second = {
--- a/ibismux/daemon/package_settings.h
+++ b/ibismux/daemon/package_settings.h
@@ -4,15 +4,15 @@
 #include "ibismux/http/server.h"
 #include "ibismux/membership/membership_settings.h"
 #include "ibismux/peer/peer_settings.h"
-#include "ibismux/platform/platform_settings.h"
 #include "ibismux/reservation/reservation_settings.h"
 #include "ibismux/settings/forward.h"
+#include "ibismux/store/platform_settings.h"
 
 namespace ibismux::daemon {
 
 /// @name A package's settings, out of the daemon's. Thread safe.
 /// @{
-[[nodiscard]] platform::PlatformSettings platform_settings(
+[[nodiscard]] store::PlatformSettings platform_settings(
     const settings::Settings& settings);
 [[nodiscard]] peer::PeerSettings peer_settings(
     const settings::Settings& settings);
--- /dev/null
+++ b/ibismux/directory/forward.h
@@ -0,0 +1,12 @@
+#ifndef IBISMUX_DIRECTORY_FORWARD_H_
+#define IBISMUX_DIRECTORY_FORWARD_H_
+
+namespace ibismux::directory {
+
+struct LeafEntry;
+class DirectoryListener;
+class LeafDirectory;
+
+}  // namespace ibismux::directory
+
+#endif  // IBISMUX_DIRECTORY_FORWARD_H_
--- /dev/null
+++ b/ibismux/dispatch/dispatch_metrics.cc
@@ -0,0 +1,91 @@
+#include "ibismux/dispatch/dispatch_metrics.h"
+
+#include <prometheus/counter.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+namespace ibismux::dispatch {
+
+namespace {
+
+/// Seconds; objectives lie between 40 ms and 800 ms.
+const prometheus::Histogram::BucketBoundaries kBounds = {
+    0.002, 0.005, 0.01, 0.02, 0.04, 0.06, 0.08, 0.12,
+    0.2,   0.4,   0.8,  1.5,  3,    6,    15};
+
+std::string name_of(const Error* error, bool partial) {
+  if (error) {
+    return std::string(error_entry(error->kind).name);
+  }
+  return partial ? "partial" : "ok";
+}
+
+double seconds(Duration duration) {
+  return std::chrono::duration<double>(duration).count();
+}
+
+}  // namespace
+
+DispatchMetrics::DispatchMetrics(prometheus::Registry& registry) {
+  this->requests = &prometheus::BuildCounter()
+                        .Name("ibismux_dispatch_requests_total")
+                        .Help("Requests by route and outcome")
+                        .Register(registry);
+  this->request_seconds = &prometheus::BuildHistogram()
+                               .Name("ibismux_dispatch_request_seconds")
+                               .Help("Time from a request to its answer")
+                               .Register(registry);
+  auto& calls = prometheus::BuildCounter()
+                    .Name("ibismux_dispatch_leaf_calls_total")
+                    .Help("Calls to leafs by outcome")
+                    .Register(registry);
+  this->calls[0] = &calls.Add({{"outcome", "ok"}});
+  for (std::size_t kind = 0; kind < kErrorKinds; ++kind) {
+    const auto& entry = error_entry(static_cast<ErrorKind>(kind));
+    this->calls[kind + 1] = &calls.Add({{"outcome", std::string(entry.name)}});
+  }
+  this->call_seconds = &prometheus::BuildHistogram()
+                            .Name("ibismux_dispatch_leaf_call_seconds")
+                            .Help("Time from a call to a leaf to its end")
+                            .Register(registry)
+                            .Add({}, kBounds);
+  auto& repeats = prometheus::BuildCounter()
+                      .Name("ibismux_dispatch_repeats_total")
+                      .Help("Requests sent to one more leaf, by cause")
+                      .Register(registry);
+  auto& refused = prometheus::BuildCounter()
+                      .Name("ibismux_dispatch_repeats_refused_total")
+                      .Help("Repeats for which the budget had none left")
+                      .Register(registry);
+  for (std::size_t i = 0; i < kRepeatCauses; ++i) {
+    const std::string cause(to_string(static_cast<RepeatCause>(i)));
+    this->repeats[i] = &repeats.Add({{"cause", cause}});
+    this->refused_repeats[i] = &refused.Add({{"cause", cause}});
+  }
+}
+
+void DispatchMetrics::request_ended(const std::string& route,
+                                    const Error* error,
+                                    bool partial,
+                                    Duration took) {
+  const std::string outcome = name_of(error, partial);
+  this->requests->Add({{"route", route}, {"outcome", outcome}}).Increment();
+  this->request_seconds->Add({{"route", route}}, kBounds)
+      .Observe(seconds(took));
+}
+
+void DispatchMetrics::call_ended(const Error* error, Duration took) noexcept {
+  const std::size_t row = error ? static_cast<std::size_t>(error->kind) + 1 : 0;
+  this->calls[row]->Increment();
+  this->call_seconds->Observe(seconds(took));
+}
+
+void DispatchMetrics::repeated(RepeatCause cause) noexcept {
+  this->repeats[static_cast<std::size_t>(cause)]->Increment();
+}
+
+void DispatchMetrics::repeat_refused(RepeatCause cause) noexcept {
+  this->refused_repeats[static_cast<std::size_t>(cause)]->Increment();
+}
+
+}  // namespace ibismux::dispatch
--- /dev/null
+++ b/ibismux/dispatch/dispatcher.cc
@@ -0,0 +1,237 @@
+#include "ibismux/dispatch/dispatcher.h"
+
+#include <algorithm>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <set>
+#include <utility>
+
+#include "ibismux/dispatch/forward_run.h"
+#include "ibismux/dispatch/scatter_run.h"
+#include "ibismux/eventlog/event_log.h"
+#include "ibismux/http/cancel_token.h"
+
+namespace ibismux::dispatch {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+// A first guess of a route's usual latency, as a part of its objective: what
+// objectives are set to by those who know the work.
+constexpr double kFirstGuess = 0.12;
+// When a caller should come back that met a daemon without configuration: one
+// that starts has it within this time if the store answers.
+constexpr milliseconds kNotReadyPause{200};
+
+using OutcomeHandler =
+    asio::async_result<asio::use_awaitable_t<>, void(Outcome)>::handler_type;
+
+}  // namespace
+
+Dispatcher::Dispatcher(asio::io_context& loop,
+                       const LeafConnector& connector,
+                       DispatchSettings settings,
+                       prometheus::Registry& registry,
+                       eventlog::EventLog& log)
+    : loop(loop),
+      connector(connector),
+      settings(std::move(settings)),
+      metrics(registry),
+      log(log) {}
+
+bool Dispatcher::put_in_force(
+    std::shared_ptr<const routing::RouteTable> table) {
+  if (this->in_force && table->version() <= this->in_force->version()) {
+    return false;
+  }
+  this->log.event(eventlog::Weight::kBelief, "config_in_force")
+      .with("config", table->version())
+      .with("before", this->in_force ? this->in_force->version() : 0)
+      .with("routes", table->routes().size());
+  this->in_force = std::move(table);
+  std::set<std::string> names;
+  for (const routing::Route& route : this->in_force->routes()) {
+    names.insert(route.name);
+  }
+  std::erase_if(this->latencies,
+                [&](const auto& row) { return !names.contains(row.first); });
+  std::erase_if(this->splits,
+                [&](const auto& row) { return !names.contains(row.first); });
+  this->share_links();
+  return true;
+}
+
+void Dispatcher::set_hosts(std::size_t hosts) {
+  this->settings.hosts = std::max<std::size_t>(1, hosts);
+  this->share_links();
+}
+
+std::size_t Dispatcher::link_share(const std::string& service) const {
+  const routing::ServiceSpec* spec =
+      this->in_force ? this->in_force->service(service) : nullptr;
+  if (!spec || spec->leaf_connections == 0) {
+    return 1;
+  }
+  const double share = static_cast<double>(spec->leaf_connections) *
+                       this->settings.connection_share /
+                       static_cast<double>(this->settings.hosts);
+  return std::max<std::size_t>(1, static_cast<std::size_t>(share));
+}
+
+void Dispatcher::share_links() {
+  for (const auto& [instance, leaf] : this->leafs) {
+    leaf->set_most_links(this->link_share(leaf->entry().service));
+  }
+}
+
+void Dispatcher::on_leaf(const directory::LeafEntry& entry) {
+  const auto known = this->leafs.find(entry.instance);
+  const bool fresh = known == this->leafs.end();
+  this->log
+      .event(eventlog::Weight::kBelief, fresh ? "leaf_new" : "leaf_changed")
+      .with("leaf", entry.instance)
+      .with("service", entry.service)
+      .with("address", entry.address)
+      .with("port", entry.port)
+      .with("zone", entry.zone)
+      .with("draining", entry.draining)
+      .with("warmup_left_ms", entry.warmup_left.count());
+  if (!fresh) {
+    known->second->update(entry);
+    return;
+  }
+  const auto group = this->group(entry.service);
+  auto leaf = std::make_shared<Leaf>(this->loop, this->connector, this->log,
+                                     entry, [weak = std::weak_ptr(group)] {
+                                       if (const auto group = weak.lock()) {
+                                         group->serve_waiting();
+                                       }
+                                     });
+  leaf->set_most_links(this->link_share(entry.service));
+  this->leafs.emplace(entry.instance, leaf);
+  group->add(std::move(leaf));
+}
+
+void Dispatcher::on_leaf_gone(const std::string& instance,
+                              std::string_view reason) {
+  const auto known = this->leafs.find(instance);
+  if (known == this->leafs.end()) {
+    return;
+  }
+  const std::shared_ptr<Leaf> leaf = known->second;
+  this->log.event(eventlog::Weight::kBelief, "leaf_gone")
+      .with("leaf", instance)
+      .with("service", leaf->entry().service)
+      .with("reason", reason);
+  this->leafs.erase(known);
+  leaf->retire();
+  const auto group = this->groups.find(leaf->entry().service);
+  if (group != this->groups.end()) {
+    group->second->remove(*leaf);
+  }
+}
+
+std::shared_ptr<ServiceGroup> Dispatcher::group(const std::string& service) {
+  auto& group = this->groups[service];
+  if (!group) {
+    group = std::make_shared<ServiceGroup>(service, this->settings);
+  }
+  return group;
+}
+
+std::shared_ptr<TypicalLatency> Dispatcher::typical(
+    const routing::Route& route) {
+  auto& typical = this->latencies[route.name];
+  if (!typical) {
+    typical = std::make_shared<TypicalLatency>(
+        std::chrono::duration_cast<Duration>(route.objective * kFirstGuess));
+  }
+  return typical;
+}
+
+std::vector<std::shared_ptr<ServiceGroup>> Dispatcher::targets(
+    const routing::Route& route) {
+  std::vector<std::shared_ptr<ServiceGroup>> targets;
+  if (!route.is_scatter()) {
+    targets.push_back(this->group(this->splits[route.name].next(route.split)));
+    return targets;
+  }
+  for (const std::string& shard : route.shards) {
+    targets.push_back(this->group(shard));
+  }
+  return targets;
+}
+
+Outcome Dispatcher::refuse(const CallerRequest& request,
+                           Error error,
+                           const routing::Route* route) {
+  const TimePoint now = Clock::now();
+  this->metrics.request_ended(route ? route->name : "none", &error, false,
+                              now - request.received);
+  this->log.event(eventlog::Weight::kFailure, "request_refused")
+      .with("request", request.id)
+      .with("route", route ? route->name : "")
+      .with("caller_host", request.host)
+      .with("path", request.path)
+      .with("config", this->in_force ? this->in_force->version() : 0)
+      .with("kind", error_entry(error.kind).name)
+      .with("message", error.message)
+      .with("left_ms", remaining(request.deadline, now));
+  return tl::unexpected(std::move(error));
+}
+
+Task<Outcome> Dispatcher::handle(CallerRequest request,
+                                 std::shared_ptr<http::CancelToken> caller) {
+  if (!this->in_force) {
+    Error error = make_error(ErrorKind::kNotReady, "no configuration yet");
+    error.retry_after = kNotReadyPause;
+    co_return this->refuse(request, std::move(error), nullptr);
+  }
+  auto context = std::make_shared<RequestContext>();
+  context->table = this->in_force;
+  context->route = this->in_force->find(request.host, request.path);
+  if (!context->route) {
+    Error error = make_error(ErrorKind::kNotFound, "no route");
+    co_return this->refuse(request, std::move(error), nullptr);
+  }
+  const routing::Route& route = *context->route;
+  context->final_at =
+      std::min(request.deadline, request.received + route.time_limit);
+  if (context->final_at <= Clock::now()) {
+    Error error = make_error(ErrorKind::kDeadlineExceeded, "no time left");
+    error.execution = Execution::kNotRun;
+    co_return this->refuse(request, std::move(error), &route);
+  }
+  context->request = std::move(request);
+  context->typical = this->typical(route);
+  context->log = &this->log;
+  context->metrics = &this->metrics;
+  auto groups = this->targets(route);
+  auto begin = [&](OutcomeHandler&& handler) {
+    auto shared = std::make_shared<OutcomeHandler>(std::move(handler));
+    RequestRun::Done done = [shared](Outcome outcome) {
+      (*shared)(std::move(outcome));
+    };
+    std::shared_ptr<RequestRun> run;
+    if (route.is_scatter()) {
+      run = std::make_shared<ScatterRun>(this->loop, context, std::move(groups),
+                                         std::move(done));
+    } else {
+      run = std::make_shared<ForwardRun>(this->loop, context, std::move(groups),
+                                         std::move(done));
+    }
+    caller->on_cancel([weak = std::weak_ptr(run)] {
+      if (const auto live = weak.lock()) {
+        live->cancel();
+      }
+    });
+    run->start();
+  };
+  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>&,
+                                          void(Outcome)>(std::move(begin),
+                                                         asio::use_awaitable);
+}
+
+}  // namespace ibismux::dispatch
--- /dev/null
+++ b/ibismux/dispatch/dispatcher.h
@@ -0,0 +1,91 @@
+#ifndef IBISMUX_DISPATCH_DISPATCHER_H_
+#define IBISMUX_DISPATCH_DISPATCHER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "ibismux/base/task.h"
+#include "ibismux/directory/leaf_directory.h"
+#include "ibismux/dispatch/answer.h"
+#include "ibismux/dispatch/caller_request.h"
+#include "ibismux/dispatch/dispatch_metrics.h"
+#include "ibismux/dispatch/dispatch_settings.h"
+#include "ibismux/dispatch/leaf.h"
+#include "ibismux/dispatch/service_group.h"
+#include "ibismux/dispatch/typical_latency.h"
+#include "ibismux/eventlog/forward.h"
+#include "ibismux/http/forward.h"
+#include "ibismux/routing/route_table.h"
+#include "ibismux/routing/split_rotation.h"
+
+namespace ibismux::dispatch {
+
+/// Takes callers' requests to leafs, by the configuration and the directory of
+/// leafs as they are now.
+///
+/// Belongs to one event loop; not thread safe.
+class Dispatcher : public directory::DirectoryListener {
+ public:
+  /// All but `settings` outlive the dispatcher and its requests.
+  Dispatcher(boost::asio::io_context& loop,
+             const LeafConnector& connector,
+             DispatchSettings settings,
+             prometheus::Registry& registry,
+             eventlog::EventLog& log);
+
+  /// Puts a configuration in force for the requests that come from now on.
+  /// @return False, and nothing changes, where it isn't newer than the one in
+  /// force: in one run of a daemon the configuration never goes back.
+  bool put_in_force(std::shared_ptr<const routing::RouteTable> table);
+
+  /// The configuration in force, or null before the first.
+  [[nodiscard]] const std::shared_ptr<const routing::RouteTable>& table()
+      const noexcept {
+    return this->in_force;
+  }
+
+  /// How many daemons share what leafs take.
+  void set_hosts(std::size_t hosts);
+
+  /// @name DirectoryListener
+  /// @{
+  void on_leaf(const directory::LeafEntry& entry) override;
+  void on_leaf_gone(const std::string& instance,
+                    std::string_view reason) override;
+  /// @}
+
+  /// Serves one request; ends by the caller's deadline and the route's limit.
+  /// @param caller Tells when the caller goes.
+  [[nodiscard]] Task<Outcome> handle(CallerRequest request,
+                                     std::shared_ptr<http::CancelToken> caller);
+
+ private:
+  [[nodiscard]] std::shared_ptr<ServiceGroup> group(const std::string& service);
+  [[nodiscard]] std::shared_ptr<TypicalLatency> typical(
+      const routing::Route& route);
+  [[nodiscard]] std::vector<std::shared_ptr<ServiceGroup>> targets(
+      const routing::Route& route);
+  [[nodiscard]] std::size_t link_share(const std::string& service) const;
+  void share_links();
+  [[nodiscard]] Outcome refuse(const CallerRequest& request,
+                               Error error,
+                               const routing::Route* route);
+
+  boost::asio::io_context& loop;
+  const LeafConnector& connector;
+  DispatchSettings settings;
+  DispatchMetrics metrics;
+  eventlog::EventLog& log;
+
+  std::shared_ptr<const routing::RouteTable> in_force;
+  std::map<std::string, std::shared_ptr<ServiceGroup>> groups;
+  std::map<std::string, std::shared_ptr<Leaf>> leafs;  ///< By instance.
+  std::map<std::string, std::shared_ptr<TypicalLatency>> latencies;
+  std::map<std::string, routing::SplitRotation> splits;
+};
+
+}  // namespace ibismux::dispatch
+
+#endif  // IBISMUX_DISPATCH_DISPATCHER_H_
--- /dev/null
+++ b/ibismux/dispatch/forward.h
@@ -0,0 +1,29 @@
+#ifndef IBISMUX_DISPATCH_FORWARD_H_
+#define IBISMUX_DISPATCH_FORWARD_H_
+
+namespace ibismux::dispatch {
+
+enum class RepeatCause : unsigned char;
+struct CallerRequest;
+struct DispatchContext;
+struct DispatchSettings;
+struct LeafAnswer;
+struct LeafCall;
+struct LeafReply;
+struct MergedAnswer;
+class DispatchMetrics;
+class Dispatcher;
+class ForwardRun;
+class Leaf;
+class LeafConnector;
+class LeafEstimate;
+class LeafLink;
+class PartCall;
+class RequestRun;
+class ScatterRun;
+class ServiceGroup;
+class TypicalLatency;
+
+}  // namespace ibismux::dispatch
+
+#endif  // IBISMUX_DISPATCH_FORWARD_H_
--- /dev/null
+++ b/ibismux/dispatch/forward_run.h
@@ -0,0 +1,23 @@
+#ifndef IBISMUX_DISPATCH_FORWARD_RUN_H_
+#define IBISMUX_DISPATCH_FORWARD_RUN_H_
+
+#include "ibismux/dispatch/request_run.h"
+
+namespace ibismux::dispatch {
+
+/// A request that one leaf answers, passed on and back whole.
+class ForwardRun : public RequestRun {
+ public:
+  using RequestRun::RequestRun;
+
+ protected:
+  [[nodiscard]] bool worth_starting() const override;
+  void settle(TimePoint now) override;
+
+ private:
+  void settle_failed(PartCall& part);
+};
+
+}  // namespace ibismux::dispatch
+
+#endif  // IBISMUX_DISPATCH_FORWARD_RUN_H_
--- /dev/null
+++ b/ibismux/dispatch/leaf.cc
@@ -0,0 +1,247 @@
+#include "ibismux/dispatch/leaf.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "ibismux/eventlog/event_log.h"
+
+namespace ibismux::dispatch {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+// Longer than a leaf's pause (250 ms at most so far) and a lost first packet on
+// a short way; a host without power answers nothing at all.
+constexpr milliseconds kDialTime{400};
+// A crashed leaf is back within seconds at the earliest; a short first pause
+// finds one that only reset its connections.
+constexpr milliseconds kFirstEjection{100};
+constexpr milliseconds kLongestEjection{1000};
+// One call without an answer may be that call's own misfortune.
+constexpr std::uint32_t kLossesToEject = 2;
+// A call that was given up before this many times the usual says nothing.
+constexpr int kPatienceTimes = 4;
+
+}  // namespace
+
+Leaf::Leaf(asio::io_context& loop,
+           const LeafConnector& connector,
+           eventlog::EventLog& log,
+           directory::LeafEntry entry,
+           std::function<void()> on_free)
+    : loop(loop),
+      connector(connector),
+      log(log),
+      known(std::move(entry)),
+      on_free(std::move(on_free)) {}
+
+void Leaf::update(const directory::LeafEntry& entry) {
+  this->known = entry;
+}
+
+void Leaf::retire() {
+  this->retired = true;
+  this->open_links -= this->idle.size();
+  this->idle.clear();
+}
+
+Duration Leaf::until_retry(TimePoint now) const noexcept {
+  return this->ejected ? remaining(this->retry_at, now) : Duration::zero();
+}
+
+void Leaf::start(Order order) {
+  ++this->orders;
+  asio::co_spawn(this->loop, run(this->shared_from_this(), std::move(order)),
+                 asio::detached);
+}
+
+Task<void> Leaf::run(std::shared_ptr<Leaf> self, Order order) {
+  CallEnd end = co_await exchange(self, order);
+  --self->orders;
+  order.on_end(std::move(end));
+  self->on_free();
+}
+
+Task<CallEnd> Leaf::exchange(std::shared_ptr<Leaf> self, Order& order) {
+  auto link = co_await acquire(self, order.call->deadline);
+  if (!link) {
+    co_return CallEnd{tl::unexpected(std::move(link.error())), false};
+  }
+  if (order.active->given_up) {
+    self->give_back(*std::move(link));
+    co_return CallEnd{
+        fail(ErrorKind::kCancelled, "given up before it was sent"), false};
+  }
+  order.active->link = link->get();
+  const auto ticket = self->numbers.sent(Clock::now());
+  const std::uint64_t listener = self->next_listener++;
+  self->listeners.emplace(listener, std::move(order.on_silence));
+  auto reply = co_await (*link)->call(order.call);
+  self->listeners.erase(listener);
+  order.active->link = nullptr;
+  const bool sent = reply || reply.error().execution != Execution::kNotRun;
+  CallEnd end{std::move(reply), sent};
+  self->judge(end, ticket, order, Clock::now());
+  self->give_back(*std::move(link));
+  co_return end;
+}
+
+Task<Result<std::unique_ptr<LeafLink>>> Leaf::acquire(
+    std::shared_ptr<Leaf> self,
+    TimePoint deadline) {
+  if (auto link = self->take_idle()) {
+    co_return link;
+  }
+  ++self->open_links;
+  auto link = self->connector.make(self->known);
+  const TimePoint latest = Clock::now() + kDialTime;
+  auto opened = co_await link->open(std::min(deadline, latest));
+  if (opened) {
+    co_return link;
+  }
+  --self->open_links;
+  const bool in_a_hurry =
+      opened.error().kind == ErrorKind::kDeadlineExceeded && deadline < latest;
+  if (!in_a_hurry) {
+    self->eject("dial: " + opened.error().message);
+  }
+  opened.error().execution = Execution::kNotRun;
+  co_return tl::unexpected(std::move(opened.error()));
+}
+
+std::unique_ptr<LeafLink> Leaf::take_idle() {
+  while (!this->idle.empty()) {
+    auto link = std::move(this->idle.back());
+    this->idle.pop_back();
+    if (link->usable()) {
+      return link;
+    }
+    --this->open_links;
+  }
+  return nullptr;
+}
+
+void Leaf::give_back(std::unique_ptr<LeafLink> link) {
+  if (this->retired || !link->usable()) {
+    --this->open_links;
+    return;
+  }
+  this->idle.push_back(std::move(link));
+}
+
+void Leaf::judge(const CallEnd& end,
+                 LeafEstimate::Ticket ticket,
+                 const Order& order,
+                 TimePoint now) {
+  if (!end.reply) {
+    this->judge_loss(end.reply.error(), ticket, order, now);
+    return;
+  }
+  this->losses = 0;
+  switch (end.reply->kind) {
+    case LeafReply::Kind::kSuccess:
+      this->numbers.answered(ticket, order.usual, now);
+      break;
+    case LeafReply::Kind::kFailure:
+    case LeafReply::Kind::kNotRun:
+      this->numbers.failed(ticket, now);
+      break;
+    case LeafReply::Kind::kOtherInstance:
+      this->numbers.failed(ticket, now);
+      this->log.event(eventlog::Weight::kBelief, "leaf_replaced")
+          .with("leaf", this->known.instance)
+          .with("service", this->known.service)
+          .with("address", this->known.address)
+          .with("request", order.call->request_id);
+      this->retire();
+      break;
+  }
+}
+
+void Leaf::judge_loss(const Error& error,
+                      LeafEstimate::Ticket ticket,
+                      const Order& order,
+                      TimePoint now) {
+  const Duration waited = now - *ticket;
+  const bool impatient =
+      order.active->given_up && waited < order.usual * kPatienceTimes;
+  if (impatient) {
+    this->numbers.answered(ticket, order.usual, *ticket + order.usual);
+    return;
+  }
+  this->numbers.lost(ticket, now);
+  ++this->losses;
+  if (this->losses >= kLossesToEject) {
+    this->eject("no answers: " + error.message);
+  }
+}
+
+void Leaf::report_silence(TimePoint now) {
+  this->log.event(eventlog::Weight::kBelief, "leaf_silent")
+      .with("leaf", this->known.instance)
+      .with("service", this->known.service)
+      .with("under_way", this->numbers.under_way())
+      .with("ratio", this->numbers.ratio(now));
+  const auto told = std::exchange(this->listeners, {});
+  for (const auto& [id, listener] : told) {
+    listener();
+  }
+}
+
+void Leaf::eject(std::string_view reason) {
+  if (this->ejected || this->retired) {
+    return;
+  }
+  this->ejected = true;
+  this->log.event(eventlog::Weight::kBelief, "leaf_ejected")
+      .with("leaf", this->known.instance)
+      .with("service", this->known.service)
+      .with("address", this->known.address)
+      .with("losses", this->losses)
+      .with("reason", reason);
+  asio::co_spawn(this->loop, probe(this->shared_from_this()), asio::detached);
+}
+
+Task<void> Leaf::probe(std::shared_ptr<Leaf> self) {
+  // A dial, not a request: it tells a leaf that is gone from one that lives
+  // without any caller waiting for the result.
+  http::Timer timer(self->loop.get_executor());
+  Duration pause = kFirstEjection;
+  for (std::uint32_t i = 1; i < self->losses && pause < kLongestEjection; ++i) {
+    pause *= 2;
+  }
+  while (!self->retired) {
+    pause = std::min<Duration>(pause, kLongestEjection);
+    self->retry_at = Clock::now() + pause;
+    timer.expires_at(self->retry_at);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (self->retired) {
+      break;
+    }
+    auto link = self->connector.make(self->known);
+    ++self->open_links;
+    auto opened = co_await link->open(Clock::now() + kDialTime);
+    if (opened) {
+      self->give_back(std::move(link));
+      self->come_back();
+      break;
+    }
+    --self->open_links;
+    pause *= 2;
+  }
+}
+
+void Leaf::come_back() {
+  this->ejected = false;
+  this->log.event(eventlog::Weight::kBelief, "leaf_back")
+      .with("leaf", this->known.instance)
+      .with("service", this->known.service);
+  this->on_free();
+}
+
+}  // namespace ibismux::dispatch
--- /dev/null
+++ b/ibismux/dispatch/leaf.h
@@ -0,0 +1,153 @@
+#ifndef IBISMUX_DISPATCH_LEAF_H_
+#define IBISMUX_DISPATCH_LEAF_H_
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "ibismux/base/task.h"
+#include "ibismux/base/time.h"
+#include "ibismux/directory/leaf_entry.h"
+#include "ibismux/dispatch/leaf_estimate.h"
+#include "ibismux/dispatch/leaf_link.h"
+#include "ibismux/eventlog/forward.h"
+
+namespace ibismux::dispatch {
+
+/// One call under way at a leaf, for whoever may want to give it up.
+struct ActiveCall {
+  LeafLink* link = nullptr;  ///< Set while the call is on the link.
+  bool given_up = false;
+
+  /// Ends the call at once: its link is closed, and the leaf drops the work.
+  void give_up() noexcept {
+    this->given_up = true;
+    if (this->link) {
+      this->link->close();
+    }
+  }
+};
+
+/// How a call ended.
+struct CallEnd {
+  Result<LeafReply> reply;
+  bool sent = false;  ///< A byte of the request may have reached the leaf.
+};
+
+/// One leaf as this daemon sees it: its links, its health, what is under way.
+///
+/// Belongs to one event loop; not thread safe. Held by shared pointers: calls
+/// under way outlive the leaf's entry.
+class Leaf : public std::enable_shared_from_this<Leaf> {
+ public:
+  /// What one call needs besides the leaf.
+  struct Order {
+    std::shared_ptr<const LeafCall> call;
+    std::shared_ptr<ActiveCall> active;
+    Duration usual;  ///< What such a call takes at the median leaf.
+    /// The leaf has fallen silent while the call waits. Called at most once.
+    std::function<void()> on_silence;
+    std::function<void(CallEnd)> on_end;
+  };
+
+  /// @param on_free Called when a link became free or the leaf came back.
+  /// @param loop, connector, log Outlive the leaf and its calls.
+  Leaf(boost::asio::io_context& loop,
+       const LeafConnector& connector,
+       eventlog::EventLog& log,
+       directory::LeafEntry entry,
+       std::function<void()> on_free);
+
+  [[nodiscard]] const directory::LeafEntry& entry() const noexcept {
+    return this->known;
+  }
+  void update(const directory::LeafEntry& entry);
+
+  /// The leaf has left, or its address belongs to another one. No call begins
+  /// here any more; those under way go on.
+  void retire();
+
+  /// @name Whether and how well it can take a call
+  /// @{
+
+  /// May be given calls at all.
+  [[nodiscard]] bool in_service() const noexcept {
+    return !this->retired && !this->known.draining && !this->ejected;
+  }
+  [[nodiscard]] bool is_retired() const noexcept { return this->retired; }
+  [[nodiscard]] bool has_idle_link() const noexcept {
+    return !this->idle.empty();
+  }
+  [[nodiscard]] bool has_room() const noexcept {
+    return !this->idle.empty() || this->open_links < this->most_links;
+  }
+  [[nodiscard]] const LeafEstimate& estimate() const noexcept {
+    return this->numbers;
+  }
+  /// Calls that are under way or wait for their link.
+  [[nodiscard]] std::size_t busy() const noexcept { return this->orders; }
+  /// How long until an ejected leaf is tried again; zero where it isn't.
+  [[nodiscard]] Duration until_retry(TimePoint now) const noexcept;
+  /// @}
+
+  /// How many links this daemon may have to the leaf, idle ones included.
+  void set_most_links(std::size_t most) noexcept { this->most_links = most; }
+
+  /// Begins a call. Precondition: `has_room()`.
+  void start(Order order);
+
+  /// Calls wait here without any answer: tells all of them, so that one call
+  /// that waits too long is news for those that came after it.
+  void report_silence(TimePoint now);
+
+ private:
+  [[nodiscard]] static Task<void> run(std::shared_ptr<Leaf> self, Order order);
+  [[nodiscard]] static Task<CallEnd> exchange(std::shared_ptr<Leaf> self,
+                                              Order& order);
+  [[nodiscard]] static Task<Result<std::unique_ptr<LeafLink>>> acquire(
+      std::shared_ptr<Leaf> self,
+      TimePoint deadline);
+  [[nodiscard]] static Task<void> probe(std::shared_ptr<Leaf> self);
+
+  [[nodiscard]] std::unique_ptr<LeafLink> take_idle();
+  void give_back(std::unique_ptr<LeafLink> link);
+  void judge(const CallEnd& end,
+             LeafEstimate::Ticket ticket,
+             const Order& order,
+             TimePoint now);
+  void judge_loss(const Error& error,
+                  LeafEstimate::Ticket ticket,
+                  const Order& order,
+                  TimePoint now);
+  void eject(std::string_view reason);
+  void come_back();
+
+  boost::asio::io_context& loop;
+  const LeafConnector& connector;
+  eventlog::EventLog& log;
+  directory::LeafEntry known;
+  const std::function<void()> on_free;
+
+  std::size_t most_links = 2;
+  std::size_t open_links = 0;  ///< Idle, busy or being opened.
+  std::size_t orders = 0;
+  std::vector<std::unique_ptr<LeafLink>> idle;
+  LeafEstimate numbers;
+
+  bool retired = false;
+  bool ejected = false;
+  std::uint32_t losses = 0;  ///< Calls and dials in a row without any answer.
+  TimePoint retry_at = TimePoint::min();
+
+  /// Calls that want to know of silence, by an id of their own.
+  std::map<std::uint64_t, std::function<void()>> listeners;
+  std::uint64_t next_listener = 0;
+};
+
+}  // namespace ibismux::dispatch
+
+#endif  // IBISMUX_DISPATCH_LEAF_H_
--- /dev/null
+++ b/ibismux/dispatch/leaf_estimate.h
@@ -0,0 +1,74 @@
+#ifndef IBISMUX_DISPATCH_LEAF_ESTIMATE_H_
+#define IBISMUX_DISPATCH_LEAF_ESTIMATE_H_
+
+#include <cstdint>
+#include <set>
+
+#include "ibismux/base/time.h"
+
+namespace ibismux::dispatch {
+
+/// How one leaf fares, from the calls of this daemon alone: how slow it is
+/// against its peers, whether it is silent right now, and how often it fails.
+///
+/// A leaf that pauses answers nothing for a while, then everything. One call
+/// without an answer for some times the usual says so long before its own
+/// deadline, and it says so for all calls: who waits there is sent elsewhere,
+/// and who comes next doesn't go there. Pauses are told from slowness, which
+/// goes on while answers come: a call that was caught in a pause counts only
+/// `kMostRatio` times the usual, so that one pause doesn't drive the leaf's
+/// traffic away after its end.
+///
+/// Not thread safe. The times given never go back.
+class LeafEstimate {
+ public:
+  /// Names one call that is under way.
+  using Ticket = std::multiset<TimePoint>::iterator;
+
+  /// @name Calls
+  /// @{
+  [[nodiscard]] Ticket sent(TimePoint now);
+  /// @param usual What a call of this kind takes at the median leaf.
+  void answered(Ticket ticket, Duration usual, TimePoint now);
+  /// The leaf answered that it failed, or refused.
+  void failed(Ticket ticket, TimePoint now);
+  /// The call ended without an answer of any kind.
+  void lost(Ticket ticket, TimePoint now);
+  /// @}
+
+  /// Whether calls wait and no answer has come for `patience`.
+  [[nodiscard]] bool silent(Duration patience, TimePoint now) const noexcept;
+
+  /// How many times the usual a call takes here; 1 is usual. Falls back towards
+  /// 1 with time, so that a leaf which recovered is tried again.
+  [[nodiscard]] double ratio(TimePoint now) const noexcept;
+
+  /// Share of the late calls that failed, 0 to 1; forgotten with time as well.
+  [[nodiscard]] double failure_share(TimePoint now) const noexcept;
+
+  [[nodiscard]] std::size_t under_way() const noexcept {
+    return this->waiting.size();
+  }
+
+ private:
+  // One call counts at most this many times the usual.
+  static constexpr double kMostRatio = 5;
+  // Weight of a new sample: four calls in a row move the estimate by half.
+  static constexpr double kWeight = 0.16;
+  // After this time without calls half of what is held against a leaf is
+  // forgotten. Troubles of leafs last seconds.
+  static constexpr double kHalfLifeSeconds = 2.5;
+
+  [[nodiscard]] double fading(TimePoint now) const noexcept;
+  void end(Ticket ticket, double ratio, double failure, TimePoint now);
+
+  std::multiset<TimePoint> waiting;  ///< When the calls under way were sent.
+  TimePoint last_answer = TimePoint::min();
+  double excess = 0;  ///< The ratio above 1, as of `updated`.
+  double failures = 0;
+  TimePoint updated = TimePoint::min();
+};
+
+}  // namespace ibismux::dispatch
+
+#endif  // IBISMUX_DISPATCH_LEAF_ESTIMATE_H_
--- /dev/null
+++ b/ibismux/dispatch/part_call.cc
@@ -0,0 +1,238 @@
+#include "ibismux/dispatch/part_call.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "ibismux/dispatch/dispatch_metrics.h"
+#include "ibismux/dispatch/service_group.h"
+#include "ibismux/eventlog/event_log.h"
+#include "ibismux/routing/route.h"
+
+namespace ibismux::dispatch {
+
+namespace {
+
+// Refusals by leafs cost an arrival each; a request that four leafs have
+// turned away is told to come back.
+constexpr std::uint32_t kMostRefusals = 4;
+
+}  // namespace
+
+PartCall::PartCall(std::shared_ptr<const RequestContext> context,
+                   std::shared_ptr<ServiceGroup> group,
+                   std::function<void()> on_change)
+    : context(std::move(context)),
+      group(std::move(group)),
+      on_change(std::move(on_change)) {}
+
+void PartCall::start() {
+  this->current = State::kOpen;
+  this->group->count_first();
+  this->starting = true;
+  if (!this->send_first() && this->current == State::kOpen) {
+    this->group->wait(this->context->route->priority,
+                      [self = this->shared_from_this()] {
+                        return self->current == State::kOpen &&
+                               !self->abandoned && self->send_first();
+                      });
+  }
+  this->starting = false;
+}
+
+bool PartCall::send_first() {
+  if (!this->group->can_serve()) {
+    this->last_error = make_error(ErrorKind::kLeafUnavailable,
+                                  "no leaf of " + this->group->name());
+    this->finish(State::kFailed);
+    return false;
+  }
+  const LeafWish wish{.usual = this->context->typical->value(),
+                      .objective = this->context->route->objective,
+                      .tried = &this->leafs};
+  auto leaf = this->group->choose(wish, Clock::now());
+  if (!leaf) {
+    return false;
+  }
+  this->send_to(std::move(leaf));
+  return true;
+}
+
+bool PartCall::may_repeat() const noexcept {
+  return this->current == State::kOpen && !this->abandoned &&
+         this->sends - this->sends_not_run <
+             this->context->route->max_attempts &&
+         this->sends_not_run < kMostRefusals;
+}
+
+void PartCall::repeat(RepeatCause cause) {
+  if (!this->context->route->is_idempotent() || !this->may_repeat() ||
+      this->active.size() != 1 || this->sends == 0) {
+    return;
+  }
+  const LeafWish wish{.usual = this->context->typical->value(),
+                      .objective = this->context->route->objective,
+                      .tried = &this->leafs,
+                      .is_repeat = true};
+  auto leaf = this->group->choose(wish, Clock::now());
+  if (!leaf) {
+    return;
+  }
+  if (!this->group->take_repeat()) {
+    this->context->metrics->repeat_refused(cause);
+    return;
+  }
+  this->context->metrics->repeated(cause);
+  this->note("request_hedged", *leaf, to_string(cause));
+  this->send_to(std::move(leaf));
+}
+
+void PartCall::send_to(std::shared_ptr<Leaf> leaf) {
+  this->leafs.push_back(leaf);
+  ++this->sends;
+  auto active = std::make_shared<ActiveCall>();
+  this->active.push_back({leaf, active, Clock::now()});
+  auto call = std::make_shared<LeafCall>();
+  call->message = this->context->request.message;
+  call->request_id = this->context->request.id;
+  call->instance = leaf->entry().instance;
+  call->deadline = this->context->final_at;
+  const std::weak_ptr<PartCall> weak = this->weak_from_this();
+  leaf->start(
+      {.call = std::move(call),
+       .active = active,
+       .usual = this->context->typical->value(),
+       .on_silence =
+           [weak] {
+             if (const auto self = weak.lock()) {
+               self->repeat(RepeatCause::kSilence);
+             }
+           },
+       .on_end = [self = this->shared_from_this(), active](
+                     CallEnd end) { self->on_end(active, std::move(end)); }});
+}
+
+void PartCall::on_end(const std::shared_ptr<ActiveCall>& active, CallEnd end) {
+  const auto ended = std::find_if(
+      this->active.begin(), this->active.end(),
+      [&](const Attempt& attempt) { return attempt.active == active; });
+  const TimePoint now = Clock::now();
+  const Duration took = now - ended->began;
+  const Error* error = end.reply ? nullptr : &end.reply.error();
+  this->context->metrics->call_ended(error, took);
+  if (end.reply && end.reply->kind == LeafReply::Kind::kSuccess) {
+    this->context->typical->record(took);
+  }
+  this->active.erase(ended);
+  if (this->current != State::kOpen) {
+    return;
+  }
+  if (end.reply) {
+    this->on_reply(*std::move(end.reply));
+  } else {
+    this->on_error(std::move(end.reply.error()), end.sent);
+  }
+}
+
+void PartCall::on_reply(LeafReply reply) {
+  switch (reply.kind) {
+    case LeafReply::Kind::kSuccess:
+      this->good = std::move(reply.answer);
+      this->finish(State::kAnswered);
+      return;
+    case LeafReply::Kind::kFailure:
+      this->note("leaf_failed", *this->leafs.back(),
+                 std::to_string(reply.answer.status));
+      this->bad = std::move(reply.answer);
+      this->retry(RepeatCause::kFailed,
+                  make_error(ErrorKind::kLeafUnavailable, "the leaf failed"),
+                  true);
+      return;
+    case LeafReply::Kind::kNotRun:
+    case LeafReply::Kind::kOtherInstance:
+      ++this->sends_not_run;
+      this->retry(RepeatCause::kNotRun,
+                  make_error(ErrorKind::kOverloaded, "leafs have no room"),
+                  true);
+      return;
+  }
+}
+
+void PartCall::on_error(Error error, bool sent) {
+  this->note("leaf_call_lost", *this->leafs.back(), error.message);
+  if (!sent) {
+    ++this->sends_not_run;
+  }
+  if (this->abandoned) {
+    this->finish(State::kFailed);
+    return;
+  }
+  this->retry(sent ? RepeatCause::kFailed : RepeatCause::kNotRun,
+              std::move(error), sent);
+}
+
+void PartCall::retry(RepeatCause cause, Error error, bool sent) {
+  this->last_error = std::move(error);
+  const bool safe =
+      this->context->route->is_idempotent() || cause == RepeatCause::kNotRun;
+  if (safe && this->may_repeat() && Clock::now() < this->context->final_at) {
+    const LeafWish wish{.usual = this->context->typical->value(),
+                        .objective = this->context->route->objective,
+                        .tried = &this->leafs};
+    if (auto leaf = this->group->choose(wish, Clock::now())) {
+      // What no byte was sent of arrived nowhere, and costs no budget.
+      if (!sent || this->group->take_repeat()) {
+        this->context->metrics->repeated(cause);
+        this->note("request_retried", *leaf, to_string(cause));
+        this->send_to(std::move(leaf));
+        return;
+      }
+      this->context->metrics->repeat_refused(cause);
+    }
+  }
+  if (this->active.empty()) {
+    this->finish(State::kFailed);
+  }
+}
+
+void PartCall::abandon() {
+  this->abandoned = true;
+}
+
+void PartCall::give_up() {
+  this->abandoned = true;
+  const auto late = this->active;
+  for (const Attempt& attempt : late) {
+    attempt.active->give_up();
+  }
+}
+
+void PartCall::finish(State state) {
+  this->current = state;
+  if (!this->starting) {
+    this->on_change();
+  }
+}
+
+void PartCall::note(std::string_view event,
+                    const Leaf& leaf,
+                    std::string_view detail) {
+  eventlog::Event line =
+      this->context->log->event(eventlog::Weight::kFailure, event);
+  if (!line.enabled()) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  line.with("request", this->context->request.id)
+      .with("service", this->group->name())
+      .with("leaf", leaf.entry().instance)
+      .with("detail", detail)
+      .with("sends", this->sends)
+      .with("at_ms", now - this->context->request.received)
+      .with("left_ms", remaining(this->context->final_at, now))
+      .with("usual_ms", this->context->typical->value())
+      .with("ratio", leaf.estimate().ratio(now))
+      .with("repeats_left", this->group->repeats_left());
+}
+
+}  // namespace ibismux::dispatch
--- /dev/null
+++ b/ibismux/dispatch/repeat_cause.h
@@ -0,0 +1,28 @@
+#ifndef IBISMUX_DISPATCH_REPEAT_CAUSE_H_
+#define IBISMUX_DISPATCH_REPEAT_CAUSE_H_
+
+#include <array>
+#include <cstddef>
+#include <string_view>
+
+namespace ibismux::dispatch {
+
+/// Why a request is sent to a second leaf.
+enum class RepeatCause : unsigned char {
+  kSlow,     ///< Its own answer takes longer than usual.
+  kSilence,  ///< Another call found the leaf silent.
+  kFailed,   ///< The leaf failed, or its answer was lost.
+  kNotRun,   ///< The leaf says that it hasn't run it.
+};
+
+inline constexpr std::size_t kRepeatCauses = 4;
+
+[[nodiscard]] constexpr std::string_view to_string(RepeatCause cause) noexcept {
+  constexpr std::array<std::string_view, kRepeatCauses> kNames = {
+      "slow", "silence", "failed", "not_run"};
+  return kNames[static_cast<std::size_t>(cause)];
+}
+
+}  // namespace ibismux::dispatch
+
+#endif  // IBISMUX_DISPATCH_REPEAT_CAUSE_H_
--- /dev/null
+++ b/ibismux/dispatch/request_run.cc
@@ -0,0 +1,236 @@
+#include "ibismux/dispatch/request_run.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "ibismux/dispatch/dispatch_metrics.h"
+#include "ibismux/dispatch/service_group.h"
+#include "ibismux/eventlog/event_log.h"
+#include "ibismux/routing/route.h"
+
+namespace ibismux::dispatch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// A call is sent again after this many times the usual: one in some tens takes
+// that long by itself, so that hedges stay well within the budget of repeats.
+constexpr double kHedgeAfter = 2.5;
+constexpr milliseconds kLeastHedge{4};
+// And no later than this part of the objective, so that the second answer
+// still comes in time.
+constexpr double kLatestHedge = 0.3;
+// Calls that lost against a repeat may go on this long: the longest pause of a
+// leaf so far, which then answers everything, and a little more.
+constexpr milliseconds kLoserGrace{300};
+// Work for a caller that has left is stopped well within half a second.
+constexpr milliseconds kCallerGoneGrace{250};
+
+Duration hedge_delay(const RequestContext& context) {
+  const auto usual = std::chrono::duration_cast<Duration>(
+      context.typical->value() * kHedgeAfter);
+  const auto latest = std::chrono::duration_cast<Duration>(
+      context.route->objective * kLatestHedge);
+  return std::clamp<Duration>(usual, kLeastHedge,
+                              std::max<Duration>(kLeastHedge, latest));
+}
+
+}  // namespace
+
+RequestRun::RequestRun(boost::asio::io_context& loop,
+                       std::shared_ptr<const RequestContext> context,
+                       std::vector<std::shared_ptr<ServiceGroup>> groups,
+                       Done done)
+    : shared(std::move(context)),
+      groups(std::move(groups)),
+      done(std::move(done)),
+      timer(loop.get_executor()),
+      wake(this->shared->final_at),
+      hedge_at(Clock::now() + hedge_delay(*this->shared)) {}
+
+void RequestRun::start() {
+  for (const auto& group : this->groups) {
+    this->all.push_back(std::make_shared<PartCall>(
+        this->shared, group, [weak = this->weak_from_this()] {
+          if (const auto self = weak.lock()) {
+            self->on_change();
+          }
+        }));
+  }
+  if (!this->worth_starting()) {
+    this->fail_run(ErrorKind::kLeafUnavailable, "too few leafs can be reached");
+    return;
+  }
+  for (const auto& part : this->all) {
+    part->start();
+  }
+  const TimePoint now = Clock::now();
+  this->settle(now);
+  if (!this->ended) {
+    this->wake_at(this->hedge_at);
+    this->arm();
+  }
+}
+
+void RequestRun::on_change() {
+  if (!this->ended) {
+    this->settle(Clock::now());
+  }
+}
+
+void RequestRun::wake_at(TimePoint when) {
+  this->wake = std::min(this->wake, when);
+}
+
+void RequestRun::arm() {
+  this->timer.expires_at(this->wake);
+  this->timer.async_wait([self = this->shared_from_this()](
+                             const boost::system::error_code& error) {
+    if (!error) {
+      self->on_timer();
+    }
+  });
+}
+
+void RequestRun::on_timer() {
+  const TimePoint now = Clock::now();
+  if (this->ended) {
+    // A wait that ended just before the run did was for something else.
+    if (now < this->wake) {
+      this->arm();
+      return;
+    }
+    for (const auto& part : this->all) {
+      part->give_up();
+    }
+    return;
+  }
+  this->wake = this->shared->final_at;
+  this->hedge_if_due(now);
+  this->settle(now);
+  if (!this->ended) {
+    this->arm();
+  }
+}
+
+void RequestRun::hedge_if_due(TimePoint now) {
+  if (now < this->hedge_at) {
+    this->wake_at(this->hedge_at);
+    return;
+  }
+  this->hedge_at = TimePoint::max();
+  const Duration patience = hedge_delay(*this->shared);
+  for (const auto& part : this->all) {
+    if (part->state() != PartCall::State::kOpen || part->tried().empty()) {
+      continue;
+    }
+    const std::shared_ptr<Leaf> leaf = part->tried().back();
+    part->repeat(RepeatCause::kSlow);
+    if (leaf->estimate().silent(patience, now)) {
+      leaf->report_silence(now);
+    }
+  }
+}
+
+void RequestRun::cancel() {
+  if (this->ended) {
+    return;
+  }
+  this->gone = true;
+  this->finish(fail(ErrorKind::kCancelled, "the caller is gone"));
+}
+
+void RequestRun::finish(Outcome outcome, bool partial) {
+  this->ended = true;
+  this->log_end(outcome, partial);
+  this->leave_parts();
+  const Done report = std::exchange(this->done, nullptr);
+  report(std::move(outcome));
+}
+
+void RequestRun::leave_parts() {
+  bool calls_left = false;
+  for (const auto& part : this->all) {
+    part->abandon();
+    calls_left = calls_left || part->has_calls();
+  }
+  // At-most-once work goes on to its end: to break it off would leave nobody
+  // knowing what was done.
+  const bool stop = this->shared->route->is_idempotent();
+  if (!calls_left || !stop) {
+    this->timer.cancel();
+    return;
+  }
+  this->wake = Clock::now() + (this->gone ? kCallerGoneGrace : kLoserGrace);
+  this->arm();
+}
+
+void RequestRun::fail_run(ErrorKind kind, std::string message) {
+  const bool not_run =
+      std::all_of(this->all.begin(), this->all.end(), [](const auto& part) {
+        return part->certainly_not_run() && !part->has_calls();
+      });
+  Error error = make_error(kind, std::move(message));
+  error.execution = not_run ? Execution::kNotRun : Execution::kUnknown;
+  if (not_run) {
+    const TimePoint now = Clock::now();
+    milliseconds pause{0};
+    for (const auto& part : this->all) {
+      if (part->state() != PartCall::State::kAnswered) {
+        pause = std::max(pause, part->service().retry_after(now));
+      }
+    }
+    error.retry_after = pause;
+  }
+  this->finish(tl::unexpected(std::move(error)));
+}
+
+void RequestRun::log_end(const Outcome& outcome, bool partial) {
+  const TimePoint now = Clock::now();
+  const Duration took = now - this->shared->request.received;
+  const routing::Route& route = *this->shared->route;
+  const Error* error = outcome ? nullptr : &outcome.error();
+  this->shared->metrics->request_ended(route.name, error, partial, took);
+  const bool plain = outcome && !partial && took <= route.objective;
+  eventlog::Event line = this->shared->log->event(
+      plain ? eventlog::Weight::kOrdinary : eventlog::Weight::kFailure,
+      "request_end");
+  if (!line.enabled()) {
+    return;
+  }
+  std::size_t answered = 0;
+  std::size_t sends = 0;
+  std::string missing;
+  for (const auto& part : this->all) {
+    sends += part->times_sent();
+    if (part->state() == PartCall::State::kAnswered) {
+      ++answered;
+    } else {
+      missing += (missing.empty() ? "" : " ") + part->service().name();
+    }
+  }
+  line.with("request", this->shared->request.id)
+      .with("route", route.name)
+      .with("config", this->shared->table->version())
+      .with("outcome", error ? error_entry(error->kind).name
+                             : (partial ? "partial" : "ok"))
+      .with("took_ms", took)
+      .with("objective_ms", Duration(route.objective))
+      .with("left_ms", remaining(this->shared->final_at, now))
+      .with("parts", this->all.size())
+      .with("answered", answered)
+      .with("sends", sends);
+  if (!missing.empty()) {
+    line.with("without", missing);
+  }
+  if (error) {
+    line.with("message", error->message)
+        .with("not_run", error->execution == Execution::kNotRun);
+    if (error->retry_after) {
+      line.with("retry_after_ms", error->retry_after->count());
+    }
+  }
+}
+
+}  // namespace ibismux::dispatch
--- /dev/null
+++ b/ibismux/dispatch/request_run.h
@@ -0,0 +1,91 @@
+#ifndef IBISMUX_DISPATCH_REQUEST_RUN_H_
+#define IBISMUX_DISPATCH_REQUEST_RUN_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string_view>
+#include <vector>
+
+#include "ibismux/base/time.h"
+#include "ibismux/dispatch/answer.h"
+#include "ibismux/dispatch/forward.h"
+#include "ibismux/dispatch/part_call.h"
+#include "ibismux/dispatch/request_context.h"
+#include "ibismux/http/socket.h"
+
+namespace ibismux::dispatch {
+
+/// One request from its arrival to its answer: its parts, its times, its end.
+///
+/// Subclasses decide when enough is there. Belongs to one event loop; not
+/// thread safe. Kept alive by its parts and its timer.
+class RequestRun : public std::enable_shared_from_this<RequestRun> {
+ public:
+  using Done = std::function<void(Outcome)>;
+
+  /// @param done Called once, with the outcome.
+  RequestRun(boost::asio::io_context& loop,
+             std::shared_ptr<const RequestContext> context,
+             std::vector<std::shared_ptr<ServiceGroup>> groups,
+             Done done);
+  virtual ~RequestRun() = default;
+
+  /// Begins. Called once.
+  void start();
+
+  /// The caller is gone. Work that is about done may end; the rest is stopped
+  /// within `kCallerGoneGrace`.
+  void cancel();
+
+ protected:
+  using Parts = std::vector<std::shared_ptr<PartCall>>;
+
+  /// Whether an answer is possible with the leafs that can be reached now. A
+  /// request without a chance is refused before any leaf works on it.
+  [[nodiscard]] virtual bool worth_starting() const = 0;
+
+  /// Looks at the parts and ends the run where that is due.
+  virtual void settle(TimePoint now) = 0;
+
+  /// Calls `settle()` no later than `when`, besides at every change of a part.
+  void wake_at(TimePoint when);
+
+  [[nodiscard]] const Parts& parts() const noexcept { return this->all; }
+  [[nodiscard]] const RequestContext& context() const noexcept {
+    return *this->shared;
+  }
+  [[nodiscard]] bool past_final(TimePoint now) const noexcept {
+    return now >= this->shared->final_at;
+  }
+
+  /// Sends every part again that waits longer than usual, once.
+  void hedge_if_due(TimePoint now);
+
+  /// Ends the run.
+  void finish(Outcome outcome, bool partial = false);
+
+  /// Ends the run without an answer: kNotRun only where every part says so.
+  void fail_run(ErrorKind kind, std::string message);
+
+ private:
+  void on_change();
+  void arm();
+  void on_timer();
+  void leave_parts();
+  void log_end(const Outcome& outcome, bool partial);
+
+  const std::shared_ptr<const RequestContext> shared;
+  const std::vector<std::shared_ptr<ServiceGroup>> groups;
+  Done done;
+  Parts all;
+  http::Timer timer;
+  TimePoint wake;
+  TimePoint hedge_at;
+  bool ended = false;
+  bool gone = false;  ///< The caller has left.
+};
+
+}  // namespace ibismux::dispatch
+
+#endif  // IBISMUX_DISPATCH_REQUEST_RUN_H_
--- /dev/null
+++ b/ibismux/dispatch/scatter_run.cc
@@ -0,0 +1,80 @@
+#include "ibismux/dispatch/scatter_run.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "ibismux/dispatch/record_merger.h"
+#include "ibismux/dispatch/service_group.h"
+#include "ibismux/routing/route.h"
+
+namespace ibismux::dispatch {
+
+namespace {
+
+using State = PartCall::State;
+
+// When an answer with what is in goes out: the rest of the objective is for the
+// ways to the caller and back, 1 to 3 ms each, and a new connection.
+constexpr double kPartialAt = 0.78;
+// Of a whole shard; keeps 0.9 of ten shards from being ten by rounding up.
+constexpr double kRounding = 1e-6;
+
+}  // namespace
+
+TimePoint ScatterRun::partial_at() const {
+  const RequestContext& context = this->context();
+  return context.request.received + std::chrono::duration_cast<Duration>(
+                                        context.route->objective * kPartialAt);
+}
+
+std::size_t ScatterRun::needed() const {
+  const double shards = static_cast<double>(this->parts().size());
+  const double least = this->context().route->minimum_coverage * shards;
+  return std::max<std::size_t>(
+      1, static_cast<std::size_t>(std::ceil(least - kRounding)));
+}
+
+bool ScatterRun::worth_starting() const {
+  const auto served = std::count_if(
+      this->parts().begin(), this->parts().end(),
+      [](const auto& part) { return part->service().can_serve(); });
+  return static_cast<std::size_t>(served) >= this->needed();
+}
+
+void ScatterRun::settle(TimePoint now) {
+  std::size_t answered = 0;
+  std::size_t open = 0;
+  for (const auto& part : this->parts()) {
+    answered += part->state() == State::kAnswered ? 1 : 0;
+    open += part->state() == State::kOpen ? 1 : 0;
+  }
+  const std::size_t needed = this->needed();
+  const bool enough = answered >= needed;
+  if (enough && (open == 0 || now >= this->partial_at())) {
+    this->answer(answered);
+  } else if (this->past_final(now)) {
+    this->fail_run(ErrorKind::kDeadlineExceeded, "too few shards in time");
+  } else if (answered + open < needed) {
+    this->fail_run(ErrorKind::kLeafUnavailable,
+                   "too few shards can be reached");
+  } else if (now < this->partial_at()) {
+    this->wake_at(this->partial_at());
+  }
+}
+
+void ScatterRun::answer(std::size_t answered) {
+  MergedAnswer merged;
+  merged.missing_shards = this->parts().size() - answered;
+  RecordMerger merger(this->context().route->top_records);
+  for (const auto& part : this->parts()) {
+    if (part->state() == State::kAnswered) {
+      merged.receipts.push_back(part->answer().receipt);
+      merger.add(part->answer().body);
+    }
+  }
+  merged.records = merger.take();
+  const bool partial = merged.missing_shards > 0;
+  this->finish(Answer(std::move(merged)), partial);
+}
+
+}  // namespace ibismux::dispatch
--- /dev/null
+++ b/ibismux/dispatch/service_group.cc
@@ -0,0 +1,141 @@
+#include "ibismux/dispatch/service_group.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+#include "ibismux/dispatch/dispatch_settings.h"
+#include "ibismux/dispatch/leaf.h"
+
+namespace ibismux::dispatch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// What dialling costs before a call can be sent; leafs take 1 to 6 ms for it.
+constexpr milliseconds kDialCost{6};
+// A leaf whose calls have waited this many times the usual without any answer
+// counts as silent. One call in a hundred takes that long by itself.
+constexpr double kSilentAfter = 2.5;
+constexpr milliseconds kLeastPatience{4};
+// A silent leaf is worse than any that answers.
+constexpr double kSilentCost = 1e3;
+// What a leaf that fails all its calls costs, in times the objective.
+constexpr double kFailureCost = 2;
+// A leaf that has just started works slower than its peers by about this.
+constexpr double kColdRatio = 1.6;
+
+constexpr milliseconds kLeastRetryAfter{100};
+constexpr milliseconds kLongestRetryAfter{1000};
+
+double as_millis(Duration duration) {
+  return std::chrono::duration<double, std::milli>(duration).count();
+}
+
+bool holds(const std::vector<std::shared_ptr<Leaf>>& leafs, const Leaf* leaf) {
+  return std::any_of(leafs.begin(), leafs.end(),
+                     [leaf](const auto& other) { return other.get() == leaf; });
+}
+
+}  // namespace
+
+ServiceGroup::ServiceGroup(std::string name, const DispatchSettings& settings)
+    : service(std::move(name)),
+      settings(settings),
+      repeats(settings.repeat_burst, settings.repeat_burst / 2) {}
+
+void ServiceGroup::add(std::shared_ptr<Leaf> leaf) {
+  this->members.push_back(std::move(leaf));
+  this->serve_waiting();
+}
+
+void ServiceGroup::remove(const Leaf& leaf) {
+  std::erase_if(this->members,
+                [&leaf](const auto& member) { return member.get() == &leaf; });
+}
+
+bool ServiceGroup::can_serve() const noexcept {
+  return std::any_of(this->members.begin(), this->members.end(),
+                     [](const auto& leaf) { return leaf->in_service(); });
+}
+
+milliseconds ServiceGroup::retry_after(TimePoint now) const {
+  Duration soonest = kLongestRetryAfter;
+  for (const auto& leaf : this->members) {
+    if (!leaf->is_retired() && !leaf->entry().draining) {
+      soonest = std::min(soonest, leaf->until_retry(now));
+    }
+  }
+  return std::max(kLeastRetryAfter, std::chrono::ceil<milliseconds>(soonest));
+}
+
+double ServiceGroup::cost(const Leaf& leaf,
+                          const LeafWish& wish,
+                          TimePoint now) const {
+  const LeafEstimate& estimate = leaf.estimate();
+  const double objective = as_millis(wish.objective);
+  const double slots = std::max<double>(1, leaf.entry().slots);
+  const double cold = leaf.entry().warmup_left.count() > 0 ? kColdRatio : 1;
+  double cost = as_millis(wish.usual) * estimate.ratio(now) * cold *
+                (1 + static_cast<double>(leaf.busy()) / slots);
+  cost += estimate.failure_share(now) * kFailureCost * objective;
+  if (leaf.entry().zone != this->settings.zone) {
+    cost += this->settings.remote_cost * objective;
+  }
+  if (!leaf.has_idle_link()) {
+    cost += as_millis(kDialCost);
+  }
+  return cost;
+}
+
+std::shared_ptr<Leaf> ServiceGroup::choose(const LeafWish& wish,
+                                           TimePoint now) const {
+  const Duration patience = std::max<Duration>(
+      kLeastPatience,
+      std::chrono::duration_cast<Duration>(wish.usual * kSilentAfter));
+  std::shared_ptr<Leaf> best;
+  double least = std::numeric_limits<double>::max();
+  for (const auto& leaf : this->members) {
+    if (!leaf->in_service() || !leaf->has_room() ||
+        (wish.tried && holds(*wish.tried, leaf.get()))) {
+      continue;
+    }
+    double cost = this->cost(*leaf, wish, now);
+    if (leaf->estimate().silent(patience, now)) {
+      if (wish.is_repeat) {
+        continue;
+      }
+      cost *= kSilentCost;
+    }
+    if (cost < least) {
+      least = cost;
+      best = leaf;
+    }
+  }
+  return best;
+}
+
+void ServiceGroup::count_first() noexcept {
+  this->repeats.pay_in(1, this->settings.repeat_share);
+}
+
+void ServiceGroup::wait(std::uint32_t priority, std::function<bool()> start) {
+  this->waiting.emplace(priority, std::move(start));
+}
+
+void ServiceGroup::serve_waiting() {
+  while (!this->waiting.empty()) {
+    const bool room = std::any_of(
+        this->members.begin(), this->members.end(), [](const auto& leaf) {
+          return leaf->in_service() && leaf->has_room();
+        });
+    if (!room) {
+      return;
+    }
+    auto next = this->waiting.extract(this->waiting.begin());
+    next.mapped()();
+  }
+}
+
+}  // namespace ibismux::dispatch
--- /dev/null
+++ b/ibismux/dispatch/service_group.h
@@ -0,0 +1,94 @@
+#ifndef IBISMUX_DISPATCH_SERVICE_GROUP_H_
+#define IBISMUX_DISPATCH_SERVICE_GROUP_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "ibismux/base/fraction_budget.h"
+#include "ibismux/base/time.h"
+#include "ibismux/dispatch/forward.h"
+
+namespace ibismux::dispatch {
+
+/// What a call asks of a leaf of its service.
+struct LeafWish {
+  Duration usual;      ///< What such a call takes at the median leaf.
+  Duration objective;  ///< Within which its caller wants the answer.
+  /// Leafs that have had this request already.
+  const std::vector<std::shared_ptr<Leaf>>* tried = nullptr;
+  /// A repeat is worth its cost only at a leaf that will answer soon: leafs
+  /// that are silent now are left out.
+  bool is_repeat = false;
+};
+
+/// The leafs of one service, and what all requests for it share: the choice of
+/// a leaf, the budget of repeats, and the queue for those that find no link.
+///
+/// Belongs to one event loop; not thread safe.
+class ServiceGroup {
+ public:
+  /// @param settings Outlives the group.
+  ServiceGroup(std::string name, const DispatchSettings& settings);
+
+  [[nodiscard]] const std::string& name() const noexcept {
+    return this->service;
+  }
+
+  /// @name Leafs
+  /// @{
+  void add(std::shared_ptr<Leaf> leaf);
+  void remove(const Leaf& leaf);
+  [[nodiscard]] const std::vector<std::shared_ptr<Leaf>>& leafs()
+      const noexcept {
+    return this->members;
+  }
+  /// Some leaf may take calls, now or once it has a free link.
+  [[nodiscard]] bool can_serve() const noexcept;
+  /// When to come back where none can.
+  [[nodiscard]] std::chrono::milliseconds retry_after(TimePoint now) const;
+  /// @}
+
+  /// The leaf with room that is expected to answer first, or null. Silent leafs
+  /// are taken only where there are no others.
+  [[nodiscard]] std::shared_ptr<Leaf> choose(const LeafWish& wish,
+                                             TimePoint now) const;
+
+  /// @name Budget of repeats
+  /// @{
+  /// The first arrival of a request at this service.
+  void count_first() noexcept;
+  /// Takes one repeat. @return False if there is none left.
+  [[nodiscard]] bool take_repeat() noexcept { return this->repeats.take(); }
+  [[nodiscard]] double repeats_left() const noexcept {
+    return this->repeats.tokens();
+  }
+  /// @}
+
+  /// @name Requests that wait for a link
+  /// @{
+  /// @param priority Lower ones go first; equal ones in order of arrival.
+  /// @param start Begins the request; returns false if it has ended meanwhile.
+  void wait(std::uint32_t priority, std::function<bool()> start);
+  /// A link became free, or a leaf came: starts who waits, as far as it goes.
+  void serve_waiting();
+  /// @}
+
+ private:
+  [[nodiscard]] double cost(const Leaf& leaf,
+                            const LeafWish& wish,
+                            TimePoint now) const;
+
+  const std::string service;
+  const DispatchSettings& settings;
+  std::vector<std::shared_ptr<Leaf>> members;
+  FractionBudget repeats;
+  std::multimap<std::uint32_t, std::function<bool()>> waiting;
+};
+
+}  // namespace ibismux::dispatch
+
+#endif  // IBISMUX_DISPATCH_SERVICE_GROUP_H_
--- /dev/null
+++ b/ibismux/edge/adapters.h
@@ -0,0 +1,66 @@
+#ifndef IBISMUX_EDGE_ADAPTERS_H_
+#define IBISMUX_EDGE_ADAPTERS_H_
+
+#include <memory>
+#include <string>
+
+#include "ibismux/base/error.h"
+#include "ibismux/directory/leaf_entry.h"
+#include "ibismux/dispatch/answer.h"
+#include "ibismux/dispatch/caller_request.h"
+#include "ibismux/dispatch/leaf_link.h"
+#include "ibismux/http/message.h"
+#include "ibismux/routing/route_table.h"
+#include "ibismux/store/store_dialect.h"
+
+namespace ibismux::edge {
+
+/// Reads the configuration out of the object that holds it. Thread safe.
+class ConfigurationDecoder {
+ public:
+  virtual ~ConfigurationDecoder() = default;
+  /// Errors: kInvalidRequest, whose message names the key that is wrong.
+  [[nodiscard]] virtual Result<std::shared_ptr<const routing::RouteTable>>
+  decode(const store::StoredObject& object) const = 0;
+};
+
+/// Reads a leaf's entry in the registry. Thread safe.
+class LeafEntryDecoder {
+ public:
+  virtual ~LeafEntryDecoder() = default;
+  /// Errors: kInvalidRequest, whose message names the key that is wrong.
+  [[nodiscard]] virtual Result<directory::LeafEntry> decode(
+      const store::StoredObject& object) const = 0;
+};
+
+/// Reads callers' requests and writes their answers. Thread safe.
+class CallerProtocol {
+ public:
+  virtual ~CallerProtocol() = default;
+  /// Errors: kInvalidRequest.
+  [[nodiscard]] virtual Result<dispatch::CallerRequest> read(
+      std::shared_ptr<const http::Request> request,
+      TimePoint received) const = 0;
+  [[nodiscard]] virtual http::Response write(
+      dispatch::Outcome outcome) const = 0;
+};
+
+/// What ties a daemon to one platform: how it speaks, and where things are.
+struct Adapters {
+  std::unique_ptr<const store::StoreDialect> store_dialect;
+  std::unique_ptr<const dispatch::LeafConnector> leaf_connector;
+  std::unique_ptr<const CallerProtocol> caller_protocol;
+  std::unique_ptr<const ConfigurationDecoder> configuration;
+  std::unique_ptr<const LeafEntryDecoder> leaf_entries;
+
+  /// @name Places in the store
+  /// @{
+  std::string configuration_collection;
+  std::string configuration_name;
+  std::string leaf_collection;
+  /// @}
+};
+
+}  // namespace ibismux::edge
+
+#endif  // IBISMUX_EDGE_ADAPTERS_H_
--- /dev/null
+++ b/ibismux/edge/collection_feed.cc
@@ -0,0 +1,171 @@
+#include "ibismux/edge/collection_feed.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <utility>
+
+#include "ibismux/eventlog/event_log.h"
+
+namespace ibismux::edge {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+// A listing of some hundred entries takes milliseconds; a store that needs
+// longer than this is tried again on a new connection.
+constexpr milliseconds kListTime{1500};
+// Pauses between calls that fail: short at first, for an answer that was lost,
+// and never longer than half a second, so that news is in force within a second
+// of the store's return.
+constexpr milliseconds kFirstPause{50};
+constexpr milliseconds kLongestPause{500};
+
+}  // namespace
+
+CollectionFeed::CollectionFeed(asio::io_context& loop,
+                               store::ObjectStore& store,
+                               std::string collection,
+                               FeedSettings settings,
+                               FeedObserver& observer,
+                               eventlog::EventLog& log)
+    : loop(loop),
+      store(store),
+      collection(std::move(collection)),
+      settings(settings),
+      observer(observer),
+      log(log) {}
+
+void CollectionFeed::start() {
+  asio::co_spawn(this->loop, run(this->shared_from_this()), asio::detached);
+}
+
+void CollectionFeed::refresh() {
+  if (std::exchange(this->refreshing, true)) {
+    return;
+  }
+  auto again = [](std::shared_ptr<CollectionFeed> self) -> Task<void> {
+    const bool done = co_await read_all(self);
+    self->refreshing = false;
+    if (!done) {
+      self->report_lost("refresh failed");
+    }
+  };
+  asio::co_spawn(this->loop, again(this->shared_from_this()), asio::detached);
+}
+
+Task<void> CollectionFeed::run(std::shared_ptr<CollectionFeed> self) {
+  // Named results: GCC 12 miscompiles a co_await in a loop's condition.
+  bool whole = false;
+  for (;;) {
+    if (whole) {
+      const bool goes_on = co_await follow(self);
+      whole = goes_on;
+    } else {
+      const bool done = co_await read_all(self);
+      whole = done;
+    }
+  }
+}
+
+Task<bool> CollectionFeed::read_all(std::shared_ptr<CollectionFeed> self) {
+  auto listing =
+      co_await self->store.list(self->collection, Clock::now() + kListTime);
+  if (!listing) {
+    self->report_lost(listing.error().message);
+    co_await pause(self, self->next_pause(listing.error()));
+    co_return false;
+  }
+  self->regained();
+  self->take(*listing);
+  co_return true;
+}
+
+Task<bool> CollectionFeed::follow(std::shared_ptr<CollectionFeed> self) {
+  auto batch = co_await self->store.watch(self->collection, self->known,
+                                          self->settings.watch_wait);
+  if (!batch) {
+    self->report_lost(batch.error().message);
+    co_await pause(self, self->next_pause(batch.error()));
+    co_return true;
+  }
+  self->regained();
+  if (batch->compacted) {
+    self->log.event(eventlog::Weight::kBelief, "store_history_gone")
+        .with("collection", self->collection)
+        .with("version", self->known);
+    co_return false;
+  }
+  self->take(*batch);
+  if (!batch->events.empty()) {
+    co_await pause(self, self->settings.change_pause);
+  }
+  co_return true;
+}
+
+Task<void> CollectionFeed::pause(std::shared_ptr<CollectionFeed> self,
+                                 Duration time) {
+  http::Timer timer(self->loop.get_executor());
+  timer.expires_after(time);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+void CollectionFeed::take(const store::Listing& listing) {
+  // A listing that was under way while a watch brought newer changes would
+  // undo them.
+  if (listing.version < this->known) {
+    return;
+  }
+  this->known = listing.version;
+  this->observer.on_listing(listing);
+}
+
+void CollectionFeed::take(const store::WatchBatch& batch) {
+  if (batch.version <= this->known) {
+    return;
+  }
+  this->known = batch.version;
+  for (const store::WatchBatch::Event& event : batch.events) {
+    this->observer.on_change(event);
+  }
+}
+
+void CollectionFeed::report_lost(std::string_view reason) {
+  if (std::exchange(this->is_lost, true)) {
+    return;
+  }
+  this->log.event(eventlog::Weight::kBelief, "store_lost")
+      .with("collection", this->collection)
+      .with("version", this->known)
+      .with("reason", reason);
+  this->observer.on_lost();
+}
+
+void CollectionFeed::regained() {
+  this->failures = 0;
+  this->last_answer = Clock::now();
+  if (!std::exchange(this->is_lost, false)) {
+    return;
+  }
+  this->log.event(eventlog::Weight::kBelief, "store_regained")
+      .with("collection", this->collection)
+      .with("version", this->known);
+  this->observer.on_regained();
+}
+
+Duration CollectionFeed::next_pause(const Error& error) {
+  Duration time = kFirstPause;
+  for (std::uint32_t i = 0; i < this->failures && time < kLongestPause; ++i) {
+    time *= 2;
+  }
+  ++this->failures;
+  time = std::min<Duration>(time, kLongestPause);
+  return error.retry_after
+             ? std::clamp<Duration>(*error.retry_after, time, kLongestPause)
+             : time;
+}
+
+}  // namespace ibismux::edge
--- /dev/null
+++ b/ibismux/edge/edge_daemon.cc
@@ -0,0 +1,390 @@
+#include "ibismux/edge/edge_daemon.h"
+
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <csignal>
+#include <random>
+#include <utility>
+
+#include "ibismux/base/io_pool.h"
+#include "ibismux/directory/leaf_directory.h"
+#include "ibismux/dispatch/dispatcher.h"
+#include "ibismux/edge/collection_feed.h"
+#include "ibismux/edge/configuration_feed.h"
+#include "ibismux/edge/leaf_feed.h"
+#include "ibismux/edge/stall_detector.h"
+#include "ibismux/eventlog/event_log.h"
+#include "ibismux/http/server.h"
+#include "ibismux/store/http_object_store.h"
+
+namespace ibismux::edge {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+// How often the daemon looks whether it stood still, and after SIGTERM whether
+// all requests are answered.
+constexpr milliseconds kTick{500};
+constexpr milliseconds kStopTick{20};
+// What a cheap read of the store may take; the store answers in milliseconds.
+constexpr milliseconds kCheckTime{800};
+// A connection to the store whose other side acknowledges nothing for so long
+// is lost. Leafs that leave take requests for three seconds more.
+constexpr std::chrono::seconds kStoreSilence{2};
+// Before the platform ends the process: time to answer what is late anyway.
+constexpr milliseconds kStopMargin{400};
+// Extra arrivals stay below what services bear, since windows of daemons and
+// services don't begin together.
+constexpr double kRepeatSafety = 0.85;
+// What one daemon saves up at most: enough for a pause of one leaf, in which
+// each of its calls is sent again.
+constexpr double kMostBurst = 6;
+
+struct Endpoint {
+  std::string address;
+  std::uint16_t port = 0;
+};
+
+/// Precondition: `text` has the form of an endpoint.
+Endpoint endpoint_of(const std::string& text) {
+  const std::size_t colon = text.rfind(':');
+  Endpoint endpoint{text.substr(0, colon), 0};
+  const char* end = text.data() + text.size();
+  std::from_chars(text.data() + colon + 1, end, endpoint.port);
+  return endpoint;
+}
+
+std::uint64_t draw() {
+  std::random_device device;
+  return (std::uint64_t{device()} << 32) | device();
+}
+
+store::PlatformSettings store_settings(const EdgeSettings& settings) {
+  const Endpoint endpoint = endpoint_of(settings.store_endpoint);
+  store::PlatformSettings store;
+  store.address = endpoint.address;
+  store.port = endpoint.port;
+  store.silence_limit = kStoreSilence;
+  store.members = settings.hosts;
+  store.budget.per_second = {
+      static_cast<double>(settings.fleet_reads_per_second),
+      static_cast<double>(settings.fleet_writes_per_second),
+      static_cast<double>(settings.fleet_reads_per_second)};
+  store.health.longest_backoff = milliseconds(500);
+  return store;
+}
+
+dispatch::DispatchSettings dispatch_settings(const EdgeSettings& settings) {
+  dispatch::DispatchSettings dispatch;
+  dispatch.zone = settings.zone;
+  dispatch.repeat_share = settings.repeat_ratio * kRepeatSafety;
+  dispatch.repeat_burst =
+      std::clamp(settings.repeat_slack / static_cast<double>(settings.hosts),
+                 1.0, kMostBurst);
+  dispatch.hosts = settings.hosts;
+  dispatch.remote_cost = settings.remote_cost;
+  return dispatch;
+}
+
+eventlog::EventLogSettings log_settings(const EdgeSettings& settings) {
+  eventlog::EventLogSettings log;
+  log.host = settings.member;
+  log.incarnation = draw() >> 16;
+  log.lines_per_second = {static_cast<double>(settings.log_ordinary),
+                          static_cast<double>(settings.log_failures),
+                          static_cast<double>(settings.log_beliefs)};
+  return log;
+}
+
+http::Response text_response(int status, std::string text) {
+  http::Response response;
+  response.status = status;
+  response.add("Content-Type", "text/plain; charset=utf-8");
+  response.body = std::move(text);
+  return response;
+}
+
+}  // namespace
+
+class EdgeDaemon::Impl {
+ public:
+  Impl(EdgeSettings settings, Adapters adapters)
+      : settings(std::move(settings)),
+        adapters(std::move(adapters)),
+        pool(1),
+        log(pool.at(0), log_settings(this->settings)),
+        store(pool,
+              store_settings(this->settings),
+              std::move(this->adapters.store_dialect),
+              registry,
+              draw()),
+        dispatcher(pool.at(0),
+                   *this->adapters.leaf_connector,
+                   dispatch_settings(this->settings),
+                   registry,
+                   log),
+        directory(dispatcher),
+        configuration(this->adapters.configuration_name,
+                      *this->adapters.configuration,
+                      log,
+                      [this](auto table) { this->take(std::move(table)); }),
+        leafs(pool.at(0), directory, *this->adapters.leaf_entries, log),
+        callers(pool, server_limits(), this->caller_handler()),
+        balancer(pool, {}, this->ready_handler()),
+        metrics(pool, {}, this->metrics_handler()),
+        signals(pool.at(0)),
+        ticker(pool.at(0).get_executor()),
+        stalls(kTick, Clock::now(), StallDetector::boot_time()) {}
+
+  [[nodiscard]] Result<void> run() {
+    std::signal(SIGPIPE, SIG_IGN);
+    if (auto listening = this->listen(); !listening) {
+      return listening;
+    }
+    this->log.event(eventlog::Weight::kBelief, "start")
+        .with("zone", this->settings.zone)
+        .with("caller_endpoint", this->settings.caller_endpoint)
+        .with("store", this->settings.store_endpoint)
+        .with("hosts", this->settings.hosts)
+        .with("repeat_ratio", this->settings.repeat_ratio);
+    const FeedSettings times{this->settings.watch_wait,
+                             this->settings.change_pause};
+    this->configuration_feed = std::make_shared<CollectionFeed>(
+        this->loop(), this->store, this->adapters.configuration_collection,
+        times, this->configuration, this->log);
+    this->leaf_feed = std::make_shared<CollectionFeed>(
+        this->loop(), this->store, this->adapters.leaf_collection, times,
+        this->leafs, this->log);
+    this->configuration_feed->start();
+    this->leaf_feed->start();
+    asio::co_spawn(this->loop(), this->check_store(), asio::detached);
+    this->tick();
+    this->await_signal();
+    this->loop().run();
+    this->log.event(eventlog::Weight::kBelief, "stop")
+        .with("in_flight", this->callers.in_flight());
+    this->log.flush();
+    return {};
+  }
+
+ private:
+  [[nodiscard]] asio::io_context& loop() { return this->pool.at(0); }
+
+  [[nodiscard]] http::ServerLimits server_limits() const {
+    http::ServerLimits limits;
+    limits.drain_grace = this->settings.leave_notice;
+    return limits;
+  }
+
+  [[nodiscard]] http::Server::Handler caller_handler() {
+    return [this](std::shared_ptr<const http::Request> request,
+                  std::shared_ptr<http::CancelToken> caller) {
+      return this->serve(std::move(request), std::move(caller));
+    };
+  }
+
+  Task<http::Response> serve(std::shared_ptr<const http::Request> request,
+                             std::shared_ptr<http::CancelToken> caller) {
+    const CallerProtocol& protocol = *this->adapters.caller_protocol;
+    auto read = protocol.read(std::move(request), Clock::now());
+    if (!read) {
+      this->log.event(eventlog::Weight::kFailure, "request_unreadable")
+          .with("reason", read.error().message);
+      dispatch::Outcome refused = tl::unexpected(std::move(read.error()));
+      co_return protocol.write(std::move(refused));
+    }
+    auto outcome =
+        co_await this->dispatcher.handle(*std::move(read), std::move(caller));
+    co_return protocol.write(std::move(outcome));
+  }
+
+  [[nodiscard]] http::Server::Handler ready_handler() {
+    return [this](std::shared_ptr<const http::Request>,
+                  std::shared_ptr<http::CancelToken>) -> Task<http::Response> {
+      const bool ready = this->is_ready();
+      co_return text_response(ready ? 200 : 503, ready ? "ok\n" : "no\n");
+    };
+  }
+
+  [[nodiscard]] http::Server::Handler metrics_handler() {
+    return [this](std::shared_ptr<const http::Request>,
+                  std::shared_ptr<http::CancelToken>) -> Task<http::Response> {
+      const prometheus::TextSerializer serializer;
+      co_return text_response(200,
+                              serializer.Serialize(this->registry.Collect()));
+    };
+  }
+
+  /// Both the configuration and the leafs are known. The store's absence later
+  /// on is no reason to leave the rotation: what is known still serves.
+  [[nodiscard]] bool is_ready() const {
+    return !this->stopping && this->dispatcher.table() &&
+           this->leaf_feed->version() > 0;
+  }
+
+  [[nodiscard]] Result<void> listen() {
+    const std::pair<http::Server*, const std::string*> all[] = {
+        {&this->callers, &this->settings.caller_endpoint},
+        {&this->balancer, &this->settings.ready_endpoint},
+        {&this->metrics, &this->settings.metrics_endpoint}};
+    for (const auto& [server, text] : all) {
+      const Endpoint endpoint = endpoint_of(*text);
+      const auto bound = server->listen(endpoint.address, endpoint.port);
+      if (!bound) {
+        return tl::unexpected(bound.error());
+      }
+    }
+    return {};
+  }
+
+  void take(std::shared_ptr<const routing::RouteTable> table) {
+    if (!this->dispatcher.put_in_force(table)) {
+      return;
+    }
+    const routing::CallerLimits& told = table->limits();
+    http::ServerLimits limits = this->server_limits();
+    limits.header_bytes = std::max(limits.header_bytes, told.header_bytes);
+    limits.body_bytes = std::max(limits.body_bytes, told.body_bytes);
+    limits.transfer_timeout = told.header_timeout;
+    // A caller goes by the version that it has heard of: a connection is kept
+    // for the longest time that any version of this run has allowed.
+    this->longest_idle =
+        std::max<Duration>(this->longest_idle, told.idle_timeout);
+    limits.idle_timeout = this->longest_idle;
+    this->callers.set_limits(limits);
+  }
+
+  /// Cheap reads that show whether the store answers this host. A watch that
+  /// waits can't tell a store without news from one that has gone silent.
+  Task<void> check_store() {
+    http::Timer timer(this->loop().get_executor());
+    bool was_lost = false;
+    int deaf_checks = 0;
+    for (;;) {
+      timer.expires_after(this->settings.check_interval);
+      co_await timer.async_wait(asio::use_awaitable);
+      auto object = co_await this->store.stale_get(
+          this->adapters.configuration_collection,
+          this->adapters.configuration_name, Clock::now() + kCheckTime);
+      if (!object && object.error().kind == ErrorKind::kNotFound) {
+        continue;
+      }
+      if (!object) {
+        was_lost = true;
+        this->configuration_feed->report_lost(object.error().message);
+        this->leaf_feed->report_lost(object.error().message);
+        continue;
+      }
+      // A change that is a moment old may still be on its way to the watch.
+      const bool behind = object->version > this->configuration_feed->version();
+      deaf_checks = behind ? deaf_checks + 1 : 0;
+      if (std::exchange(was_lost, false) || deaf_checks > 1) {
+        this->refresh(deaf_checks > 1 ? "watch is deaf" : "store is back");
+        deaf_checks = 0;
+      }
+    }
+  }
+
+  void refresh(std::string_view reason) {
+    this->log.event(eventlog::Weight::kBelief, "refresh")
+        .with("reason", reason)
+        .with("configuration_version", this->configuration_feed->version())
+        .with("leaf_version", this->leaf_feed->version());
+    this->configuration_feed->refresh();
+    this->leaf_feed->refresh();
+  }
+
+  void tick() {
+    this->ticker.expires_after(kTick);
+    this->ticker.async_wait([this](const boost::system::error_code& error) {
+      if (error) {
+        return;
+      }
+      const Duration stall =
+          this->stalls.tick(Clock::now(), StallDetector::boot_time());
+      if (stall > Duration::zero()) {
+        this->log.event(eventlog::Weight::kBelief, "stood_still")
+            .with("for_ms", stall);
+        this->refresh("stood still");
+      }
+      this->tick();
+    });
+  }
+
+  void await_signal() {
+    this->signals.add(SIGTERM);
+    this->signals.add(SIGINT);
+    this->signals.async_wait(
+        [this](const boost::system::error_code& error, int) {
+          if (!error) {
+            this->drain();
+          }
+        });
+  }
+
+  void drain() {
+    this->stopping = true;
+    this->log.event(eventlog::Weight::kBelief, "drain")
+        .with("in_flight", this->callers.in_flight())
+        .with("connections", this->callers.connections());
+    this->callers.drain();
+    this->stop_by = Clock::now() + this->settings.stop_limit - kStopMargin;
+    this->ticker.cancel();
+    this->await_idle();
+  }
+
+  void await_idle() {
+    if (this->callers.in_flight() == 0 || Clock::now() >= this->stop_by) {
+      this->loop().stop();
+      return;
+    }
+    this->ticker.expires_after(kStopTick);
+    this->ticker.async_wait([this](const boost::system::error_code& error) {
+      if (!error) {
+        this->await_idle();
+      }
+    });
+  }
+
+  const EdgeSettings settings;
+  Adapters adapters;
+  prometheus::Registry registry;
+  IoPool pool;
+  eventlog::EventLog log;
+  store::HttpObjectStore store;
+  dispatch::Dispatcher dispatcher;
+  directory::LeafDirectory directory;
+  ConfigurationFeed configuration;
+  LeafFeed leafs;
+  std::shared_ptr<CollectionFeed> configuration_feed;
+  std::shared_ptr<CollectionFeed> leaf_feed;
+  http::Server callers;
+  http::Server balancer;
+  http::Server metrics;
+  asio::signal_set signals;
+  http::Timer ticker;
+  StallDetector stalls;
+  Duration longest_idle{0};
+  bool stopping = false;
+  TimePoint stop_by;
+};
+
+EdgeDaemon::EdgeDaemon(EdgeSettings settings, Adapters adapters)
+    : impl(std::make_unique<Impl>(std::move(settings), std::move(adapters))) {}
+
+EdgeDaemon::~EdgeDaemon() = default;
+
+Result<void> EdgeDaemon::run() {
+  return this->impl->run();
+}
+
+}  // namespace ibismux::edge
--- /dev/null
+++ b/ibismux/edge/edge_settings.cc
@@ -0,0 +1,93 @@
+#include "ibismux/edge/edge_settings.h"
+
+#include <array>
+
+namespace ibismux::edge {
+
+namespace {
+
+using settings::TextForm;
+using std::chrono::milliseconds;
+using Key = settings::Field<EdgeSettings>;
+using Text = settings::TextField<EdgeSettings>;
+using Number = settings::NumberField<EdgeSettings>;
+using Real = settings::RealField<EdgeSettings>;
+using Millis = settings::MillisField<EdgeSettings>;
+
+const std::array kFields = {
+    Key{"member", "Name of this host.",
+        Text{&EdgeSettings::member, TextForm::kName}, true},
+    Key{"zone", "Availability zone of this host.",
+        Text{&EdgeSettings::zone, TextForm::kName}, true},
+
+    Key{"caller.endpoint", "Where callers connect.",
+        Text{&EdgeSettings::caller_endpoint, TextForm::kEndpoint}, true},
+    Key{"ready.endpoint",
+        "Where the balancer asks whether this daemon takes callers.",
+        Text{&EdgeSettings::ready_endpoint, TextForm::kEndpoint}, true},
+    Key{"metrics.endpoint", "Where metrics are served, as text.",
+        Text{&EdgeSettings::metrics_endpoint, TextForm::kEndpoint}},
+
+    Key{"store.endpoint", "The platform's object store.",
+        Text{&EdgeSettings::store_endpoint, TextForm::kEndpoint}, true},
+    Key{"store.fleet_reads_per_second",
+        "Reads that all daemons together may send. The same on all daemons.",
+        Number{&EdgeSettings::fleet_reads_per_second, 1, 100'000}},
+    Key{"store.fleet_writes_per_second",
+        "Writes that all daemons together may send. The same on all daemons.",
+        Number{&EdgeSettings::fleet_writes_per_second, 1, 100'000}},
+    Key{"store.watch_wait_ms", "How long a watch without news stays open.",
+        Millis{&EdgeSettings::watch_wait, milliseconds(100),
+               milliseconds(30'000)}},
+    Key{"store.change_pause_ms",
+        "After a change: how long further ones may gather before the next "
+        "call.",
+        Millis{&EdgeSettings::change_pause, milliseconds(0),
+               milliseconds(2000)}},
+    Key{"store.check_interval_ms",
+        "How often a cheap read checks that the store still answers.",
+        Millis{&EdgeSettings::check_interval, milliseconds(100),
+               milliseconds(60'000)}},
+
+    Key{"repeats.ratio",
+        "Extra arrivals that a service bears from all daemons, as a share of "
+        "its requests.",
+        Real{&EdgeSettings::repeat_ratio, 0, 1}},
+    Key{"repeats.slack",
+        "Extra arrivals that a service bears besides, in one window of "
+        "seconds, from all daemons.",
+        Number{&EdgeSettings::repeat_slack, 0, 100'000}},
+    Key{"fleet.hosts",
+        "Most daemons there may be; divides what leafs take from all of them.",
+        Number{&EdgeSettings::hosts, 1, 10'000}},
+    Key{"leaf.remote_cost",
+        "What a leaf of another zone must be better by, as a share of the "
+        "route's objective.",
+        Real{&EdgeSettings::remote_cost, 0, 1}},
+
+    Key{"stop.limit_ms", "On SIGTERM: the longest wait for requests in flight.",
+        Millis{&EdgeSettings::stop_limit, milliseconds(0),
+               milliseconds(600'000)}},
+    Key{"stop.leave_notice_ms",
+        "On SIGTERM: how long new callers are still served, while the balancer "
+        "notices.",
+        Millis{&EdgeSettings::leave_notice, milliseconds(0),
+               milliseconds(60'000)}},
+
+    Key{"log.ordinary_per_second", "Lines about requests that went well.",
+        Number{&EdgeSettings::log_ordinary, 1, 100'000}},
+    Key{"log.failures_per_second", "Lines about requests that didn't.",
+        Number{&EdgeSettings::log_failures, 1, 100'000}},
+    Key{"log.beliefs_per_second",
+        "Lines about what the daemon holds to be true of leafs, store and "
+        "configuration.",
+        Number{&EdgeSettings::log_beliefs, 1, 100'000}},
+};
+
+}  // namespace
+
+std::span<const Key> edge_fields() noexcept {
+  return kFields;
+}
+
+}  // namespace ibismux::edge
--- /dev/null
+++ b/ibismux/edge/edge_settings.h
@@ -0,0 +1,69 @@
+#ifndef IBISMUX_EDGE_EDGE_SETTINGS_H_
+#define IBISMUX_EDGE_EDGE_SETTINGS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <span>
+#include <string>
+
+#include "ibismux/settings/field.h"
+
+namespace ibismux::edge {
+
+/// Everything an edge daemon reads from its settings file. `edge_settings.cc`
+/// gives each key's meaning, bounds and default.
+struct EdgeSettings {
+  using Millis = std::chrono::milliseconds;
+
+  /// @name Who this daemon is
+  /// @{
+  std::string member;
+  std::string zone;
+  /// @}
+
+  /// @name Where it listens
+  /// @{
+  std::string caller_endpoint;
+  std::string ready_endpoint;
+  std::string metrics_endpoint = "127.0.0.1:9090";
+  /// @}
+
+  /// @name The platform's object store
+  /// @{
+  std::string store_endpoint;
+  std::uint32_t fleet_reads_per_second = 1000;
+  std::uint32_t fleet_writes_per_second = 300;
+  Millis watch_wait{25'000};
+  Millis change_pause{300};
+  Millis check_interval{2000};
+  /// @}
+
+  /// @name Dealing with leafs
+  /// @{
+  double repeat_ratio = 0.2;
+  std::uint32_t repeat_slack = 50;
+  std::uint32_t hosts = 10;
+  double remote_cost = 0.1;
+  /// @}
+
+  /// @name Stopping
+  /// @{
+  Millis stop_limit{6000};
+  Millis leave_notice{2500};
+  /// @}
+
+  /// @name Logging, lines a second
+  /// @{
+  std::uint32_t log_ordinary = 20;
+  std::uint32_t log_failures = 200;
+  std::uint32_t log_beliefs = 1000;
+  /// @}
+};
+
+/// Every key there is, group by group. Thread safe.
+[[nodiscard]] std::span<const settings::Field<EdgeSettings>>
+edge_fields() noexcept;
+
+}  // namespace ibismux::edge
+
+#endif  // IBISMUX_EDGE_EDGE_SETTINGS_H_
--- /dev/null
+++ b/ibismux/edge/forward.h
@@ -0,0 +1,18 @@
+#ifndef IBISMUX_EDGE_FORWARD_H_
+#define IBISMUX_EDGE_FORWARD_H_
+
+namespace ibismux::edge {
+
+struct Adapters;
+struct EdgeSettings;
+class CallerProtocol;
+class CollectionFeed;
+class ConfigurationDecoder;
+class EdgeDaemon;
+class FeedObserver;
+class LeafEntryDecoder;
+class StallDetector;
+
+}  // namespace ibismux::edge
+
+#endif  // IBISMUX_EDGE_FORWARD_H_
--- /dev/null
+++ b/ibismux/edge/leaf_feed.h
@@ -0,0 +1,41 @@
+#ifndef IBISMUX_EDGE_LEAF_FEED_H_
+#define IBISMUX_EDGE_LEAF_FEED_H_
+
+#include "ibismux/directory/leaf_directory.h"
+#include "ibismux/edge/adapters.h"
+#include "ibismux/edge/collection_feed.h"
+#include "ibismux/http/socket.h"
+
+namespace ibismux::edge {
+
+/// Keeps the directory of leafs at what the registry says. An entry that can't
+/// be read is kept out and named in the log.
+///
+/// Belongs to one event loop; not thread safe.
+class LeafFeed : public FeedObserver {
+ public:
+  /// All outlive this.
+  LeafFeed(boost::asio::io_context& loop,
+           directory::LeafDirectory& directory,
+           const LeafEntryDecoder& decoder,
+           eventlog::EventLog& log);
+
+  void on_listing(const store::Listing& listing) override;
+  void on_change(const store::WatchBatch::Event& event) override;
+  void on_lost() override;
+  void on_regained() override;
+
+ private:
+  [[nodiscard]] std::optional<directory::LeafEntry> read(
+      const store::StoredObject& object);
+  void schedule_expiry();
+
+  directory::LeafDirectory& directory;
+  const LeafEntryDecoder& decoder;
+  eventlog::EventLog& log;
+  http::Timer expiry;
+};
+
+}  // namespace ibismux::edge
+
+#endif  // IBISMUX_EDGE_LEAF_FEED_H_
--- a/ibismux/http/client_connection.cc
+++ b/ibismux/http/client_connection.cc
@@ -1,5 +1,7 @@
 #include "ibismux/http/client_connection.h"
 
+#include <netinet/tcp.h>
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -28,10 +30,11 @@
 
 ClientConnection::Impl::Impl(std::string address,
                              std::uint16_t port,
-                             std::size_t max_body)
+                             ClientOptions options)
     : address(std::move(address)),
       port(port),
-      parser(max_body),
+      options(options),
+      parser(options.max_body, options.body_may_end_by_close),
       input(kInputBuffer) {}
 
 Task<Result<void>> ClientConnection::Impl::connect(std::shared_ptr<Impl> self,
@@ -83,7 +86,7 @@
     } else {
       this->phase = Phase::kIdle;
       this->deadline = TimePoint::max();
-      this->socket->set_option(asio::ip::tcp::no_delay(true), ignored);
+      this->set_options();
       this->socket->non_blocking(true, ignored);
       this->read();
     }
@@ -91,10 +94,33 @@
   this->resume();
 }
 
+void ClientConnection::Impl::set_options() {
+  ErrorCode ignored;
+  this->socket->set_option(asio::ip::tcp::no_delay(true), ignored);
+  if (!this->options.silence_limit) {
+    return;
+  }
+  using asio::detail::socket_option::integer;
+  using FirstProbe = integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+  using NextProbe = integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+  using Probes = integer<IPPROTO_TCP, TCP_KEEPCNT>;
+  using UserTimeout = integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  const auto limit = this->options.silence_limit->count();
+  // One probe a second, the first after one second of silence.
+  const auto probes = static_cast<int>(std::max<std::int64_t>(1, limit - 1));
+  this->socket->set_option(asio::socket_base::keep_alive(true), ignored);
+  this->socket->set_option(FirstProbe(1), ignored);
+  this->socket->set_option(NextProbe(1), ignored);
+  this->socket->set_option(Probes(probes), ignored);
+  this->socket->set_option(UserTimeout(static_cast<int>(limit * 1000)),
+                           ignored);
+}
+
 Task<Result<Response>> ClientConnection::Impl::exchange(
     std::shared_ptr<Impl> self,
     std::shared_ptr<const Request> request,
-    TimePoint deadline) {
+    TimePoint deadline,
+    AnswerTest is_answer) {
   self->sent = false;
   if (self->phase != Phase::kIdle) {
     co_return tl::unexpected(self->exchange_error(ErrorKind::kLeafUnavailable,
@@ -113,6 +139,7 @@
     co_return tl::unexpected(*std::exchange(self->failure, std::nullopt));
   }
   self->request = std::move(request);
+  self->is_answer = std::move(is_answer);
   self->response = Response{};
   self->parser.start(self->response, self->request->method == "HEAD");
   self->arm_timer(deadline);
@@ -163,6 +190,7 @@
   if (copied && bytes == this->output.size()) {
     return;
   }
+  this->sending = true;
   // From here the system may take bytes at any moment.
   this->sent = true;
   const std::array<asio::const_buffer, 2> rest = {
@@ -173,6 +201,7 @@
 }
 
 void ClientConnection::Impl::on_sent(const ErrorCode& error, std::size_t) {
+  this->sending = false;
   if (error && this->phase == Phase::kExchange) {
     this->fail_exchange(ErrorKind::kLeafUnavailable,
                         "send: " + error.message());
@@ -192,6 +221,11 @@
     this->resume();
     return;
   }
+  if (error == asio::error::eof && this->phase == Phase::kExchange &&
+      this->response_begun && this->parser.finish()) {
+    this->on_response(true);
+    return;
+  }
   if (error) {
     const bool cut = this->response_begun;
     this->fail_exchange(
@@ -220,12 +254,17 @@
                         "bad response: " + step.message);
     return;
   }
-  if (step.state == ParseState::kDone) {
+  if (step.state == ParseState::kDone &&
+      (!this->is_answer || this->is_answer(this->response))) {
     this->on_response(this->filled > 0);
     return;
   }
   std::copy_n(this->input.data() + step.consumed, this->filled,
               this->input.data());
+  if (step.state == ParseState::kDone) {
+    this->on_late_response();
+    return;
+  }
   if (bytes >= this->input.size() / 2 &&
       this->input.size() < kMostInputBuffer) {
     this->input.resize(this->input.size() * 2);
@@ -233,8 +272,27 @@
   this->read();
 }
 
+void ClientConnection::Impl::on_late_response() {
+  // Taken for the answer, it would give this caller what another one asked for.
+  if (!this->parser.keep_alive()) {
+    this->fail_exchange(ErrorKind::kLeafUnavailable,
+                        "closed behind an answer to an earlier request");
+    return;
+  }
+  this->response = Response{};
+  this->response_begun = false;
+  this->parser.start(this->response, this->request->method == "HEAD");
+  if (this->filled > 0) {
+    this->on_bytes(0);
+  } else {
+    this->read();
+  }
+}
+
 void ClientConnection::Impl::on_response(bool bytes_left) {
-  if (bytes_left || !this->parser.keep_alive()) {
+  // A server may answer before it has read the whole request. What it reads
+  // next on this connection must be the rest of that request, not a new one.
+  if (bytes_left || this->sending || !this->parser.keep_alive()) {
     this->close(make_error(ErrorKind::kLeafUnavailable, "closed by response"));
     this->failure.reset();
   } else {
@@ -296,6 +354,7 @@
     return;
   }
   this->phase = Phase::kClosed;
+  this->sending = false;
   this->failure = std::move(reason);
   this->armed_for = TimePoint::max();
   ErrorCode ignored;
@@ -305,8 +364,8 @@
 
 ClientConnection::ClientConnection(std::string address,
                                    std::uint16_t port,
-                                   std::size_t max_body)
-    : impl(std::make_shared<Impl>(std::move(address), port, max_body)) {}
+                                   ClientOptions options)
+    : impl(std::make_shared<Impl>(std::move(address), port, options)) {}
 
 ClientConnection::~ClientConnection() {
   this->close();
@@ -318,8 +377,10 @@
 
 Task<Result<Response>> ClientConnection::exchange(
     std::shared_ptr<const Request> request,
-    TimePoint deadline) {
-  return Impl::exchange(this->impl, std::move(request), deadline);
+    TimePoint deadline,
+    AnswerTest is_answer) {
+  return Impl::exchange(this->impl, std::move(request), deadline,
+                        std::move(is_answer));
 }
 
 bool ClientConnection::usable() const noexcept {
--- a/ibismux/http/client_connection.h
+++ b/ibismux/http/client_connection.h
@@ -2,12 +2,14 @@
 #define IBISMUX_HTTP_CLIENT_CONNECTION_H_
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
+#include "ibismux/http/client_options.h"
 #include "ibismux/http/message.h"
 
 namespace ibismux::http {
@@ -17,10 +19,11 @@
 /// Belongs to the event loop it is used from; not thread safe.
 class ClientConnection {
  public:
-  /// @param max_body A response body longer than this is a protocol error.
+  using AnswerTest = std::function<bool(const Response&)>;
+
   ClientConnection(std::string address,
                    std::uint16_t port,
-                   std::size_t max_body = 16 * 1024 * 1024);
+                   ClientOptions options = {});
   ~ClientConnection();
   ClientConnection(const ClientConnection&) = delete;
   ClientConnection& operator=(const ClientConnection&) = delete;
@@ -36,9 +39,14 @@
   /// An error says `Execution::kNotRun` only where no byte was handed to the
   /// socket. After any error, and after a response that asks for it, the
   /// connection is closed and `usable()` is false.
+  ///
+  /// @param is_answer Tells an answer to this request from one to an earlier
+  /// request that the server sends late; the latter is dropped, and the wait
+  /// goes on. Empty: any response is the answer.
   [[nodiscard]] Task<Result<Response>> exchange(
       std::shared_ptr<const Request> request,
-      TimePoint deadline);
+      TimePoint deadline,
+      AnswerTest is_answer = nullptr);
 
   /// Open, between exchanges, and with no stray byte from the server waiting.
   [[nodiscard]] bool usable() const noexcept;
--- a/ibismux/http/client_connection_impl.h
+++ b/ibismux/http/client_connection_impl.h
@@ -21,14 +21,15 @@
 class ClientConnection::Impl
     : public std::enable_shared_from_this<ClientConnection::Impl> {
  public:
-  Impl(std::string address, std::uint16_t port, std::size_t max_body);
+  Impl(std::string address, std::uint16_t port, ClientOptions options);
 
   [[nodiscard]] static Task<Result<void>> connect(std::shared_ptr<Impl> self,
                                                   TimePoint deadline);
   [[nodiscard]] static Task<Result<Response>> exchange(
       std::shared_ptr<Impl> self,
       std::shared_ptr<const Request> request,
-      TimePoint deadline);
+      TimePoint deadline,
+      AnswerTest is_answer);
 
   [[nodiscard]] bool usable() const noexcept {
     return this->phase == Phase::kIdle;
@@ -81,10 +82,12 @@
   [[nodiscard]] bool is_quiet();
   void start_send(const Request& request);
   void on_sent(const ErrorCode& error, std::size_t bytes);
+  void set_options();
   void read();
   void on_read(const ErrorCode& error, std::size_t bytes);
   void on_bytes(std::size_t bytes);
   void on_response(bool bytes_left);
+  void on_late_response();
   void fail_exchange(ErrorKind kind, std::string message);
   void resume();
 
@@ -98,6 +101,7 @@
 
   const std::string address;
   const std::uint16_t port;
+  const ClientOptions options;
   std::string host_line;
 
   Phase phase = Phase::kClosed;
@@ -114,7 +118,9 @@
   // The exchange going on.
   std::shared_ptr<const Request> request;
   std::string output;
+  AnswerTest is_answer;
   bool sent = false;
+  bool sending = false;  ///< Bytes of the request still wait for the socket.
   bool response_begun = false;
   bool just_read = false;  ///< The socket was found empty a moment ago.
   std::optional<Error> failure;
--- a/ibismux/http/client_pool.cc
+++ b/ibismux/http/client_pool.cc
@@ -9,8 +9,14 @@
 
 class ClientPool::Impl {
  public:
-  Impl(std::string address, std::uint16_t port, std::size_t most_idle)
-      : address(std::move(address)), port(port), most_idle(most_idle) {}
+  Impl(std::string address,
+       std::uint16_t port,
+       std::size_t most_idle,
+       ClientOptions options)
+      : address(std::move(address)),
+        port(port),
+        most_idle(most_idle),
+        options(options) {}
 
   [[nodiscard]] static Task<Result<Response>> send(
       std::shared_ptr<Impl> self,
@@ -18,8 +24,8 @@
       TimePoint deadline) {
     std::unique_ptr<ClientConnection> connection = self->take_idle();
     if (!connection) {
-      connection =
-          std::make_unique<ClientConnection>(self->address, self->port);
+      connection = std::make_unique<ClientConnection>(self->address, self->port,
+                                                      self->options);
       Result<void> connected = co_await connection->connect(deadline);
       if (!connected) {
         co_return tl::unexpected(std::move(connected.error()));
@@ -48,13 +54,18 @@
   const std::string address;
   const std::uint16_t port;
   const std::size_t most_idle;
+  const ClientOptions options;
   std::vector<std::unique_ptr<ClientConnection>> idle;
 };
 
 ClientPool::ClientPool(std::string address,
                        std::uint16_t port,
-                       std::size_t most_idle)
-    : impl(std::make_shared<Impl>(std::move(address), port, most_idle)) {}
+                       std::size_t most_idle,
+                       ClientOptions options)
+    : impl(std::make_shared<Impl>(std::move(address),
+                                  port,
+                                  most_idle,
+                                  options)) {}
 
 ClientPool::~ClientPool() = default;
 
--- a/ibismux/http/client_pool.h
+++ b/ibismux/http/client_pool.h
@@ -9,6 +9,7 @@
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
+#include "ibismux/http/client_options.h"
 #include "ibismux/http/message.h"
 
 namespace ibismux::http {
@@ -22,7 +23,8 @@
   /// @param most_idle How many idle connections are kept.
   ClientPool(std::string address,
              std::uint16_t port,
-             std::size_t most_idle = 4);
+             std::size_t most_idle = 4,
+             ClientOptions options = {});
   ~ClientPool();
 
   /// One request over an idle or a new connection. Same errors as
--- a/ibismux/http/parser.cc
+++ b/ibismux/http/parser.cc
@@ -198,7 +198,8 @@
 
 class ResponseParser::Impl {
  public:
-  explicit Impl(std::size_t most_body) : most_body(most_body) {}
+  Impl(std::size_t most_body, bool may_end_by_close)
+      : most_body(most_body), may_end_by_close(may_end_by_close) {}
 
   void start() {
     this->parser.emplace(*this->response);
@@ -213,13 +214,14 @@
   }
 
   const std::size_t most_body;
+  const bool may_end_by_close;
   Response* response = nullptr;
   bool no_body = false;
   std::optional<Parser<false, Response>> parser;
 };
 
-ResponseParser::ResponseParser(std::size_t most_body)
-    : impl(std::make_unique<Impl>(most_body)) {}
+ResponseParser::ResponseParser(std::size_t most_body, bool may_end_by_close)
+    : impl(std::make_unique<Impl>(most_body, may_end_by_close)) {}
 
 ResponseParser::~ResponseParser() = default;
 
@@ -243,7 +245,8 @@
       continue;
     }
     if (step.state != ParseState::kFailed && parser.is_header_done() &&
-        !parser.is_done() && parser.need_eof()) {
+        !parser.is_done() && parser.need_eof() &&
+        !this->impl->may_end_by_close) {
       step.state = ParseState::kFailed;
       step.message = "response without a length";
     }
@@ -251,6 +254,17 @@
   }
 }
 
+bool ResponseParser::finish() {
+  auto& parser = *this->impl->parser;
+  if (!this->impl->may_end_by_close || !parser.is_header_done() ||
+      !parser.need_eof()) {
+    return false;
+  }
+  error_code error;
+  parser.put_eof(error);
+  return !error && parser.is_done();
+}
+
 bool ResponseParser::keep_alive() const noexcept {
   return this->impl->parser->keep_alive();
 }
--- a/ibismux/http/parser.h
+++ b/ibismux/http/parser.h
@@ -47,11 +47,12 @@
 
 /// Reads responses off a byte stream, one after the other. Not thread safe.
 ///
-/// A response whose end only the closing of the connection marks is refused:
-/// it can't be told from one that was cut short.
+/// A response whose end only the closing of the connection marks is refused
+/// unless it is allowed: it can't be told from one that was cut short.
 class ResponseParser {
  public:
-  explicit ResponseParser(std::size_t most_body);
+  /// @param may_end_by_close Allows responses without a length.
+  explicit ResponseParser(std::size_t most_body, bool may_end_by_close = false);
   ~ResponseParser();
 
   /// Begins a new message, as in `RequestParser`.
@@ -61,6 +62,10 @@
   /// Precondition: started, and not yet done or failed.
   [[nodiscard]] ParseStep feed(std::string_view bytes);
 
+  /// The server closed its side in good order. @return Whether the response is
+  /// complete by that. Precondition: started, and not yet done or failed.
+  [[nodiscard]] bool finish();
+
   /// Whether the connection stays open. Precondition: done.
   [[nodiscard]] bool keep_alive() const noexcept;
 
--- a/ibismux/http/server.cc
+++ b/ibismux/http/server.cc
@@ -151,7 +151,7 @@
 
 void Listener::serve(TcpSocket socket,
                      const std::shared_ptr<ServerLoop>& loop) {
-  if (this->core->connections.load() >= this->core->limits.connections) {
+  if (this->core->connections.load() >= this->core->limits.read()->connections) {
     ErrorCode ignored;
     const Response full =
         refusal(503, ErrorKind::kOverloaded, "too many connections");
@@ -175,7 +175,7 @@
 }
 
 void Listener::drain(const std::shared_ptr<Counted>& counted) {
-  this->after(this->core->limits.drain_grace, [this, counted] {
+  this->after(this->core->limits.read()->drain_grace, [this, counted] {
     drop_new_connections(this->acceptor);
     this->after(kHandshakeTime, [this, counted] { this->accept_rest(); });
   });
@@ -229,8 +229,7 @@
 class Server::Impl {
  public:
   Impl(IoPool& pool, ServerLimits limits, Handler handler)
-      : pool(pool), core(std::make_shared<ServerCore>()) {
-    this->core->limits = limits;
+      : pool(pool), core(std::make_shared<ServerCore>(limits)) {
     this->core->handler = std::move(handler);
     for (std::size_t i = 0; i < pool.size(); ++i) {
       this->loops.push_back(
@@ -305,6 +304,10 @@
   return this->impl->listen(address, port);
 }
 
+void Server::set_limits(ServerLimits limits) {
+  this->impl->core->limits.write(std::make_shared<const ServerLimits>(limits));
+}
+
 void Server::drain() {
   this->impl->drain();
 }
--- a/ibismux/http/server.h
+++ b/ibismux/http/server.h
@@ -51,6 +51,10 @@
   [[nodiscard]] Result<std::uint16_t> listen(const std::string& address,
                                              std::uint16_t port);
 
+  /// Replaces the limits. Sizes hold for connections made from now on, times
+  /// from each connection's next request on. Thread safe.
+  void set_limits(ServerLimits limits);
+
   /// Gives each request that is here or still comes its answer with
   /// `Connection: close`; closes connections that stay idle for the grace, and
   /// after the grace accepts no more. Thread safe.
--- a/ibismux/http/server_connection.cc
+++ b/ibismux/http/server_connection.cc
@@ -45,7 +45,7 @@
       counted(this->core, &ServerCore::connections),
       remote(remote_of(this->socket)),
       timer(this->socket.get_executor()),
-      parser(this->core->limits.header_bytes, this->core->limits.body_bytes) {}
+      parser(this->core->limits.read()->header_bytes, this->core->limits.read()->body_bytes) {}
 
 void ServerConnection::start() {
   ErrorCode ignored;
@@ -65,7 +65,7 @@
   // Counted, or whoever waits for the last request would stop the server while
   // the next one of this client is on its way.
   this->count_in_flight();
-  const TimePoint end = Clock::now() + this->core->limits.drain_grace;
+  const TimePoint end = Clock::now() + this->core->limits.read()->drain_grace;
   this->deadline = std::min(this->deadline, end);
   this->arm_timer(this->deadline);
 }
@@ -90,7 +90,7 @@
 
 void ServerConnection::await_request() {
   this->phase = Phase::kIdle;
-  this->set_deadline(this->core->limits.idle_timeout);
+  this->set_deadline(this->core->limits.read()->idle_timeout);
   this->request = std::make_shared<Request>();
   this->request->remote = this->remote;
   this->parser.start(*this->request);
@@ -158,7 +158,7 @@
     if (this->phase == Phase::kIdle) {
       this->phase = Phase::kReading;
       this->count_in_flight();
-      this->set_deadline(this->core->limits.transfer_timeout);
+      this->set_deadline(this->core->limits.read()->transfer_timeout);
     }
     const ParseStep step = this->parser.feed(this->input);
     this->input.erase(0, step.consumed);
@@ -228,7 +228,7 @@
 
 void ServerConnection::write(Response response, bool keep_alive) {
   this->phase = Phase::kWriting;
-  this->set_deadline(this->core->limits.transfer_timeout);
+  this->set_deadline(this->core->limits.read()->transfer_timeout);
   this->response = std::move(response);
   this->head.clear();
   append_head(this->head, this->response, keep_alive);
@@ -262,7 +262,7 @@
   this->phase = Phase::kLingering;
   this->in_flight.reset();
   this->set_deadline(
-      std::min(this->core->limits.transfer_timeout, kMostLinger));
+      std::min(this->core->limits.read()->transfer_timeout, kMostLinger));
   ErrorCode ignored;
   this->socket.shutdown(TcpSocket::shutdown_send, ignored);
   if (this->peer_done) {
@@ -318,8 +318,8 @@
 }
 
 Duration ServerConnection::timer_period() const {
-  return std::min(this->core->limits.idle_timeout,
-                  this->core->limits.transfer_timeout);
+  return std::min(this->core->limits.read()->idle_timeout,
+                  this->core->limits.read()->transfer_timeout);
 }
 
 void ServerConnection::on_deadline() {
@@ -331,7 +331,7 @@
   // a planned stop cuts none.
   ErrorCode ignored;
   if (this->phase == Phase::kIdle && this->socket.available(ignored) > 0) {
-    this->set_deadline(this->core->limits.transfer_timeout);
+    this->set_deadline(this->core->limits.read()->transfer_timeout);
     return;
   }
   this->close();
--- a/ibismux/http/server_core.h
+++ b/ibismux/http/server_core.h
@@ -7,6 +7,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "ibismux/base/rcu_cell.h"
 #include "ibismux/http/server.h"
 
 namespace ibismux::http {
@@ -15,7 +16,10 @@
 
 /// What all connections of a server share. Thread safe.
 struct ServerCore {
-  ServerLimits limits;
+  explicit ServerCore(ServerLimits limits)
+      : limits(std::make_shared<const ServerLimits>(limits)) {}
+
+  RcuCell<ServerLimits> limits;
   Server::Handler handler;
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> in_flight{0};
--- a/ibismux/http/wire_format.cc
+++ b/ibismux/http/wire_format.cc
@@ -70,7 +70,9 @@
   out += ' ';
   out += request.target;
   out += " HTTP/1.1\r\n";
-  out += host_line;
+  if (request.field("Host").empty()) {
+    out += host_line;
+  }
   append_fields(out, request);
   if (!request.body.empty() ||
       (request.method != "GET" && request.method != "HEAD")) {
--- a/ibismux/http/wire_format.h
+++ b/ibismux/http/wire_format.h
@@ -10,7 +10,8 @@
 namespace ibismux::http {
 
 /// Appends the head of `request`. Thread safe.
-/// @param host_line The whole `Host` line with its line break.
+/// @param host_line The whole `Host` line with its line break; left out where
+/// the request has a `Host` field of its own.
 void append_head(std::string& out,
                  const Request& request,
                  std::string_view host_line);
--- a/ibismux/membership/membership_service.cc
+++ b/ibismux/membership/membership_service.cc
@@ -12,7 +12,7 @@
 #include "ibismux/membership/membership_service_impl.h"
 #include "ibismux/peer/peer_endpoint.h"
 #include "ibismux/peer/peer_network.h"
-#include "ibismux/platform/object_store.h"
+#include "ibismux/store/object_store.h"
 
 namespace ibismux::membership {
 
@@ -30,10 +30,9 @@
           .count());
 }
 
-std::vector<Contact> contacts_of(
-    const std::vector<platform::HostEntry>& hosts) {
+std::vector<Contact> contacts_of(const std::vector<store::HostEntry>& hosts) {
   std::vector<Contact> contacts;
-  for (const platform::HostEntry& host : hosts) {
+  for (const store::HostEntry& host : hosts) {
     const auto endpoint = peer::parse_endpoint(host.peer_address);
     if (endpoint) {
       contacts.push_back({host.name, endpoint->address, endpoint->port});
@@ -139,7 +138,7 @@
 }
 
 void MembershipService::Impl::take_contacts(
-    const std::vector<platform::HostEntry>& hosts,
+    const std::vector<store::HostEntry>& hosts,
     ContactSource source) {
   std::vector<Contact> contacts = contacts_of(hosts);
   contacts.insert(contacts.end(), this->static_contacts.begin(),
@@ -183,7 +182,7 @@
 MembershipService::MembershipService(MembershipSettings settings,
                                      IoPool& pool,
                                      peer::PeerNetwork& network,
-                                     platform::ObjectStore& platform,
+                                     store::ObjectStore& platform,
                                      RcuCell<MembershipView>& view,
                                      prometheus::Registry& registry,
                                      ContactSink contact_sink)
--- a/ibismux/membership/membership_service.h
+++ b/ibismux/membership/membership_service.h
@@ -23,7 +23,7 @@
 class PeerNetwork;
 }
 
-namespace ibismux::platform {
+namespace ibismux::store {
 class ObjectStore;
 }
 
@@ -42,7 +42,7 @@
   MembershipService(MembershipSettings settings,
                     IoPool& pool,
                     peer::PeerNetwork& network,
-                    platform::ObjectStore& platform,
+                    store::ObjectStore& platform,
                     RcuCell<MembershipView>& view,
                     prometheus::Registry& registry,
                     ContactSink contact_sink);
--- a/ibismux/membership/membership_service_impl.h
+++ b/ibismux/membership/membership_service_impl.h
@@ -18,7 +18,7 @@
 #include "ibismux/membership/membership_metrics.h"
 #include "ibismux/membership/membership_service.h"
 #include "ibismux/peer/peer_network.h"
-#include "ibismux/platform/object_store.h"
+#include "ibismux/store/object_store.h"
 
 namespace ibismux::membership {
 
@@ -29,7 +29,7 @@
   Impl(MembershipSettings settings,
        IoPool& pool,
        peer::PeerNetwork& network,
-       platform::ObjectStore& platform,
+       store::ObjectStore& platform,
        RcuCell<MembershipView>& view,
        prometheus::Registry& registry,
        ContactSink sink)
@@ -72,7 +72,7 @@
                                                    std::string payload);
   Task<std::optional<ProbeAnswer>> exchange(std::string target,
                                             ProbeMessage message);
-  void take_contacts(const std::vector<platform::HostEntry>& hosts,
+  void take_contacts(const std::vector<store::HostEntry>& hosts,
                      ContactSource source);
   void carry_out();
   void publish();
@@ -83,7 +83,7 @@
   const MembershipSettings settings;
   boost::asio::io_context& loop;
   peer::PeerNetwork& network;
-  platform::ObjectStore& platform;
+  store::ObjectStore& platform;
   RcuCell<MembershipView>& view;
   MembershipMetrics metrics;
   ContactSink sink;
--- a/ibismux/operator/handlers.h
+++ b/ibismux/operator/handlers.h
@@ -68,10 +68,10 @@
   [[nodiscard]] http::Response list(
       std::optional<release::ObjectKind> kind) const;
   [[nodiscard]] boost::json::object status_of(const release::ObjectKey& key,
-                                              platform::Version written) const;
+                                              store::Version written) const;
   [[nodiscard]] http::Response stored_object(
       const release::ObjectKey& key,
-      const platform::StoredObject& stored) const;
+      const store::StoredObject& stored) const;
   [[nodiscard]] http::Response accepted_object(
       const release::ObjectKey& key) const;
   [[nodiscard]] http::Response verdicts(
--- a/ibismux/operator/object_handlers.cc
+++ b/ibismux/operator/object_handlers.cc
@@ -13,13 +13,13 @@
 namespace json = boost::json;
 
 json::object with_version(const release::ObjectKey& key,
-                          platform::Version version) {
+                          store::Version version) {
   json::object out = key_json(key);
   out["version"] = version;
   return out;
 }
 
-http::Response with_etag(http::Response response, platform::Version version) {
+http::Response with_etag(http::Response response, store::Version version) {
   response.add("ETag", std::to_string(version));
   return response;
 }
@@ -27,7 +27,7 @@
 }  // namespace
 
 json::object Handlers::status_of(const release::ObjectKey& key,
-                                 platform::Version written) const {
+                                 store::Version written) const {
   const auto contents = this->ports.releases.contents();
   const release::ObjectStatus status =
       release::status_of(*contents, key, written);
@@ -77,9 +77,9 @@
   if (!key) {
     co_return error_response(key.error());
   }
-  std::string collection = platform::kObjects;
+  std::string collection = store::kObjects;
   std::string name = to_string(*key);
-  const Result<platform::StoredObject> stored = co_await this->ports.store.get(
+  const Result<store::StoredObject> stored = co_await this->ports.store.get(
       std::move(collection), std::move(name),
       Clock::now() + this->ports.platform_timeout);
   if (stored) {
@@ -93,7 +93,7 @@
 
 http::Response Handlers::stored_object(
     const release::ObjectKey& key,
-    const platform::StoredObject& stored) const {
+    const store::StoredObject& stored) const {
   json::object out = with_version(key, stored.version);
   const Result<release::ObjectRecord> record =
       release::parse_object(stored.value);
--- a/ibismux/operator/object_writer.cc
+++ b/ibismux/operator/object_writer.cc
@@ -11,7 +11,7 @@
 
 tl::unexpected<WriteFailure> refuse(
     Error error,
-    std::optional<platform::Version> current = std::nullopt) {
+    std::optional<store::Version> current = std::nullopt) {
   return tl::unexpected<WriteFailure>(WriteFailure{std::move(error), current});
 }
 
@@ -20,7 +20,7 @@
 }
 
 tl::unexpected<WriteFailure> conflict(const release::ObjectKey& key,
-                                      platform::Version current) {
+                                      store::Version current) {
   return refuse(make_error(ErrorKind::kConflict,
                            describe(key) + ": the current version is " +
                                std::to_string(current)),
@@ -28,7 +28,7 @@
 }
 
 bool satisfies(const WriteCondition& condition,
-               platform::Version version,
+               store::Version version,
                bool exists) {
   switch (condition.kind) {
     case WriteCondition::Kind::kVersion:
@@ -44,9 +44,9 @@
 }  // namespace
 
 Task<Result<ObjectWriter::Current>> ObjectWriter::read(release::ObjectKey key) {
-  std::string collection = platform::kObjects;
+  std::string collection = store::kObjects;
   std::string name = to_string(key);
-  const Result<platform::StoredObject> stored = co_await this->store.get(
+  const Result<store::StoredObject> stored = co_await this->store.get(
       std::move(collection), std::move(name), Clock::now() + this->timeout);
   if (!stored && stored.error().kind == ErrorKind::kNotFound) {
     co_return Current{};
@@ -106,10 +106,10 @@
                            .change_id = current.record->change_id,
                            .unchanged = true};
   }
-  std::string collection = platform::kObjects;
+  std::string collection = store::kObjects;
   std::string name = to_string(record.key);
   std::string value = boost::json::serialize(object_to_json(record));
-  const Result<platform::Version> version = co_await this->store.put(
+  const Result<store::Version> version = co_await this->store.put(
       std::move(collection), std::move(name), std::move(value), current.version,
       Clock::now() + this->timeout);
   if (version) {
@@ -127,7 +127,7 @@
 }
 
 Task<ObjectWriter::Outcome> ObjectWriter::settle(release::ObjectRecord record,
-                                                 platform::Version expected,
+                                                 store::Version expected,
                                                  Error error) {
   const bool is_conflict = error.kind == ErrorKind::kConflict;
   if (!is_conflict && error.execution == Execution::kNotRun) {
--- a/ibismux/operator/object_writer.h
+++ b/ibismux/operator/object_writer.h
@@ -7,8 +7,8 @@
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
-#include "ibismux/platform/object_store.h"
 #include "ibismux/release/object_codec.h"
+#include "ibismux/store/object_store.h"
 
 namespace ibismux::operators {
 
@@ -21,12 +21,12 @@
   };
 
   Kind kind = Kind::kNone;
-  platform::Version version = 0;
+  store::Version version = 0;
 };
 
 /// How a write ended.
 struct WriteOutcome {
-  platform::Version version = 0;  ///< Now; the current one on a conflict.
+  store::Version version = 0;  ///< Now; the current one on a conflict.
   std::string change_id;
   bool created = false;
   bool unchanged = false;  ///< The object was so already; nothing was written.
@@ -35,7 +35,7 @@
 /// A write that did not take place, with the version that stands instead.
 struct WriteFailure {
   Error error;
-  std::optional<platform::Version> current;
+  std::optional<store::Version> current;
 };
 
 /// Writes operators' objects to the platform's store. Thread safe.
@@ -44,7 +44,7 @@
   using Outcome = tl::expected<WriteOutcome, WriteFailure>;
 
   /// @param store Outlives this.
-  ObjectWriter(platform::ObjectStore& store, std::chrono::milliseconds timeout)
+  ObjectWriter(store::ObjectStore& store, std::chrono::milliseconds timeout)
       : store(store), timeout(timeout) {}
 
   /// Writes `record`, a spec or a tombstone, with its change id.
@@ -59,7 +59,7 @@
 
  private:
   struct Current {
-    platform::Version version = 0;
+    store::Version version = 0;
     std::optional<release::ObjectRecord> record;  ///< None: absent or broken.
 
     /// A tombstone counts as no object.
@@ -72,10 +72,10 @@
   [[nodiscard]] Task<Outcome> write_over(release::ObjectRecord record,
                                          Current current);
   [[nodiscard]] Task<Outcome> settle(release::ObjectRecord record,
-                                     platform::Version expected,
+                                     store::Version expected,
                                      Error error);
 
-  platform::ObjectStore& store;
+  store::ObjectStore& store;
   std::chrono::milliseconds timeout;
 };
 
--- a/ibismux/operator/operator_ports.h
+++ b/ibismux/operator/operator_ports.h
@@ -9,9 +9,9 @@
 
 #include "ibismux/base/ids.h"
 #include "ibismux/base/time.h"
-#include "ibismux/platform/object_store.h"
 #include "ibismux/release/object_key.h"
 #include "ibismux/release/release_store.h"
+#include "ibismux/store/object_store.h"
 
 namespace prometheus {
 class Registry;
@@ -39,13 +39,13 @@
 /// What the interface of operators stands on. The references outlive it; the
 /// functions are thread safe and do not block.
 struct OperatorPorts {
-  platform::ObjectStore& store;
+  store::ObjectStore& store;
   release::ReleaseStore& releases;
   prometheus::Registry& registry;
   Incarnation self;
 
   /// Hears of each write made through this daemon; `Publisher::nudge`.
-  std::function<void(const release::ObjectKey&, platform::Version)> written;
+  std::function<void(const release::ObjectKey&, store::Version)> written;
   std::function<InForce(Generation)> in_force;
   /// Why this daemon is not ready; empty if it is.
   std::function<std::string()> not_ready_because;
--- a/ibismux/query/active_query.cc
+++ b/ibismux/query/active_query.cc
@@ -5,7 +5,7 @@
 #include <utility>
 
 #include "ibismux/gateway/leaf_caller.h"
-#include "ibismux/query/fraction_budget.h"
+#include "ibismux/base/fraction_budget.h"
 #include "ibismux/release/release.h"
 
 namespace ibismux::query {
--- a/ibismux/query/active_query.h
+++ b/ibismux/query/active_query.h
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 
+#include "ibismux/base/forward.h"
 #include "ibismux/base/priority.h"
 #include "ibismux/base/task.h"
 #include "ibismux/gateway/forward.h"
--- a/ibismux/query/forward.h
+++ b/ibismux/query/forward.h
@@ -14,7 +14,6 @@
 struct PolicySet;
 struct ServiceState;
 class DeadlinePolicy;
-class FractionBudget;
 class Gather;
 class ServiceMetrics;
 class HitMerger;
--- a/ibismux/query/gather.cc
+++ b/ibismux/query/gather.cc
@@ -4,7 +4,7 @@
 #include <array>
 #include <utility>
 
-#include "ibismux/query/fraction_budget.h"
+#include "ibismux/base/fraction_budget.h"
 #include "ibismux/query/leaf_stats.h"
 #include "ibismux/query/replica_choice.h"
 #include "ibismux/query/service_policy.h"
--- a/ibismux/query/gather_plan.h
+++ b/ibismux/query/gather_plan.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 
+#include "ibismux/base/forward.h"
 #include "ibismux/query/deadline_policy.h"
 #include "ibismux/query/forward.h"
 #include "ibismux/release/forward.h"
--- a/ibismux/query/gather_timing.cc
+++ b/ibismux/query/gather_timing.cc
@@ -4,7 +4,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "ibismux/query/fraction_budget.h"
+#include "ibismux/base/fraction_budget.h"
 #include "ibismux/query/gather.h"
 #include "ibismux/query/service_policy.h"
 
--- a/ibismux/query/query_engine.cc
+++ b/ibismux/query/query_engine.cc
@@ -5,7 +5,7 @@
 
 #include "ibismux/gateway/leaf_caller.h"
 #include "ibismux/query/active_query.h"
-#include "ibismux/query/fraction_budget.h"
+#include "ibismux/base/fraction_budget.h"
 #include "ibismux/query/replica_choice.h"
 #include "ibismux/release/release.h"
 
--- a/ibismux/query/service_policy.h
+++ b/ibismux/query/service_policy.h
@@ -6,7 +6,7 @@
 #include <optional>
 
 #include "ibismux/base/time.h"
-#include "ibismux/query/fraction_budget.h"
+#include "ibismux/base/fraction_budget.h"
 #include "ibismux/query/latency_quantile.h"
 
 namespace ibismux::query {
--- a/ibismux/relay/relay_service.cc
+++ b/ibismux/relay/relay_service.cc
@@ -7,7 +7,7 @@
 RelayService::RelayService(RelaySettings settings,
                            IoPool& pool,
                            peer::PeerNetwork& network,
-                           platform::ObjectStore& platform,
+                           store::ObjectStore& platform,
                            release::ReleaseStore& releases,
                            const RcuCell<membership::MembershipView>& view,
                            prometheus::Registry& registry,
--- a/ibismux/relay/relay_service.h
+++ b/ibismux/relay/relay_service.h
@@ -23,7 +23,7 @@
 class PeerNetwork;
 }
 
-namespace ibismux::platform {
+namespace ibismux::store {
 class ObjectStore;
 }
 
@@ -51,7 +51,7 @@
   RelayService(RelaySettings settings,
                IoPool& pool,
                peer::PeerNetwork& network,
-               platform::ObjectStore& platform,
+               store::ObjectStore& platform,
                release::ReleaseStore& releases,
                const RcuCell<membership::MembershipView>& view,
                prometheus::Registry& registry,
--- a/ibismux/relay/relay_service_impl.cc
+++ b/ibismux/relay/relay_service_impl.cc
@@ -30,7 +30,7 @@
 RelayService::Impl::Impl(RelaySettings settings,
                          IoPool& pool,
                          peer::PeerNetwork& network,
-                         platform::ObjectStore& platform,
+                         store::ObjectStore& platform,
                          release::ReleaseStore& releases,
                          const RcuCell<membership::MembershipView>& view,
                          prometheus::Registry& registry,
--- a/ibismux/relay/relay_service_impl.h
+++ b/ibismux/relay/relay_service_impl.h
@@ -31,7 +31,7 @@
   Impl(RelaySettings settings,
        IoPool& pool,
        peer::PeerNetwork& network,
-       platform::ObjectStore& platform,
+       store::ObjectStore& platform,
        release::ReleaseStore& releases,
        const RcuCell<membership::MembershipView>& view,
        prometheus::Registry& registry,
--- a/ibismux/relay/release_fetcher.cc
+++ b/ibismux/relay/release_fetcher.cc
@@ -4,10 +4,10 @@
 #include <utility>
 
 #include "ibismux/peer/peer_network.h"
-#include "ibismux/platform/object_store.h"
 #include "ibismux/release/head.h"
 #include "ibismux/release/release_parts.h"
 #include "ibismux/release/release_store.h"
+#include "ibismux/store/object_store.h"
 
 namespace ibismux::relay {
 
@@ -117,19 +117,19 @@
   co_return decode_fetch_answer(*response);
 }
 
-Task<Result<platform::Version>> ReleaseFetcher::from_platform() {
+Task<Result<store::Version>> ReleaseFetcher::from_platform() {
   const TimePoint deadline = Clock::now() + this->settings.platform_timeout;
-  std::string collection = platform::kReleases;
+  std::string collection = store::kReleases;
   std::string name = release::kHeadName;
   auto head = co_await this->platform.get(std::move(collection),
                                           std::move(name), deadline);
   if (!head && head.error().kind == ErrorKind::kNotFound) {
-    co_return platform::Version{0};
+    co_return store::Version{0};
   }
   if (!head) {
     co_return tl::unexpected<Error>(head.error());
   }
-  platform::WatchBatch nothing;
+  store::WatchBatch nothing;
   const auto taken = co_await this->take_from_platform(std::move(head->value),
                                                        std::move(nothing));
   if (!taken) {
@@ -138,9 +138,8 @@
   co_return head->version;
 }
 
-Task<Result<bool>> ReleaseFetcher::take_from_platform(
-    std::string head,
-    platform::WatchBatch batch) {
+Task<Result<bool>> ReleaseFetcher::take_from_platform(std::string head,
+                                                      store::WatchBatch batch) {
   const auto decoded = release::decode_head(head);
   if (decoded && decoded->generation <= this->releases.generation()) {
     co_return false;  // An old event: nothing is read for it.
@@ -176,7 +175,7 @@
       continue;
     }
     const TimePoint deadline = Clock::now() + this->settings.platform_timeout;
-    std::string collection = platform::kReleases;
+    std::string collection = store::kReleases;
     auto part = co_await this->platform.get(std::move(collection),
                                             std::move(name), deadline);
     if (!part) {
--- a/ibismux/relay/release_fetcher.h
+++ b/ibismux/relay/release_fetcher.h
@@ -9,17 +9,17 @@
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
-#include "ibismux/platform/stored_object.h"
 #include "ibismux/relay/messages.h"
 #include "ibismux/relay/relay_engine.h"
 #include "ibismux/relay/relay_settings.h"
 #include "ibismux/release/work_loop.h"
+#include "ibismux/store/stored_object.h"
 
 namespace ibismux::peer {
 class PeerNetwork;
 }
 
-namespace ibismux::platform {
+namespace ibismux::store {
 class ObjectStore;
 }
 
@@ -38,7 +38,7 @@
   /// @param work Where releases are put in force.
   ReleaseFetcher(const RelaySettings& settings,
                  peer::PeerNetwork& network,
-                 platform::ObjectStore& platform,
+                 store::ObjectStore& platform,
                  release::ReleaseStore& releases,
                  release::WorkLoop work = nullptr)
       : settings(settings),
@@ -60,13 +60,12 @@
 
   /// Reads the head in the platform and takes it. @return Its version there; 0
   /// if there is none.
-  [[nodiscard]] Task<Result<platform::Version>> from_platform();
+  [[nodiscard]] Task<Result<store::Version>> from_platform();
 
   /// Takes the release of `head`, with chunks from `batch` where it has them,
   /// else from the platform.
-  [[nodiscard]] Task<Result<bool>> take_from_platform(
-      std::string head,
-      platform::WatchBatch batch);
+  [[nodiscard]] Task<Result<bool>> take_from_platform(std::string head,
+                                                      store::WatchBatch batch);
 
   /// The answer to a peer's request. With a head, and with an index chunk, goes
   /// what is under it that the peer can't have: else each level of a release
@@ -103,7 +102,7 @@
 
   const RelaySettings& settings;
   peer::PeerNetwork& network;
-  platform::ObjectStore& platform;
+  store::ObjectStore& platform;
   release::ReleaseStore& releases;
   release::WorkLoop work;
 };
--- a/ibismux/relay/release_watch.cc
+++ b/ibismux/relay/release_watch.cc
@@ -8,9 +8,9 @@
 #include <random>
 #include <utility>
 
-#include "ibismux/platform/object_store.h"
 #include "ibismux/relay/release_fetcher.h"
 #include "ibismux/release/head.h"
+#include "ibismux/store/object_store.h"
 
 namespace ibismux::relay {
 
@@ -29,7 +29,7 @@
 
 ReleaseWatch::ReleaseWatch(const RelaySettings& settings,
                            boost::asio::io_context& loop,
-                           platform::ObjectStore& platform,
+                           store::ObjectStore& platform,
                            ReleaseFetcher& fetcher)
     : settings(settings),
       loop(loop),
@@ -61,7 +61,7 @@
 }
 
 Task<void> ReleaseWatch::run(Self self) {
-  std::optional<platform::Version> since;
+  std::optional<store::Version> since;
   Duration pause = self->settings.first_watch_retry;
   while (!self->stopped) {
     if (!self->wanted) {
@@ -84,13 +84,13 @@
 }
 
 /// One watch, or the read that comes before the first.
-Task<Result<platform::Version>> ReleaseWatch::step(
+Task<Result<store::Version>> ReleaseWatch::step(
     Self self,
-    std::optional<platform::Version> since) {
+    std::optional<store::Version> since) {
   if (!since) {
     co_return co_await self->fetcher.from_platform();
   }
-  std::string collection = platform::kReleases;
+  std::string collection = store::kReleases;
   auto batch = co_await self->platform.watch(std::move(collection), *since,
                                              self->settings.watch_wait);
   if (!batch) {
@@ -99,7 +99,7 @@
   if (batch->compacted) {
     co_return fail(ErrorKind::kPlatformUnavailable, "the history is gone");
   }
-  const platform::Version version = batch->version;
+  const store::Version version = batch->version;
   std::string head;
   for (const auto& event : batch->events) {
     if (event.object.name == release::kHeadName && !event.removed) {
--- a/ibismux/relay/release_watch.h
+++ b/ibismux/relay/release_watch.h
@@ -10,10 +10,10 @@
 
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
-#include "ibismux/platform/stored_object.h"
 #include "ibismux/relay/relay_settings.h"
+#include "ibismux/store/stored_object.h"
 
-namespace ibismux::platform {
+namespace ibismux::store {
 class ObjectStore;
 }
 
@@ -33,7 +33,7 @@
   /// Precondition: the references outlive the loop's thread.
   ReleaseWatch(const RelaySettings& settings,
                boost::asio::io_context& loop,
-               platform::ObjectStore& platform,
+               store::ObjectStore& platform,
                ReleaseFetcher& fetcher);
 
   /// Call once.
@@ -48,13 +48,12 @@
 
   static Task<void> run(Self self);
   static Task<void> sleep(Self self, Duration pause);
-  static Task<Result<platform::Version>> step(
-      Self self,
-      std::optional<platform::Version> since);
+  static Task<Result<store::Version>> step(Self self,
+                                           std::optional<store::Version> since);
 
   const RelaySettings& settings;
   boost::asio::io_context& loop;
-  platform::ObjectStore& platform;
+  store::ObjectStore& platform;
   ReleaseFetcher& fetcher;
   boost::asio::steady_timer timer;
   Listener listener;
--- a/ibismux/release/audit_trail.cc
+++ b/ibismux/release/audit_trail.cc
@@ -90,7 +90,7 @@
   return entries;
 }
 
-AuditTrail::AuditTrail(platform::ObjectStore& store,
+AuditTrail::AuditTrail(store::ObjectStore& store,
                        std::chrono::milliseconds timeout)
     : store(store), timeout(timeout) {}
 
@@ -99,9 +99,9 @@
 }
 
 Task<Result<AuditEntries>> AuditTrail::read_chunk(std::uint64_t sequence) {
-  std::string collection = platform::kAudit;
+  std::string collection = store::kAudit;
   std::string name = audit_chunk_name(sequence);
-  Result<platform::StoredObject> object = co_await this->store.get(
+  Result<store::StoredObject> object = co_await this->store.get(
       std::move(collection), std::move(name), this->deadline());
   if (!object && object.error().kind == ErrorKind::kNotFound) {
     co_return AuditEntries{};
@@ -116,9 +116,9 @@
   if (this->loaded.name == name) {
     co_return Result<void>();
   }
-  std::string collection = platform::kAudit;
+  std::string collection = store::kAudit;
   std::string key = name;
-  Result<platform::StoredObject> object = co_await this->store.get(
+  Result<store::StoredObject> object = co_await this->store.get(
       std::move(collection), std::move(key), this->deadline());
   if (!object && object.error().kind == ErrorKind::kNotFound) {
     this->loaded = {std::move(name), 0, {}};
@@ -136,11 +136,11 @@
 }
 
 Task<Result<void>> AuditTrail::write(AuditEntries merged) {
-  std::string collection = platform::kAudit;
+  std::string collection = store::kAudit;
   std::string name = this->loaded.name;
   std::string value = encode_audit(merged);
-  const platform::Version expected = this->loaded.version;
-  Result<platform::Version> version =
+  const store::Version expected = this->loaded.version;
+  Result<store::Version> version =
       co_await this->store.put(std::move(collection), std::move(name),
                                std::move(value), expected, this->deadline());
   if (!version) {
--- a/ibismux/release/audit_trail.h
+++ b/ibismux/release/audit_trail.h
@@ -10,8 +10,8 @@
 
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
-#include "ibismux/platform/object_store.h"
 #include "ibismux/release/head.h"
+#include "ibismux/store/object_store.h"
 
 namespace ibismux::release {
 
@@ -42,7 +42,7 @@
 class AuditTrail {
  public:
   /// @param store Outlives this.
-  AuditTrail(platform::ObjectStore& store, std::chrono::milliseconds timeout);
+  AuditTrail(store::ObjectStore& store, std::chrono::milliseconds timeout);
 
   /// Sees to it that `changes`, in order of sequence, are in the trail.
   /// Errors as of `ObjectStore`; those recorded before it stay recorded.
@@ -59,7 +59,7 @@
  private:
   struct Loaded {
     std::string name;
-    platform::Version version = 0;
+    store::Version version = 0;
     AuditEntries entries;
   };
 
@@ -70,7 +70,7 @@
   [[nodiscard]] Task<Result<void>> write(AuditEntries merged);
   [[nodiscard]] TimePoint deadline() const;
 
-  platform::ObjectStore& store;
+  store::ObjectStore& store;
   std::chrono::milliseconds timeout;
   Loaded loaded;
   std::uint64_t recorded_to = 0;
--- a/ibismux/release/candidate.cc
+++ b/ibismux/release/candidate.cc
@@ -22,7 +22,7 @@
 
 /// A change that is newer than what is in force.
 struct Pending {
-  platform::Version version = 0;  ///< 0: the object is gone from the store.
+  store::Version version = 0;  ///< 0: the object is gone from the store.
   std::shared_ptr<const ObjectSpec> spec;  ///< Null: a deletion.
   std::string change_id;
   std::string who;
@@ -30,9 +30,9 @@
   std::string reason;  ///< Of the last violation that it had a part in.
 
   /// Order of writing. A removal without a trace is taken for the latest.
-  [[nodiscard]] platform::Version order() const noexcept {
+  [[nodiscard]] store::Version order() const noexcept {
     return this->version != 0 ? this->version
-                              : std::numeric_limits<platform::Version>::max();
+                              : std::numeric_limits<store::Version>::max();
   }
 };
 
@@ -129,8 +129,7 @@
     if (this->pending.size() <= kMostChangesAtOnce) {
       return;
     }
-    std::vector<std::tuple<bool, std::size_t, platform::Version, ObjectKey>>
-        order;
+    std::vector<std::tuple<bool, std::size_t, store::Version, ObjectKey>> order;
     for (const auto& [key, change] : this->pending) {
       order.emplace_back(this->base.rejections.contains(key),
                          change.spec == nullptr
@@ -149,8 +148,7 @@
     }
   }
 
-  static std::string direct_id(const ObjectKey& key,
-                               platform::Version version) {
+  static std::string direct_id(const ObjectKey& key, store::Version version) {
     return to_string(key) + "@" + std::to_string(version);
   }
 
@@ -203,7 +201,7 @@
   [[nodiscard]] std::optional<ObjectKey> latest(
       const Violation& violation) const {
     std::optional<ObjectKey> found;
-    platform::Version order = 0;
+    store::Version order = 0;
     for (const ObjectKey& key : violation.involved) {
       const auto change = this->pending.find(key);
       if (change != this->pending.end() && !this->left_out.contains(key) &&
@@ -224,7 +222,7 @@
   }
 
   void retry() {
-    std::vector<std::pair<platform::Version, ObjectKey>> order;
+    std::vector<std::pair<store::Version, ObjectKey>> order;
     for (const ObjectKey& key : this->left_out) {
       order.emplace_back(this->pending.at(key).order(), key);
     }
@@ -244,7 +242,7 @@
   }
 
   void reject(const ObjectKey& key,
-              platform::Version version,
+              store::Version version,
               const std::string& change_id,
               const std::string& reason) {
     Rejection rejection{.version = version,
--- a/ibismux/release/chunk.cc
+++ b/ibismux/release/chunk.cc
@@ -36,7 +36,7 @@
     return tl::unexpected<Error>(spec.error());
   }
   objects[*key] = AcceptedObject{
-      .version = static_cast<platform::Version>(wire.version),
+      .version = static_cast<store::Version>(wire.version),
       .generation = static_cast<Generation>(wire.generation),
       .change_id = std::move(wire.change_id),
       .spec = std::make_shared<const ObjectSpec>(std::move(*spec))};
@@ -50,7 +50,7 @@
     return tl::unexpected<Error>(key.error());
   }
   rejections[*key] =
-      Rejection{.version = static_cast<platform::Version>(wire.version),
+      Rejection{.version = static_cast<store::Version>(wire.version),
                 .generation = static_cast<Generation>(wire.generation),
                 .change_id = std::move(wire.change_id),
                 .reason = std::move(wire.reason)};
--- a/ibismux/release/garbage.cc
+++ b/ibismux/release/garbage.cc
@@ -20,10 +20,10 @@
   }
 }
 
-void Garbage::sweep(const platform::Listing& listing,
+void Garbage::sweep(const store::Listing& listing,
                     const ReleaseContents& newest) {
   const std::set<std::string> named = names_in(newest);
-  for (const platform::StoredObject& object : listing.objects) {
+  for (const store::StoredObject& object : listing.objects) {
     if (chunk_generation(object.name) != 0 && !named.contains(object.name)) {
       this->unused_since.emplace(object.name, newest.head.generation);
     }
--- a/ibismux/release/garbage.h
+++ b/ibismux/release/garbage.h
@@ -5,8 +5,8 @@
 #include <string>
 #include <vector>
 
-#include "ibismux/platform/stored_object.h"
 #include "ibismux/release/release_contents.h"
+#include "ibismux/store/stored_object.h"
 
 namespace ibismux::release {
 
@@ -31,7 +31,7 @@
 
   /// Notes what of a whole listing of the collection `releases` isn't named by
   /// `newest`: what publishers left behind that died.
-  void sweep(const platform::Listing& listing, const ReleaseContents& newest);
+  void sweep(const store::Listing& listing, const ReleaseContents& newest);
 
   /// The names that may be removed while `newest` is the newest release that is
   /// known; they are forgotten here.
--- a/ibismux/release/head.h
+++ b/ibismux/release/head.h
@@ -8,8 +8,8 @@
 
 #include "ibismux/base/error.h"
 #include "ibismux/base/ids.h"
-#include "ibismux/platform/stored_object.h"
 #include "ibismux/release/chunk_ref.h"
+#include "ibismux/store/stored_object.h"
 
 namespace ibismux::release {
 
@@ -25,9 +25,9 @@
 struct Change {
   std::uint64_t sequence = 0;  ///< Position in the audit trail, from 1.
   std::string change_id;
-  std::string object;                  ///< kind:name
-  platform::Version from_version = 0;  ///< 0: did not exist.
-  platform::Version to_version = 0;    ///< 0: deleted.
+  std::string object;               ///< kind:name
+  store::Version from_version = 0;  ///< 0: did not exist.
+  store::Version to_version = 0;    ///< 0: deleted.
   std::string who;
   std::int64_t when_ms = 0;  ///< Wall-clock time of the operator's write.
   Generation generation = 0;
@@ -39,7 +39,7 @@
 struct Head {
   Generation generation = 0;
   std::string publication;  ///< Id of the update that wrote it.
-  platform::Version objects_version = 0;
+  store::Version objects_version = 0;
   std::uint64_t change_count = 0;  ///< Sequence of the newest change.
   /// By bucket, a power of two of them; none where there are indexes.
   std::vector<ChunkRef> chunks;
--- a/ibismux/release/housekeeping.cc
+++ b/ibismux/release/housekeeping.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-Housekeeping::Housekeeping(platform::ObjectStore& store,
+Housekeeping::Housekeeping(store::ObjectStore& store,
                            ReleaseStore& releases,
                            PublisherMetrics& metrics,
                            std::chrono::milliseconds timeout,
@@ -65,7 +65,7 @@
         contents->objects.contains(key)) {
       continue;
     }
-    std::string collection = platform::kObjects;
+    std::string collection = store::kObjects;
     std::string name = to_string(key);
     Result<void> removed =
         co_await this->store.remove(std::move(collection), std::move(name),
@@ -79,8 +79,8 @@
 }
 
 Task<Result<void>> Housekeeping::sweep() {
-  std::string collection = platform::kReleases;
-  const Result<platform::Listing> listing =
+  std::string collection = store::kReleases;
+  const Result<store::Listing> listing =
       co_await this->store.list(std::move(collection), this->deadline());
   if (!listing) {
     co_return tl::unexpected<Error>(listing.error());
@@ -106,14 +106,14 @@
 }
 
 Task<Result<void>> Housekeeping::remove_chunk(std::string name) {
-  std::string collection = platform::kReleases;
+  std::string collection = store::kReleases;
   std::string wanted = name;
-  const Result<platform::StoredObject> object = co_await this->store.get(
+  const Result<store::StoredObject> object = co_await this->store.get(
       std::move(collection), std::move(wanted), this->deadline());
   if (!object) {
     co_return settle(tl::unexpected<Error>(object.error()));
   }
-  collection = platform::kReleases;
+  collection = store::kReleases;
   const Result<void> removed =
       co_await this->store.remove(std::move(collection), std::move(name),
                                   object->version, this->deadline());
--- a/ibismux/release/housekeeping.h
+++ b/ibismux/release/housekeeping.h
@@ -23,7 +23,7 @@
 class Housekeeping {
  public:
   /// @param store,releases,metrics Outlive this.
-  Housekeeping(platform::ObjectStore& store,
+  Housekeeping(store::ObjectStore& store,
                ReleaseStore& releases,
                PublisherMetrics& metrics,
                std::chrono::milliseconds timeout,
@@ -56,7 +56,7 @@
   [[nodiscard]] Task<Result<void>> remove_chunk(std::string name);
   [[nodiscard]] TimePoint deadline() const;
 
-  platform::ObjectStore& store;
+  store::ObjectStore& store;
   ReleaseStore& releases;
   PublisherMetrics& metrics;
   std::chrono::milliseconds timeout;
--- a/ibismux/release/object_mirror.cc
+++ b/ibismux/release/object_mirror.cc
@@ -10,7 +10,7 @@
 constexpr std::size_t kMostObjectBytes = 256 * 1024;
 
 Result<ObjectRecord> read(const ObjectKey& key,
-                          const platform::StoredObject& object) {
+                          const store::StoredObject& object) {
   if (object.value.size() > kMostObjectBytes) {
     return fail(ErrorKind::kTooLarge, std::string(to_string(key.kind)) + "/" +
                                           key.name +
@@ -27,7 +27,7 @@
 
 }  // namespace
 
-void ObjectMirror::observe(const platform::StoredObject& object) {
+void ObjectMirror::observe(const store::StoredObject& object) {
   std::optional<ObjectKey> key = object_key_of(object.name);
   // A name that spells no key can have no status either.
   if (key) {
@@ -37,19 +37,19 @@
   }
 }
 
-void ObjectMirror::reset(const platform::Listing& listing) {
+void ObjectMirror::reset(const store::Listing& listing) {
   if (listing.version < this->current.version) {
     return;
   }
   this->current = {listing.version, {}};
-  for (const platform::StoredObject& object : listing.objects) {
+  for (const store::StoredObject& object : listing.objects) {
     this->observe(object);
   }
 }
 
-void ObjectMirror::apply(const platform::WatchBatch& batch) {
-  const platform::Version known = this->current.version;
-  for (const platform::WatchBatch::Event& event : batch.events) {
+void ObjectMirror::apply(const store::WatchBatch& batch) {
+  const store::Version known = this->current.version;
+  for (const store::WatchBatch::Event& event : batch.events) {
     // A late event would bring back what a newer write has replaced or removed;
     // one would see an old version accepted again.
     if (event.object.version <= known) {
--- a/ibismux/release/object_mirror.h
+++ b/ibismux/release/object_mirror.h
@@ -4,20 +4,20 @@
 #include <map>
 
 #include "ibismux/base/error.h"
-#include "ibismux/platform/stored_object.h"
 #include "ibismux/release/object_codec.h"
+#include "ibismux/store/stored_object.h"
 
 namespace ibismux::release {
 
 /// An object as it stands in the platform's store, right or wrong.
 struct ObservedObject {
-  platform::Version version = 0;
+  store::Version version = 0;
   Result<ObjectRecord> record;  ///< Or why the value is no valid object.
 };
 
 /// What operators want: all objects of the platform's store as of one version.
 struct ObjectView {
-  platform::Version version = 0;
+  store::Version version = 0;
   std::map<ObjectKey, ObservedObject> objects;
 };
 
@@ -29,11 +29,11 @@
 class ObjectMirror {
  public:
   /// Replaces the view, unless `listing` is older than it.
-  void reset(const platform::Listing& listing);
+  void reset(const store::Listing& listing);
 
   /// Precondition: the batch answers a watch since `view().version` and is not
   /// compacted.
-  void apply(const platform::WatchBatch& batch);
+  void apply(const store::WatchBatch& batch);
 
   /// Forgets everything; the next `reset` counts whatever its version.
   void clear() { this->current = {}; }
@@ -43,7 +43,7 @@
   }
 
  private:
-  void observe(const platform::StoredObject& object);
+  void observe(const store::StoredObject& object);
 
   ObjectView current;
 };
--- a/ibismux/release/object_set.h
+++ b/ibismux/release/object_set.h
@@ -6,14 +6,14 @@
 #include <string>
 
 #include "ibismux/base/ids.h"
-#include "ibismux/platform/stored_object.h"
 #include "ibismux/release/object_spec.h"
+#include "ibismux/store/stored_object.h"
 
 namespace ibismux::release {
 
 /// An object as it is in force.
 struct AcceptedObject {
-  platform::Version version = 0;
+  store::Version version = 0;
   Generation generation = 0;  ///< That accepted it.
   std::string change_id;
   std::shared_ptr<const ObjectSpec> spec;
@@ -28,7 +28,7 @@
 
 /// Why the newest version of an object is not in force.
 struct Rejection {
-  platform::Version version = 0;
+  store::Version version = 0;
   Generation generation = 0;  ///< That first says so.
   std::string change_id;
   std::string reason;
--- a/ibismux/release/object_status.cc
+++ b/ibismux/release/object_status.cc
@@ -10,7 +10,7 @@
 
 ObjectStatus status_of(const ReleaseContents& contents,
                        const ObjectKey& key,
-                       platform::Version written) {
+                       store::Version written) {
   const auto accepted = contents.objects.find(key);
   const auto rejected = contents.rejections.find(key);
   const bool in_force = accepted != contents.objects.end();
--- a/ibismux/release/object_status.h
+++ b/ibismux/release/object_status.h
@@ -22,7 +22,7 @@
 /// The status of one object. Thread safe.
 struct ObjectStatus {
   ObjectState state = ObjectState::kAbsent;
-  platform::Version version = 0;  ///< That is in force; 0 if none is.
+  store::Version version = 0;  ///< That is in force; 0 if none is.
   /// That accepted or rejected it; of the release for an absent one.
   Generation generation = 0;
   std::string change_id;
@@ -33,7 +33,7 @@
 /// that isn't known. Thread safe.
 [[nodiscard]] ObjectStatus status_of(const ReleaseContents& contents,
                                      const ObjectKey& key,
-                                     platform::Version written);
+                                     store::Version written);
 
 }  // namespace ibismux::release
 
--- a/ibismux/release/publisher.cc
+++ b/ibismux/release/publisher.cc
@@ -49,7 +49,7 @@
 class Publisher::Impl : public std::enable_shared_from_this<Impl> {
  public:
   Impl(boost::asio::io_context& loop,
-       platform::ObjectStore& store,
+       store::ObjectStore& store,
        ReleaseStore& releases,
        prometheus::Registry& registry,
        PublisherSettings settings,
@@ -92,8 +92,8 @@
   }
 
   /// On the loop.
-  void nudge(const ObjectKey& key, platform::Version version) {
-    platform::Version& waiting = this->nudges[key];
+  void nudge(const ObjectKey& key, store::Version version) {
+    store::Version& waiting = this->nudges[key];
     waiting = std::max(waiting, version);
     if (this->standing_by) {
       this->timer.cancel();
@@ -160,10 +160,10 @@
     if (std::exchange(this->unfinished, false)) {
       co_return Result<void>();
     }
-    std::string collection = platform::kObjects;
+    std::string collection = store::kObjects;
     const auto wait =
         this->untidy ? kHousekeepingRetry : this->settings.watch_wait;
-    const Result<platform::WatchBatch> batch = co_await this->store.watch(
+    const Result<store::WatchBatch> batch = co_await this->store.watch(
         std::move(collection), this->mirror.view().version, wait);
     if (!batch) {
       co_return tl::unexpected<Error>(batch.error());
@@ -183,8 +183,8 @@
   }
 
   Task<Result<void>> list() {
-    std::string collection = platform::kObjects;
-    const Result<platform::Listing> listing = co_await this->store.list(
+    std::string collection = store::kObjects;
+    const Result<store::Listing> listing = co_await this->store.list(
         std::move(collection), Clock::now() + this->settings.call_timeout);
     if (!listing) {
       co_return tl::unexpected<Error>(listing.error());
@@ -288,7 +288,7 @@
                  << error.message << "\"";
   }
 
-  platform::ObjectStore& store;
+  store::ObjectStore& store;
   ReleaseStore& releases;
   const PublisherSettings settings;
   Rank rank;
@@ -299,7 +299,7 @@
   boost::asio::steady_timer timer;
   Backoff backoff;
   ObjectMirror mirror;
-  std::map<ObjectKey, platform::Version> nudges;
+  std::map<ObjectKey, store::Version> nudges;
   TimePoint last_look{};
   bool stopped = false;
   bool watching = false;
@@ -310,7 +310,7 @@
 };
 
 Publisher::Publisher(boost::asio::io_context& loop,
-                     platform::ObjectStore& store,
+                     store::ObjectStore& store,
                      ReleaseStore& releases,
                      prometheus::Registry& registry,
                      PublisherSettings settings,
@@ -337,7 +337,7 @@
                         boost::asio::detached);
 }
 
-void Publisher::nudge(const ObjectKey& key, platform::Version version) {
+void Publisher::nudge(const ObjectKey& key, store::Version version) {
   boost::asio::post(this->impl->loop, [impl = this->impl, key, version] {
     impl->nudge(key, version);
   });
--- a/ibismux/release/publisher.h
+++ b/ibismux/release/publisher.h
@@ -9,11 +9,11 @@
 
 #include "ibismux/base/ids.h"
 #include "ibismux/base/time.h"
-#include "ibismux/platform/object_store.h"
 #include "ibismux/release/object_key.h"
 #include "ibismux/release/publisher_settings.h"
 #include "ibismux/release/release_store.h"
 #include "ibismux/release/work_loop.h"
+#include "ibismux/store/object_store.h"
 
 namespace prometheus {
 class Registry;
@@ -39,7 +39,7 @@
   /// @param rank Is called on `loop`.
   /// @param work Where releases are decided on, encoded and put in force.
   Publisher(boost::asio::io_context& loop,
-            platform::ObjectStore& store,
+            store::ObjectStore& store,
             ReleaseStore& releases,
             prometheus::Registry& registry,
             PublisherSettings settings,
@@ -56,7 +56,7 @@
 
   /// Says that version `version` of `key` was written through this daemon, so
   /// that it is published even if those who watch are gone.
-  void nudge(const ObjectKey& key, platform::Version version);
+  void nudge(const ObjectKey& key, store::Version version);
 
   /// Ends the work at its next step; no head update is begun after it.
   void stop();
--- a/ibismux/release/release_writer.cc
+++ b/ibismux/release/release_writer.cc
@@ -51,7 +51,7 @@
 
 }  // namespace
 
-ReleaseWriter::ReleaseWriter(platform::ObjectStore& store,
+ReleaseWriter::ReleaseWriter(store::ObjectStore& store,
                              ReleaseStore& releases,
                              PublisherMetrics& metrics,
                              std::string self,
@@ -167,10 +167,10 @@
 Task<Result<void>> ReleaseWriter::put_chunk(Assembly::NewChunk chunk) {
   Result<void> done;
   for (int attempt = 0; attempt < kMostChunkAttempts; ++attempt) {
-    std::string collection = platform::kReleases;
+    std::string collection = store::kReleases;
     std::string name = chunk.name;
     std::string value = chunk.bytes;
-    const Result<platform::Version> version =
+    const Result<store::Version> version =
         co_await this->store.put(std::move(collection), std::move(name),
                                  std::move(value), 0, this->deadline());
     // A chunk of that name has these contents: an earlier try took effect, or
@@ -187,12 +187,12 @@
 }
 
 Task<Result<void>> ReleaseWriter::put_head(const Assembly& assembly) {
-  std::string collection = platform::kReleases;
+  std::string collection = store::kReleases;
   std::string name = kHeadName;
   std::string bytes = encode_head(assembly.head);
   std::string value = bytes;
-  const platform::Version expected = this->head.version;
-  const Result<platform::Version> version =
+  const store::Version expected = this->head.version;
+  const Result<store::Version> version =
       co_await this->store.put(std::move(collection), std::move(name),
                                std::move(value), expected, this->deadline());
   if (version) {
@@ -234,8 +234,8 @@
 }
 
 Task<Result<std::string>> ReleaseWriter::get_chunk(std::string name) {
-  std::string collection = platform::kReleases;
-  Result<platform::StoredObject> object = co_await this->store.get(
+  std::string collection = store::kReleases;
+  Result<store::StoredObject> object = co_await this->store.get(
       std::move(collection), std::move(name), this->deadline());
   if (!object) {
     co_return tl::unexpected<Error>(object.error());
@@ -243,7 +243,7 @@
   co_return std::move(object->value);
 }
 
-Task<Result<void>> ReleaseWriter::take(platform::StoredObject object) {
+Task<Result<void>> ReleaseWriter::take(store::StoredObject object) {
   std::vector<std::string> chunks;
   for (int level = 0; level < kPartLevels; ++level) {
     const Result<std::vector<std::string>> missing =
@@ -271,9 +271,9 @@
 }
 
 Task<Result<void>> ReleaseWriter::refresh() {
-  std::string collection = platform::kReleases;
+  std::string collection = store::kReleases;
   std::string name = kHeadName;
-  Result<platform::StoredObject> object = co_await this->store.get(
+  Result<store::StoredObject> object = co_await this->store.get(
       std::move(collection), std::move(name), this->deadline());
   if (!object && object.error().kind == ErrorKind::kNotFound) {
     this->head = {true, 0, 0};
@@ -286,7 +286,7 @@
   if (!decoded) {
     co_return tl::unexpected<Error>(decoded.error());
   }
-  const platform::Version version = object->version;
+  const store::Version version = object->version;
   const Result<void> taken = co_await this->take(std::move(*object));
   if (!taken) {
     co_return taken;
--- a/ibismux/release/release_writer.h
+++ b/ibismux/release/release_writer.h
@@ -11,12 +11,12 @@
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
-#include "ibismux/platform/object_store.h"
 #include "ibismux/release/assembly.h"
 #include "ibismux/release/candidate.h"
 #include "ibismux/release/publisher_metrics.h"
 #include "ibismux/release/release_store.h"
 #include "ibismux/release/work_loop.h"
+#include "ibismux/store/object_store.h"
 
 namespace ibismux::release {
 
@@ -36,7 +36,7 @@
   /// @param store,releases,metrics Outlive this.
   /// @param work Where releases are decided on, encoded and put in force.
   /// @param self Unique to this run of this daemon; begins publication ids.
-  ReleaseWriter(platform::ObjectStore& store,
+  ReleaseWriter(store::ObjectStore& store,
                 ReleaseStore& releases,
                 PublisherMetrics& metrics,
                 std::string self,
@@ -72,21 +72,21 @@
   struct KnownHead {
     bool known = false;
     Generation generation = 0;
-    platform::Version version = 0;
+    store::Version version = 0;
   };
 
   [[nodiscard]] Task<Result<void>> advance(Assembly assembly);
   [[nodiscard]] Task<Result<void>> put_chunk(Assembly::NewChunk chunk);
   [[nodiscard]] Task<Result<void>> put_head(const Assembly& assembly);
   [[nodiscard]] Task<Result<std::string>> get_chunk(std::string name);
-  [[nodiscard]] Task<Result<void>> take(platform::StoredObject object);
+  [[nodiscard]] Task<Result<void>> take(store::StoredObject object);
   [[nodiscard]] Head next_head(const ReleaseContents& base,
                                const ObjectView& view,
                                const Candidate& candidate,
                                std::uint64_t audited);
   [[nodiscard]] TimePoint deadline() const;
 
-  platform::ObjectStore& store;
+  store::ObjectStore& store;
   ReleaseStore& releases;
   PublisherMetrics& metrics;
   std::string self;
--- a/ibismux/reservation/archive.cc
+++ b/ibismux/reservation/archive.cc
@@ -18,7 +18,7 @@
 }
 
 void Archive::add(const SegmentRef& ref,
-                  platform::Version version,
+                  store::Version version,
                   std::vector<KeyRecord> fresh) {
   Loaded loaded{ref, version, {}};
   loaded.keys.reserve(fresh.size());
@@ -59,7 +59,7 @@
   return found == this->records.end() ? nullptr : &found->second.record;
 }
 
-platform::Version Archive::version_of(const std::string& name) const {
+store::Version Archive::version_of(const std::string& name) const {
   const auto found = this->segments.find(name);
   return found == this->segments.end() ? 0 : found->second.version;
 }
--- a/ibismux/reservation/archive.h
+++ b/ibismux/reservation/archive.h
@@ -8,8 +8,8 @@
 #include <unordered_map>
 #include <vector>
 
-#include "ibismux/platform/stored_object.h"
 #include "ibismux/reservation/key_record.h"
+#include "ibismux/store/stored_object.h"
 
 namespace ibismux::reservation {
 
@@ -34,7 +34,7 @@
   [[nodiscard]] std::vector<SegmentRef> missing(
       const std::vector<SegmentRef>& wanted) const;
   void add(const SegmentRef& ref,
-           platform::Version version,
+           store::Version version,
            std::vector<KeyRecord> records);
   /// Forgets all segments but `wanted`.
   void keep_only(const std::vector<SegmentRef>& wanted);
@@ -43,7 +43,7 @@
   /// The newest record of `key`, or null. Valid until the archive changes.
   [[nodiscard]] const KeyRecord* find(const KeyHash& key) const;
   /// The platform's version of a segment; 0 where it is not here.
-  [[nodiscard]] platform::Version version_of(const std::string& name) const;
+  [[nodiscard]] store::Version version_of(const std::string& name) const;
   [[nodiscard]] std::size_t size() const noexcept {
     return this->records.size();
   }
@@ -55,7 +55,7 @@
   };
   struct Loaded {
     SegmentRef ref;
-    platform::Version version = 0;
+    store::Version version = 0;
     std::vector<KeyHash> keys;
   };
 
--- a/ibismux/reservation/bucket_keeper.cc
+++ b/ibismux/reservation/bucket_keeper.cc
@@ -7,9 +7,9 @@
 #include <optional>
 #include <utility>
 
-#include "ibismux/platform/object_store.h"
 #include "ibismux/reservation/random_source.h"
 #include "ibismux/reservation/reservation_metrics.h"
+#include "ibismux/store/object_store.h"
 
 namespace ibismux::reservation {
 
@@ -26,7 +26,7 @@
       std::chrono::system_clock::now().time_since_epoch());
 }
 
-CommitOutcome outcome_of(const Result<platform::Version>& version) {
+CommitOutcome outcome_of(const Result<store::Version>& version) {
   if (version) {
     return CommitOutcome::kWritten;
   }
@@ -48,7 +48,7 @@
 BucketKeeper::BucketKeeper(std::uint32_t bucket,
                            ReservationSettings settings,
                            asio::any_io_executor loop,
-                           platform::ObjectStore& store,
+                           store::ObjectStore& store,
                            ReservationMetrics& metrics)
     : loop(std::move(loop)),
       store(store),
@@ -120,8 +120,8 @@
   using Kind = BucketWriter::Step::Kind;
   const TimePoint deadline = Clock::now() + kStepTimeout;
   if (step.kind == Kind::kLoadHead || step.kind == Kind::kLoadSegment) {
-    Result<platform::StoredObject> object =
-        co_await this->store.get(platform::kClaims, step.name, deadline);
+    Result<store::StoredObject> object =
+        co_await this->store.get(store::kClaims, step.name, deadline);
     if (step.kind == Kind::kLoadHead) {
       this->writer.on_head(std::move(object), Clock::now());
     } else {
@@ -131,13 +131,12 @@
   }
   if (step.kind == Kind::kRemove) {
     Result<void> removed = co_await this->store.remove(
-        platform::kClaims, step.name, step.version, deadline);
+        store::kClaims, step.name, step.version, deadline);
     (void)removed;  // What stays is never read; it only takes room.
     co_return;
   }
-  Result<platform::Version> version =
-      co_await this->store.put(platform::kClaims, step.name,
-                               std::move(step.value), step.version, deadline);
+  Result<store::Version> version = co_await this->store.put(
+      store::kClaims, step.name, std::move(step.value), step.version, deadline);
   this->metrics.count(outcome_of(version));
   if (step.kind == Kind::kPutSegment) {
     this->writer.on_segment_put(std::move(version));
--- a/ibismux/reservation/bucket_keeper.h
+++ b/ibismux/reservation/bucket_keeper.h
@@ -10,10 +10,10 @@
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
-#include "ibismux/platform/forward.h"
 #include "ibismux/reservation/bucket_operation.h"
 #include "ibismux/reservation/bucket_writer.h"
 #include "ibismux/reservation/forward.h"
+#include "ibismux/store/forward.h"
 
 namespace ibismux::reservation {
 
@@ -28,7 +28,7 @@
   BucketKeeper(std::uint32_t bucket,
                ReservationSettings settings,
                boost::asio::any_io_executor loop,
-               platform::ObjectStore& store,
+               store::ObjectStore& store,
                ReservationMetrics& metrics);
 
   /// Applies one operation and waits for its group's commit, up to `deadline`.
@@ -48,7 +48,7 @@
   void deliver();
 
   const boost::asio::any_io_executor loop;
-  platform::ObjectStore& store;
+  store::ObjectStore& store;
   ReservationMetrics& metrics;
   BucketWriter writer;
   boost::asio::steady_timer timer;
--- a/ibismux/reservation/bucket_writer.cc
+++ b/ibismux/reservation/bucket_writer.cc
@@ -159,7 +159,7 @@
   return Step{Step::Kind::kRemove, std::move(name), {}, version};
 }
 
-void BucketWriter::on_head(Result<platform::StoredObject> head, TimePoint now) {
+void BucketWriter::on_head(Result<store::StoredObject> head, TimePoint now) {
   if (!head && head.error().kind != ErrorKind::kNotFound) {
     this->fail_all(head.error());
     return;
@@ -196,7 +196,7 @@
   }
 }
 
-void BucketWriter::on_segment(Result<platform::StoredObject> segment) {
+void BucketWriter::on_segment(Result<store::StoredObject> segment) {
   const SegmentRef ref = this->to_load.back();
   if (!segment) {
     // A newer head has dropped it, or the platform is down.
@@ -215,7 +215,7 @@
   this->archive.add(ref, segment->version, std::move(*records));
 }
 
-void BucketWriter::on_segment_put(Result<platform::Version> version) {
+void BucketWriter::on_segment_put(Result<store::Version> version) {
   if (version) {
     this->segment->version = *version;
     return;
@@ -226,8 +226,7 @@
   this->fail_all(version.error());
 }
 
-void BucketWriter::on_head_put(Result<platform::Version> version,
-                               TimePoint now) {
+void BucketWriter::on_head_put(Result<store::Version> version, TimePoint now) {
   Candidate written = std::move(*this->candidate);
   this->candidate.reset();
   this->last_commit = now;
--- a/ibismux/reservation/bucket_writer.h
+++ b/ibismux/reservation/bucket_writer.h
@@ -11,11 +11,11 @@
 
 #include "ibismux/base/error.h"
 #include "ibismux/base/time.h"
-#include "ibismux/platform/stored_object.h"
 #include "ibismux/reservation/archive.h"
 #include "ibismux/reservation/bucket.h"
 #include "ibismux/reservation/bucket_operation.h"
 #include "ibismux/reservation/reservation_settings.h"
+#include "ibismux/store/stored_object.h"
 
 namespace ibismux::reservation {
 
@@ -41,7 +41,7 @@
     Kind kind = Kind::kLoadHead;
     std::string name;
     std::string value;
-    platform::Version version = 0;  ///< Expected, for a write.
+    store::Version version = 0;  ///< Expected, for a write.
   };
 
   /// How one submitted operation ended.
@@ -69,10 +69,10 @@
 
   /// @name How the step went
   /// @{
-  void on_head(Result<platform::StoredObject> head, TimePoint now);
-  void on_segment(Result<platform::StoredObject> segment);
-  void on_segment_put(Result<platform::Version> version);
-  void on_head_put(Result<platform::Version> version, TimePoint now);
+  void on_head(Result<store::StoredObject> head, TimePoint now);
+  void on_segment(Result<store::StoredObject> segment);
+  void on_segment_put(Result<store::Version> version);
+  void on_head_put(Result<store::Version> version, TimePoint now);
   /// @}
 
   /// Operations that ended since the last call.
@@ -98,8 +98,8 @@
   struct NewSegment {
     SegmentRef ref;
     std::vector<KeyRecord> records;
-    platform::Version version = 0;
-    platform::Version head_version = 0;  ///< The head it was made for.
+    store::Version version = 0;
+    store::Version head_version = 0;  ///< The head it was made for.
   };
 
   void expire(TimePoint now);
@@ -116,7 +116,7 @@
   const ReservationSettings settings;
 
   Bucket bucket;
-  platform::Version version = 0;  ///< Of `bucket`.
+  store::Version version = 0;  ///< Of `bucket`.
   Archive archive;
   std::vector<SegmentRef> to_load;
   bool must_load = true;
@@ -126,7 +126,7 @@
   std::uint64_t next_ticket = 1;
   std::optional<Candidate> candidate;
   std::optional<NewSegment> segment;
-  std::vector<std::pair<std::string, platform::Version>> garbage;
+  std::vector<std::pair<std::string, store::Version>> garbage;
   TimePoint last_commit = TimePoint::min();
   TimePoint paid_until;      ///< Each commit moves it on by `linger`.
   bool write_again = false;  ///< The last head write failed: don't linger.
--- a/ibismux/reservation/reservation_engine.cc
+++ b/ibismux/reservation/reservation_engine.cc
@@ -39,7 +39,7 @@
 std::vector<std::shared_ptr<BucketKeeper>> make_keepers(
     const ReservationSettings& settings,
     IoPool& pool,
-    platform::ObjectStore& store,
+    store::ObjectStore& store,
     ReservationMetrics& metrics) {
   std::vector<std::shared_ptr<BucketKeeper>> keepers;
   for (std::uint32_t bucket = 0; bucket < kBuckets; ++bucket) {
@@ -68,7 +68,7 @@
        const RcuCell<membership::MembershipView>& members,
        gateway::LeafCaller& leafs,
        peer::PeerNetwork& peers,
-       platform::ObjectStore& store,
+       store::ObjectStore& store,
        prometheus::Registry& registry,
        const ReservationSettings& settings)
       : releases(releases),
@@ -245,7 +245,7 @@
     const RcuCell<membership::MembershipView>& members,
     gateway::LeafCaller& leafs,
     peer::PeerNetwork& peers,
-    platform::ObjectStore& store,
+    store::ObjectStore& store,
     prometheus::Registry& metrics,
     const ReservationSettings& settings)
     : impl(std::make_shared<Impl>(pool,
--- a/ibismux/reservation/reservation_engine.h
+++ b/ibismux/reservation/reservation_engine.h
@@ -13,11 +13,11 @@
 #include "ibismux/gateway/forward.h"
 #include "ibismux/membership/forward.h"
 #include "ibismux/peer/forward.h"
-#include "ibismux/platform/forward.h"
 #include "ibismux/release/forward.h"
 #include "ibismux/reservation/reservation_answer.h"
 #include "ibismux/reservation/reservation_request.h"
 #include "ibismux/reservation/reservation_settings.h"
+#include "ibismux/store/forward.h"
 
 namespace ibismux::reservation {
 
@@ -33,7 +33,7 @@
                     const RcuCell<membership::MembershipView>& members,
                     gateway::LeafCaller& leafs,
                     peer::PeerNetwork& peers,
-                    platform::ObjectStore& store,
+                    store::ObjectStore& store,
                     prometheus::Registry& metrics,
                     const ReservationSettings& settings = {});
   ~ReservationEngine();
--- /dev/null
+++ b/ibismux/routing/route_table.h
@@ -0,0 +1,71 @@
+#ifndef IBISMUX_ROUTING_ROUTE_TABLE_H_
+#define IBISMUX_ROUTING_ROUTE_TABLE_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "ibismux/routing/route.h"
+
+namespace ibismux::routing {
+
+/// What the configuration says of one service.
+struct ServiceSpec {
+  std::string name;
+  /// Connections that one leaf accepts from all daemons together; 0: unknown.
+  std::uint32_t leaf_connections = 0;
+};
+
+/// What callers may send, and how long they may take or rest.
+struct CallerLimits {
+  std::size_t header_bytes = 16 * 1024;
+  std::size_t body_bytes = 1024 * 1024;
+  std::chrono::milliseconds header_timeout{10'000};
+  std::chrono::milliseconds idle_timeout{60'000};
+};
+
+/// One version of the configuration. Immutable once built; a request keeps the
+/// table that it began with, so that all its shards come from one version.
+class RouteTable {
+ public:
+  RouteTable(std::uint64_t version,
+             std::vector<Route> routes,
+             std::vector<ServiceSpec> services,
+             CallerLimits limits);
+
+  [[nodiscard]] std::uint64_t version() const noexcept { return this->number; }
+  [[nodiscard]] const std::vector<Route>& routes() const noexcept {
+    return this->all;
+  }
+  [[nodiscard]] const CallerLimits& limits() const noexcept {
+    return this->caller_limits;
+  }
+
+  /// The route of `host` with the longest prefix that begins `path`, or null.
+  /// Thread safe.
+  /// @param host Without a port; its case doesn't matter.
+  /// @param path Without the query part.
+  [[nodiscard]] const Route* find(std::string_view host,
+                                  std::string_view path) const;
+
+  /// What is said of `service`, or null. Thread safe.
+  [[nodiscard]] const ServiceSpec* service(std::string_view name) const;
+
+ private:
+  std::uint64_t number;
+  std::vector<Route> all;
+  std::map<std::string, ServiceSpec, std::less<>> services;
+  CallerLimits caller_limits;
+  /// Host in lower case, then prefix, to the index in `all`.
+  std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>>
+      by_host;
+};
+
+}  // namespace ibismux::routing
+
+#endif  // IBISMUX_ROUTING_ROUTE_TABLE_H_
--- a/ibismux/settings/forward.h
+++ b/ibismux/settings/forward.h
@@ -3,6 +3,7 @@
 
 namespace ibismux::settings {
 
+template <class S>
 struct Field;
 struct Settings;
 
--- a/ibismux/platform/call_budget.cc
+++ b/ibismux/store/call_budget.cc
@@ -1,8 +1,8 @@
-#include "ibismux/platform/call_budget.h"
+#include "ibismux/store/call_budget.h"
 
 #include <algorithm>
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 namespace {
 
@@ -73,4 +73,4 @@
   return bucket;
 }
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/ibismux/platform/call_budget.h
+++ b/ibismux/store/call_budget.h
@@ -1,12 +1,12 @@
-#ifndef IBISMUX_PLATFORM_CALL_BUDGET_H_
-#define IBISMUX_PLATFORM_CALL_BUDGET_H_
+#ifndef IBISMUX_STORE_CALL_BUDGET_H_
+#define IBISMUX_STORE_CALL_BUDGET_H_
 
 #include <array>
 
 #include "ibismux/base/time.h"
-#include "ibismux/platform/call_kind.h"
+#include "ibismux/store/call_kind.h"
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 /// A rate of calls and how many may come at once.
 struct CallRate {
@@ -60,6 +60,6 @@
   std::array<Bucket, kCallKinds> buckets;
 };
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
 
-#endif  // IBISMUX_PLATFORM_CALL_BUDGET_H_
+#endif  // IBISMUX_STORE_CALL_BUDGET_H_
--- a/ibismux/platform/call_kind.h
+++ b/ibismux/store/call_kind.h
@@ -1,11 +1,11 @@
-#ifndef IBISMUX_PLATFORM_CALL_KIND_H_
-#define IBISMUX_PLATFORM_CALL_KIND_H_
+#ifndef IBISMUX_STORE_CALL_KIND_H_
+#define IBISMUX_STORE_CALL_KIND_H_
 
 #include <array>
 #include <cstddef>
 #include <string_view>
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 /// What the platform's rates and this daemon's budget tell apart.
 enum class CallKind : unsigned char { kRead, kWrite, kWatch };
@@ -42,6 +42,6 @@
   return kNames[static_cast<std::size_t>(result)];
 }
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
 
-#endif  // IBISMUX_PLATFORM_CALL_KIND_H_
+#endif  // IBISMUX_STORE_CALL_KIND_H_
--- a/ibismux/platform/call_metrics.cc
+++ b/ibismux/store/call_metrics.cc
@@ -1,4 +1,4 @@
-#include "ibismux/platform/call_metrics.h"
+#include "ibismux/store/call_metrics.h"
 
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
@@ -7,7 +7,7 @@
 
 #include <string>
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 namespace {
 
@@ -68,4 +68,4 @@
   this->waiting->Increment(change);
 }
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/ibismux/platform/call_metrics.h
+++ b/ibismux/store/call_metrics.h
@@ -1,11 +1,11 @@
-#ifndef IBISMUX_PLATFORM_CALL_METRICS_H_
-#define IBISMUX_PLATFORM_CALL_METRICS_H_
+#ifndef IBISMUX_STORE_CALL_METRICS_H_
+#define IBISMUX_STORE_CALL_METRICS_H_
 
 #include <array>
 
 #include "ibismux/base/time.h"
-#include "ibismux/platform/call_kind.h"
-#include "ibismux/platform/platform_health.h"
+#include "ibismux/store/call_kind.h"
+#include "ibismux/store/platform_health.h"
 
 namespace prometheus {
 class Counter;
@@ -14,7 +14,7 @@
 class Registry;
 }  // namespace prometheus
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 /// Counts and times of the calls to the platform. Thread safe.
 class CallMetrics {
@@ -40,6 +40,6 @@
   prometheus::Gauge* waiting;
 };
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
 
-#endif  // IBISMUX_PLATFORM_CALL_METRICS_H_
+#endif  // IBISMUX_STORE_CALL_METRICS_H_
--- a/ibismux/platform/call_outcome.cc
+++ b/ibismux/store/call_outcome.cc
@@ -1,11 +1,11 @@
-#include "ibismux/platform/call_outcome.h"
+#include "ibismux/store/call_outcome.h"
 
 #include <charconv>
 #include <string>
 
-#include "ibismux/platform/wire.h"
+#include "ibismux/store/wire.h"
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 namespace {
 
@@ -28,6 +28,8 @@
      Execution::kNotRun},
     {404, CallResult::kNotFound, Health::kGood, ErrorKind::kNotFound,
      Execution::kNotRun},
+    {409, CallResult::kConflict, Health::kGood, ErrorKind::kConflict,
+     Execution::kNotRun},
     {412, CallResult::kConflict, Health::kGood, ErrorKind::kConflict,
      Execution::kNotRun},
     {413, CallResult::kRefused, Health::kGood, ErrorKind::kTooLarge,
@@ -107,4 +109,4 @@
   return outcome;
 }
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/ibismux/platform/call_outcome.h
+++ b/ibismux/store/call_outcome.h
@@ -1,12 +1,12 @@
-#ifndef IBISMUX_PLATFORM_CALL_OUTCOME_H_
-#define IBISMUX_PLATFORM_CALL_OUTCOME_H_
+#ifndef IBISMUX_STORE_CALL_OUTCOME_H_
+#define IBISMUX_STORE_CALL_OUTCOME_H_
 
 #include "ibismux/base/error.h"
 #include "ibismux/base/time.h"
 #include "ibismux/http/message.h"
-#include "ibismux/platform/call_kind.h"
+#include "ibismux/store/call_kind.h"
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 /// What one exchange with the platform came to.
 struct CallOutcome {
@@ -34,6 +34,6 @@
                                      Duration took,
                                      Duration slow_after);
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
 
-#endif  // IBISMUX_PLATFORM_CALL_OUTCOME_H_
+#endif  // IBISMUX_STORE_CALL_OUTCOME_H_
--- a/ibismux/platform/fleet_budget.cc
+++ b/ibismux/store/fleet_budget.cc
@@ -1,8 +1,8 @@
-#include "ibismux/platform/fleet_budget.h"
+#include "ibismux/store/fleet_budget.h"
 
 #include <algorithm>
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 CallRates share_of(const FleetBudget& fleet, std::size_t members) noexcept {
   const double daemons = static_cast<double>(std::max<std::size_t>(members, 1));
@@ -19,4 +19,4 @@
   return rates;
 }
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/ibismux/platform/fleet_budget.h
+++ b/ibismux/store/fleet_budget.h
@@ -1,11 +1,11 @@
-#ifndef IBISMUX_PLATFORM_FLEET_BUDGET_H_
-#define IBISMUX_PLATFORM_FLEET_BUDGET_H_
+#ifndef IBISMUX_STORE_FLEET_BUDGET_H_
+#define IBISMUX_STORE_FLEET_BUDGET_H_
 
 #include <cstddef>
 
-#include "ibismux/platform/call_budget.h"
+#include "ibismux/store/call_budget.h"
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 /// What the whole fleet may ask of the platform, and how a daemon's share
 /// follows from the fleet's size.
@@ -30,6 +30,6 @@
 [[nodiscard]] CallRates share_of(const FleetBudget& fleet,
                                  std::size_t members) noexcept;
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
 
-#endif  // IBISMUX_PLATFORM_FLEET_BUDGET_H_
+#endif  // IBISMUX_STORE_FLEET_BUDGET_H_
--- a/ibismux/platform/forward.h
+++ b/ibismux/store/forward.h
@@ -1,7 +1,7 @@
-#ifndef IBISMUX_PLATFORM_FORWARD_H_
-#define IBISMUX_PLATFORM_FORWARD_H_
+#ifndef IBISMUX_STORE_FORWARD_H_
+#define IBISMUX_STORE_FORWARD_H_
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 enum class CallKind : unsigned char;
 enum class CallResult : unsigned char;
@@ -18,8 +18,9 @@
 class ObjectStore;
 class PlatformHealth;
 class SettledWriter;
+class StoreDialect;
 class WriteSettlement;
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
 
-#endif  // IBISMUX_PLATFORM_FORWARD_H_
+#endif  // IBISMUX_STORE_FORWARD_H_
