--- a/ibismux/platform/http_object_store.cc
+++ b/ibismux/store/http_object_store.cc
@@ -1,10 +1,11 @@
-#include "ibismux/platform/http_object_store.h"
+#include "ibismux/store/http_object_store.h"
 
 #include <algorithm>
 #include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <iterator>
 #include <pcg_random.hpp>
 #include <random>
 #include <utility>
@@ -12,12 +13,12 @@
 #include "ibismux/base/io_pool.h"
 #include "ibismux/http/client_pool.h"
 #include "ibismux/http/message.h"
-#include "ibismux/platform/call_budget.h"
-#include "ibismux/platform/call_metrics.h"
-#include "ibismux/platform/call_outcome.h"
-#include "ibismux/platform/wire.h"
+#include "ibismux/store/call_budget.h"
+#include "ibismux/store/call_metrics.h"
+#include "ibismux/store/call_outcome.h"
+#include "ibismux/store/wire.h"
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 namespace {
 
@@ -25,13 +26,6 @@
 
 constexpr int kGoneStatus = 410;
 
-http::Request request_to(std::string method, std::string target) {
-  http::Request request;
-  request.method = std::move(method);
-  request.target = std::move(target);
-  return request;
-}
-
 Error not_sent(std::string message, Duration wait) {
   const auto most = std::chrono::duration_cast<Duration>(std::chrono::hours(1));
   return {ErrorKind::kPlatformUnavailable, std::move(message),
@@ -45,13 +39,16 @@
  public:
   Impl(IoPool& pool,
        PlatformSettings settings,
+       std::unique_ptr<const StoreDialect> dialect,
        prometheus::Registry& registry,
        std::uint64_t seed)
       : loop(pool.at(0)),
         settings(std::move(settings)),
+        dialect(std::move(dialect)),
         client(this->settings.address,
                this->settings.port,
-               this->settings.idle_connections),
+               this->settings.idle_connections,
+               {.silence_limit = this->settings.silence_limit}),
         budget(share_of(this->settings.budget, this->settings.members),
                Clock::now()),
         health(this->settings.health),
@@ -88,6 +85,7 @@
 
   asio::io_context& loop;
   const PlatformSettings settings;
+  const std::unique_ptr<const StoreDialect> dialect;
   std::atomic<PlatformState> state{PlatformState::kUp};
 
  private:
@@ -168,38 +166,59 @@
 
 HttpObjectStore::HttpObjectStore(IoPool& pool,
                                  PlatformSettings settings,
+                                 std::unique_ptr<const StoreDialect> dialect,
                                  prometheus::Registry& registry,
                                  std::uint64_t seed)
-    : impl(std::make_shared<Impl>(pool, std::move(settings), registry, seed)) {}
+    : impl(std::make_shared<Impl>(pool,
+                                  std::move(settings),
+                                  std::move(dialect),
+                                  registry,
+                                  seed)) {}
 
 HttpObjectStore::~HttpObjectStore() = default;
 
 Task<Result<StoredObject>> HttpObjectStore::get(std::string collection,
                                                 std::string name,
                                                 TimePoint deadline) {
-  auto request = request_to("GET", wire::object_target(collection, name));
+  auto request = this->impl->dialect->get(collection, name);
   auto response = co_await Impl::timed_call(this->impl, CallKind::kRead,
                                             std::move(request), deadline);
   if (!response) {
     co_return tl::unexpected(std::move(response.error()));
   }
-  const auto version = wire::parse_etag(response->field("ETag"));
-  if (!version) {
-    co_return tl::unexpected(version.error());
-  }
-  co_return StoredObject{std::move(collection), std::move(name), *version,
-                         std::move(response->body)};
+  co_return this->impl->dialect->read_object(collection, name, *response);
 }
 
 Task<Result<Listing>> HttpObjectStore::list(std::string collection,
                                             TimePoint deadline) {
-  auto request = request_to("GET", wire::collection_target(collection));
-  auto response = co_await Impl::timed_call(this->impl, CallKind::kRead,
-                                            std::move(request), deadline);
-  if (!response) {
-    co_return tl::unexpected(std::move(response.error()));
+  Listing whole;
+  std::string after;
+  for (;;) {
+    auto request = this->impl->dialect->list(collection, after);
+    auto response = co_await Impl::timed_call(this->impl, CallKind::kRead,
+                                              std::move(request), deadline);
+    if (!response) {
+      co_return tl::unexpected(std::move(response.error()));
+    }
+    auto page = this->impl->dialect->read_listing(collection, *response);
+    if (!page) {
+      co_return tl::unexpected(std::move(page.error()));
+    }
+    // The whole is as old as its first part: a watch from there on repeats
+    // what changed while the other parts were read, and misses nothing.
+    if (after.empty()) {
+      whole.version = page->listing.version;
+    }
+    std::move(page->listing.objects.begin(), page->listing.objects.end(),
+              std::back_inserter(whole.objects));
+    if (!page->next_after) {
+      co_return whole;
+    }
+    if (*page->next_after <= after) {
+      co_return fail(ErrorKind::kProtocolError, "a listing that goes back");
+    }
+    after = *std::move(page->next_after);
   }
-  co_return wire::parse_listing(collection, response->body);
 }
 
 Task<Result<WatchBatch>> HttpObjectStore::watch(
@@ -211,7 +230,7 @@
     // again but quiet would leave the other calls refused meanwhile.
     wait = std::chrono::milliseconds::zero();
   }
-  auto request = request_to("GET", wire::watch_target(collection, since, wait));
+  auto request = this->impl->dialect->watch(collection, since, wait);
   const TimePoint deadline =
       Clock::now() + wait + this->impl->settings.watch_grace;
   auto response = co_await Impl::call(this->impl, CallKind::kWatch,
@@ -225,18 +244,36 @@
     batch.compacted = true;
     co_return batch;
   }
-  co_return wire::parse_watch(collection, since, response->body);
+  co_return this->impl->dialect->read_watch(collection, since, *response);
 }
 
 Task<Result<std::vector<HostEntry>>> HttpObjectStore::hosts(
     TimePoint deadline) {
-  auto request = request_to("GET", std::string(wire::kHostsPath));
+  auto request = this->impl->dialect->hosts();
+  if (!request) {
+    co_return fail(ErrorKind::kNotFound, "this API has no list of hosts");
+  }
   auto response = co_await Impl::timed_call(this->impl, CallKind::kRead,
-                                            std::move(request), deadline);
+                                            *std::move(request), deadline);
   if (!response) {
     co_return tl::unexpected(std::move(response.error()));
   }
-  co_return wire::parse_hosts(response->body);
+  co_return this->impl->dialect->read_hosts(*response);
+}
+
+Task<Result<StoredObject>> HttpObjectStore::stale_get(std::string collection,
+                                                      std::string name,
+                                                      TimePoint deadline) {
+  auto request = this->impl->dialect->stale_get(collection, name);
+  if (!request) {
+    co_return fail(ErrorKind::kNotFound, "this API has no cheap reads");
+  }
+  auto response = co_await Impl::timed_call(this->impl, CallKind::kRead,
+                                            *std::move(request), deadline);
+  if (!response) {
+    co_return tl::unexpected(std::move(response.error()));
+  }
+  co_return this->impl->dialect->read_object(collection, name, *response);
 }
 
 Task<Result<Version>> HttpObjectStore::put(std::string collection,
@@ -250,19 +287,14 @@
                                    "over the platform's limit: " + name,
                                    Execution::kNotRun});
   }
-  auto request = request_to("PUT", wire::object_target(collection, name));
-  if (expected == 0) {
-    request.add("If-None-Match", "*");
-  } else {
-    request.add("If-Match", std::to_string(expected));
-  }
-  request.body = std::move(value);
+  auto request =
+      this->impl->dialect->put(collection, name, std::move(value), expected);
   auto response = co_await Impl::timed_call(this->impl, CallKind::kWrite,
                                             std::move(request), deadline);
   if (!response) {
     co_return tl::unexpected(std::move(response.error()));
   }
-  auto version = wire::parse_version(response->body);
+  auto version = this->impl->dialect->read_written(*response);
   if (version && *version <= expected) {
     // It says done, but as a version that can't be: the writer reads back.
     co_return fail(ErrorKind::kProtocolError, "version went back: " + name);
@@ -274,8 +306,7 @@
                                            std::string name,
                                            Version expected,
                                            TimePoint deadline) {
-  auto request = request_to("DELETE", wire::object_target(collection, name));
-  request.add("If-Match", std::to_string(expected));
+  auto request = this->impl->dialect->remove(collection, name, expected);
   auto response = co_await Impl::timed_call(this->impl, CallKind::kWrite,
                                             std::move(request), deadline);
   if (!response) {
@@ -293,4 +324,4 @@
              [impl = this->impl, members] { impl->set_members(members); });
 }
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/ibismux/platform/http_object_store.h
+++ b/ibismux/store/http_object_store.h
@@ -1,5 +1,5 @@
-#ifndef IBISMUX_PLATFORM_HTTP_OBJECT_STORE_H_
-#define IBISMUX_PLATFORM_HTTP_OBJECT_STORE_H_
+#ifndef IBISMUX_STORE_HTTP_OBJECT_STORE_H_
+#define IBISMUX_STORE_HTTP_OBJECT_STORE_H_
 
 #include <cstdint>
 #include <memory>
@@ -7,17 +7,18 @@
 #include <vector>
 
 #include "ibismux/base/forward.h"
-#include "ibismux/platform/object_store.h"
-#include "ibismux/platform/platform_health.h"
-#include "ibismux/platform/platform_settings.h"
+#include "ibismux/store/object_store.h"
+#include "ibismux/store/platform_health.h"
+#include "ibismux/store/platform_settings.h"
+#include "ibismux/store/store_dialect.h"
 
 namespace prometheus {
 class Registry;
 }
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
-/// The platform over HTTP, as docs/PLATFORM.md has it.
+/// The platform over HTTP, in whichever dialect its object API speaks.
 ///
 /// Its connections, budget and health belong to one event loop, to which every
 /// call goes and from which its answer comes back to the caller's executor: the
@@ -28,10 +29,12 @@
 class HttpObjectStore : public ObjectStore {
  public:
   /// @param pool Outlives every call; the first loop is used.
+  /// @param dialect How this object API spells its calls.
   /// @param registry Takes the metrics ibismux_platform_*; outlives this.
   /// @param seed Of the jitter; differs from daemon to daemon.
   HttpObjectStore(IoPool& pool,
                   PlatformSettings settings,
+                  std::unique_ptr<const StoreDialect> dialect,
                   prometheus::Registry& registry,
                   std::uint64_t seed);
   ~HttpObjectStore() override;
@@ -63,6 +66,12 @@
                                           TimePoint deadline) override;
   /// @}
 
+  /// A read that may be answered from old state, at a fraction of the price.
+  /// Fails with kNotFound where the API has no such reads. Thread safe.
+  [[nodiscard]] Task<Result<StoredObject>> stale_get(std::string collection,
+                                                     std::string name,
+                                                     TimePoint deadline);
+
   /// What the last calls say about the platform. Thread safe.
   [[nodiscard]] PlatformState state() const noexcept;
 
@@ -74,6 +83,6 @@
   std::shared_ptr<Impl> impl;
 };
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
 
-#endif  // IBISMUX_PLATFORM_HTTP_OBJECT_STORE_H_
+#endif  // IBISMUX_STORE_HTTP_OBJECT_STORE_H_
--- a/ibismux/platform/object_store.h
+++ b/ibismux/store/object_store.h
@@ -1,5 +1,5 @@
-#ifndef IBISMUX_PLATFORM_OBJECT_STORE_H_
-#define IBISMUX_PLATFORM_OBJECT_STORE_H_
+#ifndef IBISMUX_STORE_OBJECT_STORE_H_
+#define IBISMUX_STORE_OBJECT_STORE_H_
 
 #include <string>
 #include <vector>
@@ -7,9 +7,9 @@
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
-#include "ibismux/platform/stored_object.h"
+#include "ibismux/store/stored_object.h"
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 /// The platform's object API as the daemon sees it.
 ///
@@ -66,6 +66,6 @@
 inline constexpr const char* kAudit = "audit";
 inline constexpr const char* kClaims = "claims";  ///< Reservation keys.
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
 
-#endif  // IBISMUX_PLATFORM_OBJECT_STORE_H_
+#endif  // IBISMUX_STORE_OBJECT_STORE_H_
--- a/ibismux/platform/platform_health.cc
+++ b/ibismux/store/platform_health.cc
@@ -1,8 +1,8 @@
-#include "ibismux/platform/platform_health.h"
+#include "ibismux/store/platform_health.h"
 
 #include <algorithm>
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 PlatformHealth::PlatformHealth(HealthSettings settings) noexcept
     : settings(settings), backoff(settings.first_backoff) {}
@@ -57,4 +57,4 @@
           std::chrono::duration<double, Duration::period>(half) * jitter);
 }
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/ibismux/platform/platform_health.h
+++ b/ibismux/store/platform_health.h
@@ -1,12 +1,12 @@
-#ifndef IBISMUX_PLATFORM_PLATFORM_HEALTH_H_
-#define IBISMUX_PLATFORM_PLATFORM_HEALTH_H_
+#ifndef IBISMUX_STORE_PLATFORM_HEALTH_H_
+#define IBISMUX_STORE_PLATFORM_HEALTH_H_
 
 #include <cstddef>
 #include <string_view>
 
 #include "ibismux/base/time.h"
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 enum class PlatformState : unsigned char {
   kUp,
@@ -67,6 +67,6 @@
   TimePoint next_probe;
 };
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
 
-#endif  // IBISMUX_PLATFORM_PLATFORM_HEALTH_H_
+#endif  // IBISMUX_STORE_PLATFORM_HEALTH_H_
--- a/ibismux/platform/platform_settings.h
+++ b/ibismux/store/platform_settings.h
@@ -1,13 +1,14 @@
-#ifndef IBISMUX_PLATFORM_PLATFORM_SETTINGS_H_
-#define IBISMUX_PLATFORM_PLATFORM_SETTINGS_H_
+#ifndef IBISMUX_STORE_PLATFORM_SETTINGS_H_
+#define IBISMUX_STORE_PLATFORM_SETTINGS_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 
-#include "ibismux/platform/fleet_budget.h"
-#include "ibismux/platform/platform_health.h"
+#include "ibismux/store/fleet_budget.h"
+#include "ibismux/store/platform_health.h"
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 /// Where the platform is and how this daemon may use it.
 struct PlatformSettings {
@@ -18,12 +19,14 @@
   /// How much longer than its `wait` a watch may take.
   std::chrono::milliseconds watch_grace{2000};
   std::size_t idle_connections = 4;
+  /// See `http::ClientOptions`; absent: the system's own limits.
+  std::optional<std::chrono::seconds> silence_limit;
   FleetBudget budget;
   /// How many daemons share the budget until the membership says it.
   std::size_t members = 7;
   HealthSettings health;
 };
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
 
-#endif  // IBISMUX_PLATFORM_PLATFORM_SETTINGS_H_
+#endif  // IBISMUX_STORE_PLATFORM_SETTINGS_H_
--- a/ibismux/platform/settled_writer.cc
+++ b/ibismux/store/settled_writer.cc
@@ -1,4 +1,4 @@
-#include "ibismux/platform/settled_writer.h"
+#include "ibismux/store/settled_writer.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -7,7 +7,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 namespace {
 
@@ -67,4 +67,4 @@
   co_return settlement.result();
 }
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/ibismux/platform/settled_writer.h
+++ b/ibismux/store/settled_writer.h
@@ -1,5 +1,5 @@
-#ifndef IBISMUX_PLATFORM_SETTLED_WRITER_H_
-#define IBISMUX_PLATFORM_SETTLED_WRITER_H_
+#ifndef IBISMUX_STORE_SETTLED_WRITER_H_
+#define IBISMUX_STORE_SETTLED_WRITER_H_
 
 #include <functional>
 #include <string>
@@ -7,10 +7,10 @@
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
-#include "ibismux/platform/object_store.h"
-#include "ibismux/platform/write_settlement.h"
+#include "ibismux/store/object_store.h"
+#include "ibismux/store/write_settlement.h"
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 /// Writes on a condition, and finds out what became of a write whose answer was
 /// lost.
@@ -48,6 +48,6 @@
   ObjectStore& store;
 };
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
 
-#endif  // IBISMUX_PLATFORM_SETTLED_WRITER_H_
+#endif  // IBISMUX_STORE_SETTLED_WRITER_H_
--- a/ibismux/platform/stored_object.h
+++ b/ibismux/store/stored_object.h
@@ -1,11 +1,11 @@
-#ifndef IBISMUX_PLATFORM_STORED_OBJECT_H_
-#define IBISMUX_PLATFORM_STORED_OBJECT_H_
+#ifndef IBISMUX_STORE_STORED_OBJECT_H_
+#define IBISMUX_STORE_STORED_OBJECT_H_
 
 #include <cstdint>
 #include <string>
 #include <vector>
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 /// Version of a stored object, and of the whole store: each write anywhere
 /// takes the next number. 0 means "does not exist".
@@ -47,6 +47,6 @@
   bool leaving = false;
 };
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
 
-#endif  // IBISMUX_PLATFORM_STORED_OBJECT_H_
+#endif  // IBISMUX_STORE_STORED_OBJECT_H_
--- a/ibismux/platform/wire.cc
+++ b/ibismux/store/wire.cc
@@ -1,4 +1,4 @@
-#include "ibismux/platform/wire.h"
+#include "ibismux/store/wire.h"
 
 #include <algorithm>
 #include <boost/json/parse.hpp>
@@ -8,7 +8,7 @@
 #include <charconv>
 #include <optional>
 
-namespace ibismux::platform::wire {
+namespace ibismux::store::wire {
 
 namespace {
 
@@ -222,4 +222,4 @@
   return hosts;
 }
 
-}  // namespace ibismux::platform::wire
+}  // namespace ibismux::store::wire
--- a/ibismux/platform/wire.h
+++ b/ibismux/store/wire.h
@@ -1,5 +1,5 @@
-#ifndef IBISMUX_PLATFORM_WIRE_H_
-#define IBISMUX_PLATFORM_WIRE_H_
+#ifndef IBISMUX_STORE_WIRE_H_
+#define IBISMUX_STORE_WIRE_H_
 
 #include <string>
 #include <string_view>
@@ -7,11 +7,11 @@
 
 #include "ibismux/base/error.h"
 #include "ibismux/base/time.h"
-#include "ibismux/platform/stored_object.h"
+#include "ibismux/store/stored_object.h"
 
 /// Paths and bodies of docs/PLATFORM.md. An answer that can't be read is a
 /// kProtocolError; nothing of it is taken over. All functions are thread safe.
-namespace ibismux::platform::wire {
+namespace ibismux::store::wire {
 
 /// The platform's limit for one value.
 inline constexpr std::size_t kMostValueBytes = 1024 * 1024;
@@ -47,6 +47,6 @@
 [[nodiscard]] Result<std::vector<HostEntry>> parse_hosts(std::string_view body);
 /// @}
 
-}  // namespace ibismux::platform::wire
+}  // namespace ibismux::store::wire
 
-#endif  // IBISMUX_PLATFORM_WIRE_H_
+#endif  // IBISMUX_STORE_WIRE_H_
--- a/ibismux/platform/write_settlement.cc
+++ b/ibismux/store/write_settlement.cc
@@ -1,8 +1,8 @@
-#include "ibismux/platform/write_settlement.h"
+#include "ibismux/store/write_settlement.h"
 
 #include <utility>
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 WriteSettlement::Step WriteSettlement::after_write(
     const Result<Version>& written) {
@@ -54,4 +54,4 @@
   return Step::kDone;
 }
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/ibismux/platform/write_settlement.h
+++ b/ibismux/store/write_settlement.h
@@ -1,13 +1,13 @@
-#ifndef IBISMUX_PLATFORM_WRITE_SETTLEMENT_H_
-#define IBISMUX_PLATFORM_WRITE_SETTLEMENT_H_
+#ifndef IBISMUX_STORE_WRITE_SETTLEMENT_H_
+#define IBISMUX_STORE_WRITE_SETTLEMENT_H_
 
 #include <optional>
 #include <string>
 
 #include "ibismux/base/error.h"
-#include "ibismux/platform/stored_object.h"
+#include "ibismux/store/stored_object.h"
 
-namespace ibismux::platform {
+namespace ibismux::store {
 
 /// Decides whether a conditional write took effect, from what its attempts and
 /// the reads after them say.
@@ -65,6 +65,6 @@
   std::optional<Result<Version>> settled;
 };
 
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
 
-#endif  // IBISMUX_PLATFORM_WRITE_SETTLEMENT_H_
+#endif  // IBISMUX_STORE_WRITE_SETTLEMENT_H_
--- a/tests/ctl/ctl_test.cc
+++ b/tests/ctl/ctl_test.cc
@@ -90,7 +90,7 @@
                                    .releases = this->releases,
                                    .registry = this->registry};
     ports.self = {"one", 1};
-    ports.written = [](const release::ObjectKey&, platform::Version) {};
+    ports.written = [](const release::ObjectKey&, store::Version) {};
     ports.in_force = [this](Generation) { return this->in_force; };
     ports.not_ready_because = [] { return std::string(); };
     ports.drain = [] {};
--- a/tests/http/harness.h
+++ b/tests/http/harness.h
@@ -69,8 +69,10 @@
  public:
   TestClient(IoPool& pool, std::uint16_t port, std::size_t max_body = 1 << 24)
       : pool(pool),
-        connection(
-            std::make_shared<ClientConnection>("127.0.0.1", port, max_body)) {}
+        connection(std::make_shared<ClientConnection>(
+            "127.0.0.1",
+            port,
+            ClientOptions{.max_body = max_body})) {}
   ~TestClient() { run(this->pool, drop(std::move(this->connection))); }
 
   /// Connects where there is need, and sends.
--- a/tests/operator/object_writer_test.cc
+++ b/tests/operator/object_writer_test.cc
@@ -33,7 +33,7 @@
   return record;
 }
 
-WriteCondition version(platform::Version value) {
+WriteCondition version(store::Version value) {
   return {WriteCondition::Kind::kVersion, value};
 }
 
--- a/tests/operator/operator_api_test.cc
+++ b/tests/operator/operator_api_test.cc
@@ -34,7 +34,7 @@
                         .releases = this->releases,
                         .registry = this->registry};
     ports.self = {"one", 7};
-    ports.written = [this](const release::ObjectKey&, platform::Version v) {
+    ports.written = [this](const release::ObjectKey&, store::Version v) {
       this->nudged = v;
     };
     ports.in_force = [this](Generation) { return this->in_force; };
@@ -81,7 +81,7 @@
                                 kTimeout, std::chrono::system_clock::now};
   release::Housekeeping housekeeping{store, releases, metrics, kTimeout, 8};
   release::ObjectMirror mirror;
-  platform::Version nudged = 0;
+  store::Version nudged = 0;
   InForce in_force{5, 7};
   std::string not_ready;
   bool drained = false;
--- a/tests/query/query_fixture.h
+++ b/tests/query/query_fixture.h
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "ibismux/query/fraction_budget.h"
+#include "ibismux/base/fraction_budget.h"
 #include "ibismux/query/gather.h"
 #include "ibismux/query/leaf_stats.h"
 #include "ibismux/query/replica_choice.h"
--- a/tests/relay/relay_service_test.cc
+++ b/tests/relay/relay_service_test.cc
@@ -46,10 +46,9 @@
              const release::ReleaseLayout& layout = {}) {
   const Encoded encoded = encode_release(generation, layout);
   for (const auto& chunk : encoded.chunks) {
-    fleet.platform.force_put(platform::kReleases, chunk.name, chunk.bytes);
+    fleet.platform.force_put(store::kReleases, chunk.name, chunk.bytes);
   }
-  fleet.platform.force_put(platform::kReleases, release::kHeadName,
-                           encoded.head);
+  fleet.platform.force_put(store::kReleases, release::kHeadName, encoded.head);
 }
 
 /// Puts a release into one daemon's store, as its publisher does.
@@ -155,9 +154,9 @@
   void put(Generation generation) {
     const Encoded encoded = encode_release(generation);
     for (const auto& chunk : encoded.chunks) {
-      this->platform.force_put(platform::kReleases, chunk.name, chunk.bytes);
+      this->platform.force_put(store::kReleases, chunk.name, chunk.bytes);
     }
-    this->platform.force_put(platform::kReleases, release::kHeadName,
+    this->platform.force_put(store::kReleases, release::kHeadName,
                              encoded.head);
   }
 
--- a/tests/release/publication_fleet.h
+++ b/tests/release/publication_fleet.h
@@ -67,7 +67,7 @@
 
  private:
   static Task<void> publish(SteppedPublisher* self) {
-    std::string collection = platform::kObjects;
+    std::string collection = store::kObjects;
     auto listing =
         co_await self->store.list(std::move(collection), Clock::now());
     self->failed = !listing;
@@ -102,8 +102,8 @@
 
   /// @return What does not hold; empty if all does.
   std::string check() {
-    const platform::StoredObject stored =
-        this->store.peek(platform::kReleases, kHeadName);
+    const store::StoredObject stored =
+        this->store.peek(store::kReleases, kHeadName);
     if (stored.version == 0) {
       return this->generation == 0 ? "" : "the head is gone";
     }
@@ -146,7 +146,7 @@
     for (std::uint64_t first = 1; first <= this->seen.size();
          first += kChangesPerAuditChunk) {
       const auto chunk =
-          this->store.peek(platform::kAudit, audit_chunk_name(first));
+          this->store.peek(store::kAudit, audit_chunk_name(first));
       const Result<AuditEntries> entries = decode_audit(chunk.value);
       if (entries) {
         trail.insert(entries->begin(), entries->end());
@@ -162,7 +162,7 @@
     if (change.to_version != 0) {
       return change.to_version <= change.from_version;
     }
-    const auto stored = this->store.peek(platform::kObjects, change.object);
+    const auto stored = this->store.peek(store::kObjects, change.object);
     return stored.version != 0 && stored.version <= change.from_version;
   }
 
@@ -175,7 +175,7 @@
         return missing.error().message;
       }
       for (const std::string& name : *missing) {
-        parts.push_back(this->store.peek(platform::kReleases, name).value);
+        parts.push_back(this->store.peek(store::kReleases, name).value);
       }
     }
     const Result<bool> offered = this->reader.offer(this->bytes, parts);
@@ -185,7 +185,7 @@
     // Also what the reader has had from before.
     const auto contents = this->reader.contents();
     for (const std::string& name : names_of(head, contents->parts.refs)) {
-      if (this->store.peek(platform::kReleases, name).version == 0) {
+      if (this->store.peek(store::kReleases, name).version == 0) {
         return "a chunk in use is gone";
       }
     }
@@ -195,19 +195,19 @@
   MemoryObjectStore& store;
   ReleaseStore reader;
   Generation generation = 0;
-  platform::Version objects_version = 0;
+  store::Version objects_version = 0;
   std::string bytes;
   AuditEntries seen;
 };
 
 /// Writes `json` (single quotes for double ones) as an operator would.
-inline platform::Version operator_writes(MemoryObjectStore& store,
-                                         std::string json) {
+inline store::Version operator_writes(MemoryObjectStore& store,
+                                      std::string json) {
   for (char& c : json) {
     c = c == '\'' ? '"' : c;
   }
   const std::string name = to_string(record_of(json).key);
-  return store.force_put(platform::kObjects, name, json);
+  return store.force_put(store::kObjects, name, json);
 }
 
 }  // namespace ibismux::release::testing
--- a/tests/release/publication_property_test.cc
+++ b/tests/release/publication_property_test.cc
@@ -88,7 +88,7 @@
         break;
       case 3:
         this->store.force_remove(
-            platform::kObjects,
+            store::kObjects,
             to_string(
                 testing::record_of(kWrites[who % std::size(kWrites)]).key));
         break;
@@ -137,7 +137,7 @@
     const auto contents = this->invariants.contents();
     for (const char* json : kWrites) {
       const ObjectKey key = testing::record_of(json).key;
-      const auto stored = this->store.peek(platform::kObjects, to_string(key));
+      const auto stored = this->store.peek(store::kObjects, to_string(key));
       const auto accepted = contents->objects.find(key);
       const auto rejected = contents->rejections.find(key);
       const bool is_accepted = accepted != contents->objects.end()
--- a/tests/release/publication_test.cc
+++ b/tests/release/publication_test.cc
@@ -192,7 +192,7 @@
       one.step();
       test.check();
     }
-    const platform::Version written = operator_writes(test.store, kNewLimit);
+    const store::Version written = operator_writes(test.store, kNewLimit);
     test.finish(two);
     cr_assert(!two.failed);
     cr_assert(test.invariants.contents()
@@ -224,7 +224,7 @@
                                       std::to_string(concurrency) + spec);
       test.finish(two);
     }
-    const platform::Version newest =
+    const store::Version newest =
         test.invariants.contents()
             ->objects.at({ObjectKind::kLimitPolicy, "l1"})
             .version;
--- a/tests/release/publisher_test.cc
+++ b/tests/release/publisher_test.cc
@@ -71,7 +71,7 @@
   }
 
   /// Runs the daemons until the store's release has accepted `version`.
-  void wait_for(platform::Version version) {
+  void wait_for(store::Version version) {
     const TimePoint end = Clock::now() + kLimit;
     while (!this->accepted(version)) {
       cr_assert(Clock::now() < end, "not accepted in time");
@@ -81,7 +81,7 @@
     }
   }
 
-  [[nodiscard]] bool accepted(platform::Version version) {
+  [[nodiscard]] bool accepted(store::Version version) {
     for (const auto& [key, object] : this->invariants.contents()->objects) {
       if (object.version == version) {
         return true;
@@ -90,7 +90,7 @@
     return false;
   }
 
-  platform::Version write(int concurrency) {
+  store::Version write(int concurrency) {
     return operator_writes(this->store,
                            "{'kind':'limit_policy','name':'l1','spec':"
                            "{'concurrency':" +
@@ -126,7 +126,7 @@
 Test(publisher, publishes_from_any_rank_what_was_written_through_it) {
   Fixture test;
   test.add("nine", 9);
-  const platform::Version version = test.write(2);
+  const store::Version version = test.write(2);
   test.daemons[0]->publisher.nudge({ObjectKind::kLimitPolicy, "l1"}, version);
   test.wait_for(version);
 }
@@ -149,7 +149,7 @@
   test.wait_for(7);
   test.store.set_outage(true);
   test.loop.run_one_for(kLimit);
-  const platform::Version version = test.write(2);
+  const store::Version version = test.write(2);
   test.store.compact();
   test.store.set_outage(false);
   test.wait_for(version);
--- a/tests/release/sample_objects.h
+++ b/tests/release/sample_objects.h
@@ -25,7 +25,7 @@
 
 inline void put(ObjectSet& objects,
                 const std::string& json,
-                platform::Version version) {
+                store::Version version) {
   const ObjectRecord record = record_of(json);
   objects[record.key] =
       AcceptedObject{.version = version,
@@ -60,7 +60,7 @@
 /// One service with two shards; versions 1 to 7.
 inline ObjectSet sample_objects() {
   ObjectSet objects;
-  platform::Version version = 0;
+  store::Version version = 0;
   for (const char* json : kAllSamples) {
     put(objects, json, ++version);
   }
--- a/tests/release/stepping_store.h
+++ b/tests/release/stepping_store.h
@@ -6,7 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
-#include "ibismux/platform/object_store.h"
+#include "ibismux/store/object_store.h"
 
 namespace ibismux::release::testing {
 
@@ -14,14 +14,14 @@
 /// one before it takes effect and one before its answer is heard. A test that
 /// polls several loops in turn decides how their calls interleave, and one that
 /// polls a loop no more has killed its process between two steps.
-class SteppingStore : public platform::ObjectStore {
+class SteppingStore : public store::ObjectStore {
  public:
   /// @param store Outlives this.
-  explicit SteppingStore(platform::ObjectStore& store) : store(store) {}
+  explicit SteppingStore(store::ObjectStore& store) : store(store) {}
 
-  Task<Result<platform::StoredObject>> get(std::string collection,
-                                           std::string name,
-                                           TimePoint deadline) override {
+  Task<Result<store::StoredObject>> get(std::string collection,
+                                        std::string name,
+                                        TimePoint deadline) override {
     co_await step();
     auto result = co_await this->store.get(std::move(collection),
                                            std::move(name), deadline);
@@ -29,31 +29,31 @@
     co_return result;
   }
 
-  Task<Result<platform::Listing>> list(std::string collection,
-                                       TimePoint deadline) override {
+  Task<Result<store::Listing>> list(std::string collection,
+                                    TimePoint deadline) override {
     co_await step();
     auto result = co_await this->store.list(std::move(collection), deadline);
     co_await step();
     co_return result;
   }
 
-  Task<Result<platform::WatchBatch>> watch(
+  Task<Result<store::WatchBatch>> watch(
       std::string collection,
-      platform::Version since,
+      store::Version since,
       std::chrono::milliseconds wait) override {
     co_return co_await this->store.watch(std::move(collection), since, wait);
   }
 
-  Task<Result<std::vector<platform::HostEntry>>> hosts(
+  Task<Result<std::vector<store::HostEntry>>> hosts(
       TimePoint deadline) override {
     co_return co_await this->store.hosts(deadline);
   }
 
-  Task<Result<platform::Version>> put(std::string collection,
-                                      std::string name,
-                                      std::string value,
-                                      platform::Version expected,
-                                      TimePoint deadline) override {
+  Task<Result<store::Version>> put(std::string collection,
+                                   std::string name,
+                                   std::string value,
+                                   store::Version expected,
+                                   TimePoint deadline) override {
     co_await step();
     auto result =
         co_await this->store.put(std::move(collection), std::move(name),
@@ -64,7 +64,7 @@
 
   Task<Result<void>> remove(std::string collection,
                             std::string name,
-                            platform::Version expected,
+                            store::Version expected,
                             TimePoint deadline) override {
     co_await step();
     auto result = co_await this->store.remove(
@@ -79,7 +79,7 @@
     co_await boost::asio::post(executor, boost::asio::use_awaitable);
   }
 
-  platform::ObjectStore& store;
+  store::ObjectStore& store;
 };
 
 }  // namespace ibismux::release::testing
--- a/tests/reservation/bucket_writer_test.cc
+++ b/tests/reservation/bucket_writer_test.cc
@@ -64,7 +64,7 @@
     }
   }
 
-  Result<platform::StoredObject> read(const std::string& name) {
+  Result<store::StoredObject> read(const std::string& name) {
     const auto found = this->objects.find(name);
     if (found == this->objects.end()) {
       return fail(ErrorKind::kNotFound, name);
@@ -72,9 +72,9 @@
     return found->second;
   }
 
-  Result<platform::Version> write(const BucketWriter::Step& step) {
+  Result<store::Version> write(const BucketWriter::Step& step) {
     ++this->head_writes;
-    const platform::Version current = this->objects["head"].version;
+    const store::Version current = this->objects["head"].version;
     if (step.version != current) {
       return tl::unexpected<Error>(conflict());
     }
@@ -95,8 +95,8 @@
   BucketWriter writer;
   seconds wall = kWall;
   std::uint64_t salt = 0;
-  platform::Version newest = 0;
-  std::map<std::string, platform::StoredObject> objects;
+  store::Version newest = 0;
+  std::map<std::string, store::StoredObject> objects;
   std::map<std::uint64_t, Result<Verdict>> verdicts;
   std::size_t head_writes = 0;
   std::size_t answers_to_lose = 0;
--- a/tests/platform/call_budget_test.cc
+++ b/tests/store/call_budget_test.cc
@@ -1,10 +1,10 @@
-#include "ibismux/platform/call_budget.h"
+#include "ibismux/store/call_budget.h"
 
 #include <criterion/criterion.h>
 
-#include "ibismux/platform/fleet_budget.h"
+#include "ibismux/store/fleet_budget.h"
 
-namespace ibismux::platform {
+namespace ibismux::store {
 namespace {
 
 using std::chrono::milliseconds;
@@ -83,4 +83,4 @@
 }
 
 }  // namespace
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/tests/platform/http_object_store_test.cc
+++ b/tests/store/http_object_store_test.cc
@@ -1,4 +1,5 @@
-#include "ibismux/platform/http_object_store.h"
+#include "ibismux/store/http_object_store.h"
+#include "ibismux/store/own_dialect.h"
 
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
@@ -8,7 +9,7 @@
 #include <boost/json/parse.hpp>
 
 #include "ibismux/base/io_pool.h"
-#include "ibismux/platform/settled_writer.h"
+#include "ibismux/store/settled_writer.h"
 #include "tests/support/bound_port.h"
 #include "tests/support/http_call.h"
 #include "tests/support/process.h"
@@ -16,7 +17,7 @@
 
 #include <criterion/criterion.h>
 
-namespace ibismux::platform {
+namespace ibismux::store {
 namespace {
 
 using std::chrono::milliseconds;
@@ -32,7 +33,8 @@
       : platform("ibismux-fake-platform", std::move(arguments)), pool(2) {
     settings.address = "127.0.0.1";
     settings.port = this->platform.port();
-    this->store.emplace(this->pool, settings, this->registry, 1);
+    this->store.emplace(this->pool, settings, std::make_unique<OwnDialect>(),
+                        this->registry, 1);
     this->pool.start();
   }
   ~Fixture() { this->pool.stop(); }
@@ -262,7 +264,8 @@
   settings.port = nobody.port();
   prometheus::Registry registry;
   IoPool pool(1);
-  HttpObjectStore store(pool, settings, registry, 1);
+  HttpObjectStore store(pool, settings, std::make_unique<OwnDialect>(),
+                        registry, 1);
   pool.start();
   const auto refused =
       run_task(store.put("c", "n", "a", 0, Fixture::deadline()));
@@ -335,4 +338,4 @@
 }
 
 }  // namespace
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/tests/platform/malformed_answer_test.cc
+++ b/tests/store/malformed_answer_test.cc
@@ -5,13 +5,14 @@
 
 #include "ibismux/base/io_pool.h"
 #include "ibismux/http/server.h"
-#include "ibismux/platform/http_object_store.h"
+#include "ibismux/store/http_object_store.h"
+#include "ibismux/store/own_dialect.h"
 #include "tests/support/process.h"
 #include "tests/support/run_task.h"
 
 #include <criterion/criterion.h>
 
-namespace ibismux::platform {
+namespace ibismux::store {
 namespace {
 
 using testing::run_task;
@@ -29,7 +30,8 @@
     PlatformSettings settings;
     settings.address = "127.0.0.1";
     settings.port = this->server.listen("127.0.0.1", 0).value();
-    this->store.emplace(this->pool, settings, this->registry, 1);
+    this->store.emplace(this->pool, settings, std::make_unique<OwnDialect>(),
+                        this->registry, 1);
   }
   ~FixedAnswer() {
     this->server.stop();
@@ -99,4 +101,4 @@
 }
 
 }  // namespace
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/tests/platform/memory_object_store_test.cc
+++ b/tests/store/memory_object_store_test.cc
@@ -10,8 +10,8 @@
 namespace ibismux {
 namespace {
 
-using platform::Version;
-using platform::WatchBatch;
+using store::Version;
+using store::WatchBatch;
 using testing::MemoryObjectStore;
 using testing::run_task;
 
--- a/tests/platform/platform_health_test.cc
+++ b/tests/store/platform_health_test.cc
@@ -1,8 +1,8 @@
-#include "ibismux/platform/platform_health.h"
+#include "ibismux/store/platform_health.h"
 
 #include <criterion/criterion.h>
 
-namespace ibismux::platform {
+namespace ibismux::store {
 namespace {
 
 using std::chrono::milliseconds;
@@ -72,4 +72,4 @@
 }
 
 }  // namespace
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/tests/platform/read_herd_test.cc
+++ b/tests/store/read_herd_test.cc
@@ -4,12 +4,12 @@
 #include <random>
 #include <vector>
 
-#include "ibismux/platform/call_budget.h"
-#include "ibismux/platform/fleet_budget.h"
+#include "ibismux/store/call_budget.h"
+#include "ibismux/store/fleet_budget.h"
 
 #include <criterion/criterion.h>
 
-namespace ibismux::platform {
+namespace ibismux::store {
 namespace {
 
 using std::chrono::milliseconds;
@@ -112,4 +112,4 @@
 }
 
 }  // namespace
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/tests/platform/settled_writer_test.cc
+++ b/tests/store/settled_writer_test.cc
@@ -1,4 +1,4 @@
-#include "ibismux/platform/settled_writer.h"
+#include "ibismux/store/settled_writer.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -7,7 +7,7 @@
 
 #include <criterion/criterion.h>
 
-namespace ibismux::platform {
+namespace ibismux::store {
 namespace {
 
 using testing::MemoryObjectStore;
@@ -150,4 +150,4 @@
 }
 
 }  // namespace
-}  // namespace ibismux::platform
+}  // namespace ibismux::store
--- a/tests/platform/wire_test.cc
+++ b/tests/store/wire_test.cc
@@ -1,4 +1,4 @@
-#include "ibismux/platform/wire.h"
+#include "ibismux/store/wire.h"
 
 #include <algorithm>
 #include <pcg_random.hpp>
@@ -6,7 +6,7 @@
 
 #include <criterion/criterion.h>
 
-namespace ibismux::platform::wire {
+namespace ibismux::store::wire {
 namespace {
 
 const std::string kListing =
@@ -155,4 +155,4 @@
 }
 
 }  // namespace
-}  // namespace ibismux::platform::wire
+}  // namespace ibismux::store::wire
--- a/tests/support/daemon_fleet.h
+++ b/tests/support/daemon_fleet.h
@@ -28,7 +28,7 @@
  public:
   ControlNode(const std::string& name,
               const std::string& zone,
-              platform::ObjectStore& platform,
+              store::ObjectStore& platform,
               const std::vector<std::string>& contacts)
       : zone(zone),
         pool(1),
--- a/tests/support/memory_object_store.h
+++ b/tests/support/memory_object_store.h
@@ -13,7 +13,7 @@
 #include <utility>
 #include <vector>
 
-#include "ibismux/platform/object_store.h"
+#include "ibismux/store/object_store.h"
 #include "tests/support/waiting_watches.h"
 
 namespace ibismux::testing {
@@ -28,14 +28,14 @@
 ///     store.lose_answers(1);  // The next write takes effect; nobody is told.
 ///
 /// Thread safe. A call completes on its caller's executor.
-class MemoryObjectStore : public platform::ObjectStore {
+class MemoryObjectStore : public store::ObjectStore {
  public:
-  using Version = platform::Version;
-  using Event = platform::WatchBatch::Event;
+  using Version = store::Version;
+  using Event = store::WatchBatch::Event;
 
   /// @name ObjectStore
   /// @{
-  [[nodiscard]] Task<Result<platform::StoredObject>>
+  [[nodiscard]] Task<Result<store::StoredObject>>
   get(std::string collection, std::string name, TimePoint deadline) override {
     (void)deadline;
     std::lock_guard lock(this->mutex);
@@ -50,16 +50,15 @@
     co_return found->second;
   }
 
-  [[nodiscard]] Task<Result<platform::Listing>> list(
-      std::string collection,
-      TimePoint deadline) override {
+  [[nodiscard]] Task<Result<store::Listing>> list(std::string collection,
+                                                  TimePoint deadline) override {
     (void)deadline;
     std::lock_guard lock(this->mutex);
     ++this->read_calls;
     if (this->refuses_reads()) {
       co_return unavailable(Execution::kNotRun);
     }
-    platform::Listing listing;
+    store::Listing listing;
     listing.version = this->newest;
     for (const auto& [key, object] : this->objects) {
       if (key.first == collection) {
@@ -69,7 +68,7 @@
     co_return listing;
   }
 
-  [[nodiscard]] Task<Result<platform::WatchBatch>> watch(
+  [[nodiscard]] Task<Result<store::WatchBatch>> watch(
       std::string collection,
       Version since,
       std::chrono::milliseconds wait) override {
@@ -98,7 +97,7 @@
     co_return this->batch_since(collection, since);
   }
 
-  [[nodiscard]] Task<Result<std::vector<platform::HostEntry>>> hosts(
+  [[nodiscard]] Task<Result<std::vector<store::HostEntry>>> hosts(
       TimePoint deadline) override {
     (void)deadline;
     std::lock_guard lock(this->mutex);
@@ -215,15 +214,14 @@
   }
 
   /// The object, or one with version 0; faults don't matter.
-  [[nodiscard]] platform::StoredObject peek(const std::string& collection,
-                                            const std::string& name) const {
+  [[nodiscard]] store::StoredObject peek(const std::string& collection,
+                                         const std::string& name) const {
     std::lock_guard lock(this->mutex);
     const auto found = this->objects.find({collection, name});
-    return found == this->objects.end() ? platform::StoredObject{}
-                                        : found->second;
+    return found == this->objects.end() ? store::StoredObject{} : found->second;
   }
 
-  void set_hosts(std::vector<platform::HostEntry> hosts) {
+  void set_hosts(std::vector<store::HostEntry> hosts) {
     std::lock_guard lock(this->mutex);
     this->host_list = std::move(hosts);
   }
@@ -323,8 +321,8 @@
                 const std::string& name,
                 std::string value,
                 bool removal) {
-    platform::StoredObject object{collection, name, ++this->newest,
-                                  std::move(value)};
+    store::StoredObject object{collection, name, ++this->newest,
+                               std::move(value)};
     if (removal) {
       this->objects.erase({collection, name});
     } else {
@@ -337,9 +335,8 @@
     return this->newest;
   }
 
-  platform::WatchBatch batch_since(const std::string& collection,
-                                   Version since) {
-    platform::WatchBatch batch;
+  store::WatchBatch batch_since(const std::string& collection, Version since) {
+    store::WatchBatch batch;
     batch.version = std::max(since, this->newest);
     if (this->watch_silent) {
       batch.version = since;
@@ -365,11 +362,11 @@
 
   mutable std::mutex mutex;
   Version newest = 0;
-  std::map<std::pair<std::string, std::string>, platform::StoredObject> objects;
+  std::map<std::pair<std::string, std::string>, store::StoredObject> objects;
   std::vector<Event> history;
   std::vector<Event> injected;
   Version compacted_to = 0;
-  std::vector<platform::HostEntry> host_list;
+  std::vector<store::HostEntry> host_list;
   WaitingWatches waiters;
 
   bool is_down = false;
