Read a collection whole after its watch was lost, and watch anew when the store is back

Ruled out: a lost change by version compare (the listing was never older), the budget of calls, the back-off of the store client.

--- a/ibismux/edge/collection_feed.cc
+++ b/ibismux/edge/collection_feed.cc
@@ -40,27 +40,20 @@
       log(log) {}
 
 void CollectionFeed::start() {
-  asio::co_spawn(this->loop, run(this->shared_from_this()), asio::detached);
+  this->restart();
 }
 
-void CollectionFeed::refresh() {
-  if (std::exchange(this->refreshing, true)) {
-    return;
-  }
-  auto again = [](std::shared_ptr<CollectionFeed> self) -> Task<void> {
-    const bool done = co_await read_all(self);
-    self->refreshing = false;
-    if (!done) {
-      self->report_lost("refresh failed");
-    }
-  };
-  asio::co_spawn(this->loop, again(this->shared_from_this()), asio::detached);
+void CollectionFeed::restart() {
+  ++this->round;
+  asio::co_spawn(this->loop, run(this->shared_from_this(), this->round),
+                 asio::detached);
 }
 
-Task<void> CollectionFeed::run(std::shared_ptr<CollectionFeed> self) {
+Task<void> CollectionFeed::run(std::shared_ptr<CollectionFeed> self,
+                               std::uint64_t round) {
   // Named results: GCC 12 miscompiles a co_await in a loop's condition.
   bool whole = false;
-  for (;;) {
+  while (self->round == round) {
     if (whole) {
       const bool goes_on = co_await follow(self);
       whole = goes_on;
@@ -90,7 +83,11 @@
   if (!batch) {
     self->report_lost(batch.error().message);
     co_await pause(self, self->next_pause(batch.error()));
-    co_return true;
+    // Read whole, not watched from where the lost watch stood. A store that cut
+    // its watches because it dropped their history may take the same watch up
+    // again, tell nothing of what was dropped, and say so only at the next
+    // change: the daemon would go on for seconds with what was in force before.
+    co_return false;
   }
   self->regained();
   if (batch->compacted) {
@@ -157,6 +154,12 @@
 }
 
 Duration CollectionFeed::next_pause(const Error& error) {
+  this->log.event(eventlog::Weight::kBelief, "store_call_failed")
+      .with("collection", this->collection)
+      .with("version", this->known)
+      .with("failures", this->failures)
+      .with("kind", error_entry(error.kind).name)
+      .with("message", error.message);
   Duration time = kFirstPause;
   for (std::uint32_t i = 0; i < this->failures && time < kLongestPause; ++i) {
     time *= 2;
--- a/ibismux/edge/collection_feed.h
+++ b/ibismux/edge/collection_feed.h
@@ -49,9 +49,11 @@
   /// Begins. Called once.
   void start();
 
-  /// Reads the whole collection again, besides the watch that goes on: for when
-  /// there is reason to think that the watch has gone deaf.
-  void refresh();
+  /// Reads the whole collection again and watches anew, whatever becomes of the
+  /// watch that waits now: for when there is reason to think that it has gone
+  /// deaf. A store that was silent for a while answers none of the watches that
+  /// it was sent meanwhile, also once it is back.
+  void restart();
 
   /// The collection as of this version of the store is known; 0: not yet.
   [[nodiscard]] store::Version version() const noexcept { return this->known; }
@@ -60,7 +62,9 @@
   void report_lost(std::string_view reason);
 
  private:
-  [[nodiscard]] static Task<void> run(std::shared_ptr<CollectionFeed> self);
+  /// Goes on until a later round begins.
+  [[nodiscard]] static Task<void> run(std::shared_ptr<CollectionFeed> self,
+                                      std::uint64_t round);
   [[nodiscard]] static Task<bool> read_all(
       std::shared_ptr<CollectionFeed> self);
   [[nodiscard]] static Task<bool> follow(std::shared_ptr<CollectionFeed> self);
@@ -80,7 +84,7 @@
 
   store::Version known = 0;
   bool is_lost = false;
-  bool refreshing = false;
+  std::uint64_t round = 0;
   std::uint32_t failures = 0;
   TimePoint last_answer = TimePoint::min();
 };
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -299,8 +299,8 @@
         .with("reason", reason)
         .with("configuration_version", this->configuration_feed->version())
         .with("leaf_version", this->leaf_feed->version());
-    this->configuration_feed->refresh();
-    this->leaf_feed->refresh();
+    this->configuration_feed->restart();
+    this->leaf_feed->restart();
   }
 
   void tick() {
