Let the dialect say which status stands for a conflict

The platform answers 409 where the project's own API answers 412; taken for both, a 409 of the own API passed for a promise that it doesn't make (test only_the_promised_statuses_say_not_done).

--- a/ibismux/store/call_outcome.cc
+++ b/ibismux/store/call_outcome.cc
@@ -28,10 +28,6 @@
      Execution::kNotRun},
     {404, CallResult::kNotFound, Health::kGood, ErrorKind::kNotFound,
      Execution::kNotRun},
-    {409, CallResult::kConflict, Health::kGood, ErrorKind::kConflict,
-     Execution::kNotRun},
-    {412, CallResult::kConflict, Health::kGood, ErrorKind::kConflict,
-     Execution::kNotRun},
     {413, CallResult::kRefused, Health::kGood, ErrorKind::kTooLarge,
      Execution::kNotRun},
     {429, CallResult::kRateLimited, Health::kGood,
@@ -40,9 +36,15 @@
      ErrorKind::kPlatformUnavailable, Execution::kNotRun},
 };
 
+constexpr StatusRow kConflictRow = {0, CallResult::kConflict, Health::kGood,
+                                    ErrorKind::kConflict, Execution::kNotRun};
+
 constexpr int kFirstServerError = 500;
 
-StatusRow row_of(int status) {
+StatusRow row_of(int status, int conflict_status) {
+  if (status == conflict_status) {
+    return kConflictRow;
+  }
   for (const StatusRow& row : kStatuses) {
     if (row.status == status) {
       return row;
@@ -71,8 +73,8 @@
 
 }  // namespace
 
-CallOutcome outcome_of(const http::Response& response) {
-  const StatusRow row = row_of(response.status);
+CallOutcome outcome_of(const http::Response& response, int conflict_status) {
+  const StatusRow row = row_of(response.status, conflict_status);
   if (row.result == CallResult::kOk) {
     return {};
   }
--- a/ibismux/store/call_outcome.h
+++ b/ibismux/store/call_outcome.h
@@ -25,7 +25,9 @@
 ///
 /// `Execution::kNotRun` stands for "certainly not done": the statuses that
 /// docs/PLATFORM.md promises it for, and no other.
-[[nodiscard]] CallOutcome outcome_of(const http::Response& response);
+/// @param conflict_status What the API answers where a condition doesn't hold.
+[[nodiscard]] CallOutcome outcome_of(const http::Response& response,
+                                     int conflict_status);
 
 /// Sorts a failed exchange. Thread safe.
 /// @param took How long the exchange was given an answer's chance.
--- a/ibismux/store/http_object_store.cc
+++ b/ibismux/store/http_object_store.cc
@@ -102,9 +102,10 @@
     auto response = co_await self->client.send(std::move(request), deadline);
     self->count_waiting(kind, -1);
     const TimePoint now = Clock::now();
-    auto outcome = response ? outcome_of(*response)
-                            : outcome_of(response.error(), now - begin,
-                                         self->settings.health.slow_after);
+    auto outcome = response
+                       ? outcome_of(*response, self->dialect->conflict_status())
+                       : outcome_of(response.error(), now - begin,
+                                    self->settings.health.slow_after);
     self->conclude(kind, outcome, begin, now);
     if (outcome.result != CallResult::kOk) {
       co_return tl::unexpected(std::move(outcome.error));
--- a/ibismux/store/own_dialect.h
+++ b/ibismux/store/own_dialect.h
@@ -28,6 +28,7 @@
       std::string_view collection,
       std::string_view name) const override;
 
+  [[nodiscard]] int conflict_status() const noexcept override { return 412; }
   [[nodiscard]] Result<StoredObject> read_object(
       std::string_view collection,
       std::string_view name,
--- a/ibismux/store/store_dialect.h
+++ b/ibismux/store/store_dialect.h
@@ -60,6 +60,9 @@
 
   /// @name Answers with status 200
   /// @{
+
+  /// The status of a call whose condition on the version didn't hold.
+  [[nodiscard]] virtual int conflict_status() const noexcept = 0;
   [[nodiscard]] virtual Result<StoredObject> read_object(
       std::string_view collection,
       std::string_view name,
