End a feed's pause as soon as any call to the store is answered

Cause: after an outage the registry was read again while the configuration's feed waited out its own pause, half a second in which every request was refused; and leafs were held to have lost calls that their callers' last 40 ms had cut short. Ruled out: start-up (10 ms from start to the configuration, 60 ms to the leafs).

--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -168,9 +168,13 @@
                       const Order& order,
                       TimePoint now) {
   const Duration waited = now - *ticket;
-  const bool impatient =
-      order.active->given_up && waited < order.usual * kPatienceTimes;
-  if (impatient) {
+  // What was given up, by us or by its caller's short deadline, before a leaf
+  // could be expected to answer says nothing of the leaf. Notice where this is
+  // missing: after an outage, callers' last attempts with some 40 ms left get
+  // healthy leafs ejected.
+  const bool in_a_hurry =
+      order.active->given_up || error.kind == ErrorKind::kDeadlineExceeded;
+  if (in_a_hurry && waited < order.usual * kPatienceTimes) {
     this->numbers.answered(ticket, order.usual, *ticket + order.usual);
     return;
   }
--- a/ibismux/edge/collection_feed.cc
+++ b/ibismux/edge/collection_feed.cc
@@ -1,6 +1,7 @@
 #include "ibismux/edge/collection_feed.h"
 
 #include <algorithm>
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -23,6 +24,9 @@
 // of the store's return.
 constexpr milliseconds kFirstPause{50};
 constexpr milliseconds kLongestPause{500};
+// As long as nothing is known, every request is refused: a fleet that started
+// while the store was down serves this much sooner.
+constexpr milliseconds kLongestFirstPause{200};
 
 }  // namespace
 
@@ -37,7 +41,8 @@
       collection(std::move(collection)),
       settings(settings),
       observer(observer),
-      log(log) {}
+      log(log),
+      pause_timer(loop.get_executor()) {}
 
 void CollectionFeed::start() {
   this->restart();
@@ -105,9 +110,14 @@
 
 Task<void> CollectionFeed::pause(std::shared_ptr<CollectionFeed> self,
                                  Duration time) {
-  http::Timer timer(self->loop.get_executor());
-  timer.expires_after(time);
-  co_await timer.async_wait(asio::use_awaitable);
+  self->pause_timer.expires_after(time);
+  co_await self->pause_timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+void CollectionFeed::retry_now() {
+  if (this->is_lost) {
+    this->pause_timer.cancel();
+  }
 }
 
 void CollectionFeed::take(const store::Listing& listing) {
@@ -143,7 +153,6 @@
 
 void CollectionFeed::regained() {
   this->failures = 0;
-  this->last_answer = Clock::now();
   if (!std::exchange(this->is_lost, false)) {
     return;
   }
@@ -160,14 +169,16 @@
       .with("failures", this->failures)
       .with("kind", error_entry(error.kind).name)
       .with("message", error.message);
+  const Duration longest =
+      this->known == 0 ? kLongestFirstPause : kLongestPause;
   Duration time = kFirstPause;
-  for (std::uint32_t i = 0; i < this->failures && time < kLongestPause; ++i) {
+  for (std::uint32_t i = 0; i < this->failures && time < longest; ++i) {
     time *= 2;
   }
   ++this->failures;
-  time = std::min<Duration>(time, kLongestPause);
+  time = std::min(time, longest);
   return error.retry_after
-             ? std::clamp<Duration>(*error.retry_after, time, kLongestPause)
+             ? std::clamp<Duration>(*error.retry_after, time, longest)
              : time;
 }
 
--- a/ibismux/edge/collection_feed.h
+++ b/ibismux/edge/collection_feed.h
@@ -55,6 +55,9 @@
   /// it was sent meanwhile, also once it is back.
   void restart();
 
+  /// The store has answered another call: a pause after a failure ends now.
+  void retry_now();
+
   /// The collection as of this version of the store is known; 0: not yet.
   [[nodiscard]] store::Version version() const noexcept { return this->known; }
 
@@ -68,6 +71,7 @@
   [[nodiscard]] static Task<bool> read_all(
       std::shared_ptr<CollectionFeed> self);
   [[nodiscard]] static Task<bool> follow(std::shared_ptr<CollectionFeed> self);
+  /// Waits for `time`, or until `retry_now()`.
   [[nodiscard]] static Task<void> pause(std::shared_ptr<CollectionFeed> self,
                                         Duration time);
   void take(const store::Listing& listing);
@@ -86,7 +90,7 @@
   bool is_lost = false;
   std::uint64_t round = 0;
   std::uint32_t failures = 0;
-  TimePoint last_answer = TimePoint::min();
+  http::Timer pause_timer;
 };
 
 }  // namespace ibismux::edge
--- a/ibismux/edge/configuration_feed.cc
+++ b/ibismux/edge/configuration_feed.cc
@@ -9,11 +9,13 @@
 ConfigurationFeed::ConfigurationFeed(std::string name,
                                      const ConfigurationDecoder& decoder,
                                      eventlog::EventLog& log,
-                                     Take take)
+                                     Take take,
+                                     std::function<void()> on_back)
     : name(std::move(name)),
       decoder(decoder),
       log(log),
-      take(std::move(take)) {}
+      take(std::move(take)),
+      on_back(std::move(on_back)) {}
 
 void ConfigurationFeed::on_listing(const store::Listing& listing) {
   for (const store::StoredObject& object : listing.objects) {
--- a/ibismux/edge/configuration_feed.h
+++ b/ibismux/edge/configuration_feed.h
@@ -21,13 +21,16 @@
 
   /// @param name Of the object that holds the configuration.
   /// @param decoder, log Outlive this.
+  /// @param on_back Called when the store answers again.
   ConfigurationFeed(std::string name,
                     const ConfigurationDecoder& decoder,
                     eventlog::EventLog& log,
-                    Take take);
+                    Take take,
+                    std::function<void()> on_back);
 
   void on_listing(const store::Listing& listing) override;
   void on_change(const store::WatchBatch::Event& event) override;
+  void on_regained() override { this->on_back(); }
 
  private:
   void read(const store::StoredObject& object);
@@ -36,6 +39,7 @@
   const ConfigurationDecoder& decoder;
   eventlog::EventLog& log;
   const Take take;
+  const std::function<void()> on_back;
 };
 
 }  // namespace ibismux::edge
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -40,6 +40,9 @@
 // A connection to the store whose other side acknowledges nothing for so long
 // is lost. Leafs that leave take requests for three seconds more.
 constexpr std::chrono::seconds kStoreSilence{2};
+// Between probes of a store that is down. Each daemon that starts meanwhile
+// refuses everything until its first answer.
+constexpr milliseconds kLongestBackoff{250};
 // Before the platform ends the process: time to answer what is late anyway.
 constexpr milliseconds kStopMargin{400};
 // Extra arrivals stay below what services bear, since windows of daemons and
@@ -79,7 +82,7 @@
       static_cast<double>(settings.fleet_reads_per_second),
       static_cast<double>(settings.fleet_writes_per_second),
       static_cast<double>(settings.fleet_reads_per_second)};
-  store.health.longest_backoff = milliseconds(500);
+  store.health.longest_backoff = kLongestBackoff;
   return store;
 }
 
@@ -133,11 +136,17 @@
                    registry,
                    log),
         directory(dispatcher),
-        configuration(this->adapters.configuration_name,
-                      *this->adapters.configuration,
-                      log,
-                      [this](auto table) { this->take(std::move(table)); }),
-        leafs(pool.at(0), directory, *this->adapters.leaf_entries, log),
+        configuration(
+            this->adapters.configuration_name,
+            *this->adapters.configuration,
+            log,
+            [this](auto table) { this->take(std::move(table)); },
+            [this] { this->leaf_feed->retry_now(); }),
+        leafs(pool.at(0),
+              directory,
+              *this->adapters.leaf_entries,
+              log,
+              [this] { this->configuration_feed->retry_now(); }),
         callers(pool, server_limits(), this->caller_handler()),
         balancer(pool, {}, this->ready_handler()),
         metrics(pool, {}, this->metrics_handler()),
--- a/ibismux/edge/leaf_feed.cc
+++ b/ibismux/edge/leaf_feed.cc
@@ -10,10 +10,12 @@
 LeafFeed::LeafFeed(boost::asio::io_context& loop,
                    directory::LeafDirectory& directory,
                    const LeafEntryDecoder& decoder,
-                   eventlog::EventLog& log)
+                   eventlog::EventLog& log,
+                   std::function<void()> on_back)
     : directory(directory),
       decoder(decoder),
       log(log),
+      on_back(std::move(on_back)),
       expiry(loop.get_executor()) {}
 
 void LeafFeed::on_listing(const store::Listing& listing) {
@@ -46,6 +48,7 @@
 void LeafFeed::on_regained() {
   this->directory.registry_regained(Clock::now());
   this->schedule_expiry();
+  this->on_back();
 }
 
 std::optional<directory::LeafEntry> LeafFeed::read(
--- a/ibismux/edge/leaf_feed.h
+++ b/ibismux/edge/leaf_feed.h
@@ -1,6 +1,8 @@
 #ifndef IBISMUX_EDGE_LEAF_FEED_H_
 #define IBISMUX_EDGE_LEAF_FEED_H_
 
+#include <functional>
+
 #include "ibismux/directory/leaf_directory.h"
 #include "ibismux/edge/adapters.h"
 #include "ibismux/edge/collection_feed.h"
@@ -14,11 +16,13 @@
 /// Belongs to one event loop; not thread safe.
 class LeafFeed : public FeedObserver {
  public:
-  /// All outlive this.
+  /// @param on_back Called when the registry answers again.
+  /// The others outlive this.
   LeafFeed(boost::asio::io_context& loop,
            directory::LeafDirectory& directory,
            const LeafEntryDecoder& decoder,
-           eventlog::EventLog& log);
+           eventlog::EventLog& log,
+           std::function<void()> on_back);
 
   void on_listing(const store::Listing& listing) override;
   void on_change(const store::WatchBatch::Event& event) override;
@@ -33,6 +37,7 @@
   directory::LeafDirectory& directory;
   const LeafEntryDecoder& decoder;
   eventlog::EventLog& log;
+  const std::function<void()> on_back;
   http::Timer expiry;
 };
 
