--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -4,12 +4,14 @@
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <charconv>
 #include <csignal>
+#include <iterator>
 #include <random>
 #include <utility>
 
@@ -159,12 +161,6 @@
     if (auto listening = this->listen(); !listening) {
       return listening;
     }
-    this->log.event(eventlog::Weight::kBelief, "start")
-        .with("zone", this->settings.zone)
-        .with("caller_endpoint", this->settings.caller_endpoint)
-        .with("store", this->settings.store_endpoint)
-        .with("hosts", this->settings.hosts)
-        .with("repeat_ratio", this->settings.repeat_ratio);
     const FeedSettings times{this->settings.watch_wait,
                              this->settings.change_pause};
     this->configuration_feed = std::make_shared<CollectionFeed>(
@@ -245,13 +241,24 @@
         {&this->callers, &this->settings.caller_endpoint},
         {&this->balancer, &this->settings.ready_endpoint},
         {&this->metrics, &this->settings.metrics_endpoint}};
-    for (const auto& [server, text] : all) {
-      const Endpoint endpoint = endpoint_of(*text);
-      const auto bound = server->listen(endpoint.address, endpoint.port);
+    std::array<std::uint16_t, std::size(all)> ports{};
+    for (std::size_t i = 0; i < std::size(all); ++i) {
+      const Endpoint endpoint = endpoint_of(*all[i].second);
+      const auto bound = all[i].first->listen(endpoint.address, endpoint.port);
       if (!bound) {
         return tl::unexpected(bound.error());
       }
+      ports[i] = *bound;
     }
+    this->log.event(eventlog::Weight::kBelief, "start")
+        .with("zone", this->settings.zone)
+        .with("caller_port", ports[0])
+        .with("ready_port", ports[1])
+        .with("metrics_port", ports[2])
+        .with("store", this->settings.store_endpoint)
+        .with("hosts", this->settings.hosts)
+        .with("repeat_ratio", this->settings.repeat_ratio);
+    this->log.flush();
     return {};
   }
 
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -25,8 +25,12 @@
 std::string find_program(const std::string& name) {
   namespace fs = std::filesystem;
   const fs::path build = IBISMUX_BUILD_DIR;
-  for (const char* folder : {"apps", "standins", "tests"}) {
+  for (const char* folder : {"apps", "standins", "tests", "platform"}) {
     std::error_code ignored;
+    const auto direct = build / folder / name;
+    if (fs::is_regular_file(direct, ignored)) {
+      return direct.string();
+    }
     for (const auto& entry : fs::directory_iterator(build / folder, ignored)) {
       const auto file = entry.path() / name;
       if (fs::is_regular_file(file, ignored)) {
