--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -1,14 +1,25 @@
 # Third-party libraries, compiler options, and the functions that declare a
 # package of the product and its tests.
 
+# Links what has a static form statically. A daemon that is started again while
+# callers wait serves them sooner: on a quarter of a core the dynamic linker takes
+# some 0.2 s for the libraries that libthrift brings along.
+option(IBISMUX_STATIC_LIBRARIES "Prefer static libraries" OFF)
+find_package(PkgConfig REQUIRED)
+# Always shared: its static form needs a libunwind that can't be linked into a
+# position-independent program.
+pkg_check_modules(GLOG REQUIRED IMPORTED_TARGET libglog)
+if(IBISMUX_STATIC_LIBRARIES)
+  set(Boost_USE_STATIC_LIBS ON)
+  set(CMAKE_FIND_LIBRARY_SUFFIXES ".a;.so")
+endif()
+
 find_package(Boost 1.81 REQUIRED COMPONENTS program_options json url)
 find_package(Threads REQUIRED)
-find_package(PkgConfig REQUIRED)
 pkg_check_modules(THRIFT REQUIRED IMPORTED_TARGET thrift)
 pkg_check_modules(CRITERION REQUIRED IMPORTED_TARGET criterion)
 pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-bp)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
-pkg_check_modules(GLOG REQUIRED IMPORTED_TARGET libglog)
 find_package(prometheus-cpp CONFIG REQUIRED)
 
 add_library(ibismux_options INTERFACE)
--- a/ibismux/base/fraction_budget.h
+++ b/ibismux/base/fraction_budget.h
@@ -23,7 +23,8 @@
     const std::int64_t more = to_units(static_cast<double>(calls) * share);
     std::int64_t old = this->units.load(std::memory_order_relaxed);
     while (!this->units.compare_exchange_weak(
-        old, std::min(this->most, old + more), std::memory_order_relaxed)) {
+        old, std::min(this->most.load(std::memory_order_relaxed), old + more),
+        std::memory_order_relaxed)) {
     }
   }
 
@@ -39,6 +40,11 @@
     return false;
   }
 
+  /// Replaces the most that is kept for later.
+  void set_burst(double burst) noexcept {
+    this->most.store(to_units(std::max(1.0, burst)), std::memory_order_relaxed);
+  }
+
   [[nodiscard]] double tokens() const noexcept {
     return static_cast<double>(this->units.load(std::memory_order_relaxed)) /
            static_cast<double>(kUnitsPerToken);
@@ -52,7 +58,7 @@
                                      static_cast<double>(kUnitsPerToken));
   }
 
-  const std::int64_t most;
+  std::atomic<std::int64_t> most;
   std::atomic<std::int64_t> units;
 };
 
--- a/ibismux/dispatch/dispatch_settings.h
+++ b/ibismux/dispatch/dispatch_settings.h
@@ -9,20 +9,18 @@
 
 /// How this daemon deals with leafs.
 struct DispatchSettings {
-  std::string zone;  ///< Availability zone of this host.
+  std::string member;  ///< Name of this host.
+  std::string zone;    ///< Its availability zone.
 
   /// Extra arrivals (hedges and retries) at a service, as a share of its first
   /// arrivals. Shares of all daemons add up to the same share of the whole.
   double repeat_share = 0.17;
-  /// Extra arrivals that a daemon may save up for one service. Over all daemons
-  /// the savings add up to what a service bears beyond the share.
-  double repeat_burst = 6;
-
-  /// Daemons among which a leaf's connections are divided.
-  std::size_t hosts = 10;
-  /// Part of a leaf's connections that the daemons use together; the rest is
-  /// for links that are closing and hosts that were just replaced.
-  double connection_share = 0.9;
+  /// Extra arrivals that a service bears besides, in some seconds, from all
+  /// daemons together. Each daemon may save up its part of them.
+  double repeat_slack = 50;
+
+  /// Daemons that are reckoned with until it is known how many there are.
+  std::size_t hosts = 40;
 
   /// What a leaf of another zone must be better by, as a share of the route's
   /// objective: traffic between zones is paid for.
--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "ibismux/dispatch/forward_run.h"
+#include "ibismux/dispatch/link_share.h"
 #include "ibismux/dispatch/scatter_run.h"
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/http/cancel_token.h"
@@ -25,6 +26,16 @@
 // that starts has it within this time if the store answers.
 constexpr milliseconds kNotReadyPause{200};
 
+// What one daemon saves up at most for one service: enough for a pause of one
+// leaf, in which each of its calls is sent again.
+constexpr double kMostBurst = 6;
+
+/// This daemon's part of the repeats that a service bears beyond the share.
+double repeat_burst(const DispatchSettings& settings) {
+  return std::min(kMostBurst,
+                  settings.repeat_slack / static_cast<double>(settings.hosts));
+}
+
 using OutcomeHandler =
     asio::async_result<asio::use_awaitable_t<>, void(Outcome)>::handler_type;
 
@@ -63,26 +74,39 @@
   return true;
 }
 
-void Dispatcher::set_hosts(std::size_t hosts) {
-  this->settings.hosts = std::max<std::size_t>(1, hosts);
+void Dispatcher::set_fleet(
+    std::size_t hosts,
+    std::map<std::string, std::size_t, std::less<>> by_zone) {
+  hosts = std::max<std::size_t>(1, hosts);
+  if (hosts == this->settings.hosts && by_zone == this->hosts_by_zone) {
+    return;
+  }
+  this->log.event(eventlog::Weight::kBelief, "fleet_size")
+      .with("hosts", hosts)
+      .with("before", this->settings.hosts);
+  this->settings.hosts = hosts;
+  this->hosts_by_zone = std::move(by_zone);
   this->share_links();
+  for (const auto& [name, group] : this->groups) {
+    group->set_repeat_burst(repeat_burst(this->settings));
+  }
 }
 
-std::size_t Dispatcher::link_share(const std::string& service) const {
+std::size_t Dispatcher::most_links(const directory::LeafEntry& leaf) const {
   const routing::ServiceSpec* spec =
-      this->in_force ? this->in_force->service(service) : nullptr;
-  if (!spec || spec->leaf_connections == 0) {
-    return 1;
-  }
-  const double share = static_cast<double>(spec->leaf_connections) *
-                       this->settings.connection_share /
-                       static_cast<double>(this->settings.hosts);
-  return std::max<std::size_t>(1, static_cast<std::size_t>(share));
+      this->in_force ? this->in_force->service(leaf.service) : nullptr;
+  LinkSharers sharers;
+  sharers.hosts = this->settings.hosts;
+  const auto zone = this->hosts_by_zone.find(leaf.zone);
+  sharers.zone_hosts = zone == this->hosts_by_zone.end() ? 1 : zone->second;
+  sharers.same_zone = leaf.zone == this->settings.zone;
+  return link_share(spec ? spec->leaf_connections : 0, sharers,
+                    this->settings.member, leaf.instance);
 }
 
 void Dispatcher::share_links() {
   for (const auto& [instance, leaf] : this->leafs) {
-    leaf->set_most_links(this->link_share(leaf->entry().service));
+    leaf->set_most_links(this->most_links(leaf->entry()));
   }
 }
 
@@ -109,7 +133,7 @@
                                          group->serve_waiting();
                                        }
                                      });
-  leaf->set_most_links(this->link_share(entry.service));
+  leaf->set_most_links(this->most_links(entry));
   this->leafs.emplace(entry.instance, leaf);
   group->add(std::move(leaf));
 }
@@ -136,7 +160,8 @@
 std::shared_ptr<ServiceGroup> Dispatcher::group(const std::string& service) {
   auto& group = this->groups[service];
   if (!group) {
-    group = std::make_shared<ServiceGroup>(service, this->settings);
+    group = std::make_shared<ServiceGroup>(service, this->settings,
+                                           repeat_burst(this->settings));
   }
   return group;
 }
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -46,8 +46,9 @@
     return this->in_force;
   }
 
-  /// How many daemons share what leafs take.
-  void set_hosts(std::size_t hosts);
+  /// How many daemons share what leafs and services bear.
+  void set_fleet(std::size_t hosts,
+                 std::map<std::string, std::size_t, std::less<>> by_zone);
 
   /// @name DirectoryListener
   /// @{
@@ -67,7 +68,7 @@
       const routing::Route& route);
   [[nodiscard]] std::vector<std::shared_ptr<ServiceGroup>> targets(
       const routing::Route& route);
-  [[nodiscard]] std::size_t link_share(const std::string& service) const;
+  [[nodiscard]] std::size_t most_links(const directory::LeafEntry& leaf) const;
   void share_links();
   [[nodiscard]] Outcome refuse(const CallerRequest& request,
                                Error error,
@@ -76,6 +77,7 @@
   boost::asio::io_context& loop;
   const LeafConnector& connector;
   DispatchSettings settings;
+  std::map<std::string, std::size_t, std::less<>> hosts_by_zone;
   DispatchMetrics metrics;
   eventlog::EventLog& log;
 
--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -40,10 +40,12 @@
 
 }  // namespace
 
-ServiceGroup::ServiceGroup(std::string name, const DispatchSettings& settings)
+ServiceGroup::ServiceGroup(std::string name,
+                           const DispatchSettings& settings,
+                           double repeat_burst)
     : service(std::move(name)),
       settings(settings),
-      repeats(settings.repeat_burst, settings.repeat_burst / 2) {}
+      repeats(repeat_burst, repeat_burst / 2) {}
 
 void ServiceGroup::add(std::shared_ptr<Leaf> leaf) {
   this->members.push_back(std::move(leaf));
--- a/ibismux/dispatch/service_group.h
+++ b/ibismux/dispatch/service_group.h
@@ -32,7 +32,10 @@
 class ServiceGroup {
  public:
   /// @param settings Outlives the group.
-  ServiceGroup(std::string name, const DispatchSettings& settings);
+  /// @param repeat_burst Repeats that may be saved up.
+  ServiceGroup(std::string name,
+               const DispatchSettings& settings,
+               double repeat_burst);
 
   [[nodiscard]] const std::string& name() const noexcept {
     return this->service;
@@ -61,6 +64,8 @@
   /// @{
   /// The first arrival of a request at this service.
   void count_first() noexcept;
+  /// Replaces how many repeats may be saved up.
+  void set_repeat_burst(double most) noexcept { this->repeats.set_burst(most); }
   /// Takes one repeat. @return False if there is none left.
   [[nodiscard]] bool take_repeat() noexcept { return this->repeats.take(); }
   [[nodiscard]] double repeats_left() const noexcept {
--- a/ibismux/edge/adapters.h
+++ b/ibismux/edge/adapters.h
@@ -58,6 +58,7 @@
   std::string configuration_collection;
   std::string configuration_name;
   std::string leaf_collection;
+  std::string contact_collection;  ///< Of the daemons themselves.
   /// @}
 };
 
--- a/ibismux/edge/configuration_feed.h
+++ b/ibismux/edge/configuration_feed.h
@@ -6,7 +6,8 @@
 #include <string>
 
 #include "ibismux/edge/adapters.h"
-#include "ibismux/edge/collection_feed.h"
+#include "ibismux/eventlog/forward.h"
+#include "ibismux/feed/feed_observer.h"
 
 namespace ibismux::edge {
 
@@ -14,7 +15,7 @@
 /// kept out and named in the log; the last good one stays in force.
 ///
 /// Not thread safe.
-class ConfigurationFeed : public FeedObserver {
+class ConfigurationFeed : public feed::FeedObserver {
  public:
   using Take =
       std::function<void(std::shared_ptr<const routing::RouteTable> table)>;
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -9,7 +9,6 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <charconv>
 #include <csignal>
 #include <iterator>
 #include <random>
@@ -18,12 +17,16 @@
 #include "ibismux/base/io_pool.h"
 #include "ibismux/directory/leaf_directory.h"
 #include "ibismux/dispatch/dispatcher.h"
-#include "ibismux/edge/collection_feed.h"
 #include "ibismux/edge/configuration_feed.h"
+#include "ibismux/edge/contact_slots.h"
+#include "ibismux/edge/fleet.h"
 #include "ibismux/edge/leaf_feed.h"
 #include "ibismux/edge/stall_detector.h"
 #include "ibismux/eventlog/event_log.h"
+#include "ibismux/feed/collection_feed.h"
+#include "ibismux/feed/feed_relay.h"
 #include "ibismux/http/server.h"
+#include "ibismux/peer/peer_endpoint.h"
 #include "ibismux/store/http_object_store.h"
 
 namespace ibismux::edge {
@@ -45,27 +48,18 @@
 // Between probes of a store that is down. Each daemon that starts meanwhile
 // refuses everything until its first answer.
 constexpr milliseconds kLongestBackoff{250};
+// How long peers may offer to bring the news before the first watch: time to
+// meet them.
+constexpr milliseconds kFirstWatchPause{1500};
 // Before the platform ends the process: time to answer what is late anyway.
 constexpr milliseconds kStopMargin{400};
 // Extra arrivals stay below what services bear, since windows of daemons and
 // services don't begin together.
 constexpr double kRepeatSafety = 0.85;
-// What one daemon saves up at most: enough for a pause of one leaf, in which
-// each of its calls is sent again.
-constexpr double kMostBurst = 6;
-
-struct Endpoint {
-  std::string address;
-  std::uint16_t port = 0;
-};
 
 /// Precondition: `text` has the form of an endpoint.
-Endpoint endpoint_of(const std::string& text) {
-  const std::size_t colon = text.rfind(':');
-  Endpoint endpoint{text.substr(0, colon), 0};
-  const char* end = text.data() + text.size();
-  std::from_chars(text.data() + colon + 1, end, endpoint.port);
-  return endpoint;
+peer::PeerEndpoint endpoint_of(const std::string& text) {
+  return peer::parse_endpoint(text).value_or(peer::PeerEndpoint{});
 }
 
 std::uint64_t draw() {
@@ -74,7 +68,7 @@
 }
 
 store::PlatformSettings store_settings(const EdgeSettings& settings) {
-  const Endpoint endpoint = endpoint_of(settings.store_endpoint);
+  const peer::PeerEndpoint endpoint = endpoint_of(settings.store_endpoint);
   store::PlatformSettings store;
   store.address = endpoint.address;
   store.port = endpoint.port;
@@ -90,16 +84,19 @@
 
 dispatch::DispatchSettings dispatch_settings(const EdgeSettings& settings) {
   dispatch::DispatchSettings dispatch;
+  dispatch.member = settings.member;
   dispatch.zone = settings.zone;
   dispatch.repeat_share = settings.repeat_ratio * kRepeatSafety;
-  dispatch.repeat_burst =
-      std::clamp(settings.repeat_slack / static_cast<double>(settings.hosts),
-                 1.0, kMostBurst);
+  dispatch.repeat_slack = settings.repeat_slack;
   dispatch.hosts = settings.hosts;
   dispatch.remote_cost = settings.remote_cost;
   return dispatch;
 }
 
+Fleet::Settings fleet_settings(const EdgeSettings& settings) {
+  return {settings.member, settings.zone, settings.peer_endpoint};
+}
+
 eventlog::EventLogSettings log_settings(const EdgeSettings& settings) {
   eventlog::EventLogSettings log;
   log.host = settings.member;
@@ -154,23 +151,33 @@
         metrics(pool, {}, this->metrics_handler()),
         signals(pool.at(0)),
         ticker(pool.at(0).get_executor()),
-        stalls(kTick, Clock::now(), StallDetector::boot_time()) {}
+        stalls(kTick, Clock::now(), StallDetector::boot_time()) {
+    if (!this->settings.peer_endpoint.empty()) {
+      this->fleet.emplace(this->pool, this->store, this->registry,
+                          fleet_settings(this->settings),
+                          [this](const membership::MembershipView& view) {
+                            this->on_view(view);
+                          });
+    }
+  }
 
   [[nodiscard]] Result<void> run() {
     std::signal(SIGPIPE, SIG_IGN);
     if (auto listening = this->listen(); !listening) {
       return listening;
     }
-    const FeedSettings times{this->settings.watch_wait,
-                             this->settings.change_pause};
-    this->configuration_feed = std::make_shared<CollectionFeed>(
-        this->loop(), this->store, this->adapters.configuration_collection,
-        times, this->configuration, this->log);
-    this->leaf_feed = std::make_shared<CollectionFeed>(
-        this->loop(), this->store, this->adapters.leaf_collection, times,
-        this->leafs, this->log);
-    this->configuration_feed->start();
-    this->leaf_feed->start();
+    this->start_feeds();
+    if (this->fleet) {
+      if (auto started = this->fleet->start(); !started) {
+        return started;
+      }
+      std::make_shared<ContactSlots>(
+          this->loop(), this->store, this->adapters.contact_collection,
+          ContactSlots::Self{this->settings.member,
+                             this->settings.peer_endpoint, this->settings.zone},
+          [this] { return *this->fleet->members(); }, this->log)
+          ->start(draw());
+    }
     asio::co_spawn(this->loop(), this->check_store(), asio::detached);
     this->tick();
     this->await_signal();
@@ -233,7 +240,7 @@
   /// on is no reason to leave the rotation: what is known still serves.
   [[nodiscard]] bool is_ready() const {
     return !this->stopping && this->dispatcher.table() &&
-           this->leaf_feed->version() > 0;
+           this->leaf_feed->mirror().version() > 0;
   }
 
   [[nodiscard]] Result<void> listen() {
@@ -243,7 +250,7 @@
         {&this->metrics, &this->settings.metrics_endpoint}};
     std::array<std::uint16_t, std::size(all)> ports{};
     for (std::size_t i = 0; i < std::size(all); ++i) {
-      const Endpoint endpoint = endpoint_of(*all[i].second);
+      const peer::PeerEndpoint endpoint = endpoint_of(*all[i].second);
       const auto bound = all[i].first->listen(endpoint.address, endpoint.port);
       if (!bound) {
         return tl::unexpected(bound.error());
@@ -262,6 +269,50 @@
     return {};
   }
 
+  void start_feeds() {
+    feed::FeedSettings times;
+    times.watch_wait = this->settings.watch_wait;
+    times.change_pause = this->settings.change_pause;
+    times.first_pause = this->fleet ? kFirstWatchPause : milliseconds(0);
+    this->configuration_feed = std::make_shared<feed::CollectionFeed>(
+        this->loop(), this->store, this->adapters.configuration_collection,
+        times, this->configuration, this->log);
+    this->leaf_feed = std::make_shared<feed::CollectionFeed>(
+        this->loop(), this->store, this->adapters.leaf_collection, times,
+        this->leafs, this->log);
+    if (!this->fleet) {
+      this->configuration_feed->start();
+      this->leaf_feed->start();
+      return;
+    }
+    feed::SourceSettings source;
+    source.watchers = this->settings.watchers;
+    this->relay = std::make_shared<feed::FeedRelay>(
+        this->loop(), this->fleet->network(), source,
+        feed::FeedRelay::Feeds{this->configuration_feed, this->leaf_feed},
+        this->log);
+    this->relay->start();
+  }
+
+  void on_view(const membership::MembershipView& view) {
+    this->log.event(eventlog::Weight::kBelief, "members")
+        .with("serving", view.serving())
+        .with("joined", view.joined);
+    this->relay->on_view(view);
+    this->share_fleet();
+  }
+
+  void share_fleet() {
+    if (!this->fleet) {
+      return;
+    }
+    FleetSize size = this->fleet->size(Clock::now());
+    if (size.known) {
+      this->store.set_members(size.hosts);
+      this->dispatcher.set_fleet(size.hosts, std::move(size.by_zone));
+    }
+  }
+
   void take(std::shared_ptr<const routing::RouteTable> table) {
     if (!this->dispatcher.put_in_force(table)) {
       return;
@@ -288,6 +339,9 @@
     for (;;) {
       timer.expires_after(this->settings.check_interval);
       co_await timer.async_wait(asio::use_awaitable);
+      if (this->relay && !this->relay->follows_store()) {
+        continue;
+      }
       auto object = co_await this->store.stale_get(
           this->adapters.configuration_collection,
           this->adapters.configuration_name, Clock::now() + kCheckTime);
@@ -300,8 +354,12 @@
         this->leaf_feed->report_lost(object.error().message);
         continue;
       }
+      if (this->relay) {
+        this->relay->on_store_word();
+      }
       // A change that is a moment old may still be on its way to the watch.
-      const bool behind = object->version > this->configuration_feed->version();
+      const bool behind =
+          object->version > this->configuration_feed->mirror().version();
       deaf_checks = behind ? deaf_checks + 1 : 0;
       if (std::exchange(was_lost, false) || deaf_checks > 1) {
         this->refresh(deaf_checks > 1 ? "watch is deaf" : "store is back");
@@ -313,8 +371,9 @@
   void refresh(std::string_view reason) {
     this->log.event(eventlog::Weight::kBelief, "refresh")
         .with("reason", reason)
-        .with("configuration_version", this->configuration_feed->version())
-        .with("leaf_version", this->leaf_feed->version());
+        .with("configuration_version",
+              this->configuration_feed->mirror().version())
+        .with("leaf_version", this->leaf_feed->mirror().version());
     this->configuration_feed->restart();
     this->leaf_feed->restart();
   }
@@ -332,6 +391,7 @@
             .with("for_ms", stall);
         this->refresh("stood still");
       }
+      this->share_fleet();
       this->tick();
     });
   }
@@ -352,6 +412,9 @@
     this->log.event(eventlog::Weight::kBelief, "drain")
         .with("in_flight", this->callers.in_flight())
         .with("connections", this->callers.connections());
+    if (this->fleet) {
+      this->fleet->announce_leaving();
+    }
     this->callers.drain();
     this->stop_by = Clock::now() + this->settings.stop_limit - kStopMargin;
     this->ticker.cancel();
@@ -381,8 +444,10 @@
   directory::LeafDirectory directory;
   ConfigurationFeed configuration;
   LeafFeed leafs;
-  std::shared_ptr<CollectionFeed> configuration_feed;
-  std::shared_ptr<CollectionFeed> leaf_feed;
+  std::shared_ptr<feed::CollectionFeed> configuration_feed;
+  std::shared_ptr<feed::CollectionFeed> leaf_feed;
+  std::optional<Fleet> fleet;
+  std::shared_ptr<feed::FeedRelay> relay;
   http::Server callers;
   http::Server balancer;
   http::Server metrics;
--- a/ibismux/edge/edge_settings.cc
+++ b/ibismux/edge/edge_settings.cc
@@ -28,6 +28,17 @@
     Key{"metrics.endpoint", "Where metrics are served, as text.",
         Text{&EdgeSettings::metrics_endpoint, TextForm::kEndpoint}},
 
+    Key{"fleet.endpoint",
+        "Where the other daemons reach this one; empty: it goes alone.",
+        Text{&EdgeSettings::peer_endpoint, TextForm::kEndpointOrNone}},
+    Key{"fleet.hosts",
+        "How many daemons to reckon with until they have been met; divides "
+        "what leafs and services bear.",
+        Number{&EdgeSettings::hosts, 1, 10'000}},
+    Key{"fleet.watchers",
+        "Daemons of each zone that follow the store and pass its news on.",
+        Number{&EdgeSettings::watchers, 1, 100}},
+
     Key{"store.endpoint", "The platform's object store.",
         Text{&EdgeSettings::store_endpoint, TextForm::kEndpoint}, true},
     Key{"store.fleet_reads_per_second",
@@ -57,9 +68,6 @@
         "Extra arrivals that a service bears besides, in one window of "
         "seconds, from all daemons.",
         Number{&EdgeSettings::repeat_slack, 0, 100'000}},
-    Key{"fleet.hosts",
-        "Most daemons there may be; divides what leafs take from all of them.",
-        Number{&EdgeSettings::hosts, 1, 10'000}},
     Key{"leaf.remote_cost",
         "What a leaf of another zone must be better by, as a share of the "
         "route's objective.",
--- a/ibismux/edge/edge_settings.h
+++ b/ibismux/edge/edge_settings.h
@@ -28,6 +28,13 @@
   std::string metrics_endpoint = "127.0.0.1:9090";
   /// @}
 
+  /// @name The other daemons
+  /// @{
+  std::string peer_endpoint;  ///< Empty: this daemon goes alone.
+  std::uint32_t hosts = 12;
+  std::uint32_t watchers = 2;
+  /// @}
+
   /// @name The platform's object store
   /// @{
   std::string store_endpoint;
@@ -35,14 +42,13 @@
   std::uint32_t fleet_writes_per_second = 300;
   Millis watch_wait{25'000};
   Millis change_pause{300};
-  Millis check_interval{2000};
+  Millis check_interval{1000};
   /// @}
 
   /// @name Dealing with leafs
   /// @{
   double repeat_ratio = 0.2;
   std::uint32_t repeat_slack = 50;
-  std::uint32_t hosts = 10;
   double remote_cost = 0.1;
   /// @}
 
--- /dev/null
+++ b/ibismux/edge/fleet.cc
@@ -0,0 +1,108 @@
+#include "ibismux/edge/fleet.h"
+
+#include <utility>
+
+#include "ibismux/base/io_pool.h"
+#include "ibismux/membership/membership_settings.h"
+#include "ibismux/peer/peer_endpoint.h"
+#include "ibismux/peer/peer_settings.h"
+
+namespace ibismux::edge {
+
+namespace {
+
+std::shared_ptr<const membership::MembershipView> alone(
+    const Fleet::Settings& settings) {
+  auto view = std::make_shared<membership::MembershipView>();
+  view->self = settings.member;
+  view->joined = false;
+  view->members.push_back({settings.member, 0, "", 0, settings.zone});
+  return view;
+}
+
+peer::PeerSettings peer_settings(const Fleet::Settings& settings) {
+  peer::PeerSettings peers;
+  if (const auto endpoint = peer::parse_endpoint(settings.endpoint)) {
+    peers.listen_address = endpoint->address;
+    peers.port = endpoint->port;
+  }
+  peers.member = settings.member;
+  peers.zone = settings.zone;
+  return peers;
+}
+
+/// Fewer wake-ups than the defaults: a tick of 100 ms of each daemon is a tenth
+/// of what an idle daemon costs.
+membership::MembershipSettings membership_settings() {
+  membership::MembershipSettings membership;
+  membership.tick = std::chrono::milliseconds(200);
+  membership.probe_interval = std::chrono::milliseconds(1000);
+  return membership;
+}
+
+}  // namespace
+
+Fleet::Fleet(IoPool& pool,
+             store::ObjectStore& store,
+             prometheus::Registry& registry,
+             Settings settings,
+             Listener on_view)
+    : settings(std::move(settings)),
+      view(alone(this->settings)),
+      peers(pool, peer_settings(this->settings), view, registry),
+      membership(membership_settings(),
+                 pool,
+                 peers,
+                 store,
+                 view,
+                 registry,
+                 [this](const std::vector<membership::Contact>& contacts) {
+                   peer::TcpPeerNetwork::Seeds seeds;
+                   for (const membership::Contact& contact : contacts) {
+                     seeds[contact.name] = {contact.address, contact.port};
+                   }
+                   this->peers.set_seeds(std::move(seeds));
+                 }),
+      on_view(std::move(on_view)) {
+  this->membership.on_view(
+      [this](const membership::MembershipView& fresh) { this->take(fresh); });
+}
+
+Result<void> Fleet::start() {
+  const auto port = this->peers.start();
+  if (!port) {
+    return tl::unexpected(port.error());
+  }
+  const auto endpoint = peer::parse_endpoint(this->settings.endpoint);
+  this->membership.start(endpoint ? endpoint->address : "", *port,
+                         this->settings.zone);
+  return {};
+}
+
+void Fleet::stop() {
+  this->membership.stop();
+  this->peers.stop();
+}
+
+void Fleet::take(const membership::MembershipView& fresh) {
+  this->current = {};
+  this->current.hosts = fresh.serving();
+  this->current.known = this->current.hosts > 1;
+  for (const membership::Member& member : fresh.members) {
+    if (member.serves()) {
+      ++this->current.by_zone[member.zone];
+    }
+  }
+  this->on_view(fresh);
+}
+
+FleetSize Fleet::size(TimePoint now) {
+  const bool forget = now - this->largest_at > kMemory;
+  if (this->current.hosts >= this->largest.hosts || forget) {
+    this->largest = this->current;
+    this->largest_at = now;
+  }
+  return this->largest;
+}
+
+}  // namespace ibismux::edge
--- /dev/null
+++ b/ibismux/edge/fleet.h
@@ -0,0 +1,83 @@
+#ifndef IBISMUX_EDGE_FLEET_H_
+#define IBISMUX_EDGE_FLEET_H_
+
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "ibismux/base/error.h"
+#include "ibismux/base/rcu_cell.h"
+#include "ibismux/base/time.h"
+#include "ibismux/membership/membership_service.h"
+#include "ibismux/membership/membership_view.h"
+#include "ibismux/peer/tcp_peer_network.h"
+
+namespace ibismux::edge {
+
+/// How many daemons share what leafs and services bear.
+struct FleetSize {
+  std::size_t hosts = 1;
+  std::map<std::string, std::size_t, std::less<>> by_zone;
+  bool known = false;  ///< This daemon has met others.
+};
+
+/// The other daemons: who they are, and the frames between them.
+///
+/// Belongs to the pool's first loop once started; not thread safe.
+class Fleet {
+ public:
+  struct Settings {
+    std::string member;
+    std::string zone;
+    std::string endpoint;  ///< "ip:port" where peers are accepted.
+  };
+  using Listener = std::function<void(const membership::MembershipView&)>;
+
+  /// All but `settings` and `on_view` outlive this and the pool's loop.
+  Fleet(IoPool& pool,
+        store::ObjectStore& store,
+        prometheus::Registry& registry,
+        Settings settings,
+        Listener on_view);
+
+  [[nodiscard]] peer::PeerNetwork& network() noexcept { return this->peers; }
+
+  /// Listens, and looks for the others. Precondition: all handlers of the
+  /// network are set. Called once.
+  [[nodiscard]] Result<void> start();
+
+  /// Tells all that this daemon leaves.
+  void announce_leaving() { this->membership.announce_leaving(); }
+  void stop();
+
+  /// Who is there now.
+  [[nodiscard]] std::shared_ptr<const membership::MembershipView> members()
+      const {
+    return this->view.read();
+  }
+
+  /// The largest fleet of the last `kMemory`. Views of a fleet that is cut in
+  /// two shrink on both sides, while leafs still bear the load of both: shares
+  /// must not grow before the others are surely gone.
+  [[nodiscard]] FleetSize size(TimePoint now);
+
+ private:
+  static constexpr std::chrono::seconds kMemory{30};
+
+  void take(const membership::MembershipView& view);
+
+  const Settings settings;
+  RcuCell<membership::MembershipView> view;
+  peer::TcpPeerNetwork peers;
+  membership::MembershipService membership;
+  const Listener on_view;
+  FleetSize largest;
+  TimePoint largest_at = TimePoint::min();
+  FleetSize current;
+};
+
+}  // namespace ibismux::edge
+
+#endif  // IBISMUX_EDGE_FLEET_H_
--- a/ibismux/edge/forward.h
+++ b/ibismux/edge/forward.h
@@ -6,10 +6,8 @@
 struct Adapters;
 struct EdgeSettings;
 class CallerProtocol;
-class CollectionFeed;
 class ConfigurationDecoder;
 class EdgeDaemon;
-class FeedObserver;
 class LeafEntryDecoder;
 class StallDetector;
 
--- a/ibismux/edge/leaf_feed.h
+++ b/ibismux/edge/leaf_feed.h
@@ -5,7 +5,8 @@
 
 #include "ibismux/directory/leaf_directory.h"
 #include "ibismux/edge/adapters.h"
-#include "ibismux/edge/collection_feed.h"
+#include "ibismux/eventlog/forward.h"
+#include "ibismux/feed/feed_observer.h"
 #include "ibismux/http/socket.h"
 
 namespace ibismux::edge {
@@ -14,7 +15,7 @@
 /// be read is kept out and named in the log.
 ///
 /// Belongs to one event loop; not thread safe.
-class LeafFeed : public FeedObserver {
+class LeafFeed : public feed::FeedObserver {
  public:
   /// @param on_back Called when the registry answers again.
   /// The others outlive this.
--- a/ibismux/edge/collection_feed.cc
+++ b/ibismux/feed/collection_feed.cc
@@ -1,4 +1,4 @@
-#include "ibismux/edge/collection_feed.h"
+#include "ibismux/feed/collection_feed.h"
 
 #include <algorithm>
 #include <boost/asio/as_tuple.hpp>
@@ -9,7 +9,7 @@
 
 #include "ibismux/eventlog/event_log.h"
 
-namespace ibismux::edge {
+namespace ibismux::feed {
 
 namespace {
 
@@ -28,6 +28,37 @@
 // while the store was down serves this much sooner.
 constexpr milliseconds kLongestFirstPause{200};
 
+News news_of(const std::string& collection, store::Listing listing) {
+  News news;
+  news.collection = collection;
+  news.version = listing.version;
+  news.whole = true;
+  for (store::StoredObject& object : listing.objects) {
+    news.events.push_back({std::move(object), false});
+  }
+  return news;
+}
+
+News news_of(const std::string& collection,
+             store::Version since,
+             store::WatchBatch batch) {
+  News news;
+  news.collection = collection;
+  news.since = since;
+  news.version = batch.version;
+  news.events = std::move(batch.events);
+  return news;
+}
+
+store::Listing listing_of(const News& news) {
+  store::Listing listing;
+  listing.version = news.version;
+  for (const store::WatchBatch::Event& event : news.events) {
+    listing.objects.push_back(event.object);
+  }
+  return listing;
+}
+
 }  // namespace
 
 CollectionFeed::CollectionFeed(asio::io_context& loop,
@@ -38,10 +69,10 @@
                                eventlog::EventLog& log)
     : loop(loop),
       store(store),
-      collection(std::move(collection)),
       settings(settings),
       observer(observer),
       log(log),
+      known(std::move(collection)),
       pause_timer(loop.get_executor()) {}
 
 void CollectionFeed::start() {
@@ -54,6 +85,10 @@
                  asio::detached);
 }
 
+void CollectionFeed::suspend() {
+  ++this->round;
+}
+
 Task<void> CollectionFeed::run(std::shared_ptr<CollectionFeed> self,
                                std::uint64_t round) {
   // Named results: GCC 12 miscompiles a co_await in a loop's condition.
@@ -62,28 +97,32 @@
     if (whole) {
       const bool goes_on = co_await follow(self);
       whole = goes_on;
-    } else {
-      const bool done = co_await read_all(self);
-      whole = done;
+      continue;
+    }
+    const bool done = co_await read_all(self);
+    whole = done;
+    if (done && std::exchange(self->first, false)) {
+      co_await pause(self, self->settings.first_pause);
     }
   }
 }
 
 Task<bool> CollectionFeed::read_all(std::shared_ptr<CollectionFeed> self) {
   auto listing =
-      co_await self->store.list(self->collection, Clock::now() + kListTime);
+      co_await self->store.list(self->known.name(), Clock::now() + kListTime);
   if (!listing) {
     self->report_lost(listing.error().message);
     co_await pause(self, self->next_pause(listing.error()));
     co_return false;
   }
-  self->regained();
-  self->take(*listing);
+  self->store_answered();
+  self->take(news_of(self->known.name(), *std::move(listing)));
   co_return true;
 }
 
 Task<bool> CollectionFeed::follow(std::shared_ptr<CollectionFeed> self) {
-  auto batch = co_await self->store.watch(self->collection, self->known,
+  const store::Version since = self->known.version();
+  auto batch = co_await self->store.watch(self->known.name(), since,
                                           self->settings.watch_wait);
   if (!batch) {
     self->report_lost(batch.error().message);
@@ -94,15 +133,16 @@
     // change: the daemon would go on for seconds with what was in force before.
     co_return false;
   }
-  self->regained();
+  self->store_answered();
   if (batch->compacted) {
     self->log.event(eventlog::Weight::kBelief, "store_history_gone")
-        .with("collection", self->collection)
-        .with("version", self->known);
+        .with("collection", self->known.name())
+        .with("version", since);
     co_return false;
   }
-  self->take(*batch);
-  if (!batch->events.empty()) {
+  const bool changed = !batch->events.empty();
+  self->take(news_of(self->known.name(), since, *std::move(batch)));
+  if (changed) {
     co_await pause(self, self->settings.change_pause);
   }
   co_return true;
@@ -114,30 +154,31 @@
   co_await self->pause_timer.async_wait(asio::as_tuple(asio::use_awaitable));
 }
 
-void CollectionFeed::retry_now() {
-  if (this->is_lost) {
-    this->pause_timer.cancel();
+void CollectionFeed::take(News news) {
+  const auto fresh = this->known.take(std::move(news));
+  if (!fresh) {
+    return;
+  }
+  if (fresh->whole) {
+    this->observer.on_listing(listing_of(*fresh));
+  } else {
+    for (const store::WatchBatch::Event& event : fresh->events) {
+      this->observer.on_change(event);
+    }
   }
+  this->listeners.on_news(*fresh);
 }
 
-void CollectionFeed::take(const store::Listing& listing) {
-  // A listing that was under way while a watch brought newer changes would
-  // undo them.
-  if (listing.version < this->known) {
-    return;
+void CollectionFeed::retry_now() {
+  if (this->is_lost) {
+    this->pause_timer.cancel();
   }
-  this->known = listing.version;
-  this->observer.on_listing(listing);
 }
 
-void CollectionFeed::take(const store::WatchBatch& batch) {
-  if (batch.version <= this->known) {
-    return;
-  }
-  this->known = batch.version;
-  for (const store::WatchBatch::Event& event : batch.events) {
-    this->observer.on_change(event);
-  }
+void CollectionFeed::store_answered() {
+  this->failures = 0;
+  this->report_regained("store");
+  this->listeners.on_store_word();
 }
 
 void CollectionFeed::report_lost(std::string_view reason) {
@@ -145,32 +186,32 @@
     return;
   }
   this->log.event(eventlog::Weight::kBelief, "store_lost")
-      .with("collection", this->collection)
-      .with("version", this->known)
+      .with("collection", this->known.name())
+      .with("version", this->known.version())
       .with("reason", reason);
   this->observer.on_lost();
 }
 
-void CollectionFeed::regained() {
-  this->failures = 0;
+void CollectionFeed::report_regained(std::string_view reason) {
   if (!std::exchange(this->is_lost, false)) {
     return;
   }
   this->log.event(eventlog::Weight::kBelief, "store_regained")
-      .with("collection", this->collection)
-      .with("version", this->known);
+      .with("collection", this->known.name())
+      .with("version", this->known.version())
+      .with("by", reason);
   this->observer.on_regained();
 }
 
 Duration CollectionFeed::next_pause(const Error& error) {
   this->log.event(eventlog::Weight::kBelief, "store_call_failed")
-      .with("collection", this->collection)
-      .with("version", this->known)
+      .with("collection", this->known.name())
+      .with("version", this->known.version())
       .with("failures", this->failures)
       .with("kind", error_entry(error.kind).name)
       .with("message", error.message);
   const Duration longest =
-      this->known == 0 ? kLongestFirstPause : kLongestPause;
+      this->known.version() == 0 ? kLongestFirstPause : kLongestPause;
   Duration time = kFirstPause;
   for (std::uint32_t i = 0; i < this->failures && time < longest; ++i) {
     time *= 2;
@@ -182,4 +223,4 @@
              : time;
 }
 
-}  // namespace ibismux::edge
+}  // namespace ibismux::feed
--- a/ibismux/edge/collection_feed.h
+++ b/ibismux/feed/collection_feed.h
@@ -1,43 +1,45 @@
-#ifndef IBISMUX_EDGE_COLLECTION_FEED_H_
-#define IBISMUX_EDGE_COLLECTION_FEED_H_
+#ifndef IBISMUX_FEED_COLLECTION_FEED_H_
+#define IBISMUX_FEED_COLLECTION_FEED_H_
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
 #include "ibismux/eventlog/forward.h"
+#include "ibismux/feed/collection_mirror.h"
+#include "ibismux/feed/feed_observer.h"
 #include "ibismux/http/socket.h"
 #include "ibismux/store/object_store.h"
 
-namespace ibismux::edge {
-
-/// Is told what a collection of the store holds. Called on the feed's loop.
-class FeedObserver {
- public:
-  virtual ~FeedObserver() = default;
-  virtual void on_listing(const store::Listing& listing) = 0;
-  virtual void on_change(const store::WatchBatch::Event& event) = 0;
-  /// The store doesn't answer; what was told grows old.
-  virtual void on_lost() {}
-  /// It answers again, and what is told from here on is new.
-  virtual void on_regained() {}
-};
+namespace ibismux::feed {
 
 /// Times of a feed.
 struct FeedSettings {
   std::chrono::milliseconds watch_wait{25'000};
   /// After a change: how long further ones may gather before the next call.
   std::chrono::milliseconds change_pause{300};
+  /// After the first reading: how long peers may offer to bring the news before
+  /// the first watch.
+  std::chrono::milliseconds first_pause{0};
 };
 
-/// Follows one collection of the store: reads it whole, then watches what
-/// changes, for as long as it lives.
+/// Follows one collection of the store, for as long as it lives: reads it whole
+/// and then watches what changes, or takes what peers bring.
 ///
 /// Belongs to one event loop; not thread safe.
 class CollectionFeed : public std::enable_shared_from_this<CollectionFeed> {
  public:
+  /// What else wants to know of the feed's news.
+  struct Listeners {
+    /// Something new was taken in, from the store or a peer.
+    std::function<void(const News&)> on_news = [](const News&) {};
+    /// The store has answered a call of this feed.
+    std::function<void()> on_store_word = [] {};
+  };
+
   /// All but `settings` outlive the feed.
   CollectionFeed(boost::asio::io_context& loop,
                  store::ObjectStore& store,
@@ -46,7 +48,12 @@
                  FeedObserver& observer,
                  eventlog::EventLog& log);
 
-  /// Begins. Called once.
+  /// Call before `start()`.
+  void set_listeners(Listeners listeners) {
+    this->listeners = std::move(listeners);
+  }
+
+  /// Begins to follow the store. Called once.
   void start();
 
   /// Reads the whole collection again and watches anew, whatever becomes of the
@@ -55,14 +62,24 @@
   /// it was sent meanwhile, also once it is back.
   void restart();
 
+  /// Stops calling the store: peers bring the news. A watch that waits still
+  /// counts when it is answered.
+  void suspend();
+
   /// The store has answered another call: a pause after a failure ends now.
   void retry_now();
 
-  /// The collection as of this version of the store is known; 0: not yet.
-  [[nodiscard]] store::Version version() const noexcept { return this->known; }
+  /// News from a peer.
+  void take(News news);
+
+  [[nodiscard]] const CollectionMirror& mirror() const noexcept {
+    return this->known;
+  }
 
-  /// The store is known not to answer, by another call than the feed's.
+  /// The store doesn't answer, or nobody brings news from it.
   void report_lost(std::string_view reason);
+  /// News can be had again. @param reason For the log.
+  void report_regained(std::string_view reason);
 
  private:
   /// Goes on until a later round begins.
@@ -74,25 +91,24 @@
   /// Waits for `time`, or until `retry_now()`.
   [[nodiscard]] static Task<void> pause(std::shared_ptr<CollectionFeed> self,
                                         Duration time);
-  void take(const store::Listing& listing);
-  void take(const store::WatchBatch& batch);
-  void regained();
+  void store_answered();
   [[nodiscard]] Duration next_pause(const Error& error);
 
   boost::asio::io_context& loop;
   store::ObjectStore& store;
-  const std::string collection;
   const FeedSettings settings;
   FeedObserver& observer;
   eventlog::EventLog& log;
+  Listeners listeners;
 
-  store::Version known = 0;
+  CollectionMirror known;
   bool is_lost = false;
+  bool first = true;
   std::uint64_t round = 0;
   std::uint32_t failures = 0;
   http::Timer pause_timer;
 };
 
-}  // namespace ibismux::edge
+}  // namespace ibismux::feed
 
-#endif  // IBISMUX_EDGE_COLLECTION_FEED_H_
+#endif  // IBISMUX_FEED_COLLECTION_FEED_H_
--- /dev/null
+++ b/ibismux/feed/collection_mirror.h
@@ -0,0 +1,49 @@
+#ifndef IBISMUX_FEED_COLLECTION_MIRROR_H_
+#define IBISMUX_FEED_COLLECTION_MIRROR_H_
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "ibismux/feed/messages.h"
+#include "ibismux/store/stored_object.h"
+
+namespace ibismux::feed {
+
+/// A collection of the store as this daemon knows it, whoever told it.
+///
+/// Its version only ever rises: news that is older than what is known, from a
+/// slow watch or a peer that lags, changes nothing. Not thread safe.
+class CollectionMirror {
+ public:
+  explicit CollectionMirror(std::string collection)
+      : collection(std::move(collection)) {}
+
+  [[nodiscard]] const std::string& name() const noexcept {
+    return this->collection;
+  }
+  /// The version of the store up to which all is known; 0: nothing yet.
+  [[nodiscard]] store::Version version() const noexcept { return this->known; }
+
+  /// Takes news in.
+  /// @return What is new in it, for those who follow; nothing where it is old,
+  /// or where there is a gap between what is known and what it begins with.
+  [[nodiscard]] std::optional<News> take(News news);
+
+  /// Whether `news` begins behind what is known, so that changes are missing.
+  [[nodiscard]] bool has_gap(const News& news) const noexcept {
+    return !news.whole && news.since > this->known;
+  }
+
+  /// All that is known.
+  [[nodiscard]] News whole() const;
+
+ private:
+  const std::string collection;
+  store::Version known = 0;
+  std::map<std::string, store::StoredObject, std::less<>> objects;
+};
+
+}  // namespace ibismux::feed
+
+#endif  // IBISMUX_FEED_COLLECTION_MIRROR_H_
--- /dev/null
+++ b/ibismux/feed/feed_relay.cc
@@ -0,0 +1,262 @@
+#include "ibismux/feed/feed_relay.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <utility>
+
+#include "ibismux/eventlog/event_log.h"
+#include "ibismux/feed/collection_feed.h"
+#include "ibismux/membership/membership_view.h"
+
+namespace ibismux::feed {
+
+namespace {
+
+namespace asio = boost::asio;
+using peer::MessageKind;
+using std::chrono::milliseconds;
+
+constexpr milliseconds kTick{250};
+// How often a daemon tells its children how fresh its knowledge is.
+constexpr milliseconds kBeat{500};
+constexpr milliseconds kPullTime{600};
+// Words of peers older than this leave the directory in doubt, as an outage of
+// the store does.
+constexpr milliseconds kLostAfter{2000};
+
+}  // namespace
+
+FeedRelay::FeedRelay(asio::io_context& loop,
+                     peer::PeerNetwork& network,
+                     SourceSettings settings,
+                     Feeds feeds,
+                     eventlog::EventLog& log)
+    : loop(loop),
+      network(network),
+      log(log),
+      feeds(std::move(feeds)),
+      choice(settings, Clock::now()),
+      next_beat(Clock::now()),
+      timer(loop.get_executor()) {}
+
+void FeedRelay::start() {
+  this->register_handlers();
+  const std::weak_ptr<FeedRelay> weak = this->weak_from_this();
+  for (const auto& feed : this->feeds) {
+    feed->set_listeners({.on_news =
+                             [weak](const News& news) {
+                               if (const auto self = weak.lock()) {
+                                 self->pass_on(news);
+                               }
+                             },
+                         .on_store_word =
+                             [weak] {
+                               if (const auto self = weak.lock()) {
+                                 self->on_store_word();
+                               }
+                             }});
+    feed->start();
+  }
+  this->tick();
+}
+
+void FeedRelay::register_handlers() {
+  const std::weak_ptr<FeedRelay> weak = this->weak_from_this();
+  this->network.on_notify(
+      MessageKind::kFeedPush,
+      [weak](const Incarnation& from, const std::string& payload) {
+        const auto self = weak.lock();
+        auto message = decode_push(payload);
+        if (self && message) {
+          self->take(from.member, *std::move(message));
+        } else if (self) {
+          self->log.event(eventlog::Weight::kBelief, "feed_push_refused")
+              .with("from", from.member)
+              .with("reason", message.error().message);
+        }
+      });
+  this->network.on_request(
+      MessageKind::kFeedPull,
+      [weak](Incarnation, std::string payload) -> Task<Result<std::string>> {
+        return answer_pull(weak.lock(), std::move(payload));
+      });
+}
+
+void FeedRelay::on_view(const membership::MembershipView& view) {
+  this->choice.on_view(view);
+}
+
+void FeedRelay::on_store_word() {
+  this->choice.on_store_word(Clock::now());
+}
+
+void FeedRelay::tick() {
+  const TimePoint now = Clock::now();
+  if (const auto whom = this->choice.tick(now)) {
+    this->pull(*whom);
+  }
+  this->switch_source();
+  if (this->in_use == Source::kPeers && this->choice.age(now) > kLostAfter) {
+    for (const auto& feed : this->feeds) {
+      feed->report_lost("no fresh word from peers");
+    }
+  }
+  if (now >= this->next_beat) {
+    this->next_beat = now + kBeat;
+    this->send_beat();
+  }
+  this->timer.expires_after(kTick);
+  this->timer.async_wait(
+      [weak = this->weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+          self->tick();
+        }
+      });
+}
+
+void FeedRelay::switch_source() {
+  const Source wanted = this->choice.source();
+  if (std::exchange(this->in_use, wanted) == wanted) {
+    return;
+  }
+  this->log.event(eventlog::Weight::kBelief, "feed_source")
+      .with("source", wanted == Source::kStore ? "store" : "peers")
+      .with("age_ms", this->choice.age(Clock::now()))
+      .with("watcher", this->choice.is_watcher());
+  for (const auto& feed : this->feeds) {
+    if (wanted == Source::kStore) {
+      feed->restart();
+    } else {
+      feed->suspend();
+    }
+  }
+}
+
+KnownVersions FeedRelay::known() const {
+  KnownVersions known;
+  for (const auto& feed : this->feeds) {
+    known[feed->mirror().name()] = feed->mirror().version();
+  }
+  return known;
+}
+
+CollectionFeed* FeedRelay::find(const std::string& collection) const {
+  const auto found = std::find_if(
+      this->feeds.begin(), this->feeds.end(),
+      [&](const auto& feed) { return feed->mirror().name() == collection; });
+  return found == this->feeds.end() ? nullptr : found->get();
+}
+
+void FeedRelay::notify_children(const PushMessage& message) {
+  if (this->choice.children().empty()) {
+    return;
+  }
+  const std::string payload = encode(message);
+  for (const std::string& child : this->choice.children()) {
+    this->network.notify(child, MessageKind::kFeedPush, payload);
+  }
+}
+
+void FeedRelay::pass_on(const News& news) {
+  PushMessage message;
+  message.age = this->choice.age(Clock::now());
+  message.known = this->known();
+  // A listing is long, and most children have it; those that lack it ask.
+  if (!news.whole) {
+    message.news.push_back(news);
+  }
+  this->notify_children(message);
+}
+
+void FeedRelay::send_beat() {
+  PushMessage message;
+  message.age = this->choice.age(Clock::now());
+  message.known = this->known();
+  this->notify_children(message);
+}
+
+void FeedRelay::take(const std::string& from, PushMessage message) {
+  const TimePoint now = Clock::now();
+  this->choice.on_peer_word(message.age, now);
+  if (this->in_use == Source::kPeers && message.age < kLostAfter) {
+    // Before the news: what is missing from it may be a living leaf whose entry
+    // lapsed while nobody heard from the store.
+    for (const auto& feed : this->feeds) {
+      feed->report_regained("peers");
+    }
+  }
+  for (News& news : message.news) {
+    if (CollectionFeed* feed = this->find(news.collection)) {
+      feed->take(std::move(news));
+    }
+  }
+  const bool behind = std::any_of(
+      message.known.begin(), message.known.end(), [this](const auto& row) {
+        const CollectionFeed* feed = this->find(row.first);
+        return feed && feed->mirror().version() < row.second;
+      });
+  if (behind) {
+    this->pull(from);
+  }
+}
+
+void FeedRelay::pull(std::string from) {
+  if (std::exchange(this->pulling, true)) {
+    return;
+  }
+  asio::co_spawn(this->loop,
+                 run_pull(this->shared_from_this(), std::move(from)),
+                 asio::detached);
+}
+
+Task<void> FeedRelay::run_pull(std::shared_ptr<FeedRelay> self,
+                               std::string from) {
+  std::string payload = encode(PullMessage{self->known()});
+  std::string target = from;
+  auto response = co_await self->network.request(
+      std::move(target), MessageKind::kFeedPull, std::move(payload),
+      Clock::now() + kPullTime);
+  self->pulling = false;
+  if (!response) {
+    self->log.event(eventlog::Weight::kBelief, "feed_pull_failed")
+        .with("from", from)
+        .with("reason", response.error().message);
+    co_return;
+  }
+  auto message = decode_push(*response);
+  if (!message) {
+    self->log.event(eventlog::Weight::kBelief, "feed_pull_refused")
+        .with("from", from)
+        .with("reason", message.error().message);
+    co_return;
+  }
+  self->take(from, *std::move(message));
+}
+
+Task<Result<std::string>> FeedRelay::answer_pull(
+    std::shared_ptr<FeedRelay> self,
+    std::string payload) {
+  if (!self) {
+    co_return fail(ErrorKind::kNotReady, "no feeds here");
+  }
+  const auto question = decode_pull(payload);
+  if (!question) {
+    co_return tl::unexpected(question.error());
+  }
+  PushMessage answer;
+  answer.age = self->choice.age(Clock::now());
+  answer.known = self->known();
+  for (const auto& feed : self->feeds) {
+    const auto theirs = question->have.find(feed->mirror().name());
+    const store::Version have =
+        theirs == question->have.end() ? 0 : theirs->second;
+    if (feed->mirror().version() > have) {
+      answer.news.push_back(feed->mirror().whole());
+    }
+  }
+  co_return encode(answer);
+}
+
+}  // namespace ibismux::feed
--- /dev/null
+++ b/ibismux/feed/feed_relay.h
@@ -0,0 +1,92 @@
+#ifndef IBISMUX_FEED_FEED_RELAY_H_
+#define IBISMUX_FEED_FEED_RELAY_H_
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "ibismux/base/ids.h"
+#include "ibismux/base/task.h"
+#include "ibismux/base/time.h"
+#include "ibismux/eventlog/forward.h"
+#include "ibismux/feed/messages.h"
+#include "ibismux/feed/source_choice.h"
+#include "ibismux/http/socket.h"
+#include "ibismux/membership/forward.h"
+#include "ibismux/peer/peer_network.h"
+
+namespace ibismux::feed {
+
+class CollectionFeed;
+
+/// Passes news of the store on between daemons, and switches this daemon's
+/// feeds between the store and its peers.
+///
+/// Belongs to one event loop, which is also the network's; not thread safe.
+class FeedRelay : public std::enable_shared_from_this<FeedRelay> {
+ public:
+  using Feeds = std::vector<std::shared_ptr<CollectionFeed>>;
+
+  /// Precondition: neither the network nor the feeds have started. `loop`,
+  /// `network` and `log` outlive this.
+  FeedRelay(boost::asio::io_context& loop,
+            peer::PeerNetwork& network,
+            SourceSettings settings,
+            Feeds feeds,
+            eventlog::EventLog& log);
+
+  /// Registers handlers and listeners, starts the feeds and begins. Called
+  /// once, before the network starts.
+  void start();
+
+  /// The members have changed.
+  void on_view(const membership::MembershipView& view);
+
+  /// The store answered this daemon, whatever the call.
+  void on_store_word();
+
+  /// Whether this daemon follows the store itself.
+  [[nodiscard]] bool follows_store() const noexcept {
+    return this->choice.source() == Source::kStore;
+  }
+  /// One of the few that follow the store for their zone.
+  [[nodiscard]] bool is_watcher() const noexcept {
+    return this->choice.is_watcher();
+  }
+  /// How old the last word from the store is, whoever brought it.
+  [[nodiscard]] Duration age() const noexcept {
+    return this->choice.age(Clock::now());
+  }
+
+ private:
+  void register_handlers();
+  void tick();
+  void switch_source();
+  void pass_on(const News& news);
+  void send_beat();
+  void take(const std::string& from, PushMessage message);
+  void pull(std::string from);
+  [[nodiscard]] static Task<void> run_pull(std::shared_ptr<FeedRelay> self,
+                                           std::string from);
+  [[nodiscard]] static Task<Result<std::string>> answer_pull(
+      std::shared_ptr<FeedRelay> self,
+      std::string payload);
+  [[nodiscard]] KnownVersions known() const;
+  [[nodiscard]] CollectionFeed* find(const std::string& collection) const;
+  void notify_children(const PushMessage& message);
+
+  boost::asio::io_context& loop;
+  peer::PeerNetwork& network;
+  eventlog::EventLog& log;
+  const Feeds feeds;
+  SourceChoice choice;
+  Source in_use = Source::kStore;
+  bool pulling = false;
+  TimePoint next_beat;
+  http::Timer timer;
+};
+
+}  // namespace ibismux::feed
+
+#endif  // IBISMUX_FEED_FEED_RELAY_H_
--- /dev/null
+++ b/ibismux/feed/forward.h
@@ -0,0 +1,20 @@
+#ifndef IBISMUX_FEED_FORWARD_H_
+#define IBISMUX_FEED_FORWARD_H_
+
+namespace ibismux::feed {
+
+enum class Origin : unsigned char;
+enum class Source : unsigned char;
+struct FeedSettings;
+struct News;
+struct PullMessage;
+struct PushMessage;
+class CollectionFeed;
+class CollectionMirror;
+class FeedObserver;
+class FeedRelay;
+class SourceChoice;
+
+}  // namespace ibismux::feed
+
+#endif  // IBISMUX_FEED_FORWARD_H_
--- /dev/null
+++ b/ibismux/feed/source_choice.cc
@@ -0,0 +1,73 @@
+#include "ibismux/feed/source_choice.h"
+
+#include <algorithm>
+
+#include "ibismux/membership/membership_view.h"
+
+namespace ibismux::feed {
+
+SourceChoice::SourceChoice(SourceSettings settings, TimePoint now)
+    : settings(settings),
+      tree(settings.watchers, settings.fan_out),
+      confirmed(now - settings.self_help_after),
+      by_peers_until(now),
+      next_question(now) {}
+
+void SourceChoice::on_view(const membership::MembershipView& view) {
+  this->tree.rebuild(view);
+  // A daemon without a place in its own view has not met the others yet.
+  this->watches = this->tree.watches() || !view.joined;
+}
+
+void SourceChoice::on_store_word(TimePoint now) {
+  this->confirmed = std::max(this->confirmed, now);
+}
+
+void SourceChoice::on_peer_word(Duration age, TimePoint now) {
+  // A peer's clock plays no part: it says how long ago, not when.
+  this->confirmed = std::max(this->confirmed, now - age);
+  const TimePoint until = now - age + this->settings.fresh_for;
+  if (until < now) {
+    return;
+  }
+  if (this->by_peers_until < now) {
+    this->trusted_from = now;
+  }
+  this->by_peers_until = std::max(this->by_peers_until, until);
+}
+
+std::optional<std::string> SourceChoice::tick(TimePoint now) {
+  this->choose(now);
+  const bool needs_word = this->age(now) >= this->settings.fresh_for;
+  if (!needs_word || now < this->next_question) {
+    return std::nullopt;
+  }
+  this->next_question = now + this->settings.ask_interval;
+  return this->next_to_ask();
+}
+
+void SourceChoice::choose(TimePoint now) {
+  if (this->watches) {
+    this->current = Source::kStore;
+    return;
+  }
+  const bool fresh = now <= this->by_peers_until;
+  if (this->current == Source::kStore) {
+    if (fresh && now - this->trusted_from >= this->settings.trust_after) {
+      this->current = Source::kPeers;
+    }
+  } else if (this->age(now) >= this->settings.self_help_after) {
+    this->current = Source::kStore;
+    this->trusted_from = TimePoint::max();
+  }
+}
+
+std::optional<std::string> SourceChoice::next_to_ask() {
+  const auto& others = this->tree.entries();
+  if (others.empty()) {
+    return std::nullopt;
+  }
+  return others[this->turn++ % others.size()];
+}
+
+}  // namespace ibismux::feed
--- /dev/null
+++ b/ibismux/feed/source_choice.h
@@ -0,0 +1,95 @@
+#ifndef IBISMUX_FEED_SOURCE_CHOICE_H_
+#define IBISMUX_FEED_SOURCE_CHOICE_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ibismux/base/time.h"
+#include "ibismux/membership/forward.h"
+#include "ibismux/membership/spread_tree.h"
+
+namespace ibismux::feed {
+
+/// Where a daemon's news of the store comes from.
+enum class Source : unsigned char { kStore, kPeers };
+
+/// Pace of the choice of a source.
+struct SourceSettings {
+  /// Daemons of each zone that follow the store itself, whatever happens. Two,
+  /// so that the loss of one is bridged by the other.
+  std::size_t watchers = 2;
+  /// Most daemons that one passes news on to; a zone of more has a further
+  /// level.
+  std::size_t fan_out = 32;
+  /// News from peers whose last word from the store is older than this is not
+  /// relied on: others are asked. Watchers hear from the store each second at
+  /// least, and pass it on twice a second.
+  std::chrono::milliseconds fresh_for{1800};
+  /// From this age on the daemon reads the store itself. What leaves must take
+  /// no new work after three seconds.
+  std::chrono::milliseconds self_help_after{2300};
+  /// Between two questions to peers while there is no fresh word.
+  std::chrono::milliseconds ask_interval{300};
+  /// Fresh words from peers must come for so long before the daemon stops
+  /// following the store.
+  std::chrono::milliseconds trust_after{1500};
+};
+
+/// Decides whether a daemon follows the store itself or relies on its peers,
+/// and whom it asks when they fall silent.
+///
+/// Where every daemon of a large fleet watches the store, its calls and their
+/// price grow with the fleet times the changes. A few watchers in each zone and
+/// one message to each of the others bring the same news.
+///
+/// No sockets, no clock of its own; not thread safe.
+class SourceChoice {
+ public:
+  SourceChoice(SourceSettings settings, TimePoint now);
+
+  /// @name Inputs
+  /// @{
+  void on_view(const membership::MembershipView& view);
+  /// The store answered this daemon.
+  void on_store_word(TimePoint now);
+  /// A peer told how old its last word from the store is.
+  void on_peer_word(Duration age, TimePoint now);
+  /// To be called some times a second. @return Whom to ask for news, if any.
+  [[nodiscard]] std::optional<std::string> tick(TimePoint now);
+  /// @}
+
+  /// @name Outputs
+  /// @{
+  [[nodiscard]] Source source() const noexcept { return this->current; }
+  /// One of the few that follow the store for their zone.
+  [[nodiscard]] bool is_watcher() const noexcept { return this->watches; }
+  /// Whom news is passed on to.
+  [[nodiscard]] const std::vector<std::string>& children() const noexcept {
+    return this->tree.children();
+  }
+  /// How old the last word from the store is, whoever brought it.
+  [[nodiscard]] Duration age(TimePoint now) const noexcept {
+    return now - this->confirmed;
+  }
+  /// @}
+
+ private:
+  void choose(TimePoint now);
+  [[nodiscard]] std::optional<std::string> next_to_ask();
+
+  const SourceSettings settings;
+  membership::SpreadTree tree;
+  bool watches = true;
+  Source current = Source::kStore;
+  TimePoint confirmed;       ///< The last word from the store was said then.
+  TimePoint by_peers_until;  ///< Words of peers are fresh up to here.
+  TimePoint trusted_from = TimePoint::max();  ///< Since when without a gap.
+  TimePoint next_question;
+  std::size_t turn = 0;
+};
+
+}  // namespace ibismux::feed
+
+#endif  // IBISMUX_FEED_SOURCE_CHOICE_H_
--- a/ibismux/membership/forward.h
+++ b/ibismux/membership/forward.h
@@ -14,6 +14,7 @@
 class MemberTable;
 class MembershipEngine;
 class MembershipService;
+class SpreadTree;
 
 }  // namespace ibismux::membership
 
--- a/ibismux/relay/spread_tree.cc
+++ b/ibismux/membership/spread_tree.cc
@@ -1,26 +1,26 @@
-#include "ibismux/relay/spread_tree.h"
+#include "ibismux/membership/spread_tree.h"
 
 #include <algorithm>
 #include <utility>
 
 #include "ibismux/membership/member_record.h"
 
-namespace ibismux::relay {
+namespace ibismux::membership {
 
 namespace {
 
 constexpr std::uint64_t kTreeSalt = 32;
 
 std::pair<std::uint64_t, std::string> key_of(const std::string& name) {
-  return {membership::name_hash(name, kTreeSalt), name};
+  return {name_hash(name, kTreeSalt), name};
 }
 
 }  // namespace
 
-SpreadTree::Zones SpreadTree::order(const membership::MembershipView& view) {
+SpreadTree::Zones SpreadTree::order(const MembershipView& view) {
   std::map<std::string, std::vector<std::pair<std::uint64_t, std::string>>>
       keyed;
-  for (const membership::Member& member : view.members) {
+  for (const Member& member : view.members) {
     if (member.serves()) {
       keyed[member.zone].push_back(key_of(member.name));
     }
@@ -35,7 +35,7 @@
   return zones;
 }
 
-void SpreadTree::rebuild(const membership::MembershipView& view) {
+void SpreadTree::rebuild(const MembershipView& view) {
   this->watcher = false;
   this->above.reset();
   this->below.clear();
@@ -73,4 +73,4 @@
   }
 }
 
-}  // namespace ibismux::relay
+}  // namespace ibismux::membership
--- a/ibismux/relay/spread_tree.h
+++ b/ibismux/membership/spread_tree.h
@@ -1,5 +1,5 @@
-#ifndef IBISMUX_RELAY_SPREAD_TREE_H_
-#define IBISMUX_RELAY_SPREAD_TREE_H_
+#ifndef IBISMUX_MEMBERSHIP_SPREAD_TREE_H_
+#define IBISMUX_MEMBERSHIP_SPREAD_TREE_H_
 
 #include <cstddef>
 #include <map>
@@ -9,7 +9,7 @@
 
 #include "ibismux/membership/membership_view.h"
 
-namespace ibismux::relay {
+namespace ibismux::membership {
 
 /// One daemon's place in the trees down which releases go: a tree for each
 /// availability zone, so that a release crosses between zones once.
@@ -23,7 +23,7 @@
   SpreadTree(std::size_t watchers, std::size_t fan_out)
       : watchers(watchers), fan_out(fan_out) {}
 
-  void rebuild(const membership::MembershipView& view);
+  void rebuild(const MembershipView& view);
 
   /// Whether this daemon watches the platform for its zone.
   [[nodiscard]] bool watches() const noexcept { return this->watcher; }
@@ -49,7 +49,7 @@
 
  private:
   using Zones = std::map<std::string, std::vector<std::string>>;
-  static Zones order(const membership::MembershipView& view);
+  static Zones order(const MembershipView& view);
   void place(const std::string& self, const std::vector<std::string>& zone);
 
   std::size_t watchers;
@@ -62,6 +62,6 @@
   std::size_t rank = 0;
 };
 
-}  // namespace ibismux::relay
+}  // namespace ibismux::membership
 
-#endif  // IBISMUX_RELAY_SPREAD_TREE_H_
+#endif  // IBISMUX_MEMBERSHIP_SPREAD_TREE_H_
--- a/ibismux/peer/peer_network.h
+++ b/ibismux/peer/peer_network.h
@@ -19,6 +19,7 @@
   kLeafCancels = 3,  ///< Entry to gateway.
   kGossip = 4,       ///< Membership changes.
   kReleasePush = 5,  ///< A new head, down the tree.
+  kFeedPush = 6,     ///< News of the platform's store, and how fresh it is.
   // Request and response.
   kProbe = 16,
   kIndirectProbe = 17,
@@ -27,7 +28,8 @@
   kRecord = 20,        ///< Reservation outcome, to the bucket's owner.
   kAskKey = 21,
   kTicketRun = 22,
-  kInForce = 23,  ///< Lowest generation of a subtree.
+  kInForce = 23,   ///< Lowest generation of a subtree.
+  kFeedPull = 24,  ///< "What is newer in the store than this?"
 };
 
 /// Typed frames between this daemon and its peers.
--- a/ibismux/relay/forward.h
+++ b/ibismux/relay/forward.h
@@ -7,7 +7,6 @@
 struct RelaySettings;
 class RelayEngine;
 class RelayService;
-class SpreadTree;
 class Tallies;
 
 }  // namespace ibismux::relay
--- a/ibismux/settings/field.cc
+++ b/ibismux/settings/field.cc
@@ -53,18 +53,24 @@
          is_address(text.substr(0, colon));
 }
 
+bool is_endpoint_or_none(std::string_view text) {
+  return text.empty() || is_endpoint(text);
+}
+
 /// What each form takes, in words, and the check.
 struct FormEntry {
   std::string_view words;
   bool (*check)(std::string_view);
 };
 
-constexpr std::array<FormEntry, 5> kForms = {{
+constexpr std::array<FormEntry, 6> kForms = {{
     {"1 to 64 letters, digits, '-', '_' or '.'", is_name},
     {"an IP number", is_address},
     {"an IP number of this host", is_host_address},
     {"\"gateway\" or \"direct\"", is_ownership},
     {"an IP number and a port, as in 10.0.0.1:80", is_endpoint},
+    {"an IP number and a port, as in 10.0.0.1:80, or nothing",
+     is_endpoint_or_none},
 }};
 
 const FormEntry& form_entry(TextForm form) noexcept {
--- a/ibismux/settings/field.h
+++ b/ibismux/settings/field.h
@@ -19,6 +19,7 @@
   kHostAddress,
   kOwnership,
   kEndpoint,
+  kEndpointOrNone,
 };
 
 /// What `form` takes, in words. Thread safe.
@@ -99,7 +100,8 @@
            std::to_string(field.most);
   }
   [[nodiscard]] static std::string describe(const RealField<S>& field) {
-    return "a number from " + boost::json::serialize(boost::json::value(field.least)) + " to " +
+    return "a number from " +
+           boost::json::serialize(boost::json::value(field.least)) + " to " +
            boost::json::serialize(boost::json::value(field.most));
   }
   [[nodiscard]] static std::string describe(const MillisField<S>& field) {
--- a/ibismux/store/http_object_store.cc
+++ b/ibismux/store/http_object_store.cc
@@ -266,11 +266,8 @@
                                                       std::string name,
                                                       TimePoint deadline) {
   auto request = this->impl->dialect->stale_get(collection, name);
-  if (!request) {
-    co_return fail(ErrorKind::kNotFound, "this API has no cheap reads");
-  }
   auto response = co_await Impl::timed_call(this->impl, CallKind::kRead,
-                                            *std::move(request), deadline);
+                                            std::move(request), deadline);
   if (!response) {
     co_return tl::unexpected(std::move(response.error()));
   }
--- a/ibismux/store/http_object_store.h
+++ b/ibismux/store/http_object_store.h
@@ -55,6 +55,10 @@
       std::chrono::milliseconds wait) override;
   [[nodiscard]] Task<Result<std::vector<HostEntry>>> hosts(
       TimePoint deadline) override;
+  [[nodiscard]] Task<Result<StoredObject>> stale_get(
+      std::string collection,
+      std::string name,
+      TimePoint deadline) override;
   [[nodiscard]] Task<Result<Version>> put(std::string collection,
                                           std::string name,
                                           std::string value,
@@ -66,12 +70,6 @@
                                           TimePoint deadline) override;
   /// @}
 
-  /// A read that may be answered from old state, at a fraction of the price.
-  /// Fails with kNotFound where the API has no such reads. Thread safe.
-  [[nodiscard]] Task<Result<StoredObject>> stale_get(std::string collection,
-                                                     std::string name,
-                                                     TimePoint deadline);
-
   /// What the last calls say about the platform. Thread safe.
   [[nodiscard]] PlatformState state() const noexcept;
 
--- a/ibismux/store/object_store.h
+++ b/ibismux/store/object_store.h
@@ -2,6 +2,7 @@
 #define IBISMUX_STORE_OBJECT_STORE_H_
 
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "ibismux/base/error.h"
@@ -39,6 +40,12 @@
       std::chrono::milliseconds wait) = 0;
   [[nodiscard]] virtual Task<Result<std::vector<HostEntry>>> hosts(
       TimePoint deadline) = 0;
+  /// A read that may be answered from state some seconds old, at a fraction of
+  /// the price where the API has such reads, and an ordinary one elsewhere.
+  [[nodiscard]] virtual Task<Result<StoredObject>>
+  stale_get(std::string collection, std::string name, TimePoint deadline) {
+    return this->get(std::move(collection), std::move(name), deadline);
+  }
   /// @}
 
   /// @name Conditional writes
--- a/ibismux/store/own_dialect.cc
+++ b/ibismux/store/own_dialect.cc
@@ -60,11 +60,6 @@
   return request_to("GET", std::string(wire::kHostsPath));
 }
 
-std::optional<http::Request> OwnDialect::stale_get(std::string_view,
-                                                   std::string_view) const {
-  return std::nullopt;
-}
-
 Result<StoredObject> OwnDialect::read_object(
     std::string_view collection,
     std::string_view name,
--- a/ibismux/store/own_dialect.h
+++ b/ibismux/store/own_dialect.h
@@ -24,9 +24,6 @@
                                      std::string_view name,
                                      Version expected) const override;
   [[nodiscard]] std::optional<http::Request> hosts() const override;
-  [[nodiscard]] std::optional<http::Request> stale_get(
-      std::string_view collection,
-      std::string_view name) const override;
 
   [[nodiscard]] int conflict_status() const noexcept override { return 412; }
   [[nodiscard]] Result<StoredObject> read_object(
--- a/ibismux/store/store_dialect.h
+++ b/ibismux/store/store_dialect.h
@@ -8,7 +8,7 @@
 
 #include "ibismux/base/error.h"
 #include "ibismux/base/time.h"
-#include "ibismux/http/forward.h"
+#include "ibismux/http/message.h"
 #include "ibismux/store/stored_object.h"
 
 namespace ibismux::store {
@@ -51,11 +51,12 @@
   /// Absent where the API has no list of hosts.
   [[nodiscard]] virtual std::optional<http::Request> hosts() const = 0;
 
-  /// A read that may be answered from old state and costs the store little; it
-  /// shows whether the store answers at all. Absent where there is none.
-  [[nodiscard]] virtual std::optional<http::Request> stale_get(
-      std::string_view collection,
-      std::string_view name) const = 0;
+  /// A read that may be answered from old state and costs the store little, or
+  /// an ordinary one where there is none.
+  [[nodiscard]] virtual http::Request stale_get(std::string_view collection,
+                                                std::string_view name) const {
+    return this->get(collection, name);
+  }
   /// @}
 
   /// @name Answers with status 200
--- a/tests/relay/relay_engine_test.cc
+++ b/tests/relay/relay_engine_test.cc
@@ -38,7 +38,7 @@
   std::size_t watchers = 0;
   for (std::size_t i = 0; i < kMembers; ++i) {
     const MembershipView view = view_of(kMembers, 3, i);
-    SpreadTree tree(2, 8);
+    membership::SpreadTree tree(2, 8);
     tree.rebuild(view);
     cr_assert(tree.children().size() <= 8);
     roots += tree.parent() ? 0 : 1;
@@ -61,7 +61,7 @@
 Test(spread_tree, ranks_order_the_whole_fleet) {
   std::set<std::size_t> ranks;
   for (std::size_t i = 0; i < 30; ++i) {
-    SpreadTree tree(2, 8);
+    membership::SpreadTree tree(2, 8);
     tree.rebuild(view_of(30, 3, i));
     ranks.insert(tree.fleet_rank());
   }
--- /dev/null
+++ b/thrift/feed.thrift
@@ -0,0 +1,40 @@
+/// How daemons pass on what they read from the platform's store.
+/// docs/design/feeds.md says why.
+namespace cpp ibismux.feed.wire
+
+/// One object, or its removal.
+struct Item {
+  1: string name
+  2: i64 version
+  3: binary value
+  4: bool removed
+}
+
+/// A collection's changes between two versions of the store, or all of it.
+struct News {
+  1: string collection
+  /// Changes after this version; not used where `whole` is set.
+  2: i64 since
+  3: i64 version
+  4: bool whole
+  5: list<Item> items
+}
+
+/// Up to which version the sender knows a collection.
+struct Known {
+  1: string collection
+  2: i64 version
+}
+
+/// kFeedPush, and the answer to kFeedPull: news, and how old the sender's last
+/// word from the store is, in milliseconds.
+struct Push {
+  1: i64 age_ms
+  2: list<Known> known
+  3: list<News> news
+}
+
+/// kFeedPull: "what is newer than this?"
+struct Pull {
+  1: list<Known> have
+}
