Share among a zone's daemons how leafs fare; keep few links where leafs accept few

Cause, at 77 daemons of two requests a second each: every daemon learned by itself that one of 108 leafs is slow, over seconds and at the cost of its repeats. Now each reports notable leafs to the first of its zone twice a second and hears the sum. Links follow a plan: the even part where there are two for each daemon, a kept part of the replicas where there are fewer. At a first start few daemons read the store.

--- a/ibismux/dispatch/dispatch_settings.h
+++ b/ibismux/dispatch/dispatch_settings.h
@@ -20,7 +20,7 @@
   double repeat_slack = 50;
 
   /// Daemons that are reckoned with until it is known how many there are.
-  std::size_t hosts = 40;
+  std::size_t hosts = 10;
 
   /// What a leaf of another zone must be better by, as a share of the route's
   /// objective: traffic between zones is paid for.
--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -7,7 +7,6 @@
 #include <utility>
 
 #include "ibismux/dispatch/forward_run.h"
-#include "ibismux/dispatch/link_share.h"
 #include "ibismux/dispatch/scatter_run.h"
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/http/cancel_token.h"
@@ -31,9 +30,9 @@
 constexpr double kMostBurst = 6;
 
 /// This daemon's part of the repeats that a service bears beyond the share.
-double repeat_burst(const DispatchSettings& settings) {
+double repeat_burst(const DispatchSettings& settings, std::size_t hosts) {
   return std::min(kMostBurst,
-                  settings.repeat_slack / static_cast<double>(settings.hosts));
+                  settings.repeat_slack / static_cast<double>(hosts));
 }
 
 using OutcomeHandler =
@@ -50,7 +49,10 @@
       connector(connector),
       settings(std::move(settings)),
       metrics(registry),
-      log(log) {}
+      log(log) {
+  this->fleet.hosts = this->settings.hosts;
+  this->fleet.zone = this->settings.zone;
+}
 
 bool Dispatcher::put_in_force(
     std::shared_ptr<const routing::RouteTable> table) {
@@ -74,39 +76,40 @@
   return true;
 }
 
-void Dispatcher::set_fleet(
-    std::size_t hosts,
-    std::map<std::string, std::size_t, std::less<>> by_zone) {
-  hosts = std::max<std::size_t>(1, hosts);
-  if (hosts == this->settings.hosts && by_zone == this->hosts_by_zone) {
+void Dispatcher::set_fleet(LinkSharers fleet) {
+  fleet.zone = this->settings.zone;
+  if (fleet.hosts == this->fleet.hosts && fleet.rank == this->fleet.rank &&
+      fleet.hosts_by_zone == this->fleet.hosts_by_zone) {
     return;
   }
   this->log.event(eventlog::Weight::kBelief, "fleet_size")
-      .with("hosts", hosts)
-      .with("before", this->settings.hosts);
-  this->settings.hosts = hosts;
-  this->hosts_by_zone = std::move(by_zone);
+      .with("hosts", fleet.hosts)
+      .with("rank", fleet.rank)
+      .with("before", this->fleet.hosts);
+  this->fleet = std::move(fleet);
   this->share_links();
   for (const auto& [name, group] : this->groups) {
-    group->set_repeat_burst(repeat_burst(this->settings));
+    group->set_repeat_burst(repeat_burst(this->settings, this->fleet.hosts));
   }
 }
 
-std::size_t Dispatcher::most_links(const directory::LeafEntry& leaf) const {
-  const routing::ServiceSpec* spec =
-      this->in_force ? this->in_force->service(leaf.service) : nullptr;
-  LinkSharers sharers;
-  sharers.hosts = this->settings.hosts;
-  const auto zone = this->hosts_by_zone.find(leaf.zone);
-  sharers.zone_hosts = zone == this->hosts_by_zone.end() ? 1 : zone->second;
-  sharers.same_zone = leaf.zone == this->settings.zone;
-  return link_share(spec ? spec->leaf_connections : 0, sharers,
-                    this->settings.member, leaf.instance);
+void Dispatcher::share_links() {
+  for (const auto& [name, group] : this->groups) {
+    this->share_links(*group);
+  }
 }
 
-void Dispatcher::share_links() {
-  for (const auto& [instance, leaf] : this->leafs) {
-    leaf->set_most_links(this->most_links(leaf->entry()));
+void Dispatcher::share_links(const ServiceGroup& group) {
+  const routing::ServiceSpec* spec =
+      this->in_force ? this->in_force->service(group.name()) : nullptr;
+  std::vector<Replica> replicas;
+  for (const auto& leaf : group.leafs()) {
+    replicas.push_back({leaf->entry().zone, spec ? spec->leaf_connections : 0,
+                        leaf->entry().slots});
+  }
+  const std::vector<LinkGrant> grants = plan_links(replicas, this->fleet);
+  for (std::size_t i = 0; i < grants.size(); ++i) {
+    group.leafs()[i]->grant_links(grants[i]);
   }
 }
 
@@ -133,9 +136,9 @@
                                          group->serve_waiting();
                                        }
                                      });
-  leaf->set_most_links(this->most_links(entry));
   this->leafs.emplace(entry.instance, leaf);
   group->add(std::move(leaf));
+  this->share_links(*group);
 }
 
 void Dispatcher::on_leaf_gone(const std::string& instance,
@@ -154,14 +157,43 @@
   const auto group = this->groups.find(leaf->entry().service);
   if (group != this->groups.end()) {
     group->second->remove(*leaf);
+    this->share_links(*group->second);
+  }
+}
+
+std::vector<reports::LeafReport> Dispatcher::take_reports() {
+  const TimePoint now = Clock::now();
+  std::vector<reports::LeafReport> all;
+  for (const auto& [instance, leaf] : this->leafs) {
+    const LeafEstimate::Seen seen = leaf->estimate().take_seen();
+    if (seen.samples == 0) {
+      continue;
+    }
+    reports::LeafReport report{instance, seen.samples,
+                               seen.excess / seen.samples,
+                               seen.failures / seen.samples};
+    // One that others hold to be slow is worth a word when it is fast again.
+    if (report.is_notable() || leaf->estimate().is_talked_of(now)) {
+      all.push_back(std::move(report));
+    }
+  }
+  return all;
+}
+
+void Dispatcher::on_report(const reports::LeafReport& report) {
+  const auto known = this->leafs.find(report.instance);
+  if (known != this->leafs.end()) {
+    known->second->estimate().hear(report.excess, report.failures,
+                                   report.samples, Clock::now());
   }
 }
 
 std::shared_ptr<ServiceGroup> Dispatcher::group(const std::string& service) {
   auto& group = this->groups[service];
   if (!group) {
-    group = std::make_shared<ServiceGroup>(service, this->settings,
-                                           repeat_burst(this->settings));
+    group = std::make_shared<ServiceGroup>(
+        service, this->settings,
+        repeat_burst(this->settings, this->fleet.hosts));
   }
   return group;
 }
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -13,10 +13,12 @@
 #include "ibismux/dispatch/dispatch_metrics.h"
 #include "ibismux/dispatch/dispatch_settings.h"
 #include "ibismux/dispatch/leaf.h"
+#include "ibismux/dispatch/link_plan.h"
 #include "ibismux/dispatch/service_group.h"
 #include "ibismux/dispatch/typical_latency.h"
 #include "ibismux/eventlog/forward.h"
 #include "ibismux/http/forward.h"
+#include "ibismux/reports/report_exchange.h"
 #include "ibismux/routing/route_table.h"
 #include "ibismux/routing/split_rotation.h"
 
@@ -26,7 +28,8 @@
 /// leafs as they are now.
 ///
 /// Belongs to one event loop; not thread safe.
-class Dispatcher : public directory::DirectoryListener {
+class Dispatcher : public directory::DirectoryListener,
+                   public reports::ReportParty {
  public:
   /// All but `settings` outlive the dispatcher and its requests.
   Dispatcher(boost::asio::io_context& loop,
@@ -46,9 +49,8 @@
     return this->in_force;
   }
 
-  /// How many daemons share what leafs and services bear.
-  void set_fleet(std::size_t hosts,
-                 std::map<std::string, std::size_t, std::less<>> by_zone);
+  /// Which daemons share what leafs and services bear; the zone is filled in.
+  void set_fleet(LinkSharers fleet);
 
   /// @name DirectoryListener
   /// @{
@@ -57,6 +59,12 @@
                     std::string_view reason) override;
   /// @}
 
+  /// @name ReportParty
+  /// @{
+  [[nodiscard]] std::vector<reports::LeafReport> take_reports() override;
+  void on_report(const reports::LeafReport& report) override;
+  /// @}
+
   /// Serves one request; ends by the caller's deadline and the route's limit.
   /// @param caller Tells when the caller goes.
   [[nodiscard]] Task<Outcome> handle(CallerRequest request,
@@ -68,8 +76,8 @@
       const routing::Route& route);
   [[nodiscard]] std::vector<std::shared_ptr<ServiceGroup>> targets(
       const routing::Route& route);
-  [[nodiscard]] std::size_t most_links(const directory::LeafEntry& leaf) const;
   void share_links();
+  void share_links(const ServiceGroup& group);
   [[nodiscard]] Outcome refuse(const CallerRequest& request,
                                Error error,
                                const routing::Route* route);
@@ -77,7 +85,7 @@
   boost::asio::io_context& loop;
   const LeafConnector& connector;
   DispatchSettings settings;
-  std::map<std::string, std::size_t, std::less<>> hosts_by_zone;
+  LinkSharers fleet;
   DispatchMetrics metrics;
   eventlog::EventLog& log;
 
--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -44,6 +44,14 @@
   this->known = entry;
 }
 
+void Leaf::grant_links(LinkGrant grant) {
+  this->grant = grant;
+  if (!grant.keep) {
+    this->open_links -= this->idle.size();
+    this->idle.clear();
+  }
+}
+
 void Leaf::retire() {
   this->retired = true;
   this->open_links -= this->idle.size();
@@ -127,7 +135,7 @@
 }
 
 void Leaf::give_back(std::unique_ptr<LeafLink> link) {
-  if (this->retired || !link->usable()) {
+  if (this->retired || !this->grant.keep || !link->usable()) {
     --this->open_links;
     return;
   }
--- a/ibismux/dispatch/leaf.h
+++ b/ibismux/dispatch/leaf.h
@@ -14,6 +14,7 @@
 #include "ibismux/directory/leaf_entry.h"
 #include "ibismux/dispatch/leaf_estimate.h"
 #include "ibismux/dispatch/leaf_link.h"
+#include "ibismux/dispatch/link_plan.h"
 #include "ibismux/eventlog/forward.h"
 
 namespace ibismux::dispatch {
@@ -83,8 +84,9 @@
     return !this->idle.empty();
   }
   [[nodiscard]] bool has_room() const noexcept {
-    return !this->idle.empty() || this->open_links < this->most_links;
+    return !this->idle.empty() || this->open_links < this->grant.most;
   }
+  [[nodiscard]] LeafEstimate& estimate() noexcept { return this->numbers; }
   [[nodiscard]] const LeafEstimate& estimate() const noexcept {
     return this->numbers;
   }
@@ -94,8 +96,11 @@
   [[nodiscard]] Duration until_retry(TimePoint now) const noexcept;
   /// @}
 
-  /// How many links this daemon may have to the leaf, idle ones included.
-  void set_most_links(std::size_t most) noexcept { this->most_links = most; }
+  /// How many links this daemon may have to the leaf, and whether idle ones
+  /// stay open.
+  void grant_links(LinkGrant grant);
+  /// Whether this daemon keeps links here; elsewhere the leaf is a last resort.
+  [[nodiscard]] bool keeps_links() const noexcept { return this->grant.keep; }
 
   /// Begins a call. Precondition: `has_room()`.
   void start(Order order);
@@ -132,7 +137,7 @@
   directory::LeafEntry known;
   const std::function<void()> on_free;
 
-  std::size_t most_links = 2;
+  LinkGrant grant;
   std::size_t open_links = 0;  ///< Idle, busy or being opened.
   std::size_t orders = 0;
   std::vector<std::unique_ptr<LeafLink>> idle;
--- a/ibismux/dispatch/leaf_estimate.cc
+++ b/ibismux/dispatch/leaf_estimate.cc
@@ -42,11 +42,34 @@
 }
 
 double LeafEstimate::ratio(TimePoint now) const noexcept {
-  return 1 + this->excess * this->fading(now);
+  return 1 +
+         this->blend(this->excess * this->fading(now), this->heard_excess, now);
 }
 
 double LeafEstimate::failure_share(TimePoint now) const noexcept {
-  return this->failures * this->fading(now);
+  return this->blend(this->failures * this->fading(now), this->heard_failures,
+                     now);
+}
+
+void LeafEstimate::hear(double excess,
+                        double failures,
+                        double samples,
+                        TimePoint now) {
+  this->heard_excess = std::min(excess, kMostRatio - 1);
+  this->heard_failures = std::min(failures, 1.0);
+  this->heard_samples = std::min(samples, kMostHeard);
+  this->heard_until = now + kHeardFor;
+}
+
+double LeafEstimate::blend(double own,
+                           double heard,
+                           TimePoint now) const noexcept {
+  if (!this->is_talked_of(now)) {
+    return own;
+  }
+  const double weight = this->own_samples * this->fading(now);
+  return (own * weight + heard * this->heard_samples) /
+         (weight + this->heard_samples);
 }
 
 double LeafEstimate::fading(TimePoint now) const noexcept {
@@ -64,7 +87,11 @@
   const double kept = this->fading(now) * (1 - kWeight);
   this->excess = this->excess * kept + (ratio - 1) * kWeight;
   this->failures = this->failures * kept + failure * kWeight;
+  this->own_samples = this->own_samples * kept + 1;
   this->updated = now;
+  this->seen.samples += 1;
+  this->seen.excess += ratio - 1;
+  this->seen.failures += failure;
 }
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/leaf_estimate.h
+++ b/ibismux/dispatch/leaf_estimate.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <set>
+#include <utility>
 
 #include "ibismux/base/time.h"
 
@@ -36,6 +37,24 @@
   void lost(Ticket ticket, TimePoint now);
   /// @}
 
+  /// What other daemons see. @param samples Calls that it rests on.
+  void hear(double excess, double failures, double samples, TimePoint now);
+
+  /// What this daemon saw since the last call: calls, and the sums of their
+  /// ratios above 1 and of their failures.
+  struct Seen {
+    double samples = 0;
+    double excess = 0;
+    double failures = 0;
+  };
+  [[nodiscard]] Seen take_seen() noexcept {
+    return std::exchange(this->seen, {});
+  }
+  /// Others hold the leaf to be slow or failing.
+  [[nodiscard]] bool is_talked_of(TimePoint now) const noexcept {
+    return now < this->heard_until;
+  }
+
   /// Whether calls wait and no answer has come for `patience`.
   [[nodiscard]] bool silent(Duration patience, TimePoint now) const noexcept;
 
@@ -59,7 +78,16 @@
   // forgotten. Troubles of leafs last seconds.
   static constexpr double kHalfLifeSeconds = 2.5;
 
+  // What was heard counts as at most this many calls of this daemon's own.
+  static constexpr double kMostHeard = 12;
+  // And for so long: it comes again twice a second while it holds.
+  static constexpr std::chrono::milliseconds kHeardFor{1500};
+
   [[nodiscard]] double fading(TimePoint now) const noexcept;
+  /// This daemon's own figure and the one it heard, each by its weight.
+  [[nodiscard]] double blend(double own,
+                             double heard,
+                             TimePoint now) const noexcept;
   void end(Ticket ticket, double ratio, double failure, TimePoint now);
 
   std::multiset<TimePoint> waiting;  ///< When the calls under way were sent.
@@ -67,6 +95,14 @@
   double excess = 0;  ///< The ratio above 1, as of `updated`.
   double failures = 0;
   TimePoint updated = TimePoint::min();
+  double own_samples = 0;  ///< Decayed as the figures are.
+
+  double heard_excess = 0;
+  double heard_failures = 0;
+  double heard_samples = 0;
+  TimePoint heard_until = TimePoint::min();
+
+  Seen seen;
 };
 
 }  // namespace ibismux::dispatch
--- /dev/null
+++ b/ibismux/dispatch/link_plan.h
@@ -0,0 +1,58 @@
+#ifndef IBISMUX_DISPATCH_LINK_PLAN_H_
+#define IBISMUX_DISPATCH_LINK_PLAN_H_
+
+#include <cstddef>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace ibismux::dispatch {
+
+/// One leaf of a service, as a plan of links needs it.
+struct Replica {
+  std::string zone;
+  std::size_t connections = 0;  ///< Accepted from all daemons; 0: unknown.
+  std::size_t slots = 1;        ///< Requests that it works on at once.
+};
+
+/// The daemons that share a service's leafs.
+struct LinkSharers {
+  std::size_t hosts = 1;  ///< All daemons.
+  std::size_t rank = 0;   ///< This daemon's place in an order of all of them.
+  std::string zone;       ///< This daemon's.
+  /// Daemons of each zone; empty: unknown.
+  std::map<std::string, std::size_t, std::less<>> hosts_by_zone;
+};
+
+/// What a daemon may do at one leaf.
+struct LinkGrant {
+  std::size_t most = 1;
+  /// Idle links stay open. Elsewhere the leaf is only for calls that no other
+  /// leaf can take, and the link is closed behind each.
+  bool keep = true;
+};
+
+/// Divides the connections that a service's leafs accept among all daemons,
+/// without a word between them: a leaf resets connections beyond its limit, and
+/// the requests on them with it.
+///
+/// Where there are two and more for each daemon, all get the same. Where there
+/// are fewer, each daemon keeps links to some of the replicas only: first to
+/// those of its own zone, then to others by its rank, so that every daemon has
+/// as many replicas of every service as there is room for, and every replica
+/// about as many daemons.
+///
+/// Nor are there ever many more links than a leaf can work on: what waits at
+/// the daemon can still be dropped when its caller leaves or has enough
+/// answers; what waits in the leaf's own queue is worked on all the same, and
+/// makes the next ones late.
+///
+/// Thread safe.
+[[nodiscard]] std::vector<LinkGrant> plan_links(
+    const std::vector<Replica>& replicas,
+    const LinkSharers& sharers);
+
+}  // namespace ibismux::dispatch
+
+#endif  // IBISMUX_DISPATCH_LINK_PLAN_H_
--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -23,6 +23,9 @@
 constexpr double kSilentCost = 1e3;
 // What a leaf that fails all its calls costs, in times the objective.
 constexpr double kFailureCost = 2;
+// A leaf to which this daemon keeps no links is worth a dial, and a connection
+// beyond its share, only where the others are as good as lost.
+constexpr double kLastResortCost = 0.05;
 // A leaf that has just started works slower than its peers by about this.
 constexpr double kColdRatio = 1.6;
 
@@ -48,7 +51,12 @@
       repeats(repeat_burst, repeat_burst / 2) {}
 
 void ServiceGroup::add(std::shared_ptr<Leaf> leaf) {
-  this->members.push_back(std::move(leaf));
+  // In one order on all daemons: the plan of links goes by it.
+  const auto place = std::find_if(
+      this->members.begin(), this->members.end(), [&leaf](const auto& other) {
+        return leaf->entry().instance < other->entry().instance;
+      });
+  this->members.insert(place, std::move(leaf));
   this->serve_waiting();
 }
 
@@ -85,6 +93,9 @@
   if (leaf.entry().zone != this->settings.zone) {
     cost += this->settings.remote_cost * objective;
   }
+  if (!leaf.keeps_links()) {
+    cost += kLastResortCost * objective;
+  }
   if (!leaf.has_idle_link()) {
     cost += as_millis(kDialCost);
   }
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -51,6 +51,14 @@
 // How long peers may offer to bring the news before the first watch: time to
 // meet them.
 constexpr milliseconds kFirstWatchPause{1500};
+// How long a daemon leaves it to others to read the store when the whole fleet
+// starts for the first time. Callers come ten seconds later.
+// One in eight reads it in the first second; the rest has met those by their
+// contacts after five.
+constexpr std::uint64_t kFirstStartEarly = 8;
+constexpr milliseconds kFirstStartEarlySpread{1000};
+constexpr milliseconds kFirstStartPatience{6000};
+constexpr milliseconds kFirstStartSpread{1500};
 // Before the platform ends the process: time to answer what is late anyway.
 constexpr milliseconds kStopMargin{400};
 // Extra arrivals stay below what services bear, since windows of daemons and
@@ -67,6 +75,17 @@
   return (std::uint64_t{device()} << 32) | device();
 }
 
+/// At the first start of the whole fleet: differs from daemon to daemon, so
+/// that those that come first can serve the rest.
+Duration first_start_patience() {
+  const auto up_to = [](milliseconds most) {
+    return milliseconds(draw() % static_cast<std::uint64_t>(most.count()));
+  };
+  return draw() % kFirstStartEarly == 0
+             ? up_to(kFirstStartEarlySpread)
+             : kFirstStartPatience + up_to(kFirstStartSpread);
+}
+
 store::PlatformSettings store_settings(const EdgeSettings& settings) {
   const peer::PeerEndpoint endpoint = endpoint_of(settings.store_endpoint);
   store::PlatformSettings store;
@@ -291,7 +310,11 @@
         this->loop(), this->fleet->network(), source,
         feed::FeedRelay::Feeds{this->configuration_feed, this->leaf_feed},
         this->log);
-    this->relay->start();
+    this->reports = std::make_shared<reports::ReportExchange>(
+        this->loop(), this->fleet->network(), this->dispatcher, this->log);
+    this->reports->start();
+    const bool lazy = this->settings.first_start;
+    this->relay->start(lazy ? first_start_patience() : Duration::zero());
   }
 
   void on_view(const membership::MembershipView& view) {
@@ -299,6 +322,7 @@
         .with("serving", view.serving())
         .with("joined", view.joined);
     this->relay->on_view(view);
+    this->reports->on_view(view);
     this->share_fleet();
   }
 
@@ -308,8 +332,8 @@
     }
     FleetSize size = this->fleet->size(Clock::now());
     if (size.known) {
-      this->store.set_members(size.hosts);
-      this->dispatcher.set_fleet(size.hosts, std::move(size.by_zone));
+      this->store.set_members(size.sharers.hosts);
+      this->dispatcher.set_fleet(std::move(size.sharers));
     }
   }
 
@@ -448,6 +472,7 @@
   std::shared_ptr<feed::CollectionFeed> leaf_feed;
   std::optional<Fleet> fleet;
   std::shared_ptr<feed::FeedRelay> relay;
+  std::shared_ptr<reports::ReportExchange> reports;
   http::Server callers;
   http::Server balancer;
   http::Server metrics;
--- a/ibismux/edge/edge_settings.cc
+++ b/ibismux/edge/edge_settings.cc
@@ -11,6 +11,7 @@
 using Key = settings::Field<EdgeSettings>;
 using Text = settings::TextField<EdgeSettings>;
 using Number = settings::NumberField<EdgeSettings>;
+using Flag = settings::FlagField<EdgeSettings>;
 using Real = settings::RealField<EdgeSettings>;
 using Millis = settings::MillisField<EdgeSettings>;
 
@@ -39,6 +40,11 @@
         "Daemons of each zone that follow the store and pass its news on.",
         Number{&EdgeSettings::watchers, 1, 100}},
 
+    Key{"fleet.first_start",
+        "The whole fleet starts for the first time, without callers yet: leave "
+        "it to a few to read the store, and learn from them.",
+        Flag{&EdgeSettings::first_start}},
+
     Key{"store.endpoint", "The platform's object store.",
         Text{&EdgeSettings::store_endpoint, TextForm::kEndpoint}, true},
     Key{"store.fleet_reads_per_second",
--- a/ibismux/edge/edge_settings.h
+++ b/ibismux/edge/edge_settings.h
@@ -31,8 +31,9 @@
   /// @name The other daemons
   /// @{
   std::string peer_endpoint;  ///< Empty: this daemon goes alone.
-  std::uint32_t hosts = 12;
-  std::uint32_t watchers = 2;
+  std::uint32_t hosts = 10;
+  std::uint32_t watchers = 1;
+  bool first_start = false;
   /// @}
 
   /// @name The platform's object store
--- a/ibismux/edge/fleet.cc
+++ b/ibismux/edge/fleet.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "ibismux/base/io_pool.h"
+#include "ibismux/membership/member_record.h"
 #include "ibismux/membership/membership_settings.h"
 #include "ibismux/peer/peer_endpoint.h"
 #include "ibismux/peer/peer_settings.h"
@@ -31,6 +32,8 @@
   return peers;
 }
 
+constexpr std::uint64_t kRankSalt = 59;
+
 /// Fewer wake-ups than the defaults: a tick of 100 ms of each daemon is a tenth
 /// of what an idle daemon costs.
 membership::MembershipSettings membership_settings() {
@@ -73,6 +76,7 @@
   if (!port) {
     return tl::unexpected(port.error());
   }
+  this->started = Clock::now();
   const auto endpoint = peer::parse_endpoint(this->settings.endpoint);
   this->membership.start(endpoint ? endpoint->address : "", *port,
                          this->settings.zone);
@@ -85,14 +89,18 @@
 }
 
 void Fleet::take(const membership::MembershipView& fresh) {
-  this->current = {};
-  this->current.hosts = fresh.serving();
-  this->current.known = this->current.hosts > 1;
+  dispatch::LinkSharers sharers;
+  sharers.hosts = fresh.serving();
+  sharers.zone = this->settings.zone;
+  const std::uint64_t own = membership::name_hash(fresh.self, kRankSalt);
   for (const membership::Member& member : fresh.members) {
-    if (member.serves()) {
-      ++this->current.by_zone[member.zone];
+    if (!member.serves()) {
+      continue;
     }
+    ++sharers.hosts_by_zone[member.zone];
+    sharers.rank += membership::name_hash(member.name, kRankSalt) < own ? 1 : 0;
   }
+  this->current = std::move(sharers);
   this->on_view(fresh);
 }
 
@@ -102,7 +110,8 @@
     this->largest = this->current;
     this->largest_at = now;
   }
-  return this->largest;
+  const bool settled = now - this->started >= kSettling;
+  return {this->largest, settled && this->current.hosts > 1};
 }
 
 }  // namespace ibismux::edge
--- a/ibismux/edge/fleet.h
+++ b/ibismux/edge/fleet.h
@@ -10,17 +10,17 @@
 #include "ibismux/base/error.h"
 #include "ibismux/base/rcu_cell.h"
 #include "ibismux/base/time.h"
+#include "ibismux/dispatch/link_plan.h"
 #include "ibismux/membership/membership_service.h"
 #include "ibismux/membership/membership_view.h"
 #include "ibismux/peer/tcp_peer_network.h"
 
 namespace ibismux::edge {
 
-/// How many daemons share what leafs and services bear.
+/// Which daemons share what leafs and services bear.
 struct FleetSize {
-  std::size_t hosts = 1;
-  std::map<std::string, std::size_t, std::less<>> by_zone;
-  bool known = false;  ///< This daemon has met others.
+  dispatch::LinkSharers sharers;
+  bool known = false;  ///< This daemon has met the others.
 };
 
 /// The other daemons: who they are, and the frames between them.
@@ -65,6 +65,9 @@
 
  private:
   static constexpr std::chrono::seconds kMemory{30};
+  /// Until then some others have not been met yet, and shares would be too
+  /// large for a moment in which the whole fleet starts.
+  static constexpr std::chrono::seconds kSettling{3};
 
   void take(const membership::MembershipView& view);
 
@@ -73,9 +76,10 @@
   peer::TcpPeerNetwork peers;
   membership::MembershipService membership;
   const Listener on_view;
-  FleetSize largest;
+  TimePoint started = TimePoint::max();
+  dispatch::LinkSharers largest;
   TimePoint largest_at = TimePoint::min();
-  FleetSize current;
+  dispatch::LinkSharers current;
 };
 
 }  // namespace ibismux::edge
--- a/ibismux/feed/feed_relay.cc
+++ b/ibismux/feed/feed_relay.cc
@@ -40,7 +40,8 @@
       next_beat(Clock::now()),
       timer(loop.get_executor()) {}
 
-void FeedRelay::start() {
+void FeedRelay::start(Duration patience) {
+  this->read_at = Clock::now() + patience;
   this->register_handlers();
   const std::weak_ptr<FeedRelay> weak = this->weak_from_this();
   for (const auto& feed : this->feeds) {
@@ -56,7 +57,6 @@
                                  self->on_store_word();
                                }
                              }});
-    feed->start();
   }
   this->tick();
 }
@@ -96,6 +96,7 @@
   if (const auto whom = this->choice.tick(now)) {
     this->pull(*whom);
   }
+  this->start_feeds();
   this->switch_source();
   if (this->in_use == Source::kPeers && this->choice.age(now) > kLostAfter) {
     for (const auto& feed : this->feeds) {
@@ -116,6 +117,20 @@
       });
 }
 
+void FeedRelay::start_feeds() {
+  const bool all_known = std::all_of(
+      this->feeds.begin(), this->feeds.end(),
+      [](const auto& feed) { return feed->mirror().version() > 0; });
+  const bool by_peers = all_known && !this->choice.is_watcher();
+  if (this->started || (!by_peers && Clock::now() < this->read_at)) {
+    return;
+  }
+  this->started = true;
+  for (const auto& feed : this->feeds) {
+    feed->start();
+  }
+}
+
 void FeedRelay::switch_source() {
   const Source wanted = this->choice.source();
   if (std::exchange(this->in_use, wanted) == wanted) {
--- a/ibismux/feed/feed_relay.h
+++ b/ibismux/feed/feed_relay.h
@@ -36,9 +36,11 @@
             Feeds feeds,
             eventlog::EventLog& log);
 
-  /// Registers handlers and listeners, starts the feeds and begins. Called
-  /// once, before the network starts.
-  void start();
+  /// Registers handlers and listeners, and begins. Called once, before the
+  /// network starts.
+  /// @param patience How long peers may bring all that is to be known before
+  /// this daemon reads the store itself.
+  void start(Duration patience);
 
   /// The members have changed.
   void on_view(const membership::MembershipView& view);
@@ -48,7 +50,7 @@
 
   /// Whether this daemon follows the store itself.
   [[nodiscard]] bool follows_store() const noexcept {
-    return this->choice.source() == Source::kStore;
+    return this->started && this->choice.source() == Source::kStore;
   }
   /// One of the few that follow the store for their zone.
   [[nodiscard]] bool is_watcher() const noexcept {
@@ -62,6 +64,7 @@
  private:
   void register_handlers();
   void tick();
+  void start_feeds();
   void switch_source();
   void pass_on(const News& news);
   void send_beat();
@@ -83,6 +86,8 @@
   SourceChoice choice;
   Source in_use = Source::kStore;
   bool pulling = false;
+  TimePoint read_at;  ///< When the feeds start, unless peers bring all before.
+  bool started = false;
   TimePoint next_beat;
   http::Timer timer;
 };
--- a/ibismux/feed/source_choice.h
+++ b/ibismux/feed/source_choice.h
@@ -17,9 +17,10 @@
 
 /// Pace of the choice of a source.
 struct SourceSettings {
-  /// Daemons of each zone that follow the store itself, whatever happens. Two,
-  /// so that the loss of one is bridged by the other.
-  std::size_t watchers = 2;
+  /// Daemons of each zone that follow the store itself, whatever happens. Where
+  /// one is lost, the watchers of other zones are asked until the next one of
+  /// the zone has taken its place.
+  std::size_t watchers = 1;
   /// Most daemons that one passes news on to; a zone of more has a further
   /// level.
   std::size_t fan_out = 32;
--- a/ibismux/peer/peer_metrics.cc
+++ b/ibismux/peer/peer_metrics.cc
@@ -31,6 +31,9 @@
     case MessageKind::kIndirectProbe:
     case MessageKind::kReleaseFetch:
     case MessageKind::kInForce:
+    case MessageKind::kFeedPush:
+    case MessageKind::kFeedPull:
+    case MessageKind::kLeafReports:
       return true;
     default:
       return kind == 0;
--- a/ibismux/peer/peer_network.h
+++ b/ibismux/peer/peer_network.h
@@ -20,6 +20,7 @@
   kGossip = 4,       ///< Membership changes.
   kReleasePush = 5,  ///< A new head, down the tree.
   kFeedPush = 6,     ///< News of the platform's store, and how fresh it is.
+  kLeafReports = 7,  ///< How leafs fare, up to the zone's hub and down again.
   // Request and response.
   kProbe = 16,
   kIndirectProbe = 17,
--- /dev/null
+++ b/ibismux/reports/forward.h
@@ -0,0 +1,13 @@
+#ifndef IBISMUX_REPORTS_FORWARD_H_
+#define IBISMUX_REPORTS_FORWARD_H_
+
+namespace ibismux::reports {
+
+struct LeafReport;
+class ReportBoard;
+class ReportExchange;
+class ReportParty;
+
+}  // namespace ibismux::reports
+
+#endif  // IBISMUX_REPORTS_FORWARD_H_
--- /dev/null
+++ b/ibismux/reports/report_board.cc
@@ -0,0 +1,62 @@
+#include "ibismux/reports/report_board.h"
+
+#include <cmath>
+#include <utility>
+
+namespace ibismux::reports {
+
+namespace {
+
+// Rows that rest on less than this many calls are dropped.
+constexpr double kLeastSamples = 0.2;
+// One daemon's calls count as at most this many: a single one that has fallen
+// out with a leaf must not speak for the zone.
+constexpr double kMostSamples = 8;
+
+}  // namespace
+
+void ReportBoard::Row::fade(TimePoint now) {
+  const double half_lives = std::chrono::duration<double>(now - this->updated) /
+                            std::chrono::duration<double>(kHalfLife);
+  const double kept = std::exp2(-half_lives);
+  this->samples *= kept;
+  this->excess_sum *= kept;
+  this->failure_sum *= kept;
+  this->updated = now;
+}
+
+void ReportBoard::take(const LeafReport& report, TimePoint now) {
+  auto [place, fresh] = this->rows.try_emplace(report.instance);
+  Row& row = place->second;
+  if (fresh) {
+    row.updated = now;
+  }
+  row.fade(now);
+  const double weight = std::min(report.samples, kMostSamples);
+  row.samples += weight;
+  row.excess_sum += weight * report.excess;
+  row.failure_sum += weight * report.failures;
+}
+
+std::vector<LeafReport> ReportBoard::summary(TimePoint now) {
+  std::vector<LeafReport> notable;
+  for (auto& [instance, row] : this->rows) {
+    row.fade(now);
+    if (row.samples < kLeastSamples) {
+      continue;
+    }
+    LeafReport report{instance, row.samples, row.excess_sum / row.samples,
+                      row.failure_sum / row.samples};
+    const bool is_notable = report.is_notable();
+    const bool was_notable = std::exchange(row.was_notable, is_notable);
+    if (is_notable || was_notable) {
+      notable.push_back(std::move(report));
+    }
+  }
+  std::erase_if(this->rows, [](const auto& entry) {
+    return entry.second.samples < kLeastSamples;
+  });
+  return notable;
+}
+
+}  // namespace ibismux::reports
--- /dev/null
+++ b/ibismux/reports/report_exchange.cc
@@ -0,0 +1,104 @@
+#include "ibismux/reports/report_exchange.h"
+
+#include <utility>
+
+#include "ibismux/eventlog/event_log.h"
+#include "ibismux/membership/membership_view.h"
+
+namespace ibismux::reports {
+
+namespace {
+
+using peer::MessageKind;
+
+// Reports of half a second are enough to tell a slow leaf from a slow call.
+constexpr std::chrono::milliseconds kInterval{500};
+// As for news of the store.
+constexpr std::size_t kFanOut = 32;
+
+}  // namespace
+
+ReportExchange::ReportExchange(boost::asio::io_context& loop,
+                               peer::PeerNetwork& network,
+                               ReportParty& party,
+                               eventlog::EventLog& log)
+    : loop(loop),
+      network(network),
+      party(party),
+      log(log),
+      tree(1, kFanOut),
+      timer(loop.get_executor()) {}
+
+void ReportExchange::start() {
+  this->network.on_notify(
+      MessageKind::kLeafReports,
+      [weak = this->weak_from_this()](const Incarnation& from,
+                                      const std::string& payload) {
+        const auto self = weak.lock();
+        auto reports = decode_reports(payload);
+        if (self && reports) {
+          self->take(*std::move(reports));
+        } else if (self) {
+          self->log.event(eventlog::Weight::kBelief, "leaf_reports_refused")
+              .with("from", from.member)
+              .with("reason", reports.error().message);
+        }
+      });
+  this->tick();
+}
+
+void ReportExchange::on_view(const membership::MembershipView& view) {
+  this->tree.rebuild(view);
+}
+
+void ReportExchange::tick() {
+  const std::vector<LeafReport> own = this->party.take_reports();
+  if (this->tree.parent()) {
+    if (!own.empty()) {
+      this->network.notify(*this->tree.parent(), MessageKind::kLeafReports,
+                           encode(own));
+    }
+  } else {
+    const TimePoint now = Clock::now();
+    for (const LeafReport& report : own) {
+      this->board.take(report, now);
+    }
+    this->spread(this->board.summary(now));
+  }
+  this->timer.expires_after(kInterval);
+  this->timer.async_wait(
+      [weak = this->weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+          self->tick();
+        }
+      });
+}
+
+void ReportExchange::take(std::vector<LeafReport> reports) {
+  // Without a parent this daemon is the hub, and what comes are reports; with
+  // one, it is what the hub sends down.
+  if (this->tree.parent()) {
+    this->spread(reports);
+    return;
+  }
+  const TimePoint now = Clock::now();
+  for (const LeafReport& report : reports) {
+    this->board.take(report, now);
+  }
+}
+
+void ReportExchange::spread(const std::vector<LeafReport>& reports) {
+  if (reports.empty()) {
+    return;
+  }
+  for (const LeafReport& report : reports) {
+    this->party.on_report(report);
+  }
+  const std::string payload = encode(reports);
+  for (const std::string& child : this->tree.children()) {
+    this->network.notify(child, MessageKind::kLeafReports, payload);
+  }
+}
+
+}  // namespace ibismux::reports
--- a/ibismux/settings/field.h
+++ b/ibismux/settings/field.h
@@ -63,12 +63,22 @@
   std::chrono::milliseconds most;
 };
 
+/// true or false.
+template <class S>
+struct FlagField {
+  bool S::*member;
+};
+
 /// One key of a settings file that is read into the struct `S`.
 template <class S>
 struct Field {
   std::string_view key;  ///< "group.name", or "name" at the top.
   std::string_view comment;
-  std::variant<TextField<S>, NumberField<S>, RealField<S>, MillisField<S>>
+  std::variant<TextField<S>,
+               NumberField<S>,
+               RealField<S>,
+               MillisField<S>,
+               FlagField<S>>
       binding;
   bool required = false;
 
@@ -104,6 +114,9 @@
            boost::json::serialize(boost::json::value(field.least)) + " to " +
            boost::json::serialize(boost::json::value(field.most));
   }
+  [[nodiscard]] static std::string describe(const FlagField<S>&) {
+    return "true or false";
+  }
   [[nodiscard]] static std::string describe(const MillisField<S>& field) {
     return "whole milliseconds from " + std::to_string(field.least.count()) +
            " to " + std::to_string(field.most.count());
@@ -143,6 +156,15 @@
     settings.*field.member = number;
     return true;
   }
+  [[nodiscard]] static bool assign(const FlagField<S>& field,
+                                   S& settings,
+                                   const boost::json::value& value) {
+    if (!value.is_bool()) {
+      return false;
+    }
+    settings.*field.member = value.get_bool();
+    return true;
+  }
   [[nodiscard]] static bool assign(const MillisField<S>& field,
                                    S& settings,
                                    const boost::json::value& value) {
@@ -167,6 +189,10 @@
                                                const S& settings) {
     return settings.*field.member;
   }
+  [[nodiscard]] static boost::json::value read(const FlagField<S>& field,
+                                               const S& settings) {
+    return settings.*field.member;
+  }
   [[nodiscard]] static boost::json::value read(const MillisField<S>& field,
                                                const S& settings) {
     return (settings.*field.member).count();
--- /dev/null
+++ b/thrift/reports.thrift
@@ -0,0 +1,19 @@
+/// How daemons of a zone tell each other how leafs fare.
+/// docs/design/leaf-reports.md says why.
+namespace cpp ibismux.reports.wire
+
+/// What one or more daemons saw of one leaf of late.
+struct Report {
+  1: string instance
+  /// Calls that it rests on.
+  2: double samples
+  /// How many times the usual they took, less one, on average.
+  3: double excess
+  /// Share of them that failed.
+  4: double failures
+}
+
+/// kLeafReports: up to the zone's hub, and down from it.
+struct Reports {
+  1: list<Report> reports
+}
