--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -62,9 +62,13 @@
     this->fail_run(ErrorKind::kLeafUnavailable, "too few leafs can be reached");
     return;
   }
+  // A call may end before `start()` returns: one that can't be sent does. Parts
+  // that have not begun yet would then pass for ones that never will.
+  this->starting = true;
   for (const auto& part : this->all) {
     part->start();
   }
+  this->starting = false;
   const TimePoint now = Clock::now();
   this->settle(now);
   if (!this->ended) {
@@ -74,7 +78,7 @@
 }
 
 void RequestRun::on_change() {
-  if (!this->ended) {
+  if (!this->ended && !this->starting) {
     this->settle(Clock::now());
   }
 }
@@ -108,7 +112,9 @@
   }
   this->wake = this->shared->final_at;
   this->hedge_if_due(now);
-  this->settle(now);
+  if (!this->ended) {
+    this->settle(now);
+  }
   if (!this->ended) {
     this->arm();
   }
--- a/ibismux/dispatch/request_run.h
+++ b/ibismux/dispatch/request_run.h
@@ -82,6 +82,7 @@
   http::Timer timer;
   TimePoint wake;
   TimePoint hedge_at;
+  bool starting = false;
   bool ended = false;
   bool gone = false;  ///< The caller has left.
 };
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -19,6 +19,7 @@
 #include "ibismux/dispatch/dispatcher.h"
 #include "ibismux/edge/configuration_feed.h"
 #include "ibismux/edge/contact_slots.h"
+#include "ibismux/edge/endpoint.h"
 #include "ibismux/edge/fleet.h"
 #include "ibismux/edge/leaf_feed.h"
 #include "ibismux/edge/stall_detector.h"
@@ -26,7 +27,6 @@
 #include "ibismux/feed/collection_feed.h"
 #include "ibismux/feed/feed_relay.h"
 #include "ibismux/http/server.h"
-#include "ibismux/peer/peer_endpoint.h"
 #include "ibismux/store/http_object_store.h"
 
 namespace ibismux::edge {
@@ -65,11 +65,6 @@
 // services don't begin together.
 constexpr double kRepeatSafety = 0.85;
 
-/// Precondition: `text` has the form of an endpoint.
-peer::PeerEndpoint endpoint_of(const std::string& text) {
-  return peer::parse_endpoint(text).value_or(peer::PeerEndpoint{});
-}
-
 std::uint64_t draw() {
   std::random_device device;
   return (std::uint64_t{device()} << 32) | device();
--- a/ibismux/edge/fleet.cc
+++ b/ibismux/edge/fleet.cc
@@ -3,9 +3,9 @@
 #include <utility>
 
 #include "ibismux/base/io_pool.h"
+#include "ibismux/edge/endpoint.h"
 #include "ibismux/membership/member_record.h"
 #include "ibismux/membership/membership_settings.h"
-#include "ibismux/peer/peer_endpoint.h"
 #include "ibismux/peer/peer_settings.h"
 
 namespace ibismux::edge {
@@ -23,10 +23,9 @@
 
 peer::PeerSettings peer_settings(const Fleet::Settings& settings) {
   peer::PeerSettings peers;
-  if (const auto endpoint = peer::parse_endpoint(settings.endpoint)) {
-    peers.listen_address = endpoint->address;
-    peers.port = endpoint->port;
-  }
+  const peer::PeerEndpoint endpoint = endpoint_of(settings.endpoint);
+  peers.listen_address = endpoint.address;
+  peers.port = endpoint.port;
   peers.member = settings.member;
   peers.zone = settings.zone;
   return peers;
@@ -77,8 +76,7 @@
     return tl::unexpected(port.error());
   }
   this->started = Clock::now();
-  const std::string address =
-      this->settings.endpoint.substr(0, this->settings.endpoint.rfind(':'));
+  const std::string address = endpoint_of(this->settings.endpoint).address;
   this->membership.start(address, *port, this->settings.zone);
   return address + ':' + std::to_string(*port);
 }
--- a/tests/users_platform/wire_test.cc
+++ b/tests/users_platform/wire_test.cc
@@ -1,9 +1,9 @@
-#include <criterion/criterion.h>
-
 #include "platform/caller_wire.h"
 #include "platform/forwarded_fields.h"
 #include "platform/leaf_wire.h"
 
+#include <criterion/criterion.h>
+
 namespace ibismux::users_platform {
 namespace {
 
