--- a/ibismux/feed/source_choice.cc
+++ b/ibismux/feed/source_choice.cc
@@ -15,6 +15,12 @@
 
 void SourceChoice::on_view(const membership::MembershipView& view) {
   this->tree.rebuild(view);
+  this->others.clear();
+  for (const membership::Member& member : view.members) {
+    if (member.serves() && member.name != view.self) {
+      this->others.push_back(member.name);
+    }
+  }
   // A daemon without a place in its own view has not met the others yet.
   this->watches = this->tree.watches() || !view.joined;
 }
@@ -63,11 +69,19 @@
 }
 
 std::optional<std::string> SourceChoice::next_to_ask() {
-  const auto& others = this->tree.entries();
-  if (others.empty()) {
+  const auto& watchers = this->tree.entries();
+  if (watchers.empty()) {
     return std::nullopt;
   }
-  return others[this->turn++ % others.size()];
+  // Watchers and others by turns: where the store turns away a part of the
+  // hosts, all watchers may be among them, and this daemon too; then only those
+  // that have helped themselves know more.
+  const std::size_t now = this->turn++;
+  if (now % 2 == 0) {
+    return watchers[(now / 2) % watchers.size()];
+  }
+  const std::size_t step = this->others.size() / 3 + 1;
+  return this->others[(now / 2 * step + now) % this->others.size()];
 }
 
 }  // namespace ibismux::feed
--- a/ibismux/feed/source_choice.h
+++ b/ibismux/feed/source_choice.h
@@ -89,6 +89,7 @@
   TimePoint trusted_from = TimePoint::max();  ///< Since when without a gap.
   TimePoint next_question;
   std::size_t turn = 0;
+  std::vector<std::string> others;  ///< All members that serve, but this one.
 };
 
 }  // namespace ibismux::feed
