--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -54,7 +54,7 @@
   if (!leaf) {
     return false;
   }
-  this->send_to(std::move(leaf));
+  this->send_to(leaf);
   return true;
 }
 
@@ -84,10 +84,10 @@
   }
   this->context->metrics->repeated(cause);
   this->note("request_hedged", *leaf, to_string(cause));
-  this->send_to(std::move(leaf));
+  this->send_to(leaf);
 }
 
-void PartCall::send_to(std::shared_ptr<Leaf> leaf) {
+void PartCall::send_to(const std::shared_ptr<Leaf>& leaf) {
   this->leafs.push_back(leaf);
   ++this->sends;
   auto active = std::make_shared<ActiveCall>();
@@ -184,7 +184,7 @@
       if (!sent || this->group->take_repeat()) {
         this->context->metrics->repeated(cause);
         this->note("request_retried", *leaf, to_string(cause));
-        this->send_to(std::move(leaf));
+        this->send_to(leaf);
         return;
       }
       this->context->metrics->repeat_refused(cause);
--- a/ibismux/dispatch/part_call.h
+++ b/ibismux/dispatch/part_call.h
@@ -91,7 +91,7 @@
 
   [[nodiscard]] bool may_repeat() const noexcept;
   [[nodiscard]] bool send_first();
-  void send_to(std::shared_ptr<Leaf> leaf);
+  void send_to(const std::shared_ptr<Leaf>& leaf);
   void on_end(const std::shared_ptr<ActiveCall>& active, CallEnd end);
   void on_reply(LeafReply reply);
   void on_error(Error error, bool sent);
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -333,7 +333,7 @@
     }
   }
 
-  void take(std::shared_ptr<const routing::RouteTable> table) {
+  void take(const std::shared_ptr<const routing::RouteTable>& table) {
     if (!this->dispatcher.put_in_force(table)) {
       return;
     }
--- a/ibismux/eventlog/event_log.cc
+++ b/ibismux/eventlog/event_log.cc
@@ -47,7 +47,7 @@
 Event::~Event() {
   if (this->log) {
     this->line += "}\n";
-    this->log->append(std::move(this->line));
+    this->log->append(this->line);
   }
 }
 
@@ -121,7 +121,7 @@
   return {this, std::move(line)};
 }
 
-void EventLog::append(std::string line) {
+void EventLog::append(const std::string& line) {
   if (this->waiting.size() + line.size() > this->settings.most_waiting) {
     ++this->overflowed;
     return;
--- a/ibismux/eventlog/event_log.h
+++ b/ibismux/eventlog/event_log.h
@@ -56,7 +56,7 @@
  private:
   friend class Event;
 
-  void append(std::string line);
+  void append(const std::string& line);
   void schedule_flush();
   void report_dropped();
 
--- a/ibismux/feed/feed_relay.cc
+++ b/ibismux/feed/feed_relay.cc
@@ -79,7 +79,8 @@
       });
   this->network.on_request(
       MessageKind::kFeedPull,
-      [weak](Incarnation, std::string payload) -> Task<Result<std::string>> {
+      [weak](const Incarnation&,
+             std::string payload) -> Task<Result<std::string>> {
         return answer_pull(weak.lock(), std::move(payload));
       });
 }
--- a/ibismux/http/server.cc
+++ b/ibismux/http/server.cc
@@ -151,7 +151,8 @@
 
 void Listener::serve(TcpSocket socket,
                      const std::shared_ptr<ServerLoop>& loop) {
-  if (this->core->connections.load() >= this->core->limits.read()->connections) {
+  if (this->core->connections.load() >=
+      this->core->limits.read()->connections) {
     ErrorCode ignored;
     const Response full =
         refusal(503, ErrorKind::kOverloaded, "too many connections");
--- a/ibismux/http/server_connection.cc
+++ b/ibismux/http/server_connection.cc
@@ -45,7 +45,8 @@
       counted(this->core, &ServerCore::connections),
       remote(remote_of(this->socket)),
       timer(this->socket.get_executor()),
-      parser(this->core->limits.read()->header_bytes, this->core->limits.read()->body_bytes) {}
+      parser(this->core->limits.read()->header_bytes,
+             this->core->limits.read()->body_bytes) {}
 
 void ServerConnection::start() {
   ErrorCode ignored;
--- a/ibismux/reports/report_exchange.cc
+++ b/ibismux/reports/report_exchange.cc
@@ -22,8 +22,7 @@
                                peer::PeerNetwork& network,
                                ReportParty& party,
                                eventlog::EventLog& log)
-    : loop(loop),
-      network(network),
+    : network(network),
       party(party),
       log(log),
       tree(1, kFanOut),
@@ -35,9 +34,9 @@
       [weak = this->weak_from_this()](const Incarnation& from,
                                       const std::string& payload) {
         const auto self = weak.lock();
-        auto reports = decode_reports(payload);
+        const auto reports = decode_reports(payload);
         if (self && reports) {
-          self->take(*std::move(reports));
+          self->take(*reports);
         } else if (self) {
           self->log.event(eventlog::Weight::kBelief, "leaf_reports_refused")
               .with("from", from.member)
@@ -75,7 +74,7 @@
       });
 }
 
-void ReportExchange::take(std::vector<LeafReport> reports) {
+void ReportExchange::take(const std::vector<LeafReport>& reports) {
   // Without a parent this daemon is the hub, and what comes are reports; with
   // one, it is what the hub sends down.
   if (this->tree.parent()) {
--- a/ibismux/reports/report_exchange.h
+++ b/ibismux/reports/report_exchange.h
@@ -51,10 +51,9 @@
 
  private:
   void tick();
-  void take(std::vector<LeafReport> reports);
+  void take(const std::vector<LeafReport>& reports);
   void spread(const std::vector<LeafReport>& reports);
 
-  boost::asio::io_context& loop;
   peer::PeerNetwork& network;
   ReportParty& party;
   eventlog::EventLog& log;
