--- a/ibismux/query/active_query.cc
+++ b/ibismux/query/active_query.cc
@@ -4,8 +4,8 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
-#include "ibismux/gateway/leaf_caller.h"
 #include "ibismux/base/fraction_budget.h"
+#include "ibismux/gateway/leaf_caller.h"
 #include "ibismux/release/release.h"
 
 namespace ibismux::query {
--- a/ibismux/query/query_engine.cc
+++ b/ibismux/query/query_engine.cc
@@ -3,9 +3,9 @@
 #include <boost/asio/this_coro.hpp>
 #include <utility>
 
+#include "ibismux/base/fraction_budget.h"
 #include "ibismux/gateway/leaf_caller.h"
 #include "ibismux/query/active_query.h"
-#include "ibismux/base/fraction_budget.h"
 #include "ibismux/query/replica_choice.h"
 #include "ibismux/release/release.h"
 
--- a/ibismux/query/service_policy.h
+++ b/ibismux/query/service_policy.h
@@ -5,8 +5,8 @@
 #include <mutex>
 #include <optional>
 
-#include "ibismux/base/time.h"
 #include "ibismux/base/fraction_budget.h"
+#include "ibismux/base/time.h"
 #include "ibismux/query/latency_quantile.h"
 
 namespace ibismux::query {
--- a/ibismux/relay/relay_engine.h
+++ b/ibismux/relay/relay_engine.h
@@ -11,8 +11,8 @@
 #include "ibismux/base/time.h"
 #include "ibismux/membership/membership_view.h"
 #include "ibismux/membership/overlay.h"
-#include "ibismux/relay/relay_settings.h"
 #include "ibismux/membership/spread_tree.h"
+#include "ibismux/relay/relay_settings.h"
 #include "ibismux/relay/tallies.h"
 
 namespace ibismux::relay {
@@ -61,7 +61,9 @@
   /// @name Outputs
   /// @{
   [[nodiscard]] RelayCommands take_commands();
-  [[nodiscard]] const membership::SpreadTree& tree() const noexcept { return this->place; }
+  [[nodiscard]] const membership::SpreadTree& tree() const noexcept {
+    return this->place;
+  }
   /// How old this daemon's knowledge of the platform is.
   [[nodiscard]] Duration age(TimePoint now) const noexcept {
     return now - this->confirmed;
