--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -93,6 +93,15 @@
   }
 }
 
+void Dispatcher::set_costs(const DispatchSettings& fresh) {
+  this->settings.repeat_share = fresh.repeat_share;
+  this->settings.repeat_slack = fresh.repeat_slack;
+  this->settings.remote_cost = fresh.remote_cost;
+  for (const auto& [name, group] : this->groups) {
+    group->set_repeat_burst(repeat_burst(this->settings, this->fleet.hosts));
+  }
+}
+
 void Dispatcher::share_links() {
   for (const auto& [name, group] : this->groups) {
     this->share_links(*group);
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -52,6 +52,9 @@
   /// Which daemons share what leafs and services bear; the zone is filled in.
   void set_fleet(LinkSharers fleet);
 
+  /// Takes over the budget of repeats and the cost of other zones.
+  void set_costs(const DispatchSettings& fresh);
+
   /// @name DirectoryListener
   /// @{
   void on_leaf(const directory::LeafEntry& entry) override;
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -11,7 +11,6 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <iterator>
-#include <random>
 #include <utility>
 
 #include "ibismux/base/io_pool.h"
@@ -22,6 +21,7 @@
 #include "ibismux/edge/endpoint.h"
 #include "ibismux/edge/fleet.h"
 #include "ibismux/edge/leaf_feed.h"
+#include "ibismux/edge/package_settings.h"
 #include "ibismux/edge/stall_detector.h"
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/feed/collection_feed.h"
@@ -40,87 +40,15 @@
 // all requests are answered.
 constexpr milliseconds kTick{500};
 constexpr milliseconds kStopTick{20};
+// How often it looks whether the settings file has changed without a signal.
+constexpr std::uint64_t kTicksPerLook = 8;
 // What a cheap read of the store may take; the store answers in milliseconds.
 constexpr milliseconds kCheckTime{800};
-// A connection to the store whose other side acknowledges nothing for so long
-// is lost. Leafs that leave take requests for three seconds more.
-constexpr std::chrono::seconds kStoreSilence{2};
-// Between probes of a store that is down. Each daemon that starts meanwhile
-// refuses everything until its first answer.
-constexpr milliseconds kLongestBackoff{250};
 // How long peers may offer to bring the news before the first watch: time to
 // meet them.
 constexpr milliseconds kFirstWatchPause{1500};
-// How long a daemon leaves it to others to read the store when the whole fleet
-// starts for the first time. Callers come ten seconds later.
-// One in eight reads it in the first second; the rest has met those by their
-// contacts after five.
-constexpr std::uint64_t kFirstStartEarly = 8;
-constexpr milliseconds kFirstStartEarlySpread{1000};
-constexpr milliseconds kFirstStartPatience{6000};
-constexpr milliseconds kFirstStartSpread{1500};
 // Before the platform ends the process: time to answer what is late anyway.
 constexpr milliseconds kStopMargin{400};
-// Extra arrivals stay below what services bear, since windows of daemons and
-// services don't begin together.
-constexpr double kRepeatSafety = 0.85;
-
-std::uint64_t draw() {
-  std::random_device device;
-  return (std::uint64_t{device()} << 32) | device();
-}
-
-/// At the first start of the whole fleet: differs from daemon to daemon, so
-/// that those that come first can serve the rest.
-Duration first_start_patience() {
-  const auto up_to = [](milliseconds most) {
-    return milliseconds(draw() % static_cast<std::uint64_t>(most.count()));
-  };
-  return draw() % kFirstStartEarly == 0
-             ? up_to(kFirstStartEarlySpread)
-             : kFirstStartPatience + up_to(kFirstStartSpread);
-}
-
-store::PlatformSettings store_settings(const EdgeSettings& settings) {
-  const peer::PeerEndpoint endpoint = endpoint_of(settings.store_endpoint);
-  store::PlatformSettings store;
-  store.address = endpoint.address;
-  store.port = endpoint.port;
-  store.silence_limit = kStoreSilence;
-  store.members = settings.hosts;
-  store.budget.per_second = {
-      static_cast<double>(settings.fleet_reads_per_second),
-      static_cast<double>(settings.fleet_writes_per_second),
-      static_cast<double>(settings.fleet_reads_per_second)};
-  store.health.longest_backoff = kLongestBackoff;
-  return store;
-}
-
-dispatch::DispatchSettings dispatch_settings(const EdgeSettings& settings) {
-  dispatch::DispatchSettings dispatch;
-  dispatch.member = settings.member;
-  dispatch.zone = settings.zone;
-  dispatch.repeat_share = settings.repeat_ratio * kRepeatSafety;
-  dispatch.repeat_slack = settings.repeat_slack;
-  dispatch.hosts = settings.hosts;
-  dispatch.remote_cost = settings.remote_cost;
-  return dispatch;
-}
-
-Fleet::Settings fleet_settings(const EdgeSettings& settings) {
-  return {settings.member, settings.zone, settings.peer_endpoint};
-}
-
-eventlog::EventLogSettings log_settings(const EdgeSettings& settings) {
-  eventlog::EventLogSettings log;
-  log.host = settings.member;
-  log.incarnation = draw() >> 16;
-  log.lines_per_second = {static_cast<double>(settings.log_ordinary),
-                          static_cast<double>(settings.log_failures),
-                          static_cast<double>(settings.log_beliefs)};
-  return log;
-}
-
 http::Response text_response(int status, std::string text) {
   http::Response response;
   response.status = status;
@@ -133,9 +61,10 @@
 
 class EdgeDaemon::Impl {
  public:
-  Impl(EdgeSettings settings, Adapters adapters)
+  Impl(EdgeSettings settings, Adapters adapters, Reload reload)
       : settings(std::move(settings)),
         adapters(std::move(adapters)),
+        reload(std::move(reload)),
         pool(1),
         log(pool.at(0), log_settings(this->settings)),
         store(pool,
@@ -412,6 +341,9 @@
         this->refresh("stood still");
       }
       this->share_fleet();
+      if (++this->ticks % kTicksPerLook == 0) {
+        this->reload_settings(false);
+      }
       this->tick();
     });
   }
@@ -419,14 +351,54 @@
   void await_signal() {
     this->signals.add(SIGTERM);
     this->signals.add(SIGINT);
+    this->signals.add(SIGHUP);
     this->signals.async_wait(
-        [this](const boost::system::error_code& error, int) {
-          if (!error) {
+        [this](const boost::system::error_code& error, int number) {
+          if (error) {
+            return;
+          }
+          if (number != SIGHUP) {
             this->drain();
+            return;
           }
+          this->reload_settings(true);
+          this->await_signal();
         });
   }
 
+  /// Takes over what may change while the daemon runs: the budget of repeats,
+  /// the cost of other zones, the times of a stop. Nothing open is touched.
+  /// @param asked By a signal; else only where the file has changed.
+  void reload_settings(bool asked) {
+    const auto fresh = this->reload(asked);
+    if (!fresh) {
+      if (asked) {
+        this->log.event(eventlog::Weight::kBelief, "reload")
+            .with("done", false)
+            .with("reason",
+                  "the settings are wrong; standard error says where");
+      }
+      return;
+    }
+    const bool needs_start =
+        fresh->caller_endpoint != this->settings.caller_endpoint ||
+        fresh->ready_endpoint != this->settings.ready_endpoint ||
+        fresh->metrics_endpoint != this->settings.metrics_endpoint ||
+        fresh->peer_endpoint != this->settings.peer_endpoint ||
+        fresh->store_endpoint != this->settings.store_endpoint;
+    this->settings.repeat_ratio = fresh->repeat_ratio;
+    this->settings.repeat_slack = fresh->repeat_slack;
+    this->settings.remote_cost = fresh->remote_cost;
+    this->settings.stop_limit = fresh->stop_limit;
+    this->settings.leave_notice = fresh->leave_notice;
+    this->dispatcher.set_costs(dispatch_settings(this->settings));
+    this->log.event(eventlog::Weight::kBelief, "reload")
+        .with("done", true)
+        .with("repeat_ratio", this->settings.repeat_ratio)
+        .with("repeat_slack", this->settings.repeat_slack)
+        .with("endpoints_need_a_start", needs_start);
+  }
+
   void drain() {
     this->stopping = true;
     this->log.event(eventlog::Weight::kBelief, "drain")
@@ -454,8 +426,10 @@
     });
   }
 
-  const EdgeSettings settings;
+  EdgeSettings settings;
   Adapters adapters;
+  const Reload reload;
+  std::uint64_t ticks = 0;
   prometheus::Registry registry;
   IoPool pool;
   eventlog::EventLog log;
@@ -480,8 +454,10 @@
   TimePoint stop_by;
 };
 
-EdgeDaemon::EdgeDaemon(EdgeSettings settings, Adapters adapters)
-    : impl(std::make_unique<Impl>(std::move(settings), std::move(adapters))) {}
+EdgeDaemon::EdgeDaemon(EdgeSettings settings, Adapters adapters, Reload reload)
+    : impl(std::make_unique<Impl>(std::move(settings),
+                                  std::move(adapters),
+                                  std::move(reload))) {}
 
 EdgeDaemon::~EdgeDaemon() = default;
 
--- a/ibismux/edge/edge_daemon.h
+++ b/ibismux/edge/edge_daemon.h
@@ -1,7 +1,9 @@
 #ifndef IBISMUX_EDGE_EDGE_DAEMON_H_
 #define IBISMUX_EDGE_EDGE_DAEMON_H_
 
+#include <functional>
 #include <memory>
+#include <optional>
 
 #include "ibismux/base/error.h"
 #include "ibismux/edge/adapters.h"
@@ -17,14 +19,16 @@
 /// second thread would only take turns with the first.
 class EdgeDaemon {
  public:
-  EdgeDaemon(EdgeSettings settings, Adapters adapters);
+  /// The settings as their file says now, or nothing where they are wrong (who
+  /// reads them has said so) or, unless `asked`, where they haven't changed.
+  using Reload = std::function<std::optional<EdgeSettings>(bool asked)>;
+
+  EdgeDaemon(EdgeSettings settings, Adapters adapters, Reload reload);
   ~EdgeDaemon();
   EdgeDaemon(const EdgeDaemon&) = delete;
   EdgeDaemon& operator=(const EdgeDaemon&) = delete;
 
   /// Serves until SIGTERM or SIGINT and the end of what was in flight then.
-  /// @param reload Called on SIGHUP, for new settings; null where the file is
-  /// wrong, which is logged by the caller.
   /// @return What kept it from listening.
   [[nodiscard]] Result<void> run();
 
--- /dev/null
+++ b/ibismux/edge/package_settings.h
@@ -0,0 +1,36 @@
+#ifndef IBISMUX_EDGE_PACKAGE_SETTINGS_H_
+#define IBISMUX_EDGE_PACKAGE_SETTINGS_H_
+
+#include <cstdint>
+
+#include "ibismux/base/time.h"
+#include "ibismux/dispatch/dispatch_settings.h"
+#include "ibismux/edge/edge_settings.h"
+#include "ibismux/edge/fleet.h"
+#include "ibismux/eventlog/event_log.h"
+#include "ibismux/store/platform_settings.h"
+
+namespace ibismux::edge {
+
+/// A number that differs at each start. Thread safe.
+[[nodiscard]] std::uint64_t draw();
+
+/// @name The settings of each package, out of the daemon's. Thread safe.
+/// @{
+[[nodiscard]] store::PlatformSettings store_settings(
+    const EdgeSettings& settings);
+[[nodiscard]] dispatch::DispatchSettings dispatch_settings(
+    const EdgeSettings& settings);
+[[nodiscard]] Fleet::Settings fleet_settings(const EdgeSettings& settings);
+[[nodiscard]] eventlog::EventLogSettings log_settings(
+    const EdgeSettings& settings);
+/// @}
+
+/// How long this daemon leaves it to others to read the store when the whole
+/// fleet starts for the first time; differs from daemon to daemon, so that
+/// those that come first can serve the rest. Thread safe.
+[[nodiscard]] Duration first_start_patience();
+
+}  // namespace ibismux::edge
+
+#endif  // IBISMUX_EDGE_PACKAGE_SETTINGS_H_
--- a/tests/users_platform/edge_process_test.cc
+++ b/tests/users_platform/edge_process_test.cc
@@ -129,6 +129,21 @@
   cr_assert(site.daemon().wait() == 0);
 }
 
+// Symptom: a daemon ends when its settings change.
+// Sequence: the platform rewrites the settings file and sends SIGHUP, whose
+// default is to end the process.
+// Cause: nobody handled it.
+Test(edge_process, new_settings_cut_nothing) {
+  EdgeSite site;
+  cr_assert(site.wait_until_ready());
+  for (int i = 0; i < 5; ++i) {
+    site.daemon().signal(SIGHUP);
+    cr_assert(site.call("q" + std::to_string(i), "/query/1").value().status ==
+              200);
+  }
+  cr_assert(site.daemon().running());
+}
+
 // Nobody reads the daemon's standard output in these tests; here so much is
 // written that the pipe fills.
 Test(edge_process, a_log_that_nobody_reads_costs_no_request) {
