Split the edge daemon's start and end from its forming; distrust sources after a standstill

Ruled out: dropping what is known (routes would go), since only the choice between sources is stale, not the state itself. Change: edge_daemon_impl.h with two files; SourceChoice::distrust, called after a standstill; reload takes over drain_grace with the other limits.

--- a/ibismux/dispatch/forward.h
+++ b/ibismux/dispatch/forward.h
@@ -5,7 +5,6 @@
 
 enum class RepeatCause : unsigned char;
 struct CallerRequest;
-struct DispatchContext;
 struct DispatchSettings;
 struct LeafAnswer;
 struct LeafCall;
--- a/ibismux/dispatch/request_run.h
+++ b/ibismux/dispatch/request_run.h
@@ -19,7 +19,8 @@
 /// One request from its arrival to its answer: its parts, its times, its end.
 ///
 /// Subclasses decide when enough is there. Belongs to one event loop; not
-/// thread safe. Kept alive by its parts and its timer.
+/// thread safe. Kept alive by its timer, which waits until
+/// the run has ended and no call that it would stop is under way.
 class RequestRun : public std::enable_shared_from_this<RequestRun> {
  public:
   using Done = std::function<void(Outcome)>;
--- /dev/null
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -0,0 +1,99 @@
+#ifndef IBISMUX_EDGE_EDGE_DAEMON_IMPL_H_
+#define IBISMUX_EDGE_EDGE_DAEMON_IMPL_H_
+
+#include <prometheus/registry.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+#include "ibismux/base/io_pool.h"
+#include "ibismux/directory/leaf_directory.h"
+#include "ibismux/dispatch/dispatcher.h"
+#include "ibismux/edge/configuration_feed.h"
+#include "ibismux/edge/edge_daemon.h"
+#include "ibismux/edge/fleet.h"
+#include "ibismux/edge/leaf_feed.h"
+#include "ibismux/edge/stall_detector.h"
+#include "ibismux/eventlog/event_log.h"
+#include "ibismux/feed/collection_feed.h"
+#include "ibismux/feed/feed_relay.h"
+#include "ibismux/http/server.h"
+#include "ibismux/reports/report_exchange.h"
+#include "ibismux/store/http_object_store.h"
+
+namespace ibismux::edge {
+
+/// How often the daemon looks whether it stood still.
+inline constexpr std::chrono::milliseconds kTick{500};
+
+/// The parts of the daemon, in the order in which they need each other. All
+/// belongs to the one event loop. `edge_daemon.cc` makes them and serves
+/// requests; `edge_daemon_life.cc` has feeds, checks, settings and the stop.
+class EdgeDaemon::Impl {
+ public:
+  Impl(EdgeSettings settings, Adapters adapters, Reload reload);
+  [[nodiscard]] Result<void> run();
+
+ private:
+  [[nodiscard]] boost::asio::io_context& loop() { return this->pool.at(0); }
+  [[nodiscard]] http::Server::Handler caller_handler();
+  Task<http::Response> serve(std::shared_ptr<const http::Request> request,
+                             std::shared_ptr<http::CancelToken> caller);
+  [[nodiscard]] http::Server::Handler ready_handler();
+  [[nodiscard]] http::Server::Handler metrics_handler();
+  /// Both the configuration and the leafs are known. The store's absence later
+  /// on is no reason to leave the rotation: what is known still serves.
+  [[nodiscard]] bool is_ready() const;
+  [[nodiscard]] Result<void> listen();
+  void start_feeds();
+  void on_view(const membership::MembershipView& view);
+  void share_fleet();
+  void take(const std::shared_ptr<const routing::RouteTable>& table);
+  /// Cheap reads that show whether the store answers this host. A watch that
+  /// waits can't tell a store without news from one that has gone silent.
+  Task<void> check_store();
+  void refresh(std::string_view reason);
+  void tick();
+  void await_signal();
+  /// Takes over what may change while the daemon runs: the budget of repeats,
+  /// the cost of other zones, the times of a stop. Nothing open is touched.
+  /// @param asked By a signal; else only where the file has changed.
+  void reload_settings(bool asked);
+  void drain();
+  void await_idle();
+
+  EdgeSettings settings;
+  Adapters adapters;
+  const Reload reload;
+  std::uint64_t ticks = 0;
+  prometheus::Registry registry;
+  IoPool pool;
+  eventlog::EventLog log;
+  store::HttpObjectStore store;
+  dispatch::Dispatcher dispatcher;
+  directory::LeafDirectory directory;
+  ConfigurationFeed configuration;
+  LeafFeed leafs;
+  std::shared_ptr<feed::CollectionFeed> configuration_feed;
+  std::shared_ptr<feed::CollectionFeed> leaf_feed;
+  std::optional<Fleet> fleet;
+  std::shared_ptr<feed::FeedRelay> relay;
+  std::shared_ptr<reports::ReportExchange> reports;
+  http::ServerLimits limits;  ///< Of callers, as they are in force.
+  http::Server callers;
+  http::Server balancer;
+  http::Server metrics;
+  boost::asio::signal_set signals;
+  http::Timer ticker;
+  StallDetector stalls;
+  Duration longest_idle{0};
+  bool stopping = false;
+  TimePoint stop_by;
+};
+
+}  // namespace ibismux::edge
+
+#endif  // IBISMUX_EDGE_EDGE_DAEMON_IMPL_H_
--- /dev/null
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -0,0 +1,225 @@
+#include <boost/asio/use_awaitable.hpp>
+#include <csignal>
+#include <utility>
+
+#include "ibismux/edge/edge_daemon_impl.h"
+#include "ibismux/edge/package_settings.h"
+
+namespace ibismux::edge {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+// After SIGTERM: how often the daemon looks whether all requests are answered.
+constexpr milliseconds kStopTick{20};
+// How often it looks whether the settings file has changed without a signal.
+constexpr std::uint64_t kTicksPerLook = 8;
+// What a cheap read of the store may take; the store answers in milliseconds.
+constexpr milliseconds kCheckTime{800};
+// How long peers may offer to bring the news before the first watch: time to
+// meet them.
+constexpr milliseconds kFirstWatchPause{1500};
+// Before the platform ends the process: time to answer what is late anyway.
+constexpr milliseconds kStopMargin{400};
+
+}  // namespace
+
+void EdgeDaemon::Impl::start_feeds() {
+  feed::FeedSettings times;
+  times.watch_wait = this->settings.watch_wait;
+  times.change_pause = this->settings.change_pause;
+  times.first_pause = this->fleet ? kFirstWatchPause : milliseconds(0);
+  this->configuration_feed = std::make_shared<feed::CollectionFeed>(
+      this->loop(), this->store, this->adapters.configuration_collection, times,
+      this->configuration, this->log);
+  this->leaf_feed = std::make_shared<feed::CollectionFeed>(
+      this->loop(), this->store, this->adapters.leaf_collection, times,
+      this->leafs, this->log);
+  if (!this->fleet) {
+    this->configuration_feed->start();
+    this->leaf_feed->start();
+    return;
+  }
+  feed::SourceSettings source;
+  source.watchers = this->settings.watchers;
+  this->relay = std::make_shared<feed::FeedRelay>(
+      this->loop(), this->fleet->network(), source,
+      feed::FeedRelay::Feeds{this->configuration_feed, this->leaf_feed},
+      this->log);
+  this->reports = std::make_shared<reports::ReportExchange>(
+      this->loop(), this->fleet->network(), this->dispatcher, this->log);
+  this->reports->start();
+  const bool lazy = this->settings.first_start;
+  this->relay->start(lazy ? first_start_patience() : Duration::zero());
+}
+
+void EdgeDaemon::Impl::on_view(const membership::MembershipView& view) {
+  this->log.event(eventlog::Weight::kBelief, "members")
+      .with("serving", view.serving())
+      .with("joined", view.joined);
+  this->relay->on_view(view);
+  this->reports->on_view(view);
+  this->share_fleet();
+}
+
+void EdgeDaemon::Impl::share_fleet() {
+  if (!this->fleet) {
+    return;
+  }
+  FleetSize size = this->fleet->size(Clock::now());
+  if (size.known) {
+    this->store.set_members(size.sharers.hosts);
+    this->dispatcher.set_fleet(std::move(size.sharers));
+  }
+}
+
+Task<void> EdgeDaemon::Impl::check_store() {
+  http::Timer timer(this->loop().get_executor());
+  bool was_lost = false;
+  int deaf_checks = 0;
+  for (;;) {
+    timer.expires_after(this->settings.check_interval);
+    co_await timer.async_wait(asio::use_awaitable);
+    if (this->relay && !this->relay->follows_store()) {
+      continue;
+    }
+    auto object = co_await this->store.stale_get(
+        this->adapters.configuration_collection,
+        this->adapters.configuration_name, Clock::now() + kCheckTime);
+    if (!object && object.error().kind == ErrorKind::kNotFound) {
+      continue;
+    }
+    if (!object) {
+      was_lost = true;
+      this->configuration_feed->report_lost(object.error().message);
+      this->leaf_feed->report_lost(object.error().message);
+      continue;
+    }
+    if (this->relay) {
+      this->relay->on_store_word();
+    }
+    // A change that is a moment old may still be on its way to the watch.
+    const bool behind =
+        object->version > this->configuration_feed->mirror().version();
+    deaf_checks = behind ? deaf_checks + 1 : 0;
+    if (std::exchange(was_lost, false) || deaf_checks > 1) {
+      this->refresh(deaf_checks > 1 ? "watch is deaf" : "store is back");
+      deaf_checks = 0;
+    }
+  }
+}
+
+void EdgeDaemon::Impl::refresh(std::string_view reason) {
+  this->log.event(eventlog::Weight::kBelief, "refresh")
+      .with("reason", reason)
+      .with("configuration_version",
+            this->configuration_feed->mirror().version())
+      .with("leaf_version", this->leaf_feed->mirror().version());
+  if (this->relay && !this->relay->follows_store()) {
+    this->relay->distrust();
+    return;
+  }
+  this->configuration_feed->restart();
+  this->leaf_feed->restart();
+}
+
+void EdgeDaemon::Impl::tick() {
+  this->ticker.expires_after(kTick);
+  this->ticker.async_wait([this](const boost::system::error_code& error) {
+    if (error) {
+      return;
+    }
+    const Duration stall =
+        this->stalls.tick(Clock::now(), StallDetector::boot_time());
+    if (stall > Duration::zero()) {
+      this->log.event(eventlog::Weight::kBelief, "stood_still")
+          .with("for_ms", stall);
+      this->refresh("stood still");
+    }
+    this->share_fleet();
+    if (++this->ticks % kTicksPerLook == 0) {
+      this->reload_settings(false);
+    }
+    this->tick();
+  });
+}
+
+void EdgeDaemon::Impl::await_signal() {
+  this->signals.add(SIGTERM);
+  this->signals.add(SIGINT);
+  this->signals.add(SIGHUP);
+  this->signals.async_wait(
+      [this](const boost::system::error_code& error, int number) {
+        if (error) {
+          return;
+        }
+        if (number != SIGHUP) {
+          this->drain();
+          return;
+        }
+        this->reload_settings(true);
+        this->await_signal();
+      });
+}
+
+void EdgeDaemon::Impl::reload_settings(bool asked) {
+  const auto fresh = this->reload(asked);
+  if (!fresh) {
+    if (asked) {
+      this->log.event(eventlog::Weight::kBelief, "reload")
+          .with("done", false)
+          .with("reason", "the settings are wrong; standard error says where");
+    }
+    return;
+  }
+  const bool needs_start =
+      fresh->caller_endpoint != this->settings.caller_endpoint ||
+      fresh->ready_endpoint != this->settings.ready_endpoint ||
+      fresh->metrics_endpoint != this->settings.metrics_endpoint ||
+      fresh->peer_endpoint != this->settings.peer_endpoint ||
+      fresh->store_endpoint != this->settings.store_endpoint;
+  this->settings.repeat_ratio = fresh->repeat_ratio;
+  this->settings.repeat_slack = fresh->repeat_slack;
+  this->settings.remote_cost = fresh->remote_cost;
+  this->settings.stop_limit = fresh->stop_limit;
+  this->settings.leave_notice = fresh->leave_notice;
+  this->dispatcher.set_costs(dispatch_settings(this->settings));
+  this->limits.drain_grace = this->settings.leave_notice;
+  this->callers.set_limits(this->limits);
+  this->log.event(eventlog::Weight::kBelief, "reload")
+      .with("done", true)
+      .with("repeat_ratio", this->settings.repeat_ratio)
+      .with("repeat_slack", this->settings.repeat_slack)
+      .with("endpoints_need_a_start", needs_start);
+}
+
+void EdgeDaemon::Impl::drain() {
+  this->stopping = true;
+  this->log.event(eventlog::Weight::kBelief, "drain")
+      .with("in_flight", this->callers.in_flight())
+      .with("connections", this->callers.connections());
+  if (this->fleet) {
+    this->fleet->announce_leaving();
+  }
+  this->callers.drain();
+  this->stop_by = Clock::now() + this->settings.stop_limit - kStopMargin;
+  this->ticker.cancel();
+  this->await_idle();
+}
+
+void EdgeDaemon::Impl::await_idle() {
+  if (this->callers.in_flight() == 0 || Clock::now() >= this->stop_by) {
+    this->loop().stop();
+    return;
+  }
+  this->ticker.expires_after(kStopTick);
+  this->ticker.async_wait([this](const boost::system::error_code& error) {
+    if (!error) {
+      this->await_idle();
+    }
+  });
+}
+
+}  // namespace ibismux::edge
--- a/ibismux/feed/feed_relay.cc
+++ b/ibismux/feed/feed_relay.cc
@@ -93,6 +93,10 @@
   this->choice.on_store_word(Clock::now());
 }
 
+void FeedRelay::distrust() {
+  this->choice.distrust(Clock::now());
+}
+
 void FeedRelay::tick() {
   const TimePoint now = Clock::now();
   if (const auto whom = this->choice.tick(now)) {
--- a/ibismux/feed/feed_relay.h
+++ b/ibismux/feed/feed_relay.h
@@ -48,6 +48,10 @@
   /// The store answered this daemon, whatever the call.
   void on_store_word();
 
+  /// What was heard may be older than it seems: others are asked, and the store
+  /// is read, as if nothing had been heard.
+  void distrust();
+
   /// Whether this daemon follows the store itself.
   [[nodiscard]] bool follows_store() const noexcept {
     return this->started && this->choice.source() == Source::kStore;
--- a/ibismux/feed/forward.h
+++ b/ibismux/feed/forward.h
@@ -3,7 +3,6 @@
 
 namespace ibismux::feed {
 
-enum class Origin : unsigned char;
 enum class Source : unsigned char;
 struct FeedSettings;
 struct News;
--- a/ibismux/feed/source_choice.cc
+++ b/ibismux/feed/source_choice.cc
@@ -42,6 +42,12 @@
   this->by_peers_until = std::max(this->by_peers_until, until);
 }
 
+void SourceChoice::distrust(TimePoint now) noexcept {
+  this->confirmed =
+      std::min(this->confirmed, now - this->settings.self_help_after);
+  this->by_peers_until = std::min(this->by_peers_until, now);
+}
+
 std::optional<std::string> SourceChoice::tick(TimePoint now) {
   this->choose(now);
   const bool needs_word = this->age(now) >= this->settings.fresh_for;
--- a/ibismux/feed/source_choice.h
+++ b/ibismux/feed/source_choice.h
@@ -57,6 +57,8 @@
   void on_store_word(TimePoint now);
   /// A peer told how old its last word from the store is.
   void on_peer_word(Duration age, TimePoint now);
+  /// Whatever was heard may be older than it seems: the host stood still.
+  void distrust(TimePoint now) noexcept;
   /// To be called some times a second. @return Whom to ask for news, if any.
   [[nodiscard]] std::optional<std::string> tick(TimePoint now);
   /// @}
--- a/tests/feed/source_choice_test.cc
+++ b/tests/feed/source_choice_test.cc
@@ -122,6 +122,18 @@
   cr_assert(fixture.choice.source() == Source::kPeers);
 }
 
+// Symptom: a host that was suspended goes on with leafs that are gone.
+// Sequence: it is suspended for seconds; the steady clock doesn't count them,
+// so its last word from the store seems fresh. Cause: the word's age was taken
+// at its face.
+Test(source_choice, after_a_standstill_nothing_heard_before_counts) {
+  Fixture fixture;
+  fixture.choice.distrust(fixture.now);
+  fixture.run(milliseconds(200), false);
+  cr_assert(fixture.asked > 0);
+  cr_assert(fixture.choice.source() == Source::kStore);
+}
+
 Test(source_choice, stale_words_of_peers_count_for_nothing) {
   Fixture fixture;
   for (int i = 0; i < 30; ++i) {
