Compare moments instead of subtracting from the earliest one in the fleet's size

Cause: Fleet::size subtracted TimePoint::min() from now at its first call, an overflow that UBSan ends the process for; the eight new test programs had been listed for the sanitizers before they were run there. Ruled out: missing programs in the sanitizers' build (they are built); other uses of TimePoint::min(): all compare. Change: now > largest_at + kMemory.

--- a/ibismux/edge/fleet.cc
+++ b/ibismux/edge/fleet.cc
@@ -103,7 +103,7 @@
 }
 
 FleetSize Fleet::size(TimePoint now) {
-  const bool forget = now - this->largest_at > kMemory;
+  const bool forget = now > this->largest_at + kMemory;
   if (this->current.hosts >= this->largest.hosts || forget) {
     this->largest = this->current;
     this->largest_at = now;
