Say once what the new packages said twice; drop what nobody calls

Cause: a reading of the whole change. Behaviour is meant to be the same. Left: an entry's address is read apart from peer::parse_endpoint, which refuses names of hosts and so would change what is taken over.

--- a/ibismux/directory/leaf_directory.cc
+++ b/ibismux/directory/leaf_directory.cc
@@ -43,7 +43,7 @@
   }
 }
 
-void LeafDirectory::registry_lost(TimePoint) {
+void LeafDirectory::registry_lost() {
   this->lost = true;
 }
 
--- a/ibismux/directory/leaf_directory.h
+++ b/ibismux/directory/leaf_directory.h
@@ -54,7 +54,7 @@
 
   /// @name The registry's health
   /// @{
-  void registry_lost(TimePoint now);
+  void registry_lost();
   /// The registry answers again.
   void registry_regained(TimePoint now);
   /// @}
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -40,6 +40,14 @@
   this->starting = false;
 }
 
+std::shared_ptr<Leaf> PartCall::choose(bool is_repeat) const {
+  const LeafWish wish{.usual = this->context->typical->value(),
+                      .objective = this->context->route->objective,
+                      .tried = &this->leafs,
+                      .is_repeat = is_repeat};
+  return this->group->choose(wish, Clock::now());
+}
+
 bool PartCall::send_first() {
   if (!this->group->can_serve()) {
     this->last_error = make_error(ErrorKind::kLeafUnavailable,
@@ -47,10 +55,7 @@
     this->finish(State::kFailed);
     return false;
   }
-  const LeafWish wish{.usual = this->context->typical->value(),
-                      .objective = this->context->route->objective,
-                      .tried = &this->leafs};
-  auto leaf = this->group->choose(wish, Clock::now());
+  auto leaf = this->choose(false);
   if (!leaf) {
     return false;
   }
@@ -70,11 +75,7 @@
       this->active.size() != 1 || this->sends == 0) {
     return;
   }
-  const LeafWish wish{.usual = this->context->typical->value(),
-                      .objective = this->context->route->objective,
-                      .tried = &this->leafs,
-                      .is_repeat = true};
-  auto leaf = this->group->choose(wish, Clock::now());
+  auto leaf = this->choose(true);
   if (!leaf) {
     return;
   }
@@ -176,10 +177,7 @@
   const bool safe =
       this->context->route->is_idempotent() || cause == RepeatCause::kNotRun;
   if (safe && this->may_repeat() && Clock::now() < this->context->final_at) {
-    const LeafWish wish{.usual = this->context->typical->value(),
-                        .objective = this->context->route->objective,
-                        .tried = &this->leafs};
-    if (auto leaf = this->group->choose(wish, Clock::now())) {
+    if (auto leaf = this->choose(false)) {
       // What no byte was sent of arrived nowhere, and costs no budget.
       if (!sent || this->group->take_repeat()) {
         this->context->metrics->repeated(cause);
--- a/ibismux/dispatch/part_call.h
+++ b/ibismux/dispatch/part_call.h
@@ -90,6 +90,9 @@
   };
 
   [[nodiscard]] bool may_repeat() const noexcept;
+  /// The best leaf that was not asked yet, or null.
+  /// @param is_repeat The first call goes on: only for a leaf that answers.
+  [[nodiscard]] std::shared_ptr<Leaf> choose(bool is_repeat) const;
   [[nodiscard]] bool send_first();
   void send_to(const std::shared_ptr<Leaf>& leaf);
   void on_end(const std::shared_ptr<ActiveCall>& active, CallEnd end);
--- a/ibismux/edge/fleet.cc
+++ b/ibismux/edge/fleet.cc
@@ -81,11 +81,6 @@
   return address + ':' + std::to_string(*port);
 }
 
-void Fleet::stop() {
-  this->membership.stop();
-  this->peers.stop();
-}
-
 void Fleet::take(const membership::MembershipView& fresh) {
   dispatch::LinkSharers sharers;
   sharers.hosts = fresh.serving();
--- a/ibismux/edge/fleet.h
+++ b/ibismux/edge/fleet.h
@@ -51,7 +51,6 @@
 
   /// Tells all that this daemon leaves.
   void announce_leaving() { this->membership.announce_leaving(); }
-  void stop();
 
   /// Who is there now.
   [[nodiscard]] std::shared_ptr<const membership::MembershipView> members()
--- a/ibismux/edge/leaf_feed.cc
+++ b/ibismux/edge/leaf_feed.cc
@@ -42,7 +42,7 @@
 }
 
 void LeafFeed::on_lost() {
-  this->directory.registry_lost(Clock::now());
+  this->directory.registry_lost();
 }
 
 void LeafFeed::on_regained() {
--- a/ibismux/feed/feed_relay.cc
+++ b/ibismux/feed/feed_relay.cc
@@ -7,6 +7,7 @@
 
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/feed/collection_feed.h"
+#include "ibismux/http/await_timer.h"
 #include "ibismux/membership/membership_view.h"
 
 namespace ibismux::feed {
@@ -114,13 +115,7 @@
     this->send_beat();
   }
   this->timer.expires_after(kTick);
-  this->timer.async_wait(
-      [weak = this->weak_from_this()](const boost::system::error_code& error) {
-        const auto self = weak.lock();
-        if (!error && self) {
-          self->tick();
-        }
-      });
+  http::await_timer(this->timer, this->weak_from_this(), &FeedRelay::tick);
 }
 
 void FeedRelay::start_feeds() {
@@ -163,6 +158,13 @@
   return known;
 }
 
+PushMessage FeedRelay::empty_push() const {
+  PushMessage message;
+  message.age = this->choice.age(Clock::now());
+  message.known = this->known();
+  return message;
+}
+
 CollectionFeed* FeedRelay::find(const std::string& collection) const {
   const auto found = std::find_if(
       this->feeds.begin(), this->feeds.end(),
@@ -181,9 +183,7 @@
 }
 
 void FeedRelay::pass_on(const News& news) {
-  PushMessage message;
-  message.age = this->choice.age(Clock::now());
-  message.known = this->known();
+  PushMessage message = this->empty_push();
   // A listing is long, and most children have it; those that lack it ask.
   if (!news.whole) {
     message.news.push_back(news);
@@ -192,10 +192,7 @@
 }
 
 void FeedRelay::send_beat() {
-  PushMessage message;
-  message.age = this->choice.age(Clock::now());
-  message.known = this->known();
-  this->notify_children(message);
+  this->notify_children(this->empty_push());
 }
 
 void FeedRelay::take(const std::string& from, PushMessage message) {
@@ -270,9 +267,7 @@
   if (!question) {
     co_return tl::unexpected(question.error());
   }
-  PushMessage answer;
-  answer.age = self->choice.age(Clock::now());
-  answer.known = self->known();
+  PushMessage answer = self->empty_push();
   for (const auto& feed : self->feeds) {
     const auto theirs = question->have.find(feed->mirror().name());
     const store::Version have =
--- a/ibismux/feed/feed_relay.h
+++ b/ibismux/feed/feed_relay.h
@@ -56,14 +56,6 @@
   [[nodiscard]] bool follows_store() const noexcept {
     return this->started && this->choice.source() == Source::kStore;
   }
-  /// One of the few that follow the store for their zone.
-  [[nodiscard]] bool is_watcher() const noexcept {
-    return this->choice.is_watcher();
-  }
-  /// How old the last word from the store is, whoever brought it.
-  [[nodiscard]] Duration age() const noexcept {
-    return this->choice.age(Clock::now());
-  }
 
  private:
   void register_handlers();
@@ -80,6 +72,8 @@
       std::shared_ptr<FeedRelay> self,
       std::string payload);
   [[nodiscard]] KnownVersions known() const;
+  /// What is known here and how old it is, without news.
+  [[nodiscard]] PushMessage empty_push() const;
   [[nodiscard]] CollectionFeed* find(const std::string& collection) const;
   void notify_children(const PushMessage& message);
 
--- a/ibismux/gateway/gateway_loop.cc
+++ b/ibismux/gateway/gateway_loop.cc
@@ -5,6 +5,7 @@
 
 #include "ibismux/gateway/call_group.h"
 #include "ibismux/gateway/refusal.h"
+#include "ibismux/http/await_timer.h"
 
 namespace ibismux::gateway {
 
@@ -85,13 +86,7 @@
 
 void GatewayLoop::arm_tick() {
   this->timer.expires_after(kTick);
-  this->timer.async_wait(
-      [weak = this->weak_from_this()](const boost::system::error_code& error) {
-        const auto self = weak.lock();
-        if (!error && self) {
-          self->tick();
-        }
-      });
+  http::await_timer(this->timer, this->weak_from_this(), &GatewayLoop::tick);
 }
 
 void GatewayLoop::tick() {
--- a/ibismux/gateway/leaf_channel.cc
+++ b/ibismux/gateway/leaf_channel.cc
@@ -6,6 +6,7 @@
 
 #include "ibismux/gateway/call_group.h"
 #include "ibismux/gateway/refusal.h"
+#include "ibismux/http/await_timer.h"
 
 namespace ibismux::gateway {
 
@@ -324,13 +325,8 @@
   }
   this->armed_for = next;
   this->timer.expires_at(*next);
-  this->timer.async_wait(
-      [weak = this->weak_from_this()](const boost::system::error_code& error) {
-        const auto self = weak.lock();
-        if (!error && self) {
-          self->on_timer();
-        }
-      });
+  http::await_timer(this->timer, this->weak_from_this(),
+                    &LeafChannel::on_timer);
 }
 
 void LeafChannel::on_timer() {
--- a/ibismux/reports/report_exchange.cc
+++ b/ibismux/reports/report_exchange.cc
@@ -3,6 +3,7 @@
 #include <utility>
 
 #include "ibismux/eventlog/event_log.h"
+#include "ibismux/http/await_timer.h"
 #include "ibismux/membership/membership_view.h"
 
 namespace ibismux::reports {
@@ -65,13 +66,7 @@
     this->spread(this->board.summary(now));
   }
   this->timer.expires_after(kInterval);
-  this->timer.async_wait(
-      [weak = this->weak_from_this()](const boost::system::error_code& error) {
-        const auto self = weak.lock();
-        if (!error && self) {
-          self->tick();
-        }
-      });
+  http::await_timer(this->timer, this->weak_from_this(), &ReportExchange::tick);
 }
 
 void ReportExchange::take(const std::vector<LeafReport>& reports) {
--- a/ibismux/store/http_object_store.cc
+++ b/ibismux/store/http_object_store.cc
@@ -78,6 +78,20 @@
                 std::min(deadline, latest));
   }
 
+  /// Sends a `request` for one object, and reads the answer.
+  static Task<Result<StoredObject>> read_object(std::shared_ptr<Impl> self,
+                                                std::string collection,
+                                                std::string name,
+                                                http::Request request,
+                                                TimePoint deadline) {
+    auto response = co_await timed_call(self, CallKind::kRead,
+                                        std::move(request), deadline);
+    if (!response) {
+      co_return tl::unexpected(std::move(response.error()));
+    }
+    co_return self->dialect->read_object(collection, name, *response);
+  }
+
   void set_members(std::size_t members) {
     this->budget.set_rates(share_of(this->settings.budget, members),
                            Clock::now());
@@ -182,12 +196,8 @@
                                                 std::string name,
                                                 TimePoint deadline) {
   auto request = this->impl->dialect->get(collection, name);
-  auto response = co_await Impl::timed_call(this->impl, CallKind::kRead,
-                                            std::move(request), deadline);
-  if (!response) {
-    co_return tl::unexpected(std::move(response.error()));
-  }
-  co_return this->impl->dialect->read_object(collection, name, *response);
+  return Impl::read_object(this->impl, std::move(collection), std::move(name),
+                           std::move(request), deadline);
 }
 
 Task<Result<Listing>> HttpObjectStore::list(std::string collection,
@@ -266,12 +276,8 @@
                                                       std::string name,
                                                       TimePoint deadline) {
   auto request = this->impl->dialect->stale_get(collection, name);
-  auto response = co_await Impl::timed_call(this->impl, CallKind::kRead,
-                                            std::move(request), deadline);
-  if (!response) {
-    co_return tl::unexpected(std::move(response.error()));
-  }
-  co_return this->impl->dialect->read_object(collection, name, *response);
+  return Impl::read_object(this->impl, std::move(collection), std::move(name),
+                           std::move(request), deadline);
 }
 
 Task<Result<Version>> HttpObjectStore::put(std::string collection,
--- a/ibismux/store/own_dialect.cc
+++ b/ibismux/store/own_dialect.cc
@@ -7,17 +7,6 @@
 
 namespace ibismux::store {
 
-namespace {
-
-http::Request request_to(std::string method, std::string target) {
-  http::Request request;
-  request.method = std::move(method);
-  request.target = std::move(target);
-  return request;
-}
-
-}  // namespace
-
 http::Request OwnDialect::get(std::string_view collection,
                               std::string_view name) const {
   return request_to("GET", wire::object_target(collection, name));
--- a/ibismux/store/store_dialect.h
+++ b/ibismux/store/store_dialect.h
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include "ibismux/base/error.h"
@@ -83,6 +84,16 @@
   [[nodiscard]] virtual Result<std::vector<HostEntry>> read_hosts(
       const http::Response& response) const = 0;
   /// @}
+
+ protected:
+  /// A request without fields or body.
+  [[nodiscard]] static http::Request request_to(std::string method,
+                                                std::string target) {
+    http::Request request;
+    request.method = std::move(method);
+    request.target = std::move(target);
+    return request;
+  }
 };
 
 }  // namespace ibismux::store
--- a/tests/directory/leaf_directory_test.cc
+++ b/tests/directory/leaf_directory_test.cc
@@ -69,7 +69,7 @@
 Test(leaf_directory,
      entries_that_lapse_in_an_outage_are_kept_until_they_return) {
   Fixture fixture;
-  fixture.directory.registry_lost(fixture.now);
+  fixture.directory.registry_lost();
   fixture.now += milliseconds(5000);
   fixture.directory.registry_regained(fixture.now);
   fixture.directory.replace({}, fixture.now);
@@ -85,7 +85,7 @@
 
 Test(leaf_directory, removals_that_are_told_right_after_an_outage_wait_too) {
   Fixture fixture;
-  fixture.directory.registry_lost(fixture.now);
+  fixture.directory.registry_lost();
   fixture.directory.registry_regained(fixture.now);
   fixture.directory.remove("a", fixture.now + milliseconds(100));
   cr_assert(fixture.listener.known.size() == 2);
@@ -95,7 +95,7 @@
 
 Test(leaf_directory, nothing_expires_while_the_registry_is_away) {
   Fixture fixture;
-  fixture.directory.registry_lost(fixture.now);
+  fixture.directory.registry_lost();
   fixture.directory.remove("a", fixture.now);
   fixture.directory.expire(fixture.now + std::chrono::hours(1));
   cr_assert(fixture.listener.known.size() == 2);
