--- a/tests/support/fake_peer_network.h
+++ b/tests/support/fake_peer_network.h
@@ -84,6 +84,10 @@
     std::optional<Result<std::string>> result;
   };
   using PendingPointer = std::shared_ptr<Pending>;
+  /// What the server's side and the links hold. The requester alone owns its
+  /// request: the timer belongs to the requester's loop, and would be destroyed
+  /// after that loop if another member's loop held it to the end.
+  using PendingReference = std::weak_ptr<Pending>;
 
   class Network : public peer::PeerNetwork {
    public:
@@ -121,7 +125,8 @@
     std::map<peer::MessageKind, NotifyHandler> notify_handlers;
     std::map<peer::MessageKind, RequestHandler> request_handlers;
     std::vector<LostHandler> lost_handlers;
-    std::set<PendingPointer> pending;  // Under the cluster's mutex.
+    // Under the cluster's mutex.
+    std::set<PendingReference, std::owner_less<PendingReference>> pending;
   };
   using NetworkPointer = std::shared_ptr<Network>;
 
@@ -139,15 +144,17 @@
                           Incarnation from,
                           peer::MessageKind kind,
                           std::string payload,
-                          PendingPointer pending);
+                          PendingReference pending);
   void answer(const std::string& server,
               const std::string& client,
-              PendingPointer pending,
+              const PendingReference& pending,
               Result<std::string> outcome);
   // The three below need the mutex.
   void carry(const Link& link, Delivery delivery);
   NetworkPointer reachable(const std::string& from, const std::string& to);
   void tell_lost(const std::string& listener, const std::string& gone);
+  static void complete_later(const PendingReference& pending,
+                             Result<std::string> outcome);
 
   std::mutex mutex;
   std::map<std::string, NetworkPointer> members;
@@ -273,8 +280,8 @@
   }
   ++this->counts[kind];
   from.pending.insert(pending);
-  auto deliver = [this, target, kind, pending, sender = from.own,
-                  payload = std::move(payload)] {
+  auto deliver = [this, target, kind, pending = PendingReference(pending),
+                  sender = from.own, payload = std::move(payload)] {
     // Posted, since co_spawn may run the handler at once, under the mutex.
     boost::asio::post(target->executor, [this, target, kind, pending, sender,
                                          payload] {
@@ -292,7 +299,7 @@
                                          Incarnation from,
                                          peer::MessageKind kind,
                                          std::string payload,
-                                         PendingPointer pending) {
+                                         PendingReference pending) {
   const auto handler = server->request_handlers.find(kind);
   Result<std::string> outcome =
       fail(ErrorKind::kProtocolError, "no handler for this kind");
@@ -301,24 +308,20 @@
     outcome = co_await handler->second(std::move(from), std::move(payload));
     from.member = std::move(client);
   }
-  cluster->answer(server->own.member, from.member, std::move(pending),
-                  std::move(outcome));
+  cluster->answer(server->own.member, from.member, pending, std::move(outcome));
 }
 
 inline void FakePeerCluster::answer(const std::string& server,
                                     const std::string& client,
-                                    PendingPointer pending,
+                                    const PendingReference& pending,
                                     Result<std::string> outcome) {
   std::lock_guard lock(this->mutex);
   if (!this->reachable(server, client)) {
     return;
   }
-  this->carry({server, client},
-              [pending = std::move(pending), outcome = std::move(outcome)] {
-                boost::asio::post(pending->executor, [pending, outcome] {
-                  pending->complete(outcome);
-                });
-              });
+  this->carry({server, client}, [pending, outcome = std::move(outcome)] {
+    complete_later(pending, outcome);
+  });
 }
 
 inline void FakePeerCluster::carry(const Link& link, Delivery delivery) {
@@ -347,18 +350,15 @@
     return;
   }
   NetworkPointer network = hearer->second;
-  std::vector<PendingPointer> failed;
-  for (const PendingPointer& pending : network->pending) {
-    if (pending->target == gone) {
-      failed.push_back(pending);
+  std::erase_if(network->pending, [&gone](const PendingReference& reference) {
+    const PendingPointer pending = reference.lock();
+    if (pending && pending->target != gone) {
+      return false;
     }
-  }
-  for (const PendingPointer& pending : failed) {
-    network->pending.erase(pending);
-    boost::asio::post(pending->executor, [pending] {
-      pending->complete(fail(ErrorKind::kPeerUnavailable, "connection lost"));
-    });
-  }
+    complete_later(reference,
+                   fail(ErrorKind::kPeerUnavailable, "connection lost"));
+    return true;
+  });
   boost::asio::post(network->executor, [network, from = lost->second->own] {
     for (const auto& handler : network->lost_handlers) {
       handler(from);
@@ -366,6 +366,19 @@
   });
 }
 
+inline void FakePeerCluster::complete_later(const PendingReference& pending,
+                                            Result<std::string> outcome) {
+  const PendingPointer live = pending.lock();
+  if (!live) {
+    return;
+  }
+  boost::asio::post(live->executor, [pending, outcome = std::move(outcome)] {
+    if (const PendingPointer waiting = pending.lock()) {
+      waiting->complete(outcome);
+    }
+  });
+}
+
 inline Task<Result<std::string>> FakePeerCluster::Network::request(
     std::string member,
     peer::MessageKind kind,
