Let calls wait at the daemon and not in loaded leafs; refuse queries that would be late

Cause: each daemon kept up to three calls at each leaf whatever its load.

Change: CallWindow, an AIMD limit on calls at a leaf by what they take against an unloaded call; CallQueue, which ended calls leave at once; a part that was turned away waits for another leaf; a query whose queues have stood for a second and are longer than its objective is refused, not run, with when to come back. The limit of the gateways moved to ibismux/concurrency for both.

--- a/ibismux/concurrency/aimd_limit.cc
+++ b/ibismux/concurrency/aimd_limit.cc
@@ -1,8 +1,8 @@
-#include "ibismux/gateway/aimd_limit.h"
+#include "ibismux/concurrency/aimd_limit.h"
 
 #include <algorithm>
 
-namespace ibismux::gateway {
+namespace ibismux::concurrency {
 
 namespace {
 
@@ -53,4 +53,4 @@
   this->current = fresh;
 }
 
-}  // namespace ibismux::gateway
+}  // namespace ibismux::concurrency
--- a/ibismux/concurrency/aimd_limit.h
+++ b/ibismux/concurrency/aimd_limit.h
@@ -1,9 +1,9 @@
-#ifndef IBISMUX_GATEWAY_AIMD_LIMIT_H_
-#define IBISMUX_GATEWAY_AIMD_LIMIT_H_
+#ifndef IBISMUX_CONCURRENCY_AIMD_LIMIT_H_
+#define IBISMUX_CONCURRENCY_AIMD_LIMIT_H_
 
-#include "ibismux/gateway/concurrency_limit.h"
+#include "ibismux/concurrency/concurrency_limit.h"
 
-namespace ibismux::gateway {
+namespace ibismux::concurrency {
 
 /// Additive increase, multiplicative decrease, between 1 and a ceiling.
 ///
@@ -36,6 +36,6 @@
   TimePoint lowered_at{};  ///< When the limit was lowered last.
 };
 
-}  // namespace ibismux::gateway
+}  // namespace ibismux::concurrency
 
-#endif  // IBISMUX_GATEWAY_AIMD_LIMIT_H_
+#endif  // IBISMUX_CONCURRENCY_AIMD_LIMIT_H_
--- a/ibismux/concurrency/concurrency_limit.h
+++ b/ibismux/concurrency/concurrency_limit.h
@@ -1,11 +1,11 @@
-#ifndef IBISMUX_GATEWAY_CONCURRENCY_LIMIT_H_
-#define IBISMUX_GATEWAY_CONCURRENCY_LIMIT_H_
+#ifndef IBISMUX_CONCURRENCY_CONCURRENCY_LIMIT_H_
+#define IBISMUX_CONCURRENCY_CONCURRENCY_LIMIT_H_
 
 #include <cstddef>
 
 #include "ibismux/base/time.h"
 
-namespace ibismux::gateway {
+namespace ibismux::concurrency {
 
 /// How many calls a leaf gets at once, learned from how they end.
 ///
@@ -33,6 +33,6 @@
   virtual void declare(std::size_t slots) = 0;
 };
 
-}  // namespace ibismux::gateway
+}  // namespace ibismux::concurrency
 
-#endif  // IBISMUX_GATEWAY_CONCURRENCY_LIMIT_H_
+#endif  // IBISMUX_CONCURRENCY_CONCURRENCY_LIMIT_H_
--- a/ibismux/dispatch/forward.h
+++ b/ibismux/dispatch/forward.h
@@ -11,6 +11,8 @@
 struct LeafReply;
 struct MergedAnswer;
 class DispatchMetrics;
+class CallQueue;
+class CallWindow;
 class Dispatcher;
 class ForwardRun;
 class Leaf;
--- a/ibismux/dispatch/forward_run.cc
+++ b/ibismux/dispatch/forward_run.cc
@@ -10,6 +10,12 @@
   return this->parts().front()->service().can_serve();
 }
 
+Duration ForwardRun::excess_wait(TimePoint now) const {
+  const RequestContext& context = this->context();
+  const TimePoint due = context.request.received + context.route->objective;
+  return this->excess_wait_at(this->parts().front()->service(), due, now);
+}
+
 void ForwardRun::settle(TimePoint now) {
   PartCall& part = *this->parts().front();
   if (part.state() == PartCall::State::kAnswered) {
--- a/ibismux/dispatch/forward_run.h
+++ b/ibismux/dispatch/forward_run.h
@@ -12,6 +12,7 @@
 
  protected:
   [[nodiscard]] bool worth_starting() const override;
+  [[nodiscard]] Duration excess_wait(TimePoint now) const override;
   void settle(TimePoint now) override;
 
  private:
--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -52,6 +52,7 @@
 
 void Leaf::grant_links(LinkGrant grant) {
   this->grant = grant;
+  this->window.set_most(grant.most);
   if (!grant.keep) {
     this->open_links -= this->idle.size();
     this->idle.clear();
@@ -165,10 +166,14 @@
   this->crowded_pause = Duration::zero();
   switch (end.reply->kind) {
     case LeafReply::Kind::kSuccess:
+      this->window.on_answer(now - *ticket, order.unloaded, this->orders, now);
       this->numbers.answered(ticket, order.usual, now);
       break;
-    case LeafReply::Kind::kFailure:
     case LeafReply::Kind::kNotRun:
+      this->window.on_turned_away(now);
+      this->numbers.failed(ticket, now);
+      break;
+    case LeafReply::Kind::kFailure:
       this->numbers.failed(ticket, now);
       break;
     case LeafReply::Kind::kOtherInstance:
--- a/ibismux/dispatch/leaf.h
+++ b/ibismux/dispatch/leaf.h
@@ -13,6 +13,7 @@
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
 #include "ibismux/directory/leaf_entry.h"
+#include "ibismux/dispatch/call_window.h"
 #include "ibismux/dispatch/leaf_estimate.h"
 #include "ibismux/dispatch/leaf_link.h"
 #include "ibismux/dispatch/link_plan.h"
@@ -50,7 +51,8 @@
   struct Order {
     std::shared_ptr<const LeafCall> call;
     std::shared_ptr<ActiveCall> active;
-    Duration usual;  ///< What such a call takes at the median leaf.
+    Duration usual;     ///< What such a call takes at the median leaf.
+    Duration unloaded;  ///< The same while leafs have no queues.
     /// The leaf has fallen silent while the call waits. Called at most once.
     std::function<void()> on_silence;
     std::function<void(CallEnd)> on_end;
@@ -85,8 +87,13 @@
     return !this->idle.empty();
   }
   [[nodiscard]] bool has_room() const noexcept {
-    return !this->idle.empty() ||
-           (this->open_links < this->grant.most && !this->crowded());
+    return this->orders < this->most_calls() &&
+           (!this->idle.empty() ||
+            (this->open_links < this->grant.most && !this->crowded()));
+  }
+  /// How many calls this daemon lets the leaf have at once, at least 1.
+  [[nodiscard]] std::size_t most_calls() const noexcept {
+    return this->window.size();
   }
   [[nodiscard]] LeafEstimate& estimate() noexcept { return this->numbers; }
   [[nodiscard]] const LeafEstimate& estimate() const noexcept {
@@ -156,6 +163,7 @@
   std::size_t orders = 0;
   std::vector<std::unique_ptr<LeafLink>> idle;
   LeafEstimate numbers;
+  CallWindow window;
 
   // While dials are reset after they were accepted.
   TimePoint no_dial_before = TimePoint::min();
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -30,14 +30,39 @@
   this->current = State::kOpen;
   this->group->count_first();
   this->starting = true;
+  this->send_first_or_wait();
+  this->starting = false;
+}
+
+void PartCall::send_first_or_wait() {
   if (!this->send_first() && this->current == State::kOpen) {
-    this->group->wait(this->context->route->priority,
-                      [self = this->shared_from_this()] {
-                        return self->current == State::kOpen &&
-                               !self->abandoned && self->send_first();
-                      });
+    this->wait_for_room(
+        [this] { return this->send_first() || this->current != State::kOpen; });
+  }
+}
+
+void PartCall::wait_for_room(std::function<bool()> start) {
+  this->place = this->group->queue().join(
+      this->context->route->priority,
+      [weak = this->weak_from_this(), start = std::move(start)] {
+        const auto self = weak.lock();
+        if (!self || !self->place) {
+          return true;
+        }
+        const bool begun = start();
+        if (begun) {
+          self->place.reset();
+        }
+        return begun;
+      },
+      Clock::now());
+}
+
+void PartCall::leave_queue() {
+  if (this->place) {
+    this->group->queue().leave(*this->place);
+    this->place.reset();
   }
-  this->starting = false;
 }
 
 std::shared_ptr<Leaf> PartCall::choose(bool is_repeat) const {
@@ -103,6 +128,7 @@
       {.call = std::move(call),
        .active = active,
        .usual = this->context->typical->value(),
+       .unloaded = this->context->typical->unloaded(),
        .on_silence =
            [weak] {
              if (const auto self = weak.lock()) {
@@ -122,7 +148,8 @@
   const Error* error = end.reply ? nullptr : &end.reply.error();
   this->context->metrics->call_ended(error, took);
   if (end.reply && end.reply->kind == LeafReply::Kind::kSuccess) {
-    this->context->typical->record(took);
+    this->context->typical->record(took, now);
+    this->group->note_call(took);
   }
   this->active.erase(ended);
   if (this->current != State::kOpen) {
@@ -174,27 +201,50 @@
 
 void PartCall::retry(RepeatCause cause, Error error, bool sent) {
   this->last_error = std::move(error);
+  this->send_again_or_fail(cause, sent);
+}
+
+void PartCall::send_again_or_fail(RepeatCause cause, bool sent) {
+  // Under load each leaf has as many calls as it may have. A part that gave up
+  // then would be missing from its answer though a leaf is free in a moment.
+  const Again again = this->send_again(cause, sent);
+  if (again == Again::kNoRoom && !this->place) {
+    this->wait_for_room([this, cause, sent] {
+      const Again later = this->send_again(cause, sent);
+      if (later == Again::kNever && this->active.empty()) {
+        this->finish(State::kFailed);
+      }
+      return later != Again::kNoRoom;
+    });
+  } else if (again == Again::kNever && this->active.empty()) {
+    this->finish(State::kFailed);
+  }
+}
+
+PartCall::Again PartCall::send_again(RepeatCause cause, bool sent) {
   const bool safe =
       this->context->route->is_idempotent() || cause == RepeatCause::kNotRun;
-  if (safe && this->may_repeat() && Clock::now() < this->context->final_at) {
-    if (auto leaf = this->choose(false)) {
-      // What no byte was sent of arrived nowhere, and costs no budget.
-      if (!sent || this->group->take_repeat()) {
-        this->context->metrics->repeated(cause);
-        this->note("request_retried", *leaf, to_string(cause));
-        this->send_to(leaf);
-        return;
-      }
-      this->context->metrics->repeat_refused(cause);
-    }
+  if (!safe || !this->may_repeat() || Clock::now() >= this->context->final_at) {
+    return Again::kNever;
   }
-  if (this->active.empty()) {
-    this->finish(State::kFailed);
+  const auto leaf = this->choose(false);
+  if (!leaf) {
+    return this->group->can_serve(this->leafs) ? Again::kNoRoom : Again::kNever;
+  }
+  // What no byte was sent of arrived nowhere, and costs no budget.
+  if (sent && !this->group->take_repeat()) {
+    this->context->metrics->repeat_refused(cause);
+    return Again::kNever;
   }
+  this->context->metrics->repeated(cause);
+  this->note("request_retried", *leaf, to_string(cause));
+  this->send_to(leaf);
+  return Again::kSent;
 }
 
 void PartCall::abandon() {
   this->abandoned = true;
+  this->leave_queue();
 }
 
 void PartCall::give_up() {
@@ -207,6 +257,7 @@
 
 void PartCall::finish(State state) {
   this->current = state;
+  this->leave_queue();
   if (!this->starting) {
     this->on_change();
   }
--- a/ibismux/dispatch/part_call.h
+++ b/ibismux/dispatch/part_call.h
@@ -9,6 +9,7 @@
 #include "ibismux/base/error.h"
 #include "ibismux/base/time.h"
 #include "ibismux/dispatch/answer.h"
+#include "ibismux/dispatch/call_queue.h"
 #include "ibismux/dispatch/forward.h"
 #include "ibismux/dispatch/leaf.h"
 #include "ibismux/dispatch/repeat_cause.h"
@@ -94,12 +95,24 @@
   /// @param is_repeat The first call goes on: only for a leaf that answers.
   [[nodiscard]] std::shared_ptr<Leaf> choose(bool is_repeat) const;
   [[nodiscard]] bool send_first();
+  void send_first_or_wait();
+  /// @param start See `CallQueue`; not called once the part has ended.
+  void wait_for_room(std::function<bool()> start);
+  void leave_queue();
   void send_to(const std::shared_ptr<Leaf>& leaf);
   void on_end(const std::shared_ptr<ActiveCall>& active, CallEnd end);
   void on_reply(LeafReply reply);
   void on_error(Error error, bool sent);
   /// @param sent A byte may have reached the leaf.
   void retry(RepeatCause cause, Error error, bool sent);
+  /// What became of a try to send once more.
+  enum class Again : unsigned char {
+    kSent,
+    kNoRoom,  ///< Some leaf may take it, but has no room now.
+    kNever,   ///< No leaf will, or it isn't allowed.
+  };
+  [[nodiscard]] Again send_again(RepeatCause cause, bool sent);
+  void send_again_or_fail(RepeatCause cause, bool sent);
   void finish(State state);
   void note(std::string_view event, const Leaf& leaf, std::string_view detail);
 
@@ -107,6 +120,7 @@
   const std::shared_ptr<ServiceGroup> group;
   const std::function<void()> on_change;
 
+  std::optional<CallQueue::Place> place;  ///< While it waits for a leaf.
   State current = State::kIdle;
   bool starting = false;
   bool abandoned = false;
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -27,6 +27,17 @@
 // Work for a caller that has left is stopped well within half a second.
 constexpr milliseconds kCallerGoneGrace{250};
 
+// A queue that has not been empty for so long stands for more requests than
+// leafs can work on. The callers of a few seconds that come back together after
+// an outage make one, too, which is gone in less: they are served late, which
+// is better than not at all.
+constexpr milliseconds kStandingQueue{1000};
+// Bounds of when a caller that was refused for load should come back: pauses
+// and bursts of single leafs are over after a tenth of a second, and who is
+// told to stay away for more than one misses the end of a longer burst.
+constexpr milliseconds kLeastRetryAfter{100};
+constexpr milliseconds kLongestRetryAfter{1000};
+
 Duration hedge_delay(const RequestContext& context) {
   const auto usual = std::chrono::duration_cast<Duration>(
       context.typical->value() * kHedgeAfter);
@@ -58,8 +69,7 @@
           }
         }));
   }
-  if (!this->worth_starting()) {
-    this->fail_run(ErrorKind::kLeafUnavailable, "too few leafs can be reached");
+  if (this->refused(Clock::now())) {
     return;
   }
   // A call may end before `start()` returns: one that can't be sent does. Parts
@@ -77,6 +87,36 @@
   }
 }
 
+bool RequestRun::refused(TimePoint now) {
+  if (!this->worth_starting()) {
+    this->fail_run(ErrorKind::kLeafUnavailable, "too few leafs can be reached");
+    return true;
+  }
+  // More requests than leafs can work on: taken in, each would wait behind
+  // those that are late already, and all would be late. One that can't be in
+  // time is better told so before any leaf works on it.
+  const Duration excess = this->excess_wait(now);
+  if (excess <= Duration::zero()) {
+    return false;
+  }
+  Error error = make_error(ErrorKind::kOverloaded, "leafs have long queues");
+  error.execution = Execution::kNotRun;
+  error.retry_after = std::clamp(std::chrono::ceil<milliseconds>(excess),
+                                 kLeastRetryAfter, kLongestRetryAfter);
+  this->finish(tl::unexpected(std::move(error)));
+  return true;
+}
+
+Duration RequestRun::excess_wait_at(const ServiceGroup& service,
+                                    TimePoint due,
+                                    TimePoint now) const {
+  const bool stands = service.queue().standing(now) > kStandingQueue;
+  const TimePoint latest = stands ? due : this->shared->final_at;
+  const Duration work = this->shared->typical->unloaded();
+  return service.expected_wait(this->shared->route->priority) -
+         std::max<Duration>(work, latest - now - work);
+}
+
 void RequestRun::on_change() {
   if (!this->ended && !this->starting) {
     this->settle(Clock::now());
--- a/ibismux/dispatch/scatter_run.cc
+++ b/ibismux/dispatch/scatter_run.cc
@@ -41,6 +41,22 @@
   return static_cast<std::size_t>(served) >= this->needed();
 }
 
+Duration ScatterRun::excess_wait(TimePoint now) const {
+  std::vector<Duration> excess;
+  excess.reserve(this->parts().size());
+  for (const auto& part : this->parts()) {
+    const ServiceGroup& service = part->service();
+    excess.push_back(service.can_serve() ? this->excess_wait_at(
+                                               service, this->partial_at(), now)
+                                         : Duration::max());
+  }
+  // The answer is there when the last shard is that it can't do without.
+  const auto last =
+      excess.begin() + static_cast<std::ptrdiff_t>(this->needed()) - 1;
+  std::nth_element(excess.begin(), last, excess.end());
+  return *last;
+}
+
 void ScatterRun::settle(TimePoint now) {
   std::size_t answered = 0;
   std::size_t open = 0;
--- a/ibismux/dispatch/scatter_run.h
+++ b/ibismux/dispatch/scatter_run.h
@@ -16,6 +16,7 @@
 
  protected:
   [[nodiscard]] bool worth_starting() const override;
+  [[nodiscard]] Duration excess_wait(TimePoint now) const override;
   void settle(TimePoint now) override;
 
  private:
--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -29,6 +29,10 @@
 // A leaf that has just started works slower than its peers by about this.
 constexpr double kColdRatio = 1.6;
 
+// Of calls that the average of their times goes over: half a second's worth on
+// a small site.
+constexpr int kAverageOver = 32;
+
 constexpr milliseconds kLeastRetryAfter{100};
 constexpr milliseconds kLongestRetryAfter{1000};
 
@@ -65,9 +69,12 @@
                 [&leaf](const auto& member) { return member.get() == &leaf; });
 }
 
-bool ServiceGroup::can_serve() const noexcept {
+bool ServiceGroup::can_serve(
+    const std::vector<std::shared_ptr<Leaf>>& tried) const noexcept {
   return std::any_of(this->members.begin(), this->members.end(),
-                     [](const auto& leaf) { return leaf->in_service(); });
+                     [&tried](const auto& leaf) {
+                       return leaf->in_service() && !holds(tried, leaf.get());
+                     });
 }
 
 milliseconds ServiceGroup::retry_after(TimePoint now) const {
@@ -133,22 +140,32 @@
   this->repeats.pay_in(1, this->settings.repeat_share);
 }
 
-void ServiceGroup::wait(std::uint32_t priority, std::function<bool()> start) {
-  this->waiting.emplace(priority, std::move(start));
+void ServiceGroup::serve_waiting() {
+  this->waiting.offer([this] {
+    return std::any_of(this->members.begin(), this->members.end(),
+                       [](const auto& leaf) {
+                         return leaf->in_service() && leaf->has_room();
+                       });
+  });
 }
 
-void ServiceGroup::serve_waiting() {
-  while (!this->waiting.empty()) {
-    const bool room = std::any_of(
-        this->members.begin(), this->members.end(), [](const auto& leaf) {
-          return leaf->in_service() && leaf->has_room();
-        });
-    if (!room) {
-      return;
-    }
-    auto next = this->waiting.extract(this->waiting.begin());
-    next.mapped()();
+void ServiceGroup::note_call(Duration took) noexcept {
+  this->call_time =
+      this->call_time == Duration::zero()
+          ? took
+          : this->call_time + (took - this->call_time) / kAverageOver;
+}
+
+Duration ServiceGroup::expected_wait(std::uint32_t priority) const {
+  const std::size_t ahead = this->waiting.ahead_of(priority);
+  if (ahead == 0) {
+    return Duration::zero();
+  }
+  std::size_t at_once = 0;
+  for (const auto& leaf : this->members) {
+    at_once += leaf->in_service() ? leaf->most_calls() : 0;
   }
+  return this->call_time * (ahead + 1) / std::max<std::size_t>(1, at_once);
 }
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/service_group.h
+++ b/ibismux/dispatch/service_group.h
@@ -2,14 +2,13 @@
 #define IBISMUX_DISPATCH_SERVICE_GROUP_H_
 
 #include <cstdint>
-#include <functional>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 #include "ibismux/base/fraction_budget.h"
 #include "ibismux/base/time.h"
+#include "ibismux/dispatch/call_queue.h"
 #include "ibismux/dispatch/forward.h"
 
 namespace ibismux::dispatch {
@@ -49,8 +48,10 @@
       const noexcept {
     return this->members;
   }
-  /// Some leaf may take calls, now or once it has a free link.
-  [[nodiscard]] bool can_serve() const noexcept;
+  /// Some leaf may take calls, now or once it has room.
+  /// @param tried Leafs that don't count.
+  [[nodiscard]] bool can_serve(
+      const std::vector<std::shared_ptr<Leaf>>& tried = {}) const noexcept;
   /// When to come back where none can.
   [[nodiscard]] std::chrono::milliseconds retry_after(TimePoint now) const;
   /// @}
@@ -73,13 +74,19 @@
   }
   /// @}
 
-  /// @name Requests that wait for a link
+  /// @name Calls that wait for a leaf with room
   /// @{
-  /// @param priority Lower ones go first; equal ones in order of arrival.
-  /// @param start Begins the request; returns false if it has ended meanwhile.
-  void wait(std::uint32_t priority, std::function<bool()> start);
-  /// A link became free, or a leaf came: starts who waits, as far as it goes.
+  [[nodiscard]] CallQueue& queue() noexcept { return this->waiting; }
+  [[nodiscard]] const CallQueue& queue() const noexcept {
+    return this->waiting;
+  }
+  /// A leaf has room again, or one came: starts who waits, as far as it goes.
   void serve_waiting();
+  /// A call took this long at its leaf.
+  void note_call(Duration took) noexcept;
+  /// How long a call of `priority` that comes now would wait for a leaf, by how
+  /// long calls took of late. Zero where nobody waits.
+  [[nodiscard]] Duration expected_wait(std::uint32_t priority) const;
   /// @}
 
  private:
@@ -91,7 +98,8 @@
   const DispatchSettings& settings;
   std::vector<std::shared_ptr<Leaf>> members;
   FractionBudget repeats;
-  std::multimap<std::uint32_t, std::function<bool()>> waiting;
+  CallQueue waiting;
+  Duration call_time{0};  ///< Moving average of what a call takes.
 };
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/typical_latency.h
+++ b/ibismux/dispatch/typical_latency.h
@@ -1,6 +1,8 @@
 #ifndef IBISMUX_DISPATCH_TYPICAL_LATENCY_H_
 #define IBISMUX_DISPATCH_TYPICAL_LATENCY_H_
 
+#include <algorithm>
+#include <cmath>
 #include <cstdint>
 
 #include "ibismux/base/time.h"
@@ -13,13 +15,17 @@
 /// other call is measured by. It moves by a fixed share towards each sample, so
 /// it costs one number and follows a changed load within some tens of calls.
 ///
+/// The lowest that the median has been of late stands for a call that doesn't
+/// wait at its leaf: against it the time that leafs' queues add can be told.
+///
 /// Not thread safe.
 class TypicalLatency {
  public:
   /// @param initial Taken until samples say otherwise.
-  explicit TypicalLatency(Duration initial) noexcept : median(initial) {}
+  explicit TypicalLatency(Duration initial) noexcept
+      : median(initial), lowest(initial) {}
 
-  void record(Duration latency) noexcept {
+  void record(Duration latency, TimePoint now) noexcept {
     ++this->samples;
     const double step =
         this->samples <= kFirstSamples ? kFirstStep : kLaterStep;
@@ -28,11 +34,33 @@
     if (this->median < kLeast) {
       this->median = kLeast;
     }
+    this->follow(now);
   }
 
   [[nodiscard]] Duration value() const noexcept { return this->median; }
 
+  /// What a call takes while leafs have no queues.
+  [[nodiscard]] Duration unloaded() const noexcept { return this->lowest; }
+
  private:
+  void follow(TimePoint now) noexcept {
+    if (this->samples <= kFirstSamples) {
+      this->lowest = this->median;
+    } else {
+      const double seconds =
+          std::chrono::duration<double>(now - this->last).count();
+      const double rise =
+          std::exp2(std::max(0.0, seconds) / kDoubledAfterSeconds);
+      this->lowest =
+          std::min(this->median,
+                   std::chrono::duration_cast<Duration>(this->lowest * rise));
+    }
+    this->last = now;
+  }
+
+  // Work that has become heavier for good is believed after about a minute;
+  // bursts of load last seconds.
+  static constexpr double kDoubledAfterSeconds = 60;
   // From a first guess that is off by a factor of ten, 40 steps of 8 in 100
   // lead to the median.
   static constexpr std::uint32_t kFirstSamples = 40;
@@ -41,6 +69,8 @@
   static constexpr Duration kLeast = std::chrono::microseconds(100);
 
   Duration median;
+  Duration lowest;
+  TimePoint last = TimePoint::min();
   std::uint32_t samples = 0;
 };
 
--- a/ibismux/gateway/leaf_capacity.cc
+++ b/ibismux/gateway/leaf_capacity.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
-#include "ibismux/gateway/aimd_limit.h"
+#include "ibismux/concurrency/aimd_limit.h"
 
 namespace ibismux::gateway {
 
@@ -22,7 +22,9 @@
 
 LeafCapacity::LeafCapacity(const GatewaySettings& settings,
                            EjectionBudget& budget)
-    : bound(std::make_unique<AimdLimit>(1, settings.most_limit_per_slot)),
+    : bound(std::make_unique<concurrency::AimdLimit>(
+          1,
+          settings.most_limit_per_slot)),
       health(settings, budget) {}
 
 void LeafCapacity::declare(std::size_t slots, bool leaving) {
--- a/ibismux/gateway/leaf_capacity.h
+++ b/ibismux/gateway/leaf_capacity.h
@@ -7,7 +7,7 @@
 
 #include "ibismux/backend/leaf_reply.h"
 #include "ibismux/base/time.h"
-#include "ibismux/gateway/concurrency_limit.h"
+#include "ibismux/concurrency/concurrency_limit.h"
 #include "ibismux/gateway/ejection_budget.h"
 #include "ibismux/gateway/gateway_settings.h"
 #include "ibismux/gateway/leaf_health_policy.h"
@@ -67,7 +67,7 @@
   /// @}
 
  private:
-  std::unique_ptr<ConcurrencyLimit> bound;
+  std::unique_ptr<concurrency::ConcurrencyLimit> bound;
   LeafHealthPolicy health;
   Duration typical{};  ///< Moving average of leaf times.
 };
--- /dev/null
+++ b/tests/dispatch/call_queue_test.cc
@@ -0,0 +1,113 @@
+#include "ibismux/dispatch/call_queue.h"
+
+#include <criterion/criterion.h>
+
+#include <string>
+
+namespace ibismux::dispatch {
+namespace {
+
+using std::chrono::seconds;
+
+struct Fixture {
+  CallQueue queue;
+  TimePoint now = Clock::now();
+  std::string started;
+  int room = 0;
+
+  /// A call that takes the place of room that there is.
+  CallQueue::Place join(std::uint32_t priority, char name) {
+    return this->queue.join(
+        priority,
+        [this, name] {
+          this->started += name;
+          --this->room;
+          return true;
+        },
+        this->now);
+  }
+
+  void offer(int room) {
+    this->room = room;
+    this->queue.offer([this] { return this->room > 0; });
+  }
+};
+
+/// A call that can't use the room there is.
+CallQueue::Start picky(int& tries) {
+  return [&tries] {
+    ++tries;
+    return false;
+  };
+}
+
+Test(call_queue, goes_by_priority_and_then_by_arrival) {
+  Fixture fixture;
+  fixture.join(2, 'c');
+  fixture.join(1, 'a');
+  fixture.join(2, 'd');
+  fixture.join(1, 'b');
+  fixture.offer(3);
+  cr_assert(fixture.started == "abc");
+  fixture.offer(3);
+  cr_assert(fixture.started == "abcd");
+}
+
+Test(call_queue, who_left_is_not_started) {
+  Fixture fixture;
+  const CallQueue::Place first = fixture.join(1, 'a');
+  fixture.join(1, 'b');
+  fixture.queue.leave(first);
+  fixture.queue.leave(first);
+  fixture.offer(2);
+  cr_assert(fixture.started == "b");
+}
+
+Test(call_queue, tells_how_many_go_first) {
+  Fixture fixture;
+  fixture.join(1, 'a');
+  fixture.join(2, 'b');
+  fixture.join(3, 'c');
+  cr_assert(fixture.queue.ahead_of(0) == 0);
+  cr_assert(fixture.queue.ahead_of(1) == 1);
+  cr_assert(fixture.queue.ahead_of(2) == 2);
+  cr_assert(fixture.queue.ahead_of(9) == 3);
+}
+
+Test(call_queue, stands_from_the_first_who_waits_to_the_last) {
+  Fixture fixture;
+  cr_assert(fixture.queue.standing(fixture.now) == Duration::zero());
+  const CallQueue::Place first = fixture.join(1, 'a');
+  fixture.now += seconds(1);
+  fixture.join(1, 'b');
+  fixture.queue.leave(first);
+  cr_assert(fixture.queue.standing(fixture.now) == seconds(1));
+  fixture.offer(1);
+  cr_assert(fixture.queue.standing(fixture.now) == Duration::zero());
+  fixture.join(1, 'c');
+  cr_assert(fixture.queue.standing(fixture.now) == Duration::zero());
+}
+
+// Symptom: with slow and full leafs a daemon took all the processor time that
+// it could get and answered its callers seconds late. Sequence: a leaf turned a
+// call away; the call waited for another leaf. The leaf that had turned it away
+// had room, so the call was offered it, couldn't use it, and went to the end of
+// the queue, where it was soon offered it again. Cause: the queue was served
+// until nobody waited or nothing had room, and neither came about.
+Test(call_queue,
+     a_call_that_cannot_use_the_room_is_tried_once_and_keeps_its_place) {
+  Fixture fixture;
+  int tries = 0;
+  (void)fixture.queue.join(1, picky(tries), fixture.now);
+  fixture.join(1, 'b');
+  fixture.offer(5);
+  cr_assert(tries == 1);
+  cr_assert(fixture.started == "b");
+  cr_assert(fixture.queue.ahead_of(1) == 1);
+  fixture.join(1, 'c');
+  fixture.offer(1);
+  cr_assert(tries == 2, "still before those that came later");
+}
+
+}  // namespace
+}  // namespace ibismux::dispatch
--- a/tests/dispatch/fake_leafs.h
+++ b/tests/dispatch/fake_leafs.h
@@ -17,15 +17,16 @@
 /// What a fake leaf does with the calls it gets.
 struct Behaviour {
   bool refuses_dials = false;
-  bool resets = false;    ///< Takes a call and drops the connection.
-  bool silent = false;    ///< Never answers.
-  bool sheds = false;     ///< Says that it hasn't run the call.
-  bool fails = false;     ///< Answers 500.
-  bool replaced = false;  ///< Another leaf has its address.
+  bool resets = false;  ///< Takes a call and drops the connection.
+  bool silent = false;  ///< Never answers.
+  std::chrono::milliseconds work{0};  ///< Until the answer.
+  bool sheds = false;                 ///< Says that it hasn't run the call.
+  bool fails = false;                 ///< Answers 500.
+  bool replaced = false;              ///< Another leaf has its address.
 };
 
 /// Leafs in memory, behind the interface that the dispatcher calls. No sockets;
-/// an answer comes at once unless the leaf is silent.
+/// an answer comes at once unless the leaf is silent or has work to do.
 class FakeLeafs : public LeafConnector {
  public:
   std::map<std::string, Behaviour> behaviour;  ///< By instance.
@@ -87,6 +88,13 @@
       this->is_open = false;
       co_return fail(ErrorKind::kDeadlineExceeded, "no answer");
     }
+    if (behaviour.work.count() > 0) {
+      boost::asio::steady_timer working(
+          co_await boost::asio::this_coro::executor, behaviour.work);
+      boost::system::error_code error;
+      co_await working.async_wait(
+          boost::asio::redirect_error(boost::asio::use_awaitable, error));
+    }
     if (behaviour.resets) {
       this->is_open = false;
       co_return fail(ErrorKind::kLeafUnavailable, "reset");
--- /dev/null
+++ b/tests/dispatch/overload_test.cc
@@ -0,0 +1,126 @@
+#include <boost/asio/io_context.hpp>
+
+#include "tests/dispatch/dispatch_fixture.h"
+
+#include <criterion/criterion.h>
+
+// What callers meet when they bring more than leafs can work on.
+
+namespace ibismux::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using testing::Behaviour;
+using testing::DispatchFixture;
+
+constexpr int kCrowd = 300;
+
+std::string name(int number) {
+  return "q" + std::to_string(number);
+}
+
+bool has_ended(const DispatchFixture& fixture, int count) {
+  return fixture.outcomes.size() >= static_cast<std::size_t>(count);
+}
+
+void slow_down(DispatchFixture& fixture, milliseconds work) {
+  for (std::size_t i = 1; i <= DispatchFixture::kShards; ++i) {
+    Behaviour behaviour;
+    behaviour.work = work;
+    fixture.all_of("s" + std::to_string(i), behaviour);
+  }
+}
+
+/// Queries that take the leafs some seconds, begun together.
+void begin_crowd(DispatchFixture& fixture) {
+  for (int i = 0; i < kCrowd; ++i) {
+    fixture.begin(name(i), "/query/1");
+  }
+}
+
+bool answered(const DispatchFixture& fixture, int number) {
+  return fixture.outcomes.at(name(number)).has_value();
+}
+
+// Symptom: with an eighth more load than leafs can work on, nearly all queries
+// of some seconds were late, and those that had waited to the end of their
+// callers' time failed. Sequence: each query queued for its shards behind all
+// earlier ones. The queue grew while the load lasted, and each query waited as
+// long as the queue was. Cause: nothing looked at the queue before a query was
+// let in.
+Test(overload, a_query_that_would_be_late_behind_a_standing_queue_is_refused) {
+  DispatchFixture fixture;
+  fixture.objective = milliseconds(300);
+  fixture.configure(2);
+  slow_down(fixture, milliseconds(60));
+  begin_crowd(fixture);
+  const TimePoint later = Clock::now() + milliseconds(1300);
+  fixture.run_until([&] { return Clock::now() >= later; });
+  const Outcome& late = fixture.run("late", "/query/1");
+  cr_assert(!late);
+  cr_assert(late.error().kind == ErrorKind::kOverloaded);
+  cr_assert(late.error().execution == Execution::kNotRun);
+  cr_assert(late.error().retry_after >= milliseconds(100));
+  cr_assert(fixture.leafs.times_run("late") == 0);
+  // Who was let in is answered, and so is who comes after the crowd.
+  fixture.run_until([&] { return has_ended(fixture, kCrowd + 1); });
+  cr_assert(answered(fixture, 0));
+  cr_assert(answered(fixture, kCrowd - 1));
+  cr_assert(fixture.run("after", "/query/1").has_value());
+}
+
+// Symptom: after an outage of all daemons callers were refused that could have
+// been answered, if late, and had no retry left. Sequence: callers of two
+// seconds came back together. The queue that they made was longer than the
+// objective for less than a second. Cause: a queue that is being worked off was
+// taken for one that stands.
+Test(overload, a_crowd_that_comes_at_once_is_served_late) {
+  DispatchFixture fixture;
+  fixture.objective = milliseconds(300);
+  fixture.configure(2);
+  slow_down(fixture, milliseconds(30));
+  cr_assert(fixture.run("first", "/query/1").has_value());
+  begin_crowd(fixture);
+  fixture.run_until([&] { return has_ended(fixture, kCrowd + 1); });
+  for (int i = 0; i < kCrowd; ++i) {
+    cr_assert(answered(fixture, i), "%s", name(i).c_str());
+  }
+}
+
+// Symptom: answers lacked shards whose leafs were all up.
+// Sequence: a leaf turned a call away. The shard's other leafs had as many
+// calls as they may have, so the part counted as failed, and the answer went
+// out without it. Cause: a second leaf was looked for once, at that moment.
+Test(overload, a_part_that_was_turned_away_waits_for_another_leaf) {
+  DispatchFixture fixture;
+  slow_down(fixture, milliseconds(30));
+  fixture.leafs.behaviour["s1-0"] = Behaviour{.sheds = true};
+  constexpr int kQueries = 9;
+  for (int i = 0; i < kQueries; ++i) {
+    fixture.begin(name(i), "/query/1");
+  }
+  fixture.run_until([&] { return has_ended(fixture, kQueries); });
+  for (int i = 0; i < kQueries; ++i) {
+    cr_assert(fixture.merged(name(i)).missing_shards == 0, "%s",
+              name(i).c_str());
+  }
+}
+
+// Symptom: what waited for a leaf was held in memory after its query had ended.
+// Sequence: a caller left while its query's parts waited in the queues of busy
+// shards. The queue held the part, and the part the queue.
+// Cause: an entry left the queue only when its turn came.
+Test(overload, who_leaves_leaves_the_queue) {
+  DispatchFixture fixture;
+  slow_down(fixture, milliseconds(60));
+  begin_crowd(fixture);
+  const auto token = fixture.begin("gone", "/query/1");
+  token->cancel();
+  fixture.run_until([&] { return fixture.outcomes.contains("gone"); });
+  cr_assert(!fixture.outcomes.at("gone"));
+  fixture.run_until([&] { return has_ended(fixture, kCrowd + 1); });
+  cr_assert(fixture.leafs.times_run("gone") == 0);
+}
+
+}  // namespace
+}  // namespace ibismux::dispatch
--- a/tests/dispatch/typical_latency_test.cc
+++ b/tests/dispatch/typical_latency_test.cc
@@ -10,7 +10,7 @@
 Test(typical_latency, finds_the_median_from_a_bad_first_guess) {
   TypicalLatency typical(milliseconds(100));
   for (int i = 0; i < 200; ++i) {
-    typical.record(milliseconds(8));
+    typical.record(milliseconds(8), TimePoint());
   }
   cr_assert(typical.value() > milliseconds(7));
   cr_assert(typical.value() < milliseconds(9));
@@ -19,7 +19,8 @@
 Test(typical_latency, calls_that_a_pause_caught_do_not_move_it) {
   TypicalLatency typical(milliseconds(8));
   for (int i = 0; i < 1000; ++i) {
-    typical.record(i % 10 == 0 ? milliseconds(100) : milliseconds(7 + i % 3));
+    typical.record(i % 10 == 0 ? milliseconds(100) : milliseconds(7 + i % 3),
+                   TimePoint());
   }
   cr_assert(typical.value() < milliseconds(10));
 }
@@ -27,10 +28,37 @@
 Test(typical_latency, never_falls_to_nothing) {
   TypicalLatency typical(milliseconds(8));
   for (int i = 0; i < 1000; ++i) {
-    typical.record(Duration::zero());
+    typical.record(Duration::zero(), TimePoint());
   }
   cr_assert(typical.value() > Duration::zero());
 }
 
+/// Calls of `latency`, one each 10 ms for `span`.
+void record(TypicalLatency& typical,
+            milliseconds latency,
+            std::chrono::seconds span,
+            TimePoint& now) {
+  for (const TimePoint end = now + span; now < end; now += milliseconds(10)) {
+    typical.record(latency, now);
+  }
+}
+
+Test(typical_latency, a_burst_of_load_does_not_pass_for_the_work_itself) {
+  TypicalLatency typical(milliseconds(8));
+  TimePoint now = Clock::now();
+  record(typical, milliseconds(8), std::chrono::seconds(5), now);
+  record(typical, milliseconds(40), std::chrono::seconds(10), now);
+  cr_assert(typical.value() > milliseconds(35));
+  cr_assert(typical.unloaded() < milliseconds(10));
+}
+
+Test(typical_latency, work_that_has_become_heavier_for_good_is_believed) {
+  TypicalLatency typical(milliseconds(8));
+  TimePoint now = Clock::now();
+  record(typical, milliseconds(8), std::chrono::seconds(5), now);
+  record(typical, milliseconds(20), std::chrono::seconds(120), now);
+  cr_assert(typical.unloaded() > milliseconds(18));
+}
+
 }  // namespace
 }  // namespace ibismux::dispatch
