Let the daemons of a zone forget a slow leaf one after the other

Cause: all daemons of a zone forgot within the same seconds that a leaf is slow, and each found out anew. At 91 daemons a daemon calls a given leaf each two seconds; a query of 36 shards met three of 18 slow leafs.

Ruled out: reports of other zones (a zone learns within a second by itself).

Change: what a daemon hears of a leaf fades over a time that each daemon draws, up to the number of daemons of its zone times 1.25 s; the first to try the leaf again tells the others, also when it has become well: the board keeps what it told.

--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <random>
 #include <set>
 #include <utility>
 
@@ -35,6 +36,14 @@
                   settings.repeat_slack / static_cast<double>(hosts));
 }
 
+// In which a daemon that is alone in its zone forgets half of what it heard of
+// a leaf. With more of them each draws longer times, up to this many times as
+// long as there are daemons: the first to forget tries the leaf for all, and
+// what it finds is heard by the others before they would. Without that all of
+// them try at once: at 91 daemons with 18 of 108 leafs eight times as slow,
+// each query of 36 shards met three of those.
+constexpr milliseconds kHearsayHalfLife{1250};
+
 using OutcomeHandler =
     asio::async_result<asio::use_awaitable_t<>, void(Outcome)>::handler_type;
 
@@ -49,7 +58,8 @@
       connector(connector),
       settings(std::move(settings)),
       metrics(registry),
-      log(log) {
+      log(log),
+      random(std::hash<std::string>()(this->settings.member)) {
   this->fleet.hosts = this->settings.hosts;
   this->fleet.zone = this->settings.zone;
 }
@@ -196,11 +206,25 @@
 void Dispatcher::on_report(const reports::LeafReport& report) {
   const auto known = this->leafs.find(report.instance);
   if (known != this->leafs.end()) {
-    known->second->estimate().hear(report.excess, report.failures,
-                                   report.samples, Clock::now());
+    known->second->estimate().hear({.excess = report.excess,
+                                    .failures = report.failures,
+                                    .samples = report.samples,
+                                    .half_life = this->hearsay_half_life()},
+                                   Clock::now());
   }
 }
 
+Duration Dispatcher::hearsay_half_life() {
+  const auto zone = this->fleet.hosts_by_zone.find(this->fleet.zone);
+  const double peers =
+      zone == this->fleet.hosts_by_zone.end()
+          ? 0
+          : std::max(0.0, static_cast<double>(zone->second) - 1);
+  const double drawn =
+      std::uniform_real_distribution<double>(0, peers)(this->random);
+  return std::chrono::duration_cast<Duration>(kHearsayHalfLife * (1 + drawn));
+}
+
 std::shared_ptr<ServiceGroup> Dispatcher::group(const std::string& service) {
   auto& group = this->groups[service];
   if (!group) {
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <pcg_random.hpp>
 #include <string>
 
 #include "ibismux/base/task.h"
@@ -81,6 +82,7 @@
       const routing::Route& route);
   void share_links();
   void share_links(const ServiceGroup& group);
+  [[nodiscard]] Duration hearsay_half_life();
   [[nodiscard]] Outcome refuse(const CallerRequest& request,
                                Error error,
                                const routing::Route* route);
@@ -91,6 +93,7 @@
   LinkSharers fleet;
   DispatchMetrics metrics;
   eventlog::EventLog& log;
+  pcg32 random;
 
   std::shared_ptr<const routing::RouteTable> in_force;
   std::map<std::string, std::shared_ptr<ServiceGroup>> groups;
--- a/ibismux/dispatch/leaf_estimate.cc
+++ b/ibismux/dispatch/leaf_estimate.cc
@@ -43,33 +43,47 @@
 
 double LeafEstimate::ratio(TimePoint now) const noexcept {
   return 1 +
-         this->blend(this->excess * this->fading(now), this->heard_excess, now);
+         this->blend(this->excess * this->fading(now), this->heard.excess, now);
 }
 
 double LeafEstimate::failure_share(TimePoint now) const noexcept {
-  return this->blend(this->failures * this->fading(now), this->heard_failures,
+  return this->blend(this->failures * this->fading(now), this->heard.failures,
                      now);
 }
 
-void LeafEstimate::hear(double excess,
-                        double failures,
-                        double samples,
-                        TimePoint now) {
-  this->heard_excess = std::min(excess, kMostRatio - 1);
-  this->heard_failures = std::min(failures, 1.0);
-  this->heard_samples = std::min(samples, kMostHeard);
-  this->heard_until = now + kHeardFor;
+void LeafEstimate::hear(const Hearsay& news, TimePoint now) {
+  this->heard = news;
+  this->heard.excess = std::min(news.excess, kMostRatio - 1);
+  this->heard.failures = std::min(news.failures, 1.0);
+  this->heard.samples = std::min(news.samples, kMostHeard);
+  this->heard_at = now;
+}
+
+bool LeafEstimate::is_talked_of(TimePoint now) const noexcept {
+  const double kept = this->heard_fading(now);
+  return this->heard.excess * kept >= kLeastHeard ||
+         this->heard.failures * kept >= kLeastHeard;
+}
+
+double LeafEstimate::heard_fading(TimePoint now) const noexcept {
+  if (this->heard_at == TimePoint::min()) {
+    return 0;
+  }
+  const double age = seconds(now - this->heard_at - kHeardFor);
+  return std::exp2(-std::max(0.0, age) /
+                   std::max(seconds(this->heard.half_life), 1e-3));
 }
 
 double LeafEstimate::blend(double own,
                            double heard,
                            TimePoint now) const noexcept {
-  if (!this->is_talked_of(now)) {
+  const double kept = this->heard_fading(now);
+  if (kept < kLeastHeard) {
     return own;
   }
   const double weight = this->own_samples * this->fading(now);
-  return (own * weight + heard * this->heard_samples) /
-         (weight + this->heard_samples);
+  return (own * weight + heard * kept * this->heard.samples) /
+         (weight + this->heard.samples);
 }
 
 double LeafEstimate::fading(TimePoint now) const noexcept {
--- a/ibismux/dispatch/leaf_estimate.h
+++ b/ibismux/dispatch/leaf_estimate.h
@@ -37,8 +37,15 @@
   void lost(Ticket ticket, TimePoint now);
   /// @}
 
-  /// What other daemons see. @param samples Calls that it rests on.
-  void hear(double excess, double failures, double samples, TimePoint now);
+  /// What the daemons of the zone see together.
+  struct Hearsay {
+    double excess = 0;    ///< The ratio above 1.
+    double failures = 0;  ///< Share of the calls.
+    double samples = 0;   ///< Calls that it rests on.
+    /// In which half of it is forgotten where nothing more is heard.
+    Duration half_life{0};
+  };
+  void hear(const Hearsay& news, TimePoint now);
 
   /// What this daemon saw since the last call: calls, and the sums of their
   /// ratios above 1 and of their failures.
@@ -51,9 +58,7 @@
     return std::exchange(this->seen, {});
   }
   /// Others hold the leaf to be slow or failing.
-  [[nodiscard]] bool is_talked_of(TimePoint now) const noexcept {
-    return now < this->heard_until;
-  }
+  [[nodiscard]] bool is_talked_of(TimePoint now) const noexcept;
 
   /// Whether calls wait and no answer has come for `patience`.
   [[nodiscard]] bool silent(Duration patience, TimePoint now) const noexcept;
@@ -80,10 +85,14 @@
 
   // What was heard counts as at most this many calls of this daemon's own.
   static constexpr double kMostHeard = 12;
-  // And for so long: it comes again twice a second while it holds.
+  // And in full for so long: it comes again twice a second while leafs are
+  // called.
   static constexpr std::chrono::milliseconds kHeardFor{1500};
+  // Less of it than this is as good as nothing.
+  static constexpr double kLeastHeard = 0.1;
 
   [[nodiscard]] double fading(TimePoint now) const noexcept;
+  [[nodiscard]] double heard_fading(TimePoint now) const noexcept;
   /// This daemon's own figure and the one it heard, each by its weight.
   [[nodiscard]] double blend(double own,
                              double heard,
@@ -97,10 +106,8 @@
   TimePoint updated = TimePoint::min();
   double own_samples = 0;  ///< Decayed as the figures are.
 
-  double heard_excess = 0;
-  double heard_failures = 0;
-  double heard_samples = 0;
-  TimePoint heard_until = TimePoint::min();
+  Hearsay heard;
+  TimePoint heard_at = TimePoint::min();
 
   Seen seen;
 };
--- a/ibismux/reports/report_board.cc
+++ b/ibismux/reports/report_board.cc
@@ -12,6 +12,9 @@
 // One daemon's calls count as at most this many: a single one that has fallen
 // out with a leaf must not speak for the zone.
 constexpr double kMostSamples = 8;
+// Longer than any daemon holds a leaf to be slow without having heard of it
+// again.
+constexpr std::chrono::seconds kForgottenAfter{120};
 
 }  // namespace
 
@@ -32,6 +35,7 @@
     row.updated = now;
   }
   row.fade(now);
+  row.called = now;
   const double weight = std::min(report.samples, kMostSamples);
   row.samples += weight;
   row.excess_sum += weight * report.excess;
@@ -39,7 +43,7 @@
 }
 
 std::vector<LeafReport> ReportBoard::summary(TimePoint now) {
-  std::vector<LeafReport> notable;
+  std::vector<LeafReport> news;
   for (auto& [instance, row] : this->rows) {
     row.fade(now);
     if (row.samples < kLeastSamples) {
@@ -48,15 +52,18 @@
     LeafReport report{instance, row.samples, row.excess_sum / row.samples,
                       row.failure_sum / row.samples};
     const bool is_notable = report.is_notable();
-    const bool was_notable = std::exchange(row.was_notable, is_notable);
-    if (is_notable || was_notable) {
-      notable.push_back(std::move(report));
+    if (std::exchange(row.told, is_notable) || is_notable) {
+      news.push_back(std::move(report));
     }
   }
-  std::erase_if(this->rows, [](const auto& entry) {
-    return entry.second.samples < kLeastSamples;
+  // A leaf that daemons hold to be slow is seldom called. Its row outlives its
+  // last calls, since the next one that finds it well is news to all of them.
+  std::erase_if(this->rows, [now](const auto& entry) {
+    const Row& row = entry.second;
+    return row.samples < kLeastSamples &&
+           (!row.told || now - row.called > kForgottenAfter);
   });
-  return notable;
+  return news;
 }
 
 }  // namespace ibismux::reports
--- a/ibismux/reports/report_board.h
+++ b/ibismux/reports/report_board.h
@@ -21,8 +21,8 @@
 
   void take(const LeafReport& report, TimePoint now);
 
-  /// Leafs that are notable now, and those that were at the last call and
-  /// aren't any more.
+  /// Leafs that are notable now, and those that were said to be and that a
+  /// later call has shown not to be any more.
   [[nodiscard]] std::vector<LeafReport> summary(TimePoint now);
 
  private:
@@ -31,7 +31,8 @@
     double excess_sum = 0;
     double failure_sum = 0;
     TimePoint updated;
-    bool was_notable = false;
+    TimePoint called;   ///< When calls were last reported.
+    bool told = false;  ///< Daemons were last told that it is notable.
 
     void fade(TimePoint now);
   };
--- a/tests/dispatch/leaf_estimate_test.cc
+++ b/tests/dispatch/leaf_estimate_test.cc
@@ -91,7 +91,8 @@
 
 Test(leaf_estimate, what_others_see_counts_beside_own_calls) {
   Fixture fixture;
-  fixture.estimate.hear(4, 0, 12, fixture.now);
+  fixture.estimate.hear({.excess = 4, .samples = 12, .half_life = kUsual},
+                        fixture.now);
   cr_assert(fixture.estimate.ratio(fixture.now) == 5);
   for (int i = 0; i < 12; ++i) {
     fixture.call(milliseconds(1));
@@ -101,6 +102,20 @@
   cr_assert(fixture.estimate.ratio(fixture.now + milliseconds(1600)) < 1.1);
 }
 
+Test(leaf_estimate, what_others_see_is_kept_for_as_long_as_it_is_said_to_hold) {
+  Fixture fixture;
+  fixture.estimate.hear(
+      {.excess = 4, .samples = 1, .half_life = std::chrono::seconds(10)},
+      fixture.now);
+  const TimePoint later = fixture.now + milliseconds(11500);
+  cr_assert(fixture.estimate.ratio(later) > 2.9);
+  cr_assert(fixture.estimate.ratio(later) < 3.1);
+  cr_assert(fixture.estimate.is_talked_of(later));
+  fixture.estimate.hear({.samples = 1}, later);
+  cr_assert(fixture.estimate.ratio(later) == 1);
+  cr_assert(!fixture.estimate.is_talked_of(later));
+}
+
 Test(leaf_estimate, what_was_seen_is_handed_over_once) {
   Fixture fixture;
   fixture.call(milliseconds(30));
--- /dev/null
+++ b/tests/dispatch/zone_memory_test.cc
@@ -0,0 +1,128 @@
+#include <criterion/criterion.h>
+
+#include <pcg_random.hpp>
+#include <random>
+#include <vector>
+
+#include "ibismux/dispatch/leaf_estimate.h"
+#include "ibismux/reports/report_board.h"
+
+// What a zone of daemons remembers of a slow leaf, without network: its
+// daemons' estimates, and the board that puts their reports together.
+
+namespace ibismux::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr milliseconds kUsual{30};
+constexpr std::size_t kDaemons = 23;
+// Queries of the whole zone, each of which calls one of the shard's three
+// leafs.
+constexpr milliseconds kBetweenQueries{31};
+constexpr milliseconds kRound{500};
+// Where a daemon rates a leaf this many times the usual, it takes another one.
+constexpr double kAvoidedFrom = 2;
+
+/// The daemons of one zone before a shard of three leafs, one of which takes
+/// some times as long as the others.
+class Zone {
+ public:
+  /// @param share_forgetting Each daemon draws its own time to forget.
+  explicit Zone(bool share_forgetting)
+      : estimates(kDaemons), share_forgetting(share_forgetting) {}
+
+  /// How many queries of `span` meet the slow leaf.
+  int run(Duration span, int times_slow) {
+    int met = 0;
+    const TimePoint end = this->now + span;
+    while (this->now < end) {
+      this->now += kBetweenQueries;
+      met += this->query(times_slow) ? 1 : 0;
+      if (this->now >= this->next_round) {
+        this->next_round = this->now + kRound;
+        this->report();
+      }
+    }
+    return met;
+  }
+
+ private:
+  bool query(int times_slow) {
+    LeafEstimate& estimate = this->estimates[this->draw(kDaemons)];
+    const bool avoided = estimate.ratio(this->now) >= kAvoidedFrom;
+    if (avoided || this->draw(3) != 0) {
+      return false;
+    }
+    const auto ticket = estimate.sent(this->now - kUsual * times_slow);
+    estimate.answered(ticket, kUsual, this->now);
+    return true;
+  }
+
+  void report() {
+    for (LeafEstimate& estimate : this->estimates) {
+      const auto seen = estimate.take_seen();
+      if (seen.samples > 0) {
+        this->board.take({"leaf", seen.samples, seen.excess / seen.samples, 0},
+                         this->now);
+      }
+    }
+    for (const reports::LeafReport& news : this->board.summary(this->now)) {
+      for (LeafEstimate& estimate : this->estimates) {
+        estimate.hear({.excess = news.excess,
+                       .failures = news.failures,
+                       .samples = news.samples,
+                       .half_life = this->half_life()},
+                      this->now);
+      }
+    }
+  }
+
+  Duration half_life() {
+    constexpr milliseconds kAlone{1250};
+    const int times = this->share_forgetting ? this->draw(kDaemons) : 0;
+    return kAlone * (1 + times);
+  }
+
+  int draw(std::size_t below) {
+    return std::uniform_int_distribution<int>(
+        0, static_cast<int>(below) - 1)(this->random);
+  }
+
+  std::vector<LeafEstimate> estimates;
+  reports::ReportBoard board;
+  const bool share_forgetting;
+  TimePoint now = Clock::now();
+  TimePoint next_round = this->now + kRound;
+  pcg32 random{42};
+};
+
+// Symptom: with a sixth of all leafs eight times as slow, queries of 36 shards
+// were late for as long as that lasted, though each shard had leafs that were
+// well. Sequence: a daemon had a call for a given leaf each two seconds. After
+// a few seconds without calls all daemons of the zone had forgotten that the
+// leaf is slow, and each had to find out anew; with 18 such leafs each query
+// met three. Cause: all daemons forgot at the same time.
+Test(zone_memory, few_queries_meet_a_leaf_that_stays_slow) {
+  Zone zone(true);
+  zone.run(seconds(2), 8);
+  const int met = zone.run(seconds(20), 8);
+  Zone forgetful(false);
+  forgetful.run(seconds(2), 8);
+  const int met_before = forgetful.run(seconds(20), 8);
+  cr_assert(met <= 20, "%d queries of 20 s", met);
+  cr_assert(met * 2 < met_before, "%d and %d", met, met_before);
+}
+
+Test(zone_memory, a_leaf_that_is_well_again_is_taken_up_by_all) {
+  Zone zone(true);
+  zone.run(seconds(8), 8);
+  zone.run(seconds(12), 1);
+  const int met = zone.run(seconds(5), 1);
+  const auto even = static_cast<int>(seconds(5) / kBetweenQueries / 3);
+  cr_assert(met > even * 8 / 10, "%d of %d", met, even);
+}
+
+}  // namespace
+}  // namespace ibismux::dispatch
--- a/tests/reports/report_board_test.cc
+++ b/tests/reports/report_board_test.cc
@@ -63,6 +63,24 @@
   cr_assert(board.summary(now).empty());
 }
 
+// Symptom: of the daemons of a zone that had been told that a leaf is slow, one
+// tried it again, found it well, and the others never heard of that. Sequence:
+// nobody called the leaf for seconds, and the board dropped what it had. The
+// one good call made a row that was not notable and never had been. Cause: what
+// daemons had been told was forgotten with the calls that it rested on.
+Test(report_board, a_leaf_that_is_tried_after_a_pause_and_is_well_is_told_of) {
+  ReportBoard board;
+  TimePoint now = Clock::now();
+  board.take(report(4, 4), now);
+  cr_assert(board.summary(now).size() == 1);
+  now += std::chrono::seconds(20);
+  cr_assert(board.summary(now).empty());
+  board.take(report(1, 0), now);
+  const auto better = board.summary(now);
+  cr_assert(better.size() == 1);
+  cr_assert(!better[0].is_notable());
+}
+
 Test(report_board, what_is_old_is_forgotten) {
   ReportBoard board;
   const TimePoint now = Clock::now();
