Tell the fleet's size in its contacts, so that all share connections from the start

At the first start of the fleet each lonely daemon wrote its contact over that of the one before, and met the others six seconds later.

Ruled out: membership's own pace (it is known within a second of the first contact, which is too late for the callers that wait).

Change: a contact's entry holds the daemons of each zone; who starts goes by it until it has met the others. A daemon that has met nobody leaves a slot that is taken alone at its first look, and reads the contacts again after 1.5 s.

--- a/ibismux/edge/contact_slots.cc
+++ b/ibismux/edge/contact_slots.cc
@@ -4,8 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json/serialize.hpp>
-#include <boost/json/value.hpp>
+#include <cmath>
 #include <pcg_random.hpp>
 #include <random>
 #include <utility>
@@ -30,6 +29,9 @@
 constexpr milliseconds kCheckLeast{8'000};
 constexpr milliseconds kCheckMost{12'000};
 constexpr milliseconds kCallTime{1500};
+// Shares of connections that are off by this part still hold by the part of
+// them that stays unused.
+constexpr double kSizeTolerance = 0.1;
 
 std::string slot_name(std::size_t slot) {
   return "contact-" + std::to_string(slot);
@@ -51,6 +53,17 @@
   return rank < kContactSlots ? std::optional(rank) : std::nullopt;
 }
 
+bool is_news(const store::HostEntry& fresh, const store::HostEntry& standing) {
+  if (fresh.name != standing.name ||
+      fresh.peer_address != standing.peer_address ||
+      fresh.zone != standing.zone) {
+    return true;
+  }
+  const auto now = static_cast<double>(fresh.fleet_size());
+  const auto before = static_cast<double>(standing.fleet_size());
+  return std::abs(now - before) > kSizeTolerance * before;
+}
+
 ContactSlots::ContactSlots(asio::io_context& loop,
                            store::ObjectStore& store,
                            std::string collection,
@@ -61,11 +74,6 @@
       store(store),
       collection(std::move(collection)),
       self(std::move(self)),
-      value(boost::json::serialize(
-          boost::json::value{{"name", this->self.name},
-                             {"peer_address", this->self.endpoint},
-                             {"zone", this->self.zone},
-                             {"leaving", false}})),
       view(std::move(view)),
       log(log) {}
 
@@ -83,33 +91,70 @@
   };
   http::Timer timer(self->loop.get_executor());
   timer.expires_after(between(kFirstCheckLeast, kFirstCheckMost));
-  for (;;) {
+  for (bool first = true;; first = false) {
     co_await timer.async_wait(asio::use_awaitable);
-    if (const auto slot = slot_of(self->view())) {
-      co_await check(self, *slot);
+    co_await check(self, first);
+    const bool alone = self->view().serving() <= 1;
+    timer.expires_after(alone ? between(kFirstCheckLeast, kFirstCheckMost)
+                              : between(kCheckLeast, kCheckMost));
+  }
+}
+
+store::HostEntry ContactSlots::entry(
+    const membership::MembershipView& view) const {
+  store::HostEntry entry{this->self.name, this->self.endpoint, this->self.zone};
+  for (const membership::Member& member : view.members) {
+    if (member.serves()) {
+      ++entry.fleet[member.zone];
     }
-    timer.expires_after(between(kCheckLeast, kCheckMost));
   }
+  return entry;
 }
 
-Task<void> ContactSlots::check(std::shared_ptr<ContactSlots> self,
-                               std::size_t slot) {
-  const std::string name = slot_name(slot);
+Task<void> ContactSlots::check(std::shared_ptr<ContactSlots> self, bool first) {
+  const membership::MembershipView view = self->view();
+  const auto slot = slot_of(view);
+  if (!slot) {
+    co_return;
+  }
+  const std::string name = slot_name(*slot);
   const auto standing = co_await self->store.stale_get(
       self->collection, name, Clock::now() + kCallTime);
   const bool absent =
       !standing && standing.error().kind == ErrorKind::kNotFound;
-  if ((!standing && !absent) || (standing && standing->value == self->value)) {
+  if (!standing && !absent) {
+    co_return;
+  }
+  const store::HostEntry fresh = self->entry(view);
+  // Where all start at once each is alone at first, and all would write over
+  // each other. Who stands there already is met by what stands there, unless it
+  // is gone.
+  const bool leave = first && view.serving() <= 1;
+  if (standing && (leave || !self->replaces(fresh, *standing))) {
     co_return;
   }
   const store::Version expected = standing ? standing->version : 0;
-  const auto written = co_await self->store.put(
-      self->collection, name, self->value, expected, Clock::now() + kCallTime);
+  const auto written =
+      co_await self->store.put(self->collection, name, store::encode(fresh),
+                               expected, Clock::now() + kCallTime);
   // A write that was lost or that met a newer one is looked at again next time.
   self->log.event(eventlog::Weight::kBelief, "contact_written")
-      .with("slot", slot)
+      .with("slot", *slot)
+      .with("hosts", fresh.fleet_size())
       .with("done", written.has_value())
       .with("reason", written ? "" : written.error().message);
 }
 
+bool ContactSlots::replaces(const store::HostEntry& fresh,
+                            const store::StoredObject& standing) {
+  const auto known = store::decode_host_entry(standing.value);
+  if (!known) {
+    this->log.event(eventlog::Weight::kBelief, "contact_unreadable")
+        .with("slot", standing.name)
+        .with("reason", known.error().message);
+    return true;
+  }
+  return is_news(fresh, *known);
+}
+
 }  // namespace ibismux::edge
--- a/ibismux/edge/contact_slots.h
+++ b/ibismux/edge/contact_slots.h
@@ -12,6 +12,7 @@
 #include "ibismux/base/time.h"
 #include "ibismux/eventlog/forward.h"
 #include "ibismux/membership/membership_view.h"
+#include "ibismux/store/host_entry.h"
 #include "ibismux/store/object_store.h"
 
 namespace ibismux::edge {
@@ -27,8 +28,16 @@
 [[nodiscard]] std::optional<std::size_t> slot_of(
     const membership::MembershipView& view);
 
+/// Whether `fresh` should take the place of `standing`: that is another
+/// daemon's, or the fleet has become larger or smaller by a good part. Thread
+/// safe.
+[[nodiscard]] bool is_news(const store::HostEntry& fresh,
+                           const store::HostEntry& standing);
+
 /// Keeps the contact points of the fleet in the store: daemons have no other
-/// way to find each other.
+/// way to find each other. Each tells how large the fleet is, too: a daemon
+/// that starts with all others, after an outage, shares leafs' connections with
+/// them from its first request on.
 ///
 /// A handful of objects with fixed names, whatever the size of the fleet, and
 /// written only when the daemon that should stand in one doesn't. So a restart
@@ -58,14 +67,18 @@
  private:
   [[nodiscard]] static Task<void> run(std::shared_ptr<ContactSlots> self,
                                       std::uint64_t seed);
+  /// @param first The daemon has only just started.
   [[nodiscard]] static Task<void> check(std::shared_ptr<ContactSlots> self,
-                                        std::size_t slot);
+                                        bool first);
+  [[nodiscard]] bool replaces(const store::HostEntry& fresh,
+                              const store::StoredObject& standing);
+  [[nodiscard]] store::HostEntry entry(
+      const membership::MembershipView& view) const;
 
   boost::asio::io_context& loop;
   store::ObjectStore& store;
   const std::string collection;
   const Self self;
-  const std::string value;  ///< What this daemon's slot holds.
   const ViewSource view;
   eventlog::EventLog& log;
 };
--- a/ibismux/edge/fleet.cc
+++ b/ibismux/edge/fleet.cc
@@ -12,6 +12,15 @@
 
 namespace {
 
+std::size_t total(
+    const std::map<std::string, std::size_t, std::less<>>& zones) {
+  std::size_t sum = 0;
+  for (const auto& [zone, hosts] : zones) {
+    sum += hosts;
+  }
+  return sum;
+}
+
 std::shared_ptr<const membership::MembershipView> alone(
     const Fleet::Settings& settings) {
   auto view = std::make_shared<membership::MembershipView>();
@@ -59,11 +68,7 @@
                  view,
                  registry,
                  [this](const std::vector<membership::Contact>& contacts) {
-                   peer::TcpPeerNetwork::Seeds seeds;
-                   for (const membership::Contact& contact : contacts) {
-                     seeds[contact.name] = {contact.address, contact.port};
-                   }
-                   this->peers.set_seeds(std::move(seeds));
+                   this->take(contacts);
                  }),
       on_view(std::move(on_view)) {
   this->membership.on_view(
@@ -97,6 +102,36 @@
   this->on_view(fresh);
 }
 
+void Fleet::take(const std::vector<membership::Contact>& contacts) {
+  peer::TcpPeerNetwork::Seeds seeds;
+  std::size_t most = 0;
+  const membership::Contact* told = nullptr;
+  for (const membership::Contact& contact : contacts) {
+    seeds[contact.name] = {contact.address, contact.port};
+    const std::size_t hosts = total(contact.fleet);
+    if (hosts > most) {
+      most = hosts;
+      told = &contact;
+    }
+  }
+  this->peers.set_seeds(std::move(seeds));
+  if (!told || this->heard || most <= this->largest.hosts) {
+    return;
+  }
+  // Until the others are met: after an outage of all, 91 daemons that reckoned
+  // with ten had 22,000 connections reset by leafs that accept 78, and served a
+  // third of the callers of the first four seconds.
+  this->heard = true;
+  this->largest.hosts = most;
+  this->largest.hosts_by_zone = told->fleet;
+  // Its place in the order of all isn't known yet; any that is spread evenly
+  // does.
+  this->largest.rank =
+      membership::name_hash(this->settings.member, kRankSalt) % most;
+  this->largest_at = Clock::now();
+  this->on_view(*this->view.read());
+}
+
 FleetSize Fleet::size(TimePoint now) {
   const bool forget = now > this->largest_at + kMemory;
   if (this->current.hosts >= this->largest.hosts || forget) {
@@ -104,7 +139,7 @@
     this->largest_at = now;
   }
   const bool settled = now - this->started >= kSettling;
-  return {this->largest, settled && this->current.hosts > 1};
+  return {this->largest, this->heard || (settled && this->current.hosts > 1)};
 }
 
 }  // namespace ibismux::edge
--- a/ibismux/edge/fleet.h
+++ b/ibismux/edge/fleet.h
@@ -20,7 +20,7 @@
 /// Which daemons share what leafs and services bear.
 struct FleetSize {
   dispatch::LinkSharers sharers;
-  bool known = false;  ///< This daemon has met the others.
+  bool known = false;  ///< This daemon has met the others, or heard of them.
 };
 
 /// The other daemons: who they are, and the frames between them.
@@ -70,6 +70,7 @@
   static constexpr std::chrono::seconds kSettling{3};
 
   void take(const membership::MembershipView& view);
+  void take(const std::vector<membership::Contact>& contacts);
 
   const Settings settings;
   RcuCell<membership::MembershipView> view;
@@ -77,6 +78,7 @@
   membership::MembershipService membership;
   const Listener on_view;
   TimePoint started = TimePoint::max();
+  bool heard = false;  ///< A contact has told of the fleet's size.
   dispatch::LinkSharers largest;
   TimePoint largest_at = TimePoint::min();
   dispatch::LinkSharers current;
--- a/ibismux/membership/contact_book.h
+++ b/ibismux/membership/contact_book.h
@@ -1,7 +1,10 @@
 #ifndef IBISMUX_MEMBERSHIP_CONTACT_BOOK_H_
 #define IBISMUX_MEMBERSHIP_CONTACT_BOOK_H_
 
+#include <cstddef>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -14,6 +17,8 @@
   std::string name;     ///< Of the member, or "ip:port" where it isn't known.
   std::string address;  ///< IP number.
   std::uint16_t port = 0;
+  /// Daemons of each zone, as it saw them when it was listed; empty: unknown.
+  std::map<std::string, std::size_t, std::less<>> fleet = {};
 };
 
 /// Who named a contact.
--- a/ibismux/membership/membership_service.cc
+++ b/ibismux/membership/membership_service.cc
@@ -35,7 +35,8 @@
   for (const store::HostEntry& host : hosts) {
     const auto endpoint = peer::parse_endpoint(host.peer_address);
     if (endpoint) {
-      contacts.push_back({host.name, endpoint->address, endpoint->port});
+      contacts.push_back(
+          {host.name, endpoint->address, endpoint->port, host.fleet});
     }
   }
   return contacts;
@@ -127,9 +128,12 @@
     if (hosts && !self->stopped) {
       self->take_contacts(*hosts, ContactSource::kHostList);
     }
-    const auto pause =
-        self->settings.host_list_interval +
-        self->settings.host_list_interval_per_member * self->engine->serving();
+    const std::size_t serving = self->engine->serving();
+    const Duration pause =
+        serving <= 1 ? Duration(self->settings.host_list_interval_alone)
+                     : self->settings.host_list_interval +
+                           self->settings.host_list_interval_per_member *
+                               static_cast<std::int64_t>(serving);
     self->list_timer.expires_after(
         std::chrono::duration_cast<Duration>(pause * jitter(random)));
     const auto [cancelled] = co_await self->list_timer.async_wait(kAwait);
--- a/ibismux/membership/membership_settings.h
+++ b/ibismux/membership/membership_settings.h
@@ -33,6 +33,9 @@
   /// more: the list grows with the fleet.
   std::chrono::milliseconds host_list_interval{5000};
   std::chrono::milliseconds host_list_interval_per_member{200};
+  /// The same for a daemon that has met nobody: of a fleet that starts all at
+  /// once the first ones are listed a moment later.
+  std::chrono::milliseconds host_list_interval_alone{1500};
 };
 
 }  // namespace ibismux::membership
--- a/ibismux/store/object_store.h
+++ b/ibismux/store/object_store.h
@@ -8,6 +8,7 @@
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
+#include "ibismux/store/host_entry.h"
 #include "ibismux/store/stored_object.h"
 
 namespace ibismux::store {
--- a/ibismux/store/store_dialect.h
+++ b/ibismux/store/store_dialect.h
@@ -10,6 +10,7 @@
 #include "ibismux/base/error.h"
 #include "ibismux/base/time.h"
 #include "ibismux/http/message.h"
+#include "ibismux/store/host_entry.h"
 #include "ibismux/store/stored_object.h"
 
 namespace ibismux::store {
--- a/ibismux/store/stored_object.h
+++ b/ibismux/store/stored_object.h
@@ -39,14 +39,6 @@
   bool compacted = false;
 };
 
-/// One row of the platform's host list, which lags behind the truth.
-struct HostEntry {
-  std::string name;
-  std::string peer_address;  ///< "ip:port" of the daemon's peer port.
-  std::string zone;
-  bool leaving = false;
-};
-
 }  // namespace ibismux::store
 
 #endif  // IBISMUX_STORE_STORED_OBJECT_H_
--- a/ibismux/store/wire.h
+++ b/ibismux/store/wire.h
@@ -7,6 +7,7 @@
 
 #include "ibismux/base/error.h"
 #include "ibismux/base/time.h"
+#include "ibismux/store/host_entry.h"
 #include "ibismux/store/stored_object.h"
 
 /// Paths and bodies of docs/PLATFORM.md. An answer that can't be read is a
--- /dev/null
+++ b/tests/edge/fleet_test.cc
@@ -0,0 +1,79 @@
+#include "ibismux/edge/fleet.h"
+
+#include <prometheus/registry.h>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "ibismux/base/io_pool.h"
+#include "ibismux/edge/contact_slots.h"
+#include "tests/support/memory_object_store.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::edge {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// A daemon that starts beside a store which lists `contact`.
+class Starting {
+ public:
+  explicit Starting(store::HostEntry contact) {
+    this->store.set_hosts({std::move(contact)});
+    cr_assert(this->fleet.start().has_value());
+  }
+
+  /// The size that it goes by, once it goes by one; waits at most some seconds.
+  FleetSize size() {
+    const TimePoint end = Clock::now() + std::chrono::seconds(20);
+    FleetSize size = this->fleet.size(Clock::now());
+    while (!size.known && Clock::now() < end) {
+      this->pool.at(0).run_for(milliseconds(10));
+      size = this->fleet.size(Clock::now());
+    }
+    return size;
+  }
+
+ private:
+  IoPool pool{1};
+  prometheus::Registry registry;
+  ibismux::testing::MemoryObjectStore store;
+  Fleet fleet{this->pool,
+              this->store,
+              this->registry,
+              {"h0", "z1", "127.0.0.1:0"},
+              [](const membership::MembershipView&) {}};
+};
+
+// Symptom: after an outage of all 91 daemons leafs reset 22,000 connections,
+// and of the callers of the next four seconds few were served. Sequence: each
+// daemon came back knowing nobody and reckoned with ten. Each opened three
+// connections to leafs that accept 78 from all daemons together. Cause: the
+// fleet's size was known from membership alone, seconds later. The store had
+// outlived the outage, and held no word of it.
+Test(fleet, its_size_is_known_from_a_contact_before_the_others_are_met) {
+  Starting daemon({"h9", "127.0.0.1:1", "z2", false, {{"z1", 45}, {"z2", 46}}});
+  const FleetSize size = daemon.size();
+  cr_assert(size.known);
+  cr_assert(size.sharers.hosts == 91);
+  cr_assert(size.sharers.hosts_by_zone.at("z1") == 45);
+  cr_assert(size.sharers.rank < 91);
+}
+
+store::HostEntry contact(std::size_t hosts) {
+  return {"h1", "10.0.0.1:1", "z", false, {{"z", hosts}}};
+}
+
+Test(contact_slots,
+     an_entry_is_written_anew_for_another_daemon_or_another_size) {
+  cr_assert(!is_news(contact(91), contact(91)));
+  cr_assert(!is_news(contact(88), contact(91)));
+  cr_assert(is_news(contact(60), contact(91)));
+  cr_assert(is_news(contact(91), contact(1)));
+  store::HostEntry moved = contact(91);
+  moved.peer_address = "10.0.0.2:1";
+  cr_assert(is_news(moved, contact(91)));
+}
+
+}  // namespace
+}  // namespace ibismux::edge
