--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -89,10 +89,13 @@
   if (excess <= Duration::zero()) {
     return false;
   }
-  Error error = make_error(ErrorKind::kOverloaded, "leafs have long queues");
+  const auto late = std::chrono::ceil<milliseconds>(excess);
+  Error error =
+      make_error(ErrorKind::kOverloaded,
+                 "queues before leafs are " + std::to_string(late.count()) +
+                     " ms longer than the answer can wait");
   error.execution = Execution::kNotRun;
-  error.retry_after = std::clamp(std::chrono::ceil<milliseconds>(excess),
-                                 kLeastRetryAfter, kLongestRetryAfter);
+  error.retry_after = std::clamp(late, kLeastRetryAfter, kLongestRetryAfter);
   this->finish(tl::unexpected(std::move(error)));
   return true;
 }
