--- a/ibismux/dispatch/call_queue.h
+++ b/ibismux/dispatch/call_queue.h
@@ -17,8 +17,8 @@
 /// has enough answers, or when something more urgent comes. What waits in a
 /// leaf's own queue is worked on all the same.
 ///
-///     const auto place = queue.join(route.priority, [call] { return
-///     call->send(); }); queue.leave(place);      // Its caller is gone.
+///     const auto place = queue.join(priority, send, Clock::now());
+///     queue.leave(place);      // Its caller is gone.
 ///     queue.offer(room);       // A leaf has room.
 ///
 /// Belongs to one event loop; not thread safe.
