Say once what the work on overload and contacts said again

- The average in which a new time weighs a fixed part stood in AimdLimit, LeafCapacity and ServiceGroup: MovingAverage.
- Times in seconds and times a factor were written in nine places: to_seconds, scaled.
- Daemons of each zone had three spellings of one map, two sums and two counts over the same members: ZoneSizes, total_of, MembershipView::serving_by_zone.
- When to come back was bounded by two pairs of the same figures: retry_after.
- A run asked its services twice whether they can serve; too few is now what excess_wait says by Duration::max(), and worth_starting is gone.
- PartCall wrote the end of a retry that will never be twice.
- Fleet told of a size by calling its listener for members with an unchanged view, which rebuilt feeds' and reports' trees and logged members: it has a listener for the size now.
That log line is the one thing that is gone.
- The callers' limits are made with the notice of a stop, not corrected after it.

--- a/ibismux/base/time.h
+++ b/ibismux/base/time.h
@@ -2,6 +2,7 @@
 #define IBISMUX_BASE_TIME_H_
 
 #include <chrono>
+#include <cstdint>
 
 namespace ibismux {
 
@@ -25,6 +26,17 @@
       .count();
 }
 
+/// For ratios, and for what is told in seconds.
+[[nodiscard]] constexpr double to_seconds(Duration duration) noexcept {
+  return std::chrono::duration<double>(duration).count();
+}
+
+/// `factor` times `duration`, rounded down to the clock's unit.
+[[nodiscard]] constexpr Duration scaled(Duration duration,
+                                        double factor) noexcept {
+  return std::chrono::duration_cast<Duration>(duration * factor);
+}
+
 }  // namespace ibismux
 
 #endif  // IBISMUX_BASE_TIME_H_
--- a/ibismux/concurrency/aimd_limit.cc
+++ b/ibismux/concurrency/aimd_limit.cc
@@ -9,7 +9,6 @@
 constexpr double kDecrease = 0.7;
 /// The limit rises by one after this many times `limit` answers.
 constexpr double kRoundsToRise = 2.0;
-constexpr int kAverageOver = 16;
 
 }  // namespace
 
@@ -21,10 +20,7 @@
 void AimdLimit::on_answer(Duration leaf_time,
                           std::size_t in_flight,
                           TimePoint /*now*/) {
-  this->typical =
-      this->typical == Duration::zero()
-          ? leaf_time
-          : this->typical + (leaf_time - this->typical) / kAverageOver;
+  this->typical.add(leaf_time);
   const bool held_back = static_cast<double>(in_flight) + 1 > this->current;
   if (held_back) {
     this->current = std::min(
@@ -33,7 +29,7 @@
 }
 
 void AimdLimit::on_overload(TimePoint now) {
-  if (now - this->lowered_at < this->typical) {
+  if (now - this->lowered_at < this->typical.value()) {
     return;
   }
   this->lowered_at = now;
--- a/ibismux/concurrency/aimd_limit.h
+++ b/ibismux/concurrency/aimd_limit.h
@@ -1,6 +1,7 @@
 #ifndef IBISMUX_CONCURRENCY_AIMD_LIMIT_H_
 #define IBISMUX_CONCURRENCY_AIMD_LIMIT_H_
 
+#include "ibismux/base/moving_average.h"
 #include "ibismux/concurrency/concurrency_limit.h"
 
 namespace ibismux::concurrency {
@@ -25,6 +26,8 @@
   void declare(std::size_t slots) override;
 
  private:
+  static constexpr int kAverageOver = 16;
+
   [[nodiscard]] double most() const noexcept {
     return this->slots * this->ceiling;
   }
@@ -32,8 +35,8 @@
   double slots;
   double ceiling;
   double current;
-  Duration typical{};      ///< Moving average of leaf times.
-  TimePoint lowered_at{};  ///< When the limit was lowered last.
+  MovingAverage typical{kAverageOver};  ///< Of leaf times.
+  TimePoint lowered_at{};               ///< When the limit was lowered last.
 };
 
 }  // namespace ibismux::concurrency
--- a/ibismux/dispatch/call_window.cc
+++ b/ibismux/dispatch/call_window.cc
@@ -21,17 +21,13 @@
 constexpr double kWeight = 0.35;
 constexpr double kMostLoad = 5;
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 void CallWindow::on_answer(Duration took,
                            Duration unloaded,
                            std::size_t in_flight,
                            TimePoint now) {
-  const double ratio = seconds(took) / std::max(seconds(unloaded), 1e-6);
+  const double ratio = to_seconds(took) / std::max(to_seconds(unloaded), 1e-6);
   this->load += (std::min(ratio, kMostLoad) - this->load) * kWeight;
   // A single call of ours makes no queue; somebody else's does, or the leaf is
   // slow.
--- a/ibismux/dispatch/dispatch_metrics.cc
+++ b/ibismux/dispatch/dispatch_metrics.cc
@@ -20,10 +20,6 @@
   return partial ? "partial" : "ok";
 }
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 DispatchMetrics::DispatchMetrics(prometheus::Registry& registry) {
@@ -71,13 +67,13 @@
   const std::string outcome = name_of(error, partial);
   this->requests->Add({{"route", route}, {"outcome", outcome}}).Increment();
   this->request_seconds->Add({{"route", route}}, kBounds)
-      .Observe(seconds(took));
+      .Observe(to_seconds(took));
 }
 
 void DispatchMetrics::call_ended(const Error* error, Duration took) noexcept {
   const std::size_t row = error ? static_cast<std::size_t>(error->kind) + 1 : 0;
   this->calls[row]->Increment();
-  this->call_seconds->Observe(seconds(took));
+  this->call_seconds->Observe(to_seconds(took));
 }
 
 void DispatchMetrics::repeated(RepeatCause cause) noexcept {
--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -226,7 +226,7 @@
           : std::max(0.0, static_cast<double>(zone->second) - 1);
   const double drawn =
       std::uniform_real_distribution<double>(0, peers)(this->random);
-  return std::chrono::duration_cast<Duration>(kHearsayHalfLife * (1 + drawn));
+  return scaled(kHearsayHalfLife, 1 + drawn);
 }
 
 std::shared_ptr<ServiceGroup> Dispatcher::group(const std::string& service) {
@@ -243,8 +243,8 @@
     const routing::Route& route) {
   auto& typical = this->latencies[route.name];
   if (!typical) {
-    typical = std::make_shared<TypicalLatency>(
-        std::chrono::duration_cast<Duration>(route.objective * kFirstGuess));
+    typical =
+        std::make_shared<TypicalLatency>(scaled(route.objective, kFirstGuess));
   }
   return typical;
 }
@@ -302,8 +302,7 @@
     error.execution = Execution::kNotRun;
     co_return this->refuse(request, std::move(error), &route);
   }
-  context->due = request.received +
-                 std::chrono::duration_cast<Duration>(route.objective * kDue);
+  context->due = request.received + scaled(route.objective, kDue);
   context->request = std::move(request);
   context->typical = this->typical(route);
   context->log = &this->log;
--- a/ibismux/dispatch/forward_run.cc
+++ b/ibismux/dispatch/forward_run.cc
@@ -6,13 +6,8 @@
 
 namespace ibismux::dispatch {
 
-bool ForwardRun::worth_starting() const {
-  return this->parts().front()->service().can_serve();
-}
-
 Duration ForwardRun::excess_wait(TimePoint now) const {
-  return this->excess_wait_at(this->parts().front()->service(),
-                              this->context().due, now);
+  return this->excess_wait_at(this->parts().front()->service(), now);
 }
 
 void ForwardRun::settle(TimePoint now) {
--- a/ibismux/dispatch/forward_run.h
+++ b/ibismux/dispatch/forward_run.h
@@ -11,7 +11,6 @@
   using RequestRun::RequestRun;
 
  protected:
-  [[nodiscard]] bool worth_starting() const override;
   [[nodiscard]] Duration excess_wait(TimePoint now) const override;
   void settle(TimePoint now) override;
 
--- a/ibismux/dispatch/hedge_timing.cc
+++ b/ibismux/dispatch/hedge_timing.cc
@@ -20,17 +20,13 @@
 // would be sent twice, and load is what makes them slow.
 constexpr double kSoonestHedge = 1.5;
 
-Duration times(Duration usual, double factor) noexcept {
-  return std::chrono::duration_cast<Duration>(usual * factor);
-}
-
 }  // namespace
 
 Duration hedge_delay(Duration usual, Duration until_due) noexcept {
-  const Duration latest = std::max(times(usual, kSoonestHedge),
-                                   until_due - times(usual, kTimeForSecond));
+  const Duration latest = std::max(scaled(usual, kSoonestHedge),
+                                   until_due - scaled(usual, kTimeForSecond));
   return std::max<Duration>(kLeastHedge,
-                            std::min(times(usual, kHedgeAfter), latest));
+                            std::min(scaled(usual, kHedgeAfter), latest));
 }
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -222,8 +222,7 @@
       this->crowded_pause * 2, kFirstCrowdedPause, kLongestCrowdedPause);
   const double part =
       std::uniform_real_distribution<double>(0.5, 1)(this->random);
-  this->no_dial_before =
-      now + std::chrono::duration_cast<Duration>(this->crowded_pause * part);
+  this->no_dial_before = now + scaled(this->crowded_pause, part);
   this->log.event(eventlog::Weight::kBelief, "leaf_crowded")
       .with("leaf", this->known.instance)
       .with("service", this->known.service)
--- a/ibismux/dispatch/leaf_cost.cc
+++ b/ibismux/dispatch/leaf_cost.cc
@@ -17,10 +17,6 @@
 // A leaf that has just started works slower than its peers by about this.
 constexpr double kColdRatio = 1.6;
 
-Duration times(Duration time, double factor) noexcept {
-  return std::chrono::duration_cast<Duration>(time * factor);
-}
-
 }  // namespace
 
 Duration leaf_cost(const LeafState& leaf,
@@ -31,13 +27,13 @@
       static_cast<double>(std::max<std::size_t>(1, leaf.slots));
   const double load = 1 + static_cast<double>(leaf.busy) / slots;
   Duration cost =
-      times(usual, leaf.ratio * (leaf.cold ? kColdRatio : 1) * load);
-  cost += times(objective, leaf.failure_share * kFailureCost);
+      scaled(usual, leaf.ratio * (leaf.cold ? kColdRatio : 1) * load);
+  cost += scaled(objective, leaf.failure_share * kFailureCost);
   if (leaf.remote) {
-    cost += times(usual, remote_cost);
+    cost += scaled(usual, remote_cost);
   }
   if (!leaf.keeps_links) {
-    cost += times(objective, kLastResortCost);
+    cost += scaled(objective, kLastResortCost);
   }
   if (!leaf.has_idle_link) {
     cost += kDialCost;
--- a/ibismux/dispatch/leaf_estimate.cc
+++ b/ibismux/dispatch/leaf_estimate.cc
@@ -5,21 +5,13 @@
 
 namespace ibismux::dispatch {
 
-namespace {
-
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
-}  // namespace
-
 LeafEstimate::Ticket LeafEstimate::sent(TimePoint now) {
   return this->waiting.insert(now);
 }
 
 void LeafEstimate::answered(Ticket ticket, Duration usual, TimePoint now) {
-  const double took = seconds(now - *ticket);
-  const double ratio = took / std::max(seconds(usual), 1e-6);
+  const double took = to_seconds(now - *ticket);
+  const double ratio = took / std::max(to_seconds(usual), 1e-6);
   this->last_answer = now;
   this->end(ticket, std::clamp(ratio, 1.0, kMostRatio), 0, now);
 }
@@ -69,9 +61,9 @@
   if (this->heard_at == TimePoint::min()) {
     return 0;
   }
-  const double age = seconds(now - this->heard_at - kHeardFor);
+  const double age = to_seconds(now - this->heard_at - kHeardFor);
   return std::exp2(-std::max(0.0, age) /
-                   std::max(seconds(this->heard.half_life), 1e-3));
+                   std::max(to_seconds(this->heard.half_life), 1e-3));
 }
 
 double LeafEstimate::blend(double own,
@@ -90,7 +82,7 @@
   if (this->updated == TimePoint::min()) {
     return 0;
   }
-  return std::exp2(-seconds(now - this->updated) / kHalfLifeSeconds);
+  return std::exp2(-to_seconds(now - this->updated) / kHalfLifeSeconds);
 }
 
 void LeafEstimate::end(Ticket ticket,
--- a/ibismux/dispatch/link_plan.h
+++ b/ibismux/dispatch/link_plan.h
@@ -2,11 +2,12 @@
 #define IBISMUX_DISPATCH_LINK_PLAN_H_
 
 #include <cstddef>
-#include <map>
 #include <string>
 #include <string_view>
 #include <vector>
 
+#include "ibismux/base/zone_sizes.h"
+
 namespace ibismux::dispatch {
 
 /// One leaf of a service, as a plan of links needs it.
@@ -22,7 +23,7 @@
   std::size_t rank = 0;   ///< This daemon's place in an order of all of them.
   std::string zone;       ///< This daemon's.
   /// Daemons of each zone; empty: unknown.
-  std::map<std::string, std::size_t, std::less<>> hosts_by_zone;
+  ZoneSizes hosts_by_zone;
 };
 
 /// What a daemon may do at one leaf.
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -30,15 +30,14 @@
   this->current = State::kOpen;
   this->group->count_first();
   this->starting = true;
-  this->send_first_or_wait();
+  if (!this->begin()) {
+    this->wait_for_room([this] { return this->begin(); });
+  }
   this->starting = false;
 }
 
-void PartCall::send_first_or_wait() {
-  if (!this->send_first() && this->current == State::kOpen) {
-    this->wait_for_room(
-        [this] { return this->send_first() || this->current != State::kOpen; });
-  }
+bool PartCall::begin() {
+  return this->send_first() || this->current != State::kOpen;
 }
 
 void PartCall::wait_for_room(std::function<bool()> start) {
@@ -201,24 +200,20 @@
 
 void PartCall::retry(RepeatCause cause, Error error, bool sent) {
   this->last_error = std::move(error);
-  this->send_again_or_fail(cause, sent);
-}
-
-void PartCall::send_again_or_fail(RepeatCause cause, bool sent) {
   // Under load each leaf has as many calls as it may have. A part that gave up
   // then would be missing from its answer though a leaf is free in a moment.
+  if (!this->send_again_or_fail(cause, sent) && !this->place) {
+    this->wait_for_room(
+        [this, cause, sent] { return this->send_again_or_fail(cause, sent); });
+  }
+}
+
+bool PartCall::send_again_or_fail(RepeatCause cause, bool sent) {
   const Again again = this->send_again(cause, sent);
-  if (again == Again::kNoRoom && !this->place) {
-    this->wait_for_room([this, cause, sent] {
-      const Again later = this->send_again(cause, sent);
-      if (later == Again::kNever && this->active.empty()) {
-        this->finish(State::kFailed);
-      }
-      return later != Again::kNoRoom;
-    });
-  } else if (again == Again::kNever && this->active.empty()) {
+  if (again == Again::kNever && this->active.empty()) {
     this->finish(State::kFailed);
   }
+  return again != Again::kNoRoom;
 }
 
 PartCall::Again PartCall::send_again(RepeatCause cause, bool sent) {
--- a/ibismux/dispatch/part_call.h
+++ b/ibismux/dispatch/part_call.h
@@ -95,7 +95,8 @@
   /// @param is_repeat The first call goes on: only for a leaf that answers.
   [[nodiscard]] std::shared_ptr<Leaf> choose(bool is_repeat) const;
   [[nodiscard]] bool send_first();
-  void send_first_or_wait();
+  /// @return False where it has to wait for room.
+  [[nodiscard]] bool begin();
   /// @param start See `CallQueue`; not called once the part has ended.
   void wait_for_room(std::function<bool()> start);
   void leave_queue();
@@ -112,7 +113,8 @@
     kNever,   ///< No leaf will, or it isn't allowed.
   };
   [[nodiscard]] Again send_again(RepeatCause cause, bool sent);
-  void send_again_or_fail(RepeatCause cause, bool sent);
+  /// @return False where it has to wait for room.
+  [[nodiscard]] bool send_again_or_fail(RepeatCause cause, bool sent);
   void finish(State state);
   void note(std::string_view event, const Leaf& leaf, std::string_view detail);
 
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -5,6 +5,7 @@
 
 #include "ibismux/dispatch/dispatch_metrics.h"
 #include "ibismux/dispatch/hedge_timing.h"
+#include "ibismux/dispatch/retry_after.h"
 #include "ibismux/dispatch/service_group.h"
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/routing/route.h"
@@ -26,12 +27,6 @@
 // an outage make one, too, which is gone in less: they are served late, which
 // is better than not at all.
 constexpr milliseconds kStandingQueue{1000};
-// Bounds of when a caller that was refused for load should come back: pauses
-// and bursts of single leafs are over after a tenth of a second, and who is
-// told to stay away for more than one misses the end of a longer burst.
-constexpr milliseconds kLeastRetryAfter{100};
-constexpr milliseconds kLongestRetryAfter{1000};
-
 Duration hedge_after(const RequestContext& context) {
   return hedge_delay(context.typical->value(),
                      context.due - context.request.received);
@@ -78,33 +73,35 @@
 }
 
 bool RequestRun::refused(TimePoint now) {
-  if (!this->worth_starting()) {
+  const Duration excess = this->excess_wait(now);
+  if (excess <= Duration::zero()) {
+    return false;
+  }
+  if (excess == Duration::max()) {
     this->fail_run(ErrorKind::kLeafUnavailable, "too few leafs can be reached");
     return true;
   }
   // More requests than leafs can work on: taken in, each would wait behind
   // those that are late already, and all would be late. One that can't be in
   // time is better told so before any leaf works on it.
-  const Duration excess = this->excess_wait(now);
-  if (excess <= Duration::zero()) {
-    return false;
-  }
   const auto late = std::chrono::ceil<milliseconds>(excess);
   Error error =
       make_error(ErrorKind::kOverloaded,
                  "queues before leafs are " + std::to_string(late.count()) +
                      " ms longer than the answer can wait");
   error.execution = Execution::kNotRun;
-  error.retry_after = std::clamp(late, kLeastRetryAfter, kLongestRetryAfter);
+  error.retry_after = retry_after(excess);
   this->finish(tl::unexpected(std::move(error)));
   return true;
 }
 
 Duration RequestRun::excess_wait_at(const ServiceGroup& service,
-                                    TimePoint due,
                                     TimePoint now) const {
+  if (!service.can_serve()) {
+    return Duration::max();
+  }
   const bool stands = service.queue().standing(now) > kStandingQueue;
-  const TimePoint latest = stands ? due : this->shared->final_at;
+  const TimePoint latest = stands ? this->shared->due : this->shared->final_at;
   const Duration work = this->shared->typical->unloaded();
   return service.expected_wait(this->shared->route->priority) -
          std::max<Duration>(work, latest - now - work);
--- a/ibismux/dispatch/request_run.h
+++ b/ibismux/dispatch/request_run.h
@@ -42,25 +42,23 @@
  protected:
   using Parts = std::vector<std::shared_ptr<PartCall>>;
 
-  /// Whether an answer is possible with the leafs that can be reached now. A
-  /// request without a chance is refused before any leaf works on it.
-  [[nodiscard]] virtual bool worth_starting() const = 0;
-
   /// By how much the queues before the leafs are longer than the answer can
-  /// wait and still be in time; zero or less where it can.
+  /// wait and still be in time; zero or less where it can, and
+  /// `Duration::max()` where too few leafs can be reached for any answer. Such
+  /// a request is refused before any leaf works on it.
   [[nodiscard]] virtual Duration excess_wait(TimePoint now) const = 0;
 
-  /// Looks at the parts and ends the run where that is due.
-  virtual void settle(TimePoint now) = 0;
-
-  /// By how much the wait before `service` is more than leaves time for the
-  /// work before `due`, if the queue there stands, and before the last moment
-  /// for any answer if it has only begun. A wait no longer than the work is
-  /// never too long: it is no sign of load, whatever the objective.
+  /// The same for one service: by how much the wait before it is more than
+  /// leaves time for the work before the answer is due, if the queue there
+  /// stands, and before the last moment for any answer if it has only begun. A
+  /// wait no longer than the work is never too long: it is no sign of load,
+  /// whatever the objective.
   [[nodiscard]] Duration excess_wait_at(const ServiceGroup& service,
-                                        TimePoint due,
                                         TimePoint now) const;
 
+  /// Looks at the parts and ends the run where that is due.
+  virtual void settle(TimePoint now) = 0;
+
   /// Calls `settle()` no later than `when`, besides at every change of a part.
   void wake_at(TimePoint when);
 
--- a/ibismux/dispatch/scatter_run.cc
+++ b/ibismux/dispatch/scatter_run.cc
@@ -25,22 +25,11 @@
       1, static_cast<std::size_t>(std::ceil(least - kRounding)));
 }
 
-bool ScatterRun::worth_starting() const {
-  const auto served = std::count_if(
-      this->parts().begin(), this->parts().end(),
-      [](const auto& part) { return part->service().can_serve(); });
-  return static_cast<std::size_t>(served) >= this->needed();
-}
-
 Duration ScatterRun::excess_wait(TimePoint now) const {
   std::vector<Duration> excess;
   excess.reserve(this->parts().size());
   for (const auto& part : this->parts()) {
-    const ServiceGroup& service = part->service();
-    excess.push_back(
-        service.can_serve()
-            ? this->excess_wait_at(service, this->context().due, now)
-            : Duration::max());
+    excess.push_back(this->excess_wait_at(part->service(), now));
   }
   // The answer is there when the last shard is that it can't do without.
   const auto last =
--- a/ibismux/dispatch/scatter_run.h
+++ b/ibismux/dispatch/scatter_run.h
@@ -15,7 +15,6 @@
   using RequestRun::RequestRun;
 
  protected:
-  [[nodiscard]] bool worth_starting() const override;
   [[nodiscard]] Duration excess_wait(TimePoint now) const override;
   void settle(TimePoint now) override;
 
--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -6,6 +6,7 @@
 #include "ibismux/dispatch/dispatch_settings.h"
 #include "ibismux/dispatch/leaf.h"
 #include "ibismux/dispatch/leaf_cost.h"
+#include "ibismux/dispatch/retry_after.h"
 
 namespace ibismux::dispatch {
 
@@ -20,13 +21,6 @@
 // A silent leaf is worse than any that answers.
 constexpr int kSilentCost = 1000;
 
-// Of calls that the average of their times goes over: half a second's worth on
-// a small site.
-constexpr int kAverageOver = 32;
-
-constexpr milliseconds kLeastRetryAfter{100};
-constexpr milliseconds kLongestRetryAfter{1000};
-
 bool holds(const std::vector<std::shared_ptr<Leaf>>& leafs, const Leaf* leaf) {
   return std::any_of(leafs.begin(), leafs.end(),
                      [leaf](const auto& other) { return other.get() == leaf; });
@@ -65,13 +59,13 @@
 }
 
 milliseconds ServiceGroup::retry_after(TimePoint now) const {
-  Duration soonest = kLongestRetryAfter;
+  Duration soonest = Duration::max();
   for (const auto& leaf : this->members) {
     if (!leaf->is_retired() && !leaf->entry().draining) {
       soonest = std::min(soonest, leaf->until_retry(now));
     }
   }
-  return std::max(kLeastRetryAfter, std::chrono::ceil<milliseconds>(soonest));
+  return dispatch::retry_after(soonest);
 }
 
 Duration ServiceGroup::cost(const Leaf& leaf,
@@ -92,9 +86,8 @@
 
 std::shared_ptr<Leaf> ServiceGroup::choose(const LeafWish& wish,
                                            TimePoint now) const {
-  const Duration patience = std::max<Duration>(
-      kLeastPatience,
-      std::chrono::duration_cast<Duration>(wish.usual * kSilentAfter));
+  const Duration patience =
+      std::max<Duration>(kLeastPatience, scaled(wish.usual, kSilentAfter));
   std::shared_ptr<Leaf> best;
   Duration least = Duration::max();
   for (const auto& leaf : this->members) {
@@ -130,13 +123,6 @@
   });
 }
 
-void ServiceGroup::note_call(Duration took) noexcept {
-  this->call_time =
-      this->call_time == Duration::zero()
-          ? took
-          : this->call_time + (took - this->call_time) / kAverageOver;
-}
-
 Duration ServiceGroup::expected_wait(std::uint32_t priority) const {
   const std::size_t ahead = this->waiting.ahead_of(priority);
   if (ahead == 0) {
@@ -146,7 +132,8 @@
   for (const auto& leaf : this->members) {
     at_once += leaf->in_service() ? leaf->most_calls() : 0;
   }
-  return this->call_time * (ahead + 1) / std::max<std::size_t>(1, at_once);
+  return this->call_time.value() * (ahead + 1) /
+         std::max<std::size_t>(1, at_once);
 }
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/service_group.h
+++ b/ibismux/dispatch/service_group.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "ibismux/base/fraction_budget.h"
+#include "ibismux/base/moving_average.h"
 #include "ibismux/base/time.h"
 #include "ibismux/dispatch/call_queue.h"
 #include "ibismux/dispatch/forward.h"
@@ -83,13 +84,16 @@
   /// A leaf has room again, or one came: starts who waits, as far as it goes.
   void serve_waiting();
   /// A call took this long at its leaf.
-  void note_call(Duration took) noexcept;
+  void note_call(Duration took) noexcept { this->call_time.add(took); }
   /// How long a call of `priority` that comes now would wait for a leaf, by how
   /// long calls took of late. Zero where nobody waits.
   [[nodiscard]] Duration expected_wait(std::uint32_t priority) const;
   /// @}
 
  private:
+  // Half a second's worth of calls on a small site.
+  static constexpr int kAverageOver = 32;
+
   [[nodiscard]] Duration cost(const Leaf& leaf,
                               const LeafWish& wish,
                               TimePoint now) const;
@@ -99,7 +103,7 @@
   std::vector<std::shared_ptr<Leaf>> members;
   FractionBudget repeats;
   CallQueue waiting;
-  Duration call_time{0};  ///< Moving average of what a call takes.
+  MovingAverage call_time{kAverageOver};  ///< What a call takes.
 };
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/typical_latency.h
+++ b/ibismux/dispatch/typical_latency.h
@@ -29,8 +29,8 @@
     ++this->samples;
     const double step =
         this->samples <= kFirstSamples ? kFirstStep : kLaterStep;
-    this->median = std::chrono::duration_cast<Duration>(
-        this->median * (latency > this->median ? 1 + step : 1 / (1 + step)));
+    this->median = scaled(this->median,
+                          latency > this->median ? 1 + step : 1 / (1 + step));
     if (this->median < kLeast) {
       this->median = kLeast;
     }
@@ -47,13 +47,10 @@
     if (this->samples <= kFirstSamples) {
       this->lowest = this->median;
     } else {
-      const double seconds =
-          std::chrono::duration<double>(now - this->last).count();
+      const double seconds = to_seconds(now - this->last);
       const double rise =
           std::exp2(std::max(0.0, seconds) / kDoubledAfterSeconds);
-      this->lowest =
-          std::min(this->median,
-                   std::chrono::duration_cast<Duration>(this->lowest * rise));
+      this->lowest = std::min(this->median, scaled(this->lowest, rise));
     }
     this->last = now;
   }
--- a/ibismux/edge/contact_slots.cc
+++ b/ibismux/edge/contact_slots.cc
@@ -59,8 +59,8 @@
       fresh.zone != standing.zone) {
     return true;
   }
-  const auto now = static_cast<double>(fresh.fleet_size());
-  const auto before = static_cast<double>(standing.fleet_size());
+  const auto now = static_cast<double>(total_of(fresh.fleet));
+  const auto before = static_cast<double>(total_of(standing.fleet));
   return std::abs(now - before) > kSizeTolerance * before;
 }
 
@@ -102,13 +102,10 @@
 
 store::HostEntry ContactSlots::entry(
     const membership::MembershipView& view) const {
-  store::HostEntry entry{this->self.name, this->self.endpoint, this->self.zone};
-  for (const membership::Member& member : view.members) {
-    if (member.serves()) {
-      ++entry.fleet[member.zone];
-    }
-  }
-  return entry;
+  return {.name = this->self.name,
+          .peer_address = this->self.endpoint,
+          .zone = this->self.zone,
+          .fleet = view.serving_by_zone()};
 }
 
 Task<void> ContactSlots::check(std::shared_ptr<ContactSlots> self, bool first) {
@@ -142,7 +139,7 @@
   // A write that was lost or that met a newer one is looked at again next time.
   self->log.event(eventlog::Weight::kBelief, "contact_written")
       .with("slot", *slot)
-      .with("hosts", fresh.fleet_size())
+      .with("hosts", total_of(fresh.fleet))
       .with("done", written.has_value())
       .with("reason", written ? "" : written.error().message);
 }
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -59,20 +59,20 @@
             *this->adapters.leaf_entries,
             log,
             [this] { this->configuration_feed->retry_now(); }),
+      limits{.drain_grace = this->settings.leave_notice},
       callers(pool, this->limits, this->caller_handler()),
       balancer(pool, {}, this->ready_handler()),
       metrics(pool, {}, this->metrics_handler()),
       signals(pool.at(0)),
       ticker(pool.at(0).get_executor()),
       stalls(kTick, Clock::now(), StallDetector::boot_time()) {
-  this->limits.drain_grace = this->settings.leave_notice;
-  this->callers.set_limits(this->limits);
   if (!this->settings.peer_endpoint.empty()) {
-    this->fleet.emplace(this->pool, this->store, this->registry,
-                        fleet_settings(this->settings),
-                        [this](const membership::MembershipView& view) {
-                          this->on_view(view);
-                        });
+    this->fleet.emplace(
+        this->pool, this->store, this->registry, fleet_settings(this->settings),
+        Fleet::Listeners{[this](const membership::MembershipView& view) {
+                           this->on_view(view);
+                         },
+                         [this] { this->share_fleet(); }});
   }
 }
 
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -61,7 +61,6 @@
       .with("joined", view.joined);
   this->relay->on_view(view);
   this->reports->on_view(view);
-  this->share_fleet();
 }
 
 void EdgeDaemon::Impl::share_fleet() {
--- a/ibismux/edge/fleet.cc
+++ b/ibismux/edge/fleet.cc
@@ -12,15 +12,6 @@
 
 namespace {
 
-std::size_t total(
-    const std::map<std::string, std::size_t, std::less<>>& zones) {
-  std::size_t sum = 0;
-  for (const auto& [zone, hosts] : zones) {
-    sum += hosts;
-  }
-  return sum;
-}
-
 std::shared_ptr<const membership::MembershipView> alone(
     const Fleet::Settings& settings) {
   auto view = std::make_shared<membership::MembershipView>();
@@ -57,7 +48,7 @@
              store::ObjectStore& store,
              prometheus::Registry& registry,
              Settings settings,
-             Listener on_view)
+             Listeners listeners)
     : settings(std::move(settings)),
       view(alone(this->settings)),
       peers(pool, peer_settings(this->settings), view, registry),
@@ -70,7 +61,7 @@
                  [this](const std::vector<membership::Contact>& contacts) {
                    this->take(contacts);
                  }),
-      on_view(std::move(on_view)) {
+      listeners(std::move(listeners)) {
   this->membership.on_view(
       [this](const membership::MembershipView& fresh) { this->take(fresh); });
 }
@@ -90,16 +81,16 @@
   dispatch::LinkSharers sharers;
   sharers.hosts = fresh.serving();
   sharers.zone = this->settings.zone;
+  sharers.hosts_by_zone = fresh.serving_by_zone();
   const std::uint64_t own = membership::name_hash(fresh.self, kRankSalt);
   for (const membership::Member& member : fresh.members) {
-    if (!member.serves()) {
-      continue;
-    }
-    ++sharers.hosts_by_zone[member.zone];
-    sharers.rank += membership::name_hash(member.name, kRankSalt) < own ? 1 : 0;
+    const bool before =
+        member.serves() && membership::name_hash(member.name, kRankSalt) < own;
+    sharers.rank += before ? 1 : 0;
   }
   this->current = std::move(sharers);
-  this->on_view(fresh);
+  this->listeners.on_view(fresh);
+  this->listeners.on_size();
 }
 
 void Fleet::take(const std::vector<membership::Contact>& contacts) {
@@ -108,7 +99,7 @@
   const membership::Contact* told = nullptr;
   for (const membership::Contact& contact : contacts) {
     seeds[contact.name] = {contact.address, contact.port};
-    const std::size_t hosts = total(contact.fleet);
+    const std::size_t hosts = total_of(contact.fleet);
     if (hosts > most) {
       most = hosts;
       told = &contact;
@@ -129,7 +120,7 @@
   this->largest.rank =
       membership::name_hash(this->settings.member, kRankSalt) % most;
   this->largest_at = Clock::now();
-  this->on_view(*this->view.read());
+  this->listeners.on_size();
 }
 
 FleetSize Fleet::size(TimePoint now) {
--- a/ibismux/edge/fleet.h
+++ b/ibismux/edge/fleet.h
@@ -33,14 +33,19 @@
     std::string zone;
     std::string endpoint;  ///< "ip:port" where peers are accepted.
   };
-  using Listener = std::function<void(const membership::MembershipView&)>;
+  /// Called on the pool's first loop.
+  struct Listeners {
+    std::function<void(const membership::MembershipView&)> on_view;
+    /// `size()` has changed, by a view or by what a contact tells.
+    std::function<void()> on_size;
+  };
 
-  /// All but `settings` and `on_view` outlive this and the pool's loop.
+  /// All but `settings` and `listeners` outlive this and the pool's loop.
   Fleet(IoPool& pool,
         store::ObjectStore& store,
         prometheus::Registry& registry,
         Settings settings,
-        Listener on_view);
+        Listeners listeners);
 
   [[nodiscard]] peer::PeerNetwork& network() noexcept { return this->peers; }
 
@@ -76,7 +81,7 @@
   RcuCell<membership::MembershipView> view;
   peer::TcpPeerNetwork peers;
   membership::MembershipService membership;
-  const Listener on_view;
+  const Listeners listeners;
   TimePoint started = TimePoint::max();
   bool heard = false;  ///< A contact has told of the fleet's size.
   dispatch::LinkSharers largest;
--- a/ibismux/gateway/gateway_metrics.cc
+++ b/ibismux/gateway/gateway_metrics.cc
@@ -17,10 +17,6 @@
     0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05,
     0.1,    0.25,  0.5,    1.0,   2.5,  5.0};
 
-double seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 prometheus::Family<prometheus::Counter>& counter(prometheus::Registry& registry,
                                                  const char* name,
                                                  const char* help) {
@@ -94,11 +90,11 @@
 
 void GatewayMetrics::called(backend::LeafSignal signal, Duration leaf_time) {
   this->calls[static_cast<std::size_t>(signal)]->Increment();
-  this->leaf_seconds->Observe(seconds(leaf_time));
+  this->leaf_seconds->Observe(to_seconds(leaf_time));
 }
 
 void GatewayMetrics::queued(Duration queue_time) {
-  this->queue_seconds->Observe(seconds(queue_time));
+  this->queue_seconds->Observe(to_seconds(queue_time));
 }
 
 void GatewayMetrics::refused(RefuseReason reason) {
--- a/ibismux/gateway/leaf_capacity.cc
+++ b/ibismux/gateway/leaf_capacity.cc
@@ -12,7 +12,6 @@
 using backend::LeafSignal;
 using std::chrono::milliseconds;
 
-constexpr int kAverageOver = 16;
 /// The part of the typical time that one call is taken to need at the least.
 constexpr int kQuickPart = 4;
 /// The least that a refused caller is told to wait.
@@ -37,10 +36,7 @@
                             std::size_t in_flight,
                             TimePoint now) {
   if (reply.signal == LeafSignal::kAnswered) {
-    this->typical =
-        this->typical == Duration::zero()
-            ? leaf_time
-            : this->typical + (leaf_time - this->typical) / kAverageOver;
+    this->typical.add(leaf_time);
     this->bound->on_answer(leaf_time, in_flight, now);
   } else if (reply.signal == LeafSignal::kOverloaded) {
     this->bound->on_overload(now);
@@ -66,17 +62,17 @@
 }
 
 Duration LeafCapacity::pace() const noexcept {
-  return std::chrono::duration_cast<Duration>(this->typical /
+  return std::chrono::duration_cast<Duration>(this->typical.value() /
                                               std::max(1.0, this->limit()));
 }
 
 Duration LeafCapacity::service() const noexcept {
-  return this->typical / kQuickPart;
+  return this->typical.value() / kQuickPart;
 }
 
 milliseconds LeafCapacity::retry_after(std::size_t queued) const noexcept {
   const auto wait = std::chrono::duration_cast<milliseconds>(
-      this->typical * static_cast<double>(queued) /
+      this->typical.value() * static_cast<double>(queued) /
       std::max(1.0, this->limit()));
   return std::max(wait, kLeastRetryAfter);
 }
--- a/ibismux/gateway/leaf_capacity.h
+++ b/ibismux/gateway/leaf_capacity.h
@@ -6,6 +6,7 @@
 #include <memory>
 
 #include "ibismux/backend/leaf_reply.h"
+#include "ibismux/base/moving_average.h"
 #include "ibismux/base/time.h"
 #include "ibismux/concurrency/concurrency_limit.h"
 #include "ibismux/gateway/ejection_budget.h"
@@ -67,9 +68,11 @@
   /// @}
 
  private:
+  static constexpr int kAverageOver = 16;
+
   std::unique_ptr<concurrency::ConcurrencyLimit> bound;
   LeafHealthPolicy health;
-  Duration typical{};  ///< Moving average of leaf times.
+  MovingAverage typical{kAverageOver};  ///< Of leaf times.
 };
 
 }  // namespace ibismux::gateway
--- a/ibismux/membership/contact_book.h
+++ b/ibismux/membership/contact_book.h
@@ -1,13 +1,11 @@
 #ifndef IBISMUX_MEMBERSHIP_CONTACT_BOOK_H_
 #define IBISMUX_MEMBERSHIP_CONTACT_BOOK_H_
 
-#include <cstddef>
 #include <cstdint>
-#include <functional>
-#include <map>
 #include <string>
 #include <vector>
 
+#include "ibismux/base/zone_sizes.h"
 #include "ibismux/membership/member_table.h"
 
 namespace ibismux::membership {
@@ -18,7 +16,7 @@
   std::string address;  ///< IP number.
   std::uint16_t port = 0;
   /// Daemons of each zone, as it saw them when it was listed; empty: unknown.
-  std::map<std::string, std::size_t, std::less<>> fleet = {};
+  ZoneSizes fleet = {};
 };
 
 /// Who named a contact.
--- a/ibismux/membership/membership_view.h
+++ b/ibismux/membership/membership_view.h
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <vector>
 
+#include "ibismux/base/zone_sizes.h"
+
 namespace ibismux::membership {
 
 /// One daemon as this daemon sees it.
@@ -52,6 +54,17 @@
     }
     return count > 0 ? count : 1;
   }
+
+  /// How many members of each zone serve.
+  [[nodiscard]] ZoneSizes serving_by_zone() const {
+    ZoneSizes sizes;
+    for (const Member& member : this->members) {
+      if (member.serves()) {
+        ++sizes[member.zone];
+      }
+    }
+    return sizes;
+  }
 };
 
 }  // namespace ibismux::membership
--- a/ibismux/query/query_metrics.cc
+++ b/ibismux/query/query_metrics.cc
@@ -40,10 +40,6 @@
   return prometheus::BuildHistogram().Name(name).Help(help).Register(metrics);
 }
 
-double to_seconds(Duration duration) {
-  return std::chrono::duration<double>(duration).count();
-}
-
 }  // namespace
 
 struct QueryMetrics::Families {
--- a/ibismux/reports/report_board.cc
+++ b/ibismux/reports/report_board.cc
@@ -19,8 +19,8 @@
 }  // namespace
 
 void ReportBoard::Row::fade(TimePoint now) {
-  const double half_lives = std::chrono::duration<double>(now - this->updated) /
-                            std::chrono::duration<double>(kHalfLife);
+  const double half_lives =
+      to_seconds(now - this->updated) / to_seconds(kHalfLife);
   const double kept = std::exp2(-half_lives);
   this->samples *= kept;
   this->excess_sum *= kept;
--- a/ibismux/store/host_entry.cc
+++ b/ibismux/store/host_entry.cc
@@ -30,14 +30,6 @@
 
 }  // namespace
 
-std::size_t HostEntry::fleet_size() const noexcept {
-  std::size_t size = 0;
-  for (const auto& [zone, hosts] : this->fleet) {
-    size += hosts;
-  }
-  return size;
-}
-
 std::string encode(const HostEntry& entry) {
   json::object fleet;
   for (const auto& [zone, hosts] : entry.fleet) {
--- a/ibismux/store/host_entry.h
+++ b/ibismux/store/host_entry.h
@@ -1,13 +1,11 @@
 #ifndef IBISMUX_STORE_HOST_ENTRY_H_
 #define IBISMUX_STORE_HOST_ENTRY_H_
 
-#include <cstddef>
-#include <functional>
-#include <map>
 #include <string>
 #include <string_view>
 
 #include "ibismux/base/error.h"
+#include "ibismux/base/zone_sizes.h"
 
 namespace ibismux::store {
 
@@ -19,10 +17,7 @@
   bool leaving = false;
   /// Daemons of each zone, as this host saw them when it wrote its entry. Empty
   /// where entries don't tell.
-  std::map<std::string, std::size_t, std::less<>> fleet = {};
-
-  /// All daemons that it saw; 0: unknown.
-  [[nodiscard]] std::size_t fleet_size() const noexcept;
+  ZoneSizes fleet = {};
 };
 
 /// An entry as daemons write it, and back. Errors: kProtocolError. Thread safe.
--- a/tests/edge/fleet_test.cc
+++ b/tests/edge/fleet_test.cc
@@ -42,7 +42,7 @@
               this->store,
               this->registry,
               {"h0", "z1", "127.0.0.1:0"},
-              [](const membership::MembershipView&) {}};
+              {[](const membership::MembershipView&) {}, [] {}}};
 };
 
 // Symptom: after an outage of all 91 daemons leafs reset 22,000 connections,
--- a/tests/peer/fake_peer_network_test.cc
+++ b/tests/peer/fake_peer_network_test.cc
@@ -1,5 +1,7 @@
 #include "tests/support/fake_peer_network.h"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 
 // Criterion's macros come after Boost's headers.
--- a/tests/store/host_entry_test.cc
+++ b/tests/store/host_entry_test.cc
@@ -17,7 +17,7 @@
   cr_assert(back->zone == "z1");
   cr_assert(!back->leaving);
   cr_assert(back->fleet == entry().fleet);
-  cr_assert(back->fleet_size() == 45);
+  cr_assert(total_of(back->fleet) == 45);
 }
 
 Test(host_entry, of_an_older_version_tells_no_size) {
@@ -25,7 +25,7 @@
       R"({"name":"h1","peer_address":"10.0.0.1:1","zone":"z","leaving":true})");
   cr_assert(back.has_value());
   cr_assert(back->leaving);
-  cr_assert(back->fleet_size() == 0);
+  cr_assert(total_of(back->fleet) == 0);
 }
 
 Test(host_entry, what_is_malformed_is_refused_with_a_reason) {
