Refuse requests that two hosts could read differently

Cause: a transfer coding that isn't 'chunked' was passed over, so the body was read as the next request of the connection: a request that no caller sent reached a leaf. Two Host, id or deadline fields were accepted and all passed on; a whole URI as the target got 404; Connection could take the id or Host out of what leafs get.

Ruled out: Beast's own checks, which refuse two lengths, a length beside chunks and chunked twice, and know nothing of other codings.

Change: framing rules of RFC 9112 in one place (http/framing_rules), for requests and responses alike: 501 for a coding other than chunked alone, 400 for a coding in HTTP/1.0, for more than one Host or one that is no host, for a target that is neither a path nor a whole HTTP URI. A whole URI counts as its path and host. The adapter refuses repeated fields that decide, and a request without a host.

--- a/ibismux/http/parser.cc
+++ b/ibismux/http/parser.cc
@@ -7,6 +7,8 @@
 #include <boost/beast/http/verb.hpp>
 #include <optional>
 
+#include "ibismux/http/framing_rules.h"
+
 namespace ibismux::http {
 
 namespace {
@@ -37,6 +39,10 @@
     return this->version >= 11;
   }
   void forget_continue() noexcept { this->wants_continue = false; }
+  /// Why the message was refused, where the syntax isn't at fault.
+  [[nodiscard]] const std::optional<FramingFault>& fault() const noexcept {
+    return this->refused;
+  }
 
  private:
   void on_request_impl(beast_http::verb,
@@ -51,16 +57,20 @@
     }
   }
 
-  void on_response_impl(int code, string_view, int, error_code&) override {
+  void on_response_impl(int code,
+                        string_view,
+                        int version,
+                        error_code&) override {
     if constexpr (!is_request) {
       this->message.status = code;
+      this->version = version;
     }
   }
 
   void on_field_impl(beast_http::field name,
                      string_view name_text,
                      string_view value,
-                     error_code&) override {
+                     error_code& error) override {
     // Fields after the body (trailers) must not pass for ones of the head,
     // where they would be read as the caller's name or deadline.
     if (this->head_done) {
@@ -68,12 +78,21 @@
     }
     if (is_request && name == beast_http::field::expect) {
       this->wants_continue = boost::beast::iequals(value, "100-continue");
+    } else if (name == beast_http::field::transfer_encoding) {
+      this->refuse(check_transfer_coding(value, this->is_http_1_1()), error);
+    } else if (is_request && name == beast_http::field::host) {
+      this->refuse(check_host(value), error);
     }
     this->message.fields.emplace_back(std::string_view(name_text),
                                       std::string_view(value));
   }
 
-  void on_header_impl(error_code&) override { this->head_done = true; }
+  void on_header_impl(error_code& error) override {
+    this->head_done = true;
+    if constexpr (is_request) {
+      this->refuse(normalize_target(this->message), error);
+    }
+  }
 
   void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                          error_code&) override {
@@ -98,7 +117,15 @@
 
   void on_finish_impl(error_code&) override {}
 
+  void refuse(const std::optional<FramingFault>& fault, error_code& error) {
+    if (fault) {
+      this->refused = fault;
+      error = beast_http::error::bad_field;
+    }
+  }
+
   MessageType& message;
+  std::optional<FramingFault> refused;
   bool head_done = false;
   bool wants_continue = false;
   int version = 0;
@@ -147,8 +174,8 @@
     return step;
   }
   step.state = ParseState::kFailed;
-  step.status = status_of(error);
-  step.message = error.message();
+  step.status = parser.fault() ? parser.fault()->status : status_of(error);
+  step.message = parser.fault() ? parser.fault()->reason : error.message();
   return step;
 }
 
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -153,3 +153,21 @@
     cr_assert(response.body.size() <= kMostBody);
   }
 }
+
+// Symptom: a leaf's answer comes with the framing of a coding in its body.
+// Sequence: the leaf answers with a transfer coding that isn't chunked. Cause:
+// such a response was taken for one that ends with its connection.
+Test(http_parser, a_response_in_an_unknown_transfer_coding_is_refused) {
+  for (const char* head :
+       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+    ResponseParser parser(kMostBody, true);
+    Response response;
+    parser.start(response, false);
+    const ParseStep step =
+        parser.feed(std::string(head) + "3\r\nabc\r\n0\r\n\r\n");
+    cr_assert(step.state == ParseState::kFailed, "%s", head);
+    cr_assert(step.message.find("transfer coding") != std::string::npos);
+  }
+}
--- a/tests/support/http_call.cc
+++ b/tests/support/http_call.cc
@@ -2,6 +2,9 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <memory>
 
 #include "ibismux/http/client_connection.h"
@@ -48,4 +51,18 @@
   return result;
 }
 
+std::string raw_call(std::uint16_t port, std::string_view bytes) {
+  namespace asio = boost::asio;
+  using asio::ip::tcp;
+  asio::io_context loop;
+  tcp::socket socket(loop);
+  socket.connect({asio::ip::address_v4::loopback(), port});
+  asio::write(socket, asio::buffer(bytes));
+  socket.shutdown(tcp::socket::shutdown_send);
+  std::string text;
+  boost::system::error_code closed;
+  asio::read(socket, asio::dynamic_buffer(text), closed);
+  return text;
+}
+
 }  // namespace ibismux::testing
--- a/tests/support/http_call.h
+++ b/tests/support/http_call.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -22,6 +23,10 @@
     std::string body = {},
     std::vector<std::pair<std::string, std::string>> fields = {});
 
+/// Sends `bytes` as they are to 127.0.0.1, ends the sending side, and returns
+/// all that comes back before the other side closes. Thread safe.
+[[nodiscard]] std::string raw_call(std::uint16_t port, std::string_view bytes);
+
 }  // namespace ibismux::testing
 
 #endif  // TESTS_SUPPORT_HTTP_CALL_H_
--- a/tests/users_platform/wire_test.cc
+++ b/tests/users_platform/wire_test.cc
@@ -72,6 +72,55 @@
   }
 }
 
+// Symptom: a leaf runs a request under another id or for longer than the caller
+// waits. Sequence: a caller, or a host on its way, sends the field twice; the
+// tier reads the first one, the leaf the last. Cause: only the first was looked
+// at, and all were passed on.
+Test(caller_wire, a_field_that_decides_stands_once) {
+  for (const char* repeated : {"x-request-id", "X-Deadline-Ms", "host"}) {
+    cr_assert(!CallerWire()
+                   .read(request({{"Host", "a"},
+                                  {"X-Request-Id", "r1"},
+                                  {"X-Deadline-Ms", "100"},
+                                  {repeated, "1"}}),
+                         Clock::now())
+                   .has_value(),
+              "%s", repeated);
+  }
+}
+
+Test(caller_wire, a_request_without_a_host_is_refused) {
+  for (const Fields& fields :
+       {Fields{{"X-Request-Id", "r1"}},
+        Fields{{"Host", ""}, {"X-Request-Id", "r1"}},
+        Fields{{"Host", ":80"}, {"X-Request-Id", "r1"}}}) {
+    const auto read = CallerWire().read(request(fields), Clock::now());
+    cr_assert(!read.has_value());
+    cr_assert(read.error().kind == ErrorKind::kInvalidRequest);
+  }
+}
+
+Test(caller_wire, a_host_that_is_an_address_keeps_its_colons) {
+  const auto read = CallerWire().read(
+      request({{"Host", "[::1]:80"}, {"X-Request-Id", "r1"}}), Clock::now());
+  cr_assert(read->host == "[::1]");
+}
+
+// Symptom: a request that the tier has let in reaches a leaf without its id,
+// and the leaf refuses it. Sequence: the caller names the field in Connection.
+// Cause: what Connection names was taken out, whatever it was (RFC 9110,
+// section 7.6.1, allows only fields of one connection there).
+Test(caller_wire, connection_can_not_name_what_is_for_the_leaf) {
+  const auto read =
+      CallerWire().read(request({{"Host", "a"},
+                                 {"Connection", "Host, X-Request-Id, X-Hop"},
+                                 {"X-Hop", "1"},
+                                 {"X-Request-Id", "r1"}}),
+                        Clock::now());
+  cr_assert(read->message->fields ==
+            Fields({{"Host", "a"}, {"X-Request-Id", "r1"}}));
+}
+
 Test(caller_wire, a_merged_answer_names_its_parts) {
   dispatch::MergedAnswer merged{{"a.1", "b.2"}, 1, "records"};
   const auto written = CallerWire().write(dispatch::Answer(merged));
@@ -109,7 +158,7 @@
   dispatch::LeafCall call;
   call.message = request({{"Host", "a"}, {"X-Request-Id", "r1"}});
   call.request_id = "r1";
-  call.instance = "i-1";
+  call.leaf_id = "i-1";
   return call;
 }
 
