Begin no request whose caller has left before it began

Cause: the end of a caller's connection can be read in the same turn of the loop as its request. The run had ended by then, was begun all the same, called leafs for nobody, and ended a second time: an exception from an empty function. Test failed first (bad_function_call).

--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -27,6 +27,7 @@
 // an outage make one, too, which is gone in less: they are served late, which
 // is better than not at all.
 constexpr milliseconds kStandingQueue{1000};
+
 Duration hedge_after(const RequestContext& context) {
   return hedge_delay(context.typical->value(),
                      context.due - context.request.received);
@@ -46,6 +47,11 @@
       hedge_at(Clock::now() + hedge_after(*this->shared)) {}
 
 void RequestRun::start() {
+  // The caller may have left before its request was begun: its connection's end
+  // can be read in the same turn of the loop as the request.
+  if (this->ended) {
+    return;
+  }
   for (const auto& group : this->groups) {
     this->all.push_back(std::make_shared<PartCall>(
         this->shared, group, [weak = this->weak_from_this()] {
--- a/tests/dispatch/forward_test.cc
+++ b/tests/dispatch/forward_test.cc
@@ -97,6 +97,21 @@
   cr_assert(fixture.leafs.times_run("r1") == 2);
 }
 
+// Symptom: an exception from an empty function ends a request, and a leaf works
+// for a caller that has left. Sequence: the end of the caller's connection is
+// read in the same turn of the loop as its request, before the request begins.
+// Cause: a run that had ended already began, and ended a second time.
+Test(forward, a_request_whose_caller_has_left_reaches_no_leaf) {
+  for (const char* path : {"/page/1", "/order/1", "/query/1"}) {
+    DispatchFixture fixture;
+    fixture.begin("r1", path)->cancel();
+    cr_assert(
+        fixture.run_until([&] { return fixture.outcomes.contains("r1"); }));
+    cr_assert(fixture.outcomes.at("r1").error().kind == ErrorKind::kCancelled);
+    cr_assert(fixture.leafs.times_run("r1") == 0, "%s", path);
+  }
+}
+
 // Symptom: a request is run by a service that it was never meant for.
 // Sequence: a leaf ends; its address goes to a leaf of another service before
 // its entry is gone from the registry.
@@ -113,7 +128,7 @@
 Test(forward, a_draining_leaf_gets_nothing_new) {
   DispatchFixture fixture;
   directory::LeafEntry entry;
-  entry.instance = "desk-0";
+  entry.run.id = "desk-0";
   entry.service = "desk";
   entry.zone = "z0";
   entry.draining = true;
