Tell runs of a leaf apart; take no leaf from another writer's entry

Cause: a leaf may now start again under its id. Its entry was replaced and all else kept: idle links to the former process, calls that wait on them, an ejection, the estimate, the group of its former service; a leaf that had lost its address to another one stayed retired for good. A late write of an earlier run, or of the same run with a lower number, replaced newer ones. An unknown state counted as ready, missing figures were made up, and an entry that became unreadable kept its leaf in use after a watch but not after a listing. One object with text that is no UTF-8, or nested deeper than 32 levels, hid all others of its listing; one unreadable contact hid all contacts.

Ruled out: ordering by the store's revision alone. It orders writes as they were carried out, and the store may carry one out seconds after it was given up.

Change: a run is (id, start), typed; entries of a leaf that tells its start are ordered by start and number, also for 30 s after it is gone; a new run gets a new leaf, and calls of the former one end as lost at once. The reader refuses entries by a closed list of four faults, logged once a version and counted. Reports between daemons name the run (a field more in reports.thrift). Stand-ins restart leafs and write foreign entries.

--- a/ibismux/directory/forward.h
+++ b/ibismux/directory/forward.h
@@ -4,6 +4,8 @@
 namespace ibismux::directory {
 
 struct LeafEntry;
+struct LeafRun;
+struct RefusedEntry;
 class DirectoryListener;
 class LeafDirectory;
 
--- a/ibismux/directory/leaf_directory.cc
+++ b/ibismux/directory/leaf_directory.cc
@@ -1,6 +1,8 @@
 #include "ibismux/directory/leaf_directory.h"
 
+#include <algorithm>
 #include <unordered_set>
+#include <utility>
 
 namespace ibismux::directory {
 
@@ -8,23 +10,32 @@
                             TimePoint now) {
   std::unordered_set<std::string> listed;
   for (const LeafEntry& entry : entries) {
-    listed.insert(entry.instance);
-    this->put(entry);
+    listed.insert(entry.run.id);
+    this->put(entry, now);
   }
   std::vector<std::string> absent;
-  for (const auto& [instance, entry] : this->entries) {
-    if (!listed.contains(instance)) {
-      absent.push_back(instance);
+  for (const auto& [id, entry] : this->entries) {
+    if (!listed.contains(id)) {
+      absent.push_back(id);
     }
   }
-  for (const std::string& instance : absent) {
-    this->remove(instance, now);
+  for (const std::string& id : absent) {
+    this->remove(id, now, nullptr);
   }
 }
 
-void LeafDirectory::put(const LeafEntry& entry) {
-  this->missing.erase(entry.instance);
-  LeafEntry& known = this->entries[entry.instance];
+void LeafDirectory::put(const LeafEntry& entry, TimePoint now) {
+  if (this->is_outdated(entry)) {
+    this->listener.on_outdated_entry(entry);
+    return;
+  }
+  if (this->has_lost_its_start(entry)) {
+    this->erase(entry.run.id, now, "no_start");
+    return;
+  }
+  this->missing.erase(entry.run.id);
+  this->gone.erase(entry.run.id);
+  LeafEntry& known = this->entries[entry.run.id];
   if (known == entry) {
     return;
   }
@@ -32,17 +43,27 @@
   this->listener.on_leaf(entry);
 }
 
-void LeafDirectory::remove(const std::string& instance, TimePoint now) {
-  if (!this->entries.contains(instance)) {
+void LeafDirectory::remove(const std::string& id,
+                           TimePoint now,
+                           const LeafEntry* last) {
+  const auto known = this->entries.find(id);
+  if (known == this->entries.end()) {
     return;
   }
-  if (this->in_doubt(now)) {
-    this->missing.insert(instance);
+  const bool is_of_earlier_run = last && known->second.run.is_after(last->run);
+  if (this->is_uncertain(now)) {
+    this->missing.try_emplace(id, this->settled_at);
+  } else if (is_of_earlier_run) {
+    this->missing.try_emplace(id, now + kReturnTime);
   } else {
-    this->erase(instance, "removed");
+    this->erase(id, now, "removed");
   }
 }
 
+void LeafDirectory::discard(const std::string& id, TimePoint now) {
+  this->erase(id, now, "unreadable");
+}
+
 void LeafDirectory::registry_lost() {
   this->lost = true;
 }
@@ -51,35 +72,89 @@
   if (this->lost) {
     this->lost = false;
     this->settled_at = now + kReturnTime;
+    // Those that lapsed meanwhile have as long as those that lapse now.
+    for (auto& [id, until] : this->missing) {
+      until = this->settled_at;
+    }
   }
 }
 
 void LeafDirectory::expire(TimePoint now) {
-  if (this->in_doubt(now)) {
+  if (this->lost) {
     return;
   }
-  const std::set<std::string> gone = std::move(this->missing);
-  this->missing.clear();
-  for (const std::string& instance : gone) {
-    this->erase(instance, "not_back");
+  std::vector<std::string> late;
+  for (const auto& [id, until] : this->missing) {
+    if (until <= now) {
+      late.push_back(id);
+    }
+  }
+  for (const std::string& id : late) {
+    this->erase(id, now, "not_back");
   }
 }
 
 TimePoint LeafDirectory::next_expiry() const noexcept {
-  return this->lost || this->missing.empty() ? TimePoint::max()
-                                             : this->settled_at;
+  if (this->lost || this->missing.empty()) {
+    return TimePoint::max();
+  }
+  return std::min_element(
+             this->missing.begin(), this->missing.end(),
+             [](const auto& a, const auto& b) { return a.second < b.second; })
+      ->second;
 }
 
-bool LeafDirectory::in_doubt(TimePoint now) const noexcept {
+bool LeafDirectory::is_uncertain(TimePoint now) const noexcept {
   return this->lost || now < this->settled_at;
 }
 
-void LeafDirectory::erase(const std::string& instance,
+bool LeafDirectory::is_outdated(const LeafEntry& entry) const {
+  const auto known = this->entries.find(entry.run.id);
+  if (known != this->entries.end()) {
+    return entry.is_older_than(known->second);
+  }
+  const auto last = this->gone.find(entry.run.id);
+  if (last == this->gone.end()) {
+    return false;
+  }
+  // A leaf that is back writes a higher number; the same one is a late write.
+  const LeafEntry& before = last->second.entry;
+  return entry.is_older_than(before) ||
+         (entry.run == before.run && entry.run.started.count() > 0 &&
+          entry.sequence == before.sequence);
+}
+
+bool LeafDirectory::has_lost_its_start(const LeafEntry& entry) const {
+  const auto known = this->entries.find(entry.run.id);
+  return known != this->entries.end() && entry.run.started.count() == 0 &&
+         known->second.run.started.count() > 0;
+}
+
+void LeafDirectory::erase(const std::string& id,
+                          TimePoint now,
                           std::string_view reason) {
-  this->missing.erase(instance);
-  if (this->entries.erase(instance) > 0) {
-    this->listener.on_leaf_gone(instance, reason);
+  this->missing.erase(id);
+  const auto known = this->entries.find(id);
+  if (known == this->entries.end()) {
+    return;
+  }
+  this->remember_gone(std::move(known->second), now);
+  this->entries.erase(known);
+  this->listener.on_leaf_gone(id, reason);
+}
+
+void LeafDirectory::remember_gone(LeafEntry entry, TimePoint now) {
+  const auto is_past = [&](const std::string& id) {
+    const auto row = this->gone.find(id);
+    return row == this->gone.end() || now - row->second.at > kRememberGone;
+  };
+  while (!this->gone_in_order.empty() && is_past(this->gone_in_order.front())) {
+    this->gone.erase(this->gone_in_order.front());
+    this->gone_in_order.pop_front();
   }
+  const std::string id = entry.run.id;
+  this->gone_in_order.push_back(id);
+  this->gone.insert_or_assign(id, Gone{std::move(entry), now});
 }
 
 }  // namespace ibismux::directory
--- a/ibismux/directory/leaf_directory.h
+++ b/ibismux/directory/leaf_directory.h
@@ -1,9 +1,10 @@
 #ifndef IBISMUX_DIRECTORY_LEAF_DIRECTORY_H_
 #define IBISMUX_DIRECTORY_LEAF_DIRECTORY_H_
 
+#include <deque>
 #include <map>
-#include <set>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "ibismux/base/time.h"
@@ -15,11 +16,12 @@
 class DirectoryListener {
  public:
   virtual ~DirectoryListener() = default;
-  /// A leaf is new, or says something else of itself.
+  /// A leaf is new, has started again, or says something else of itself.
   virtual void on_leaf(const LeafEntry& entry) = 0;
   /// A leaf is gone. @param reason One word for the log.
-  virtual void on_leaf_gone(const std::string& instance,
-                            std::string_view reason) = 0;
+  virtual void on_leaf_gone(const std::string& id, std::string_view reason) = 0;
+  /// An entry was passed over: the leaf has written a newer one before.
+  virtual void on_outdated_entry(const LeafEntry&) {}
 };
 
 /// Which leafs there are now, from the registry's lists and changes.
@@ -30,6 +32,11 @@
 /// Notice where this is missing: with each outage of the registry all leafs
 /// seem gone and every request is refused.
 ///
+/// A write that a leaf's host gave up on may still be carried out seconds
+/// later, over newer ones. An entry of an earlier run, or of the same run with
+/// a lower number, is passed over. Notice where this is missing: a leaf that
+/// leaves is ready again, and gets calls up to the moment at which it ends.
+///
 /// Not thread safe. The times given never go back.
 class LeafDirectory {
  public:
@@ -38,18 +45,28 @@
   /// promise.
   static constexpr std::chrono::milliseconds kReturnTime{2000};
 
+  /// For how long the last entry of a leaf that is gone is remembered, to know
+  /// its late writes: the longest that a store is known to hold one back is 6
+  /// s.
+  static constexpr std::chrono::seconds kRememberGone{30};
+
   /// @param listener Outlives the directory.
   explicit LeafDirectory(DirectoryListener& listener) : listener(listener) {}
 
-  /// @name The registry's word
+  /// @name The registry's content
   /// @{
 
   /// All entries as of now.
   void replace(const std::vector<LeafEntry>& entries, TimePoint now);
-  /// One entry is new or has changed.
-  void put(const LeafEntry& entry);
+  /// One entry is new or has changed. One that no longer says when its leaf
+  /// started is another writer's, and discards the leaf.
+  void put(const LeafEntry& entry, TimePoint now);
   /// One entry was removed.
-  void remove(const std::string& instance, TimePoint now);
+  /// @param last What it held, where that is known: if that is of an earlier
+  /// run than the one in use, the later run writes its entry anew.
+  void remove(const std::string& id, TimePoint now, const LeafEntry* last);
+  /// One entry can't be read any more: its leaf isn't used, at once.
+  void discard(const std::string& id, TimePoint now);
   /// @}
 
   /// @name The registry's health
@@ -71,15 +88,28 @@
   }
 
  private:
+  /// The last entry of a leaf that is gone.
+  struct Gone {
+    LeafEntry entry;
+    TimePoint at;
+  };
+
   /// Whether a missing entry may be that of a living leaf.
-  [[nodiscard]] bool in_doubt(TimePoint now) const noexcept;
-  void erase(const std::string& instance, std::string_view reason);
+  [[nodiscard]] bool is_uncertain(TimePoint now) const noexcept;
+  /// Whether the leaf has written a newer entry than this one before.
+  [[nodiscard]] bool is_outdated(const LeafEntry& entry) const;
+  [[nodiscard]] bool has_lost_its_start(const LeafEntry& entry) const;
+  void erase(const std::string& id, TimePoint now, std::string_view reason);
+  void remember_gone(LeafEntry entry, TimePoint now);
 
   DirectoryListener& listener;
-  std::map<std::string, LeafEntry> entries;
-  std::set<std::string> missing;  ///< Kept without an entry in the registry.
+  std::map<std::string, LeafEntry> entries;  ///< By id.
+  /// Kept without an entry in the registry, until then at least.
+  std::map<std::string, TimePoint> missing;
+  std::map<std::string, Gone> gone;       ///< By id, for `kRememberGone`.
+  std::deque<std::string> gone_in_order;  ///< The same ids, the oldest first.
   bool lost = false;
-  TimePoint settled_at = TimePoint::min();  ///< End of the doubt.
+  TimePoint settled_at = TimePoint::min();  ///< Living leafs are back by then.
 };
 
 }  // namespace ibismux::directory
--- /dev/null
+++ b/ibismux/directory/leaf_run.h
@@ -0,0 +1,30 @@
+#ifndef IBISMUX_DIRECTORY_LEAF_RUN_H_
+#define IBISMUX_DIRECTORY_LEAF_RUN_H_
+
+#include <chrono>
+#include <compare>
+#include <string>
+
+namespace ibismux::directory {
+
+/// Names one run of a leaf's process. A leaf that starts again may keep its id;
+/// it then holds nothing of what it had: no connection, no call, no queue, and
+/// nothing that was measured of it holds any more.
+struct LeafRun {
+  std::string id;
+  /// When the process started, since the Unix epoch by the leaf's own clock; 0
+  /// where the leaf doesn't say. Then the id alone names the run.
+  std::chrono::milliseconds started{0};
+
+  [[nodiscard]] auto operator<=>(const LeafRun&) const = default;
+
+  /// Whether both are runs of one leaf, and this one is the later one.
+  [[nodiscard]] bool is_after(const LeafRun& other) const noexcept {
+    return this->id == other.id && other.started.count() > 0 &&
+           this->started > other.started;
+  }
+};
+
+}  // namespace ibismux::directory
+
+#endif  // IBISMUX_DIRECTORY_LEAF_RUN_H_
--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -48,6 +48,15 @@
 // each query of 36 shards met three of those.
 constexpr milliseconds kHearsayHalfLife{1250};
 
+/// Whether a leaf has another address, service or zone than before. Its links,
+/// its place among the replicas and what was measured of it are those of the
+/// former one.
+bool is_elsewhere(const directory::LeafEntry& before,
+                  const directory::LeafEntry& now) noexcept {
+  return before.address != now.address || before.port != now.port ||
+         before.service != now.service || before.zone != now.zone;
+}
+
 using OutcomeHandler =
     asio::async_result<asio::use_awaitable_t<>, void(Outcome)>::handler_type;
 
@@ -137,25 +146,46 @@
 }
 
 void Dispatcher::on_leaf(const directory::LeafEntry& entry) {
-  const auto known = this->leafs.find(entry.instance);
-  const bool fresh = known == this->leafs.end();
-  if (!fresh && known->second->entry().draining == entry.draining) {
-    known->second->update(entry);
+  const auto known = this->leafs.find(entry.run.id);
+  if (known == this->leafs.end()) {
+    this->log_leaf("leaf_new", entry);
+    this->add_leaf(entry);
     return;
   }
-  this->log
-      .event(eventlog::Weight::kBelief, fresh ? "leaf_new" : "leaf_changed")
-      .with("leaf", entry.instance)
-      .with("service", entry.service)
-      .with("address", entry.address)
-      .with("port", entry.port)
-      .with("zone", entry.zone)
-      .with("draining", entry.draining)
-      .with("warmup_left_ms", entry.warmup_left.count());
-  if (!fresh) {
+  const directory::LeafEntry before = known->second->entry();
+  if (before.run != entry.run) {
+    this->log_leaf("leaf_restarted", entry);
+    this->drop_leaf(entry.run.id, &Leaf::end_run);
+    this->add_leaf(entry);
+  } else if (is_elsewhere(before, entry)) {
+    this->log_leaf("leaf_moved", entry);
+    this->drop_leaf(entry.run.id, &Leaf::retire);
+    this->add_leaf(entry);
+  } else {
+    if (before.draining != entry.draining) {
+      this->log_leaf("leaf_changed", entry);
+    }
     known->second->update(entry);
+  }
+}
+
+void Dispatcher::on_leaf_gone(const std::string& id, std::string_view reason) {
+  const auto known = this->leafs.find(id);
+  if (known == this->leafs.end()) {
     return;
   }
+  this->log.event(eventlog::Weight::kBelief, "leaf_gone")
+      .with("leaf", id)
+      .with("service", known->second->entry().service)
+      .with("reason", reason);
+  this->drop_leaf(id, &Leaf::retire);
+}
+
+void Dispatcher::on_outdated_entry(const directory::LeafEntry& entry) {
+  this->log_leaf("leaf_entry_outdated", entry);
+}
+
+void Dispatcher::add_leaf(const directory::LeafEntry& entry) {
   const auto group = this->group(entry.service);
   auto leaf = std::make_shared<Leaf>(this->loop, this->connector, this->log,
                                      entry, [weak = std::weak_ptr(group)] {
@@ -163,40 +193,47 @@
                                          group->serve_waiting();
                                        }
                                      });
-  this->leafs.emplace(entry.instance, leaf);
+  this->leafs.emplace(entry.run.id, leaf);
   group->add(std::move(leaf));
   this->share_links(*group);
 }
 
-void Dispatcher::on_leaf_gone(const std::string& instance,
-                              std::string_view reason) {
-  const auto known = this->leafs.find(instance);
-  if (known == this->leafs.end()) {
-    return;
-  }
+void Dispatcher::drop_leaf(const std::string& id, void (Leaf::*end)()) {
+  const auto known = this->leafs.find(id);
   const std::shared_ptr<Leaf> leaf = known->second;
-  this->log.event(eventlog::Weight::kBelief, "leaf_gone")
-      .with("leaf", instance)
-      .with("service", leaf->entry().service)
-      .with("reason", reason);
   this->leafs.erase(known);
-  leaf->retire();
   const auto group = this->groups.find(leaf->entry().service);
   if (group != this->groups.end()) {
     group->second->remove(*leaf);
     this->share_links(*group->second);
   }
+  // Last: calls that end by it are sent again, and must not find it.
+  ((*leaf).*end)();
+}
+
+void Dispatcher::log_leaf(std::string_view event,
+                          const directory::LeafEntry& entry) {
+  this->log.event(eventlog::Weight::kBelief, event)
+      .with("leaf", entry.run.id)
+      .with("started_ms", entry.run.started.count())
+      .with("sequence", entry.sequence)
+      .with("service", entry.service)
+      .with("address", entry.address)
+      .with("port", entry.port)
+      .with("zone", entry.zone)
+      .with("draining", entry.draining)
+      .with("warmup_left_ms", entry.warmup_left.count());
 }
 
 std::vector<reports::LeafReport> Dispatcher::take_reports() {
   const TimePoint now = Clock::now();
   std::vector<reports::LeafReport> all;
-  for (const auto& [instance, leaf] : this->leafs) {
+  for (const auto& [id, leaf] : this->leafs) {
     const LeafEstimate::Seen seen = leaf->estimate().take_seen();
     if (seen.samples == 0) {
       continue;
     }
-    reports::LeafReport report{instance, seen.samples,
+    reports::LeafReport report{leaf->entry().run, seen.samples,
                                seen.excess / seen.samples,
                                seen.failures / seen.samples};
     // One that others hold to be slow is worth a word when it is fast again.
@@ -208,8 +245,9 @@
 }
 
 void Dispatcher::on_report(const reports::LeafReport& report) {
-  const auto known = this->leafs.find(report.instance);
-  if (known != this->leafs.end()) {
+  const auto known = this->leafs.find(report.run.id);
+  // What an earlier run was like says nothing of this one.
+  if (known != this->leafs.end() && known->second->entry().run == report.run) {
     known->second->estimate().hear({.excess = report.excess,
                                     .failures = report.failures,
                                     .samples = report.samples,
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -59,8 +59,8 @@
   /// @name DirectoryListener
   /// @{
   void on_leaf(const directory::LeafEntry& entry) override;
-  void on_leaf_gone(const std::string& instance,
-                    std::string_view reason) override;
+  void on_leaf_gone(const std::string& id, std::string_view reason) override;
+  void on_outdated_entry(const directory::LeafEntry& entry) override;
   /// @}
 
   /// @name ReportParty
@@ -80,6 +80,10 @@
       const routing::Route& route);
   [[nodiscard]] std::vector<std::shared_ptr<ServiceGroup>> targets(
       const routing::Route& route);
+  void add_leaf(const directory::LeafEntry& entry);
+  /// @param end How the leaf ends. Precondition: `id` is known.
+  void drop_leaf(const std::string& id, void (Leaf::*end)());
+  void log_leaf(std::string_view event, const directory::LeafEntry& entry);
   void share_links();
   void share_links(const ServiceGroup& group);
   [[nodiscard]] Duration hearsay_half_life();
@@ -97,7 +101,7 @@
 
   std::shared_ptr<const routing::RouteTable> in_force;
   std::map<std::string, std::shared_ptr<ServiceGroup>> groups;
-  std::map<std::string, std::shared_ptr<Leaf>> leafs;  ///< By instance.
+  std::map<std::string, std::shared_ptr<Leaf>> leafs;  ///< By id.
   std::map<std::string, std::shared_ptr<TypicalLatency>> latencies;
   std::map<std::string, routing::SplitRotation> splits;
 };
--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -44,7 +44,7 @@
       log(log),
       known(std::move(entry)),
       on_free(std::move(on_free)),
-      random(std::hash<std::string>()(this->known.instance)) {}
+      random(std::hash<std::string>()(this->known.run.id)) {}
 
 void Leaf::update(const directory::LeafEntry& entry) {
   this->known = entry;
@@ -65,6 +65,14 @@
   this->idle.clear();
 }
 
+void Leaf::end_run() {
+  this->retire();
+  // Closing a link ends its call only later, on the loop.
+  for (const auto& [number, call] : this->pending) {
+    call.link->close();
+  }
+}
+
 Duration Leaf::until_retry(TimePoint now) const noexcept {
   return this->ejected ? remaining(this->retry_at, now) : Duration::zero();
 }
@@ -95,10 +103,11 @@
   }
   order.active->link = link.get();
   const auto ticket = self->numbers.sent(Clock::now());
-  const std::uint64_t listener = self->next_listener++;
-  self->listeners.emplace(listener, std::move(order.on_silence));
+  const std::uint64_t number = self->next_pending++;
+  self->pending.emplace(number,
+                        Pending{link.get(), std::move(order.on_silence)});
   auto reply = co_await link->call(order.call);
-  self->listeners.erase(listener);
+  self->pending.erase(number);
   order.active->link = nullptr;
   const bool sent = reply || reply.error().execution != Execution::kNotRun;
   CallEnd end{std::move(reply), sent};
@@ -179,7 +188,7 @@
     case LeafReply::Kind::kOtherInstance:
       this->numbers.failed(ticket, now);
       this->log.event(eventlog::Weight::kBelief, "leaf_replaced")
-          .with("leaf", this->known.instance)
+          .with("leaf", this->known.run.id)
           .with("service", this->known.service)
           .with("address", this->known.address)
           .with("request", order.call->request_id);
@@ -224,7 +233,7 @@
       std::uniform_real_distribution<double>(0.5, 1)(this->random);
   this->no_dial_before = now + scaled(this->crowded_pause, part);
   this->log.event(eventlog::Weight::kBelief, "leaf_crowded")
-      .with("leaf", this->known.instance)
+      .with("leaf", this->known.run.id)
       .with("service", this->known.service)
       .with("open_links", this->open_links)
       .with("pause_ms", this->no_dial_before - now);
@@ -232,13 +241,18 @@
 
 void Leaf::report_silence(TimePoint now) {
   this->log.event(eventlog::Weight::kBelief, "leaf_silent")
-      .with("leaf", this->known.instance)
+      .with("leaf", this->known.run.id)
       .with("service", this->known.service)
       .with("under_way", this->numbers.under_way())
       .with("ratio", this->numbers.ratio(now));
-  const auto told = std::exchange(this->listeners, {});
-  for (const auto& [id, listener] : told) {
-    listener();
+  std::vector<std::function<void()>> notified;
+  for (auto& [number, call] : this->pending) {
+    if (auto on_silence = std::exchange(call.on_silence, nullptr)) {
+      notified.push_back(std::move(on_silence));
+    }
+  }
+  for (const auto& on_silence : notified) {
+    on_silence();
   }
 }
 
@@ -248,7 +262,7 @@
   }
   this->ejected = true;
   this->log.event(eventlog::Weight::kBelief, "leaf_ejected")
-      .with("leaf", this->known.instance)
+      .with("leaf", this->known.run.id)
       .with("service", this->known.service)
       .with("address", this->known.address)
       .with("losses", this->losses)
@@ -288,7 +302,7 @@
 void Leaf::come_back() {
   this->ejected = false;
   this->log.event(eventlog::Weight::kBelief, "leaf_back")
-      .with("leaf", this->known.instance)
+      .with("leaf", this->known.run.id)
       .with("service", this->known.service);
   this->on_free();
 }
--- a/ibismux/dispatch/leaf.h
+++ b/ibismux/dispatch/leaf.h
@@ -75,6 +75,11 @@
   /// here any more; those under way go on.
   void retire();
 
+  /// The run of the leaf has ended: retires it, and ends its calls under way as
+  /// lost. They would wait for their deadlines otherwise, on connections of
+  /// which no process knows any more.
+  void end_run();
+
   /// @name Whether and how well it can take a call
   /// @{
 
@@ -175,9 +180,13 @@
   std::uint32_t losses = 0;  ///< Calls and dials in a row without any answer.
   TimePoint retry_at = TimePoint::min();
 
-  /// Calls that want to know of silence, by an id of their own.
-  std::map<std::uint64_t, std::function<void()>> listeners;
-  std::uint64_t next_listener = 0;
+  /// A call that was sent and not answered yet.
+  struct Pending {
+    LeafLink* link = nullptr;
+    std::function<void()> on_silence;  ///< Empty once it was called.
+  };
+  std::map<std::uint64_t, Pending> pending;  ///< By a number of their own.
+  std::uint64_t next_pending = 0;
 };
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/leaf_link.h
+++ b/ibismux/dispatch/leaf_link.h
@@ -18,9 +18,9 @@
 struct LeafCall {
   std::shared_ptr<const http::Request> message;
   std::string request_id;
-  /// The run of the leaf that is meant. Another one that has its address since
+  /// The id of the leaf that is meant. Another one that has its address since
   /// answers that it isn't the one, and runs nothing.
-  std::string instance;
+  std::string leaf_id;
   TimePoint deadline;
 };
 
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -120,7 +120,7 @@
   auto call = std::make_shared<LeafCall>();
   call->message = this->context->request.message;
   call->request_id = this->context->request.id;
-  call->instance = leaf->entry().instance;
+  call->leaf_id = leaf->entry().run.id;
   call->deadline = this->context->final_at;
   const std::weak_ptr<PartCall> weak = this->weak_from_this();
   leaf->start(
@@ -269,7 +269,7 @@
   const TimePoint now = Clock::now();
   line.with("request", this->context->request.id)
       .with("service", this->group->name())
-      .with("leaf", leaf.entry().instance)
+      .with("leaf", leaf.entry().run.id)
       .with("detail", detail)
       .with("sends", this->sends)
       .with("at_ms", now - this->context->request.received)
--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -39,7 +39,7 @@
   // In one order on all daemons: the plan of links goes by it.
   const auto place = std::find_if(
       this->members.begin(), this->members.end(), [&leaf](const auto& other) {
-        return leaf->entry().instance < other->entry().instance;
+        return leaf->entry().run.id < other->entry().run.id;
       });
   this->members.insert(place, std::move(leaf));
   this->serve_waiting();
--- a/ibismux/edge/adapters.h
+++ b/ibismux/edge/adapters.h
@@ -6,6 +6,7 @@
 
 #include "ibismux/base/error.h"
 #include "ibismux/directory/leaf_entry.h"
+#include "ibismux/directory/refused_entry.h"
 #include "ibismux/dispatch/answer.h"
 #include "ibismux/dispatch/caller_request.h"
 #include "ibismux/dispatch/leaf_link.h"
@@ -28,9 +29,9 @@
 class LeafEntryDecoder {
  public:
   virtual ~LeafEntryDecoder() = default;
-  /// Errors: kInvalidRequest, whose message names the key that is wrong.
-  [[nodiscard]] virtual Result<directory::LeafEntry> decode(
-      const store::StoredObject& object) const = 0;
+  [[nodiscard]] virtual tl::expected<directory::LeafEntry,
+                                     directory::RefusedEntry>
+  decode(const store::StoredObject& object) const = 0;
 };
 
 /// Reads callers' requests and writes their answers. Thread safe.
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -57,6 +57,7 @@
       leafs(pool.at(0),
             directory,
             *this->adapters.leaf_entries,
+            registry,
             log,
             [this] { this->configuration_feed->retry_now(); }),
       limits{.drain_grace = this->settings.leave_notice},
--- a/ibismux/edge/leaf_feed.cc
+++ b/ibismux/edge/leaf_feed.cc
@@ -1,5 +1,8 @@
 #include "ibismux/edge/leaf_feed.h"
 
+#include <prometheus/family.h>
+#include <prometheus/registry.h>
+
 #include <utility>
 #include <vector>
 
@@ -10,13 +13,23 @@
 LeafFeed::LeafFeed(boost::asio::io_context& loop,
                    directory::LeafDirectory& directory,
                    const LeafEntryDecoder& decoder,
+                   prometheus::Registry& registry,
                    eventlog::EventLog& log,
                    std::function<void()> on_back)
     : directory(directory),
       decoder(decoder),
       log(log),
       on_back(std::move(on_back)),
-      expiry(loop.get_executor()) {}
+      expiry(loop.get_executor()) {
+  auto& family = prometheus::BuildCounter()
+                     .Name("ibismux_leaf_entries_refused_total")
+                     .Help("Entries of the registry that name no leaf to use")
+                     .Register(registry);
+  for (std::size_t i = 0; i < this->refusals.size(); ++i) {
+    const auto fault = static_cast<directory::EntryFault>(i);
+    this->refusals[i] = &family.Add({{"fault", std::string(to_string(fault))}});
+  }
+}
 
 void LeafFeed::on_listing(const store::Listing& listing) {
   std::vector<directory::LeafEntry> entries;
@@ -32,12 +45,16 @@
 
 void LeafFeed::on_change(const store::WatchBatch::Event& event) {
   if (event.removed) {
-    this->directory.remove(event.object.name, Clock::now());
+    this->refused_at.erase(event.object.name);
+    // The store hands out what it has removed; other stores may not.
+    const auto last = this->decoder.decode(event.object);
+    this->directory.remove(event.object.name, Clock::now(),
+                           last ? &*last : nullptr);
     this->schedule_expiry();
     return;
   }
   if (auto entry = this->read(event.object)) {
-    this->directory.put(*entry);
+    this->directory.put(*entry, Clock::now());
   }
 }
 
@@ -55,15 +72,30 @@
     const store::StoredObject& object) {
   auto entry = this->decoder.decode(object);
   if (!entry) {
-    this->log.event(eventlog::Weight::kBelief, "leaf_entry_refused")
-        .with("leaf", object.name)
-        .with("object_version", object.version)
-        .with("reason", entry.error().message);
+    this->refuse(object, entry.error());
     return std::nullopt;
   }
+  this->refused_at.erase(object.name);
   return *std::move(entry);
 }
 
+void LeafFeed::refuse(const store::StoredObject& object,
+                      const directory::RefusedEntry& refused) {
+  this->directory.discard(object.name, Clock::now());
+  // A whole listing brings the same entry again.
+  store::Version& logged = this->refused_at[object.name];
+  if (logged == object.version) {
+    return;
+  }
+  logged = object.version;
+  this->refusals[static_cast<std::size_t>(refused.fault)]->Increment();
+  this->log.event(eventlog::Weight::kBelief, "leaf_entry_refused")
+      .with("leaf", object.name)
+      .with("object_version", object.version)
+      .with("fault", to_string(refused.fault))
+      .with("reason", refused.message);
+}
+
 void LeafFeed::schedule_expiry() {
   const TimePoint when = this->directory.next_expiry();
   if (when == TimePoint::max()) {
--- a/ibismux/reports/gen/reports_types.cpp
+++ b/ibismux/reports/gen/reports_types.cpp
@@ -18,8 +18,8 @@
 }
 
 
-void Report::__set_instance(const std::string& val) {
-  this->instance = val;
+void Report::__set_leaf_id(const std::string& val) {
+  this->leaf_id = val;
 }
 
 void Report::__set_samples(const double val) {
@@ -33,6 +33,10 @@
 void Report::__set_failures(const double val) {
   this->failures = val;
 }
+
+void Report::__set_started_ms(const int64_t val) {
+  this->started_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const Report& obj)
 {
   obj.printTo(out);
@@ -63,8 +67,8 @@
     {
       case 1:
         if (ftype == ::apache::thrift::protocol::T_STRING) {
-          xfer += iprot->readString(this->instance);
-          this->__isset.instance = true;
+          xfer += iprot->readString(this->leaf_id);
+          this->__isset.leaf_id = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -93,6 +97,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->started_ms);
+          this->__isset.started_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -110,8 +122,8 @@
   ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
   xfer += oprot->writeStructBegin("Report");
 
-  xfer += oprot->writeFieldBegin("instance", ::apache::thrift::protocol::T_STRING, 1);
-  xfer += oprot->writeString(this->instance);
+  xfer += oprot->writeFieldBegin("leaf_id", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->leaf_id);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("samples", ::apache::thrift::protocol::T_DOUBLE, 2);
@@ -126,6 +138,10 @@
   xfer += oprot->writeDouble(this->failures);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("started_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->started_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -133,35 +149,39 @@
 
 void swap(Report &a, Report &b) {
   using ::std::swap;
-  swap(a.instance, b.instance);
+  swap(a.leaf_id, b.leaf_id);
   swap(a.samples, b.samples);
   swap(a.excess, b.excess);
   swap(a.failures, b.failures);
+  swap(a.started_ms, b.started_ms);
   swap(a.__isset, b.__isset);
 }
 
 Report::Report(const Report& other0) {
-  instance = other0.instance;
+  leaf_id = other0.leaf_id;
   samples = other0.samples;
   excess = other0.excess;
   failures = other0.failures;
+  started_ms = other0.started_ms;
   __isset = other0.__isset;
 }
 Report& Report::operator=(const Report& other1) {
-  instance = other1.instance;
+  leaf_id = other1.leaf_id;
   samples = other1.samples;
   excess = other1.excess;
   failures = other1.failures;
+  started_ms = other1.started_ms;
   __isset = other1.__isset;
   return *this;
 }
 void Report::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "Report(";
-  out << "instance=" << to_string(instance);
+  out << "leaf_id=" << to_string(leaf_id);
   out << ", " << "samples=" << to_string(samples);
   out << ", " << "excess=" << to_string(excess);
   out << ", " << "failures=" << to_string(failures);
+  out << ", " << "started_ms=" << to_string(started_ms);
   out << ")";
 }
 
--- a/ibismux/reports/gen/reports_types.h
+++ b/ibismux/reports/gen/reports_types.h
@@ -26,11 +26,12 @@
 class Reports;
 
 typedef struct _Report__isset {
-  _Report__isset() : instance(false), samples(false), excess(false), failures(false) {}
-  bool instance :1;
+  _Report__isset() : leaf_id(false), samples(false), excess(false), failures(false), started_ms(false) {}
+  bool leaf_id :1;
   bool samples :1;
   bool excess :1;
   bool failures :1;
+  bool started_ms :1;
 } _Report__isset;
 
 class Report : public virtual ::apache::thrift::TBase {
@@ -39,21 +40,23 @@
   Report(const Report&);
   Report& operator=(const Report&);
   Report() noexcept
-         : instance(),
+         : leaf_id(),
            samples(0),
            excess(0),
-           failures(0) {
+           failures(0),
+           started_ms(0) {
   }
 
   virtual ~Report() noexcept;
-  std::string instance;
+  std::string leaf_id;
   double samples;
   double excess;
   double failures;
+  int64_t started_ms;
 
   _Report__isset __isset;
 
-  void __set_instance(const std::string& val);
+  void __set_leaf_id(const std::string& val);
 
   void __set_samples(const double val);
 
@@ -61,9 +64,11 @@
 
   void __set_failures(const double val);
 
+  void __set_started_ms(const int64_t val);
+
   bool operator == (const Report & rhs) const
   {
-    if (!(instance == rhs.instance))
+    if (!(leaf_id == rhs.leaf_id))
       return false;
     if (!(samples == rhs.samples))
       return false;
@@ -71,6 +76,8 @@
       return false;
     if (!(failures == rhs.failures))
       return false;
+    if (!(started_ms == rhs.started_ms))
+      return false;
     return true;
   }
   bool operator != (const Report &rhs) const {
--- a/ibismux/reports/leaf_report.cc
+++ b/ibismux/reports/leaf_report.cc
@@ -11,7 +11,8 @@
   std::vector<wire::Report> rows;
   for (const LeafReport& report : reports) {
     wire::Report row;
-    row.__set_instance(report.instance);
+    row.__set_leaf_id(report.run.id);
+    row.__set_started_ms(report.run.started.count());
     row.__set_samples(report.samples);
     row.__set_excess(report.excess);
     row.__set_failures(report.failures);
@@ -33,7 +34,10 @@
     if (!(row.samples > 0) || !(row.excess >= 0) || !(row.failures >= 0)) {
       return fail(ErrorKind::kProtocolError, "malformed report of a leaf");
     }
-    reports.push_back({row.instance, row.samples, row.excess, row.failures});
+    reports.push_back({{row.leaf_id, std::chrono::milliseconds(row.started_ms)},
+                       row.samples,
+                       row.excess,
+                       row.failures});
   }
   return reports;
 }
--- a/ibismux/reports/leaf_report.h
+++ b/ibismux/reports/leaf_report.h
@@ -5,12 +5,13 @@
 #include <vector>
 
 #include "ibismux/base/error.h"
+#include "ibismux/directory/leaf_run.h"
 
 namespace ibismux::reports {
 
 /// What one or more daemons saw of one leaf of late.
 struct LeafReport {
-  std::string instance;
+  directory::LeafRun run;
   double samples = 0;   ///< Calls that it rests on.
   double excess = 0;    ///< How many times the usual they took, less one.
   double failures = 0;  ///< Share of them that failed, 0 to 1.
--- a/ibismux/reports/report_board.cc
+++ b/ibismux/reports/report_board.cc
@@ -29,7 +29,7 @@
 }
 
 void ReportBoard::take(const LeafReport& report, TimePoint now) {
-  auto [place, fresh] = this->rows.try_emplace(report.instance);
+  auto [place, fresh] = this->rows.try_emplace(report.run);
   Row& row = place->second;
   if (fresh) {
     row.updated = now;
@@ -44,12 +44,12 @@
 
 std::vector<LeafReport> ReportBoard::summary(TimePoint now) {
   std::vector<LeafReport> news;
-  for (auto& [instance, row] : this->rows) {
+  for (auto& [run, row] : this->rows) {
     row.fade(now);
     if (row.samples < kLeastSamples) {
       continue;
     }
-    LeafReport report{instance, row.samples, row.excess_sum / row.samples,
+    LeafReport report{run, row.samples, row.excess_sum / row.samples,
                       row.failure_sum / row.samples};
     const bool is_notable = report.is_notable();
     if (std::exchange(row.told, is_notable) || is_notable) {
--- a/ibismux/reports/report_board.h
+++ b/ibismux/reports/report_board.h
@@ -37,7 +37,7 @@
     void fade(TimePoint now);
   };
 
-  std::map<std::string, Row> rows;
+  std::map<directory::LeafRun, Row> rows;
 };
 
 }  // namespace ibismux::reports
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -43,7 +43,7 @@
   void add_service(const std::string& service) {
     for (int i = 0; i < 3; ++i) {
       directory::LeafEntry entry;
-      entry.instance = service + "-" + std::to_string(i);
+      entry.run.id = service + "-" + std::to_string(i);
       entry.service = service;
       entry.zone = "z" + std::to_string(i);
       entry.slots = 4;
--- a/tests/dispatch/fake_leafs.h
+++ b/tests/dispatch/fake_leafs.h
@@ -102,7 +102,7 @@
     reply.kind =
         behaviour.fails ? LeafReply::Kind::kFailure : LeafReply::Kind::kSuccess;
     reply.answer.status = behaviour.fails ? 500 : 200;
-    reply.answer.body = std::string(16, call->instance.back());
+    reply.answer.body = std::string(16, call->leaf_id.back());
     co_return reply;
   }
 
@@ -128,7 +128,7 @@
 
 inline std::unique_ptr<LeafLink> FakeLeafs::make(
     const directory::LeafEntry& entry) const {
-  return std::make_unique<Link>(*this, entry.instance);
+  return std::make_unique<Link>(*this, entry.run.id);
 }
 
 }  // namespace ibismux::dispatch::testing
--- a/tests/dispatch/zone_memory_test.cc
+++ b/tests/dispatch/zone_memory_test.cc
@@ -64,8 +64,8 @@
     for (LeafEstimate& estimate : this->estimates) {
       const auto seen = estimate.take_seen();
       if (seen.samples > 0) {
-        this->board.take({"leaf", seen.samples, seen.excess / seen.samples, 0},
-                         this->now);
+        this->board.take(
+            {{"leaf"}, seen.samples, seen.excess / seen.samples, 0}, this->now);
       }
     }
     for (const reports::LeafReport& news : this->board.summary(this->now)) {
--- a/tests/reports/report_board_test.cc
+++ b/tests/reports/report_board_test.cc
@@ -10,7 +10,7 @@
 using std::chrono::milliseconds;
 
 LeafReport report(double samples, double excess, double failures = 0) {
-  return {"leaf", samples, excess, failures};
+  return {{"leaf"}, samples, excess, failures};
 }
 
 Test(report_board, reports_weigh_by_their_calls) {
@@ -98,7 +98,7 @@
 Test(leaf_report, passes_through_its_payload) {
   const auto read = decode_reports(encode({report(2, 1.5, 0.25)}));
   cr_assert(read.has_value() && read->size() == 1);
-  cr_assert(read->front().instance == "leaf");
+  cr_assert(read->front().run.id == "leaf");
   cr_assert(read->front().samples == 2);
   cr_assert(read->front().excess == 1.5);
   cr_assert(read->front().failures == 0.25);
--- a/tests/users_platform/edge_process_test.cc
+++ b/tests/users_platform/edge_process_test.cc
@@ -216,5 +216,80 @@
   cr_assert(site.runs("desk", "o1") == 0);
 }
 
+// Symptom: after leafs have started again, requests wait for their deadlines or
+// fail. Sequence: all leafs of a service start again under the ids that they
+// had, on other ports, and count their entries anew. Cause: what belonged to
+// their former processes was kept, or the new entries passed for old ones.
+Test(edge_process, leafs_that_start_again_under_their_ids_serve_on) {
+  EdgeSite site;
+  cr_assert(site.wait_until_ready());
+  cr_assert(site.call("r0", "/page/1").value().status == 200);
+  for (const char* service : {"desk", "s1", "s2"}) {
+    site.fake(
+        "PUT", "leafs",
+        std::string("{\"service\":\"") + service + "\",\"draining\":true}");
+    site.fake(
+        "PUT", "leafs",
+        std::string("{\"service\":\"") + service + "\",\"restart\":true}");
+  }
+  int tries = 0;
+  cr_assert(wait_until([&] {
+    const std::string id = "r" + std::to_string(++tries);
+    return site.call(id, "/page/1").value().status == 200 &&
+           site.call(id, "/query/1").value().field("X-Missing-Parts") == "0";
+  }));
+}
+
+// Symptom: requests fail, or the daemon ends. Sequence: another writer leaves
+// entries of its own making among those of the leafs, one of them under the id
+// of a leaf, which writes its own again later. Cause: one bad entry was taken
+// over, or hid the good ones.
+Test(edge_process, entries_by_another_writer_change_nothing_for_callers) {
+  EdgeSite site;
+  cr_assert(site.wait_until_ready());
+  int number = 0;
+  for (const char* odd :
+       {"7", "null", "\"text\"", "{}", "{\"Service\":\"desk\"}",
+        "{\"Service\":\"desk\",\"Address\":\"127.0.0.1:1\",\"Zone\":\"z1\","
+        "\"Version\":\"v\",\"Slots\":4,\"State\":\"paused\","
+        "\"WarmupLeftMs\":0,\"Seq\":1}"}) {
+    site.fake("PUT", "entry",
+              "{\"name\":\"odd-" + std::to_string(++number) +
+                  "\",\"spec\":" + odd + "}");
+  }
+  site.fake("PUT", "entry", "{\"name\":\"i-desk-0\",\"spec\":[1,2]}");
+  cr_assert(wait_until([&] {
+    return site.metrics().find(
+               "ibismux_leaf_entries_refused_total{fault=\"unreadable\"} 4") !=
+           std::string::npos;
+  }));
+  // The leaf whose entry is unreadable would answer each order with a failure.
+  site.fake("PUT", "leafs", R"({"service":"desk","index":0,"fails":true})");
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "r" + std::to_string(i);
+    cr_assert(site.call(id, "/order/1", "POST", "x").value().status == 200);
+    cr_assert(site.call(id, "/query/1").value().status == 200);
+  }
+}
+
+// Symptom: a leaf runs a request that no caller sent as such. Sequence: a
+// caller posts an order with the transfer coding "xchunked" and a second order
+// in its body. Cause: the coding was passed over, so the body was read as the
+// next request of the connection.
+Test(edge_process, a_request_hidden_in_a_body_never_reaches_a_leaf) {
+  EdgeSite site;
+  cr_assert(site.wait_until_ready());
+  const std::string head =
+      "POST /order/1 HTTP/1.1\r\nHost: search.example\r\nX-Deadline-Ms: "
+      "4000\r\nX-Request-Id: ";
+  const std::string answer =
+      raw_call(site.daemon().port("caller_port"),
+               head + "outer\r\nTransfer-Encoding: xchunked\r\n\r\n" + head +
+                   "inner\r\nContent-Length: 0\r\n\r\n");
+  cr_assert(answer.starts_with("HTTP/1.1 501 "), "%s", answer.c_str());
+  cr_assert(site.runs("desk", "outer") == 0);
+  cr_assert(site.runs("desk", "inner") == 0);
+}
+
 }  // namespace
 }  // namespace ibismux::testing
--- a/tests/users_platform/objects_dialect_test.cc
+++ b/tests/users_platform/objects_dialect_test.cc
@@ -78,6 +78,31 @@
   }
 }
 
+// Symptom: a daemon knows no leaf, or keeps those of long ago. Sequence:
+// another writer leaves an object whose text is no UTF-8, or that is nested
+// deeply; each listing and watch of the collection brings it. Cause: the whole
+// answer was refused for one object.
+Test(objects_dialect, one_odd_object_hides_no_other) {
+  const std::string deep = std::string(500, '[') + std::string(500, ']');
+  for (const std::string& odd :
+       {std::string("\"\xff\xfe\""), deep, std::string("null"),
+        std::string("[1,{}]"), std::string("-0.5e-7")}) {
+    const std::string objects =
+        R"({"meta":{"Name":"i-1","Revision":4},"spec":)" + odd +
+        R"(},{"meta":{"Name":"i-2","Revision":5},"spec":{"a":1}})";
+    const auto page = kDialect.read_listing(
+        "k", response(R"({"items":[)" + objects + R"(],"AsOf":9})"));
+    cr_assert(page.has_value(), "%s", odd.c_str());
+    cr_assert(page->listing.objects.back().value == R"({"a":1})");
+    const auto batch = kDialect.read_watch(
+        "k", 3,
+        response(R"({"events":[{"Object":)" +
+                 objects.substr(0, objects.find("},{") + 1) +
+                 R"(}],"AsOf":9})"));
+    cr_assert(batch.has_value() && batch->events.size() == 1);
+  }
+}
+
 Test(objects_dialect, contacts_are_read_as_hosts) {
   const auto hosts = kDialect.read_hosts(
       response(R"({"items":[{"meta":{"Name":"contact-0","Revision":4},"spec":)"
@@ -87,5 +112,17 @@
   cr_assert(hosts->front().peer_address == "10.0.0.1:7000");
 }
 
+// Symptom: a daemon that starts finds nobody. Sequence: one contact of eight
+// was left by another writer. Cause: all were refused for it.
+Test(objects_dialect, an_unreadable_contact_hides_no_other) {
+  const auto hosts = kDialect.read_hosts(response(
+      R"({"items":[{"meta":{"Name":"contact-0","Revision":3},"spec":7})"
+      R"(,{"meta":{"Name":"contact-1","Revision":4},"spec":)"
+      R"({"name":"h1","peer_address":"10.0.0.1:7000","zone":"z",)"
+      R"("leaving":false}}],"AsOf":9})"));
+  cr_assert(hosts.has_value() && hosts->size() == 1);
+  cr_assert(hosts->front().name == "h1");
+}
+
 }  // namespace
 }  // namespace ibismux::users_platform
