Count calls to leafs by cause and by what kept them from the own zone

Bytes between zones are the largest price on the new sites, and nothing told why calls leave. Now a counter and a line in the log every ten seconds do.

--- a/ibismux/dispatch/dispatch_metrics.cc
+++ b/ibismux/dispatch/dispatch_metrics.cc
@@ -4,6 +4,8 @@
 #include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 
+#include "ibismux/eventlog/event_log.h"
+
 namespace ibismux::dispatch {
 
 namespace {
@@ -20,6 +22,13 @@
   return partial ? "partial" : "ok";
 }
 
+constexpr std::size_t kFirstRow = kRepeatCauses;
+
+/// The name of a row of `sends`.
+std::string_view name_of_row(std::size_t row) {
+  return row == kFirstRow ? "first" : to_string(static_cast<RepeatCause>(row));
+}
+
 }  // namespace
 
 DispatchMetrics::DispatchMetrics(prometheus::Registry& registry) {
@@ -58,6 +67,40 @@
     this->repeats[i] = &repeats.Add({{"cause", cause}});
     this->refused_repeats[i] = &refused.Add({{"cause", cause}});
   }
+  auto& sends = prometheus::BuildCounter()
+                    .Name("ibismux_dispatch_sends_total")
+                    .Help(
+                        "Calls sent to leafs, by cause and by what kept them "
+                        "from the leafs of the daemon's zone")
+                    .Register(registry);
+  for (std::size_t row = 0; row < this->sends.size(); ++row) {
+    for (std::size_t exit = 0; exit < kZoneExits; ++exit) {
+      this->sends[row][exit] = &sends.Add(
+          {{"cause", std::string(name_of_row(row))},
+           {"zone_exit", std::string(to_string(static_cast<ZoneExit>(exit)))}});
+    }
+  }
+}
+
+void DispatchMetrics::sent(std::optional<RepeatCause> cause,
+                           ZoneExit exit) noexcept {
+  const std::size_t row = cause ? static_cast<std::size_t>(*cause) : kFirstRow;
+  this->sends[row][static_cast<std::size_t>(exit)]->Increment();
+}
+
+void DispatchMetrics::log_sends(eventlog::EventLog& log) const {
+  eventlog::Event line = log.event(eventlog::Weight::kBelief, "calls_sent");
+  for (std::size_t row = 0; row < this->sends.size(); ++row) {
+    for (std::size_t exit = 0; exit < kZoneExits; ++exit) {
+      const auto count =
+          static_cast<std::uint64_t>(this->sends[row][exit]->Value());
+      if (count > 0) {
+        line.with(std::string(name_of_row(row)) + '.' +
+                      std::string(to_string(static_cast<ZoneExit>(exit))),
+                  count);
+      }
+    }
+  }
 }
 
 void DispatchMetrics::request_ended(const std::string& route,
--- a/ibismux/dispatch/dispatch_metrics.h
+++ b/ibismux/dispatch/dispatch_metrics.h
@@ -3,11 +3,14 @@
 
 #include <array>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "ibismux/base/error.h"
 #include "ibismux/base/time.h"
 #include "ibismux/dispatch/repeat_cause.h"
+#include "ibismux/dispatch/zone_exit.h"
+#include "ibismux/eventlog/forward.h"
 
 namespace prometheus {
 class Counter;
@@ -32,10 +35,16 @@
                      Duration took);
   /// A call to a leaf ended. @param error Null where the leaf answered.
   void call_ended(const Error* error, Duration took) noexcept;
+  /// A request is sent to a leaf. @param cause Absent: for the first time.
+  void sent(std::optional<RepeatCause> cause, ZoneExit exit) noexcept;
   void repeated(RepeatCause cause) noexcept;
   /// A repeat was wanted and the budget had none.
   void repeat_refused(RepeatCause cause) noexcept;
 
+  /// Writes how many calls were sent since the start, and why they left the
+  /// zone, as one line: for who has the log of a daemon and not its metrics.
+  void log_sends(eventlog::EventLog& log) const;
+
  private:
   prometheus::Family<prometheus::Counter>* requests;
   prometheus::Family<prometheus::Histogram>* request_seconds;
@@ -43,6 +52,9 @@
   prometheus::Histogram* call_seconds;
   std::array<prometheus::Counter*, kRepeatCauses> repeats;
   std::array<prometheus::Counter*, kRepeatCauses> refused_repeats;
+  /// By cause, first sends last, and by exit.
+  std::array<std::array<prometheus::Counter*, kZoneExits>, kRepeatCauses + 1>
+      sends;
 };
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -56,6 +56,9 @@
   /// Takes over the budget of repeats and the cost of other zones.
   void set_costs(const DispatchSettings& fresh);
 
+  /// Writes what was sent to leafs so far, and why calls left the zone.
+  void log_sends() { this->metrics.log_sends(this->log); }
+
   /// @name DirectoryListener
   /// @{
   void on_leaf(const directory::LeafEntry& entry) override;
--- a/ibismux/dispatch/forward.h
+++ b/ibismux/dispatch/forward.h
@@ -9,6 +9,7 @@
 struct LeafAnswer;
 struct LeafCall;
 struct LeafReply;
+struct LeafWish;
 struct MergedAnswer;
 class DispatchMetrics;
 class CallQueue;
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -64,12 +64,15 @@
   }
 }
 
+LeafWish PartCall::wish(bool is_repeat) const {
+  return {.usual = this->context->typical->value(),
+          .objective = this->context->route->objective,
+          .tried = &this->leafs,
+          .is_repeat = is_repeat};
+}
+
 std::shared_ptr<Leaf> PartCall::choose(bool is_repeat) const {
-  const LeafWish wish{.usual = this->context->typical->value(),
-                      .objective = this->context->route->objective,
-                      .tried = &this->leafs,
-                      .is_repeat = is_repeat};
-  return this->group->choose(wish, Clock::now());
+  return this->group->choose(this->wish(is_repeat), Clock::now());
 }
 
 bool PartCall::send_first() {
@@ -83,7 +86,7 @@
   if (!leaf) {
     return false;
   }
-  this->send_to(leaf);
+  this->send_to(leaf, std::nullopt);
   return true;
 }
 
@@ -109,10 +112,14 @@
   }
   this->context->metrics->repeated(cause);
   this->note("request_hedged", *leaf, to_string(cause));
-  this->send_to(leaf);
+  this->send_to(leaf, cause);
 }
 
-void PartCall::send_to(const std::shared_ptr<Leaf>& leaf) {
+void PartCall::send_to(const std::shared_ptr<Leaf>& leaf,
+                       std::optional<RepeatCause> cause) {
+  this->context->metrics->sent(
+      cause, this->group->zone_exit(*leaf, this->wish(cause.has_value()),
+                                    Clock::now()));
   this->leafs.push_back(leaf);
   ++this->sends;
   auto active = std::make_shared<ActiveCall>();
@@ -233,7 +240,7 @@
   }
   this->context->metrics->repeated(cause);
   this->note("request_retried", *leaf, to_string(cause));
-  this->send_to(leaf);
+  this->send_to(leaf, cause);
   return Again::kSent;
 }
 
--- a/ibismux/dispatch/part_call.h
+++ b/ibismux/dispatch/part_call.h
@@ -91,6 +91,7 @@
   };
 
   [[nodiscard]] bool may_repeat() const noexcept;
+  [[nodiscard]] LeafWish wish(bool is_repeat) const;
   /// The best leaf that was not asked yet, or null.
   /// @param is_repeat The first call goes on: only for a leaf that answers.
   [[nodiscard]] std::shared_ptr<Leaf> choose(bool is_repeat) const;
@@ -100,7 +101,9 @@
   /// @param start See `CallQueue`; not called once the part has ended.
   void wait_for_room(std::function<bool()> start);
   void leave_queue();
-  void send_to(const std::shared_ptr<Leaf>& leaf);
+  /// @param cause Absent: for the first time.
+  void send_to(const std::shared_ptr<Leaf>& leaf,
+               std::optional<RepeatCause> cause);
   void on_end(const std::shared_ptr<ActiveCall>& active, CallEnd end);
   void on_reply(LeafReply reply);
   void on_error(Error error, bool sent);
--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -21,6 +21,10 @@
 // A silent leaf is worse than any that answers.
 constexpr int kSilentCost = 1000;
 
+Duration patience(const LeafWish& wish) {
+  return std::max<Duration>(kLeastPatience, scaled(wish.usual, kSilentAfter));
+}
+
 bool holds(const std::vector<std::shared_ptr<Leaf>>& leafs, const Leaf* leaf) {
   return std::any_of(leafs.begin(), leafs.end(),
                      [leaf](const auto& other) { return other.get() == leaf; });
@@ -77,17 +81,50 @@
                         .busy = leaf.busy(),
                         .slots = entry.slots,
                         .cold = entry.warmup_left.count() > 0,
-                        .remote = entry.zone != this->settings.zone,
+                        .remote = !this->is_own_zone(leaf),
                         .keeps_links = leaf.keeps_links(),
                         .has_idle_link = leaf.has_idle_link()};
   return leaf_cost(state, wish.usual, wish.objective,
                    this->settings.remote_cost);
 }
 
+bool ServiceGroup::is_own_zone(const Leaf& leaf) const noexcept {
+  return leaf.entry().zone == this->settings.zone;
+}
+
+ZoneExit ServiceGroup::what_keeps_from(const Leaf& leaf,
+                                       const LeafWish& wish,
+                                       TimePoint now) const {
+  if (!leaf.in_service()) {
+    return ZoneExit::kNoLeaf;
+  }
+  if (wish.tried && holds(*wish.tried, &leaf)) {
+    return ZoneExit::kTried;
+  }
+  if (!leaf.has_room()) {
+    return ZoneExit::kNoRoom;
+  }
+  return leaf.estimate().silent(patience(wish), now) ? ZoneExit::kUnresponsive
+                                                     : ZoneExit::kSlower;
+}
+
+ZoneExit ServiceGroup::zone_exit(const Leaf& chosen,
+                                 const LeafWish& wish,
+                                 TimePoint now) const {
+  if (this->is_own_zone(chosen)) {
+    return ZoneExit::kStays;
+  }
+  ZoneExit closest = ZoneExit::kNoLeaf;
+  for (const auto& leaf : this->members) {
+    if (this->is_own_zone(*leaf)) {
+      closest = std::max(closest, this->what_keeps_from(*leaf, wish, now));
+    }
+  }
+  return closest;
+}
+
 std::shared_ptr<Leaf> ServiceGroup::choose(const LeafWish& wish,
                                            TimePoint now) const {
-  const Duration patience =
-      std::max<Duration>(kLeastPatience, scaled(wish.usual, kSilentAfter));
   std::shared_ptr<Leaf> best;
   Duration least = Duration::max();
   for (const auto& leaf : this->members) {
@@ -96,7 +133,7 @@
       continue;
     }
     Duration cost = this->cost(*leaf, wish, now);
-    if (leaf->estimate().silent(patience, now)) {
+    if (leaf->estimate().silent(patience(wish), now)) {
       if (wish.is_repeat) {
         continue;
       }
--- a/ibismux/dispatch/service_group.h
+++ b/ibismux/dispatch/service_group.h
@@ -11,6 +11,7 @@
 #include "ibismux/base/time.h"
 #include "ibismux/dispatch/call_queue.h"
 #include "ibismux/dispatch/forward.h"
+#include "ibismux/dispatch/zone_exit.h"
 
 namespace ibismux::dispatch {
 
@@ -62,6 +63,11 @@
   [[nodiscard]] std::shared_ptr<Leaf> choose(const LeafWish& wish,
                                              TimePoint now) const;
 
+  /// What kept a call that goes to `chosen` from the leafs of this zone.
+  [[nodiscard]] ZoneExit zone_exit(const Leaf& chosen,
+                                   const LeafWish& wish,
+                                   TimePoint now) const;
+
   /// @name Budget of repeats
   /// @{
   /// The first arrival of a request at this service.
@@ -94,6 +100,10 @@
   // Half a second's worth of calls on a small site.
   static constexpr int kAverageOver = 32;
 
+  [[nodiscard]] bool is_own_zone(const Leaf& leaf) const noexcept;
+  [[nodiscard]] ZoneExit what_keeps_from(const Leaf& leaf,
+                                         const LeafWish& wish,
+                                         TimePoint now) const;
   [[nodiscard]] Duration cost(const Leaf& leaf,
                               const LeafWish& wish,
                               TimePoint now) const;
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -16,6 +16,8 @@
 constexpr milliseconds kStopTick{20};
 // How often it looks whether the settings file has changed without a signal.
 constexpr std::uint64_t kTicksPerLook = 8;
+// How often it sums up in its log what it sent to leafs: 360 lines an hour.
+constexpr std::uint64_t kTicksPerSummary = 20;
 // What a cheap read of the store may take; the store answers in milliseconds.
 constexpr milliseconds kCheckTime{800};
 // How long peers may offer to bring the news before the first watch: time to
@@ -141,6 +143,9 @@
     if (++this->ticks % kTicksPerLook == 0) {
       this->reload_settings(false);
     }
+    if (this->ticks % kTicksPerSummary == 0) {
+      this->dispatcher.log_sends();
+    }
     this->tick();
   });
 }
