Let each mechanism of the dispatch be switched off by a setting

For an ablation that anyone can repeat, and for operators whose site one of them misjudges: eleven keys policy.*, all on.

--- a/ibismux/dispatch/dispatch_settings.h
+++ b/ibismux/dispatch/dispatch_settings.h
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <string>
 
+#include "ibismux/dispatch/dispatch_policy.h"
+
 namespace ibismux::dispatch {
 
 /// How this daemon deals with leafs.
@@ -29,6 +31,8 @@
   /// objectives wait for a slow leaf of their zone: at 1.6, 70 of 100 requests
   /// were in time in the worst seconds of a day at 77 daemons, and at one 75.
   double remote_cost = 1.0;
+
+  DispatchPolicy policy;
 };
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -188,7 +188,8 @@
 void Dispatcher::add_leaf(const directory::LeafEntry& entry) {
   const auto group = this->group(entry.service);
   auto leaf = std::make_shared<Leaf>(this->loop, this->connector, this->log,
-                                     entry, [weak = std::weak_ptr(group)] {
+                                     this->settings.policy, entry,
+                                     [weak = std::weak_ptr(group)] {
                                        if (const auto group = weak.lock()) {
                                          group->serve_waiting();
                                        }
@@ -226,8 +227,11 @@
 }
 
 std::vector<reports::LeafReport> Dispatcher::take_reports() {
-  const TimePoint now = Clock::now();
   std::vector<reports::LeafReport> all;
+  if (!this->settings.policy.zone_reports) {
+    return all;
+  }
+  const TimePoint now = Clock::now();
   for (const auto& [id, leaf] : this->leafs) {
     const LeafEstimate::Seen seen = leaf->estimate().take_seen();
     if (seen.samples == 0) {
@@ -247,7 +251,8 @@
 void Dispatcher::on_report(const reports::LeafReport& report) {
   const auto known = this->leafs.find(report.run.id);
   // What an earlier run was like says nothing of this one.
-  if (known != this->leafs.end() && known->second->entry().run == report.run) {
+  if (this->settings.policy.zone_reports && known != this->leafs.end() &&
+      known->second->entry().run == report.run) {
     known->second->estimate().hear({.excess = report.excess,
                                     .failures = report.failures,
                                     .samples = report.samples,
@@ -257,6 +262,9 @@
 }
 
 Duration Dispatcher::hearsay_half_life() {
+  if (!this->settings.policy.staggered_memory) {
+    return kHearsayHalfLife;
+  }
   const auto zone = this->fleet.hosts_by_zone.find(this->fleet.zone);
   const double peers =
       zone == this->fleet.hosts_by_zone.end()
@@ -345,6 +353,7 @@
   context->typical = this->typical(route);
   context->log = &this->log;
   context->metrics = &this->metrics;
+  context->policy = &this->settings.policy;
   auto groups = this->targets(route);
   auto begin = [&](OutcomeHandler&& handler) {
     auto shared = std::make_shared<OutcomeHandler>(std::move(handler));
--- a/ibismux/dispatch/forward.h
+++ b/ibismux/dispatch/forward.h
@@ -5,6 +5,7 @@
 
 enum class RepeatCause : unsigned char;
 struct CallerRequest;
+struct DispatchPolicy;
 struct DispatchSettings;
 struct LeafAnswer;
 struct LeafCall;
--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -37,11 +37,13 @@
 Leaf::Leaf(asio::io_context& loop,
            const LeafConnector& connector,
            eventlog::EventLog& log,
+           const DispatchPolicy& policy,
            directory::LeafEntry entry,
            std::function<void()> on_free)
     : loop(loop),
       connector(connector),
       log(log),
+      policy(policy),
       known(std::move(entry)),
       on_free(std::move(on_free)),
       random(std::hash<std::string>()(this->known.run.id)) {}
@@ -257,7 +259,7 @@
 }
 
 void Leaf::eject(std::string_view reason) {
-  if (this->ejected || this->retired) {
+  if (this->ejected || this->retired || !this->policy.eject) {
     return;
   }
   this->ejected = true;
--- a/ibismux/dispatch/leaf.h
+++ b/ibismux/dispatch/leaf.h
@@ -14,6 +14,7 @@
 #include "ibismux/base/time.h"
 #include "ibismux/directory/leaf_entry.h"
 #include "ibismux/dispatch/call_window.h"
+#include "ibismux/dispatch/dispatch_policy.h"
 #include "ibismux/dispatch/leaf_estimate.h"
 #include "ibismux/dispatch/leaf_link.h"
 #include "ibismux/dispatch/link_plan.h"
@@ -59,10 +60,11 @@
   };
 
   /// @param on_free Called when a link became free or the leaf came back.
-  /// @param loop, connector, log Outlive the leaf and its calls.
+  /// @param loop, connector, log, policy Outlive the leaf and its calls.
   Leaf(boost::asio::io_context& loop,
        const LeafConnector& connector,
        eventlog::EventLog& log,
+       const DispatchPolicy& policy,
        directory::LeafEntry entry,
        std::function<void()> on_free);
 
@@ -98,7 +100,7 @@
   }
   /// How many calls this daemon lets the leaf have at once, at least 1.
   [[nodiscard]] std::size_t most_calls() const noexcept {
-    return this->window.size();
+    return this->policy.learn_window ? this->window.size() : this->grant.most;
   }
   [[nodiscard]] LeafEstimate& estimate() noexcept { return this->numbers; }
   [[nodiscard]] const LeafEstimate& estimate() const noexcept {
@@ -160,6 +162,7 @@
   boost::asio::io_context& loop;
   const LeafConnector& connector;
   eventlog::EventLog& log;
+  const DispatchPolicy& policy;
   directory::LeafEntry known;
   const std::function<void()> on_free;
 
--- a/ibismux/dispatch/request_context.h
+++ b/ibismux/dispatch/request_context.h
@@ -25,6 +25,7 @@
   std::shared_ptr<TypicalLatency> typical;  ///< Of the route's leaf calls.
   eventlog::EventLog* log = nullptr;
   DispatchMetrics* metrics = nullptr;
+  const DispatchPolicy* policy = nullptr;
 };
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "ibismux/dispatch/dispatch_metrics.h"
+#include "ibismux/dispatch/dispatch_policy.h"
 #include "ibismux/dispatch/hedge_timing.h"
 #include "ibismux/dispatch/retry_after.h"
 #include "ibismux/dispatch/service_group.h"
@@ -87,6 +88,9 @@
     this->fail_run(ErrorKind::kLeafUnavailable, "too few leafs can be reached");
     return true;
   }
+  if (!this->shared->policy->refuse_early) {
+    return false;
+  }
   // More requests than leafs can work on: taken in, each would wait behind
   // those that are late already, and all would be late. One that can't be in
   // time is better told so before any leaf works on it.
@@ -168,8 +172,11 @@
       continue;
     }
     const std::shared_ptr<Leaf> leaf = part->tried().back();
-    part->repeat(RepeatCause::kSlow);
-    if (leaf->estimate().silent(patience, now)) {
+    if (this->shared->policy->hedge) {
+      part->repeat(RepeatCause::kSlow);
+    }
+    if (this->shared->policy->share_unresponsive &&
+        leaf->estimate().silent(patience, now)) {
       leaf->report_silence(now);
     }
   }
--- a/ibismux/dispatch/scatter_run.cc
+++ b/ibismux/dispatch/scatter_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "ibismux/dispatch/dispatch_policy.h"
 #include "ibismux/dispatch/record_merger.h"
 #include "ibismux/dispatch/service_group.h"
 #include "ibismux/routing/route.h"
@@ -47,7 +48,9 @@
   }
   const std::size_t needed = this->needed();
   const bool enough = answered >= needed;
-  if (enough && (open == 0 || now >= this->context().due)) {
+  const bool may_leave_out =
+      this->context().policy->partial_answers && now >= this->context().due;
+  if (enough && (open == 0 || may_leave_out || this->past_final(now))) {
     this->answer(answered);
   } else if (this->past_final(now)) {
     this->fail_run(ErrorKind::kDeadlineExceeded, "too few shards in time");
--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -76,14 +76,16 @@
                             const LeafWish& wish,
                             TimePoint now) const {
   const directory::LeafEntry& entry = leaf.entry();
-  const LeafState state{.ratio = leaf.estimate().ratio(now),
-                        .failure_share = leaf.estimate().failure_share(now),
-                        .busy = leaf.busy(),
-                        .slots = entry.slots,
-                        .cold = entry.warmup_left.count() > 0,
-                        .remote = !this->is_own_zone(leaf),
-                        .keeps_links = leaf.keeps_links(),
-                        .has_idle_link = leaf.has_idle_link()};
+  const DispatchPolicy& policy = this->settings.policy;
+  const LeafState state{
+      .ratio = leaf.estimate().ratio(now),
+      .failure_share = leaf.estimate().failure_share(now),
+      .busy = leaf.busy(),
+      .slots = entry.slots,
+      .cold = policy.weigh_cold && entry.warmup_left.count() > 0,
+      .remote = policy.prefer_own_zone && !this->is_own_zone(leaf),
+      .keeps_links = leaf.keeps_links(),
+      .has_idle_link = leaf.has_idle_link()};
   return leaf_cost(state, wish.usual, wish.objective,
                    this->settings.remote_cost);
 }
@@ -133,7 +135,8 @@
       continue;
     }
     Duration cost = this->cost(*leaf, wish, now);
-    if (leaf->estimate().silent(patience(wish), now)) {
+    if (this->settings.policy.avoid_unresponsive &&
+        leaf->estimate().silent(patience(wish), now)) {
       if (wish.is_repeat) {
         continue;
       }
--- a/ibismux/edge/edge_settings.h
+++ b/ibismux/edge/edge_settings.h
@@ -6,13 +6,14 @@
 #include <span>
 #include <string>
 
+#include "ibismux/dispatch/dispatch_policy.h"
 #include "ibismux/settings/field.h"
 
 namespace ibismux::edge {
 
 /// Everything an edge daemon reads from its settings file. `edge_settings.cc`
 /// gives each key's meaning, bounds and default.
-struct EdgeSettings {
+struct EdgeSettings : dispatch::DispatchPolicy {
   using Millis = std::chrono::milliseconds;
 
   /// @name Who this daemon is
--- a/ibismux/edge/package_settings.cc
+++ b/ibismux/edge/package_settings.cc
@@ -68,6 +68,7 @@
   dispatch.repeat_slack = settings.repeat_slack;
   dispatch.hosts = settings.hosts;
   dispatch.remote_cost = settings.remote_cost;
+  dispatch.policy = settings;
   return dispatch;
 }
 
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -32,7 +32,8 @@
   static constexpr std::chrono::seconds kLimit{20};
   static constexpr std::size_t kShards = 4;
 
-  DispatchFixture() {
+  explicit DispatchFixture(DispatchPolicy policy = {})
+      : settings{.member = "h0", .zone = "z0", .policy = policy} {
     for (std::size_t i = 1; i <= kShards; ++i) {
       this->add_service("s" + std::to_string(i));
     }
@@ -140,7 +141,7 @@
   prometheus::Registry registry;
   eventlog::EventLog log{this->loop, {.descriptor = -1}};
   FakeLeafs leafs;
-  DispatchSettings settings{.member = "h0", .zone = "z0"};
+  DispatchSettings settings;
   Dispatcher dispatcher{this->loop, this->leafs, this->settings, this->registry,
                         this->log};
   std::map<std::string, Outcome> outcomes;
