Ask other daemons sooner for the store's changes, and whether it was away

Cause: the store turns away the watcher of a zone, or it is cut off. The other daemons of the zone asked nobody before the watcher's word was 1.8 s old, one at a time, 300 ms apart, and waited a second for one that was cut off; at 2.0 s they took the store for lost. Regained a moment later, what was missing passed for 2 s for entries that had lapsed in an outage, though the store had been up all the while.

Ruled out: the store's answer (the listing came 6 ms after it was asked for), the directory's own expiry.

Change: where the usual words of the watcher stop or grow old, others are asked at once, up to three at a time, first the one that knew most of late. Daemons tell each other for how long the store has answered somebody without a break; what is missing is doubted only for 2 s after a real break. A daemon whose zone's watcher noticed a short outage now doubts as well; before, it dropped what had lapsed.

--- a/ibismux/directory/leaf_directory.cc
+++ b/ibismux/directory/leaf_directory.cc
@@ -52,9 +52,9 @@
   }
   const bool is_of_earlier_run = last && known->second.run.is_after(last->run);
   if (this->is_uncertain(now)) {
-    this->missing.try_emplace(id, this->settled_at);
+    this->missing.try_emplace(id, Missing{this->settled_at, false});
   } else if (is_of_earlier_run) {
-    this->missing.try_emplace(id, now + kReturnTime);
+    this->missing.try_emplace(id, Missing{now + kReturnTime, true});
   } else {
     this->erase(id, now, "removed");
   }
@@ -73,8 +73,20 @@
     this->lost = false;
     this->settled_at = now + kReturnTime;
     // Those that lapsed meanwhile have as long as those that lapse now.
-    for (auto& [id, until] : this->missing) {
-      until = this->settled_at;
+    for (auto& [id, row] : this->missing) {
+      row.until = this->settled_at;
+    }
+  }
+}
+
+void LeafDirectory::registry_unbroken_since(TimePoint since) {
+  if (this->lost) {
+    return;
+  }
+  this->settled_at = since + kReturnTime;
+  for (auto& [id, row] : this->missing) {
+    if (!row.was_of_earlier_run) {
+      row.until = this->settled_at;
     }
   }
 }
@@ -84,8 +96,8 @@
     return;
   }
   std::vector<std::string> late;
-  for (const auto& [id, until] : this->missing) {
-    if (until <= now) {
+  for (const auto& [id, row] : this->missing) {
+    if (row.until <= now) {
       late.push_back(id);
     }
   }
@@ -95,13 +107,13 @@
 }
 
 TimePoint LeafDirectory::next_expiry() const noexcept {
-  if (this->lost || this->missing.empty()) {
-    return TimePoint::max();
+  TimePoint first = TimePoint::max();
+  if (!this->lost) {
+    for (const auto& [id, row] : this->missing) {
+      first = std::min(first, row.until);
+    }
   }
-  return std::min_element(
-             this->missing.begin(), this->missing.end(),
-             [](const auto& a, const auto& b) { return a.second < b.second; })
-      ->second;
+  return first;
 }
 
 bool LeafDirectory::is_uncertain(TimePoint now) const noexcept {
--- a/ibismux/directory/leaf_directory.h
+++ b/ibismux/directory/leaf_directory.h
@@ -74,6 +74,10 @@
   void registry_lost();
   /// The registry answers again.
   void registry_regained(TimePoint now);
+  /// The registry has answered somebody without a break since then. What was
+  /// missing from it `kReturnTime` later is gone, though this daemon could not
+  /// hear it for a while.
+  void registry_unbroken_since(TimePoint since);
   /// @}
 
   /// Takes the entries that were kept too long as gone. To be called at
@@ -104,10 +108,16 @@
 
   DirectoryListener& listener;
   std::map<std::string, LeafEntry> entries;  ///< By id.
-  /// Kept without an entry in the registry, until then at least.
-  std::map<std::string, TimePoint> missing;
-  std::map<std::string, Gone> gone;       ///< By id, for `kRememberGone`.
-  std::deque<std::string> gone_in_order;  ///< The same ids, the oldest first.
+  /// A leaf that is kept without an entry in the registry.
+  struct Missing {
+    TimePoint until;
+    /// Not for an outage, but since the entry that was removed was of an
+    /// earlier run.
+    bool was_of_earlier_run = false;
+  };
+  std::map<std::string, Missing> missing;  ///< By id.
+  std::map<std::string, Gone> gone;        ///< By id, for `kRememberGone`.
+  std::deque<std::string> gone_in_order;   ///< The same ids, the oldest first.
   bool lost = false;
   TimePoint settled_at = TimePoint::min();  ///< Living leafs are back by then.
 };
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -96,6 +96,9 @@
       was_lost = true;
       this->configuration_feed->report_lost(object.error().message);
       this->leaf_feed->report_lost(object.error().message);
+      if (this->relay) {
+        this->relay->on_store_failure();
+      }
       continue;
     }
     if (this->relay) {
--- a/ibismux/edge/leaf_feed.cc
+++ b/ibismux/edge/leaf_feed.cc
@@ -68,6 +68,11 @@
   this->on_back();
 }
 
+void LeafFeed::on_unbroken_since(TimePoint since) {
+  this->directory.registry_unbroken_since(since);
+  this->schedule_expiry();
+}
+
 std::optional<directory::LeafEntry> LeafFeed::read(
     const store::StoredObject& object) {
   auto entry = this->decoder.decode(object);
--- a/ibismux/edge/leaf_feed.h
+++ b/ibismux/edge/leaf_feed.h
@@ -46,6 +46,7 @@
   void on_change(const store::WatchBatch::Event& event) override;
   void on_lost() override;
   void on_regained() override;
+  void on_unbroken_since(TimePoint since) override;
 
  private:
   /// The entry of `object`; nothing where it names no leaf to use.
--- a/ibismux/feed/collection_feed.cc
+++ b/ibismux/feed/collection_feed.cc
@@ -111,6 +111,7 @@
   auto listing =
       co_await self->store.list(self->known.name(), Clock::now() + kListTime);
   if (!listing) {
+    self->listeners.on_store_failure();
     self->report_lost(listing.error().message);
     co_await pause(self, self->next_pause(listing.error()));
     co_return false;
@@ -125,6 +126,7 @@
   auto batch = co_await self->store.watch(self->known.name(), since,
                                           self->settings.watch_wait);
   if (!batch) {
+    self->listeners.on_store_failure();
     self->report_lost(batch.error().message);
     co_await pause(self, self->next_pause(batch.error()));
     // Read whole, not watched from where the lost watch stood. A store that cut
--- a/ibismux/feed/collection_feed.h
+++ b/ibismux/feed/collection_feed.h
@@ -38,6 +38,8 @@
     std::function<void(const News&)> on_news = [](const News&) {};
     /// The store has answered a call of this feed.
     std::function<void()> on_store_word = [] {};
+    /// A call of this feed to the store failed.
+    std::function<void()> on_store_failure = [] {};
   };
 
   /// All but `settings` outlive the feed.
@@ -80,6 +82,10 @@
   void report_lost(std::string_view reason);
   /// News can be had again. @param reason For the log.
   void report_regained(std::string_view reason);
+  /// See `FeedObserver`.
+  void report_unbroken_since(TimePoint since) {
+    this->observer.on_unbroken_since(since);
+  }
 
  private:
   /// Goes on until a later round begins.
--- a/ibismux/feed/feed_observer.h
+++ b/ibismux/feed/feed_observer.h
@@ -1,6 +1,7 @@
 #ifndef IBISMUX_FEED_FEED_OBSERVER_H_
 #define IBISMUX_FEED_FEED_OBSERVER_H_
 
+#include "ibismux/base/time.h"
 #include "ibismux/store/stored_object.h"
 
 namespace ibismux::feed {
@@ -15,6 +16,9 @@
   virtual void on_lost() {}
   /// Somebody can again, and what is told from here on is new.
   virtual void on_regained() {}
+  /// The store has answered somebody without a break since then: what it holds
+  /// is all that was written and not removed.
+  virtual void on_unbroken_since(TimePoint) {}
 };
 
 }  // namespace ibismux::feed
--- a/ibismux/feed/feed_relay.cc
+++ b/ibismux/feed/feed_relay.cc
@@ -26,6 +26,9 @@
 // Words of peers older than this leave the directory in doubt, as an outage of
 // the store does.
 constexpr milliseconds kLostAfter{2000};
+// Peers that are asked at a time. One that has been cut off answers nothing for
+// `kPullTime`; the next ones must not wait for it.
+constexpr std::size_t kMostAsked = 3;
 
 }  // namespace
 
@@ -39,6 +42,7 @@
       log(log),
       feeds(std::move(feeds)),
       choice(settings, Clock::now()),
+      contact(Clock::now()),
       next_beat(Clock::now()),
       timer(loop.get_executor()) {}
 
@@ -58,6 +62,12 @@
                                if (const auto self = weak.lock()) {
                                  self->on_store_word();
                                }
+                             },
+                         .on_store_failure =
+                             [weak] {
+                               if (const auto self = weak.lock()) {
+                                 self->on_store_failure();
+                               }
                              }});
   }
   this->tick();
@@ -71,7 +81,7 @@
         const auto self = weak.lock();
         auto message = decode_push(payload);
         if (self && message) {
-          self->take(from.member, *std::move(message));
+          self->on_push(from.member, *std::move(message));
         } else if (self) {
           self->log.event(eventlog::Weight::kBelief, "feed_push_refused")
               .with("from", from.member)
@@ -91,11 +101,26 @@
 }
 
 void FeedRelay::on_store_word() {
-  this->choice.on_store_word(Clock::now());
+  const TimePoint now = Clock::now();
+  this->choice.on_store_word(now);
+  this->contact.on_answer(now);
+  this->share_contact();
+}
+
+void FeedRelay::on_store_failure() {
+  this->contact.on_break(Clock::now());
+}
+
+void FeedRelay::share_contact() {
+  for (const auto& feed : this->feeds) {
+    feed->report_unbroken_since(this->contact.unbroken_since());
+  }
 }
 
 void FeedRelay::distrust() {
-  this->choice.distrust(Clock::now());
+  const TimePoint now = Clock::now();
+  this->choice.distrust(now);
+  this->contact.on_break(now);
 }
 
 void FeedRelay::tick() {
@@ -160,7 +185,9 @@
 
 PushMessage FeedRelay::empty_push() const {
   PushMessage message;
-  message.age = this->choice.age(Clock::now());
+  const TimePoint now = Clock::now();
+  message.age = this->choice.age(now);
+  message.unbroken = now - this->contact.unbroken_since();
   message.known = this->known();
   return message;
 }
@@ -195,8 +222,14 @@
   this->notify_children(this->empty_push());
 }
 
+void FeedRelay::on_push(const std::string& from, PushMessage message) {
+  this->choice.on_push(message.age, Clock::now());
+  this->take(from, std::move(message));
+}
+
 void FeedRelay::take(const std::string& from, PushMessage message) {
   const TimePoint now = Clock::now();
+  this->contact.on_peer(message.age, message.unbroken, now);
   if (this->in_use == Source::kPeers && message.age < kLostAfter) {
     // Before the news: what is missing from it may be a living leaf whose entry
     // lapsed while nobody heard from the store.
@@ -204,6 +237,7 @@
       feed->report_regained("peers");
     }
   }
+  this->share_contact();
   for (News& news : message.news) {
     if (CollectionFeed* feed = this->find(news.collection)) {
       feed->take(std::move(news));
@@ -225,7 +259,7 @@
 }
 
 void FeedRelay::pull(std::string from) {
-  if (std::exchange(this->pulling, true)) {
+  if (this->asked.size() >= kMostAsked || !this->asked.insert(from).second) {
     return;
   }
   asio::co_spawn(this->loop,
@@ -240,8 +274,9 @@
   auto response = co_await self->network.request(
       std::move(target), MessageKind::kFeedPull, std::move(payload),
       Clock::now() + kPullTime);
-  self->pulling = false;
+  self->asked.erase(from);
   if (!response) {
+    self->choice.on_no_answer(from);
     self->log.event(eventlog::Weight::kBelief, "feed_pull_failed")
         .with("from", from)
         .with("reason", response.error().message);
@@ -254,6 +289,7 @@
         .with("reason", message.error().message);
     co_return;
   }
+  self->choice.on_answer(from, message->age);
   self->take(from, *std::move(message));
 }
 
--- a/ibismux/feed/feed_relay.h
+++ b/ibismux/feed/feed_relay.h
@@ -3,6 +3,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,6 +13,7 @@
 #include "ibismux/eventlog/forward.h"
 #include "ibismux/feed/messages.h"
 #include "ibismux/feed/source_choice.h"
+#include "ibismux/feed/store_contact.h"
 #include "ibismux/http/socket.h"
 #include "ibismux/membership/forward.h"
 #include "ibismux/peer/peer_network.h"
@@ -48,6 +50,9 @@
   /// The store answered this daemon, whatever the call.
   void on_store_word();
 
+  /// It didn't, or in vain.
+  void on_store_failure();
+
   /// What was heard may be older than it seems: others are asked, and the store
   /// is read, as if nothing had been heard.
   void distrust();
@@ -65,6 +70,9 @@
   void pass_on(const News& news);
   void send_beat();
   void take(const std::string& from, PushMessage message);
+  void on_push(const std::string& from, PushMessage message);
+  /// The feeds learn since when the store has answered without a break.
+  void share_contact();
   void pull(std::string from);
   [[nodiscard]] static Task<void> run_pull(std::shared_ptr<FeedRelay> self,
                                            std::string from);
@@ -83,7 +91,8 @@
   const Feeds feeds;
   SourceChoice choice;
   Source in_use = Source::kStore;
-  bool pulling = false;
+  StoreContact contact;
+  std::set<std::string> asked;  ///< Peers that have not answered yet.
   TimePoint read_at;  ///< When the feeds start, unless peers bring all before.
   bool started = false;
   TimePoint next_beat;
--- a/ibismux/feed/gen/feed_types.cpp
+++ b/ibismux/feed/gen/feed_types.cpp
@@ -485,6 +485,10 @@
 void Push::__set_news(const std::vector<News> & val) {
   this->news = val;
 }
+
+void Push::__set_unbroken_ms(const int64_t val) {
+  this->unbroken_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const Push& obj)
 {
   obj.printTo(out);
@@ -561,6 +565,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->unbroken_ms);
+          this->__isset.unbroken_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -606,6 +618,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("unbroken_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->unbroken_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -616,6 +632,7 @@
   swap(a.age_ms, b.age_ms);
   swap(a.known, b.known);
   swap(a.news, b.news);
+  swap(a.unbroken_ms, b.unbroken_ms);
   swap(a.__isset, b.__isset);
 }
 
@@ -623,12 +640,14 @@
   age_ms = other24.age_ms;
   known = other24.known;
   news = other24.news;
+  unbroken_ms = other24.unbroken_ms;
   __isset = other24.__isset;
 }
 Push& Push::operator=(const Push& other25) {
   age_ms = other25.age_ms;
   known = other25.known;
   news = other25.news;
+  unbroken_ms = other25.unbroken_ms;
   __isset = other25.__isset;
   return *this;
 }
@@ -638,6 +657,7 @@
   out << "age_ms=" << to_string(age_ms);
   out << ", " << "known=" << to_string(known);
   out << ", " << "news=" << to_string(news);
+  out << ", " << "unbroken_ms=" << to_string(unbroken_ms);
   out << ")";
 }
 
--- a/ibismux/feed/gen/feed_types.h
+++ b/ibismux/feed/gen/feed_types.h
@@ -216,10 +216,11 @@
 std::ostream& operator<<(std::ostream& out, const Known& obj);
 
 typedef struct _Push__isset {
-  _Push__isset() : age_ms(false), known(false), news(false) {}
+  _Push__isset() : age_ms(false), known(false), news(false), unbroken_ms(false) {}
   bool age_ms :1;
   bool known :1;
   bool news :1;
+  bool unbroken_ms :1;
 } _Push__isset;
 
 class Push : public virtual ::apache::thrift::TBase {
@@ -228,13 +229,15 @@
   Push(const Push&);
   Push& operator=(const Push&);
   Push() noexcept
-       : age_ms(0) {
+       : age_ms(0),
+         unbroken_ms(0) {
   }
 
   virtual ~Push() noexcept;
   int64_t age_ms;
   std::vector<Known>  known;
   std::vector<News>  news;
+  int64_t unbroken_ms;
 
   _Push__isset __isset;
 
@@ -244,6 +247,8 @@
 
   void __set_news(const std::vector<News> & val);
 
+  void __set_unbroken_ms(const int64_t val);
+
   bool operator == (const Push & rhs) const
   {
     if (!(age_ms == rhs.age_ms))
@@ -252,6 +257,8 @@
       return false;
     if (!(news == rhs.news))
       return false;
+    if (!(unbroken_ms == rhs.unbroken_ms))
+      return false;
     return true;
   }
   bool operator != (const Push &rhs) const {
--- a/ibismux/feed/messages.cc
+++ b/ibismux/feed/messages.cc
@@ -67,6 +67,7 @@
 std::string encode(const PushMessage& message) {
   wire::Push out;
   out.__set_age_ms(to_millis(message.age));
+  out.__set_unbroken_ms(to_millis(message.unbroken));
   out.__set_known(to_wire(message.known));
   std::vector<wire::News> all;
   for (const News& news : message.news) {
@@ -87,11 +88,12 @@
   if (!row) {
     return tl::unexpected(row.error());
   }
-  if (row->age_ms < 0) {
+  if (row->age_ms < 0 || row->unbroken_ms < 0) {
     return fail(ErrorKind::kProtocolError, "a negative age");
   }
   PushMessage message;
   message.age = std::chrono::milliseconds(row->age_ms);
+  message.unbroken = std::chrono::milliseconds(row->unbroken_ms);
   message.known = from_wire(row->known);
   for (const wire::News& news : row->news) {
     message.news.push_back(from_wire(news));
--- a/ibismux/feed/messages.h
+++ b/ibismux/feed/messages.h
@@ -26,6 +26,9 @@
 /// kFeedPush, and the answer to kFeedPull.
 struct PushMessage {
   Duration age{0};  ///< Of the sender's last word from the store.
+  /// For how long the store has answered somebody without a break, as far as
+  /// the sender knows; at least `age` where it knows of any answer.
+  Duration unbroken{0};
   KnownVersions known;
   std::vector<News> news;
 };
--- a/ibismux/feed/source_choice.cc
+++ b/ibismux/feed/source_choice.cc
@@ -11,7 +11,8 @@
       tree(settings.watchers, settings.fan_out),
       confirmed(now - settings.self_help_after),
       by_peers_until(now),
-      next_question(now) {}
+      next_question(now),
+      pushed_until(now) {}
 
 void SourceChoice::on_view(const membership::MembershipView& view) {
   this->tree.rebuild(view);
@@ -42,6 +43,26 @@
   this->by_peers_until = std::max(this->by_peers_until, until);
 }
 
+void SourceChoice::on_push(Duration age, TimePoint now) {
+  if (age <= this->settings.usual_age) {
+    this->pushed_until = now + this->settings.usual_pause;
+  }
+}
+
+void SourceChoice::on_answer(const std::string& peer, Duration age) {
+  if (age <= this->settings.usual_age) {
+    this->best = peer;
+  } else {
+    this->on_no_answer(peer);
+  }
+}
+
+void SourceChoice::on_no_answer(const std::string& peer) {
+  if (this->best == peer) {
+    this->best.reset();
+  }
+}
+
 void SourceChoice::distrust(TimePoint now) noexcept {
   this->confirmed =
       std::min(this->confirmed, now - this->settings.self_help_after);
@@ -50,14 +71,21 @@
 
 std::optional<std::string> SourceChoice::tick(TimePoint now) {
   this->choose(now);
-  const bool needs_word = this->age(now) >= this->settings.fresh_for;
-  if (!needs_word || now < this->next_question) {
+  if (!this->should_ask(now) || now < this->next_question) {
     return std::nullopt;
   }
   this->next_question = now + this->settings.ask_interval;
   return this->next_to_ask();
 }
 
+bool SourceChoice::should_ask(TimePoint now) const noexcept {
+  const Duration age = this->age(now);
+  // A watcher hears from the store itself, each second.
+  const bool is_served = this->watches || now <= this->pushed_until;
+  return age >=
+         (is_served ? this->settings.fresh_for : this->settings.ask_from_age);
+}
+
 void SourceChoice::choose(TimePoint now) {
   if (this->watches) {
     this->current = Source::kStore;
@@ -79,6 +107,9 @@
   if (watchers.empty()) {
     return std::nullopt;
   }
+  if (this->best) {
+    return this->best;
+  }
   // Watchers and others by turns: where the store turns away a part of the
   // hosts, all watchers may be among them, and this daemon too; then only those
   // that have helped themselves know more.
--- a/ibismux/feed/source_choice.h
+++ b/ibismux/feed/source_choice.h
@@ -31,6 +31,15 @@
   /// From this age on the daemon reads the store itself. What leaves must take
   /// no new work after three seconds.
   std::chrono::milliseconds self_help_after{2300};
+  /// Words that a watcher passes on are no older than this, and come at least
+  /// this often, while it hears from the store. Once they are not, others are
+  /// asked at once: at `fresh_for` only one of them could be asked before all
+  /// was in doubt, and where the store turned away half of the hosts, leafs
+  /// that had left were called up to four seconds later.
+  std::chrono::milliseconds usual_age{1200};
+  std::chrono::milliseconds usual_pause{900};
+  /// And asked again when what they said is as old as this.
+  std::chrono::milliseconds ask_from_age{600};
   /// Between two questions to peers while there is no fresh word.
   std::chrono::milliseconds ask_interval{300};
   /// Fresh words from peers must come for so long before the daemon stops
@@ -57,6 +66,13 @@
   void on_store_word(TimePoint now);
   /// A peer told how old its last word from the store is.
   void on_peer_word(Duration age, TimePoint now);
+  /// So did the daemon from which this one gets its news unasked.
+  void on_push(Duration age, TimePoint now);
+  /// A peer that was asked answered. The one that knows most of late is asked
+  /// first the next time.
+  void on_answer(const std::string& peer, Duration age);
+  /// It didn't, or not in time.
+  void on_no_answer(const std::string& peer);
   /// Whatever was heard may be older than it seems: the host stood still.
   void distrust(TimePoint now) noexcept;
   /// To be called some times a second. @return Whom to ask for news, if any.
@@ -80,6 +96,8 @@
 
  private:
   void choose(TimePoint now);
+  /// Whether what is known may soon be too old.
+  [[nodiscard]] bool should_ask(TimePoint now) const noexcept;
   [[nodiscard]] std::optional<std::string> next_to_ask();
 
   const SourceSettings settings;
@@ -90,6 +108,8 @@
   TimePoint by_peers_until;  ///< Words of peers are fresh up to here.
   TimePoint trusted_from = TimePoint::max();  ///< Since when without a gap.
   TimePoint next_question;
+  TimePoint pushed_until;           ///< Usual words came unasked, up to here.
+  std::optional<std::string> best;  ///< Whose last answer was a usual one.
   std::size_t turn = 0;
   std::vector<std::string> others;  ///< All members that serve, but this one.
 };
--- /dev/null
+++ b/ibismux/feed/store_contact.cc
@@ -0,0 +1,33 @@
+#include "ibismux/feed/store_contact.h"
+
+#include <algorithm>
+
+namespace ibismux::feed {
+
+void StoreContact::on_answer(TimePoint now) noexcept {
+  if (this->broken_at || now - this->last > kLongestPause) {
+    this->since = now;
+  }
+  this->broken_at.reset();
+  this->last = std::max(this->last, now);
+}
+
+void StoreContact::on_peer(Duration age,
+                           Duration unbroken,
+                           TimePoint now) noexcept {
+  const TimePoint their_last = now - age;
+  const TimePoint their_since = now - unbroken;
+  const bool is_older_than_break =
+      this->broken_at && their_last <= *this->broken_at;
+  if (is_older_than_break || their_last + kLongestPause < this->since) {
+    return;
+  }
+  // Where both overlap, answers came without a break from the earlier start on:
+  // those that the one missed, the other got.
+  const bool is_anew = this->broken_at || their_since > this->last;
+  this->since = is_anew ? their_since : std::min(this->since, their_since);
+  this->broken_at.reset();
+  this->last = std::max(this->last, their_last);
+}
+
+}  // namespace ibismux::feed
--- a/tests/directory/leaf_directory_test.cc
+++ b/tests/directory/leaf_directory_test.cc
@@ -108,6 +108,37 @@
   cr_assert(fixture.listener.known == std::set<std::string>({"a"}));
 }
 
+// Symptom: leafs that have left are called for seconds more. Sequence: this
+// daemon loses its way to the registry, which serves all others, and regains
+// it; entries that were removed meanwhile are missing. Cause: they passed for
+// ones that had lapsed in an outage.
+Test(leaf_directory, what_is_missing_is_gone_where_the_registry_was_up) {
+  Fixture fixture;
+  const TimePoint up_since = fixture.now - milliseconds(60'000);
+  fixture.directory.registry_lost();
+  fixture.now += milliseconds(5000);
+  fixture.directory.registry_regained(fixture.now);
+  fixture.directory.remove("a", fixture.now, nullptr);
+  cr_assert(fixture.listener.known.contains("a"));
+  fixture.directory.registry_unbroken_since(up_since);
+  cr_assert(fixture.directory.next_expiry() <= fixture.now);
+  fixture.directory.expire(fixture.now);
+  cr_assert(!fixture.listener.known.contains("a"));
+  fixture.directory.remove("b", fixture.now, nullptr);
+  cr_assert(!fixture.listener.known.contains("b"));
+}
+
+// The other way round: an outage that this daemon did not notice itself.
+Test(leaf_directory,
+     what_is_missing_after_an_outage_that_others_noticed_stays) {
+  Fixture fixture;
+  fixture.directory.registry_unbroken_since(fixture.now);
+  fixture.directory.remove("a", fixture.now, nullptr);
+  cr_assert(fixture.listener.known.contains("a"));
+  cr_assert(fixture.directory.next_expiry() ==
+            fixture.now + LeafDirectory::kReturnTime);
+}
+
 Test(leaf_directory, nothing_expires_while_the_registry_is_away) {
   Fixture fixture;
   fixture.directory.registry_lost();
--- a/tests/feed/messages_test.cc
+++ b/tests/feed/messages_test.cc
@@ -8,6 +8,7 @@
 Test(feed_messages, a_push_passes_through_its_payload) {
   PushMessage message;
   message.age = std::chrono::milliseconds(250);
+  message.unbroken = std::chrono::milliseconds(61'000);
   message.known = {{"config", 7}, {"leafs", 9}};
   message.news.push_back({"leafs",
                           8,
@@ -18,6 +19,7 @@
   const auto read = decode_push(encode(message));
   cr_assert(read.has_value());
   cr_assert(read->age == message.age);
+  cr_assert(read->unbroken == message.unbroken);
   cr_assert(read->known == message.known);
   cr_assert(read->news.size() == 1 && read->news[0].events.size() == 2);
   cr_assert(read->news[0].since == 8 && read->news[0].version == 9);
@@ -36,6 +38,8 @@
   PushMessage future;
   future.age = std::chrono::milliseconds(-5);
   cr_assert(!decode_push(encode(future)).has_value());
+  future = {.unbroken = std::chrono::milliseconds(-5)};
+  cr_assert(!decode_push(encode(future)).has_value());
 }
 
 }  // namespace
--- a/thrift/feed.thrift
+++ b/thrift/feed.thrift
@@ -32,6 +32,9 @@
   1: i64 age_ms
   2: list<Known> known
   3: list<News> news
+  /// For how long the store has answered somebody without a break, in
+  /// milliseconds, as far as the sender knows.
+  4: i64 unbroken_ms
 }
 
 /// kFeedPull: "what is newer than this?"
