--- a/ibismux/feed/store_contact.cc
+++ b/ibismux/feed/store_contact.cc
@@ -23,8 +23,10 @@
     return;
   }
   // Where both overlap, answers came without a break from the earlier start on:
-  // those that the one missed, the other got.
-  const bool is_anew = this->broken_at || their_since > this->last;
+  // those that the one missed, the other got. A start soon after the last
+  // answer that is known here is that of the peer, which had lost its own way.
+  const bool is_anew =
+      this->broken_at || their_since > this->last + kLongestPause;
   this->since = is_anew ? their_since : std::min(this->since, their_since);
   this->broken_at.reset();
   this->last = std::max(this->last, their_last);
