--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -27,7 +27,9 @@
 // milliseconds sooner: callers' objectives are ten times that, and traffic
 // between zones is paid for. Hosts differ in speed by up to 1.6; leafs that are
 // in trouble take four times the usual and more, and are compared with those of
-// other zones as before.
+// other zones by cost. On a calm day at six daemons 6.8 of 100 calls left their
+// zone as slower, and 8.3 where all leafs were compared by cost; the share of
+// requests in time was the same.
 constexpr double kEaseRatio = 2;
 constexpr double kEaseFailures = 0.1;
 
--- a/ibismux/feed/source_choice.h
+++ b/ibismux/feed/source_choice.h
@@ -31,11 +31,12 @@
   /// From this age on the daemon reads the store itself. What leaves must take
   /// no new work after three seconds.
   std::chrono::milliseconds self_help_after{2300};
-  /// A watcher that reaches the store sends something at least this often, and
-  /// its last contact is no older than this then. Once that fails, others are
-  /// asked at once: at `fresh_for` only one of them could be asked before the
-  /// store counted as lost, and where the store turned away half of the hosts,
-  /// leafs that had left were called up to four seconds later.
+  /// While a watcher reaches the store, its last contact is no older than
+  /// `usual_age` when it sends something, which it does each `usual_pause`.
+  /// Once that fails, others are asked at once: at `fresh_for` only one of them
+  /// could be asked before the store counted as lost, and where the store
+  /// turned away half of the hosts, leafs that had left were called up to four
+  /// seconds later.
   std::chrono::milliseconds usual_age{1200};
   std::chrono::milliseconds usual_pause{900};
   /// And asked again when the contact that they told of is as old as this.
@@ -84,7 +85,7 @@
   [[nodiscard]] Source source() const noexcept { return this->current; }
   /// One of the few that follow the store for their zone.
   [[nodiscard]] bool is_watcher() const noexcept { return this->watches; }
-  /// Whom updates is passed on to.
+  /// Whom updates are passed on to.
   [[nodiscard]] const std::vector<std::string>& children() const noexcept {
     return this->tree.children();
   }
