--- a/ibismux/directory/leaf_run.h
+++ b/ibismux/directory/leaf_run.h
@@ -2,8 +2,8 @@
 #define IBISMUX_DIRECTORY_LEAF_RUN_H_
 
 #include <chrono>
-#include <compare>
 #include <string>
+#include <tuple>
 
 namespace ibismux::directory {
 
@@ -16,7 +16,12 @@
   /// where the leaf doesn't say. Then the id alone names the run.
   std::chrono::milliseconds started{0};
 
-  [[nodiscard]] auto operator<=>(const LeafRun&) const = default;
+  [[nodiscard]] bool operator==(const LeafRun&) const = default;
+  /// An order for maps; it says nothing of which run is later.
+  [[nodiscard]] bool operator<(const LeafRun& other) const noexcept {
+    return std::tie(this->id, this->started) <
+           std::tie(other.id, other.started);
+  }
 
   /// Whether both are runs of one leaf, and this one is the later one.
   [[nodiscard]] bool is_after(const LeafRun& other) const noexcept {
