Ask in one place what rules a leaf out; repair comments that the renames bent

A second reading of the change found: the checks of a leaf in service, not tried yet and with room stood twice in the choice of a leaf, once to skip it and once to say why a call leaves the zone. what_rules_out() serves both. The reason 'unresponsive' now follows policy.avoid_unresponsive as the choice does: with that switched off such a leaf loses the call by its cost, and the counter says slower. With all mechanisms on nothing changes.

--- a/ibismux/dispatch/leaf.h
+++ b/ibismux/dispatch/leaf.h
@@ -123,7 +123,7 @@
   void start(Order order);
 
   /// Calls wait here without any answer: tells all of them, so that one call
-  /// that waits too long is news for those that came after it.
+  /// that waits too long has those that came after it hedged as well.
   void report_unresponsive(TimePoint now);
 
  private:
--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -107,9 +107,9 @@
   return leaf.entry().zone == this->settings.zone;
 }
 
-ZoneExit ServiceGroup::what_keeps_from(const Leaf& leaf,
-                                       const SelectionCriteria& criteria,
-                                       TimePoint now) const {
+std::optional<ZoneExit> ServiceGroup::what_rules_out(
+    const Leaf& leaf,
+    const SelectionCriteria& criteria) {
   if (!leaf.in_service()) {
     return ZoneExit::kNoLeaf;
   }
@@ -119,9 +119,17 @@
   if (!leaf.has_room()) {
     return ZoneExit::kNoRoom;
   }
-  return leaf.estimate().is_unresponsive(patience(criteria), now)
-             ? ZoneExit::kUnresponsive
-             : ZoneExit::kSlower;
+  return std::nullopt;
+}
+
+ZoneExit ServiceGroup::what_keeps_from(const Leaf& leaf,
+                                       const SelectionCriteria& criteria,
+                                       TimePoint now) const {
+  if (const auto ruled_out = what_rules_out(leaf, criteria)) {
+    return *ruled_out;
+  }
+  return this->is_unresponsive(leaf, criteria, now) ? ZoneExit::kUnresponsive
+                                                    : ZoneExit::kSlower;
 }
 
 ZoneExit ServiceGroup::zone_exit(const Leaf& chosen,
@@ -139,12 +147,6 @@
   return closest;
 }
 
-bool ServiceGroup::is_open_to(const Leaf& leaf,
-                              const SelectionCriteria& criteria) const {
-  return leaf.in_service() && leaf.has_room() &&
-         !(criteria.tried && holds(*criteria.tried, &leaf));
-}
-
 bool ServiceGroup::is_unresponsive(const Leaf& leaf,
                                    const SelectionCriteria& criteria,
                                    TimePoint now) const {
@@ -167,7 +169,7 @@
   std::shared_ptr<Leaf> best;
   Duration least = Duration::max();
   for (const auto& leaf : this->members) {
-    if (!this->is_open_to(*leaf, criteria) ||
+    if (what_rules_out(*leaf, criteria) ||
         (only_at_ease_here && !(this->is_own_zone(*leaf) &&
                                 this->is_at_ease(*leaf, criteria, now)))) {
       continue;
--- a/ibismux/dispatch/service_group.h
+++ b/ibismux/dispatch/service_group.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -93,7 +94,7 @@
   /// A call took this long at its leaf.
   void note_call(Duration took) noexcept { this->call_time.add(took); }
   /// How long a call of `priority` that comes now would wait for a leaf, by how
-  /// long calls took of late. Zero where nobody waits.
+  /// long recent calls took. Zero where nobody waits.
   [[nodiscard]] Duration expected_wait(std::uint32_t priority) const;
   /// @}
 
@@ -102,9 +103,10 @@
   static constexpr int kAverageOver = 32;
 
   [[nodiscard]] bool is_own_zone(const Leaf& leaf) const noexcept;
-  /// May be given the call, now.
-  [[nodiscard]] bool is_open_to(const Leaf& leaf,
-                                const SelectionCriteria& criteria) const;
+  /// Why the leaf can't be given the call now; nothing where it can.
+  [[nodiscard]] static std::optional<ZoneExit> what_rules_out(
+      const Leaf& leaf,
+      const SelectionCriteria& criteria);
   [[nodiscard]] bool is_unresponsive(const Leaf& leaf,
                                      const SelectionCriteria& criteria,
                                      TimePoint now) const;
--- a/ibismux/dispatch/typical_latency.h
+++ b/ibismux/dispatch/typical_latency.h
@@ -9,14 +9,14 @@
 
 namespace ibismux::dispatch {
 
-/// The median of the latencies of one route's calls, of late.
+/// The median latency of one route's recent calls.
 ///
 /// A median, since a pause or one slow leaf of a dozen must not move what every
 /// other call is measured by. It moves by a fixed share towards each sample, so
 /// it costs one number and follows a changed load within some tens of calls.
 ///
-/// The lowest that the median has been of late stands for a call that doesn't
-/// wait at its leaf: against it the time that leafs' queues add can be told.
+/// The recent minimum of the median stands for a call that doesn't wait at its
+/// leaf: against it the time that leafs' queues add can be told.
 ///
 /// Not thread safe.
 class TypicalLatency {
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -20,7 +20,7 @@
 constexpr std::uint64_t kTicksPerSummary = 20;
 // What a cheap read of the store may take; the store answers in milliseconds.
 constexpr milliseconds kCheckTime{800};
-// How long peers may offer to bring the news before the first watch: time to
+// How long peers may offer to bring updates before the first watch: time to
 // meet them.
 constexpr milliseconds kFirstWatchPause{1500};
 // Before the platform ends the process: time to answer what is late anyway.
--- a/ibismux/edge/edge_settings.cc
+++ b/ibismux/edge/edge_settings.cc
@@ -37,7 +37,7 @@
         "what leafs and services bear.",
         Number{&EdgeSettings::hosts, 1, 10'000}},
     Key{"fleet.watchers",
-        "Daemons of each zone that follow the store and pass its news on.",
+        "Daemons of each zone that follow the store and pass its updates on.",
         Number{&EdgeSettings::watchers, 1, 100}},
 
     Key{"fleet.first_start",
@@ -53,7 +53,7 @@
     Key{"store.fleet_writes_per_second",
         "Writes that all daemons together may send. The same on all daemons.",
         Number{&EdgeSettings::fleet_writes_per_second, 1, 100'000}},
-    Key{"store.watch_wait_ms", "How long a watch without news stays open.",
+    Key{"store.watch_wait_ms", "How long a watch without changes stays open.",
         Millis{&EdgeSettings::watch_wait, milliseconds(100),
                milliseconds(30'000)}},
     Key{"store.change_pause_ms",
--- a/ibismux/edge/fleet.h
+++ b/ibismux/edge/fleet.h
@@ -20,8 +20,8 @@
 /// Which daemons share what leafs and services bear.
 struct FleetSize {
   dispatch::LinkSharers sharers;
-  bool known =
-      false;  ///< The others were met, or a contact tells how many they are.
+  /// The others were met, or a contact tells how many they are.
+  bool known = false;
 };
 
 /// The other daemons: who they are, and the frames between them.
--- a/ibismux/feed/collection_feed.h
+++ b/ibismux/feed/collection_feed.h
@@ -21,8 +21,8 @@
   std::chrono::milliseconds watch_wait{25'000};
   /// After a change: how long further ones may gather before the next call.
   std::chrono::milliseconds change_pause{300};
-  /// After the first reading: how long peers may offer to bring them before
-  /// the first watch.
+  /// After the first reading: how long peers may offer to bring updates
+  /// before the first watch.
   std::chrono::milliseconds first_pause{0};
 };
 
@@ -64,14 +64,14 @@
   /// watches that it was sent meanwhile, also once it is back.
   void restart();
 
-  /// Stops calling the store: peers bring them. A watch that waits still
+  /// Stops calling the store: peers bring updates. A watch that waits still
   /// counts when it is answered.
   void suspend();
 
   /// The store has answered another call: a pause after a failure ends now.
   void retry_now();
 
-  /// Update from a peer.
+  /// An update from a peer.
   void take(Update update);
 
   [[nodiscard]] const CollectionMirror& mirror() const noexcept {
@@ -80,7 +80,7 @@
 
   /// The store doesn't answer, and no peer brings updates from it.
   void report_lost(std::string_view reason);
-  /// Update can be had again. @param reason For the log.
+  /// Updates can be had again. @param reason For the log.
   void report_regained(std::string_view reason);
   /// See `FeedObserver`.
   void report_unbroken_since(TimePoint since) {
--- a/ibismux/feed/feed_relay.h
+++ b/ibismux/feed/feed_relay.h
@@ -50,7 +50,7 @@
   /// The store answered this daemon, whatever the call.
   void on_store_contact();
 
-  /// It didn't, or in vain.
+  /// A call of this daemon to the store failed.
   void on_store_failure();
 
   /// Contacts may be older than they seem: peers are asked, and the store is
--- a/ibismux/feed/source_choice.h
+++ b/ibismux/feed/source_choice.h
@@ -69,8 +69,8 @@
   void on_peer_contact(Duration age, TimePoint now);
   /// So did the daemon that sends updates to this one unasked.
   void on_push(Duration age, TimePoint now);
-  /// A peer that was asked answered. The one that knows most of late is asked
-  /// first the next time.
+  /// A peer answered a question. Where its contact is fresh it is asked first
+  /// the next time.
   void on_answer(const std::string& peer, Duration age);
   /// It didn't, or not in time.
   void on_no_answer(const std::string& peer);
--- a/ibismux/reports/leaf_report.h
+++ b/ibismux/reports/leaf_report.h
@@ -9,7 +9,7 @@
 
 namespace ibismux::reports {
 
-/// What one or more daemons saw of one leaf of late.
+/// What one or more daemons saw of one leaf recently.
 struct LeafReport {
   directory::LeafRun run;
   double samples = 0;   ///< Calls that it rests on.
--- a/ibismux/reports/report_board.cc
+++ b/ibismux/reports/report_board.cc
@@ -43,7 +43,7 @@
 }
 
 std::vector<LeafReport> ReportBoard::summary(TimePoint now) {
-  std::vector<LeafReport> news;
+  std::vector<LeafReport> notable;
   for (auto& [run, row] : this->rows) {
     row.fade(now);
     if (row.samples < kLeastSamples) {
@@ -53,17 +53,17 @@
                       row.failure_sum / row.samples};
     const bool is_notable = report.is_notable();
     if (std::exchange(row.told, is_notable) || is_notable) {
-      news.push_back(std::move(report));
+      notable.push_back(std::move(report));
     }
   }
   // A leaf that daemons hold to be slow is seldom called. Its row outlives its
-  // last calls, since the next one that finds it well is news to all of them.
+  // last calls, since the next one that finds it well must reach all of them.
   std::erase_if(this->rows, [now](const auto& entry) {
     const Row& row = entry.second;
     return row.samples < kLeastSamples &&
            (!row.told || now - row.called > kForgottenAfter);
   });
-  return news;
+  return notable;
 }
 
 }  // namespace ibismux::reports
