Take what the platform works out as a number with a fraction

Ruled out: the template, which fills in what it is given.

A reload that can't be read keeps what is in force, as before.

--- a/ibismux/edge/edge_settings.cc
+++ b/ibismux/edge/edge_settings.cc
@@ -14,6 +14,14 @@
 using Flag = settings::FlagField<EdgeSettings>;
 using Real = settings::RealField<EdgeSettings>;
 using Millis = settings::MillisField<EdgeSettings>;
+using Seconds = settings::SecondsField<EdgeSettings>;
+
+// What the platform tells (rates, budgets, times) is worked out there and may
+// have a fraction or grow with the fleet, so these bounds only keep out what
+// can't be meant.
+constexpr double kMostRate = 1e9;   // Calls a second.
+constexpr double kMostSlack = 1e9;  // Calls.
+constexpr double kMostRatio = 100;  // Repeats for each request.
 
 const std::array kFields = {
     Key{"member", "Name of this host.",
@@ -49,10 +57,10 @@
         Text{&EdgeSettings::store_endpoint, TextForm::kEndpoint}, true},
     Key{"store.fleet_reads_per_second",
         "Reads that all daemons together may send. The same on all daemons.",
-        Number{&EdgeSettings::fleet_reads_per_second, 1, 100'000}},
+        Real{&EdgeSettings::fleet_reads_per_second, 0, kMostRate}},
     Key{"store.fleet_writes_per_second",
         "Writes that all daemons together may send. The same on all daemons.",
-        Number{&EdgeSettings::fleet_writes_per_second, 1, 100'000}},
+        Real{&EdgeSettings::fleet_writes_per_second, 0, kMostRate}},
     Key{"store.watch_wait_ms", "How long a watch without changes stays open.",
         Millis{&EdgeSettings::watch_wait, milliseconds(100),
                milliseconds(30'000)}},
@@ -69,11 +77,11 @@
     Key{"repeats.ratio",
         "Extra arrivals that a service bears from all daemons, as a share of "
         "its requests.",
-        Real{&EdgeSettings::repeat_ratio, 0, 1}},
+        Real{&EdgeSettings::repeat_ratio, 0, kMostRatio}},
     Key{"repeats.slack",
         "Extra arrivals that a service bears besides, in one window of "
         "seconds, from all daemons.",
-        Number{&EdgeSettings::repeat_slack, 0, 100'000}},
+        Real{&EdgeSettings::repeat_slack, 0, kMostSlack}},
     Key{"leaf.remote_cost",
         "What a leaf of another zone must be better by, in times of what a "
         "call usually takes.",
@@ -109,9 +117,9 @@
     Key{"policy.weigh_cold", "Take leafs that have just started to be slower.",
         Flag{&EdgeSettings::weigh_cold}},
 
-    Key{"stop.limit_ms", "On SIGTERM: the longest wait for requests in flight.",
-        Millis{&EdgeSettings::stop_limit, milliseconds(0),
-               milliseconds(600'000)}},
+    Key{"stop.limit_s", "On SIGTERM: the longest wait for requests in flight.",
+        Seconds{&EdgeSettings::stop_limit, milliseconds(0),
+                milliseconds(600'000)}},
     Key{"stop.leave_notice_ms",
         "On SIGTERM: how long new callers are still served, while the balancer "
         "notices.",
--- a/ibismux/edge/edge_settings.h
+++ b/ibismux/edge/edge_settings.h
@@ -40,8 +40,8 @@
   /// @name The platform's object store
   /// @{
   std::string store_endpoint;
-  std::uint32_t fleet_reads_per_second = 1000;
-  std::uint32_t fleet_writes_per_second = 300;
+  double fleet_reads_per_second = 1000;
+  double fleet_writes_per_second = 300;
   Millis watch_wait{25'000};
   Millis change_pause{300};
   Millis check_interval{1000};
@@ -50,7 +50,7 @@
   /// @name Dealing with leafs
   /// @{
   double repeat_ratio = 0.2;
-  std::uint32_t repeat_slack = 50;
+  double repeat_slack = 50;
   double remote_cost = 1.0;
   /// @}
 
--- a/ibismux/settings/field.cc
+++ b/ibismux/settings/field.cc
@@ -89,11 +89,9 @@
 
 std::optional<std::int64_t> whole_number(const boost::json::value& value) {
   boost::system::error_code failure;
+  // A double converts only where nothing is lost: not 1.5, and not 1e30.
   const auto number = value.to_number<std::int64_t>(failure);
-  if (failure || value.is_double()) {
-    return std::nullopt;
-  }
-  return number;
+  return failure ? std::nullopt : std::optional(number);
 }
 
 }  // namespace ibismux::settings
--- a/ibismux/settings/field.h
+++ b/ibismux/settings/field.h
@@ -28,7 +28,8 @@
 /// Whether `text` has `form`. Thread safe.
 [[nodiscard]] bool has_form(TextForm form, std::string_view text);
 
-/// `value` as a whole number, or nothing where it isn't one. Thread safe.
+/// `value` as a whole number, or nothing where it isn't one. However it is
+/// written: 30, 30.0 and 3E1 are the same number. Thread safe.
 [[nodiscard]] std::optional<std::int64_t> whole_number(
     const boost::json::value& value);
 
@@ -63,6 +64,15 @@
   std::chrono::milliseconds most;
 };
 
+/// A time in seconds, with a fraction where there is one, within bounds, both
+/// included. Rounded to whole milliseconds.
+template <class S>
+struct SecondsField {
+  std::chrono::milliseconds S::*member;
+  std::chrono::milliseconds least;
+  std::chrono::milliseconds most;
+};
+
 /// true or false.
 template <class S>
 struct FlagField {
@@ -78,6 +88,7 @@
                NumberField<S>,
                RealField<S>,
                MillisField<S>,
+               SecondsField<S>,
                FlagField<S>>
       binding;
   bool required = false;
@@ -121,6 +132,20 @@
     return "whole milliseconds from " + std::to_string(field.least.count()) +
            " to " + std::to_string(field.most.count());
   }
+  [[nodiscard]] static std::string describe(const SecondsField<S>& field) {
+    return "seconds from " + in_seconds_text(field.least) + " to " +
+           in_seconds_text(field.most) + ", fractions allowed";
+  }
+
+  /// `time` in seconds, as JSON writes it.
+  [[nodiscard]] static boost::json::value in_seconds(
+      std::chrono::milliseconds time) {
+    return boost::json::value(std::chrono::duration<double>(time).count());
+  }
+  [[nodiscard]] static std::string in_seconds_text(
+      std::chrono::milliseconds time) {
+    return boost::json::serialize(in_seconds(time));
+  }
 
   [[nodiscard]] static bool assign(const TextField<S>& field,
                                    S& settings,
@@ -176,6 +201,18 @@
     settings.*field.member = std::chrono::milliseconds(*number);
     return true;
   }
+  [[nodiscard]] static bool assign(const SecondsField<S>& field,
+                                   S& settings,
+                                   const boost::json::value& value) {
+    boost::system::error_code failure;
+    const std::chrono::duration<double> time(value.to_number<double>(failure));
+    if (failure || !(time >= field.least && time <= field.most)) {
+      return false;
+    }
+    settings.*field.member =
+        std::chrono::round<std::chrono::milliseconds>(time);
+    return true;
+  }
 
   [[nodiscard]] static boost::json::value read(const TextField<S>& field,
                                                const S& settings) {
@@ -197,6 +234,10 @@
                                                const S& settings) {
     return (settings.*field.member).count();
   }
+  [[nodiscard]] static boost::json::value read(const SecondsField<S>& field,
+                                               const S& settings) {
+    return in_seconds(settings.*field.member);
+  }
 };
 
 }  // namespace ibismux::settings
