Open links to leafs before calls need them; hedge calls, not this daemon's own delay

Each daemon sees a query each few seconds. Ruled out: the leafs (their times are those of later queries) and the budget of repeats.

Change: LinkOpener opens a link where links are kept, once the fleet's size and the leaf's limit are known, two dials each 20 ms in an order of the daemon's own; again where one was lost, after doubling pauses where it ended unused (ReopenPause). The links of a leaf are a class of their own, LinkPool. Where leafs' connections don't suffice for two replicas at each daemon, a part of the daemons keeps a second one: 295 daemons at 195 connections kept one each, and every hedge dialled. Hedges count from when the call left on an open link, and come only after what arrived meanwhile was read (is_behind).

--- a/ibismux/dispatch/dispatch_policy.h
+++ b/ibismux/dispatch/dispatch_policy.h
@@ -29,6 +29,8 @@
   /// A query is answered without its last shards once waiting for them would
   /// make it late.
   bool partial_answers = true;
+  /// Links to leafs are opened before calls need them.
+  bool open_ahead = true;
   /// A leaf that has just started is taken to be slower.
   bool weigh_cold = true;
 };
--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -72,9 +72,13 @@
       settings(std::move(settings)),
       metrics(registry),
       log(log),
-      random(std::hash<std::string>()(this->settings.member)) {
+      random(std::hash<std::string>()(this->settings.member)),
+      opener(std::make_shared<LinkOpener>(loop, this->random())) {
   this->fleet.hosts = this->settings.hosts;
   this->fleet.zone = this->settings.zone;
+  if (this->settings.policy.open_ahead) {
+    this->opener->start();
+  }
 }
 
 bool Dispatcher::put_in_force(
@@ -195,6 +199,7 @@
                                        }
                                      });
   this->leafs.emplace(entry.run.id, leaf);
+  this->opener->add(leaf);
   group->add(std::move(leaf));
   this->share_links(*group);
 }
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -14,6 +14,7 @@
 #include "ibismux/dispatch/dispatch_metrics.h"
 #include "ibismux/dispatch/dispatch_settings.h"
 #include "ibismux/dispatch/leaf.h"
+#include "ibismux/dispatch/link_opener.h"
 #include "ibismux/dispatch/link_plan.h"
 #include "ibismux/dispatch/service_group.h"
 #include "ibismux/dispatch/typical_latency.h"
@@ -105,6 +106,7 @@
   std::shared_ptr<const routing::RouteTable> in_force;
   std::map<std::string, std::shared_ptr<ServiceGroup>> groups;
   std::map<std::string, std::shared_ptr<Leaf>> leafs;  ///< By id.
+  std::shared_ptr<LinkOpener> opener;
   std::map<std::string, std::shared_ptr<TypicalLatency>> latencies;
   std::map<std::string, routing::SplitRotation> splits;
 };
--- a/ibismux/dispatch/forward.h
+++ b/ibismux/dispatch/forward.h
@@ -21,6 +21,8 @@
 class LeafConnector;
 class LeafEstimate;
 class LeafLink;
+class LinkOpener;
+class LinkPool;
 class PartCall;
 class RequestRun;
 class ScatterRun;
--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -4,7 +4,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <random>
 #include <utility>
 
 #include "ibismux/eventlog/event_log.h"
@@ -25,10 +24,6 @@
 constexpr milliseconds kLongestEjection{1000};
 // One call without an answer may be that call's own misfortune.
 constexpr std::uint32_t kLossesToEject = 2;
-// Between dials to a leaf that resets them: callers' requests last some tenths
-// of a second, and so does a leaf's queue.
-constexpr milliseconds kFirstDialPause{200};
-constexpr milliseconds kLongestDialPause{1600};
 // A call that was given up before this many times the usual says nothing.
 constexpr int kPatienceTimes = 4;
 
@@ -41,30 +36,24 @@
            directory::LeafEntry entry,
            std::function<void()> on_free)
     : loop(loop),
-      connector(connector),
       log(log),
       policy(policy),
       known(std::move(entry)),
       on_free(std::move(on_free)),
-      random(std::hash<std::string>()(this->known.run.id)) {}
+      links(connector, std::hash<std::string>()(this->known.run.id)) {}
 
 void Leaf::update(const directory::LeafEntry& entry) {
   this->known = entry;
 }
 
 void Leaf::grant_links(LinkGrant grant) {
-  this->grant = grant;
   this->window.set_most(grant.most);
-  if (!grant.keep) {
-    this->open_links -= this->idle.size();
-    this->idle.clear();
-  }
+  this->links.grant(grant);
 }
 
 void Leaf::retire() {
   this->retired = true;
-  this->open_links -= this->idle.size();
-  this->idle.clear();
+  this->links.retire();
 }
 
 void Leaf::end_run() {
@@ -99,12 +88,13 @@
   }
   std::unique_ptr<LeafLink> link = std::move(acquired->link);
   if (order.active->given_up) {
-    self->give_back(std::move(link));
+    self->links.give_back(std::move(link), false);
     co_return CallEnd{
         fail(ErrorKind::kCancelled, "given up before it was sent"), false};
   }
   order.active->link = link.get();
-  const auto ticket = self->numbers.sent(Clock::now());
+  order.active->sent_at = Clock::now();
+  const auto ticket = self->numbers.sent(*order.active->sent_at);
   const std::uint64_t number = self->next_pending++;
   self->pending.emplace(number,
                         Pending{link.get(), std::move(order.on_unresponsive)});
@@ -114,50 +104,36 @@
   const bool sent = reply || reply.error().execution != Execution::kNotRun;
   CallEnd end{std::move(reply), sent};
   self->judge(end, ticket, order, acquired->is_new, Clock::now());
-  self->give_back(std::move(link));
+  self->links.give_back(std::move(link), true);
   co_return end;
 }
 
-Task<Result<Leaf::Acquired>> Leaf::acquire(std::shared_ptr<Leaf> self,
-                                           TimePoint deadline) {
-  if (auto link = self->take_idle()) {
-    co_return Acquired{std::move(link), false};
-  }
-  ++self->open_links;
-  auto link = self->connector.make(self->known);
+Task<Result<LinkPool::Acquired>> Leaf::acquire(std::shared_ptr<Leaf> self,
+                                               TimePoint deadline) {
   const TimePoint latest = Clock::now() + kDialTime;
-  auto opened = co_await link->open(std::min(deadline, latest));
-  if (opened) {
-    co_return Acquired{std::move(link), true};
+  auto acquired =
+      co_await self->links.acquire(self->known, std::min(deadline, latest));
+  if (acquired) {
+    co_return acquired;
   }
-  --self->open_links;
   const bool in_a_hurry =
-      opened.error().kind == ErrorKind::kDeadlineExceeded && deadline < latest;
+      acquired.error().kind == ErrorKind::kDeadlineExceeded &&
+      deadline < latest;
   if (!in_a_hurry) {
-    self->eject("dial: " + opened.error().message);
-  }
-  opened.error().execution = Execution::kNotRun;
-  co_return tl::unexpected(std::move(opened.error()));
-}
-
-std::unique_ptr<LeafLink> Leaf::take_idle() {
-  while (!this->idle.empty()) {
-    auto link = std::move(this->idle.back());
-    this->idle.pop_back();
-    if (link->usable()) {
-      return link;
-    }
-    --this->open_links;
+    self->eject("dial: " + acquired.error().message);
   }
-  return nullptr;
+  co_return acquired;
 }
 
-void Leaf::give_back(std::unique_ptr<LeafLink> link) {
-  if (this->retired || !this->grant.keep || !link->usable()) {
-    --this->open_links;
-    return;
+Task<void> Leaf::open_ahead(std::shared_ptr<Leaf> self) {
+  auto dialled =
+      co_await self->links.dial(self->known, Clock::now() + kDialTime);
+  if (!dialled) {
+    self->eject("dial ahead: " + dialled.error().message);
+    co_return;
   }
-  this->idle.push_back(std::move(link));
+  self->links.give_back(std::move(dialled->link), false);
+  self->on_free();
 }
 
 void Leaf::judge(const CallEnd& end,
@@ -174,7 +150,7 @@
     return;
   }
   this->losses = 0;
-  this->dial_pause = Duration::zero();
+  this->links.note_answer();
   switch (end.reply->kind) {
     case LeafReply::Kind::kSuccess:
       this->window.on_answer(now - *ticket, order.unloaded, this->orders, now);
@@ -215,7 +191,7 @@
     return;
   }
   this->numbers.lost(ticket, now);
-  if (now < this->no_dial_before) {
+  if (this->links.is_at_connection_limit(now)) {
     return;
   }
   ++this->losses;
@@ -225,20 +201,12 @@
 }
 
 void Leaf::note_connection_limit(TimePoint now) {
-  // A leaf that has all the connections it bears resets those that come beyond,
-  // right after they were made. Dialled again at once, with others doing the
-  // same, it does nothing else: on a day with a quarter of the leafs slow, 91
-  // daemons had 17,000 connections reset and served a quarter of their callers.
-  this->dial_pause = std::clamp<Duration>(this->dial_pause * 2, kFirstDialPause,
-                                          kLongestDialPause);
-  const double part =
-      std::uniform_real_distribution<double>(0.5, 1)(this->random);
-  this->no_dial_before = now + scaled(this->dial_pause, part);
+  const Duration pause = this->links.note_connection_limit(now);
   this->log.event(eventlog::Weight::kBelief, "leaf_connection_limit")
       .with("leaf", this->known.run.id)
       .with("service", this->known.service)
-      .with("open_links", this->open_links)
-      .with("pause_ms", this->no_dial_before - now);
+      .with("open_links", this->links.open())
+      .with("pause_ms", pause);
 }
 
 void Leaf::report_unresponsive(TimePoint now) {
@@ -288,15 +256,13 @@
     if (self->retired) {
       break;
     }
-    auto link = self->connector.make(self->known);
-    ++self->open_links;
-    auto opened = co_await link->open(Clock::now() + kDialTime);
-    if (opened) {
-      self->give_back(std::move(link));
+    auto dialled =
+        co_await self->links.dial(self->known, Clock::now() + kDialTime);
+    if (dialled) {
+      self->links.give_back(std::move(dialled->link), false);
       self->come_back();
       break;
     }
-    --self->open_links;
     pause *= 2;
   }
 }
--- a/ibismux/dispatch/leaf.h
+++ b/ibismux/dispatch/leaf.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <pcg_random.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,7 +17,7 @@
 #include "ibismux/dispatch/dispatch_policy.h"
 #include "ibismux/dispatch/leaf_estimate.h"
 #include "ibismux/dispatch/leaf_link.h"
-#include "ibismux/dispatch/link_plan.h"
+#include "ibismux/dispatch/link_pool.h"
 #include "ibismux/eventlog/forward.h"
 
 namespace ibismux::dispatch {
@@ -25,6 +25,8 @@
 /// One call under way at a leaf, for whoever may want to give it up.
 struct ActiveCall {
   LeafLink* link = nullptr;  ///< Set while the call is on the link.
+  /// When it left on an open link; absent while one is being dialled.
+  std::optional<TimePoint> sent_at;
   bool given_up = false;
 
   /// Ends the call at once: its link is closed, and the leaf drops the work.
@@ -92,16 +94,16 @@
   }
   [[nodiscard]] bool is_retired() const noexcept { return this->retired; }
   [[nodiscard]] bool has_idle_link() const noexcept {
-    return !this->idle.empty();
+    return this->links.has_idle();
   }
   [[nodiscard]] bool has_room() const noexcept {
     return this->orders < this->most_calls() &&
-           (!this->idle.empty() || (this->open_links < this->grant.most &&
-                                    !this->at_connection_limit()));
+           this->links.has_room(Clock::now());
   }
   /// How many calls this daemon lets the leaf have at once, at least 1.
   [[nodiscard]] std::size_t most_calls() const noexcept {
-    return this->policy.learn_window ? this->window.size() : this->grant.most;
+    return this->policy.learn_window ? this->window.size()
+                                     : this->links.granted().most;
   }
   [[nodiscard]] LeafEstimate& estimate() noexcept { return this->numbers; }
   [[nodiscard]] const LeafEstimate& estimate() const noexcept {
@@ -117,7 +119,17 @@
   /// stay open.
   void grant_links(LinkGrant grant);
   /// Whether this daemon keeps links here; elsewhere the leaf is a last resort.
-  [[nodiscard]] bool keeps_links() const noexcept { return this->grant.keep; }
+  [[nodiscard]] bool keeps_links() const noexcept {
+    return this->links.granted().keep;
+  }
+
+  /// Whether a link should be opened before a call needs it.
+  [[nodiscard]] bool wants_link(TimePoint now) {
+    return this->in_service() && this->links.wants_link(now);
+  }
+  /// Opens one, and keeps it. A leaf that can't be dialled is ejected: no call
+  /// has to find that out.
+  [[nodiscard]] static Task<void> open_ahead(std::shared_ptr<Leaf> self);
 
   /// Begins a call. Precondition: `has_room()`.
   void start(Order order);
@@ -130,18 +142,11 @@
   [[nodiscard]] static Task<void> run(std::shared_ptr<Leaf> self, Order order);
   [[nodiscard]] static Task<CallEnd> exchange(std::shared_ptr<Leaf> self,
                                               Order& order);
-  /// A link that is open, and whether it was opened just now.
-  struct Acquired {
-    std::unique_ptr<LeafLink> link;
-    bool is_new = false;
-  };
-  [[nodiscard]] static Task<Result<Acquired>> acquire(
+  [[nodiscard]] static Task<Result<LinkPool::Acquired>> acquire(
       std::shared_ptr<Leaf> self,
       TimePoint deadline);
   [[nodiscard]] static Task<void> probe(std::shared_ptr<Leaf> self);
 
-  [[nodiscard]] std::unique_ptr<LeafLink> take_idle();
-  void give_back(std::unique_ptr<LeafLink> link);
   /// @param first_use The link was opened for this call.
   void judge(const CallEnd& end,
              LeafEstimate::Ticket ticket,
@@ -152,33 +157,21 @@
                   LeafEstimate::Ticket ticket,
                   const Order& order,
                   TimePoint now);
-  /// The leaf has all the connections that it accepts, or that it bears now.
-  [[nodiscard]] bool at_connection_limit() const noexcept {
-    return Clock::now() < this->no_dial_before;
-  }
   void note_connection_limit(TimePoint now);
   void eject(std::string_view reason);
   void come_back();
 
   boost::asio::io_context& loop;
-  const LeafConnector& connector;
   eventlog::EventLog& log;
   const DispatchPolicy& policy;
   directory::LeafEntry known;
   const std::function<void()> on_free;
 
-  LinkGrant grant;
-  std::size_t open_links = 0;  ///< Idle, busy or being opened.
+  LinkPool links;
   std::size_t orders = 0;
-  std::vector<std::unique_ptr<LeafLink>> idle;
   LeafEstimate numbers;
   CallWindow window;
 
-  // While dials are reset after they were accepted.
-  TimePoint no_dial_before = TimePoint::min();
-  Duration dial_pause{0};
-  pcg32 random;
-
   bool retired = false;
   bool ejected = false;
   std::uint32_t losses = 0;  ///< Calls and dials in a row without any answer.
--- /dev/null
+++ b/ibismux/dispatch/link_opener.cc
@@ -0,0 +1,75 @@
+#include "ibismux/dispatch/link_opener.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <random>
+#include <utility>
+
+#include "ibismux/dispatch/leaf.h"
+#include "ibismux/http/await_timer.h"
+
+namespace ibismux::dispatch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// While links are missing: two dials each 20 ms open those to 90 leafs within a
+// second, for some hundredths of a tenth of a core.
+constexpr milliseconds kPace{20};
+constexpr std::size_t kDialsATick = 2;
+// A leaf answers a dial in 1 to 6 ms; one that doesn't must not hold up the
+// others, and many of those not use up what the process may have open.
+constexpr std::size_t kMostOpening = 16;
+// While none is missing. A link that was lost is noticed this much later.
+constexpr milliseconds kIdlePace{250};
+
+}  // namespace
+
+LinkOpener::LinkOpener(boost::asio::io_context& loop, std::uint64_t seed)
+    : loop(loop), random(seed), timer(loop.get_executor()) {}
+
+void LinkOpener::add(std::shared_ptr<Leaf> leaf) {
+  this->leafs.push_back(std::move(leaf));
+  // One step of a shuffle for each leaf that comes.
+  std::uniform_int_distribution<std::size_t> place(0, this->leafs.size() - 1);
+  std::swap(this->leafs.back(), this->leafs[place(this->random)]);
+}
+
+void LinkOpener::start() {
+  this->tick();
+}
+
+void LinkOpener::tick() {
+  std::erase_if(this->leafs,
+                [](const auto& leaf) { return leaf->is_retired(); });
+  const bool busy = this->open_some(Clock::now());
+  this->timer.expires_after(busy ? kPace : kIdlePace);
+  http::await_timer(this->timer, this->weak_from_this(), &LinkOpener::tick);
+}
+
+bool LinkOpener::open_some(TimePoint now) {
+  std::size_t begun = 0;
+  for (std::size_t looked = 0;
+       looked < this->leafs.size() && begun < kDialsATick &&
+       this->opening < kMostOpening;
+       ++looked) {
+    this->next = (this->next + 1) % this->leafs.size();
+    const std::shared_ptr<Leaf>& leaf = this->leafs[this->next];
+    if (leaf->wants_link(now)) {
+      ++begun;
+      ++this->opening;
+      boost::asio::co_spawn(this->loop, open(this->shared_from_this(), leaf),
+                            boost::asio::detached);
+    }
+  }
+  return begun > 0 || this->opening >= kMostOpening;
+}
+
+Task<void> LinkOpener::open(std::shared_ptr<LinkOpener> self,
+                            std::shared_ptr<Leaf> leaf) {
+  co_await Leaf::open_ahead(std::move(leaf));
+  --self->opening;
+}
+
+}  // namespace ibismux::dispatch
--- a/ibismux/dispatch/link_plan.cc
+++ b/ibismux/dispatch/link_plan.cc
@@ -11,6 +11,13 @@
 // Part of a leaf's connections that daemons use; the rest is for links that are
 // just closing and for daemons that were replaced a moment ago.
 constexpr double kUsable = 0.9;
+// Replicas of a shard to which a daemon keeps links where it can: a second one
+// answers for the first, a third seldom.
+constexpr std::size_t kReplicasWanted = 2;
+// Part of a leaf's connections that is kept open where only some daemons keep
+// links to so many replicas. Less than `kUsable`: the hedges of the others dial
+// too.
+constexpr double kUsableForSome = 0.8;
 // Links of all daemons together for each slot of a leaf, and the fewest for one
 // daemon: one at work, one waiting, one for a call that pauses. Six links in
 // place of three, at leafs of five slots and six daemons, cost 0.01 to 0.02 of
@@ -54,7 +61,30 @@
       kLeastUseful,
       std::ceil(kLinksPerSlot * static_cast<double>(replica.slots) / hosts));
   const double share = std::min(usable(replica) / hosts, useful);
-  return {std::max<std::size_t>(1, whole(share)), true};
+  return {.most = std::max<std::size_t>(1, whole(share)),
+          .keep = true,
+          .open_ahead = true};
+}
+
+/// How many replicas a daemon keeps links to.
+std::size_t replicas_kept(const std::vector<Replica>& replicas,
+                          const LinkSharers& sharers) {
+  double connections = 0;
+  for (const Replica& replica : replicas) {
+    connections += static_cast<double>(replica.connections);
+  }
+  const double each = connections / static_cast<double>(sharers.hosts);
+  const std::size_t all = whole(each * kUsable);
+  if (all >= kReplicasWanted) {
+    return all;
+  }
+  // Multiples of the golden ratio spread any run of ranks evenly over [0, 1),
+  // whatever else the rank decides.
+  constexpr double kGoldenRatio = 0.6180339887498949;
+  const double place = static_cast<double>(sharers.rank) * kGoldenRatio;
+  const double room = each * kUsableForSome;
+  const bool one_more = place - std::floor(place) < room - std::floor(room);
+  return std::max<std::size_t>(1, whole(room) + (one_more ? 1 : 0));
 }
 
 }  // namespace
@@ -63,21 +93,27 @@
                                   const LinkSharers& sharers) {
   const double hosts = std::max<double>(1, static_cast<double>(sharers.hosts));
   std::vector<LinkGrant> grants;
-  double total = 0;
   bool scarce = false;
   for (const Replica& replica : replicas) {
     grants.push_back(even_grant(replica, hosts));
-    total += usable(replica);
     scarce = scarce || (replica.connections > 0 && usable(replica) < 2 * hosts);
   }
-  if (!scarce || sharers.hosts_by_zone.empty()) {
+  if (sharers.hosts_by_zone.empty()) {
+    for (LinkGrant& grant : grants) {
+      grant.open_ahead = false;
+    }
+    return grants;
+  }
+  if (!scarce) {
     return grants;
   }
-  const std::size_t kept = std::clamp<std::size_t>(
-      whole(total / hosts), 1, std::max<std::size_t>(1, replicas.size()));
+  const std::size_t kept = replicas_kept(replicas, sharers);
   const std::vector<std::size_t> preferred = order(replicas, sharers);
   for (std::size_t i = 0; i < preferred.size(); ++i) {
-    grants[preferred[i]] = {kScarceLinks, i < kept};
+    LinkGrant& grant = grants[preferred[i]];
+    grant.most = kScarceLinks;
+    grant.keep = i < kept;
+    grant.open_ahead = grant.open_ahead && grant.keep;
   }
   return grants;
 }
--- a/ibismux/dispatch/link_plan.h
+++ b/ibismux/dispatch/link_plan.h
@@ -32,6 +32,10 @@
   /// Idle links stay open. Elsewhere the leaf is only for calls that no other
   /// leaf can take, and the link is closed behind each.
   bool keep = true;
+  /// One is opened before a call needs it. Only where the leaf's limit and the
+  /// number of daemons are known: else all of a large fleet would do so at
+  /// every leaf.
+  bool open_ahead = false;
 };
 
 /// Divides the connections that a service's leafs accept among all daemons,
@@ -42,7 +46,9 @@
 /// are fewer, each daemon keeps links to some of the replicas only: first to
 /// those of its own zone, then to others by its rank, so that every daemon has
 /// as many replicas of every service as there is room for, and every replica
-/// about as many daemons.
+/// about as many daemons. Where there is room for a part of one more, that part
+/// of the daemons has it, chosen by rank: 295 daemons at three leafs of 195
+/// connections keep one replica each otherwise, and every hedge dials.
 ///
 /// Nor are there ever many more links than a leaf can work on: what waits at
 /// the daemon can still be dropped when its caller leaves or has enough
--- /dev/null
+++ b/ibismux/dispatch/link_pool.cc
@@ -0,0 +1,116 @@
+#include "ibismux/dispatch/link_pool.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+#include "ibismux/directory/leaf_entry.h"
+
+namespace ibismux::dispatch {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Between dials to a leaf that resets them: callers' requests last some tenths
+// of a second, and so does a leaf's queue.
+constexpr milliseconds kFirstDialPause{200};
+constexpr milliseconds kLongestDialPause{1600};
+
+}  // namespace
+
+LinkPool::LinkPool(const LeafConnector& connector, std::uint64_t seed)
+    : connector(connector), random(seed) {}
+
+void LinkPool::grant(LinkGrant grant) {
+  this->grant_in_force = grant;
+  if (!grant.keep) {
+    this->close_idle();
+  }
+}
+
+void LinkPool::retire() noexcept {
+  this->retired = true;
+  this->close_idle();
+}
+
+void LinkPool::close_idle() noexcept {
+  this->open_links -= this->idle.size();
+  this->idle.clear();
+}
+
+bool LinkPool::wants_link(TimePoint now) {
+  const std::size_t closed =
+      std::erase_if(this->idle, [&](const IdleLink& one) {
+        if (one.link->usable()) {
+          return false;
+        }
+        if (!one.used) {
+          this->reopen.on_unused_end(now);
+        }
+        return true;
+      });
+  this->open_links -= closed;
+  return !this->retired && this->grant_in_force.open_ahead &&
+         this->open_links == 0 && !this->is_at_connection_limit(now) &&
+         this->reopen.is_over(now);
+}
+
+std::optional<LinkPool::Acquired> LinkPool::take_idle() {
+  while (!this->idle.empty()) {
+    IdleLink last = std::move(this->idle.back());
+    this->idle.pop_back();
+    if (last.link->usable()) {
+      return Acquired{std::move(last.link), !last.used};
+    }
+    --this->open_links;
+  }
+  return std::nullopt;
+}
+
+Task<Result<LinkPool::Acquired>> LinkPool::acquire(
+    const directory::LeafEntry& entry,
+    TimePoint deadline) {
+  if (auto idle = this->take_idle()) {
+    co_return *std::move(idle);
+  }
+  auto opened = co_await this->dial(entry, deadline);
+  co_return opened;
+}
+
+Task<Result<LinkPool::Acquired>> LinkPool::dial(
+    const directory::LeafEntry& entry,
+    TimePoint deadline) {
+  ++this->open_links;
+  auto link = this->connector.make(entry);
+  auto opened = co_await link->open(deadline);
+  if (!opened) {
+    --this->open_links;
+    opened.error().execution = Execution::kNotRun;
+    co_return tl::unexpected(std::move(opened.error()));
+  }
+  co_return Acquired{std::move(link), true};
+}
+
+void LinkPool::give_back(std::unique_ptr<LeafLink> link, bool used) {
+  if (used) {
+    this->reopen.on_use();
+  }
+  if (this->retired || !this->grant_in_force.keep || !link->usable()) {
+    --this->open_links;
+    return;
+  }
+  this->idle.push_back({std::move(link), used});
+}
+
+Duration LinkPool::note_connection_limit(TimePoint now) {
+  this->dial_pause = std::clamp<Duration>(this->dial_pause * 2, kFirstDialPause,
+                                          kLongestDialPause);
+  const double part =
+      std::uniform_real_distribution<double>(0.5, 1)(this->random);
+  const Duration pause = scaled(this->dial_pause, part);
+  this->no_dial_before = now + pause;
+  return pause;
+}
+
+}  // namespace ibismux::dispatch
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "ibismux/dispatch/dispatch_metrics.h"
+#include "ibismux/dispatch/dispatch_policy.h"
 #include "ibismux/dispatch/service_group.h"
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/routing/route.h"
@@ -13,6 +14,10 @@
 
 namespace {
 
+// What dialling a leaf may take before its wait counts as the leaf's: twice
+// what leafs take for a new connection.
+constexpr std::chrono::milliseconds kDialAllowance{12};
+
 // Refusals by leafs cost an arrival each; a request that four leafs have
 // turned away is told to come back.
 constexpr std::uint32_t kMostRefusals = 4;
@@ -115,6 +120,21 @@
   this->send_to(leaf, cause);
 }
 
+std::optional<TimePoint> PartCall::waits_since() const {
+  if (this->current != State::kOpen || this->hedged || this->active.empty()) {
+    return std::nullopt;
+  }
+  const Attempt& last = this->active.back();
+  return last.active->sent_at.value_or(last.began + kDialAllowance);
+}
+
+void PartCall::hedge() {
+  this->hedged = true;
+  if (this->context->policy->hedge) {
+    this->repeat(RepeatCause::kSlow);
+  }
+}
+
 void PartCall::send_to(const std::shared_ptr<Leaf>& leaf,
                        std::optional<RepeatCause> cause) {
   this->context->metrics->sent(
--- a/ibismux/dispatch/part_call.h
+++ b/ibismux/dispatch/part_call.h
@@ -48,6 +48,15 @@
   /// likely to answer sooner.
   void repeat(RepeatCause cause);
 
+  /// Since when a leaf alone is to blame for the wait: the call left on an open
+  /// link then, or dialling one should have been done. Nothing where the part
+  /// has ended, waits for room, or was hedged.
+  [[nodiscard]] std::optional<TimePoint> waits_since() const;
+
+  /// The part has waited longer than usual: repeats it, where the policy says
+  /// so. From here on `waits_since()` is empty.
+  void hedge();
+
   /// The answer isn't wanted any more: nothing is sent from here on. Calls
   /// under way may still end by themselves: a link is worth keeping, and a late
   /// answer says how the leaf fares.
@@ -129,6 +138,7 @@
   State current = State::kIdle;
   bool starting = false;
   bool abandoned = false;
+  bool hedged = false;
   std::vector<std::shared_ptr<Leaf>> leafs;
   std::vector<Attempt> active;
   /// Sends that a leaf may have run count against the route's attempts.
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -23,6 +23,12 @@
 // Work for a caller that has left is stopped well within half a second.
 constexpr milliseconds kCallerGoneGrace{250};
 
+// A timer that fires later than this says that the loop had other work.
+constexpr milliseconds kOnTime{1};
+// Parts whose hedges are due within this of each other are looked at in one
+// turn: a query of 90 shards would wake the daemon for each of them.
+constexpr milliseconds kTogether{2};
+
 // A queue that has not been empty for so long stands for more requests than
 // leafs can work on. The callers of a few seconds that come back together after
 // an outage make one, too, which is gone in less: they are served late, which
@@ -44,8 +50,7 @@
       groups(std::move(groups)),
       done(std::move(done)),
       timer(loop.get_executor()),
-      wake(this->shared->final_at),
-      hedge_at(Clock::now() + hedge_after(*this->shared)) {}
+      wake(this->shared->final_at) {}
 
 void RequestRun::start() {
   // The caller may have left before its request was begun: its connection's end
@@ -74,7 +79,7 @@
   const TimePoint now = Clock::now();
   this->settle(now);
   if (!this->ended) {
-    this->wake_at(this->hedge_at);
+    this->hedge_late_parts(now);
     this->arm();
   }
 }
@@ -150,8 +155,11 @@
     }
     return;
   }
+  if (this->is_behind(now)) {
+    return;
+  }
   this->wake = this->shared->final_at;
-  this->hedge_if_due(now);
+  this->hedge_late_parts(now);
   if (!this->ended) {
     this->settle(now);
   }
@@ -160,21 +168,30 @@
   }
 }
 
-void RequestRun::hedge_if_due(TimePoint now) {
-  if (now < this->hedge_at) {
-    this->wake_at(this->hedge_at);
-    return;
+bool RequestRun::is_behind(TimePoint now) {
+  const bool late = now > this->wake + kOnTime && !this->caught_up;
+  this->caught_up = late;
+  if (late) {
+    // A wait that is over at once ends behind all that can be read by then.
+    this->wake = now;
+    this->arm();
   }
-  this->hedge_at = TimePoint::max();
+  return late;
+}
+
+void RequestRun::hedge_late_parts(TimePoint now) {
   const Duration patience = hedge_after(*this->shared);
   for (const auto& part : this->all) {
-    if (part->state() != PartCall::State::kOpen || part->tried().empty()) {
+    const auto since = part->waits_since();
+    if (!since) {
       continue;
     }
-    const std::shared_ptr<Leaf> leaf = part->tried().back();
-    if (this->shared->policy->hedge) {
-      part->repeat(RepeatCause::kSlow);
+    if (now + kTogether < *since + patience) {
+      this->wake_at(*since + patience);
+      continue;
     }
+    const std::shared_ptr<Leaf> leaf = part->tried().back();
+    part->hedge();
     if (this->shared->policy->share_unresponsive &&
         leaf->estimate().is_unresponsive(patience, now)) {
       leaf->report_unresponsive(now);
--- a/ibismux/dispatch/request_run.h
+++ b/ibismux/dispatch/request_run.h
@@ -70,8 +70,9 @@
     return now >= this->shared->final_at;
   }
 
-  /// Sends every part again that waits longer than usual, once.
-  void hedge_if_due(TimePoint now);
+  /// Sends every part again whose leaf takes longer than usual, once, and wakes
+  /// when the next one is due.
+  void hedge_late_parts(TimePoint now);
 
   /// Ends the run.
   void finish(Outcome outcome, bool partial = false);
@@ -84,6 +85,12 @@
   [[nodiscard]] bool refused(TimePoint now);
   void on_change();
   void arm();
+  /// Whether the timer fired late; arms it again where it did. Then answers may
+  /// have come that this daemon has not read yet, for want of time of its own:
+  /// their calls would be sent once more, and make it later still. Notice where
+  /// this is missing: a daemon on a tenth of a core sends each call of a query
+  /// of 90 shards twice.
+  [[nodiscard]] bool is_behind(TimePoint now);
   void on_timer();
   void leave_parts();
   void log_end(const Outcome& outcome, bool partial);
@@ -94,7 +101,8 @@
   Parts all;
   http::Timer timer;
   TimePoint wake;
-  TimePoint hedge_at;
+  /// The timer has fired late, and what came meanwhile has been read since.
+  bool caught_up = false;
   bool starting = false;
   bool ended = false;
   bool gone = false;  ///< The caller has left.
--- a/ibismux/edge/edge_settings.cc
+++ b/ibismux/edge/edge_settings.cc
@@ -114,6 +114,8 @@
     Key{"policy.partial_answers",
         "Answer queries without their last shards rather than late.",
         Flag{&EdgeSettings::partial_answers}},
+    Key{"policy.open_ahead", "Open links to leafs before calls need them.",
+        Flag{&EdgeSettings::open_ahead}},
     Key{"policy.weigh_cold", "Take leafs that have just started to be slower.",
         Flag{&EdgeSettings::weigh_cold}},
 
--- a/tests/dispatch/fake_leafs.h
+++ b/tests/dispatch/fake_leafs.h
@@ -50,8 +50,13 @@
   [[nodiscard]] std::unique_ptr<LeafLink> make(
       const directory::LeafEntry& entry) const override;
 
+  /// Closes all connections that are open now.
+  void close_all() noexcept { ++this->epoch; }
+
  private:
   class Link;
+
+  std::uint64_t epoch = 0;  ///< Links of earlier ones are closed.
 };
 
 class FakeLeafs::Link : public LeafLink {
@@ -67,6 +72,7 @@
       co_return tl::unexpected(std::move(error));
     }
     this->is_open = true;
+    this->opened_in = this->leafs.epoch;
     co_return Result<void>();
   }
 
@@ -110,7 +116,9 @@
     co_return reply;
   }
 
-  [[nodiscard]] bool usable() const noexcept override { return this->is_open; }
+  [[nodiscard]] bool usable() const noexcept override {
+    return this->is_open && this->opened_in == this->leafs.epoch;
+  }
   void close() noexcept override {
     this->is_open = false;
     if (this->waiting) {
@@ -127,6 +135,7 @@
   const FakeLeafs& leafs;
   const std::string instance;
   bool is_open = false;
+  std::uint64_t opened_in = 0;
   std::optional<boost::asio::steady_timer> waiting;
 };
 
--- /dev/null
+++ b/tests/dispatch/link_opening_test.cc
@@ -0,0 +1,183 @@
+// Links that are opened before calls need them.
+//
+// The load that this answers: a fleet of hundreds of daemons on a tenth of a
+// core each, queries over 90 shards, and a query every few seconds at each
+// daemon. Opened on demand, the links of a daemon's first query are 90 dials at
+// once; each takes a leaf 6 ms, and the daemon more. Shares of links are those
+// of 295 daemons at three leafs of 195 connections.
+
+#include <boost/asio/io_context.hpp>
+
+#include "tests/dispatch/dispatch_fixture.h"
+
+#include <criterion/criterion.h>
+
+#include "ibismux/dispatch/link_pool.h"
+#include "ibismux/dispatch/reopen_pause.h"
+#include "tests/support/run_task.h"
+
+namespace ibismux::dispatch {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using testing::DispatchFixture;
+
+/// Everybody has been met: this daemon, and one in each other zone.
+LinkSharers small_fleet() {
+  LinkSharers fleet;
+  fleet.hosts = 3;
+  fleet.hosts_by_zone = {{"z0", 1}, {"z1", 1}, {"z2", 1}};
+  return fleet;
+}
+
+int dials(const DispatchFixture& fixture) {
+  int sum = 0;
+  for (const auto& [leaf, times] : fixture.leafs.dials) {
+    sum += times;
+  }
+  return sum;
+}
+
+constexpr int kLeafs = 15;  // Of the fixture: five services of three.
+
+bool open_all(DispatchFixture& fixture) {
+  return fixture.run_until([&] { return dials(fixture) >= kLeafs; });
+}
+
+// Symptom: on a calm day the first query of each daemon was late, and each of
+// its calls was sent twice. Sequence: a query came to a daemon without open
+// links; it dialled a leaf of each shard at once. Cause: links were opened by
+// calls alone.
+Test(link_opening, a_first_query_finds_its_links_open) {
+  DispatchFixture fixture;
+  fixture.dispatcher.set_fleet(small_fleet());
+  cr_assert(open_all(fixture));
+  fixture.run("r1", "/query/1");
+  cr_assert(fixture.merged("r1").missing_shards == 0);
+  cr_assert(dials(fixture) == kLeafs);
+}
+
+// All daemons of a large fleet would open links at all leafs, and those reset
+// what goes beyond their limits.
+Test(link_opening, nothing_is_opened_before_the_fleet_is_known) {
+  DispatchFixture fixture;
+  fixture.run("r1", "/query/1");
+  cr_assert(dials(fixture) == static_cast<int>(DispatchFixture::kShards));
+}
+
+Test(link_opening, links_that_a_reset_took_are_opened_again) {
+  DispatchFixture fixture;
+  fixture.dispatcher.set_fleet(small_fleet());
+  cr_assert(open_all(fixture));
+  fixture.leafs.close_all();
+  cr_assert(fixture.run_until([&] { return dials(fixture) >= 2 * kLeafs; }));
+}
+
+Test(link_opening, a_leaf_that_is_leaving_gets_no_link) {
+  DispatchFixture fixture;
+  directory::LeafEntry leaving;
+  leaving.run.id = "s1-0";
+  leaving.service = "s1";
+  leaving.zone = "z0";
+  leaving.slots = 4;
+  leaving.draining = true;
+  fixture.dispatcher.on_leaf(leaving);
+  fixture.dispatcher.set_fleet(small_fleet());
+  cr_assert(fixture.run_until([&] { return dials(fixture) >= kLeafs - 1; }));
+  fixture.run("r1", "/query/1");
+  cr_assert(fixture.leafs.dials["s1-0"] == 0);
+}
+
+Test(link_opening, a_leaf_that_cant_be_dialled_is_known_before_any_call) {
+  DispatchFixture fixture;
+  fixture.leafs.behaviour["s1-0"] = {.refuses_dials = true};
+  fixture.dispatcher.set_fleet(small_fleet());
+  cr_assert(open_all(fixture));
+  fixture.run("r1", "/query/1");
+  cr_assert(fixture.merged("r1").missing_shards == 0);
+  cr_assert(fixture.leafs.runs["s1-0"].empty());
+}
+
+Test(link_opening, it_can_be_switched_off) {
+  DispatchPolicy policy;
+  policy.open_ahead = false;
+  DispatchFixture fixture(policy);
+  fixture.dispatcher.set_fleet(small_fleet());
+  fixture.run("r1", "/query/1");
+  cr_assert(dials(fixture) == static_cast<int>(DispatchFixture::kShards));
+}
+
+// A leaf that closes idle connections sooner than calls come must not be
+// dialled all the time.
+Test(reopen_pause, it_doubles_while_no_call_comes_and_ends_with_one) {
+  ReopenPause pause;
+  TimePoint now{};
+  cr_assert(pause.is_over(now));
+  for (const seconds length : {seconds(1), seconds(2), seconds(4), seconds(8),
+                               seconds(16), seconds(30), seconds(30)}) {
+    pause.on_unused_end(now);
+    cr_assert(!pause.is_over(now + length - milliseconds(1)));
+    now += length;
+    cr_assert(pause.is_over(now));
+  }
+  pause.on_unused_end(now);
+  pause.on_use();
+  cr_assert(pause.is_over(now));
+}
+
+directory::LeafEntry one_leaf() {
+  directory::LeafEntry entry;
+  entry.run.id = "s1-0";
+  return entry;
+}
+
+Test(link_pool, only_a_pool_without_links_wants_one) {
+  boost::asio::io_context loop;
+  testing::FakeLeafs leafs;
+  LinkPool pool(leafs, 1);
+  const TimePoint now = Clock::now();
+  cr_assert(!pool.wants_link(now));
+  pool.grant({.most = 2, .keep = true, .open_ahead = true});
+  cr_assert(pool.wants_link(now));
+  auto dialled = ibismux::testing::run_task(
+      loop, pool.dial(one_leaf(), now + DispatchFixture::kLimit));
+  cr_assert(!pool.wants_link(now));
+  pool.give_back(std::move(dialled->link), false);
+  cr_assert(pool.has_idle() && !pool.wants_link(now));
+  pool.retire();
+  cr_assert(!pool.has_idle() && !pool.wants_link(now));
+}
+
+Test(link_pool, a_link_is_new_until_a_call_went_over_it) {
+  boost::asio::io_context loop;
+  testing::FakeLeafs leafs;
+  LinkPool pool(leafs, 1);
+  const TimePoint deadline = Clock::now() + DispatchFixture::kLimit;
+  auto first =
+      ibismux::testing::run_task(loop, pool.acquire(one_leaf(), deadline));
+  cr_assert(first->is_new);
+  pool.give_back(std::move(first->link), false);
+  auto again =
+      ibismux::testing::run_task(loop, pool.acquire(one_leaf(), deadline));
+  cr_assert(again->is_new);
+  pool.give_back(std::move(again->link), true);
+  cr_assert(
+      !ibismux::testing::run_task(loop, pool.acquire(one_leaf(), deadline))
+           ->is_new);
+  cr_assert(leafs.dials["s1-0"] == 1);
+}
+
+Test(link_pool, a_leaf_at_its_limit_is_not_dialled) {
+  testing::FakeLeafs leafs;
+  LinkPool pool(leafs, 1);
+  pool.grant({.most = 2, .keep = true, .open_ahead = true});
+  const TimePoint now = Clock::now();
+  const Duration pause = pool.note_connection_limit(now);
+  cr_assert(pause > Duration::zero());
+  cr_assert(!pool.wants_link(now) && !pool.has_room(now));
+  cr_assert(pool.wants_link(now + pause) && pool.has_room(now + pause));
+}
+
+}  // namespace
+}  // namespace ibismux::dispatch
