Let few daemons of a large fleet call the store

All 295 daemons listed both collections, also those that had them by peers already: feeds were started once everything was known, and read it again.

Change: a daemon whose peers bring everything reads nothing; at a first start watchers that have been so for 1.5 s read for the others, and nobody else early. First readings are cheap ones that may be old: no contact for peers until the watch begins (CollectionFeed::is_current). In an outage the first two behind the watcher of each zone help themselves from 1.8 s on, then one more of each zone each 0.2 s; who asks goes through the same order, and a daemon that hears from nobody doesn't wait. While the store is lost cheap reads look for it, and a cheap read that succeeds is no contact before the collections were read again.

Tests: feed_relay_test (a fleet of 12 that starts: one caller of the store), source_choice (readers of 295 after 1.5, 2.2, 4.3 and 6.3 s; a small fleet loses no time; alone; who is asked), collection_feed (a first reading is no contact). stale_words_of_peers_count_for_nothing now runs until the last of the zone has its turn, with contacts that grow older: the former version rested on every daemon helping itself at 2.3 s, which is what changes.

--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -20,6 +20,9 @@
 constexpr std::uint64_t kTicksPerSummary = 20;
 // What a cheap read of the store may take; the store answers in milliseconds.
 constexpr milliseconds kCheckTime{800};
+// Between cheap reads of a store that doesn't answer: an update is in force
+// within a second of its return.
+constexpr milliseconds kLostCheckInterval{300};
 // How long peers may offer to bring updates before the first watch: time to
 // meet them.
 constexpr milliseconds kFirstWatchPause{1500};
@@ -81,9 +84,12 @@
   bool was_lost = false;
   int stalled_checks = 0;
   for (;;) {
-    timer.expires_after(this->settings.check_interval);
+    timer.expires_after(
+        was_lost ? std::min(kLostCheckInterval, this->settings.check_interval)
+                 : this->settings.check_interval);
     co_await timer.async_wait(asio::use_awaitable);
     if (this->relay && !this->relay->follows_store()) {
+      was_lost = false;
       continue;
     }
     auto object = co_await this->store.stale_get(
@@ -101,15 +107,24 @@
       }
       continue;
     }
-    if (this->relay) {
+    if (std::exchange(was_lost, false) || this->configuration_feed->lost() ||
+        this->leaf_feed->lost()) {
+      // No contact yet: what is known is as old as before until it is read
+      // again, and peers would rely on it.
+      this->refresh("store is back");
+      stalled_checks = 0;
+      continue;
+    }
+    if (this->relay && this->configuration_feed->is_current() &&
+        this->leaf_feed->is_current()) {
       this->relay->on_store_contact();
     }
     // A change that is a moment old may still be on its way to the watch.
     const bool behind =
         object->version > this->configuration_feed->mirror().version();
     stalled_checks = behind ? stalled_checks + 1 : 0;
-    if (std::exchange(was_lost, false) || stalled_checks > 1) {
-      this->refresh(stalled_checks > 1 ? "the watch stalled" : "store is back");
+    if (stalled_checks > 1) {
+      this->refresh("the watch stalled");
       stalled_checks = 0;
     }
   }
--- a/ibismux/edge/package_settings.cc
+++ b/ibismux/edge/package_settings.cc
@@ -20,12 +20,9 @@
 // Extra arrivals stay below what services bear, since windows of daemons and
 // services don't begin together.
 constexpr double kRepeatSafety = 0.85;
-// How long a daemon leaves it to others to read the store when the whole fleet
-// starts for the first time. Callers come ten seconds later.
-// One in eight reads it in the first second; the rest has met those by their
-// contacts after five.
-constexpr std::uint64_t kFirstStartEarly = 8;
-constexpr milliseconds kFirstStartEarlySpread{1000};
+// How long a daemon leaves it to the watchers to read the store when the whole
+// fleet starts for the first time. Callers come ten seconds later; daemons have
+// met by their contacts after five.
 constexpr milliseconds kFirstStartPatience{6000};
 constexpr milliseconds kFirstStartSpread{1500};
 
@@ -37,12 +34,8 @@
 }
 
 Duration first_start_patience() {
-  const auto up_to = [](milliseconds most) {
-    return milliseconds(draw() % static_cast<std::uint64_t>(most.count()));
-  };
-  return draw() % kFirstStartEarly == 0
-             ? up_to(kFirstStartEarlySpread)
-             : kFirstStartPatience + up_to(kFirstStartSpread);
+  const auto spread = static_cast<std::uint64_t>(kFirstStartSpread.count());
+  return kFirstStartPatience + milliseconds(draw() % spread);
 }
 
 store::PlatformSettings store_settings(const EdgeSettings& settings) {
@@ -52,10 +45,9 @@
   store.port = endpoint.port;
   store.silence_limit = kStoreSilence;
   store.members = settings.hosts;
-  store.budget.per_second = {
-      static_cast<double>(settings.fleet_reads_per_second),
-      static_cast<double>(settings.fleet_writes_per_second),
-      static_cast<double>(settings.fleet_reads_per_second)};
+  store.budget.per_second = {settings.fleet_reads_per_second,
+                             settings.fleet_writes_per_second,
+                             settings.fleet_reads_per_second};
   store.health.longest_backoff = kLongestBackoff;
   return store;
 }
--- a/ibismux/feed/collection_feed.cc
+++ b/ibismux/feed/collection_feed.cc
@@ -19,11 +19,12 @@
 // A listing of some hundred entries takes milliseconds; a store that needs
 // longer than this is tried again on a new connection.
 constexpr milliseconds kListTime{1500};
-// Pauses between calls that fail: short at first, for an answer that was lost,
-// and never longer than half a second, so that an update is in force within a
-// second of the store's return.
+// Pauses between calls that fail: short at first, for an answer that was lost.
+// Longer ones need not find out that the store is back: the daemon's cheap
+// checks do, and restart the feed. Tried twice a second by each daemon of 295,
+// a store that was down for six seconds was called 6,000 times.
 constexpr milliseconds kFirstPause{50};
-constexpr milliseconds kLongestPause{500};
+constexpr milliseconds kLongestPause{4000};
 // As long as nothing is known, every request is refused: a fleet that started
 // while the store was down serves this much sooner.
 constexpr milliseconds kLongestFirstPause{200};
@@ -108,21 +109,32 @@
 }
 
 Task<bool> CollectionFeed::read_all(std::shared_ptr<CollectionFeed> self) {
-  auto listing =
-      co_await self->store.list(self->known.name(), Clock::now() + kListTime);
+  const bool may_be_stale = self->known.version() == 0;
+  const TimePoint deadline = Clock::now() + kListTime;
+  auto reading = may_be_stale
+                     ? self->store.stale_list(self->known.name(), deadline)
+                     : self->store.list(self->known.name(), deadline);
+  auto listing = co_await std::move(reading);
   if (!listing) {
     self->listeners.on_store_failure();
     self->report_lost(listing.error().message);
     co_await pause(self, self->next_pause(listing.error()));
     co_return false;
   }
-  self->store_answered();
+  if (may_be_stale) {
+    self->failures = 0;
+    self->report_regained("store, perhaps an old state");
+  } else {
+    self->store_answered();
+  }
   self->take(update_of(self->known.name(), *std::move(listing)));
   co_return true;
 }
 
 Task<bool> CollectionFeed::follow(std::shared_ptr<CollectionFeed> self) {
   const store::Version since = self->known.version();
+  // The store answers a watch at once where there is anything newer.
+  self->current = true;
   auto batch = co_await self->store.watch(self->known.name(), since,
                                           self->settings.watch_wait);
   if (!batch) {
@@ -179,6 +191,7 @@
 
 void CollectionFeed::store_answered() {
   this->failures = 0;
+  this->current = true;
   this->report_regained("store");
   this->listeners.on_store_contact();
 }
--- a/ibismux/feed/collection_feed.h
+++ b/ibismux/feed/collection_feed.h
@@ -29,6 +29,12 @@
 /// Follows one collection of the store, for as long as it lives: reads it whole
 /// and then watches what changes, or takes what peers bring.
 ///
+/// The first reading may be answered from a state some seconds old: after an
+/// outage all daemons of a fleet make one at once, each is paid for, and such
+/// ones are cheap. What it lacks comes from peers a moment later, or from the
+/// first watch. Until then it is no contact with the store that peers could
+/// rely on.
+///
 /// Belongs to one event loop; not thread safe.
 class CollectionFeed : public std::enable_shared_from_this<CollectionFeed> {
  public:
@@ -78,6 +84,14 @@
     return this->known;
   }
 
+  /// What is known is what the store holds now, as far as it has told: it was
+  /// read from there, not from a state some seconds old, or is watched.
+  [[nodiscard]] bool is_current() const noexcept { return this->current; }
+
+  /// What is known may be out of date: the last call failed, or no peer brings
+  /// updates.
+  [[nodiscard]] bool lost() const noexcept { return this->is_lost; }
+
   /// The store doesn't answer, and no peer brings updates from it.
   void report_lost(std::string_view reason);
   /// Updates can be had again. @param reason For the log.
@@ -110,6 +124,7 @@
   CollectionMirror known;
   bool is_lost = false;
   bool first = true;
+  bool current = false;
   std::uint64_t round = 0;
   std::uint32_t failures = 0;
   http::Timer pause_timer;
--- a/ibismux/feed/feed_relay.cc
+++ b/ibismux/feed/feed_relay.cc
@@ -19,6 +19,10 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTick{250};
+// While a fleet starts, many daemons are the first of those of their zone that
+// they have met so far. One that is so for longer than views take to spread
+// reads the store for the others.
+constexpr milliseconds kSteadyWatcher{1500};
 // How often a daemon tells its children how fresh its knowledge is.
 constexpr milliseconds kBeat{500};
 // A whole collection may take that long over a narrow link.
@@ -96,6 +100,7 @@
 }
 
 void FeedRelay::on_view(const membership::MembershipView& view) {
+  this->joined = view.joined && view.serving() > 1;
   this->choice.on_view(view);
 }
 
@@ -143,11 +148,21 @@
 }
 
 void FeedRelay::start_feeds() {
+  if (this->started) {
+    return;
+  }
+  const TimePoint now = Clock::now();
   const bool all_known = std::all_of(
       this->feeds.begin(), this->feeds.end(),
       [](const auto& feed) { return feed->mirror().version() > 0; });
-  const bool by_peers = all_known && !this->choice.is_watcher();
-  if (this->started || (!by_peers && Clock::now() < this->read_at)) {
+  if (all_known && this->choice.source() == Source::kPeers) {
+    // Peers bring everything: nothing is to be read. Read all the same, the
+    // store is called by each of hundreds of daemons that start together.
+    this->started = true;
+    this->in_use = Source::kPeers;
+    return;
+  }
+  if (now < this->read_at && !this->watches_early(now)) {
     return;
   }
   this->started = true;
@@ -156,6 +171,15 @@
   }
 }
 
+bool FeedRelay::watches_early(TimePoint now) {
+  if (!this->joined || !this->choice.is_watcher()) {
+    this->watcher_since = TimePoint::max();
+  } else if (this->watcher_since == TimePoint::max()) {
+    this->watcher_since = now;
+  }
+  return now - std::min(now, this->watcher_since) >= kSteadyWatcher;
+}
+
 void FeedRelay::switch_source() {
   const Source wanted = this->choice.source();
   if (std::exchange(this->in_use, wanted) == wanted) {
--- a/ibismux/feed/feed_relay.h
+++ b/ibismux/feed/feed_relay.h
@@ -66,6 +66,9 @@
   void register_handlers();
   void tick();
   void start_feeds();
+  /// Whether this daemon has been a watcher long enough to read the store
+  /// before its patience ends.
+  [[nodiscard]] bool watches_early(TimePoint now);
   void switch_source();
   void pass_on(const Update& update);
   void send_beat();
@@ -95,6 +98,8 @@
   std::set<std::string> asked;  ///< Peers that have not answered yet.
   TimePoint read_at;  ///< When the feeds start, unless peers bring all before.
   bool started = false;
+  bool joined = false;  ///< Others have been met.
+  TimePoint watcher_since = TimePoint::max();
   TimePoint next_beat;
   http::Timer timer;
 };
--- a/ibismux/feed/source_choice.cc
+++ b/ibismux/feed/source_choice.cc
@@ -11,32 +11,31 @@
       tree(settings.watchers, settings.fan_out),
       confirmed(now - settings.self_help_after),
       by_peers_until(now),
+      heard_at(now),
       next_question(now),
       pushed_until(now) {}
 
 void SourceChoice::on_view(const membership::MembershipView& view) {
   this->tree.rebuild(view);
-  this->others.clear();
-  for (const membership::Member& member : view.members) {
-    if (member.serves() && member.name != view.self) {
-      this->others.push_back(member.name);
-    }
-  }
   // A daemon without a place in its own view has not met the others yet.
   this->watches = this->tree.watches() || !view.joined;
 }
 
 void SourceChoice::on_store_contact(TimePoint now) {
   this->confirmed = std::max(this->confirmed, now);
+  this->has_followed = true;
+  this->relies_on_none = false;
 }
 
 void SourceChoice::on_peer_contact(Duration age, TimePoint now) {
+  this->heard_at = now;
   // A peer's clock plays no part: it says how long ago, not when.
   this->confirmed = std::max(this->confirmed, now - age);
   const TimePoint until = now - age + this->settings.fresh_for;
   if (until < now) {
     return;
   }
+  this->relies_on_none = false;
   if (this->by_peers_until < now) {
     this->trusted_from = now;
   }
@@ -67,6 +66,7 @@
   this->confirmed =
       std::min(this->confirmed, now - this->settings.self_help_after);
   this->by_peers_until = std::min(this->by_peers_until, now);
+  this->relies_on_none = true;
 }
 
 std::optional<std::string> SourceChoice::tick(TimePoint now) {
@@ -75,7 +75,7 @@
     return std::nullopt;
   }
   this->next_question = now + this->settings.ask_interval;
-  return this->next_to_ask();
+  return this->next_to_ask(now);
 }
 
 bool SourceChoice::should_ask(TimePoint now) const noexcept {
@@ -93,16 +93,40 @@
   }
   const bool fresh = now <= this->by_peers_until;
   if (this->current == Source::kStore) {
-    if (fresh && now - this->trusted_from >= this->settings.trust_after) {
+    const bool trusted = now - this->trusted_from >= this->settings.trust_after;
+    if (fresh && (trusted || !this->has_followed)) {
       this->current = Source::kPeers;
+      this->has_followed = true;
     }
-  } else if (this->age(now) >= this->settings.self_help_after) {
+  } else if (this->age(now) >= this->help_after(now)) {
     this->current = Source::kStore;
     this->trusted_from = TimePoint::max();
   }
 }
 
-std::optional<std::string> SourceChoice::next_to_ask() {
+Duration SourceChoice::help_after(TimePoint now) const noexcept {
+  const SourceSettings& times = this->settings;
+  // The ranks before these are the watchers' and the first helpers'.
+  const std::size_t before = times.watchers + times.first_helpers;
+  if (this->tree.zone_rank() < before) {
+    return times.first_help_after;
+  }
+  const bool alone =
+      this->relies_on_none || now - this->heard_at > times.alone_after;
+  const auto turns = static_cast<std::int64_t>(this->tree.zone_rank() - before);
+  return times.self_help_after +
+         (alone ? Duration::zero() : Duration(times.help_step * turns));
+}
+
+std::size_t SourceChoice::helpers(TimePoint now) const noexcept {
+  const Duration beyond = this->age(now) - this->settings.self_help_after;
+  const std::int64_t turns =
+      beyond < Duration::zero() ? 0 : beyond / this->settings.help_step + 1;
+  return this->tree.zones() *
+         (this->settings.first_helpers + static_cast<std::size_t>(turns));
+}
+
+std::optional<std::string> SourceChoice::next_to_ask(TimePoint now) {
   const auto& watchers = this->tree.entries();
   if (watchers.empty()) {
     return std::nullopt;
@@ -110,15 +134,16 @@
   if (this->best) {
     return this->best;
   }
-  // Watchers and others by turns: where the store turns away a part of the
+  // Watchers and helpers by turns: where the store turns away a part of the
   // hosts, all watchers may be among them, and this daemon too; then only those
   // that have helped themselves know more.
-  const std::size_t now = this->turn++;
-  if (now % 2 == 0) {
-    return watchers[(now / 2) % watchers.size()];
+  const auto& behind = this->tree.behind_watchers();
+  const std::size_t helping = std::min(behind.size(), this->helpers(now));
+  const std::size_t turn = this->turn++;
+  if (turn % 2 == 0 || helping == 0) {
+    return watchers[(turn / 2) % watchers.size()];
   }
-  const std::size_t step = this->others.size() / 3 + 1;
-  return this->others[(now / 2 * step + now) % this->others.size()];
+  return behind[(turn / 2) % helping];
 }
 
 }  // namespace ibismux::feed
--- a/ibismux/feed/source_choice.h
+++ b/ibismux/feed/source_choice.h
@@ -28,9 +28,18 @@
   /// not relied on: others are asked. Watchers reach the store each second at
   /// least, and pass it on twice a second.
   std::chrono::milliseconds fresh_for{1800};
-  /// From this age on the daemon reads the store itself. What leaves must take
+  /// From this age on daemons read the store themselves. What leaves must take
   /// no new work after three seconds.
   std::chrono::milliseconds self_help_after{2300};
+  /// Not all of them at once: where the store is down, calls of hundreds bring
+  /// no more than those of a few, and each is paid for. The first ones behind
+  /// the watchers of each zone begin sooner, since the others learn from them;
+  /// then one more of each zone after each `help_step`.
+  std::size_t first_helpers = 2;
+  std::chrono::milliseconds first_help_after{1800};
+  std::chrono::milliseconds help_step{200};
+  /// A daemon that no peer has told anything for so long can't rely on helpers.
+  std::chrono::milliseconds alone_after{1000};
   /// While a watcher reaches the store, its last contact is no older than
   /// `usual_age` when it sends something, which it does each `usual_pause`.
   /// Once that fails, others are asked at once: at `fresh_for` only one of them
@@ -44,7 +53,9 @@
   /// Between two questions to peers while there is no fresh contact.
   std::chrono::milliseconds ask_interval{300};
   /// Fresh contacts must come from peers for so long before the daemon stops
-  /// following the store.
+  /// following the store. One that has never followed it relies on the first:
+  /// of a fleet that starts at once each would begin to watch otherwise, and
+  /// leave off a moment later.
   std::chrono::milliseconds trust_after{1500};
 };
 
@@ -65,7 +76,7 @@
   void on_view(const membership::MembershipView& view);
   /// The store answered this daemon.
   void on_store_contact(TimePoint now);
-  /// A peer told how old its last contact with the store is.
+  /// A peer told how old its last contact with the store is, however old.
   void on_peer_contact(Duration age, TimePoint now);
   /// So did the daemon that sends updates to this one unasked.
   void on_push(Duration age, TimePoint now);
@@ -97,9 +108,13 @@
 
  private:
   void choose(TimePoint now);
+  /// How old the last contact may get before this daemon reads the store.
+  [[nodiscard]] Duration help_after(TimePoint now) const noexcept;
+  /// How many of the members behind the watchers may read the store by now.
+  [[nodiscard]] std::size_t helpers(TimePoint now) const noexcept;
   /// Whether what is known may soon be too old.
   [[nodiscard]] bool should_ask(TimePoint now) const noexcept;
-  [[nodiscard]] std::optional<std::string> next_to_ask();
+  [[nodiscard]] std::optional<std::string> next_to_ask(TimePoint now);
 
   const SourceSettings settings;
   membership::SpreadTree tree;
@@ -108,11 +123,14 @@
   TimePoint confirmed;       ///< Of the last contact with the store.
   TimePoint by_peers_until;  ///< Words of peers are fresh up to here.
   TimePoint trusted_from = TimePoint::max();  ///< Since when without a gap.
+  TimePoint heard_at;                         ///< Any peer told of its contact.
+  bool has_followed = false;                  ///< The store, or peers.
+  bool relies_on_none =
+      false;  ///< Since `invalidate()`, until a fresh contact.
   TimePoint next_question;
   TimePoint pushed_until;  ///< Fresh contacts came unasked, up to here.
   std::optional<std::string> best;  ///< Whose last answer was a usual one.
   std::size_t turn = 0;
-  std::vector<std::string> others;  ///< All members that serve, but this one.
 };
 
 }  // namespace ibismux::feed
--- a/ibismux/membership/spread_tree.cc
+++ b/ibismux/membership/spread_tree.cc
@@ -42,8 +42,11 @@
   this->tops.clear();
   this->firsts.clear();
   this->rank = 0;
+  this->own_rank = 0;
   const auto own_key = key_of(view.self);
-  for (const auto& [zone, names] : order(view)) {
+  const Zones zones = order(view);
+  this->line_up_followers(view.self, zones);
+  for (const auto& [zone, names] : zones) {
     this->firsts.push_back(names.front());
     for (std::size_t i = 0; i < names.size(); ++i) {
       if (i < this->watchers && names[i] != view.self) {
@@ -55,6 +58,22 @@
   }
 }
 
+void SpreadTree::line_up_followers(const std::string& self,
+                                   const Zones& zones) {
+  this->followers.clear();
+  std::size_t largest = 0;
+  for (const auto& [zone, names] : zones) {
+    largest = std::max(largest, names.size());
+  }
+  for (std::size_t i = this->watchers; i < largest; ++i) {
+    for (const auto& [zone, names] : zones) {
+      if (i < names.size() && names[i] != self) {
+        this->followers.push_back(names[i]);
+      }
+    }
+  }
+}
+
 void SpreadTree::place(const std::string& self,
                        const std::vector<std::string>& zone) {
   const auto found = std::find(zone.begin(), zone.end(), self);
@@ -62,6 +81,7 @@
     return;
   }
   const auto index = static_cast<std::size_t>(found - zone.begin());
+  this->own_rank = index;
   this->watcher = index < this->watchers;
   if (index > 0) {
     this->above = zone[(index - 1) / this->fan_out];
--- a/ibismux/membership/spread_tree.h
+++ b/ibismux/membership/spread_tree.h
@@ -43,6 +43,21 @@
   [[nodiscard]] const std::vector<std::string>& roots() const noexcept {
     return this->firsts;
   }
+  /// Members behind the watchers of their zones, this daemon not among them:
+  /// the first behind them of each zone, then the second of each, and so on.
+  [[nodiscard]] const std::vector<std::string>& behind_watchers()
+      const noexcept {
+    return this->followers;
+  }
+  /// Zones that have members.
+  [[nodiscard]] std::size_t zones() const noexcept {
+    return this->firsts.size();
+  }
+  /// This daemon's position in its zone, from 0; the zone's size if it doesn't
+  /// serve.
+  [[nodiscard]] std::size_t zone_rank() const noexcept {
+    return this->own_rank;
+  }
   /// This daemon's position in an order of the whole fleet, from 0; the size
   /// of the fleet if it doesn't serve.
   [[nodiscard]] std::size_t fleet_rank() const noexcept { return this->rank; }
@@ -51,6 +66,7 @@
   using Zones = std::map<std::string, std::vector<std::string>>;
   static Zones order(const MembershipView& view);
   void place(const std::string& self, const std::vector<std::string>& zone);
+  void line_up_followers(const std::string& self, const Zones& zones);
 
   std::size_t watchers;
   std::size_t fan_out;
@@ -59,6 +75,8 @@
   std::vector<std::string> below;
   std::vector<std::string> tops;
   std::vector<std::string> firsts;
+  std::vector<std::string> followers;
+  std::size_t own_rank = 0;
   std::size_t rank = 0;
 };
 
--- a/ibismux/store/http_object_store.cc
+++ b/ibismux/store/http_object_store.cc
@@ -92,6 +92,16 @@
     co_return self->dialect->read_object(collection, name, *response);
   }
 
+  /// How a part of a listing is asked for.
+  using PartRequest = http::Request (StoreDialect::*)(std::string_view,
+                                                      std::string_view) const;
+
+  /// Reads a listing part by part.
+  static Task<Result<Listing>> read_listing(std::shared_ptr<Impl> self,
+                                            std::string collection,
+                                            PartRequest part,
+                                            TimePoint deadline);
+
   void set_members(std::size_t members) {
     this->budget.set_rates(share_of(this->settings.budget, members),
                            Clock::now());
@@ -202,16 +212,31 @@
 
 Task<Result<Listing>> HttpObjectStore::list(std::string collection,
                                             TimePoint deadline) {
+  return Impl::read_listing(this->impl, std::move(collection),
+                            &StoreDialect::list, deadline);
+}
+
+Task<Result<Listing>> HttpObjectStore::stale_list(std::string collection,
+                                                  TimePoint deadline) {
+  return Impl::read_listing(this->impl, std::move(collection),
+                            &StoreDialect::stale_list, deadline);
+}
+
+Task<Result<Listing>> HttpObjectStore::Impl::read_listing(
+    std::shared_ptr<Impl> self,
+    std::string collection,
+    PartRequest part,
+    TimePoint deadline) {
   Listing whole;
   std::string after;
   for (;;) {
-    auto request = this->impl->dialect->list(collection, after);
-    auto response = co_await Impl::timed_call(this->impl, CallKind::kRead,
-                                              std::move(request), deadline);
+    auto request = ((*self->dialect).*part)(collection, after);
+    auto response = co_await timed_call(self, CallKind::kRead,
+                                        std::move(request), deadline);
     if (!response) {
       co_return tl::unexpected(std::move(response.error()));
     }
-    auto page = this->impl->dialect->read_listing(collection, *response);
+    auto page = self->dialect->read_listing(collection, *response);
     if (!page) {
       co_return tl::unexpected(std::move(page.error()));
     }
--- a/ibismux/store/http_object_store.h
+++ b/ibismux/store/http_object_store.h
@@ -55,6 +55,8 @@
       std::chrono::milliseconds wait) override;
   [[nodiscard]] Task<Result<std::vector<HostEntry>>> hosts(
       TimePoint deadline) override;
+  [[nodiscard]] Task<Result<Listing>> stale_list(std::string collection,
+                                                 TimePoint deadline) override;
   [[nodiscard]] Task<Result<StoredObject>> stale_get(
       std::string collection,
       std::string name,
--- a/ibismux/store/object_store.h
+++ b/ibismux/store/object_store.h
@@ -47,6 +47,11 @@
   stale_get(std::string collection, std::string name, TimePoint deadline) {
     return this->get(std::move(collection), std::move(name), deadline);
   }
+  /// The same of a whole collection.
+  [[nodiscard]] virtual Task<Result<Listing>> stale_list(std::string collection,
+                                                         TimePoint deadline) {
+    return this->list(std::move(collection), deadline);
+  }
   /// @}
 
   /// @name Conditional writes
--- a/ibismux/store/store_dialect.h
+++ b/ibismux/store/store_dialect.h
@@ -59,6 +59,11 @@
                                                 std::string_view name) const {
     return this->get(collection, name);
   }
+  /// The same of a part of a listing.
+  [[nodiscard]] virtual http::Request stale_list(std::string_view collection,
+                                                 std::string_view after) const {
+    return this->list(collection, after);
+  }
   /// @}
 
   /// @name Answers with status 200
