--- a/ibismux/dispatch/answer.h
+++ b/ibismux/dispatch/answer.h
@@ -14,6 +14,7 @@
 /// A leaf's own answer, success or failure, to be passed back unchanged.
 struct LeafAnswer {
   int status = 0;
+  /// As the leaf sent them, those of its connection included.
   std::vector<std::pair<std::string, std::string>> fields;
   std::string body;
   std::string receipt;  ///< The leaf's proof that it made this answer.
--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -82,7 +82,13 @@
 }
 
 Task<CallEnd> Leaf::exchange(std::shared_ptr<Leaf> self, Order& order) {
-  auto acquired = co_await acquire(self, order.call->deadline);
+  Result<LinkPool::Acquired> acquired;
+  if (auto idle = self->links.take_idle()) {
+    acquired = *std::move(idle);
+  } else {
+    auto dialled = co_await dial(self, order.call->deadline);
+    acquired = std::move(dialled);
+  }
   if (!acquired) {
     co_return CallEnd{tl::unexpected(std::move(acquired.error())), false};
   }
@@ -108,21 +114,18 @@
   co_return end;
 }
 
-Task<Result<LinkPool::Acquired>> Leaf::acquire(std::shared_ptr<Leaf> self,
-                                               TimePoint deadline) {
+Task<Result<LinkPool::Acquired>> Leaf::dial(std::shared_ptr<Leaf> self,
+                                            TimePoint deadline) {
   const TimePoint latest = Clock::now() + kDialTime;
-  auto acquired =
-      co_await self->links.acquire(self->known, std::min(deadline, latest));
-  if (acquired) {
-    co_return acquired;
-  }
+  auto dialled =
+      co_await self->links.dial(self->known, std::min(deadline, latest));
   const bool in_a_hurry =
-      acquired.error().kind == ErrorKind::kDeadlineExceeded &&
+      !dialled && dialled.error().kind == ErrorKind::kDeadlineExceeded &&
       deadline < latest;
-  if (!in_a_hurry) {
-    self->eject("dial: " + acquired.error().message);
+  if (!dialled && !in_a_hurry) {
+    self->eject("dial: " + dialled.error().message);
   }
-  co_return acquired;
+  co_return dialled;
 }
 
 Task<void> Leaf::open_ahead(std::shared_ptr<Leaf> self) {
--- a/ibismux/dispatch/leaf.h
+++ b/ibismux/dispatch/leaf.h
@@ -142,7 +142,8 @@
   [[nodiscard]] static Task<void> run(std::shared_ptr<Leaf> self, Order order);
   [[nodiscard]] static Task<CallEnd> exchange(std::shared_ptr<Leaf> self,
                                               Order& order);
-  [[nodiscard]] static Task<Result<LinkPool::Acquired>> acquire(
+  /// A new link; a leaf that can't be dialled is ejected.
+  [[nodiscard]] static Task<Result<LinkPool::Acquired>> dial(
       std::shared_ptr<Leaf> self,
       TimePoint deadline);
   [[nodiscard]] static Task<void> probe(std::shared_ptr<Leaf> self);
--- a/ibismux/dispatch/link_pool.cc
+++ b/ibismux/dispatch/link_pool.cc
@@ -68,16 +68,6 @@
   return std::nullopt;
 }
 
-Task<Result<LinkPool::Acquired>> LinkPool::acquire(
-    const directory::LeafEntry& entry,
-    TimePoint deadline) {
-  if (auto idle = this->take_idle()) {
-    co_return *std::move(idle);
-  }
-  auto opened = co_await this->dial(entry, deadline);
-  co_return opened;
-}
-
 Task<Result<LinkPool::Acquired>> LinkPool::dial(
     const directory::LeafEntry& entry,
     TimePoint deadline) {
--- a/ibismux/dispatch/link_pool.h
+++ b/ibismux/dispatch/link_pool.h
@@ -63,10 +63,8 @@
 
   /// @name Links
   /// @{
-  /// An idle link, or a new one. The pool outlives the task.
-  [[nodiscard]] Task<Result<Acquired>> acquire(
-      const directory::LeafEntry& entry,
-      TimePoint deadline);
+  /// An idle link, if there is one.
+  [[nodiscard]] std::optional<Acquired> take_idle();
   /// A new link. The pool outlives the task.
   [[nodiscard]] Task<Result<Acquired>> dial(const directory::LeafEntry& entry,
                                             TimePoint deadline);
@@ -94,7 +92,6 @@
     bool used = false;  ///< A call went over it since it was opened.
   };
 
-  [[nodiscard]] std::optional<Acquired> take_idle();
   void close_idle() noexcept;
 
   const LeafConnector& connector;
--- a/ibismux/http/client_connection.cc
+++ b/ibismux/http/client_connection.cc
@@ -120,7 +120,8 @@
     std::shared_ptr<Impl> self,
     std::shared_ptr<const Request> request,
     TimePoint deadline,
-    AnswerTest is_answer) {
+    AnswerTest is_answer,
+    ExtraFields extra) {
   self->sent = false;
   if (self->phase != Phase::kIdle) {
     co_return tl::unexpected(self->exchange_error(ErrorKind::kLeafUnavailable,
@@ -143,7 +144,7 @@
   self->response = Response{};
   self->parser.start(self->response, self->request->method == "HEAD");
   self->arm_timer(deadline);
-  self->start_send(*self->request);
+  self->start_send(*self->request, extra);
   if (self->phase == Phase::kExchange) {
     co_await asio::async_initiate<const asio::use_awaitable_t<>&, void()>(
         [](Waiter&& waiter, Impl* impl) {
@@ -171,9 +172,10 @@
   return error == asio::error::would_block;
 }
 
-void ClientConnection::Impl::start_send(const Request& request) {
+void ClientConnection::Impl::start_send(const Request& request,
+                                        const ExtraFields& extra) {
   this->output.clear();
-  append_head(this->output, request, this->host_line);
+  append_head(this->output, request, this->host_line, extra);
   const bool copied = request.body.size() <= kMostCopiedBody;
   if (copied) {
     this->output += request.body;
@@ -378,9 +380,10 @@
 Task<Result<Response>> ClientConnection::exchange(
     std::shared_ptr<const Request> request,
     TimePoint deadline,
-    AnswerTest is_answer) {
+    AnswerTest is_answer,
+    ExtraFields extra) {
   return Impl::exchange(this->impl, std::move(request), deadline,
-                        std::move(is_answer));
+                        std::move(is_answer), std::move(extra));
 }
 
 bool ClientConnection::usable() const noexcept {
--- a/ibismux/http/client_connection.h
+++ b/ibismux/http/client_connection.h
@@ -43,10 +43,13 @@
   /// @param is_answer Tells an answer to this request from one to an earlier
   /// request that the server sends late; the latter is dropped, and the wait
   /// goes on. Empty: any response is the answer.
+  /// @param extra What this server alone gets: the same request can go to many
+  /// without a copy for each.
   [[nodiscard]] Task<Result<Response>> exchange(
       std::shared_ptr<const Request> request,
       TimePoint deadline,
-      AnswerTest is_answer = nullptr);
+      AnswerTest is_answer = nullptr,
+      ExtraFields extra = {});
 
   /// Open, between exchanges, and with no stray byte from the server waiting.
   [[nodiscard]] bool usable() const noexcept;
--- a/ibismux/http/client_connection_impl.h
+++ b/ibismux/http/client_connection_impl.h
@@ -29,7 +29,8 @@
       std::shared_ptr<Impl> self,
       std::shared_ptr<const Request> request,
       TimePoint deadline,
-      AnswerTest is_answer);
+      AnswerTest is_answer,
+      ExtraFields extra);
 
   [[nodiscard]] bool usable() const noexcept {
     return this->phase == Phase::kIdle;
@@ -80,7 +81,7 @@
   void on_timer(const ErrorCode& error);
   void on_connect(const ErrorCode& error, std::size_t);
   [[nodiscard]] bool is_quiet();
-  void start_send(const Request& request);
+  void start_send(const Request& request, const ExtraFields& extra);
   void on_sent(const ErrorCode& error, std::size_t bytes);
   void set_options();
   void read();
--- a/ibismux/http/message.h
+++ b/ibismux/http/message.h
@@ -35,6 +35,10 @@
   [[nodiscard]] std::string parameter(std::string_view name) const;
 };
 
+/// Fields that one receiver of a request gets besides those of the request
+/// itself. Names outlive the exchange.
+using ExtraFields = std::vector<std::pair<std::string_view, std::string>>;
+
 /// An HTTP response. The server fills in Content-Length and Connection.
 struct Response : Message {
   int status = 200;
--- a/ibismux/http/wire_format.cc
+++ b/ibismux/http/wire_format.cc
@@ -65,7 +65,8 @@
 
 void append_head(std::string& out,
                  const Request& request,
-                 std::string_view host_line) {
+                 std::string_view host_line,
+                 const ExtraFields& extra) {
   out += request.method;
   out += ' ';
   out += request.target;
@@ -74,6 +75,9 @@
     out += host_line;
   }
   append_fields(out, request);
+  for (const auto& [name, value] : extra) {
+    append_field(out, name, value);
+  }
   if (!request.body.empty() ||
       (request.method != "GET" && request.method != "HEAD")) {
     append_length(out, request.body.size());
--- a/ibismux/http/wire_format.h
+++ b/ibismux/http/wire_format.h
@@ -12,9 +12,11 @@
 /// Appends the head of `request`. Thread safe.
 /// @param host_line The whole `Host` line with its line break; left out where
 /// the request has a `Host` field of its own.
+/// @param extra Goes behind the fields of the request.
 void append_head(std::string& out,
                  const Request& request,
-                 std::string_view host_line);
+                 std::string_view host_line,
+                 const ExtraFields& extra = {});
 
 /// Appends the head of `response`; `Content-Length` and `Connection` fields of
 /// its own are replaced. Thread safe.
--- a/tests/dispatch/link_opening_test.cc
+++ b/tests/dispatch/link_opening_test.cc
@@ -153,18 +153,15 @@
   boost::asio::io_context loop;
   testing::FakeLeafs leafs;
   LinkPool pool(leafs, 1);
-  const TimePoint deadline = Clock::now() + DispatchFixture::kLimit;
-  auto first =
-      ibismux::testing::run_task(loop, pool.acquire(one_leaf(), deadline));
+  cr_assert(!pool.take_idle());
+  auto first = ibismux::testing::run_task(
+      loop, pool.dial(one_leaf(), Clock::now() + DispatchFixture::kLimit));
   cr_assert(first->is_new);
   pool.give_back(std::move(first->link), false);
-  auto again =
-      ibismux::testing::run_task(loop, pool.acquire(one_leaf(), deadline));
+  auto again = pool.take_idle();
   cr_assert(again->is_new);
   pool.give_back(std::move(again->link), true);
-  cr_assert(
-      !ibismux::testing::run_task(loop, pool.acquire(one_leaf(), deadline))
-           ->is_new);
+  cr_assert(!pool.take_idle()->is_new);
   cr_assert(leafs.dials["s1-0"] == 1);
 }
 
--- a/tests/users_platform/wire_test.cc
+++ b/tests/users_platform/wire_test.cc
@@ -1,3 +1,4 @@
+#include "ibismux/http/wire_format.h"
 #include "platform/caller_wire.h"
 #include "platform/forwarded_fields.h"
 #include "platform/leaf_wire.h"
@@ -166,11 +167,14 @@
   const TimePoint now = Clock::now();
   dispatch::LeafCall sent = call();
   sent.deadline = now + milliseconds(750);
-  const http::Request written = write_leaf_call(sent, now);
-  cr_assert(written.field("X-Expect-Instance") == "i-1");
-  cr_assert(written.field("X-Deadline-Ms") == "750");
-  cr_assert(written.field("X-Request-Id") == "r1");
-  cr_assert(written.target == "/p/1?x=2" && written.body == "body");
+  std::string written;
+  http::append_head(written, *sent.message, "", leaf_call_fields(sent, now));
+  cr_assert(written.find("\r\nX-Expect-Instance: i-1\r\n") !=
+            std::string::npos);
+  cr_assert(written.find("\r\nX-Deadline-Ms: 750\r\n") != std::string::npos);
+  cr_assert(written.find("\r\nX-Request-Id: r1\r\n") != std::string::npos);
+  cr_assert(written.find(" /p/1?x=2 HTTP/1.1\r\n") != std::string::npos);
+  cr_assert(sent.message->body == "body");
 }
 
 Test(leaf_wire, replies_are_told_apart) {
