--- a/apps/bench-policy/scenario_limits.cc
+++ b/apps/bench-policy/scenario_limits.cc
@@ -176,7 +176,7 @@
           {"combined_s", elapsed(combined.sent)}};
 }
 
-/// As at the door of a daemon: who may not pass is refused, and nobody waits.
+/// As a daemon admits: who may not pass is refused, and nobody waits.
 object refusing(const Rules& rules, const std::vector<Duration>& times) {
   ChainedLimiters chained(rules);
   CombinedLimiter combined(rules);
--- a/apps/bench-policy/scenario_overload.cc
+++ b/apps/bench-policy/scenario_overload.cc
@@ -123,7 +123,7 @@
   return failed / all;
 }
 
-/// The longest that a refusal at the door took, and the queries so refused.
+/// The longest that a refusal by admission took, and the queries so refused.
 object door(const std::vector<QueryEnd>& ends) {
   std::uint64_t refused = 0;
   std::uint64_t late = 0;
--- a/ibismux/admission/admission.h
+++ b/ibismux/admission/admission.h
@@ -16,7 +16,7 @@
 
 namespace ibismux::admission {
 
-/// Decides at the door whether a request may go on. A slot is taken first, then
+/// Decides whether a request is admitted. A slot is taken first, then
 /// every rate rule is checked, then all are recorded with one time.
 ///
 /// Thread safe.
--- a/ibismux/admission/request_end.h
+++ b/ibismux/admission/request_end.h
@@ -8,7 +8,7 @@
 
 namespace ibismux::admission {
 
-/// How an admitted request ended: what the door learns from.
+/// How an admitted request ended: what admission learns from.
 struct RequestEnd {
   /// The error, if it failed.
   std::optional<ErrorKind> error;
--- a/ibismux/caller/caller_api.cc
+++ b/ibismux/caller/caller_api.cc
@@ -30,7 +30,7 @@
                                 !request.field("Idempotency-Key").empty());
 }
 
-/// Tells the door how an admitted request ended.
+/// Tells admission how an admitted request ended.
 template <class Outcome>
 void tell_door(admission::Permit& permit, const Result<Outcome>& outcome) {
   admission::RequestEnd end;
--- a/ibismux/caller/caller_api.h
+++ b/ibismux/caller/caller_api.h
@@ -16,7 +16,7 @@
 namespace ibismux::caller {
 
 /// The interface of callers (docs/CALLERS.md): checks a request's form, asks
-/// the door, runs the engine, renders the answer or the refusal.
+/// admission, runs the engine, renders the answer or the refusal.
 ///
 ///     http::Server server(pool, limits, api.handler());
 ///
--- a/ibismux/edge/contact_slots.cc
+++ b/ibismux/edge/contact_slots.cc
@@ -53,7 +53,8 @@
   return rank < kContactSlots ? std::optional(rank) : std::nullopt;
 }
 
-bool is_news(const store::HostEntry& fresh, const store::HostEntry& standing) {
+bool should_replace(const store::HostEntry& fresh,
+                    const store::HostEntry& standing) {
   if (fresh.name != standing.name ||
       fresh.peer_address != standing.peer_address ||
       fresh.zone != standing.zone) {
@@ -153,7 +154,7 @@
         .with("reason", known.error().message);
     return true;
   }
-  return is_news(fresh, *known);
+  return should_replace(fresh, *known);
 }
 
 }  // namespace ibismux::edge
--- a/ibismux/edge/contact_slots.h
+++ b/ibismux/edge/contact_slots.h
@@ -31,8 +31,8 @@
 /// Whether `fresh` should take the place of `standing`: that is another
 /// daemon's, or the fleet has become larger or smaller by a good part. Thread
 /// safe.
-[[nodiscard]] bool is_news(const store::HostEntry& fresh,
-                           const store::HostEntry& standing);
+[[nodiscard]] bool should_replace(const store::HostEntry& fresh,
+                                  const store::HostEntry& standing);
 
 /// Keeps the contact points of the fleet in the store: daemons have no other
 /// way to find each other. Each tells how large the fleet is, too: a daemon
--- a/ibismux/feed/source_choice.h
+++ b/ibismux/feed/source_choice.h
@@ -78,7 +78,7 @@
   void on_store_contact(TimePoint now);
   /// A peer told how old its last contact with the store is, however old.
   void on_peer_contact(Duration age, TimePoint now);
-  /// So did the daemon that sends updates to this one unasked.
+  /// So did the daemon that pushes updates to this one.
   void on_push(Duration age, TimePoint now);
   /// A peer answered a question. Where its contact is fresh it is asked first
   /// the next time.
@@ -128,7 +128,7 @@
   bool relies_on_none =
       false;  ///< Since `invalidate()`, until a fresh contact.
   TimePoint next_question;
-  TimePoint pushed_until;  ///< Fresh contacts came unasked, up to here.
+  TimePoint pushed_until;           ///< Fresh contacts were pushed, up to here.
   std::optional<std::string> best;  ///< Whose last answer was a usual one.
   std::size_t turn = 0;
 };
--- a/ibismux/gateway/arrival_rate.h
+++ b/ibismux/gateway/arrival_rate.h
@@ -8,7 +8,7 @@
 
 namespace ibismux::gateway {
 
-/// How many events a second come, of late: each counts for less as it ages.
+/// How many events a second came recently: each counts for less as it ages.
 ///
 /// Holds no clock. Not thread safe.
 class ArrivalRate {
--- a/ibismux/http/parser.cc
+++ b/ibismux/http/parser.cc
@@ -18,7 +18,7 @@
 using boost::beast::string_view;
 
 constexpr std::size_t kMostResponseHeader = 64 * 1024;
-// Body memory taken ahead on the word of Content-Length alone.
+// Body memory taken ahead for Content-Length alone.
 constexpr std::uint64_t kMostReserved = 64 * 1024;
 constexpr std::size_t kUsualFields = 12;
 constexpr std::size_t kLastChunkBytes = 5;  // "0\r\n\r\n"
--- a/ibismux/membership/membership_engine.cc
+++ b/ibismux/membership/membership_engine.cc
@@ -108,17 +108,18 @@
 }
 
 void MembershipEngine::flush_gossip() {
-  if (this->news.empty()) {
+  if (this->to_gossip.empty()) {
     return;
   }
-  std::vector<News> batch;
-  while (!this->news.empty() && batch.size() < this->settings.most_records) {
-    batch.push_back(std::move(this->news.front()));
-    this->news.pop_front();
+  std::vector<FreshRecord> batch;
+  while (!this->to_gossip.empty() &&
+         batch.size() < this->settings.most_records) {
+    batch.push_back(std::move(this->to_gossip.front()));
+    this->to_gossip.pop_front();
   }
   for (const std::string& neighbour : this->overlay.neighbours()) {
     Commands::Gossip gossip{neighbour, {}};
-    for (const News& item : batch) {
+    for (const FreshRecord& item : batch) {
       if (item.source != neighbour && item.record.member.name != neighbour) {
         gossip.records.push_back(item.record);
       }
@@ -338,7 +339,7 @@
   } else {
     this->suspects.erase(name);
   }
-  this->news.push_back({record, source});
+  this->to_gossip.push_back({record, source});
 }
 
 void MembershipEngine::probe(const std::string& target,
--- a/ibismux/membership/membership_engine.h
+++ b/ibismux/membership/membership_engine.h
@@ -127,11 +127,11 @@
 
   std::map<std::string, Flight> flights;      // By target.
   std::map<std::string, TimePoint> suspects;  // When they count as failed.
-  struct News {
+  struct FreshRecord {
     MemberRecord record;
     std::string source;
   };
-  std::deque<News> news;
+  std::deque<FreshRecord> to_gossip;
 
   std::uint64_t changes = 1;
   std::size_t live = 1;
--- a/ibismux/membership/overlay.h
+++ b/ibismux/membership/overlay.h
@@ -7,13 +7,13 @@
 
 namespace ibismux::membership {
 
-/// Who watches whom, and along which links news spreads: all members on a few
+/// Who watches whom, and along which links records spread: all members on a few
 /// rings, each ordered by a hash of its own.
 ///
 /// A member watches the next one on each ring and is watched by the one before
 /// it. With three rings the links form a random graph of degree six, on which
-/// news reaches 2,400 members in about five hops over connections that last.
-/// Not thread safe.
+/// a record reaches 2,400 members in about five hops over connections that
+/// last. Not thread safe.
 class Overlay {
  public:
   explicit Overlay(std::size_t rings) : rings(rings) {}
--- a/ibismux/peer/peer_network.h
+++ b/ibismux/peer/peer_network.h
@@ -19,7 +19,8 @@
   kLeafCancels = 3,  ///< Entry to gateway.
   kGossip = 4,       ///< Membership changes.
   kReleasePush = 5,  ///< A new head, down the tree.
-  kFeedPush = 6,     ///< News of the platform's store, and how fresh it is.
+  kFeedPush =
+      6,  ///< Updates from the platform's store, and how fresh they are.
   kLeafReports = 7,  ///< How leafs fare, up to the zone's hub and down again.
   // Request and response.
   kProbe = 16,
--- a/ibismux/query/deadline_policy.h
+++ b/ibismux/query/deadline_policy.h
@@ -19,7 +19,7 @@
   enum class Verdict : unsigned char {
     kWait,
     kAnswer,  ///< Goes out now, whole or partial.
-    kFail,    ///< Covers too little, and waiting can't mend that.
+    kFail,    ///< Covers too little, and waiting can't change that.
   };
 
   /// @param min_coverage Share of the shards, 0 to 1.
--- a/ibismux/query/gather.h
+++ b/ibismux/query/gather.h
@@ -120,7 +120,7 @@
   /// The last call of an open shard has failed.
   void on_shard_out(std::uint32_t shard, const Error& error, TimePoint now);
   /// No replica of an open shard holds the pinned snapshot. It stays open: a
-  /// restart on a newer one may still mend it.
+  /// restart on a newer one may still succeed.
   void lose_snapshot(std::uint32_t shard, TimePoint now);
   void fail_shard(std::uint32_t shard, ErrorKind reason);
   void settle_gone(TimePoint now);
--- a/ibismux/query/latency_quantile.h
+++ b/ibismux/query/latency_quantile.h
@@ -9,7 +9,7 @@
 
 namespace ibismux::query {
 
-/// A quantile of the latencies seen of late. Older ones lose half of their
+/// A quantile of the recent latencies. Older ones lose half of their
 /// weight each time that `kSamplesPerHalving` new ones have come.
 ///
 /// Not thread safe.
--- a/ibismux/query/leaf_stats.h
+++ b/ibismux/query/leaf_stats.h
@@ -8,7 +8,7 @@
 
 namespace ibismux::query {
 
-/// What this daemon's own calls showed of one leaf of late. What the leaf or
+/// What this daemon's own calls recently showed of one leaf. What the leaf or
 /// its health page says of itself is not asked: it lags or misleads.
 ///
 /// Thread safe. Updates race harmlessly: a lost one costs a little accuracy.
--- a/ibismux/query/service_policy.h
+++ b/ibismux/query/service_policy.h
@@ -11,7 +11,7 @@
 
 namespace ibismux::query {
 
-/// What calls of one service showed of late, and the hedging that follows from
+/// What recent calls of one service showed, and the hedging that follows from
 /// it: after which delay, and whether the budget and the load allow one.
 ///
 /// Thread safe.
--- a/ibismux/relay/relay_metrics.cc
+++ b/ibismux/relay/relay_metrics.cc
@@ -38,7 +38,7 @@
                           "Questions to peers for something newer.");
   this->self_help_reads =
       counter(registry, "ibismux_release_self_help_reads_total",
-              "Reads of the platform for want of news from peers.");
+              "Reads of the platform since no peer brought the release.");
   this->rejected = counter(registry, "ibismux_releases_rejected_total",
                            "Releases that could not be put in force.");
 }
--- a/ibismux/relay/relay_service_impl.cc
+++ b/ibismux/relay/relay_service_impl.cc
@@ -191,7 +191,7 @@
     }
   }
   if (!self->stopped) {
-    // The store may be ahead of the engine, whose own news of the release is
+    // The store may be ahead of the engine, whose own notice of the release is
     // posted; then this asks for nothing.
     const Generation beyond =
         push.generation > self->releases.generation() ? push.generation : 0;
--- a/ibismux/release/validator.h
+++ b/ibismux/release/validator.h
@@ -13,7 +13,7 @@
   /// kind/name, the field and what is wrong, on one line.
   std::string message;
   /// The object that the message is about, then the others that have a part in
-  /// it. Reverting any one of them may mend it.
+  /// it. Reverting any one of them may make it valid.
   std::vector<ObjectKey> involved;
 };
 
--- a/ibismux/reports/report_exchange.cc
+++ b/ibismux/reports/report_exchange.cc
@@ -14,7 +14,7 @@
 
 // Reports of half a second are enough to tell a slow leaf from a slow call.
 constexpr std::chrono::milliseconds kInterval{500};
-// As for news of the store.
+// As for updates from the store.
 constexpr std::size_t kFanOut = 32;
 
 }  // namespace
--- a/tests/edge/fleet_test.cc
+++ b/tests/edge/fleet_test.cc
@@ -66,13 +66,13 @@
 
 Test(contact_slots,
      an_entry_is_written_anew_for_another_daemon_or_another_size) {
-  cr_assert(!is_news(contact(91), contact(91)));
-  cr_assert(!is_news(contact(88), contact(91)));
-  cr_assert(is_news(contact(60), contact(91)));
-  cr_assert(is_news(contact(91), contact(1)));
+  cr_assert(!should_replace(contact(91), contact(91)));
+  cr_assert(!should_replace(contact(88), contact(91)));
+  cr_assert(should_replace(contact(60), contact(91)));
+  cr_assert(should_replace(contact(91), contact(1)));
   store::HostEntry moved = contact(91);
   moved.peer_address = "10.0.0.2:1";
-  cr_assert(is_news(moved, contact(91)));
+  cr_assert(should_replace(moved, contact(91)));
 }
 
 }  // namespace
