Count the store's answer for one collection as no contact for another one that is lost

Sequence, by the log: the store turns away a third of the hosts for nine seconds while configurations come in quick succession.

Change: a store that answers makes every lost collection try again at once, and is a contact only where none is lost; a cheap read that shows something newer is none.

Test: feed_relay::a_store_that_answers_for_one_collection_only_is_no_contact; failed before.

--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -115,13 +115,15 @@
       stalled_checks = 0;
       continue;
     }
-    if (this->relay && this->configuration_feed->is_current() &&
+    // A change that is a moment old may still be on its way to the watch; its
+    // answer will be a contact. This one would have peers rely on what is known
+    // here, which is known to be old.
+    const bool behind =
+        object->version > this->configuration_feed->mirror().version();
+    if (this->relay && !behind && this->configuration_feed->is_current() &&
         this->leaf_feed->is_current()) {
       this->relay->on_store_contact();
     }
-    // A change that is a moment old may still be on its way to the watch.
-    const bool behind =
-        object->version > this->configuration_feed->mirror().version();
     stalled_checks = behind ? stalled_checks + 1 : 0;
     if (stalled_checks > 1) {
       this->refresh("the watch stalled");
--- a/ibismux/feed/feed_relay.cc
+++ b/ibismux/feed/feed_relay.cc
@@ -105,6 +105,21 @@
 }
 
 void FeedRelay::on_store_contact() {
+  // A store that answers for one collection says nothing of another one whose
+  // last call failed: that one is as old as before. Counted as a contact, peers
+  // would rely on an old configuration for as long as the other collection's
+  // watch goes on. Notice where this is missing: where the store turns away a
+  // part of the hosts, some refuse routes five seconds after they were added.
+  bool all_current = true;
+  for (const auto& feed : this->feeds) {
+    if (feed->lost()) {
+      all_current = false;
+      feed->retry_now();
+    }
+  }
+  if (!all_current) {
+    return;
+  }
   const TimePoint now = Clock::now();
   this->choice.on_store_contact(now);
   this->contact.on_answer(now);
--- a/ibismux/feed/feed_relay.h
+++ b/ibismux/feed/feed_relay.h
@@ -47,7 +47,8 @@
   /// The members have changed.
   void on_view(const membership::MembershipView& view);
 
-  /// The store answered this daemon, whatever the call.
+  /// The store answered this daemon. It counts as a contact where no collection
+  /// is lost; one that is lost is tried again at once.
   void on_store_contact();
 
   /// A call of this daemon to the store failed.
--- a/tests/feed/feed_relay_test.cc
+++ b/tests/feed/feed_relay_test.cc
@@ -162,5 +162,87 @@
   cr_assert(fixture.callers() == 1);
 }
 
+/// A store that turns away the calls for one collection.
+class HalfStore : public MemoryObjectStore {
+ public:
+  Task<Result<store::Listing>> list(std::string collection,
+                                    TimePoint deadline) override {
+    if (collection == "config") {
+      ++this->config_lists;
+      if (this->turns_away) {
+        co_return fail(ErrorKind::kPlatformUnavailable, "turned away");
+      }
+    }
+    auto listing =
+        co_await MemoryObjectStore::list(std::move(collection), deadline);
+    co_return listing;
+  }
+
+  bool turns_away = true;
+  int config_lists = 0;
+};
+
+struct ContactCount : FeedObserver {
+  void on_listing(const store::Listing&) override {}
+  void on_change(const store::WatchBatch::Event&) override {}
+  void on_lost() override {}
+  void on_regained() override {}
+  void on_unbroken_since(TimePoint) override { ++this->contacts; }
+
+  int contacts = 0;
+};
+
+// Symptom: two hosts of 77 refuse requests on a route that was added five
+// seconds ago. Sequence: the store turns away a part of the hosts for nine
+// seconds while configurations come in quick succession; at one host the
+// reading of the configuration fails and waits for some seconds, its watch of
+// the leafs is answered, and it tells its peers that it has just been in
+// contact; those rely on it and don't help themselves. Cause: an answer for one
+// collection counted as a contact for all.
+Test(feed_relay, a_store_that_answers_for_one_collection_only_is_no_contact) {
+  boost::asio::io_context loop;
+  tests::FakePeerCluster cluster;
+  eventlog::EventLog log(loop, {.descriptor = -1});
+  HalfStore store;
+  ContactCount observer;
+  FeedSettings settings;
+  settings.change_pause = std::chrono::milliseconds(0);
+  const auto feed = [&](const std::string& collection) {
+    return std::make_shared<CollectionFeed>(loop, store, collection, settings,
+                                            observer, log);
+  };
+  const FeedRelay::Feeds feeds = {feed("config"), feed("servers")};
+  const auto relay = std::make_shared<FeedRelay>(
+      loop, cluster.add({"h0", 1}, loop.get_executor()), SourceSettings{},
+      feeds, log);
+  const auto put = [&](const std::string& collection, const std::string& name) {
+    boost::asio::co_spawn(loop,
+                          store.put(collection, name, "1", 0, TimePoint::max()),
+                          [](std::exception_ptr, Result<store::Version>) {});
+  };
+  const auto run_until = [&](const std::function<bool()>& reached) {
+    const TimePoint end = Clock::now() + kLimit;
+    while (!reached() && Clock::now() < end) {
+      loop.run_one_for(std::chrono::milliseconds(50));
+    }
+    return reached();
+  };
+  put("servers", "i-1");
+  relay->start(Duration::zero());
+  cr_assert(run_until([&] { return feeds[1]->is_current(); }));
+  // The watch of the leafs is answered; the configuration is still lost.
+  put("servers", "i-2");
+  cr_assert(run_until([&] { return feeds[1]->mirror().version() >= 2; }));
+  cr_assert(feeds[0]->lost());
+  cr_assert(observer.contacts == 0);
+  store.turns_away = false;
+  put("servers", "i-3");
+  cr_assert(run_until([&] { return observer.contacts > 0; }));
+  cr_assert(!feeds[0]->lost());
+  for (const auto& each : feeds) {
+    each->suspend();
+  }
+}
+
 }  // namespace
 }  // namespace ibismux::feed
