Let all daemons of a zone read the store for themselves within half a second

The store turned away a third of the hosts, configurations came each 0.3 s, pulls from the watcher of a zone took longer than their second, and hosts at the end of a zone of 25 waited 4.4 s longer than 2.3 for their turn to read the store.

Change: the two behind each watcher still begin at 1.8 s; all others follow between 2.3 and 2.8 s. The saving of calls in an outage goes with that, but for cheap tries and longer pauses between full ones.

--- a/ibismux/feed/source_choice.cc
+++ b/ibismux/feed/source_choice.cc
@@ -113,17 +113,23 @@
   }
   const bool alone =
       this->relies_on_none || now - this->heard_at > times.alone_after;
-  const auto turns = static_cast<std::int64_t>(this->tree.zone_rank() - before);
+  const double place = static_cast<double>(this->tree.zone_rank() - before) /
+                       static_cast<double>(this->tree.zone_size());
   return times.self_help_after +
-         (alone ? Duration::zero() : Duration(times.help_step * turns));
+         (alone ? Duration::zero() : scaled(times.help_spread, place));
 }
 
 std::size_t SourceChoice::helpers(TimePoint now) const noexcept {
-  const Duration beyond = this->age(now) - this->settings.self_help_after;
-  const std::int64_t turns =
-      beyond < Duration::zero() ? 0 : beyond / this->settings.help_step + 1;
-  return this->tree.zones() *
-         (this->settings.first_helpers + static_cast<std::size_t>(turns));
+  const SourceSettings& times = this->settings;
+  const Duration beyond = this->age(now) - times.self_help_after;
+  if (beyond < Duration::zero()) {
+    return this->tree.zones() * times.first_helpers;
+  }
+  const double part =
+      std::min(1.0, to_seconds(beyond) / to_seconds(times.help_spread));
+  const auto all = static_cast<double>(this->tree.behind_watchers().size());
+  return std::max(this->tree.zones() * times.first_helpers,
+                  static_cast<std::size_t>(part * all));
 }
 
 std::optional<std::string> SourceChoice::next_to_ask(TimePoint now) {
--- a/ibismux/feed/source_choice.h
+++ b/ibismux/feed/source_choice.h
@@ -31,13 +31,15 @@
   /// From this age on daemons read the store themselves. What leaves must take
   /// no new work after three seconds.
   std::chrono::milliseconds self_help_after{2300};
-  /// Not all of them at once: where the store is down, calls of hundreds bring
-  /// no more than those of a few, and each is paid for. The first ones behind
-  /// the watchers of each zone begin sooner, since the others learn from them;
-  /// then one more of each zone after each `help_step`.
+  /// Not all of them at the same moment: the first ones behind the watchers of
+  /// each zone begin sooner, since the others can learn from them; the rest of
+  /// a zone follows within `help_spread`. No longer than that: where the store
+  /// turns away a part of the hosts and many changes come, asking peers takes
+  /// seconds, and a host that waits for its turn in place of reading the store
+  /// refuses routes that were added five seconds ago.
   std::size_t first_helpers = 2;
   std::chrono::milliseconds first_help_after{1800};
-  std::chrono::milliseconds help_step{200};
+  std::chrono::milliseconds help_spread{500};
   /// A daemon that no peer has told anything for so long can't rely on helpers.
   std::chrono::milliseconds alone_after{1000};
   /// While a watcher reaches the store, its last contact is no older than
--- a/ibismux/membership/spread_tree.cc
+++ b/ibismux/membership/spread_tree.cc
@@ -43,6 +43,7 @@
   this->firsts.clear();
   this->rank = 0;
   this->own_rank = 0;
+  this->own_zone_size = 0;
   const auto own_key = key_of(view.self);
   const Zones zones = order(view);
   this->line_up_followers(view.self, zones);
@@ -82,6 +83,7 @@
   }
   const auto index = static_cast<std::size_t>(found - zone.begin());
   this->own_rank = index;
+  this->own_zone_size = zone.size();
   this->watcher = index < this->watchers;
   if (index > 0) {
     this->above = zone[(index - 1) / this->fan_out];
--- a/ibismux/membership/spread_tree.h
+++ b/ibismux/membership/spread_tree.h
@@ -58,6 +58,10 @@
   [[nodiscard]] std::size_t zone_rank() const noexcept {
     return this->own_rank;
   }
+  /// Members of this daemon's zone; 0 if it doesn't serve.
+  [[nodiscard]] std::size_t zone_size() const noexcept {
+    return this->own_zone_size;
+  }
   /// This daemon's position in an order of the whole fleet, from 0; the size
   /// of the fleet if it doesn't serve.
   [[nodiscard]] std::size_t fleet_rank() const noexcept { return this->rank; }
@@ -77,6 +81,7 @@
   std::vector<std::string> firsts;
   std::vector<std::string> followers;
   std::size_t own_rank = 0;
+  std::size_t own_zone_size = 0;
   std::size_t rank = 0;
 };
 
