Keep the last daemon of a zone from waiting past what leaves' drains allow

Change: the spread is a fifth of a second in place of half of one: 2.75 s at the latest. The test demands all readers at 2.6 s. One comment of the link opener says what it can show.

--- a/ibismux/dispatch/link_opener.cc
+++ b/ibismux/dispatch/link_opener.cc
@@ -15,7 +15,7 @@
 using std::chrono::milliseconds;
 
 // While links are missing: two dials each 20 ms open those to 90 leafs within a
-// second, for some hundredths of a tenth of a core.
+// second, and leave a slow host time for its callers.
 constexpr milliseconds kPace{20};
 constexpr std::size_t kDialsATick = 2;
 // A leaf answers a dial in 1 to 6 ms; one that doesn't must not hold up the
--- a/ibismux/feed/source_choice.h
+++ b/ibismux/feed/source_choice.h
@@ -36,10 +36,11 @@
   /// a zone follows within `help_spread`. No longer than that: where the store
   /// turns away a part of the hosts and many changes come, asking peers takes
   /// seconds, and a host that waits for its turn in place of reading the store
-  /// refuses routes that were added five seconds ago.
+  /// refuses routes that were added five seconds ago. With a tick of a quarter
+  /// of a second and the reading itself, the last one is done before three.
   std::size_t first_helpers = 2;
   std::chrono::milliseconds first_help_after{1800};
-  std::chrono::milliseconds help_spread{500};
+  std::chrono::milliseconds help_spread{200};
   /// A daemon that no peer has told anything for so long can't rely on helpers.
   std::chrono::milliseconds alone_after{1000};
   /// While a watcher reaches the store, its last contact is no older than
--- a/tests/feed/source_choice_test.cc
+++ b/tests/feed/source_choice_test.cc
@@ -219,11 +219,13 @@
 // while configurations come in quick succession; the last ones of a zone of 25
 // wait for their turn, 4.4 s after the first. Cause: each turn was a fifth of a
 // second later, without an upper bound.
-Test(source_choice, few_read_the_store_first_and_all_half_a_second_later) {
+Test(source_choice, few_read_the_store_first_and_all_a_moment_later) {
   cr_assert(readers_after(milliseconds(1500), 295) == 3);
   cr_assert(readers_after(milliseconds(2200), 295) == 3 * 3);
-  cr_assert(readers_after(milliseconds(2500), 295) < 295);
-  cr_assert(readers_after(milliseconds(3000), 295) == 295);
+  cr_assert(readers_after(milliseconds(2400), 295) < 295);
+  // Before a leaf that leaves must take no new work, three seconds after it
+  // said so, with a quarter of a second for the tick and time to read.
+  cr_assert(readers_after(milliseconds(2600), 295) == 295);
 }
 
 Test(source_choice, a_small_fleet_loses_no_time_by_it) {
