--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <random>
 #include <set>
 #include <utility>
 
@@ -37,14 +36,6 @@
                   settings.repeat_slack / static_cast<double>(hosts));
 }
 
-// In which a daemon that is alone in its zone forgets half of what peers
-// reported of a leaf. With more of them each draws longer times, up to this
-// many times as long as there are daemons: the first to forget tries the leaf
-// for all, and what it finds is reported to the others before they would.
-// Without that all of them try at once: at 91 daemons with 18 of 108 leafs
-// eight times as slow, each query of 36 shards met three of those.
-constexpr milliseconds kReportHalfLife{1250};
-
 /// Whether a leaf has another address, service or zone than before. Its links,
 /// its place among the replicas and what was measured of it are those of the
 /// former one.
@@ -250,56 +241,6 @@
       .with("warmup_left_ms", entry.warmup_left.count());
 }
 
-std::vector<reports::LeafReport> Dispatcher::take_reports() {
-  std::vector<reports::LeafReport> all;
-  if (!this->settings.policy.zone_reports) {
-    return all;
-  }
-  const TimePoint now = Clock::now();
-  for (const auto& [id, leaf] : this->leafs) {
-    const LeafEstimate::Seen seen = leaf->estimate().take_seen();
-    if (seen.samples == 0) {
-      continue;
-    }
-    reports::LeafReport report{leaf->entry().run, seen.samples,
-                               seen.excess / seen.samples,
-                               seen.failures / seen.samples};
-    // One that peers report to be slow is reported when it is fast again.
-    if (report.is_notable() || leaf->estimate().has_peer_report(now)) {
-      all.push_back(std::move(report));
-    }
-  }
-  return all;
-}
-
-void Dispatcher::on_report(const reports::LeafReport& report) {
-  const auto known = this->leafs.find(report.run.id);
-  // What an earlier run was like says nothing of this one.
-  if (this->settings.policy.zone_reports && known != this->leafs.end() &&
-      known->second->entry().run == report.run) {
-    known->second->estimate().merge_report(
-        {.excess = report.excess,
-         .failures = report.failures,
-         .samples = report.samples,
-         .half_life = this->report_half_life()},
-        Clock::now());
-  }
-}
-
-Duration Dispatcher::report_half_life() {
-  if (!this->settings.policy.staggered_memory) {
-    return kReportHalfLife;
-  }
-  const auto zone = this->fleet.hosts_by_zone.find(this->fleet.zone);
-  const double peers =
-      zone == this->fleet.hosts_by_zone.end()
-          ? 0
-          : std::max(0.0, static_cast<double>(zone->second) - 1);
-  const double drawn =
-      std::uniform_real_distribution<double>(0, peers)(this->random);
-  return scaled(kReportHalfLife, 1 + drawn);
-}
-
 std::shared_ptr<ServiceGroup> Dispatcher::group(const std::string& service) {
   auto& group = this->groups[service];
   if (!group) {
--- a/ibismux/dispatch/link_plan.cc
+++ b/ibismux/dispatch/link_plan.cc
@@ -60,7 +60,8 @@
   return indices;
 }
 
-LinkGrant even_grant(const Replica& replica, double hosts) {
+/// @param open_ahead Where the limit is known.
+LinkGrant even_grant(const Replica& replica, double hosts, bool open_ahead) {
   if (replica.connections == 0) {
     return {};
   }
@@ -70,7 +71,7 @@
   const double share = std::min(usable(replica) / hosts, useful);
   return {.most = std::max<std::size_t>(1, whole(share)),
           .keep = true,
-          .open_ahead = true};
+          .open_ahead = open_ahead};
 }
 
 /// Connections of all replicas for each daemon.
@@ -108,19 +109,14 @@
 std::vector<LinkGrant> plan_links(const std::vector<Replica>& replicas,
                                   const LinkSharers& sharers) {
   const double hosts = std::max<double>(1, static_cast<double>(sharers.hosts));
+  const bool fleet_known = !sharers.hosts_by_zone.empty();
   std::vector<LinkGrant> grants;
   bool scarce = false;
   for (const Replica& replica : replicas) {
-    grants.push_back(even_grant(replica, hosts));
+    grants.push_back(even_grant(replica, hosts, fleet_known));
     scarce = scarce || (replica.connections > 0 && usable(replica) < 2 * hosts);
   }
-  if (sharers.hosts_by_zone.empty()) {
-    for (LinkGrant& grant : grants) {
-      grant.open_ahead = false;
-    }
-    return grants;
-  }
-  if (!scarce) {
+  if (!scarce || !fleet_known) {
     return grants;
   }
   const double each = connections_each(replicas, sharers);
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -51,7 +51,6 @@
       groups(std::move(groups)),
       done(std::move(done)),
       timer(loop.get_executor()),
-      due(this->shared->due),
       wake(this->shared->final_at) {}
 
 void RequestRun::start() {
@@ -83,7 +82,6 @@
   this->starting = false;
   const TimePoint now = Clock::now();
   this->sent_after = now - this->shared->request.received;
-  this->due -= time_to_answer(this->sent_after);
   this->settle(now);
   if (!this->ended) {
     this->hedge_late_parts(now);
@@ -142,6 +140,10 @@
   }
 }
 
+TimePoint RequestRun::answer_by() const noexcept {
+  return this->shared->due - time_to_answer(this->sent_after);
+}
+
 void RequestRun::wake_at(TimePoint when) {
   this->wake = std::min(this->wake, when);
 }
--- a/ibismux/dispatch/request_run.h
+++ b/ibismux/dispatch/request_run.h
@@ -77,7 +77,7 @@
     return *this->shared;
   }
   /// When the answer should go out, even without its last shards.
-  [[nodiscard]] TimePoint answer_by() const noexcept { return this->due; }
+  [[nodiscard]] TimePoint answer_by() const noexcept;
   [[nodiscard]] bool past_final(TimePoint now) const noexcept {
     return now >= this->shared->final_at;
   }
@@ -115,7 +115,6 @@
   Tally ended_parts;
   Duration sent_after{0};  ///< From the arrival until all parts were begun.
   http::Timer timer;
-  TimePoint due;
   TimePoint wake;
   /// The timer has fired late, and what came meanwhile has been read since.
   bool caught_up = false;
