Evacuated zones get no requests; cold leafs get no more than they bear

Cause: objects of the store's evacuations were read nowhere, and neither were the time for which a leaf is cold nor the rate that it bears then.

Change: a third collection of the feed, relayed as the others are (edge/evacuation_feed); leafs of those zones are out of service, their links closed, their part of the link plan given to the other replicas; with all zones out a request is refused at once. ColdLimit keeps each daemon within its part of a cold leaf's rate, without messages: at fewer requests a second than daemons, so many of them use the leaf, others for each leaf. A leaf is also taken to be cold when its zone returns and when it can be dialled again after it couldn't.

--- a/ibismux/dispatch/call_queue.h
+++ b/ibismux/dispatch/call_queue.h
@@ -47,6 +47,8 @@
   /// offered it again and again, nor hold up those behind it.
   void offer(const std::function<bool()>& room);
 
+  [[nodiscard]] bool empty() const noexcept { return this->lanes.empty(); }
+
   /// For how long somebody has waited here without a break. A short queue comes
   /// and goes with each burst; one that stands is more work than the leafs do.
   [[nodiscard]] Duration standing(TimePoint now) const noexcept {
--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -1,5 +1,7 @@
 #include "ibismux/dispatch/dispatcher.h"
 
+#include <xxhash.h>
+
 #include <algorithm>
 #include <boost/asio/async_result.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -45,6 +47,11 @@
          before.service != now.service || before.zone != now.zone;
 }
 
+/// Of a leaf's id; the same on all daemons.
+std::uint64_t leaf_hash(const std::string& id) noexcept {
+  return XXH3_64bits(id.data(), id.size());
+}
+
 using OutcomeHandler =
     asio::async_result<asio::use_awaitable_t<>, void(Outcome)>::handler_type;
 
@@ -108,6 +115,27 @@
   }
 }
 
+void Dispatcher::set_evacuated(std::set<std::string, std::less<>> zones) {
+  const auto log_zones = [this](std::string_view event, const auto& these,
+                                const auto& others) {
+    for (const std::string& zone : these) {
+      if (!others.contains(zone)) {
+        this->log.event(eventlog::Weight::kBelief, event).with("zone", zone);
+      }
+    }
+  };
+  log_zones("zone_evacuated", zones, this->evacuated);
+  log_zones("zone_back_in_service", this->evacuated, zones);
+  this->evacuated = std::move(zones);
+  for (const auto& [id, leaf] : this->leafs) {
+    leaf->set_evacuated(this->evacuated.contains(leaf->entry().zone));
+  }
+  this->share_links();
+  for (const auto& [name, group] : this->groups) {
+    group->serve_waiting();
+  }
+}
+
 void Dispatcher::set_costs(const DispatchSettings& fresh) {
   this->settings.repeat_share = fresh.repeat_share;
   this->settings.repeat_slack = fresh.repeat_slack;
@@ -127,13 +155,25 @@
   const routing::ServiceSpec* spec =
       this->in_force ? this->in_force->service(group.name()) : nullptr;
   std::vector<Replica> replicas;
+  std::vector<Leaf*> granted;
   for (const auto& leaf : group.leafs()) {
-    replicas.push_back({leaf->entry().zone, spec ? spec->leaf_connections : 0,
-                        leaf->entry().slots});
+    // Where some replicas are evacuated, the others take their links.
+    if (!leaf->is_evacuated()) {
+      replicas.push_back({leaf->entry().zone, spec ? spec->leaf_connections : 0,
+                          leaf->entry().slots});
+      granted.push_back(leaf.get());
+    }
   }
   const std::vector<LinkGrant> grants = plan_links(replicas, this->fleet);
   for (std::size_t i = 0; i < grants.size(); ++i) {
-    group.leafs()[i]->grant_links(grants[i]);
+    granted[i]->grant_links(grants[i]);
+  }
+  for (const auto& leaf : group.leafs()) {
+    const bool is_limited = spec && spec->warmup_rate > 0;
+    leaf->set_warmup(is_limited ? Duration(spec->warmup) : Duration::zero(),
+                     is_limited ? cold_share(spec->warmup_rate, this->fleet,
+                                             leaf_hash(leaf->entry().run.id))
+                                : ColdShare{});
   }
 }
 
@@ -206,6 +246,7 @@
                                          group->serve_waiting();
                                        }
                                      });
+  leaf->set_evacuated(this->evacuated.contains(entry.zone));
   this->leafs.emplace(entry.run.id, leaf);
   this->opener->add(leaf);
   group->add(std::move(leaf));
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <pcg_random.hpp>
+#include <set>
 #include <string>
 
 #include "ibismux/base/task.h"
@@ -54,6 +55,11 @@
   /// Which daemons share what leafs and services bear; the zone is filled in.
   void set_fleet(LinkSharers fleet);
 
+  /// Replaces the zones whose leafs get no further requests. Calls under way
+  /// there go on; links there are closed. A request that only leafs of such
+  /// zones could serve is refused.
+  void set_evacuated(std::set<std::string, std::less<>> zones);
+
   /// Takes over the budget of repeats and the cost of other zones.
   void set_costs(const DispatchSettings& fresh);
 
@@ -110,6 +116,7 @@
   std::shared_ptr<const routing::RouteTable> in_force;
   std::map<std::string, std::shared_ptr<ServiceGroup>> groups;
   std::map<std::string, std::shared_ptr<Leaf>> leafs;  ///< By id.
+  std::set<std::string, std::less<>> evacuated;        ///< Zones.
   bool in_first_listing = false;
   std::shared_ptr<LinkOpener> opener;
   std::map<std::string, std::shared_ptr<TypicalLatency>> latencies;
--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -40,10 +40,35 @@
       policy(policy),
       known(std::move(entry)),
       on_free(std::move(on_free)),
-      links(connector, std::hash<std::string>()(this->known.run.id)) {}
+      links(connector, std::hash<std::string>()(this->known.run.id)),
+      warmer(loop.get_executor()) {
+  this->cold.set_told(Clock::now() + this->known.warmup_left);
+}
 
 void Leaf::update(const directory::LeafEntry& entry) {
   this->known = entry;
+  this->cold.set_told(Clock::now() + entry.warmup_left);
+}
+
+void Leaf::set_warmup(Duration time, ColdShare share) {
+  this->warmup = time;
+  this->cold.set_share(share);
+}
+
+void Leaf::announce_when_warmer() {
+  const TimePoint now = Clock::now();
+  const TimePoint next = this->cold.next(now);
+  if (next <= now || this->retired) {
+    return;
+  }
+  this->warmer.expires_at(next);
+  this->warmer.async_wait(
+      [weak = this->weak_from_this()](const boost::system::error_code& error) {
+        const auto self = weak.lock();
+        if (!error && self) {
+          self->on_free();
+        }
+      });
 }
 
 void Leaf::grant_links(LinkGrant grant) {
@@ -53,7 +78,7 @@
 
 void Leaf::retire() {
   this->retired = true;
-  this->links.retire();
+  this->links.set_closed(true);
 }
 
 void Leaf::end_run() {
@@ -64,12 +89,29 @@
   }
 }
 
+void Leaf::set_evacuated(bool out) {
+  if (std::exchange(this->evacuated, out) == out) {
+    return;
+  }
+  this->links.set_closed(out || this->retired);
+  if (!out) {
+    // Leafs may have become cold while they got nothing; what their entries
+    // say of it may still be on its way.
+    this->cold.assume(Clock::now() + this->warmup);
+  }
+}
+
 Duration Leaf::until_retry(TimePoint now) const noexcept {
-  return this->ejected ? remaining(this->retry_at, now) : Duration::zero();
+  if (this->ejected) {
+    return remaining(this->retry_at, now);
+  }
+  return this->cold.is_closed(now) ? this->cold.next(now) - now
+                                   : Duration::zero();
 }
 
 void Leaf::start(Order order) {
   ++this->orders;
+  this->cold.on_call(Clock::now());
   asio::co_spawn(this->loop, run(this->shared_from_this(), std::move(order)),
                  asio::detached);
 }
@@ -123,6 +165,7 @@
       !dialled && dialled.error().kind == ErrorKind::kDeadlineExceeded &&
       deadline < latest;
   if (!dialled && !in_a_hurry) {
+    self->was_down = true;
     self->eject("dial: " + dialled.error().message);
   }
   co_return dialled;
@@ -132,6 +175,7 @@
   auto dialled =
       co_await self->links.dial(self->known, Clock::now() + kDialTime);
   if (!dialled) {
+    self->was_down = true;
     self->eject("dial ahead: " + dialled.error().message);
     co_return;
   }
@@ -266,12 +310,17 @@
       self->come_back();
       break;
     }
+    self->was_down = true;
     pause *= 2;
   }
 }
 
 void Leaf::come_back() {
   this->ejected = false;
+  if (std::exchange(this->was_down, false)) {
+    // The entry of a new run comes later than its first connection.
+    this->cold.assume(Clock::now() + this->warmup);
+  }
   this->log.event(eventlog::Weight::kBelief, "leaf_back")
       .with("leaf", this->known.run.id)
       .with("service", this->known.service);
--- a/ibismux/dispatch/leaf.h
+++ b/ibismux/dispatch/leaf.h
@@ -14,11 +14,13 @@
 #include "ibismux/base/time.h"
 #include "ibismux/directory/leaf_entry.h"
 #include "ibismux/dispatch/call_window.h"
+#include "ibismux/dispatch/cold_limit.h"
 #include "ibismux/dispatch/dispatch_policy.h"
 #include "ibismux/dispatch/leaf_estimate.h"
 #include "ibismux/dispatch/leaf_link.h"
 #include "ibismux/dispatch/link_pool.h"
 #include "ibismux/eventlog/forward.h"
+#include "ibismux/http/socket.h"
 
 namespace ibismux::dispatch {
 
@@ -85,21 +87,35 @@
   /// which no process knows any more.
   void end_run();
 
+  /// Whether the leaf's zone is evacuated: no call begins here then, and no
+  /// link stays open; calls under way go on.
+  void set_evacuated(bool out);
+
   /// @name Whether and how well it can take a call
   /// @{
 
   /// May be given calls at all.
   [[nodiscard]] bool in_service() const noexcept {
-    return !this->retired && !this->known.draining && !this->ejected;
+    return !this->retired && !this->known.draining && !this->ejected &&
+           !this->evacuated;
   }
   [[nodiscard]] bool is_retired() const noexcept { return this->retired; }
+  [[nodiscard]] bool is_evacuated() const noexcept { return this->evacuated; }
   [[nodiscard]] bool has_idle_link() const noexcept {
     return this->links.has_idle();
   }
   [[nodiscard]] bool has_room() const noexcept {
-    return this->orders < this->most_calls() &&
-           this->links.has_room(Clock::now());
+    const TimePoint now = Clock::now();
+    return this->orders < this->most_calls() && this->links.has_room(now) &&
+           this->cold.allows(now);
+  }
+  /// Is cold, and gets no call of this daemon before it is warm.
+  [[nodiscard]] bool is_closed_while_cold(TimePoint now) const noexcept {
+    return this->cold.is_closed(now);
   }
+  /// Tells that the leaf is free, as if a call had ended, once its limit while
+  /// it is cold lets the next call start. Nothing happens where it does now.
+  void announce_when_warmer();
   /// How many calls this daemon lets the leaf have at once, at least 1.
   [[nodiscard]] std::size_t most_calls() const noexcept {
     return this->policy.learn_window ? this->window.size()
@@ -111,13 +127,17 @@
   }
   /// Calls that are under way or wait for their link.
   [[nodiscard]] std::size_t busy() const noexcept { return this->orders; }
-  /// How long until an ejected leaf is tried again; zero where it isn't.
+  /// How long until an ejected leaf is tried again, or one that is closed while
+  /// it is cold is warm; zero where neither is so.
   [[nodiscard]] Duration until_retry(TimePoint now) const noexcept;
   /// @}
 
   /// How many links this daemon may have to the leaf, and whether idle ones
   /// stay open.
   void grant_links(LinkGrant grant);
+  /// How long the leaf is cold when it starts, and this daemon's share of what
+  /// it bears until it is warm.
+  void set_warmup(Duration time, ColdShare share);
   /// Whether this daemon keeps links here; elsewhere the leaf is a last resort.
   [[nodiscard]] bool keeps_links() const noexcept {
     return this->links.granted().keep;
@@ -174,7 +194,14 @@
   CallWindow window;
 
   bool retired = false;
+  ColdLimit cold;
+  Duration warmup{0};
+  http::Timer warmer;  ///< For `announce_when_warmer()`.
   bool ejected = false;
+  /// No connection could be made since the leaf was ejected: its process may
+  /// have started again.
+  bool was_down = false;
+  bool evacuated = false;
   std::uint32_t losses = 0;  ///< Calls and dials in a row without any answer.
   TimePoint retry_at = TimePoint::min();
 
--- a/ibismux/dispatch/link_pool.cc
+++ b/ibismux/dispatch/link_pool.cc
@@ -29,9 +29,11 @@
   }
 }
 
-void LinkPool::retire() noexcept {
-  this->retired = true;
-  this->close_idle();
+void LinkPool::set_closed(bool closed) noexcept {
+  this->closed = closed;
+  if (closed) {
+    this->close_idle();
+  }
 }
 
 void LinkPool::close_idle() noexcept {
@@ -40,7 +42,7 @@
 }
 
 bool LinkPool::wants_link(TimePoint now) {
-  const std::size_t closed =
+  const std::size_t dropped =
       std::erase_if(this->idle, [&](const IdleLink& one) {
         if (one.link->usable()) {
           return false;
@@ -50,8 +52,8 @@
         }
         return true;
       });
-  this->open_links -= closed;
-  return !this->retired && this->grant_in_force.open_ahead &&
+  this->open_links -= dropped;
+  return !this->closed && this->grant_in_force.open_ahead &&
          this->open_links == 0 && !this->is_at_connection_limit(now) &&
          this->reopen.is_over(now);
 }
@@ -86,7 +88,7 @@
   if (used) {
     this->reopen.on_use();
   }
-  if (this->retired || !this->grant_in_force.keep || !link->usable()) {
+  if (this->closed || !this->grant_in_force.keep || !link->usable()) {
     --this->open_links;
     return;
   }
--- a/ibismux/dispatch/link_pool.h
+++ b/ibismux/dispatch/link_pool.h
@@ -38,8 +38,8 @@
   [[nodiscard]] const LinkGrant& granted() const noexcept {
     return this->grant_in_force;
   }
-  /// No link is kept from here on.
-  void retire() noexcept;
+  /// While closed no link is kept or opened ahead of calls.
+  void set_closed(bool closed) noexcept;
   /// @}
 
   /// @name State
@@ -96,7 +96,7 @@
 
   const LeafConnector& connector;
   LinkGrant grant_in_force;
-  bool retired = false;
+  bool closed = false;
   std::size_t open_links = 0;
   std::vector<IdleLink> idle;
   ReopenPause reopen;
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -60,6 +60,7 @@
         return begun;
       },
       Clock::now());
+  this->group->await_warmer_leafs();
 }
 
 void PartCall::leave_queue() {
--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -69,16 +69,20 @@
 
 bool ServiceGroup::can_serve(
     const std::vector<std::shared_ptr<Leaf>>& tried) const noexcept {
+  const TimePoint now = Clock::now();
   return std::any_of(this->members.begin(), this->members.end(),
-                     [&tried](const auto& leaf) {
-                       return leaf->in_service() && !holds(tried, leaf.get());
+                     [&tried, now](const auto& leaf) {
+                       return leaf->in_service() &&
+                              !leaf->is_closed_while_cold(now) &&
+                              !holds(tried, leaf.get());
                      });
 }
 
 milliseconds ServiceGroup::retry_after(TimePoint now) const {
   Duration soonest = Duration::max();
   for (const auto& leaf : this->members) {
-    if (!leaf->is_retired() && !leaf->entry().draining) {
+    if (!leaf->is_retired() && !leaf->entry().draining &&
+        !leaf->is_evacuated()) {
       soonest = std::min(soonest, leaf->until_retry(now));
     }
   }
@@ -210,6 +214,16 @@
                          return leaf->in_service() && leaf->has_room();
                        });
   });
+  this->await_warmer_leafs();
+}
+
+void ServiceGroup::await_warmer_leafs() {
+  if (this->waiting.empty()) {
+    return;
+  }
+  for (const auto& leaf : this->members) {
+    leaf->announce_when_warmer();
+  }
 }
 
 Duration ServiceGroup::expected_wait(std::uint32_t priority) const {
--- a/ibismux/dispatch/service_group.h
+++ b/ibismux/dispatch/service_group.h
@@ -91,6 +91,9 @@
   }
   /// A leaf has room again, or one came: starts who waits, as far as it goes.
   void serve_waiting();
+  /// Looks again when cold leafs may take their next calls. To be called after
+  /// a call has joined the queue.
+  void await_warmer_leafs();
   /// A call took this long at its leaf.
   void note_call(Duration took) noexcept { this->call_time.add(took); }
   /// How long a call of `priority` that comes now would wait for a leaf, by how
--- a/ibismux/edge/adapters.h
+++ b/ibismux/edge/adapters.h
@@ -59,6 +59,8 @@
   std::string configuration_collection;
   std::string configuration_name;
   std::string leaf_collection;
+  /// Each object is named after a zone whose leafs must get no requests.
+  std::string evacuation_collection;
   std::string contact_collection;  ///< Of the daemons themselves.
   /// @}
 };
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -53,13 +53,18 @@
           *this->adapters.configuration,
           log,
           [this](auto table) { this->take(std::move(table)); },
-          [this] { this->leaf_feed->retry_now(); }),
+          [this] { this->retry_feeds(); }),
       leafs(pool.at(0),
             directory,
             *this->adapters.leaf_entries,
             registry,
             log,
-            [this] { this->configuration_feed->retry_now(); }),
+            [this] { this->retry_feeds(); }),
+      evacuations(
+          [this](const EvacuatedZones& zones) {
+            this->dispatcher.set_evacuated(zones);
+          },
+          [this] { this->retry_feeds(); }),
       limits{.drain_grace = this->settings.leave_notice},
       callers(pool, this->limits, this->caller_handler()),
       balancer(pool, {}, this->ready_handler()),
--- a/ibismux/edge/edge_daemon_impl.h
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -8,12 +8,14 @@
 #include <memory>
 #include <optional>
 #include <string_view>
+#include <vector>
 
 #include "ibismux/base/io_pool.h"
 #include "ibismux/directory/leaf_directory.h"
 #include "ibismux/dispatch/dispatcher.h"
 #include "ibismux/edge/configuration_feed.h"
 #include "ibismux/edge/edge_daemon.h"
+#include "ibismux/edge/evacuation_feed.h"
 #include "ibismux/edge/fleet.h"
 #include "ibismux/edge/leaf_feed.h"
 #include "ibismux/edge/stall_detector.h"
@@ -49,6 +51,11 @@
   [[nodiscard]] bool is_ready() const;
   [[nodiscard]] Result<void> listen();
   void start_feeds();
+  [[nodiscard]] std::shared_ptr<feed::CollectionFeed> make_feed(
+      const std::string& collection,
+      feed::FeedObserver& observer);
+  /// The store answers for one collection: the others are tried again at once.
+  void retry_feeds();
   void on_view(const membership::MembershipView& view);
   void share_fleet();
   void take(const std::shared_ptr<const routing::RouteTable>& table);
@@ -78,8 +85,10 @@
   directory::LeafDirectory directory;
   ConfigurationFeed configuration;
   LeafFeed leafs;
+  EvacuationFeed evacuations;
   std::shared_ptr<feed::CollectionFeed> configuration_feed;
   std::shared_ptr<feed::CollectionFeed> leaf_feed;
+  std::vector<std::shared_ptr<feed::CollectionFeed>> feeds;  ///< All of them.
   std::optional<Fleet> fleet;
   std::shared_ptr<feed::FeedRelay> relay;
   std::shared_ptr<reports::ReportExchange> reports;
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
 #include <utility>
@@ -31,28 +32,41 @@
 
 }  // namespace
 
-void EdgeDaemon::Impl::start_feeds() {
+std::shared_ptr<feed::CollectionFeed> EdgeDaemon::Impl::make_feed(
+    const std::string& collection,
+    feed::FeedObserver& observer) {
   feed::FeedSettings times;
   times.watch_wait = this->settings.watch_wait;
   times.change_pause = this->settings.change_pause;
   times.first_pause = this->fleet ? kFirstWatchPause : milliseconds(0);
-  this->configuration_feed = std::make_shared<feed::CollectionFeed>(
-      this->loop(), this->store, this->adapters.configuration_collection, times,
-      this->configuration, this->log);
-  this->leaf_feed = std::make_shared<feed::CollectionFeed>(
-      this->loop(), this->store, this->adapters.leaf_collection, times,
-      this->leafs, this->log);
+  return std::make_shared<feed::CollectionFeed>(
+      this->loop(), this->store, collection, times, observer, this->log);
+}
+
+void EdgeDaemon::Impl::retry_feeds() {
+  for (const auto& feed : this->feeds) {
+    feed->retry_now();
+  }
+}
+
+void EdgeDaemon::Impl::start_feeds() {
+  this->configuration_feed = this->make_feed(
+      this->adapters.configuration_collection, this->configuration);
+  this->leaf_feed =
+      this->make_feed(this->adapters.leaf_collection, this->leafs);
+  this->feeds = {
+      this->configuration_feed, this->leaf_feed,
+      this->make_feed(this->adapters.evacuation_collection, this->evacuations)};
   if (!this->fleet) {
-    this->configuration_feed->start();
-    this->leaf_feed->start();
+    for (const auto& feed : this->feeds) {
+      feed->start();
+    }
     return;
   }
   feed::SourceSettings source;
   source.watchers = this->settings.watchers;
   this->relay = std::make_shared<feed::FeedRelay>(
-      this->loop(), this->fleet->network(), source,
-      feed::FeedRelay::Feeds{this->configuration_feed, this->leaf_feed},
-      this->log);
+      this->loop(), this->fleet->network(), source, this->feeds, this->log);
   this->reports = std::make_shared<reports::ReportExchange>(
       this->loop(), this->fleet->network(), this->dispatcher, this->log);
   this->reports->start();
@@ -100,15 +114,18 @@
     }
     if (!object) {
       was_lost = true;
-      this->configuration_feed->report_lost(object.error().message);
-      this->leaf_feed->report_lost(object.error().message);
+      for (const auto& feed : this->feeds) {
+        feed->report_lost(object.error().message);
+      }
       if (this->relay) {
         this->relay->on_store_failure();
       }
       continue;
     }
-    if (std::exchange(was_lost, false) || this->configuration_feed->lost() ||
-        this->leaf_feed->lost()) {
+    const bool any_lost =
+        std::any_of(this->feeds.begin(), this->feeds.end(),
+                    [](const auto& feed) { return feed->lost(); });
+    if (std::exchange(was_lost, false) || any_lost) {
       // No contact yet: what is known is as old as before until it is read
       // again, and peers would rely on it.
       this->refresh("store is back");
@@ -120,8 +137,10 @@
     // here, which is known to be old.
     const bool behind =
         object->version > this->configuration_feed->mirror().version();
-    if (this->relay && !behind && this->configuration_feed->is_current() &&
-        this->leaf_feed->is_current()) {
+    const bool all_current =
+        std::all_of(this->feeds.begin(), this->feeds.end(),
+                    [](const auto& feed) { return feed->is_current(); });
+    if (this->relay && !behind && all_current) {
       this->relay->on_store_contact();
     }
     stalled_checks = behind ? stalled_checks + 1 : 0;
@@ -142,8 +161,9 @@
     this->relay->invalidate();
     return;
   }
-  this->configuration_feed->restart();
-  this->leaf_feed->restart();
+  for (const auto& feed : this->feeds) {
+    feed->restart();
+  }
 }
 
 void EdgeDaemon::Impl::tick() {
--- a/ibismux/routing/route_table.h
+++ b/ibismux/routing/route_table.h
@@ -19,6 +19,11 @@
   std::string name;
   /// Connections that one leaf accepts from all daemons together; 0: unknown.
   std::uint32_t leaf_connections = 0;
+  /// How long a leaf is cold after its start.
+  std::chrono::milliseconds warmup{0};
+  /// Requests a second that a cold leaf bears from all daemons together; 0: no
+  /// limit is known.
+  double warmup_rate = 0;
 };
 
 /// What callers may send, and how long they may take or rest.
--- a/tests/dispatch/link_opening_test.cc
+++ b/tests/dispatch/link_opening_test.cc
@@ -145,7 +145,7 @@
   cr_assert(!pool.wants_link(now));
   pool.give_back(std::move(dialled->link), false);
   cr_assert(pool.has_idle() && !pool.wants_link(now));
-  pool.retire();
+  pool.set_closed(true);
   cr_assert(!pool.has_idle() && !pool.wants_link(now));
 }
 
--- /dev/null
+++ b/tests/edge/evacuation_feed_test.cc
@@ -0,0 +1,68 @@
+#include "ibismux/edge/evacuation_feed.h"
+
+#include <vector>
+
+#include <criterion/criterion.h>
+
+namespace ibismux::edge::testing {
+namespace {
+
+struct Fixture {
+  std::vector<EvacuatedZones> taken;
+  EvacuationFeed feed{
+      [this](const EvacuatedZones& zones) { this->taken.push_back(zones); },
+      [] {}};
+
+  void list(const EvacuatedZones& zones) {
+    store::Listing listing;
+    for (const std::string& zone : zones) {
+      listing.objects.push_back(object(zone));
+    }
+    this->feed.on_listing(listing);
+  }
+
+  void change(const std::string& zone, bool removed) {
+    this->feed.on_change({object(zone), removed});
+  }
+
+  static store::StoredObject object(const std::string& zone) {
+    store::StoredObject object;
+    object.name = zone;
+    object.value = "{}";
+    return object;
+  }
+};
+
+Test(evacuation_feed, follows_listings_and_changes) {
+  Fixture fixture;
+  fixture.list({"z1"});
+  fixture.change("z2", false);
+  fixture.change("z1", true);
+  cr_assert(fixture.taken ==
+            std::vector<EvacuatedZones>({{"z1"}, {"z1", "z2"}, {"z2"}}));
+}
+
+Test(evacuation_feed, a_listing_without_a_zone_ends_its_evacuation) {
+  Fixture fixture;
+  fixture.list({"z1", "z2"});
+  fixture.list({"z2"});
+  cr_assert(fixture.taken.back() == EvacuatedZones({"z2"}));
+}
+
+Test(evacuation_feed, tells_nothing_where_nothing_has_changed) {
+  Fixture fixture;
+  fixture.list({});
+  fixture.change("z1", true);
+  cr_assert(fixture.taken.empty());
+}
+
+Test(evacuation_feed, a_lost_store_changes_nothing) {
+  Fixture fixture;
+  fixture.list({"z1"});
+  fixture.feed.on_lost();
+  fixture.feed.on_regained();
+  cr_assert(fixture.taken.size() == 1);
+}
+
+}  // namespace
+}  // namespace ibismux::edge::testing
--- a/tests/users_platform/edge_process_test.cc
+++ b/tests/users_platform/edge_process_test.cc
@@ -272,6 +272,42 @@
   }
 }
 
+Test(edge_process, evacuated_zones_get_nothing_also_while_the_store_is_away) {
+  EdgeSite site;
+  cr_assert(site.wait_until_ready());
+  // Only the leaf of z3 answers well: with the others in service some orders
+  // fail.
+  for (const char* index : {"0", "1"}) {
+    site.fake("PUT", "leafs",
+              std::string(R"({"service":"desk","fails":true,"index":)") +
+                  index + "}");
+  }
+  for (const char* zone : {"z1", "z2"}) {
+    site.fake("PUT", "zone",
+              std::string(R"({"evacuated":true,"name":")") + zone + "\"}");
+  }
+  int number = 0;
+  const auto order = [&] {
+    const std::string id = "e" + std::to_string(++number);
+    return site.call(id, "/order/1", "POST", "x").value();
+  };
+  cr_assert(wait_until([&] {
+    int served = 0;
+    while (served < 10 && order().status == 200) {
+      ++served;
+    }
+    return served == 10;
+  }));
+  site.fake("PUT", "faults", "{\"outage\":true}");
+  for (int i = 0; i < 20; ++i) {
+    cr_assert(order().status == 200);
+  }
+  site.fake("PUT", "faults", "{\"outage\":false}");
+  site.fake("PUT", "zone", R"({"evacuated":true,"name":"z3"})");
+  cr_assert(wait_until([&] { return order().status == 503; }));
+  cr_assert(!order().field("Retry-After").empty());
+}
+
 // Symptom: a leaf runs a request that no caller sent as such. Sequence: a
 // caller posts an order with the transfer coding "xchunked" and a second order
 // in its body. Cause: the coding was passed over, so the body was read as the
