Queries over many shards are gathered by a peer with a wide link

Six of 79 hosts have such links.

Ways: (a) gathered where it came, as until now; (b) handed whole to a host of the zone whose link is at least three times the zone's median, known from the members' records. Kept: (b), behind policy.delegate_queries and host.link_mbps; where all links are alike nothing is sent.

How: wide hosts offer each 200 ms to gather; an offer holds for 600 ms. The peer confirms a query at once, or it is gathered here with one attempt less; one that it has taken is never run a second time (leafs asked there count against the route's attempts), its loss is told to the caller. Cancellation goes along; a query on an offer older than 900 ms isn't taken, so frames held up by a cut ask no leaf; another version of the configuration there: gathered here. Half of a leaf's connections are for gatherers, half for the others. A stop ends what was taken.

--- a/ibismux/dispatch/dispatch_policy.h
+++ b/ibismux/dispatch/dispatch_policy.h
@@ -31,6 +31,8 @@
   bool partial_answers = true;
   /// Links to leafs are opened before calls need them.
   bool open_ahead = true;
+  /// Queries over many shards are gathered by a peer with a wider link.
+  bool delegate_queries = true;
   /// A leaf that has just started is taken to be slower.
   bool weigh_cold = true;
 };
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <optional>
 #include <pcg_random.hpp>
 #include <set>
 #include <string>
@@ -17,6 +18,9 @@
 #include "ibismux/dispatch/leaf.h"
 #include "ibismux/dispatch/link_opener.h"
 #include "ibismux/dispatch/link_plan.h"
+#include "ibismux/dispatch/query_delegate.h"
+#include "ibismux/dispatch/query_gatherer.h"
+#include "ibismux/dispatch/request_context.h"
 #include "ibismux/dispatch/service_group.h"
 #include "ibismux/dispatch/typical_latency.h"
 #include "ibismux/eventlog/forward.h"
@@ -32,7 +36,8 @@
 ///
 /// Belongs to one event loop; not thread safe.
 class Dispatcher : public directory::DirectoryListener,
-                   public reports::ReportParty {
+                   public reports::ReportParty,
+                   public QueryGatherer {
  public:
   /// All but `settings` outlive the dispatcher and its requests.
   Dispatcher(boost::asio::io_context& loop,
@@ -55,6 +60,19 @@
   /// Which daemons share what leafs and services bear; the zone is filled in.
   void set_fleet(LinkSharers fleet);
 
+  /// @name Gathering by peers
+  /// @{
+  /// Queries over many shards are handed to `delegate` where it is available.
+  /// @param delegate Outlives the dispatcher's requests.
+  void set_delegate(QueryDelegate& delegate) { this->delegate = &delegate; }
+  [[nodiscard]] std::uint64_t configuration() const noexcept override {
+    return this->in_force ? this->in_force->version() : 0;
+  }
+  [[nodiscard]] Task<Outcome> gather(
+      CallerRequest request,
+      std::shared_ptr<http::CancelToken> cancelled) override;
+  /// @}
+
   /// Replaces the zones whose leafs get no further requests. Calls under way
   /// there go on; links there are closed. A request that only leafs of such
   /// zones could serve is refused.
@@ -101,6 +119,23 @@
   void share_links();
   void share_links(const ServiceGroup& group);
   [[nodiscard]] Duration report_half_life();
+  using Context = std::shared_ptr<RequestContext>;
+
+  /// What is known of a request at its arrival, or why it is refused.
+  [[nodiscard]] Result<Context> admit(CallerRequest request);
+  [[nodiscard]] bool may_delegate(const RequestContext& context) const;
+  /// Has a peer gather the query. @return Nothing where it is to be gathered
+  /// here, with the attempts that `context` then says.
+  [[nodiscard]] static Task<std::optional<Outcome>> delegate_query(
+      Dispatcher& self,
+      Context context,
+      std::shared_ptr<http::CancelToken> caller);
+  void log_delegated(const RequestContext& context, const Outcome& outcome);
+  /// Serves a request here.
+  [[nodiscard]] static Task<Outcome> run(
+      Dispatcher& self,
+      Context context,
+      std::shared_ptr<http::CancelToken> caller);
   [[nodiscard]] Outcome refuse(const CallerRequest& request,
                                Error error,
                                const routing::Route* route);
@@ -119,6 +154,7 @@
   std::set<std::string, std::less<>> evacuated;        ///< Zones.
   bool in_first_listing = false;
   std::shared_ptr<LinkOpener> opener;
+  QueryDelegate* delegate = nullptr;
   std::map<std::string, std::shared_ptr<TypicalLatency>> latencies;
   std::map<std::string, routing::SplitRotation> splits;
 };
--- a/ibismux/dispatch/link_plan.cc
+++ b/ibismux/dispatch/link_plan.cc
@@ -32,6 +32,10 @@
 constexpr double kLinksPerSlot = 2;
 constexpr double kLeastUseful = 3;
 
+// Part of a leaf's connections for daemons that gather queries for others,
+// where there are any; the others need theirs when they gather by themselves.
+constexpr double kPartOfGatherers = 0.5;
+
 // Where a daemon's even part is below two links. Idle links are what fills a
 // leaf's connections: with 77 daemons at 70 connections a leaf, each daemon's
 // calls took a quarter of a link at a leaf of another zone. So a daemon may
@@ -104,9 +108,8 @@
   return std::max<std::size_t>(1, whole_for(each * kUsableForSome, rank));
 }
 
-}  // namespace
-
-std::vector<LinkGrant> plan_links(const std::vector<Replica>& replicas,
+/// The plan where all of `sharers` have about the same number of calls.
+std::vector<LinkGrant> plan_alike(const std::vector<Replica>& replicas,
                                   const LinkSharers& sharers) {
   const double hosts = std::max<double>(1, static_cast<double>(sharers.hosts));
   const bool fleet_known = !sharers.hosts_by_zone.empty();
@@ -132,4 +135,24 @@
   return grants;
 }
 
+}  // namespace
+
+std::vector<LinkGrant> plan_links(const std::vector<Replica>& replicas,
+                                  const LinkSharers& sharers) {
+  if (sharers.gatherers == 0 || sharers.gatherers >= sharers.hosts) {
+    return plan_alike(replicas, sharers);
+  }
+  std::vector<Replica> part = replicas;
+  for (Replica& replica : part) {
+    const double gathered =
+        static_cast<double>(replica.connections) * kPartOfGatherers;
+    replica.connections = sharers.gathers
+                              ? whole(gathered)
+                              : replica.connections - whole(gathered);
+  }
+  LinkSharers group = sharers;
+  group.hosts =
+      sharers.gathers ? sharers.gatherers : sharers.hosts - sharers.gatherers;
+  return plan_alike(part, group);
+}
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/link_plan.h
+++ b/ibismux/dispatch/link_plan.h
@@ -22,6 +22,9 @@
   std::size_t hosts = 1;  ///< All daemons.
   std::size_t rank = 0;   ///< This daemon's place in an order of all of them.
   std::string zone;       ///< This daemon's.
+  /// Daemons that gather queries for others, and whether this one does.
+  std::size_t gatherers = 0;
+  bool gathers = false;
   /// Daemons of each zone; empty: unknown.
   ZoneSizes hosts_by_zone;
 };
--- /dev/null
+++ b/ibismux/dispatch/query_gatherer.h
@@ -0,0 +1,33 @@
+#ifndef IBISMUX_DISPATCH_QUERY_GATHERER_H_
+#define IBISMUX_DISPATCH_QUERY_GATHERER_H_
+
+#include <cstdint>
+#include <memory>
+
+#include "ibismux/base/task.h"
+#include "ibismux/dispatch/answer.h"
+#include "ibismux/dispatch/caller_request.h"
+#include "ibismux/http/forward.h"
+
+namespace ibismux::dispatch {
+
+/// Gathers queries over many shards for peers.
+///
+/// Belongs to one event loop; not thread safe.
+class QueryGatherer {
+ public:
+  virtual ~QueryGatherer() = default;
+
+  /// The version of the configuration in force; 0: none.
+  [[nodiscard]] virtual std::uint64_t configuration() const noexcept = 0;
+
+  /// Gathers a query of a peer here; it is not handed on.
+  /// @param cancelled Tells when nobody waits for the answer any more.
+  [[nodiscard]] virtual Task<Outcome> gather(
+      CallerRequest request,
+      std::shared_ptr<http::CancelToken> cancelled) = 0;
+};
+
+}  // namespace ibismux::dispatch
+
+#endif  // IBISMUX_DISPATCH_QUERY_GATHERER_H_
--- a/ibismux/edge/edge_daemon_impl.h
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -22,6 +22,8 @@
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/feed/collection_feed.h"
 #include "ibismux/feed/feed_relay.h"
+#include "ibismux/gather/gather_client.h"
+#include "ibismux/gather/gather_host.h"
 #include "ibismux/http/server.h"
 #include "ibismux/reports/report_exchange.h"
 #include "ibismux/store/http_object_store.h"
@@ -56,6 +58,9 @@
       feed::FeedObserver& observer);
   /// The store answers for one collection: the others are tried again at once.
   void retry_feeds();
+  void start_gathering();
+  /// Requests that this daemon works on, its own and those of peers.
+  [[nodiscard]] std::size_t in_flight() const;
   void on_view(const membership::MembershipView& view);
   void share_fleet();
   void take(const std::shared_ptr<const routing::RouteTable>& table);
@@ -92,6 +97,8 @@
   std::optional<Fleet> fleet;
   std::shared_ptr<feed::FeedRelay> relay;
   std::shared_ptr<reports::ReportExchange> reports;
+  std::shared_ptr<gather::GatherClient> gather_client;
+  std::shared_ptr<gather::GatherHost> gather_host;
   http::ServerLimits limits;  ///< Of callers, as they are in force.
   http::Server callers;
   http::Server balancer;
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -70,16 +70,33 @@
   this->reports = std::make_shared<reports::ReportExchange>(
       this->loop(), this->fleet->network(), this->dispatcher, this->log);
   this->reports->start();
+  this->start_gathering();
   const bool lazy = this->settings.first_start;
   this->relay->start(lazy ? first_start_patience() : Duration::zero());
 }
 
+void EdgeDaemon::Impl::start_gathering() {
+  this->gather_client = std::make_shared<gather::GatherClient>(
+      this->loop(), this->fleet->network(), this->log);
+  this->gather_client->start();
+  this->dispatcher.set_delegate(*this->gather_client);
+  this->gather_host = std::make_shared<gather::GatherHost>(
+      this->loop(), this->fleet->network(), this->dispatcher, this->log);
+  this->gather_host->start();
+}
+
+std::size_t EdgeDaemon::Impl::in_flight() const {
+  return this->callers.in_flight() +
+         (this->gather_host ? this->gather_host->in_flight() : 0);
+}
+
 void EdgeDaemon::Impl::on_view(const membership::MembershipView& view) {
   this->log.event(eventlog::Weight::kBelief, "members")
       .with("serving", view.serving())
       .with("joined", view.joined);
   this->relay->on_view(view);
   this->reports->on_view(view);
+  this->gather_host->on_roles(gather::assign_roles(view));
 }
 
 void EdgeDaemon::Impl::share_fleet() {
@@ -242,10 +259,11 @@
 void EdgeDaemon::Impl::drain() {
   this->stopping = true;
   this->log.event(eventlog::Weight::kBelief, "drain")
-      .with("in_flight", this->callers.in_flight())
+      .with("in_flight", this->in_flight())
       .with("connections", this->callers.connections());
   if (this->fleet) {
     this->fleet->announce_leaving();
+    this->gather_host->drain();
   }
   this->callers.drain();
   this->stop_by = Clock::now() + this->settings.stop_limit - kStopMargin;
@@ -254,7 +272,7 @@
 }
 
 void EdgeDaemon::Impl::await_idle() {
-  if (this->callers.in_flight() == 0 || Clock::now() >= this->stop_by) {
+  if (this->in_flight() == 0 || Clock::now() >= this->stop_by) {
     this->loop().stop();
     return;
   }
--- a/ibismux/edge/edge_settings.cc
+++ b/ibismux/edge/edge_settings.cc
@@ -22,6 +22,7 @@
 constexpr double kMostRate = 1e9;   // Calls a second.
 constexpr double kMostSlack = 1e9;  // Calls.
 constexpr double kMostRatio = 100;  // Repeats for each request.
+constexpr double kMostLink = 1e9;   // Mbit/s.
 
 const std::array kFields = {
     Key{"member", "Name of this host.",
@@ -29,6 +30,11 @@
     Key{"zone", "Availability zone of this host.",
         Text{&EdgeSettings::zone, TextForm::kName}, true},
 
+    Key{"host.link_mbps",
+        "Width of this host's network link, in Mbit/s; 0: not known, and "
+        "queries are neither handed over nor taken over.",
+        Real{&EdgeSettings::link_mbps, 0, kMostLink}},
+
     Key{"caller.endpoint", "Where callers connect.",
         Text{&EdgeSettings::caller_endpoint, TextForm::kEndpoint}, true},
     Key{"ready.endpoint",
@@ -116,6 +122,10 @@
         Flag{&EdgeSettings::partial_answers}},
     Key{"policy.open_ahead", "Open links to leafs before calls need them.",
         Flag{&EdgeSettings::open_ahead}},
+    Key{"policy.delegate_queries",
+        "Have queries over many shards gathered by a peer of the zone whose "
+        "link is much wider.",
+        Flag{&EdgeSettings::delegate_queries}},
     Key{"policy.weigh_cold", "Take leafs that have just started to be slower.",
         Flag{&EdgeSettings::weigh_cold}},
 
--- a/ibismux/edge/edge_settings.h
+++ b/ibismux/edge/edge_settings.h
@@ -20,6 +20,7 @@
   /// @{
   std::string member;
   std::string zone;
+  double link_mbps = 0;
   /// @}
 
   /// @name Where it listens
--- a/ibismux/edge/fleet.cc
+++ b/ibismux/edge/fleet.cc
@@ -4,6 +4,7 @@
 
 #include "ibismux/base/io_pool.h"
 #include "ibismux/edge/endpoint.h"
+#include "ibismux/gather/gather_roles.h"
 #include "ibismux/membership/member_record.h"
 #include "ibismux/membership/membership_settings.h"
 #include "ibismux/peer/peer_settings.h"
@@ -35,8 +36,10 @@
 
 /// Fewer wake-ups than the defaults: a tick of 100 ms of each daemon is a tenth
 /// of what an idle daemon costs.
-membership::MembershipSettings membership_settings() {
+membership::MembershipSettings membership_settings(
+    const Fleet::Settings& settings) {
   membership::MembershipSettings membership;
+  membership.link_mbps = settings.link_mbps;
   membership.tick = std::chrono::milliseconds(200);
   membership.probe_interval = std::chrono::milliseconds(1000);
   return membership;
@@ -52,7 +55,7 @@
     : settings(std::move(settings)),
       view(alone(this->settings)),
       peers(pool, peer_settings(this->settings), view, registry),
-      membership(membership_settings(),
+      membership(membership_settings(this->settings),
                  pool,
                  peers,
                  store,
@@ -88,6 +91,9 @@
         member.serves() && membership::name_hash(member.name, kRankSalt) < own;
     sharers.rank += before ? 1 : 0;
   }
+  const gather::GatherRoles roles = gather::assign_roles(fresh);
+  sharers.gatherers = roles.gatherers;
+  sharers.gathers = roles.gathers;
   this->current = std::move(sharers);
   this->listeners.on_view(fresh);
   this->listeners.on_size();
--- a/ibismux/edge/fleet.h
+++ b/ibismux/edge/fleet.h
@@ -33,6 +33,7 @@
     std::string member;
     std::string zone;
     std::string endpoint;  ///< "ip:port" where peers are accepted.
+    double link_mbps = 0;  ///< Width of this host's link; 0: not known.
   };
   /// Called on the pool's first loop.
   struct Listeners {
--- a/ibismux/edge/package_settings.cc
+++ b/ibismux/edge/package_settings.cc
@@ -65,7 +65,8 @@
 }
 
 Fleet::Settings fleet_settings(const EdgeSettings& settings) {
-  return {settings.member, settings.zone, settings.peer_endpoint};
+  return {settings.member, settings.zone, settings.peer_endpoint,
+          settings.link_mbps};
 }
 
 eventlog::EventLogSettings log_settings(const EdgeSettings& settings) {
--- /dev/null
+++ b/ibismux/gather/gather_host.cc
@@ -0,0 +1,200 @@
+#include "ibismux/gather/gather_host.h"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+#include <utility>
+#include <vector>
+
+#include "ibismux/eventlog/event_log.h"
+#include "ibismux/http/await_timer.h"
+#include "ibismux/http/cancel_token.h"
+
+namespace ibismux::gather {
+
+namespace {
+
+using peer::MessageKind;
+using std::chrono::milliseconds;
+
+// Peers rely on an offer for `GathererChoice::kOfferHolds`; two may be lost.
+constexpr milliseconds kOfferInterval{200};
+// Longer than peers rely on an offer, by what a frame may take on its way.
+constexpr milliseconds kOfferHonored{900};
+// Queries at once. Their answers share this host's link and processor; beyond
+// that they are sooner gathered where they came.
+constexpr std::size_t kMostQueries = 24;
+// Cancellations that are remembered for queries which were not read yet.
+constexpr std::size_t kMostEarly = 64;
+
+}  // namespace
+
+GatherHost::GatherHost(boost::asio::io_context& loop,
+                       peer::PeerNetwork& network,
+                       dispatch::QueryGatherer& gatherer,
+                       eventlog::EventLog& log)
+    : loop(loop),
+      network(network),
+      gatherer(gatherer),
+      log(log),
+      timer(loop.get_executor()) {}
+
+void GatherHost::start() {
+  const std::weak_ptr<GatherHost> weak = this->weak_from_this();
+  this->network.on_request(
+      MessageKind::kGatherQuery,
+      [weak](const Incarnation& from,
+             std::string payload) -> Task<Result<std::string>> {
+        return serve(weak.lock(), from.member, std::move(payload));
+      });
+  this->network.on_notify(
+      MessageKind::kGatherCancel,
+      [weak](const Incarnation& from, const std::string& payload) {
+        if (const auto self = weak.lock()) {
+          self->on_cancel(from.member, payload);
+        }
+      });
+  this->network.on_lost([weak](const Incarnation& from) {
+    if (const auto self = weak.lock()) {
+      self->on_lost(from.member);
+    }
+  });
+  this->tick();
+}
+
+void GatherHost::on_roles(GatherRoles roles) {
+  if (roles.gathers != this->roles.gathers) {
+    this->log.event(eventlog::Weight::kBelief, "gather_role")
+        .with("gathers", roles.gathers)
+        .with("served", roles.served.size())
+        .with("gatherers", roles.gatherers);
+  }
+  this->roles = std::move(roles);
+}
+
+void GatherHost::drain() {
+  this->draining = true;
+  this->send_offers(0);
+}
+
+void GatherHost::tick() {
+  if (this->roles.gathers && !this->draining &&
+      this->gatherer.configuration() > 0) {
+    const std::size_t busy = std::min(kMostQueries, this->running.size());
+    this->send_offers(kMostQueries - busy);
+  }
+  this->timer.expires_after(kOfferInterval);
+  http::await_timer(this->timer, this->weak_from_this(), &GatherHost::tick);
+}
+
+void GatherHost::send_offers(std::size_t room) {
+  if (!this->roles.gathers) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  this->offers.emplace_back(++this->sequence, now);
+  while (now - this->offers.front().second > kOfferHonored) {
+    this->offers.pop_front();
+  }
+  const std::string payload = encode(GatherOffer{this->sequence, room});
+  for (const std::string& member : this->roles.served) {
+    this->network.notify(member, MessageKind::kGatherOffer, payload);
+  }
+}
+
+bool GatherHost::is_recent(std::uint64_t offer, TimePoint now) const {
+  const auto found =
+      std::find_if(this->offers.begin(), this->offers.end(),
+                   [offer](const auto& row) { return row.first == offer; });
+  return found != this->offers.end() && now - found->second <= kOfferHonored;
+}
+
+std::optional<std::string> GatherHost::refusal(const GatherQuery& query,
+                                               const Key& key,
+                                               TimePoint now) const {
+  if (this->draining) {
+    return "this daemon stops";
+  }
+  if (!this->is_recent(query.offer, now)) {
+    return "the offer is old";
+  }
+  if (this->gatherer.configuration() != query.configuration) {
+    return "another configuration is in force here";
+  }
+  if (this->running.size() >= kMostQueries) {
+    return "no room";
+  }
+  const bool is_cancelled =
+      std::find(this->cancelled_early.begin(), this->cancelled_early.end(),
+                key) != this->cancelled_early.end();
+  return is_cancelled ? std::optional<std::string>("cancelled") : std::nullopt;
+}
+
+Task<Result<std::string>> GatherHost::serve(std::shared_ptr<GatherHost> self,
+                                            std::string from,
+                                            std::string payload) {
+  if (!self) {
+    co_return fail(ErrorKind::kNotReady, "this daemon ends");
+  }
+  const TimePoint now = Clock::now();
+  auto query = decode_query(payload, now);
+  if (!query) {
+    self->log.event(eventlog::Weight::kBelief, "gather_query_refused")
+        .with("from", from)
+        .with("reason", query.error().message);
+    co_return tl::unexpected(std::move(query.error()));
+  }
+  const Key key(from, query->number);
+  if (auto reason = self->refusal(*query, key, now)) {
+    self->log.event(eventlog::Weight::kFailure, "gather_query_not_taken")
+        .with("request", query->request.id)
+        .with("from", from)
+        .with("reason", *reason);
+    co_return encode(GatherAnswer{std::nullopt, *std::move(reason)});
+  }
+  self->network.notify(from, MessageKind::kGatherTaken,
+                       encode_about(query->number));
+  const auto token = std::make_shared<http::CancelToken>();
+  self->running[key] = token;
+  auto outcome =
+      co_await self->gatherer.gather(std::move(query->request), token);
+  // Counts as under way until its answer has been handed to the network: a
+  // daemon that stops ends once nothing is.
+  boost::asio::post(self->loop, [self, key] { self->running.erase(key); });
+  co_return encode(GatherAnswer{std::move(outcome), {}});
+}
+
+void GatherHost::on_cancel(const std::string& from,
+                           const std::string& payload) {
+  const auto number = decode_about(payload);
+  if (!number) {
+    this->log.event(eventlog::Weight::kBelief, "gather_cancel_refused")
+        .with("from", from)
+        .with("reason", number.error().message);
+    return;
+  }
+  const Key key(from, *number);
+  const auto found = this->running.find(key);
+  if (found != this->running.end()) {
+    const auto token = found->second;
+    token->cancel();
+    return;
+  }
+  this->cancelled_early.push_back(key);
+  if (this->cancelled_early.size() > kMostEarly) {
+    this->cancelled_early.pop_front();
+  }
+}
+
+void GatherHost::on_lost(const std::string& member) {
+  std::vector<std::shared_ptr<http::CancelToken>> orphans;
+  for (const auto& [key, token] : this->running) {
+    if (key.first == member) {
+      orphans.push_back(token);
+    }
+  }
+  for (const auto& token : orphans) {
+    token->cancel();
+  }
+}
+
+}  // namespace ibismux::gather
--- a/ibismux/membership/gen/membership_types.cpp
+++ b/ibismux/membership/gen/membership_types.cpp
@@ -45,6 +45,10 @@
 void Record::__set_state(const int32_t val) {
   this->state = val;
 }
+
+void Record::__set_link_mbps(const double val) {
+  this->link_mbps = val;
+}
 std::ostream& operator<<(std::ostream& out, const Record& obj)
 {
   obj.printTo(out);
@@ -129,6 +133,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->link_mbps);
+          this->__isset.link_mbps = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -174,6 +186,10 @@
   xfer += oprot->writeI32(this->state);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("link_mbps", ::apache::thrift::protocol::T_DOUBLE, 8);
+  xfer += oprot->writeDouble(this->link_mbps);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -188,6 +204,7 @@
   swap(a.port, b.port);
   swap(a.zone, b.zone);
   swap(a.state, b.state);
+  swap(a.link_mbps, b.link_mbps);
   swap(a.__isset, b.__isset);
 }
 
@@ -199,6 +216,7 @@
   port = other0.port;
   zone = other0.zone;
   state = other0.state;
+  link_mbps = other0.link_mbps;
   __isset = other0.__isset;
 }
 Record& Record::operator=(const Record& other1) {
@@ -209,6 +227,7 @@
   port = other1.port;
   zone = other1.zone;
   state = other1.state;
+  link_mbps = other1.link_mbps;
   __isset = other1.__isset;
   return *this;
 }
@@ -222,6 +241,7 @@
   out << ", " << "port=" << to_string(port);
   out << ", " << "zone=" << to_string(zone);
   out << ", " << "state=" << to_string(state);
+  out << ", " << "link_mbps=" << to_string(link_mbps);
   out << ")";
 }
 
--- a/ibismux/membership/gen/membership_types.h
+++ b/ibismux/membership/gen/membership_types.h
@@ -34,7 +34,7 @@
 class IndirectAnswer;
 
 typedef struct _Record__isset {
-  _Record__isset() : name(false), incarnation(false), epoch(false), address(false), port(false), zone(false), state(false) {}
+  _Record__isset() : name(false), incarnation(false), epoch(false), address(false), port(false), zone(false), state(false), link_mbps(false) {}
   bool name :1;
   bool incarnation :1;
   bool epoch :1;
@@ -42,6 +42,7 @@
   bool port :1;
   bool zone :1;
   bool state :1;
+  bool link_mbps :1;
 } _Record__isset;
 
 class Record : public virtual ::apache::thrift::TBase {
@@ -56,7 +57,8 @@
            address(),
            port(0),
            zone(),
-           state(0) {
+           state(0),
+           link_mbps(0) {
   }
 
   virtual ~Record() noexcept;
@@ -67,6 +69,7 @@
   int32_t port;
   std::string zone;
   int32_t state;
+  double link_mbps;
 
   _Record__isset __isset;
 
@@ -84,6 +87,8 @@
 
   void __set_state(const int32_t val);
 
+  void __set_link_mbps(const double val);
+
   bool operator == (const Record & rhs) const
   {
     if (!(name == rhs.name))
@@ -100,6 +105,8 @@
       return false;
     if (!(state == rhs.state))
       return false;
+    if (!(link_mbps == rhs.link_mbps))
+      return false;
     return true;
   }
   bool operator != (const Record &rhs) const {
--- a/ibismux/membership/membership_service.cc
+++ b/ibismux/membership/membership_service.cc
@@ -229,6 +229,7 @@
   self.address = std::move(address);
   self.port = port;
   self.zone = std::move(zone);
+  self.link_mbps = this->impl->advertised_link();
   this->impl->start(std::move(self));
 }
 
--- a/ibismux/membership/membership_service_impl.h
+++ b/ibismux/membership/membership_service_impl.h
@@ -48,6 +48,9 @@
   }
   void register_handlers();
   void start(Member self);
+  [[nodiscard]] double advertised_link() const noexcept {
+    return this->settings.link_mbps;
+  }
   void announce_leaving();
   void stop();
 
--- a/ibismux/membership/membership_settings.h
+++ b/ibismux/membership/membership_settings.h
@@ -9,6 +9,9 @@
 /// The pace of membership. The defaults hold from 2 to 2,400 daemons;
 /// docs/design/membership.md weighs them.
 struct MembershipSettings {
+  /// Width of this host's link, told to the others, in Mbit/s; 0: not known.
+  double link_mbps = 0;
+
   std::chrono::milliseconds tick{100};
   std::chrono::milliseconds probe_interval{500};
   std::chrono::milliseconds probe_timeout{400};
--- a/ibismux/membership/membership_view.h
+++ b/ibismux/membership/membership_view.h
@@ -20,6 +20,7 @@
   std::uint16_t port = 0;
   std::string zone;
   State state = State::kAlive;
+  double link_mbps = 0;  ///< Width of its link, in Mbit/s; 0: not known.
 
   /// May own leafs and buckets: alive or only suspected.
   [[nodiscard]] bool serves() const noexcept {
--- a/ibismux/membership/messages.cc
+++ b/ibismux/membership/messages.cc
@@ -18,6 +18,7 @@
   out.__set_address(record.member.address);
   out.__set_port(record.member.port);
   out.__set_zone(record.member.zone);
+  out.__set_link_mbps(record.member.link_mbps);
   out.__set_state(static_cast<std::int32_t>(record.member.state));
   return out;
 }
@@ -37,7 +38,8 @@
   out.reserve(records.size());
   for (const wire::Record& row : records) {
     if (row.name.empty() || row.state < 0 || row.state > 3 || row.port < 0 ||
-        row.port > std::numeric_limits<std::uint16_t>::max()) {
+        row.port > std::numeric_limits<std::uint16_t>::max() ||
+        !(row.link_mbps >= 0)) {
       return fail(ErrorKind::kProtocolError, "malformed member record");
     }
     MemberRecord record;
@@ -46,6 +48,7 @@
     record.member.address = row.address;
     record.member.port = static_cast<std::uint16_t>(row.port);
     record.member.zone = row.zone;
+    record.member.link_mbps = row.link_mbps;
     record.member.state = static_cast<Member::State>(row.state);
     record.epoch = static_cast<std::uint64_t>(row.epoch);
     out.push_back(std::move(record));
--- a/ibismux/peer/peer_metrics.cc
+++ b/ibismux/peer/peer_metrics.cc
@@ -34,6 +34,7 @@
     case MessageKind::kFeedPush:
     case MessageKind::kFeedPull:
     case MessageKind::kLeafReports:
+    case MessageKind::kGatherOffer:
       return true;
     default:
       return kind == 0;
--- a/ibismux/peer/peer_network.h
+++ b/ibismux/peer/peer_network.h
@@ -21,7 +21,10 @@
   kReleasePush = 5,  ///< A new head, down the tree.
   kFeedPush =
       6,  ///< Updates from the platform's store, and how fresh they are.
-  kLeafReports = 7,  ///< How leafs fare, up to the zone's hub and down again.
+  kLeafReports = 7,    ///< How leafs fare, up to the zone's hub and down again.
+  kGatherOffer = 8,    ///< To gather the receiver's queries.
+  kGatherTaken = 9,    ///< A query has come, and is being gathered.
+  kGatherCancel = 10,  ///< Nobody waits for a query any more.
   // Request and response.
   kProbe = 16,
   kIndirectProbe = 17,
@@ -30,8 +33,9 @@
   kRecord = 20,        ///< Reservation outcome, to the bucket's owner.
   kAskKey = 21,
   kTicketRun = 22,
-  kInForce = 23,   ///< Lowest generation of a subtree.
-  kFeedPull = 24,  ///< "What is newer in the store than this?"
+  kInForce = 23,      ///< Lowest generation of a subtree.
+  kFeedPull = 24,     ///< "What is newer in the store than this?"
+  kGatherQuery = 25,  ///< A caller's query, to be gathered by the receiver.
 };
 
 /// Typed frames between this daemon and its peers.
--- a/thrift/membership.thrift
+++ b/thrift/membership.thrift
@@ -13,6 +13,8 @@
   6: string zone
   /// 0 alive, 1 suspect, 2 leaving, 3 failed.
   7: i32 state
+  /// Width of the member's link, in Mbit/s; 0: not known.
+  8: double link_mbps
 }
 
 /// kGossip: changes, new to the sender.
