--- a/ibismux/membership/spread_tree.cc
+++ b/ibismux/membership/spread_tree.cc
@@ -1,9 +1,11 @@
 #include "ibismux/membership/spread_tree.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 #include "ibismux/membership/member_record.h"
+#include "ibismux/membership/wide_links.h"
 
 namespace ibismux::membership {
 
@@ -18,17 +20,20 @@
 }  // namespace
 
 SpreadTree::Zones SpreadTree::order(const MembershipView& view) {
-  std::map<std::string, std::vector<std::pair<std::uint64_t, std::string>>>
-      keyed;
+  using Key = std::tuple<bool, std::uint64_t, std::string>;
+  const auto wide = wide_links(view);
+  std::map<std::string, std::vector<Key>> keyed;
   for (const Member& member : view.members) {
     if (member.serves()) {
-      keyed[member.zone].push_back(key_of(member.name));
+      keyed[member.zone].emplace_back(!wide.contains(member.name),
+                                      name_hash(member.name, kTreeSalt),
+                                      member.name);
     }
   }
   Zones zones;
   for (auto& [zone, keys] : keyed) {
     std::sort(keys.begin(), keys.end());
-    for (auto& [hash, name] : keys) {
+    for (auto& [is_narrow, hash, name] : keys) {
       zones[zone].push_back(std::move(name));
     }
   }
--- a/ibismux/membership/spread_tree.h
+++ b/ibismux/membership/spread_tree.h
@@ -15,7 +15,10 @@
 /// availability zone, so that a release crosses between zones once.
 ///
 /// The members of a zone that serve stand in the order of a hash of their
-/// names, as a heap of bounded fan-out; the first of them watch the platform.
+/// names, those with wide links first, as a heap of bounded fan-out; the first
+/// of them watch the platform. Whoever tells thirty others of a change sends it
+/// thirty times: a narrow link is full for most of a second by the entries of a
+/// hundred new leafs.
 /// Daemons whose views differ build different trees; then some miss a push, and
 /// find out when they compare generations. Not thread safe.
 class SpreadTree {
