A peer that isn't confirmed makes one attempt fewer at each shard

While hosts are cut off or choked the word that a query was taken comes too late; it was gathered here with one attempt, while the peer, which the cancellation didn't reach either, hedged with two. Ruled out: repeats beyond the budget of a service; the count is of leafs of one shard. Change: the peer makes one attempt fewer than the route allows until the sender confirms that it has heard (one small frame, some 1 ms); a sender that hasn't makes the others. Never more than the route's, whatever is lost. Tests: the exchange with the word held up, both dispatchers.

--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -366,7 +366,6 @@
   }
   context->due =
       answer_due(request.received, route.objective, request.opens_connection);
-  context->max_attempts = route.max_attempts;
   context->request = std::move(request);
   context->typical = this->typical(route);
   context->log = &this->log;
@@ -390,8 +389,10 @@
   co_return co_await run(*this, *std::move(context), std::move(caller));
 }
 
-Task<Outcome> Dispatcher::gather(CallerRequest request,
-                                 std::shared_ptr<http::CancelToken> cancelled) {
+Task<Outcome> Dispatcher::gather(
+    CallerRequest request,
+    std::shared_ptr<const Confirmation> confirmation,
+    std::shared_ptr<http::CancelToken> cancelled) {
   auto context = this->admit(std::move(request));
   if (!context) {
     co_return tl::unexpected(std::move(context.error()));
@@ -402,7 +403,7 @@
                                       "only queries over shards are gathered"),
                            (*context)->route);
   }
-  (*context)->is_for_peer = true;
+  (*context)->confirmation = std::move(confirmation);
   (*context)->due -= kHopAllowance;
   co_return co_await run(*this, *std::move(context), std::move(cancelled));
 }
@@ -427,9 +428,9 @@
   if (!delegated.may_have_run) {
     co_return std::nullopt;
   }
-  // Leafs that the peer may have asked count against the attempts too.
-  --context->max_attempts;
-  if (context->max_attempts == 0) {
+  // Unconfirmed, the peer asks no more than one leaf of each shard.
+  context->attempts_elsewhere = 1;
+  if (context->most_attempts() == 0) {
     co_return self.refuse(
         context->request,
         make_error(ErrorKind::kOutcomeUnknown,
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -70,6 +70,7 @@
   }
   [[nodiscard]] Task<Outcome> gather(
       CallerRequest request,
+      std::shared_ptr<const Confirmation> confirmation,
       std::shared_ptr<http::CancelToken> cancelled) override;
   /// @}
 
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -98,7 +98,7 @@
 
 bool PartCall::may_repeat() const noexcept {
   return this->current == State::kOpen && !this->abandoned &&
-         this->sends - this->sends_not_run < this->context->max_attempts &&
+         this->sends - this->sends_not_run < this->context->most_attempts() &&
          this->sends_not_run < kMostRefusals;
 }
 
--- a/ibismux/dispatch/query_gatherer.h
+++ b/ibismux/dispatch/query_gatherer.h
@@ -11,6 +11,11 @@
 
 namespace ibismux::dispatch {
 
+/// Tells whether the peer whose query is gathered knows that it is.
+struct Confirmation {
+  bool given = false;
+};
+
 /// Gathers queries over many shards for peers.
 ///
 /// Belongs to one event loop; not thread safe.
@@ -22,9 +27,12 @@
   [[nodiscard]] virtual std::uint64_t configuration() const noexcept = 0;
 
   /// Gathers a query of a peer here; it is not handed on.
+  /// Until `confirmation` is given the peer may gather the query as well: then
+  /// one attempt fewer than the route allows is made here, and one there.
   /// @param cancelled Tells when nobody waits for the answer any more.
   [[nodiscard]] virtual Task<Outcome> gather(
       CallerRequest request,
+      std::shared_ptr<const Confirmation> confirmation,
       std::shared_ptr<http::CancelToken> cancelled) = 0;
 };
 
--- a/ibismux/dispatch/request_context.h
+++ b/ibismux/dispatch/request_context.h
@@ -7,8 +7,10 @@
 #include "ibismux/base/time.h"
 #include "ibismux/dispatch/caller_request.h"
 #include "ibismux/dispatch/forward.h"
+#include "ibismux/dispatch/query_gatherer.h"
 #include "ibismux/dispatch/typical_latency.h"
 #include "ibismux/eventlog/forward.h"
+#include "ibismux/routing/route.h"
 #include "ibismux/routing/route_table.h"
 
 namespace ibismux::dispatch {
@@ -19,10 +21,11 @@
   /// Pinned from arrival to answer; owns `route`.
   std::shared_ptr<const routing::RouteTable> table;
   const routing::Route* route = nullptr;
-  /// Most leafs that the request, or one shard of it, is sent to.
-  std::uint32_t max_attempts = 1;
-  /// Gathered for a peer, which counts the request among its own.
-  bool is_for_peer = false;
+  /// Leafs of each shard that a peer may have sent the request to.
+  std::uint32_t attempts_elsewhere = 0;
+  /// Set where the request is gathered for a peer, which counts it among its
+  /// own.
+  std::shared_ptr<const Confirmation> confirmation;
   /// The last moment for an answer: the caller's own, or the route's.
   TimePoint final_at;
   /// When the answer should go out to be within the route's objective.
@@ -31,6 +34,18 @@
   eventlog::EventLog* log = nullptr;
   DispatchMetrics* metrics = nullptr;
   const DispatchPolicy* policy = nullptr;
+
+  [[nodiscard]] bool is_for_peer() const noexcept {
+    return this->confirmation != nullptr;
+  }
+  /// Most leafs that the request, or one shard of it, may be sent to from here.
+  [[nodiscard]] std::uint32_t most_attempts() const noexcept {
+    const bool is_shared = this->confirmation && !this->confirmation->given;
+    const std::uint32_t elsewhere =
+        this->attempts_elsewhere + (is_shared ? 1 : 0);
+    const std::uint32_t all = this->route->max_attempts;
+    return all > elsewhere ? all - elsewhere : 0;
+  }
 };
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -273,7 +273,7 @@
   const Duration took = now - this->shared->request.received;
   const routing::Route& route = *this->shared->route;
   const Error* error = outcome ? nullptr : &outcome.error();
-  if (!this->shared->is_for_peer) {
+  if (!this->shared->is_for_peer()) {
     this->shared->metrics->request_ended(route.name, error, partial, took);
   }
   const bool plain = outcome && !partial && took <= route.objective;
@@ -297,7 +297,7 @@
   line.with("request", this->shared->request.id)
       .with("route", route.name)
       .with("config", this->shared->table->version())
-      .with("for_peer", this->shared->is_for_peer)
+      .with("for_peer", this->shared->is_for_peer())
       .with("outcome", error ? error_entry(error->kind).name
                              : (partial ? "partial" : "ok"))
       .with("took_ms", took)
--- a/ibismux/gather/gather_client.cc
+++ b/ibismux/gather/gather_client.cc
@@ -46,9 +46,9 @@
       });
   this->network.on_notify(
       MessageKind::kGatherTaken,
-      [weak](const Incarnation&, const std::string& payload) {
+      [weak](const Incarnation& from, const std::string& payload) {
         if (const auto self = weak.lock()) {
-          self->on_taken(payload);
+          self->on_taken(from, payload);
         }
       });
 }
@@ -66,7 +66,8 @@
                         Clock::now());
 }
 
-void GatherClient::on_taken(const std::string& payload) {
+void GatherClient::on_taken(const Incarnation& from,
+                            const std::string& payload) {
   const auto number = decode_about(payload);
   const auto found =
       number ? this->handovers.find(*number) : this->handovers.end();
@@ -75,6 +76,7 @@
   if (handover) {
     handover->taken = true;
     handover->wake.cancel();
+    this->network.notify(from.member, MessageKind::kGatherConfirm, payload);
   }
 }
 
--- a/ibismux/gather/gather_client.h
+++ b/ibismux/gather/gather_client.h
@@ -20,12 +20,13 @@
 
 /// Hands this daemon's queries over to peers that offer to gather them.
 ///
-/// A peer confirms at once that it has taken a query. One that doesn't gets a
-/// cancellation, and the query is gathered here: waiting for its answer would
-/// cost the caller its whole deadline where the peer was cut off. A query that
-/// was taken is not gathered a second time, since leafs that the peer has asked
-/// count against the attempts of its route; if its answer is lost the caller is
-/// told that the outcome is unknown.
+/// A peer tells at once that it has taken a query, and learns in turn that this
+/// daemon knows. Where no word comes, the query is gathered here: waiting for
+/// its answer would cost the caller its whole deadline if the peer was cut off.
+/// The peer may have taken it all the same; without that confirmation it makes
+/// one attempt at each shard, and this daemon the others that the route allows.
+/// A query that was confirmed is not gathered a second time; if its answer is
+/// lost the caller is told that the outcome is unknown.
 ///
 /// Belongs to one event loop, which is also the network's; not thread safe.
 class GatherClient : public dispatch::QueryDelegate,
@@ -75,7 +76,7 @@
   [[nodiscard]] Delegated read(const std::string& member,
                                const Query& query,
                                const Handover& handover);
-  void on_taken(const std::string& payload);
+  void on_taken(const Incarnation& from, const std::string& payload);
   void on_offer(const Incarnation& from, const std::string& payload);
   void note(std::string_view event,
             const std::string& member,
--- a/ibismux/gather/gather_host.cc
+++ b/ibismux/gather/gather_host.cc
@@ -53,6 +53,13 @@
           self->on_cancel(from.member, payload);
         }
       });
+  this->network.on_notify(
+      MessageKind::kGatherConfirm,
+      [weak](const Incarnation& from, const std::string& payload) {
+        if (const auto self = weak.lock()) {
+          self->on_confirm(from.member, payload);
+        }
+      });
   this->network.on_lost([weak](const Incarnation& from) {
     if (const auto self = weak.lock()) {
       self->on_lost(from.member);
@@ -153,16 +160,27 @@
   }
   self->network.notify(from, MessageKind::kGatherTaken,
                        encode_about(query->number));
-  const auto token = std::make_shared<http::CancelToken>();
-  self->running[key] = token;
-  auto outcome =
-      co_await self->gatherer.gather(std::move(query->request), token);
+  const Running run{std::make_shared<dispatch::Confirmation>(),
+                    std::make_shared<http::CancelToken>()};
+  self->running[key] = run;
+  auto outcome = co_await self->gatherer.gather(
+      std::move(query->request), run.confirmation, run.cancelled);
   // Counts as under way until its answer has been handed to the network: a
   // daemon that stops ends once nothing is.
   boost::asio::post(self->loop, [self, key] { self->running.erase(key); });
   co_return encode(GatherAnswer{std::move(outcome), {}});
 }
 
+void GatherHost::on_confirm(const std::string& from,
+                            const std::string& payload) {
+  const auto number = decode_about(payload);
+  const auto found =
+      number ? this->running.find(Key(from, *number)) : this->running.end();
+  if (found != this->running.end()) {
+    found->second.confirmation->given = true;
+  }
+}
+
 void GatherHost::on_cancel(const std::string& from,
                            const std::string& payload) {
   const auto number = decode_about(payload);
@@ -175,7 +193,7 @@
   const Key key(from, *number);
   const auto found = this->running.find(key);
   if (found != this->running.end()) {
-    const auto token = found->second;
+    const auto token = found->second.cancelled;
     token->cancel();
     return;
   }
@@ -187,9 +205,9 @@
 
 void GatherHost::on_lost(const std::string& member) {
   std::vector<std::shared_ptr<http::CancelToken>> orphans;
-  for (const auto& [key, token] : this->running) {
+  for (const auto& [key, run] : this->running) {
     if (key.first == member) {
-      orphans.push_back(token);
+      orphans.push_back(run.cancelled);
     }
   }
   for (const auto& token : orphans) {
--- a/ibismux/gather/gather_host.h
+++ b/ibismux/gather/gather_host.h
@@ -55,6 +55,11 @@
   /// A query: whose it is, and its number there.
   using Key = std::pair<std::string, std::uint64_t>;
 
+  struct Running {
+    std::shared_ptr<dispatch::Confirmation> confirmation;
+    std::shared_ptr<http::CancelToken> cancelled;
+  };
+
   void tick();
   void send_offers(std::size_t room);
   [[nodiscard]] static Task<Result<std::string>> serve(
@@ -66,6 +71,7 @@
                                                    const Key& key,
                                                    TimePoint now) const;
   [[nodiscard]] bool is_recent(std::uint64_t offer, TimePoint now) const;
+  void on_confirm(const std::string& from, const std::string& payload);
   void on_cancel(const std::string& from, const std::string& payload);
   void on_lost(const std::string& member);
 
@@ -79,7 +85,7 @@
   std::uint64_t sequence = 0;
   /// When the last offers were made, the newest last.
   std::deque<std::pair<std::uint64_t, TimePoint>> offers;
-  std::map<Key, std::shared_ptr<http::CancelToken>> running;
+  std::map<Key, Running> running;
   std::deque<Key> cancelled_early;  ///< Before the query itself was read.
 };
 
--- a/ibismux/gather/messages.h
+++ b/ibismux/gather/messages.h
@@ -38,7 +38,7 @@
 [[nodiscard]] std::string encode(const GatherOffer& offer);
 [[nodiscard]] std::string encode(const GatherQuery& query, TimePoint now);
 [[nodiscard]] std::string encode(const GatherAnswer& answer);
-/// kGatherTaken and kGatherCancel: which query they are about.
+/// kGatherTaken, kGatherConfirm and kGatherCancel: which query they are about.
 [[nodiscard]] std::string encode_about(std::uint64_t number);
 /// Errors: kProtocolError.
 [[nodiscard]] Result<GatherOffer> decode_offer(const std::string& payload);
--- a/ibismux/peer/peer_network.h
+++ b/ibismux/peer/peer_network.h
@@ -21,10 +21,11 @@
   kReleasePush = 5,  ///< A new head, down the tree.
   kFeedPush =
       6,  ///< Updates from the platform's store, and how fresh they are.
-  kLeafReports = 7,    ///< How leafs fare, up to the zone's hub and down again.
-  kGatherOffer = 8,    ///< To gather the receiver's queries.
-  kGatherTaken = 9,    ///< A query has come, and is being gathered.
-  kGatherCancel = 10,  ///< Nobody waits for a query any more.
+  kLeafReports = 7,  ///< How leafs fare, up to the zone's hub and down again.
+  kGatherOffer = 8,  ///< To gather the receiver's queries.
+  kGatherTaken = 9,  ///< A query has come, and is being gathered.
+  kGatherConfirm = 11,  ///< The sender knows that its query was taken.
+  kGatherCancel = 10,   ///< Nobody waits for a query any more.
   // Request and response.
   kProbe = 16,
   kIndirectProbe = 17,
--- /dev/null
+++ b/tests/dispatch/gather_for_peer_test.cc
@@ -0,0 +1,120 @@
+#include "tests/dispatch/dispatch_fixture.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::dispatch::testing {
+namespace {
+
+using std::chrono::milliseconds;
+
+/// Queries of a peer over four shards of three leafs each; the route allows two
+/// attempts at each shard.
+struct PeerFixture : DispatchFixture {
+  std::shared_ptr<http::CancelToken> gather(const std::string& id,
+                                            bool is_confirmed) {
+    CallerRequest request;
+    request.id = id;
+    request.host = "a";
+    request.path = "/query/";
+    auto message = std::make_shared<http::Request>();
+    message->target = request.path;
+    request.message = std::move(message);
+    request.received = Clock::now();
+    request.deadline = request.received + this->patience;
+    auto confirmation = std::make_shared<Confirmation>();
+    confirmation->given = is_confirmed;
+    auto token = std::make_shared<http::CancelToken>();
+    boost::asio::co_spawn(
+        this->loop,
+        this->dispatcher.gather(std::move(request), std::move(confirmation),
+                                token),
+        [this, id](const std::exception_ptr&, Outcome outcome) {
+          this->outcomes[id] = std::move(outcome);
+        });
+    this->run_until([&] { return this->outcomes.contains(id); });
+    return token;
+  }
+};
+
+Test(gather_for_peer, a_query_is_gathered_whole) {
+  PeerFixture fixture;
+  fixture.gather("q1", true);
+  cr_assert(fixture.merged("q1").missing_shards == 0);
+  cr_assert(fixture.leafs.times_run("q1") == 4);
+}
+
+// Guards against three leafs of one shard running a query that its sender
+// gathers as well, where the route allows two.
+Test(gather_for_peer, unconfirmed_it_gets_one_attempt_less) {
+  PeerFixture fixture;
+  fixture.leafs.behaviour["s1-0"].fails = true;
+  fixture.gather("q1", false);
+  cr_assert(fixture.merged("q1").missing_shards == 1);
+  cr_assert(fixture.leafs.times_run("q1") == 4);
+}
+
+Test(gather_for_peer, confirmed_it_gets_all_attempts) {
+  PeerFixture fixture;
+  fixture.leafs.behaviour["s1-0"].fails = true;
+  fixture.gather("q1", true);
+  cr_assert(fixture.merged("q1").missing_shards == 0);
+  cr_assert(fixture.leafs.times_run("q1") == 5);
+}
+
+/// A peer that can't be told from one that has run the query, or hasn't.
+class LostDelegate : public QueryDelegate {
+ public:
+  [[nodiscard]] bool is_available(TimePoint) const override { return true; }
+  [[nodiscard]] Task<Delegated> run(
+      Query query,
+      std::shared_ptr<http::CancelToken>) override {
+    this->asked.push_back(query.request.id);
+    co_return Delegated{std::nullopt, this->may_have_run};
+  }
+  bool may_have_run = true;
+  std::vector<std::string> asked;
+};
+
+/// Eight shards: fewer are never handed over.
+struct DelegatingFixture : DispatchFixture {
+  DelegatingFixture() {
+    auto route = this->dispatcher.table()->routes().front();
+    for (int i = 5; i <= 8; ++i) {
+      const std::string shard = "s" + std::to_string(i);
+      this->add_service(shard);
+      route.shards.push_back(shard);
+    }
+    this->dispatcher.put_in_force(std::make_shared<const routing::RouteTable>(
+        2, std::vector<routing::Route>{route},
+        std::vector<routing::ServiceSpec>{}, routing::CallerLimits{}));
+    this->dispatcher.set_delegate(this->delegate);
+  }
+  LostDelegate delegate;
+};
+
+Test(delegating, what_a_peer_may_have_run_gets_one_attempt_less_here) {
+  DelegatingFixture fixture;
+  fixture.leafs.behaviour["s1-0"].fails = true;
+  cr_assert(fixture.run("q1", "/query/").has_value());
+  cr_assert(fixture.delegate.asked.size() == 1);
+  cr_assert(fixture.leafs.times_run("q1") == 8);
+}
+
+Test(delegating, what_no_peer_has_taken_gets_all_attempts_here) {
+  DelegatingFixture fixture;
+  fixture.delegate.may_have_run = false;
+  fixture.leafs.behaviour["s1-0"].fails = true;
+  cr_assert(fixture.run("q1", "/query/").has_value());
+  cr_assert(fixture.leafs.times_run("q1") == 9);
+}
+
+Test(delegating, a_query_over_few_shards_stays_here) {
+  DispatchFixture fixture;
+  LostDelegate delegate;
+  fixture.dispatcher.set_delegate(delegate);
+  cr_assert(fixture.run("q1", "/query/").has_value());
+  cr_assert(delegate.asked.empty());
+}
+
+}  // namespace
+}  // namespace ibismux::dispatch::testing
--- a/tests/gather/gather_exchange_test.cc
+++ b/tests/gather/gather_exchange_test.cc
@@ -33,8 +33,10 @@
 
   Task<dispatch::Outcome> gather(
       dispatch::CallerRequest request,
+      std::shared_ptr<const dispatch::Confirmation> confirmation,
       std::shared_ptr<http::CancelToken> cancelled) override {
     this->asked.push_back(request.id);
+    this->confirmation = std::move(confirmation);
     cancelled->on_cancel([this, id = request.id] {
       this->given_up.push_back(id);
       this->answers = true;
@@ -50,6 +52,7 @@
 
   std::uint64_t version = 5;
   bool answers = true;
+  std::shared_ptr<const dispatch::Confirmation> confirmation;  ///< The last.
   std::vector<std::string> asked;
   std::vector<std::string> given_up;
 
@@ -146,6 +149,32 @@
   cr_assert(!fixture.client->is_available(Clock::now()));
 }
 
+// Guards against more leafs of a shard than its route allows: a peer whose word
+// was lost repeats calls while the query is gathered here as well.
+Test(gather_exchange, a_peer_whose_word_is_lost_is_not_confirmed) {
+  Fixture fixture;
+  fixture.gatherer.answers = false;
+  fixture.cluster.hold("wide", "weak");
+  const Delegated& delegated = fixture.run("q1");
+  cr_assert(!delegated.outcome.has_value());
+  cr_assert(delegated.may_have_run);
+  fixture.cluster.deliver_held("wide", "weak");
+  const TimePoint end = Clock::now() + milliseconds(50);
+  fixture.run_until([&] { return Clock::now() > end; });
+  cr_assert(fixture.gatherer.asked.size() == 1);
+  cr_assert(!fixture.gatherer.confirmation->given);
+}
+
+Test(gather_exchange, a_peer_learns_that_its_word_has_come) {
+  Fixture fixture;
+  fixture.gatherer.answers = false;
+  fixture.begin("q1");
+  cr_assert(fixture.run_until([&] {
+    return fixture.gatherer.confirmation &&
+           fixture.gatherer.confirmation->given;
+  }));
+}
+
 // Guards against leafs working for callers that left while a cut held up the
 // frames of their queries.
 Test(gather_exchange, a_query_on_an_old_offer_is_not_taken) {
--- a/thrift/gather.thrift
+++ b/thrift/gather.thrift
@@ -36,7 +36,7 @@
   13: bool opens_connection
 }
 
-/// kGatherTaken and kGatherCancel, each about one query of the pair.
+/// kGatherTaken, kGatherConfirm and kGatherCancel, each about one query of the pair.
 struct About {
   1: i64 number
 }
