--- a/ibismux/feed/collection_feed.cc
+++ b/ibismux/feed/collection_feed.cc
@@ -19,14 +19,12 @@
 // A listing of some hundred entries takes milliseconds; a store that needs
 // longer than this is tried again on a new connection.
 constexpr milliseconds kListTime{1500};
-// Pauses between calls that fail: short at first, for an answer that was lost.
-// Longer ones need not find out that the store is back: the daemon's cheap
-// checks do, and restart the feed. Tried twice a second by each daemon of 295,
-// a store that was down for six seconds was called 6,000 times.
+// After one call that failed: its answer alone may have been lost.
 constexpr milliseconds kFirstPause{50};
+// After further ones the store is down. The daemon's cheap checks find out when
+// it is back, and restart the feed.
 constexpr milliseconds kLongestPause{4000};
-// As long as nothing is known, every request is refused: a fleet that started
-// while the store was down serves this much sooner.
+// As long as nothing is known, every request is refused.
 constexpr milliseconds kLongestFirstPause{200};
 
 Update update_of(const std::string& collection, store::Listing listing) {
@@ -227,12 +225,8 @@
       .with("message", error.message);
   const Duration longest =
       this->known.version() == 0 ? kLongestFirstPause : kLongestPause;
-  Duration time = kFirstPause;
-  for (std::uint32_t i = 0; i < this->failures && time < longest; ++i) {
-    time *= 2;
-  }
+  const Duration time = this->failures == 0 ? kFirstPause : longest;
   ++this->failures;
-  time = std::min(time, longest);
   return error.retry_after
              ? std::clamp<Duration>(*error.retry_after, time, longest)
              : time;
