--- a/ibismux/feed/collection_feed.cc
+++ b/ibismux/feed/collection_feed.cc
@@ -102,6 +102,10 @@
     whole = done;
     if (done && std::exchange(self->first, false)) {
       co_await pause(self, self->settings.first_pause);
+      if (self->round == round) {
+        const Duration longer = self->listeners.wait_for_peers();
+        co_await pause(self, longer);
+      }
     }
   }
 }
--- a/ibismux/feed/collection_feed.h
+++ b/ibismux/feed/collection_feed.h
@@ -46,6 +46,9 @@
     std::function<void()> on_store_contact = [] {};
     /// A call of this feed to the store failed.
     std::function<void()> on_store_failure = [] {};
+    /// How long peers may offer to bring updates, beyond the settings' first
+    /// pause, before the first watch.
+    std::function<Duration()> wait_for_peers = [] { return Duration::zero(); };
   };
 
   /// All but `settings` outlive the feed.
--- a/ibismux/feed/feed_relay.cc
+++ b/ibismux/feed/feed_relay.cc
@@ -19,6 +19,11 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTick{250};
+// After a start of all daemons, and after an outage of the store: how long one
+// that has a watcher in its zone waits for what that one finds in the store.
+// Daemons answer for what they know only some seconds later, and hundreds that
+// all read the store would be its whole load.
+constexpr milliseconds kWatcherTime{1800};
 // While a fleet starts, many daemons are the first of those of their zone that
 // they have met so far. One that is so for longer than views take to spread
 // reads the store for the others.
@@ -71,7 +76,13 @@
                                if (const auto self = weak.lock()) {
                                  self->on_store_failure();
                                }
-                             }});
+                             },
+                         .wait_for_peers = [weak]() -> Duration {
+                           const auto self = weak.lock();
+                           return self && self->relies_on_watcher()
+                                      ? kWatcherTime
+                                      : milliseconds(0);
+                         }});
   }
   this->tick();
 }
@@ -136,6 +147,10 @@
   }
 }
 
+bool FeedRelay::relies_on_watcher() const {
+  return this->joined && !this->choice.is_watcher();
+}
+
 void FeedRelay::invalidate() {
   const TimePoint now = Clock::now();
   this->choice.invalidate(now);
--- a/ibismux/feed/feed_relay.h
+++ b/ibismux/feed/feed_relay.h
@@ -58,6 +58,9 @@
   /// read, as if there had been none.
   void invalidate();
 
+  /// Whether some peer of the zone is to follow the store for this daemon.
+  [[nodiscard]] bool relies_on_watcher() const;
+
   /// Whether this daemon follows the store itself.
   [[nodiscard]] bool follows_store() const noexcept {
     return this->started && this->choice.source() == Source::kStore;
