After an outage of the store followers wait for their watcher

Cause: each daemon that helped itself in an outage read three collections whole and watched them anew as soon as the store was back: some 470 calls at 79 hosts. Change: one that has a watcher in its zone reads only if that one's word isn't trusted within 2.2 s.

--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -1,6 +1,7 @@
 #include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
+#include <optional>
 #include <utility>
 
 #include "ibismux/edge/edge_daemon_impl.h"
@@ -24,6 +25,10 @@
 // Between cheap reads of a store that doesn't answer: an update is in force
 // within a second of its return.
 constexpr milliseconds kLostCheckInterval{300};
+// After the store's return: how long a daemon that has a watcher in its zone
+// waits for what that one reads. Time for it to read, and for its word to be
+// trusted.
+constexpr milliseconds kWatcherReturnTime{2200};
 // How long peers may offer to bring updates before the first watch: time to
 // meet them.
 constexpr milliseconds kFirstWatchPause{1500};
@@ -113,6 +118,7 @@
 Task<void> EdgeDaemon::Impl::check_store() {
   http::Timer timer(this->loop().get_executor());
   bool was_lost = false;
+  std::optional<TimePoint> back_since;
   int stalled_checks = 0;
   for (;;) {
     timer.expires_after(
@@ -121,6 +127,7 @@
     co_await timer.async_wait(asio::use_awaitable);
     if (this->relay && !this->relay->follows_store()) {
       was_lost = false;
+      back_since.reset();
       continue;
     }
     auto object = co_await this->store.stale_get(
@@ -131,6 +138,7 @@
     }
     if (!object) {
       was_lost = true;
+      back_since.reset();
       for (const auto& feed : this->feeds) {
         feed->report_lost(object.error().message);
       }
@@ -142,7 +150,16 @@
     const bool any_lost =
         std::any_of(this->feeds.begin(), this->feeds.end(),
                     [](const auto& feed) { return feed->lost(); });
-    if (std::exchange(was_lost, false) || any_lost) {
+    if (was_lost || any_lost) {
+      const TimePoint now = Clock::now();
+      back_since = back_since.value_or(now);
+      if (this->relay && this->relay->relies_on_watcher() &&
+          now < *back_since + kWatcherReturnTime) {
+        was_lost = true;
+        continue;
+      }
+      was_lost = false;
+      back_since.reset();
       // No contact yet: what is known is as old as before until it is read
       // again, and peers would rely on it.
       this->refresh("store is back");
