--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -3,16 +3,10 @@
 #include <xxhash.h>
 
 #include <algorithm>
-#include <boost/asio/async_result.hpp>
-#include <boost/asio/use_awaitable.hpp>
 #include <set>
 #include <utility>
 
-#include "ibismux/dispatch/answer_timing.h"
-#include "ibismux/dispatch/forward_run.h"
-#include "ibismux/dispatch/scatter_run.h"
 #include "ibismux/eventlog/event_log.h"
-#include "ibismux/http/cancel_token.h"
 
 namespace ibismux::dispatch {
 
@@ -24,16 +18,6 @@
 // A first guess of a route's usual latency, as a part of its objective: what
 // objectives are set to by those who know the work.
 constexpr double kFirstGuess = 0.12;
-// When a caller should come back that met a daemon without configuration: one
-// that starts has it within this time if the store answers.
-constexpr milliseconds kNotReadyPause{200};
-
-// A query over fewer shards fits the narrowest link.
-constexpr std::size_t kLeastShardsToDelegate = 8;
-// Of the time until an answer is due: for the way to the peer that gathers it
-// and back, and what both daemons take to pass it on.
-constexpr milliseconds kHopAllowance{2};
-
 // What one daemon saves up at most for one service: enough for a pause of one
 // leaf, in which each of its calls is sent again.
 constexpr double kMostBurst = 6;
@@ -58,9 +42,6 @@
   return XXH3_64bits(id.data(), id.size());
 }
 
-using OutcomeHandler =
-    asio::async_result<asio::use_awaitable_t<>, void(Outcome)>::handler_type;
-
 }  // namespace
 
 Dispatcher::Dispatcher(asio::io_context& loop,
@@ -321,184 +302,4 @@
   return targets;
 }
 
-Outcome Dispatcher::refuse(const CallerRequest& request,
-                           Error error,
-                           const routing::Route* route) {
-  const TimePoint now = Clock::now();
-  this->metrics.request_ended(route ? route->name : "none", &error, false,
-                              now - request.received);
-  this->log.event(eventlog::Weight::kFailure, "request_refused")
-      .with("request", request.id)
-      .with("route", route ? route->name : "")
-      .with("caller_host", request.host)
-      .with("path", request.path)
-      .with("config", this->in_force ? this->in_force->version() : 0)
-      .with("kind", error_entry(error.kind).name)
-      .with("message", error.message)
-      .with("left_ms", remaining(request.deadline, now));
-  return tl::unexpected(std::move(error));
-}
-
-Result<Dispatcher::Context> Dispatcher::admit(CallerRequest request) {
-  const auto refused = [this, &request](Error error,
-                                        const routing::Route* route) {
-    return tl::unexpected(
-        this->refuse(request, std::move(error), route).error());
-  };
-  if (!this->in_force) {
-    Error error = make_error(ErrorKind::kNotReady, "no configuration yet");
-    error.retry_after = kNotReadyPause;
-    return refused(std::move(error), nullptr);
-  }
-  auto context = std::make_shared<RequestContext>();
-  context->table = this->in_force;
-  context->route = this->in_force->find(request.host, request.path);
-  if (!context->route) {
-    return refused(make_error(ErrorKind::kNotFound, "no route"), nullptr);
-  }
-  const routing::Route& route = *context->route;
-  context->final_at =
-      std::min(request.deadline, request.received + route.time_limit);
-  if (context->final_at <= Clock::now()) {
-    Error error = make_error(ErrorKind::kDeadlineExceeded, "no time left");
-    error.execution = Execution::kNotRun;
-    return refused(std::move(error), &route);
-  }
-  context->due =
-      answer_due(request.received, route.objective, request.opens_connection);
-  context->request = std::move(request);
-  context->typical = this->typical(route);
-  context->log = &this->log;
-  context->metrics = &this->metrics;
-  context->policy = &this->settings.policy;
-  return context;
-}
-
-Task<Outcome> Dispatcher::handle(CallerRequest request,
-                                 std::shared_ptr<http::CancelToken> caller) {
-  auto context = this->admit(std::move(request));
-  if (!context) {
-    co_return tl::unexpected(std::move(context.error()));
-  }
-  if (this->may_delegate(**context)) {
-    auto outcome = co_await delegate_query(*this, *context, caller);
-    if (outcome) {
-      co_return *std::move(outcome);
-    }
-  }
-  co_return co_await run(*this, *std::move(context), std::move(caller));
-}
-
-Task<Outcome> Dispatcher::gather(
-    CallerRequest request,
-    std::shared_ptr<const Confirmation> confirmation,
-    std::shared_ptr<http::CancelToken> cancelled) {
-  auto context = this->admit(std::move(request));
-  if (!context) {
-    co_return tl::unexpected(std::move(context.error()));
-  }
-  if (!(*context)->route->is_scatter()) {
-    co_return this->refuse((*context)->request,
-                           make_error(ErrorKind::kInvalidRequest,
-                                      "only queries over shards are gathered"),
-                           (*context)->route);
-  }
-  (*context)->confirmation = std::move(confirmation);
-  (*context)->due -= kHopAllowance;
-  co_return co_await run(*this, *std::move(context), std::move(cancelled));
-}
-
-bool Dispatcher::may_delegate(const RequestContext& context) const {
-  return this->delegate && this->settings.policy.delegate_queries &&
-         context.route->shards.size() >= kLeastShardsToDelegate &&
-         this->delegate->is_available(Clock::now());
-}
-
-Task<std::optional<Outcome>> Dispatcher::delegate_query(
-    Dispatcher& self,
-    Context context,
-    std::shared_ptr<http::CancelToken> caller) {
-  QueryDelegate::Query query{context->request, context->table->version(),
-                             context->due, context->final_at};
-  auto delegated = co_await self.delegate->run(std::move(query), caller);
-  if (delegated.outcome) {
-    self.log_delegated(*context, *delegated.outcome);
-    co_return std::move(delegated.outcome);
-  }
-  if (!delegated.may_have_run) {
-    co_return std::nullopt;
-  }
-  // Unconfirmed, the peer asks no more than one leaf of each shard.
-  context->attempts_elsewhere = 1;
-  if (context->most_attempts() == 0) {
-    co_return self.refuse(
-        context->request,
-        make_error(ErrorKind::kOutcomeUnknown,
-                   "a peer may have run it; one attempt only"),
-        context->route);
-  }
-  co_return std::nullopt;
-}
-
-void Dispatcher::log_delegated(const RequestContext& context,
-                               const Outcome& outcome) {
-  const Duration took = Clock::now() - context.request.received;
-  const Error* error = outcome ? nullptr : &outcome.error();
-  const auto* merged = outcome ? std::get_if<MergedAnswer>(&*outcome) : nullptr;
-  const bool partial = merged && merged->missing_shards > 0;
-  this->metrics.request_ended(context.route->name, error, partial, took);
-  const bool plain = outcome && !partial && took <= context.route->objective;
-  eventlog::Event line = this->log.event(
-      plain ? eventlog::Weight::kOrdinary : eventlog::Weight::kFailure,
-      "request_end");
-  if (!line.enabled()) {
-    return;
-  }
-  line.with("request", context.request.id)
-      .with("route", context.route->name)
-      .with("config", context.table->version())
-      .with("delegated", true)
-      .with("outcome", error ? error_entry(error->kind).name
-                             : (partial ? "partial" : "ok"))
-      .with("took_ms", took)
-      .with("objective_ms", Duration(context.route->objective));
-  if (error) {
-    line.with("message", error->message)
-        .with("not_run", error->execution == Execution::kNotRun);
-  }
-}
-
-Task<Outcome> Dispatcher::run(Dispatcher& self,
-                              Context context,
-                              std::shared_ptr<http::CancelToken> caller) {
-  if (caller->cancelled()) {
-    co_return fail(ErrorKind::kCancelled, "the caller is gone");
-  }
-  const bool is_scatter = context->route->is_scatter();
-  auto groups = self.targets(*context->route);
-  auto begin = [&](OutcomeHandler&& handler) {
-    auto shared = std::make_shared<OutcomeHandler>(std::move(handler));
-    RequestRun::Done done = [shared](Outcome outcome) {
-      (*shared)(std::move(outcome));
-    };
-    std::shared_ptr<RequestRun> run;
-    if (is_scatter) {
-      run = std::make_shared<ScatterRun>(self.loop, context, std::move(groups),
-                                         std::move(done));
-    } else {
-      run = std::make_shared<ForwardRun>(self.loop, context, std::move(groups),
-                                         std::move(done));
-    }
-    caller->on_cancel([weak = std::weak_ptr(run)] {
-      if (const auto live = weak.lock()) {
-        live->cancel();
-      }
-    });
-    run->start();
-  };
-  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>&,
-                                          void(Outcome)>(std::move(begin),
-                                                         asio::use_awaitable);
-}
-
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -108,6 +108,8 @@
                                      std::shared_ptr<http::CancelToken> caller);
 
  private:
+  using Context = std::shared_ptr<RequestContext>;
+
   [[nodiscard]] std::shared_ptr<ServiceGroup> group(const std::string& service);
   [[nodiscard]] std::shared_ptr<TypicalLatency> typical(
       const routing::Route& route);
@@ -120,7 +122,6 @@
   void share_links();
   void share_links(const ServiceGroup& group);
   [[nodiscard]] Duration report_half_life();
-  using Context = std::shared_ptr<RequestContext>;
 
   /// What is known of a request at its arrival, or why it is refused.
   [[nodiscard]] Result<Context> admit(CallerRequest request);
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -225,6 +225,10 @@
 
 void RequestRun::finish(Outcome outcome, bool partial) {
   this->ended = true;
+  if (!outcome && this->shared->attempts_elsewhere > 0) {
+    // Of what a peer's calls became nothing is known here.
+    outcome.error().execution = Execution::kUnknown;
+  }
   this->log_end(outcome, partial);
   this->leave_parts();
   const Done report = std::exchange(this->done, nullptr);
--- a/ibismux/gather/gather_client.cc
+++ b/ibismux/gather/gather_client.cc
@@ -138,17 +138,12 @@
     if (cancelled || now < until) {
       continue;
     }
-    if (now > until + kOnTime && !caught_up) {
-      // What came while this daemon was busy is read before a wait that is
-      // over at once ends.
-      caught_up = true;
-      taken_by = handover->taken ? taken_by : now;
-      continue;
-    }
-    const bool is_over = !handover->taken || now >= final_at;
-    if (is_over) {
+    if (now <= until + kOnTime || caught_up) {
       co_return;
     }
+    // This daemon was busy: what came meanwhile is read before a wait that is
+    // over at once ends.
+    caught_up = true;
   }
 }
 
--- a/tests/dispatch/gather_for_peer_test.cc
+++ b/tests/dispatch/gather_for_peer_test.cc
@@ -100,6 +100,18 @@
   cr_assert(fixture.leafs.times_run("q1") == 8);
 }
 
+Test(delegating, what_a_peer_may_have_run_is_never_called_not_run) {
+  DelegatingFixture fixture;
+  fixture.dispatcher.set_evacuated({"z0", "z1", "z2"});
+  const Outcome& outcome = fixture.run("q1", "/query/");
+  cr_assert(!outcome.has_value());
+  cr_assert(outcome.error().execution == Execution::kUnknown);
+  fixture.delegate.may_have_run = false;
+  const Outcome& second = fixture.run("q2", "/query/");
+  cr_assert(!second.has_value());
+  cr_assert(second.error().execution == Execution::kNotRun);
+}
+
 Test(delegating, what_no_peer_has_taken_gets_all_attempts_here) {
   DelegatingFixture fixture;
   fixture.delegate.may_have_run = false;
