--- a/ibismux/dispatch/answer_timing.cc
+++ b/ibismux/dispatch/answer_timing.cc
@@ -10,13 +10,10 @@
 // As a part of the objective: the rest is for the request's way here, the
 // answer's way back, 1 to 3 ms each, and what this daemon itself takes.
 constexpr double kDue = 0.78;
-// What a new connection takes at a caller 3 ms away: one way more in each
-// direction. Without it, every answer that waits for its last shards is some
-// milliseconds late where the objective is 40 ms and the connection new.
+// What a new connection takes at a distant caller: one way more in each
+// direction.
 constexpr std::chrono::milliseconds kHandshake{6};
-// Of the time that sending takes. With 90 shards on a tenth of a core calls are
-// sent within 9 ms, and answers leave some 2 ms after they are due; half of
-// them reached their callers just after the objective of 40 ms.
+// Of the time that sending the calls took.
 constexpr double kAnswering = 0.2;
 // However short the objective, this part of it is for the shards.
 constexpr double kLeastForShards = 0.5;
--- a/ibismux/dispatch/call_window.cc
+++ b/ibismux/dispatch/call_window.cc
@@ -9,12 +9,7 @@
 
 // A leaf whose calls take this many times what they take without a queue has as
 // many waiting as it works on. More of them there add to the wait and to
-// nothing else. With three calls of each of seven daemons at each leaf whatever
-// its load, four times the load at leafs of two slots had 23,000 of 141,000
-// calls turned away by full leafs, and in the worst seconds 28 of 100 requests
-// in time; with windows 41 of 113,800 and 80 of 100. From 1.5 times on, pauses
-// and slow leafs passed for load: 0.01 to 0.04 less of the requests in time on
-// days without any.
+// nothing else. Much less, and pauses and slow leafs pass for load.
 constexpr double kLoadedTimes = 2;
 // Weight of one call in the average, and the most that one counts for: a pause
 // or a heavy request catches one or two calls in a row and is no queue.
--- a/ibismux/dispatch/dispatch_settings.h
+++ b/ibismux/dispatch/dispatch_settings.h
@@ -25,11 +25,7 @@
   std::size_t hosts = 10;
 
   /// What a leaf of another zone must be better by, in times of what a call
-  /// usually takes: traffic between zones is paid for, and takes longer. At
-  /// half a usual call, 91 daemons over four zones sent 0.461 GB between zones
-  /// in six days, and 0.400 at one. Much above that, callers with short
-  /// objectives wait for a slow leaf of their zone: at 1.6, 70 of 100 requests
-  /// were in time in the worst seconds of a day at 77 daemons, and at one 75.
+  /// usually takes: traffic between zones is paid for, and takes longer.
   double remote_cost = 1.0;
 
   DispatchPolicy policy;
--- a/ibismux/dispatch/dispatcher_reports.cc
+++ b/ibismux/dispatch/dispatcher_reports.cc
@@ -14,8 +14,6 @@
 // reported of a leaf. With more of them each draws longer times, up to this
 // many times as long as there are daemons: the first to forget tries the leaf
 // for all, and what it finds is reported to the others before they would.
-// Without that all of them try at once: at 91 daemons with 18 of 108 leafs
-// eight times as slow, each query of 36 shards met three of those.
 constexpr milliseconds kReportHalfLife{1250};
 
 }  // namespace
--- a/ibismux/dispatch/hedge_timing.cc
+++ b/ibismux/dispatch/hedge_timing.cc
@@ -12,9 +12,7 @@
 constexpr double kHedgeAfter = 2.5;
 constexpr std::chrono::milliseconds kLeastHedge{4};
 // And no later than leaves the second answer this many times the usual before
-// the answer is due; most come within that. Hedging at three tenths of the
-// objective whatever the load sent 9 in 100 calls twice on a calm day of 36
-// shards and 91 daemons, and more where leafs were slow.
+// the answer is due; most come within that.
 constexpr double kTimeForSecond = 1.7;
 // Where even that is sooner than this many times the usual, half of all calls
 // would be sent twice, and load is what makes them slow.
--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -15,8 +15,8 @@
 namespace asio = boost::asio;
 using std::chrono::milliseconds;
 
-// Longer than a leaf's pause (250 ms at most so far) and a lost first packet on
-// a short way; a host without power answers nothing at all.
+// Longer than a leaf's pause and a lost first packet on a short way; a host
+// without power answers nothing at all.
 constexpr milliseconds kDialTime{400};
 // A crashed leaf is back within seconds at the earliest; a short first pause
 // finds one that only reset its connections.
@@ -228,9 +228,9 @@
                       TimePoint now) {
   const Duration waited = now - *ticket;
   // What was given up, by us or by its caller's short deadline, before a leaf
-  // could be expected to answer says nothing of the leaf. Notice where this is
-  // missing: after an outage, callers' last attempts with some 40 ms left get
-  // healthy leafs ejected.
+  // could be expected to answer says nothing of the leaf: after an outage
+  // callers' last attempts have little time left, and would get healthy leafs
+  // ejected.
   const bool in_a_hurry =
       order.active->given_up || error.kind == ErrorKind::kDeadlineExceeded;
   if (in_a_hurry && waited < order.usual * kPatienceTimes) {
--- a/ibismux/dispatch/link_opener.cc
+++ b/ibismux/dispatch/link_opener.cc
@@ -14,12 +14,12 @@
 
 using std::chrono::milliseconds;
 
-// While links are missing: two dials each 20 ms open those to 90 leafs within a
-// second, and leave a slow host time for its callers.
+// While links are missing: a hundred dials a second, which leave a slow host
+// time for its callers.
 constexpr milliseconds kPace{20};
 constexpr std::size_t kDialsATick = 2;
-// A leaf answers a dial in 1 to 6 ms; one that doesn't must not hold up the
-// others, and many of those not use up what the process may have open.
+// A leaf that doesn't answer a dial must not hold up the others, and many of
+// those must not use up what the process may have open.
 constexpr std::size_t kMostOpening = 16;
 // While none is missing. A link that was lost is noticed this much later.
 constexpr milliseconds kIdlePace{250};
--- a/ibismux/dispatch/link_opener.h
+++ b/ibismux/dispatch/link_opener.h
@@ -19,9 +19,7 @@
 ///
 /// A query goes to all shards at once. Where links are opened on demand, the
 /// first query of a daemon dials them all, and each daemon of a large fleet
-/// sees few queries: of 295 daemons on a tenth of a core, the first query over
-/// 90 shards took 98 ms at the median, with each call hedged, and later ones
-/// 31 ms.
+/// sees few queries.
 ///
 /// Dials are paced, so that calls at hand and leafs' slots, which a new
 /// connection takes up for a moment, have room; and each daemon goes through
--- a/ibismux/dispatch/link_plan.cc
+++ b/ibismux/dispatch/link_plan.cc
@@ -21,14 +21,10 @@
 // Part of a leaf's connections that are opened ahead of calls. A fleet that
 // loses power leaves its connections behind, and leafs hold them until they
 // have been idle for long enough: those of before and those of after must have
-// room at once. With eight tenths opened ahead, leafs reset 20,000 connections
-// in the five seconds after 91 daemons came back, and half of the callers got
-// nothing.
+// room at once.
 constexpr double kOpenedAhead = 0.45;
 // Links of all daemons together for each slot of a leaf, and the fewest for one
-// daemon: one at work, one waiting, one for a call that pauses. Six links in
-// place of three, at leafs of five slots and six daemons, cost 0.01 to 0.02 of
-// the share of requests in time on days with slow or missing leafs.
+// daemon: one at work, one waiting, one for a call that pauses.
 constexpr double kLinksPerSlot = 2;
 constexpr double kLeastUseful = 3;
 
@@ -37,9 +33,8 @@
 constexpr double kPartOfGatherers = 0.5;
 
 // Where a daemon's even part is below two links. Idle links are what fills a
-// leaf's connections: with 77 daemons at 70 connections a leaf, each daemon's
-// calls took a quarter of a link at a leaf of another zone. So a daemon may
-// open more than its part for calls at hand, and keeps its part only.
+// leaf's connections, so a daemon may open more than its part for calls at
+// hand, and keeps its part only.
 constexpr std::size_t kScarceLinks = 1;
 
 std::size_t whole(double number) {
--- a/ibismux/dispatch/link_plan.h
+++ b/ibismux/dispatch/link_plan.h
@@ -50,8 +50,7 @@
 /// those of its own zone, then to others by its rank, so that every daemon has
 /// as many replicas of every service as there is room for, and every replica
 /// about as many daemons. Where there is room for a part of one more, that part
-/// of the daemons has it, chosen by rank: 295 daemons at three leafs of 195
-/// connections keep one replica each otherwise, and every hedge dials.
+/// of the daemons has it, chosen by rank.
 ///
 /// Nor are there ever many more links than a leaf can work on: what waits at
 /// the daemon can still be dropped when its caller leaves or has enough
--- a/ibismux/dispatch/link_pool.h
+++ b/ibismux/dispatch/link_pool.h
@@ -77,9 +77,7 @@
   /// @{
   /// A leaf that has all the connections it bears resets those that come
   /// beyond, right after they were made. Dialled again at once, with others
-  /// doing the same, it does nothing else: on a day with a quarter of the leafs
-  /// slow, 91 daemons had 17,000 connections reset and served a quarter of
-  /// their callers.
+  /// doing the same, it does nothing else.
   /// @return How long no link is dialled.
   Duration note_connection_limit(TimePoint now);
   /// The leaf has answered: its limit isn't reached.
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -27,7 +27,7 @@
 // A timer that fires later than this says that the loop had other work.
 constexpr milliseconds kOnTime{1};
 // Parts whose hedges are due within this of each other are looked at in one
-// turn: a query of 90 shards would wake the daemon for each of them.
+// turn, so that a wide query doesn't wake the daemon for each of them.
 constexpr milliseconds kTogether{2};
 
 // A queue that has not been empty for so long stands for more requests than
--- a/ibismux/dispatch/request_run.h
+++ b/ibismux/dispatch/request_run.h
@@ -69,7 +69,7 @@
   };
 
   [[nodiscard]] const Parts& parts() const noexcept { return this->all; }
-  /// Counted as parts end: a query of 90 shards looks at it 90 times.
+  /// Counted as parts end: each end of a part looks at it.
   [[nodiscard]] const Tally& tally() const noexcept {
     return this->ended_parts;
   }
@@ -100,9 +100,7 @@
   void arm();
   /// Whether the timer fired late; arms it again where it did. Then answers may
   /// have come that this daemon has not read yet, for want of time of its own:
-  /// their calls would be sent once more, and make it later still. Notice where
-  /// this is missing: a daemon on a tenth of a core sends each call of a query
-  /// of 90 shards twice.
+  /// their calls would be sent once more, and make it later still.
   [[nodiscard]] bool is_behind(TimePoint now);
   void on_timer();
   void leave_parts();
--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -23,13 +23,9 @@
 
 // A leaf of this zone is at ease while its calls take no more than this many
 // times the usual, no more of them fail than this share, and it has a slot
-// free. It then gets the call, also where one of another zone would answer some
-// milliseconds sooner: callers' objectives are ten times that, and traffic
-// between zones is paid for. Hosts differ in speed by up to 1.6; leafs that are
-// in trouble take four times the usual and more, and are compared with those of
-// other zones by cost. On a calm day at six daemons 6.8 of 100 calls left their
-// zone as slower, and 8.3 where all leafs were compared by cost; the share of
-// requests in time was the same.
+// free. It then gets the call, also where one of another zone would answer a
+// little sooner: traffic between zones is paid for. The ratio lies between what
+// hosts differ in speed and what leafs in trouble take.
 constexpr double kEaseRatio = 2;
 constexpr double kEaseFailures = 0.1;
 
--- a/ibismux/edge/contact_slots.cc
+++ b/ibismux/edge/contact_slots.cc
@@ -126,9 +126,8 @@
   const store::HostEntry fresh = self->entry(view);
   // Where a whole fleet starts at once each daemon is alone at first. If each
   // wrote its entry, it would replace that of a daemon which the others are
-  // about to find there: 91 writes, and nobody found for six seconds. An entry
-  // whose daemon is gone is replaced at the next look, as long as this one is
-  // alone.
+  // about to find there. An entry whose daemon is gone is replaced at the next
+  // look, as long as this one is alone.
   const bool leave = first && view.serving() <= 1;
   if (standing && (leave || !self->replaces(fresh, *standing))) {
     co_return;
--- a/ibismux/edge/fleet.cc
+++ b/ibismux/edge/fleet.cc
@@ -34,8 +34,8 @@
 
 constexpr std::uint64_t kRankSalt = 59;
 
-/// Fewer wake-ups than the defaults: a tick of 100 ms of each daemon is a tenth
-/// of what an idle daemon costs.
+/// Fewer wake-ups than the defaults: they are much of what an idle daemon
+/// costs.
 membership::MembershipSettings membership_settings(
     const Fleet::Settings& settings) {
   membership::MembershipSettings membership;
@@ -115,9 +115,8 @@
   if (!told || this->size_known_by_contact || most <= this->largest.hosts) {
     return;
   }
-  // Until the others are met: after an outage of all, 91 daemons that assumed
-  // ten had 22,000 connections reset by leafs that accept 78, and served a
-  // third of the callers of the first four seconds.
+  // Until the others are met: daemons of a large fleet that start together and
+  // assume a small one open more connections than leafs accept.
   this->size_known_by_contact = true;
   this->largest.hosts = most;
   this->largest.hosts_by_zone = told->fleet;
