--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -26,8 +26,8 @@
 // within a second of its return.
 constexpr milliseconds kLostCheckInterval{300};
 // After the store's return: how long a daemon that has a watcher in its zone
-// waits for what that one reads. Time for it to read, and for its word to be
-// trusted.
+// waits for what that one reads: time for it to read, and for its updates to be
+// relied on.
 constexpr milliseconds kWatcherReturnTime{2200};
 // How long peers may offer to bring updates before the first watch: time to
 // meet them.
--- a/ibismux/gather/gather_client.cc
+++ b/ibismux/gather/gather_client.cc
@@ -165,7 +165,7 @@
     return {.outcome = fail(ErrorKind::kDeadlineExceeded,
                             "no answer from " + member + " in time")};
   }
-  this->note("gather_not_taken", member, query, "no word in time");
+  this->note("gather_not_taken", member, query, "no confirmation in time");
   this->choice.on_silent(member, Clock::now());
   return {.outcome = std::nullopt, .may_have_run = true};
 }
--- a/ibismux/gather/gather_client.h
+++ b/ibismux/gather/gather_client.h
@@ -21,12 +21,12 @@
 /// Hands this daemon's queries over to peers that offer to gather them.
 ///
 /// A peer tells at once that it has taken a query, and learns in turn that this
-/// daemon knows. Where no word comes, the query is gathered here: waiting for
-/// its answer would cost the caller its whole deadline if the peer was cut off.
-/// The peer may have taken it all the same; without that confirmation it makes
-/// one attempt at each shard, and this daemon the others that the route allows.
-/// A query that was confirmed is not gathered a second time; if its answer is
-/// lost the caller is told that the outcome is unknown.
+/// daemon knows. Where it hears nothing, the query is gathered here: waiting
+/// for its answer would cost the caller its whole deadline if the peer was cut
+/// off. The peer may have taken it all the same; without that confirmation it
+/// makes one attempt at each shard, and this daemon the others that the route
+/// allows. A query that was confirmed is not gathered a second time; if its
+/// answer is lost the caller is told that the outcome is unknown.
 ///
 /// Belongs to one event loop, which is also the network's; not thread safe.
 class GatherClient : public dispatch::QueryDelegate,
@@ -65,7 +65,7 @@
                                           TimePoint deadline,
                                           std::shared_ptr<Handover> handover);
   /// Waits for the reply, the end of the caller's interest, or the time by
-  /// which there should be word from the peer.
+  /// which the peer should have confirmed.
   [[nodiscard]] static Task<void> wait(std::shared_ptr<Handover> handover,
                                        TimePoint taken_by,
                                        TimePoint final_at);
--- a/ibismux/gather/gatherer_choice.h
+++ b/ibismux/gather/gatherer_choice.h
@@ -46,7 +46,8 @@
   void on_taken(const std::string& member);
   /// The peer didn't take it; it is left out until its next offer.
   void on_refused(const std::string& member);
-  /// No word has come; the peer is left out for a while, longer each time.
+  /// No confirmation has come; the peer is left out for a while, longer each
+  /// time.
   void on_silent(const std::string& member, TimePoint now);
   /// The query has ended, in whatever way.
   void on_end(const std::string& member);
--- a/tests/feed/collection_feed_test.cc
+++ b/tests/feed/collection_feed_test.cc
@@ -49,6 +49,9 @@
   Task<Result<store::Listing>> list(std::string collection,
                                     TimePoint deadline) override {
     ++this->lists;
+    if (this->down) {
+      co_return fail(ErrorKind::kPlatformUnavailable, "down");
+    }
     auto listing =
         co_await MemoryObjectStore::list(std::move(collection), deadline);
     co_return listing;
@@ -81,6 +84,7 @@
   }
 
   bool deaf = false;
+  bool down = false;  ///< Current readings fail.
   int cuts = 0;
   int watches = 0;
   int lists = 0;
@@ -208,7 +212,44 @@
   cr_assert(fixture.store.stale_lists == 1);
 }
 
-Test(collection_feed, news_of_peers_is_taken_as_that_of_the_store) {
+/// Runs the loop for a time in which a feed that doesn't wait calls the store
+/// many times.
+void run_for_a_while(Fixture& fixture) {
+  const TimePoint end = Clock::now() + std::chrono::milliseconds(300);
+  fixture.run_until([end] { return Clock::now() >= end; });
+}
+
+// The load: hundreds of daemons that start together, each of which would watch.
+Test(collection_feed, a_follower_leaves_the_first_watch_to_its_watcher) {
+  Fixture fixture;
+  fixture.feed->set_listeners({.wait_for_peers = [] { return kLimit; }});
+  cr_assert(fixture.run_until([&] { return fixture.observer.listings == 1; }));
+  run_for_a_while(fixture);
+  cr_assert(fixture.store.watches == 0);
+  const store::Version at = fixture.feed->mirror().version();
+  fixture.feed->take({"config",
+                      at,
+                      at + 1,
+                      false,
+                      {{{"config", "main", at + 1, "9"}, false}}});
+  cr_assert(fixture.observer.objects["main"] == "9");
+}
+
+// The load: hundreds of daemons that each try a store which is down.
+Test(collection_feed, after_two_failures_the_store_is_left_alone) {
+  Fixture fixture;
+  cr_assert(fixture.run_until([&] { return fixture.store.watches > 0; }));
+  fixture.store.down = true;
+  fixture.store.cuts = 1;
+  cr_assert(fixture.run_until([&] { return fixture.store.lists == 1; }));
+  run_for_a_while(fixture);
+  cr_assert(fixture.store.lists == 1, "%d", fixture.store.lists);
+  fixture.store.down = false;
+  fixture.feed->retry_now();
+  cr_assert(fixture.run_until([&] { return fixture.observer.returns == 1; }));
+}
+
+Test(collection_feed, updates_of_peers_are_taken_as_those_of_the_store) {
   Fixture fixture;
   cr_assert(fixture.run_until([&] { return fixture.observer.listings == 1; }));
   fixture.feed->suspend();
--- a/tests/gather/gather_exchange_test.cc
+++ b/tests/gather/gather_exchange_test.cc
@@ -149,9 +149,9 @@
   cr_assert(!fixture.client->is_available(Clock::now()));
 }
 
-// Guards against more leafs of a shard than its route allows: a peer whose word
-// was lost repeats calls while the query is gathered here as well.
-Test(gather_exchange, a_peer_whose_word_is_lost_is_not_confirmed) {
+// Guards against more leafs of a shard than its route allows: a peer whose
+// confirmation was lost repeats calls while the query is gathered here as well.
+Test(gather_exchange, a_peer_whose_confirmation_is_lost_gets_none) {
   Fixture fixture;
   fixture.gatherer.answers = false;
   fixture.cluster.hold("wide", "weak");
@@ -165,7 +165,7 @@
   cr_assert(!fixture.gatherer.confirmation->given);
 }
 
-Test(gather_exchange, a_peer_learns_that_its_word_has_come) {
+Test(gather_exchange, a_peer_learns_that_its_confirmation_has_come) {
   Fixture fixture;
   fixture.gatherer.answers = false;
   fixture.begin("q1");
