One request_end line for both ways of a query; member coroutines; one type for sets of zones

Read again: log_delegated wrote the same line and count as RequestRun::log_end, without its retry_after; note_request_end serves both. The coroutines of the dispatcher are members, as handle() was, in place of statics with a reference to it. EvacuatedZones stood beside the same type written out; it is ZoneNames in base/.

--- a/ibismux/base/zone_sizes.h
+++ b/ibismux/base/zone_sizes.h
@@ -4,10 +4,14 @@
 #include <cstddef>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 
 namespace ibismux {
 
+/// Some of the availability zones.
+using ZoneNames = std::set<std::string, std::less<>>;
+
 /// Daemons of each availability zone.
 using ZoneSizes = std::map<std::string, std::size_t, std::less<>>;
 
--- a/ibismux/dispatch/cold_limit.cc
+++ b/ibismux/dispatch/cold_limit.cc
@@ -1,7 +1,5 @@
 #include "ibismux/dispatch/cold_limit.h"
 
-#include <cmath>
-
 #include "ibismux/dispatch/link_plan.h"
 
 namespace ibismux::dispatch {
--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -18,6 +18,7 @@
 // A first guess of a route's usual latency, as a part of its objective: what
 // objectives are set to by those who know the work.
 constexpr double kFirstGuess = 0.12;
+
 // What one daemon saves up at most for one service: enough for a pause of one
 // leaf, in which each of its calls is sent again.
 constexpr double kMostBurst = 6;
@@ -102,7 +103,7 @@
   }
 }
 
-void Dispatcher::set_evacuated(std::set<std::string, std::less<>> zones) {
+void Dispatcher::set_evacuated(ZoneNames zones) {
   const auto log_zones = [this](std::string_view event, const auto& these,
                                 const auto& others) {
     for (const std::string& zone : these) {
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -6,10 +6,10 @@
 #include <memory>
 #include <optional>
 #include <pcg_random.hpp>
-#include <set>
 #include <string>
 
 #include "ibismux/base/task.h"
+#include "ibismux/base/zone_sizes.h"
 #include "ibismux/directory/leaf_directory.h"
 #include "ibismux/dispatch/answer.h"
 #include "ibismux/dispatch/caller_request.h"
@@ -77,7 +77,7 @@
   /// Replaces the zones whose leafs get no further requests. Calls under way
   /// there go on; links there are closed. A request that only leafs of such
   /// zones could serve is refused.
-  void set_evacuated(std::set<std::string, std::less<>> zones);
+  void set_evacuated(ZoneNames zones);
 
   /// Takes over the budget of repeats and the cost of other zones.
   void set_costs(const DispatchSettings& fresh);
@@ -128,16 +128,12 @@
   [[nodiscard]] bool may_delegate(const RequestContext& context) const;
   /// Has a peer gather the query. @return Nothing where it is to be gathered
   /// here, with the attempts that `context` then says.
-  [[nodiscard]] static Task<std::optional<Outcome>> delegate_query(
-      Dispatcher& self,
+  [[nodiscard]] Task<std::optional<Outcome>> delegate_query(
       Context context,
       std::shared_ptr<http::CancelToken> caller);
-  void log_delegated(const RequestContext& context, const Outcome& outcome);
   /// Serves a request here.
-  [[nodiscard]] static Task<Outcome> run(
-      Dispatcher& self,
-      Context context,
-      std::shared_ptr<http::CancelToken> caller);
+  [[nodiscard]] Task<Outcome> run(Context context,
+                                  std::shared_ptr<http::CancelToken> caller);
   [[nodiscard]] Outcome refuse(const CallerRequest& request,
                                Error error,
                                const routing::Route* route);
@@ -153,7 +149,7 @@
   std::shared_ptr<const routing::RouteTable> in_force;
   std::map<std::string, std::shared_ptr<ServiceGroup>> groups;
   std::map<std::string, std::shared_ptr<Leaf>> leafs;  ///< By id.
-  std::set<std::string, std::less<>> evacuated;        ///< Zones.
+  ZoneNames evacuated;
   bool in_first_listing = false;
   std::shared_ptr<LinkOpener> opener;
   QueryDelegate* delegate = nullptr;
--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -9,6 +9,7 @@
 #include "ibismux/dispatch/answer_timing.h"
 #include "ibismux/dispatch/dispatcher.h"
 #include "ibismux/dispatch/forward_run.h"
+#include "ibismux/dispatch/request_end.h"
 #include "ibismux/dispatch/scatter_run.h"
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/http/cancel_token.h"
@@ -95,12 +96,12 @@
     co_return tl::unexpected(std::move(context.error()));
   }
   if (this->may_delegate(**context)) {
-    auto outcome = co_await delegate_query(*this, *context, caller);
+    auto outcome = co_await this->delegate_query(*context, caller);
     if (outcome) {
       co_return *std::move(outcome);
     }
   }
-  co_return co_await run(*this, *std::move(context), std::move(caller));
+  co_return co_await this->run(*std::move(context), std::move(caller));
 }
 
 Task<Outcome> Dispatcher::gather(
@@ -119,7 +120,7 @@
   }
   (*context)->confirmation = std::move(confirmation);
   (*context)->due -= kHopAllowance;
-  co_return co_await run(*this, *std::move(context), std::move(cancelled));
+  co_return co_await this->run(*std::move(context), std::move(cancelled));
 }
 
 bool Dispatcher::may_delegate(const RequestContext& context) const {
@@ -129,14 +130,18 @@
 }
 
 Task<std::optional<Outcome>> Dispatcher::delegate_query(
-    Dispatcher& self,
     Context context,
     std::shared_ptr<http::CancelToken> caller) {
   QueryDelegate::Query query{context->request, context->table->version(),
                              context->due, context->final_at};
-  auto delegated = co_await self.delegate->run(std::move(query), caller);
+  auto delegated = co_await this->delegate->run(std::move(query), caller);
   if (delegated.outcome) {
-    self.log_delegated(*context, *delegated.outcome);
+    const Outcome& outcome = *delegated.outcome;
+    const bool partial =
+        outcome && std::get<MergedAnswer>(*outcome).missing_shards > 0;
+    note_request_end(
+        *context, outcome, partial, Clock::now(),
+        [](eventlog::Event& line) { line.with("delegated", true); });
     co_return std::move(delegated.outcome);
   }
   if (!delegated.may_have_run) {
@@ -145,7 +150,7 @@
   // Unconfirmed, the peer asks no more than one leaf of each shard.
   context->attempts_elsewhere = 1;
   if (context->most_attempts() == 0) {
-    co_return self.refuse(
+    co_return this->refuse(
         context->request,
         make_error(ErrorKind::kOutcomeUnknown,
                    "a peer may have run it; one attempt only"),
@@ -154,42 +159,13 @@
   co_return std::nullopt;
 }
 
-void Dispatcher::log_delegated(const RequestContext& context,
-                               const Outcome& outcome) {
-  const Duration took = Clock::now() - context.request.received;
-  const Error* error = outcome ? nullptr : &outcome.error();
-  const auto* merged = outcome ? std::get_if<MergedAnswer>(&*outcome) : nullptr;
-  const bool partial = merged && merged->missing_shards > 0;
-  this->metrics.request_ended(context.route->name, error, partial, took);
-  const bool plain = outcome && !partial && took <= context.route->objective;
-  eventlog::Event line = this->log.event(
-      plain ? eventlog::Weight::kOrdinary : eventlog::Weight::kFailure,
-      "request_end");
-  if (!line.enabled()) {
-    return;
-  }
-  line.with("request", context.request.id)
-      .with("route", context.route->name)
-      .with("config", context.table->version())
-      .with("delegated", true)
-      .with("outcome", error ? error_entry(error->kind).name
-                             : (partial ? "partial" : "ok"))
-      .with("took_ms", took)
-      .with("objective_ms", Duration(context.route->objective));
-  if (error) {
-    line.with("message", error->message)
-        .with("not_run", error->execution == Execution::kNotRun);
-  }
-}
-
-Task<Outcome> Dispatcher::run(Dispatcher& self,
-                              Context context,
+Task<Outcome> Dispatcher::run(Context context,
                               std::shared_ptr<http::CancelToken> caller) {
   if (caller->cancelled()) {
     co_return fail(ErrorKind::kCancelled, "the caller is gone");
   }
   const bool is_scatter = context->route->is_scatter();
-  auto groups = self.targets(*context->route);
+  auto groups = this->targets(*context->route);
   auto begin = [&](OutcomeHandler&& handler) {
     auto shared = std::make_shared<OutcomeHandler>(std::move(handler));
     RequestRun::Done done = [shared](Outcome outcome) {
@@ -197,10 +173,10 @@
     };
     std::shared_ptr<RequestRun> run;
     if (is_scatter) {
-      run = std::make_shared<ScatterRun>(self.loop, context, std::move(groups),
+      run = std::make_shared<ScatterRun>(this->loop, context, std::move(groups),
                                          std::move(done));
     } else {
-      run = std::make_shared<ForwardRun>(self.loop, context, std::move(groups),
+      run = std::make_shared<ForwardRun>(this->loop, context, std::move(groups),
                                          std::move(done));
     }
     caller->on_cancel([weak = std::weak_ptr(run)] {
--- a/ibismux/dispatch/forward.h
+++ b/ibismux/dispatch/forward.h
@@ -12,6 +12,7 @@
 struct LeafReply;
 struct SelectionCriteria;
 struct MergedAnswer;
+struct RequestContext;
 class DispatchMetrics;
 class CallQueue;
 class CallWindow;
--- a/ibismux/dispatch/link_plan.cc
+++ b/ibismux/dispatch/link_plan.cc
@@ -150,4 +150,5 @@
       sharers.gathers ? sharers.gatherers : sharers.hosts - sharers.gatherers;
   return plan_alike(part, group);
 }
+
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -7,6 +7,7 @@
 #include "ibismux/dispatch/dispatch_metrics.h"
 #include "ibismux/dispatch/dispatch_policy.h"
 #include "ibismux/dispatch/hedge_timing.h"
+#include "ibismux/dispatch/request_end.h"
 #include "ibismux/dispatch/retry_after.h"
 #include "ibismux/dispatch/service_group.h"
 #include "ibismux/eventlog/event_log.h"
@@ -273,54 +274,28 @@
 }
 
 void RequestRun::log_end(const Outcome& outcome, bool partial) {
-  const TimePoint now = Clock::now();
-  const Duration took = now - this->shared->request.received;
-  const routing::Route& route = *this->shared->route;
-  const Error* error = outcome ? nullptr : &outcome.error();
-  if (!this->shared->is_for_peer()) {
-    this->shared->metrics->request_ended(route.name, error, partial, took);
-  }
-  const bool plain = outcome && !partial && took <= route.objective;
-  eventlog::Event line = this->shared->log->event(
-      plain ? eventlog::Weight::kOrdinary : eventlog::Weight::kFailure,
-      "request_end");
-  if (!line.enabled()) {
-    return;
-  }
-  std::size_t answered = 0;
+  note_request_end(
+      *this->shared, outcome, partial, Clock::now(),
+      [this](eventlog::Event& line) { this->describe_parts(line); });
+}
+
+void RequestRun::describe_parts(eventlog::Event& line) const {
   std::size_t sends = 0;
   std::string missing;
   for (const auto& part : this->all) {
     sends += part->times_sent();
-    if (part->state() == PartCall::State::kAnswered) {
-      ++answered;
-    } else {
+    if (part->state() != PartCall::State::kAnswered) {
       missing += (missing.empty() ? "" : " ") + part->service().name();
     }
   }
-  line.with("request", this->shared->request.id)
-      .with("route", route.name)
-      .with("config", this->shared->table->version())
-      .with("for_peer", this->shared->is_for_peer())
-      .with("outcome", error ? error_entry(error->kind).name
-                             : (partial ? "partial" : "ok"))
-      .with("took_ms", took)
+  line.with("for_peer", this->shared->is_for_peer())
       .with("sent_after_ms", this->sent_after)
-      .with("objective_ms", Duration(route.objective))
-      .with("left_ms", remaining(this->shared->final_at, now))
       .with("parts", this->all.size())
-      .with("answered", answered)
+      .with("answered", this->ended_parts.answered)
       .with("sends", sends);
   if (!missing.empty()) {
     line.with("without", missing);
   }
-  if (error) {
-    line.with("message", error->message)
-        .with("not_run", error->execution == Execution::kNotRun);
-    if (error->retry_after) {
-      line.with("retry_after_ms", error->retry_after->count());
-    }
-  }
 }
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/request_run.h
+++ b/ibismux/dispatch/request_run.h
@@ -105,6 +105,8 @@
   void on_timer();
   void leave_parts();
   void log_end(const Outcome& outcome, bool partial);
+  /// What became of the parts, for the log.
+  void describe_parts(eventlog::Event& line) const;
 
   const std::shared_ptr<const RequestContext> shared;
   const std::vector<std::shared_ptr<ServiceGroup>> groups;
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -61,7 +61,7 @@
             log,
             [this] { this->retry_feeds(); }),
       evacuations(
-          [this](const EvacuatedZones& zones) {
+          [this](const ZoneNames& zones) {
             this->dispatcher.set_evacuated(zones);
           },
           [this] { this->retry_feeds(); }),
--- a/ibismux/edge/evacuation_feed.cc
+++ b/ibismux/edge/evacuation_feed.cc
@@ -8,7 +8,7 @@
     : take(std::move(take)), on_back(std::move(on_back)) {}
 
 void EvacuationFeed::on_listing(const store::Listing& listing) {
-  EvacuatedZones fresh;
+  ZoneNames fresh;
   for (const store::StoredObject& object : listing.objects) {
     fresh.insert(object.name);
   }
@@ -16,7 +16,7 @@
 }
 
 void EvacuationFeed::on_change(const store::WatchBatch::Event& event) {
-  EvacuatedZones fresh = this->zones;
+  ZoneNames fresh = this->zones;
   if (event.removed) {
     fresh.erase(event.object.name);
   } else {
@@ -25,7 +25,7 @@
   this->put_in_force(std::move(fresh));
 }
 
-void EvacuationFeed::put_in_force(EvacuatedZones fresh) {
+void EvacuationFeed::put_in_force(ZoneNames fresh) {
   if (fresh == this->zones) {
     return;
   }
--- a/ibismux/edge/evacuation_feed.h
+++ b/ibismux/edge/evacuation_feed.h
@@ -2,17 +2,14 @@
 #define IBISMUX_EDGE_EVACUATION_FEED_H_
 
 #include <functional>
-#include <set>
-#include <string>
 
+#include "ibismux/base/zone_sizes.h"
 #include "ibismux/feed/feed_observer.h"
 
 namespace ibismux::edge {
 
-/// Availability zones whose leafs must get no requests.
-using EvacuatedZones = std::set<std::string, std::less<>>;
-
-/// Keeps the set of evacuated zones at what the store says.
+/// Keeps the set of evacuated zones, whose leafs must get no requests, at what
+/// the store says.
 ///
 /// While the store can't be reached, the last known set stays in force: an
 /// operator who evacuates a zone expects it to stay empty until told otherwise.
@@ -21,7 +18,7 @@
 class EvacuationFeed : public feed::FeedObserver {
  public:
   /// Called with all evacuated zones each time the set has changed.
-  using Take = std::function<void(const EvacuatedZones& zones)>;
+  using Take = std::function<void(const ZoneNames& zones)>;
 
   /// @param on_back Called when the store answers again.
   EvacuationFeed(Take take, std::function<void()> on_back);
@@ -31,11 +28,11 @@
   void on_regained() override { this->on_back(); }
 
  private:
-  void put_in_force(EvacuatedZones fresh);
+  void put_in_force(ZoneNames fresh);
 
   const Take take;
   const std::function<void()> on_back;
-  EvacuatedZones zones;
+  ZoneNames zones;
 };
 
 }  // namespace ibismux::edge
--- a/tests/edge/evacuation_feed_test.cc
+++ b/tests/edge/evacuation_feed_test.cc
@@ -8,12 +8,11 @@
 namespace {
 
 struct Fixture {
-  std::vector<EvacuatedZones> taken;
+  std::vector<ZoneNames> taken;
   EvacuationFeed feed{
-      [this](const EvacuatedZones& zones) { this->taken.push_back(zones); },
-      [] {}};
+      [this](const ZoneNames& zones) { this->taken.push_back(zones); }, [] {}};
 
-  void list(const EvacuatedZones& zones) {
+  void list(const ZoneNames& zones) {
     store::Listing listing;
     for (const std::string& zone : zones) {
       listing.objects.push_back(object(zone));
@@ -39,14 +38,14 @@
   fixture.change("z2", false);
   fixture.change("z1", true);
   cr_assert(fixture.taken ==
-            std::vector<EvacuatedZones>({{"z1"}, {"z1", "z2"}, {"z2"}}));
+            std::vector<ZoneNames>({{"z1"}, {"z1", "z2"}, {"z2"}}));
 }
 
 Test(evacuation_feed, a_listing_without_a_zone_ends_its_evacuation) {
   Fixture fixture;
   fixture.list({"z1", "z2"});
   fixture.list({"z2"});
-  cr_assert(fixture.taken.back() == EvacuatedZones({"z2"}));
+  cr_assert(fixture.taken.back() == ZoneNames({"z2"}));
 }
 
 Test(evacuation_feed, tells_nothing_where_nothing_has_changed) {
