--- a/ibismux/dispatch/query_delegate.h
+++ b/ibismux/dispatch/query_delegate.h
@@ -27,7 +27,8 @@
   };
 
   struct Delegated {
-    /// Nothing: the query is to be gathered here. A success is a `MergedAnswer`.
+    /// Nothing: the query is to be gathered here. A success is a
+    /// `MergedAnswer`.
     std::optional<Outcome> outcome;
     /// Nothing came back in time, but some leafs may have run the query.
     bool may_have_run = false;
