The cheap reads' decision in a module without network; roles worked out once a view

check_store had grown to 70 lines with three states, and its wait for a watcher after the store's return had no test. StoreCheck decides, with the times passed in; the daemon acts. Its behaviour is the same. Fleet hands the roles that it works out to its listener in place of a second reckoning.

--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -75,8 +75,9 @@
   if (!this->settings.peer_endpoint.empty()) {
     this->fleet.emplace(
         this->pool, this->store, this->registry, fleet_settings(this->settings),
-        Fleet::Listeners{[this](const membership::MembershipView& view) {
-                           this->on_view(view);
+        Fleet::Listeners{[this](const membership::MembershipView& view,
+                                const gather::GatherRoles& roles) {
+                           this->on_view(view, roles);
                          },
                          [this] { this->share_fleet(); }});
   }
--- a/ibismux/edge/edge_daemon_impl.h
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -19,6 +19,7 @@
 #include "ibismux/edge/fleet.h"
 #include "ibismux/edge/leaf_feed.h"
 #include "ibismux/edge/stall_detector.h"
+#include "ibismux/edge/store_check.h"
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/feed/collection_feed.h"
 #include "ibismux/feed/feed_relay.h"
@@ -61,13 +62,18 @@
   void start_gathering();
   /// Requests that this daemon works on, its own and those of peers.
   [[nodiscard]] std::size_t in_flight() const;
-  void on_view(const membership::MembershipView& view);
+  void on_view(const membership::MembershipView& view,
+               const gather::GatherRoles& roles);
   void share_fleet();
   void take(const std::shared_ptr<const routing::RouteTable>& table);
   /// Cheap reads that show whether the store answers this host. A watch that
   /// waits can't tell a store without changes from one that has stopped
   /// answering.
   Task<void> check_store();
+  /// What is known here, against the configuration's version in the store.
+  [[nodiscard]] StoreCheck::Answer compare(store::Version configuration) const;
+  void act_on(CheckAction action);
+  void report_store_lost(std::string_view reason);
   void refresh(std::string_view reason);
   void tick();
   void await_signal();
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -1,7 +1,6 @@
 #include <algorithm>
 #include <boost/asio/use_awaitable.hpp>
 #include <csignal>
-#include <optional>
 #include <utility>
 
 #include "ibismux/edge/edge_daemon_impl.h"
@@ -22,13 +21,6 @@
 constexpr std::uint64_t kTicksPerSummary = 20;
 // What a cheap read of the store may take; the store answers in milliseconds.
 constexpr milliseconds kCheckTime{800};
-// Between cheap reads of a store that doesn't answer: an update is in force
-// within a second of its return.
-constexpr milliseconds kLostCheckInterval{300};
-// After the store's return: how long a daemon that has a watcher in its zone
-// waits for what that one reads: time for it to read, and for its updates to be
-// relied on.
-constexpr milliseconds kWatcherReturnTime{2200};
 // How long peers may offer to bring updates before the first watch: time to
 // meet them.
 constexpr milliseconds kFirstWatchPause{1500};
@@ -95,13 +87,14 @@
          (this->gather_host ? this->gather_host->in_flight() : 0);
 }
 
-void EdgeDaemon::Impl::on_view(const membership::MembershipView& view) {
+void EdgeDaemon::Impl::on_view(const membership::MembershipView& view,
+                               const gather::GatherRoles& roles) {
   this->log.event(eventlog::Weight::kBelief, "members")
       .with("serving", view.serving())
       .with("joined", view.joined);
   this->relay->on_view(view);
   this->reports->on_view(view);
-  this->gather_host->on_roles(gather::assign_roles(view));
+  this->gather_host->on_roles(roles);
 }
 
 void EdgeDaemon::Impl::share_fleet() {
@@ -117,71 +110,64 @@
 
 Task<void> EdgeDaemon::Impl::check_store() {
   http::Timer timer(this->loop().get_executor());
-  bool was_lost = false;
-  std::optional<TimePoint> back_since;
-  int stalled_checks = 0;
+  StoreCheck check;
   for (;;) {
-    timer.expires_after(
-        was_lost ? std::min(kLostCheckInterval, this->settings.check_interval)
-                 : this->settings.check_interval);
+    timer.expires_after(check.interval(this->settings.check_interval));
     co_await timer.async_wait(asio::use_awaitable);
     if (this->relay && !this->relay->follows_store()) {
-      was_lost = false;
-      back_since.reset();
+      check.on_peers();
       continue;
     }
     auto object = co_await this->store.stale_get(
         this->adapters.configuration_collection,
         this->adapters.configuration_name, Clock::now() + kCheckTime);
-    if (!object && object.error().kind == ErrorKind::kNotFound) {
-      continue;
+    if (object) {
+      this->act_on(
+          check.on_answer(this->compare(object->version), Clock::now()));
+    } else if (object.error().kind != ErrorKind::kNotFound) {
+      check.on_failure();
+      this->report_store_lost(object.error().message);
     }
-    if (!object) {
-      was_lost = true;
-      back_since.reset();
-      for (const auto& feed : this->feeds) {
-        feed->report_lost(object.error().message);
-      }
+  }
+}
+
+StoreCheck::Answer EdgeDaemon::Impl::compare(
+    store::Version configuration) const {
+  const auto& all = this->feeds;
+  return {
+      .any_lost = std::any_of(all.begin(), all.end(),
+                              [](const auto& feed) { return feed->lost(); }),
+      .all_current =
+          std::all_of(all.begin(), all.end(),
+                      [](const auto& feed) { return feed->is_current(); }),
+      .is_behind = configuration > this->configuration_feed->mirror().version(),
+      .has_watcher = this->relay && this->relay->relies_on_watcher()};
+}
+
+void EdgeDaemon::Impl::act_on(CheckAction action) {
+  switch (action) {
+    case CheckAction::kNone:
+      return;
+    case CheckAction::kContact:
       if (this->relay) {
-        this->relay->on_store_failure();
-      }
-      continue;
-    }
-    const bool any_lost =
-        std::any_of(this->feeds.begin(), this->feeds.end(),
-                    [](const auto& feed) { return feed->lost(); });
-    if (was_lost || any_lost) {
-      const TimePoint now = Clock::now();
-      back_since = back_since.value_or(now);
-      if (this->relay && this->relay->relies_on_watcher() &&
-          now < *back_since + kWatcherReturnTime) {
-        was_lost = true;
-        continue;
+        this->relay->on_store_contact();
       }
-      was_lost = false;
-      back_since.reset();
-      // No contact yet: what is known is as old as before until it is read
-      // again, and peers would rely on it.
+      return;
+    case CheckAction::kReadAgain:
       this->refresh("store is back");
-      stalled_checks = 0;
-      continue;
-    }
-    // A change that is a moment old may still be on its way to the watch; its
-    // answer will be a contact. This one would have peers rely on what is known
-    // here, which is known to be old.
-    const bool behind =
-        object->version > this->configuration_feed->mirror().version();
-    const bool all_current =
-        std::all_of(this->feeds.begin(), this->feeds.end(),
-                    [](const auto& feed) { return feed->is_current(); });
-    if (this->relay && !behind && all_current) {
-      this->relay->on_store_contact();
-    }
-    stalled_checks = behind ? stalled_checks + 1 : 0;
-    if (stalled_checks > 1) {
+      return;
+    case CheckAction::kReplaceWatch:
       this->refresh("the watch stalled");
-      stalled_checks = 0;
-    }
+      return;
+  }
+}
+
+void EdgeDaemon::Impl::report_store_lost(std::string_view reason) {
+  for (const auto& feed : this->feeds) {
+    feed->report_lost(reason);
+  }
+  if (this->relay) {
+    this->relay->on_store_failure();
   }
 }
 
--- a/ibismux/edge/fleet.cc
+++ b/ibismux/edge/fleet.cc
@@ -95,7 +95,7 @@
   sharers.gatherers = roles.gatherers;
   sharers.gathers = roles.gathers;
   this->current = std::move(sharers);
-  this->listeners.on_view(fresh);
+  this->listeners.on_view(fresh, roles);
   this->listeners.on_size();
 }
 
--- a/ibismux/edge/fleet.h
+++ b/ibismux/edge/fleet.h
@@ -11,6 +11,7 @@
 #include "ibismux/base/rcu_cell.h"
 #include "ibismux/base/time.h"
 #include "ibismux/dispatch/link_plan.h"
+#include "ibismux/gather/forward.h"
 #include "ibismux/membership/membership_service.h"
 #include "ibismux/membership/membership_view.h"
 #include "ibismux/peer/tcp_peer_network.h"
@@ -37,7 +38,10 @@
   };
   /// Called on the pool's first loop.
   struct Listeners {
-    std::function<void(const membership::MembershipView&)> on_view;
+    /// @param roles As the view gives them.
+    std::function<void(const membership::MembershipView& view,
+                       const gather::GatherRoles& roles)>
+        on_view;
     /// `size()` has changed, by a view or by what a contact tells.
     std::function<void()> on_size;
   };
--- a/tests/edge/fleet_test.cc
+++ b/tests/edge/fleet_test.cc
@@ -38,11 +38,13 @@
   IoPool pool{1};
   prometheus::Registry registry;
   ibismux::testing::MemoryObjectStore store;
-  Fleet fleet{this->pool,
-              this->store,
-              this->registry,
-              {"h0", "z1", "127.0.0.1:0"},
-              {[](const membership::MembershipView&) {}, [] {}}};
+  Fleet fleet{
+      this->pool,
+      this->store,
+      this->registry,
+      {"h0", "z1", "127.0.0.1:0"},
+      {[](const membership::MembershipView&, const gather::GatherRoles&) {},
+       [] {}}};
 };
 
 // Guards against daemons of a large fleet that assume a small one.
--- /dev/null
+++ b/tests/edge/store_check_test.cc
@@ -0,0 +1,90 @@
+#include "ibismux/edge/store_check.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::edge::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using Answer = StoreCheck::Answer;
+
+constexpr milliseconds kUsual{1000};
+constexpr Answer kWell{.all_current = true};
+
+Test(store_check, an_answer_is_a_contact_where_all_is_current) {
+  StoreCheck check;
+  const TimePoint now = Clock::now();
+  cr_assert(check.on_answer(kWell, now) == CheckAction::kContact);
+  cr_assert(check.on_answer({}, now) == CheckAction::kNone);
+  cr_assert(check.interval(kUsual) == kUsual);
+}
+
+Test(store_check, a_store_that_is_lost_is_read_more_often_until_it_is_back) {
+  StoreCheck check;
+  check.on_failure();
+  cr_assert(check.interval(kUsual) < kUsual);
+  cr_assert(check.interval(milliseconds(100)) == milliseconds(100));
+  cr_assert(check.on_answer(kWell, Clock::now()) == CheckAction::kReadAgain);
+  cr_assert(check.interval(kUsual) == kUsual);
+  cr_assert(check.on_answer(kWell, Clock::now()) == CheckAction::kContact);
+}
+
+// Guards against an answer for one collection that passes for one for all.
+Test(store_check, a_lost_collection_is_read_again_before_any_contact) {
+  StoreCheck check;
+  const Answer lost{.any_lost = true, .all_current = true};
+  cr_assert(check.on_answer(lost, Clock::now()) == CheckAction::kReadAgain);
+}
+
+// The load: hundreds of daemons that would all read a store that has returned.
+Test(store_check, a_follower_waits_for_its_watcher_but_not_for_long) {
+  StoreCheck check;
+  const Answer followed{.all_current = true, .has_watcher = true};
+  TimePoint now = Clock::now();
+  check.on_failure();
+  const TimePoint back = now;
+  CheckAction action = CheckAction::kNone;
+  while (action == CheckAction::kNone && now < back + std::chrono::hours(1)) {
+    now += milliseconds(300);
+    action = check.on_answer(followed, now);
+    cr_assert(action != CheckAction::kContact);
+  }
+  cr_assert(action == CheckAction::kReadAgain);
+  cr_assert(now > back + milliseconds(2000));
+  cr_assert(now < back + milliseconds(3000));
+}
+
+Test(store_check, a_follower_whose_peers_bring_updates_reads_nothing) {
+  StoreCheck check;
+  const Answer followed{.all_current = true, .has_watcher = true};
+  check.on_failure();
+  cr_assert(check.on_answer(followed, Clock::now()) == CheckAction::kNone);
+  check.on_peers();
+  cr_assert(check.interval(kUsual) == kUsual);
+  cr_assert(check.on_answer(followed, Clock::now()) == CheckAction::kContact);
+}
+
+Test(store_check, another_outage_begins_the_wait_anew) {
+  StoreCheck check;
+  const Answer followed{.all_current = true, .has_watcher = true};
+  const TimePoint now = Clock::now();
+  check.on_failure();
+  cr_assert(check.on_answer(followed, now) == CheckAction::kNone);
+  check.on_failure();
+  cr_assert(check.on_answer(followed, now + milliseconds(2500)) ==
+            CheckAction::kNone);
+}
+
+Test(store_check, a_watch_that_stays_behind_is_replaced) {
+  StoreCheck check;
+  const Answer behind{.all_current = true, .is_behind = true};
+  const TimePoint now = Clock::now();
+  cr_assert(check.on_answer(behind, now) == CheckAction::kNone);
+  cr_assert(check.on_answer(behind, now) == CheckAction::kReplaceWatch);
+  cr_assert(check.on_answer(behind, now) == CheckAction::kNone);
+  cr_assert(check.on_answer(kWell, now) == CheckAction::kContact);
+  cr_assert(check.on_answer(behind, now) == CheckAction::kNone);
+}
+
+}  // namespace
+}  // namespace ibismux::edge::testing
