--- a/ibismux/feed/feed_relay.cc
+++ b/ibismux/feed/feed_relay.cc
@@ -19,14 +19,11 @@
 using std::chrono::milliseconds;
 
 constexpr milliseconds kTick{250};
-// After a start of all daemons, and after an outage of the store: how long one
-// that has a watcher in its zone waits for what that one finds in the store.
-// Daemons answer for what they know only some seconds later, and hundreds that
-// all read the store would be its whole load.
+// After its start: how long a daemon that has a watcher in its zone waits for
+// what that one finds in the store, before it begins to watch by itself.
 constexpr milliseconds kWatcherTime{1800};
-// While a fleet starts, many daemons are the first of those of their zone that
-// they have met so far. One that is so for longer than views take to spread
-// reads the store for the others.
+// While a fleet starts, many daemons take themselves for the first of their
+// zone, having met few others yet. Longer than views take to spread.
 constexpr milliseconds kSteadyWatcher{1500};
 // How often a daemon tells its children how fresh its knowledge is.
 constexpr milliseconds kBeat{500};
--- a/tests/admission/adaptive_limit_test.cc
+++ b/tests/admission/adaptive_limit_test.cc
@@ -64,11 +64,7 @@
   cr_assert(limit.limit() == 1);
 }
 
-/// Symptom: queries are refused as overloaded while leafs have room.
-/// Sequence: one leaf straggles, so that three in ten queries take twenty times
-/// the usual; the others take no longer.
-/// Cause: the mean latency, which a few stragglers lift, taken for the load,
-/// which lifts nearly all.
+// Failure: queries are refused as overloaded while leafs have room.
 Test(adaptive_limit, stragglers_are_no_overload) {
   AdaptiveLimit limit(10);
   for (int i = 0; i < 1000; ++i) {
@@ -78,11 +74,7 @@
   cr_assert(limit.limit() >= 10);
 }
 
-/// Symptom: minutes after an overload requests are still shed though leafs are
-/// idle.
-/// Sequence: an overload lowers the limit to 1; then few requests come, and
-/// each that goes well adds little.
-/// Cause: growth that counts turns of slots only, whatever is being refused.
+// Failure: requests are shed for minutes after an overload has ended.
 Test(adaptive_limit, refusals_make_it_come_back_fast) {
   AdaptiveLimit limit(1);
   for (int i = 0; i < 5; ++i) {
@@ -93,10 +85,7 @@
   cr_assert(limit.limit() == 6);
 }
 
-/// Symptom: bench lookups are shed while editors overload the leafs.
-/// Sequence: editors fill the leafs' queues and take long; bench lookups, which
-/// the queues serve first, take no longer than usual, in short bursts.
-/// Cause: one limit for all classes, which the editors' waiting lowers.
+// Failure: bench lookups are shed while editors overload the leafs.
 Test(load_pool, a_slow_lower_class_does_not_lower_the_limit_of_a_higher_one) {
   LoadPool pool(8);
   for (int i = 0; i < 200; ++i) {
@@ -115,11 +104,7 @@
   cr_assert(pool.enter(Priority::kEditor, at(3000)) > Duration::zero());
 }
 
-/// Symptom: while leafs are down, the limit climbs, and more and more requests
-/// are let in only to fail.
-/// Sequence: a shard has no replica left; each request fails within a
-/// millisecond.
-/// Cause: a quick failure taken for a request that went well.
+// Failure: while leafs are down, requests are let in only to fail.
 Test(load_pool, quick_failures_do_not_raise_a_limit) {
   LoadPool pool(4);
   run_threes(pool, ErrorKind::kCoverageTooLow, milliseconds(1));
--- a/tests/admission/admission_test.cc
+++ b/tests/admission/admission_test.cc
@@ -203,9 +203,7 @@
   cr_assert(door.fill("portal", at(0)) > 0);
 }
 
-/// Symptom: a service is shed though its leafs are idle.
-/// Sequence: two services share a leaf; one of them moves to another leaf.
-/// Cause: both went on with the limit that they had in common.
+// Failure: a service is shed though its leafs are idle.
 Test(admission, a_service_that_moves_to_other_leafs_is_shed_apart) {
   auto together = two_leafs();
   add_service(*together, "desk", Priority::kEditor, 0);
@@ -236,10 +234,7 @@
   cr_assert(door.fill("a", at(5000)) > first);
 }
 
-/// Symptom: a service's queries are shed while its leafs are idle.
-/// Sequence: callers ask what became of reservation keys, which takes a
-/// millisecond; then queries come, which take twenty.
-/// Cause: one usual latency for all that a service does, and load read from it.
+// Failure: a service's queries are shed while its leafs are idle.
 Test(admission, quick_key_lookups_do_not_make_queries_seem_slow) {
   auto release = two_leafs();
   add_service(*release, "a", Priority::kBench, 0);
@@ -256,11 +251,7 @@
   }
 }
 
-/// Symptom: queries are refused as overloaded while their leafs have room.
-/// Sequence: one of eight leafs becomes twenty times slower; a query that meets
-/// it takes as much longer, the queue there included, and most queries do.
-/// Cause: load read from the latency of requests. A slow leaf's work lengthens
-/// it, and the queue that builds up before that leaf alone.
+// Failure: queries are refused as overloaded while their leafs have room.
 Test(admission, a_slow_leaf_is_no_overload) {
   auto release = two_leafs();
   add_service(*release, "a", Priority::kBench, 0);
@@ -281,10 +272,7 @@
   }
 }
 
-/// Symptom: under overload nobody is shed, and requests end at their deadlines.
-/// Sequence: a daemon starts while its leafs are overloaded; it has never seen
-/// a request that did not wait. Cause: load read from latencies against the
-/// least that was ever seen.
+// Failure: under overload nobody is shed, and requests end at their deadlines.
 Test(admission, a_daemon_that_starts_in_an_overload_sheds) {
   auto release = two_leafs();
   add_service(*release, "a", Priority::kBench, 0);
--- a/tests/admission/limit_group_test.cc
+++ b/tests/admission/limit_group_test.cc
@@ -31,10 +31,7 @@
   return {std::make_shared<LimitGroup>(policy), share};
 }
 
-/// Symptom: fewer requests get through than the limits allow.
-/// Sequence: the rule a second lets a request through and counts it, then the
-/// rule a minute refuses it.
-/// Cause: recording in one rule before all were asked.
+// Failure: fewer requests get through than the limits allow.
 Test(limit_group, a_refusal_uses_nothing_up) {
   const LimitUse tight = use_of(policy_of({{1, milliseconds(100)}}));
   const LimitUse wide = use_of(policy_of({{3, milliseconds(60'000)}}));
@@ -77,10 +74,7 @@
   }
 }
 
-/// Symptom: memory grows with each made-up caller name, or a caller escapes its
-/// limit by a flood of other names that pushes its count out.
-/// Sequence: many callers, all within their windows; then the first one again.
-/// Cause: a table without bound, or one that forgets counts that still matter.
+// Failure: made-up names fill the memory, or free a caller from its limit.
 Test(group_table, a_flood_of_names_neither_grows_it_nor_frees_a_caller) {
   const release::LimitPolicy policy = policy_of({{1, milliseconds(1000)}});
   auto share = std::make_shared<LimitShare>();
--- a/tests/admission/rate_meter_test.cc
+++ b/tests/admission/rate_meter_test.cc
@@ -86,9 +86,7 @@
   cr_assert(counter.wait(0, at(5)) >= milliseconds(1000));
 }
 
-/// Symptom: a request is let through though the window is full.
-/// Sequence: two threads read the clock, and the later time is recorded first.
-/// Cause: a log that isn't sorted trims only up to its first young entry.
+// Failure: a request is let through though the window is full.
 Test(rate_meter, times_out_of_order_count_for_their_window) {
   SlidingLog log(milliseconds(100));
   log.record(at(50));
--- a/tests/backend/leaf_protocol_test.cc
+++ b/tests/backend/leaf_protocol_test.cc
@@ -71,10 +71,7 @@
   cr_assert(*reply.body == "hits");
 }
 
-// Symptom: hits of another caller's query in an answer.
-// Events: a leaf answers twice, or late; the next call on the connection reads
-// the earlier answer.
-// Cause: an answer was taken for the call that happened to wait.
+// Failure: hits of another caller's query in an answer.
 Test(leaf_protocol, answer_of_another_call_is_dropped) {
   for (const char* name : {"X-Call-Id", "X-Snapshot", "X-Shard"}) {
     http::Response response = answer(200);
@@ -88,9 +85,7 @@
   }
 }
 
-// Symptom: "not run" for a reservation that ran.
-// Events: a refusal of an earlier call arrives while a later one waits.
-// Cause: a refusal was believed without looking at the call it names.
+// Failure: "not run" for a reservation that ran.
 Test(leaf_protocol, refusal_of_another_call_is_no_promise) {
   http::Response response = refusal(429, "overloaded");
   response.add("X-Call-Id", to_string(CallId{7, 8}));
@@ -110,9 +105,7 @@
   }
 }
 
-// Symptom: a reservation runs twice.
-// Events: the leaf fails it without saying "not run"; it is sent again.
-// Cause: the status alone was taken for proof that it had not run.
+// Failure: a reservation runs twice.
 Test(leaf_protocol, reservation_without_promise_is_outcome_unknown) {
   for (const int status : {429, 499, 500, 503, 504}) {
     const LeafReply reply = interpret(request(false), answer(status));
--- a/tests/caller/answer_renderer_test.cc
+++ b/tests/caller/answer_renderer_test.cc
@@ -45,10 +45,7 @@
             parse(R"({"request_id":"id","key":"k","state":"not_run"})"));
 }
 
-// Symptom: a caller's JSON parser refuses the answer of a reservation that
-// ran, and its user orders again. Sequence: a leaf answers with bytes that are
-// not UTF-8; they are put into the JSON text as they are. Cause: a leaf's
-// answer is opaque, JSON is not.
+// Failure: a caller can't parse the answer of a reservation that ran.
 Test(caller_answer_renderer, result_that_is_not_text_is_given_in_hex) {
   const ReservationAnswer ran{KeyState::kRun, "s1", "\xff\x01", false};
   const auto object = parse(render_reservation("id", ran).body).as_object();
--- a/tests/caller/caller_api_test.cc
+++ b/tests/caller/caller_api_test.cc
@@ -164,11 +164,7 @@
   cr_assert(fixture.counted("bays", "overloaded") == 1);
 }
 
-// Symptom: a caller is told "not run" of a key that has run, and orders again
-// elsewhere.
-// Sequence: the first attempt runs, its answer is lost; the repeat under the
-// same key is refused at the door.
-// Cause: the door knows this attempt alone, but "not run" is said of the key.
+// Failure: "not run" is said of a key that has run.
 Test(caller_api, refusal_at_the_door_says_nothing_of_a_key) {
   Fixture fixture;
   fixture.stage.refuse_at_door =
@@ -213,8 +209,7 @@
   cr_assert(fixture.stage.finished.size() == 1);
 }
 
-// Symptom: memory grows without end while someone scans paths. Sequence: each
-// request names a service that doesn't exist. Cause: a metric for each name.
+// Failure: memory grows without end while someone scans paths.
 Test(caller_api, names_that_do_not_exist_make_no_metrics) {
   Fixture fixture;
   fixture.stage.refuse_at_door = make_error(ErrorKind::kNotFound, "no service");
--- a/tests/caller/request_parser_test.cc
+++ b/tests/caller/request_parser_test.cc
@@ -102,10 +102,7 @@
   cr_assert(!no_item && no_item.error().message.starts_with("X-Item: "));
 }
 
-// Symptom: a reservation runs twice although its caller sent a key each time.
-// Sequence: the caller's template leaves `Idempotency-Key` empty, or a proxy
-// appends a second one; the request runs, its answer is lost, it is sent again.
-// Cause: an empty or a repeated field taken for an absent or for either one.
+// Failure: a reservation runs twice although its caller sent a key each time.
 Test(caller_request_parser, empty_and_repeated_fields_are_refused) {
   cr_assert(refused("Idempotency-Key", ""));
   cr_assert(refused("X-Deadline-Ms", ""));
--- a/tests/ctl/ctl_test.cc
+++ b/tests/ctl/ctl_test.cc
@@ -140,10 +140,7 @@
   cr_assert(test.run({"audit", "-o", "json"}).code == 0);
 }
 
-/// Symptom: a boundary between two shards can't be moved: the tool reports
-/// "rejected" though both changes are in force a moment later.
-/// Sequence: the first shard's write is looked at before the second's.
-/// Cause: a verdict read from a release that hasn't seen all writes.
+// Failure: changes that are in force a moment later are reported as rejected.
 Test(ctl, reports_the_verdict_on_all_its_writes_together) {
   Fixture test;
   cr_assert(test.run({"apply", test.file("all.json", kObjects)}).code == 0);
@@ -189,10 +186,7 @@
                                "names query_service/x") != std::string::npos);
 }
 
-/// Symptom: half of a file's objects are written, then apply fails.
-/// Sequence: the platform, or this daemon's budget of calls to it, is away for
-/// a moment while many objects are written.
-/// Cause: a refusal "not run" taken for the end.
+// Failure: half of a file's objects are written, then apply fails.
 Test(ctl, sends_a_write_again_while_the_platform_is_away) {
   Fixture test;
   const std::string path =
--- a/tests/dispatch/link_opening_test.cc
+++ b/tests/dispatch/link_opening_test.cc
@@ -1,10 +1,7 @@
 // Links that are opened before calls need them.
 //
-// The load that this answers: a fleet of hundreds of daemons on a tenth of a
-// core each, queries over 90 shards, and a query every few seconds at each
-// daemon. Opened on demand, the links of a daemon's first query are 90 dials at
-// once; each takes a leaf 6 ms, and the daemon more. Shares of links are those
-// of 295 daemons at three leafs of 195 connections.
+// The load: a large fleet of slow hosts, queries over very many shards, each
+// daemon with a query every few seconds.
 
 #include <boost/asio/io_context.hpp>
 
--- a/tests/eventlog/event_log_test.cc
+++ b/tests/eventlog/event_log_test.cc
@@ -78,10 +78,7 @@
   cr_assert(std::string(lines[0].at("text").as_string()) == odd);
 }
 
-// Symptom: every request waits while nobody reads the log.
-// Sequence: the reader of standard output stops; the pipe fills; the next line
-// blocks the event loop in write().
-// Cause: the log wrote more than the pipe took at once.
+// Failure: every request waits while nobody reads the log.
 Test(event_log, a_pipe_that_nobody_reads_blocks_nothing) {
   EventLogSettings settings;
   settings.lines_per_second = {1e6, 1e6, 1e6};
--- a/tests/feed/feed_relay_test.cc
+++ b/tests/feed/feed_relay_test.cc
@@ -1,8 +1,6 @@
 // Daemons of a fleet that starts, and which of them call the store.
 //
-// The load that this answers: 295 daemons start within 0.3 s. Each read two
-// collections whole and began two watches before it relied on its peers: 1,340
-// calls, each paid for, before the first caller came.
+// The load: a large fleet that starts at once.
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
--- a/tests/feed/source_choice_test.cc
+++ b/tests/feed/source_choice_test.cc
@@ -55,7 +55,7 @@
   }
 };
 
-// The load: 77 daemons, each with watches of its own.
+// The load: a large fleet whose daemons would each watch the store.
 Test(source_choice, one_daemon_of_each_zone_follows_the_store) {
   int watchers = 0;
   for (int i = 0; i < 77; ++i) {
--- a/tests/gateway/bounded_matching_test.cc
+++ b/tests/gateway/bounded_matching_test.cc
@@ -79,9 +79,7 @@
   cr_assert(match(seats, positions) == expected);
 }
 
-// Symptom: queries slow down all over when one daemon restarts.
-// Events: one of many members goes; most leafs change their gateway.
-// Cause: shares were cut by counting members, so each boundary moved.
+// Failure: queries slow down all over when one daemon restarts.
 Test(bounded_matching, going_of_one_member_moves_few_leafs) {
   constexpr std::uint32_t kMembers = 150;
   const auto seats = seats_of(kMembers);
--- a/tests/gateway/leaf_faults_test.cc
+++ b/tests/gateway/leaf_faults_test.cc
@@ -36,9 +36,7 @@
 
 }  // namespace
 
-// Symptom: an answer that covers a shard lacks half of its hits.
-// Events: a leaf dies while it writes its answer.
-// Cause: what had come was taken for the whole.
+// Failure: an answer that covers a shard lacks half of its hits.
 Test(leaf_faults, truncated_answer_is_dropped) {
   RawLeaf leaf(kTruncated);
   GatewayHarness harness;
@@ -52,9 +50,7 @@
             1);
 }
 
-// Symptom: a part is ordered twice.
-// Events: a leaf runs a reservation and dies before its answer is whole.
-// Cause: the gateway sent it again on a new connection.
+// Failure: a part is ordered twice.
 Test(leaf_faults, reservation_is_written_once) {
   RawLeaf leaf(kTruncated);
   GatewayHarness harness;
@@ -69,11 +65,7 @@
   cr_assert(leaf.calls == 2);
 }
 
-// Symptom: a leaf refuses connections that are within its limit.
-// Events: its gateway is paused with all its connections open; a new gateway
-// and both stand-bys take over, all of them busy.
-// Cause: the shares of one view add up to the limit, and a paused daemon, which
-// is in no view any more, still holds its own.
+// Failure: a leaf refuses connections that are within its limit.
 Test(leaf_faults, paused_gateway_and_its_successors_stay_within_the_limit) {
   constexpr std::uint32_t kLimit = 25;
   constexpr std::size_t kHolders = 4;
@@ -108,9 +100,7 @@
   }
 }
 
-// Symptom: callers wait for a leaf that can't be reached.
-// Events: a leaf's host is down; its port refuses connections.
-// Cause: calls stayed in the queue until their deadline.
+// Failure: callers wait for a leaf that can't be reached.
 Test(leaf_faults, unreachable_leaf_is_refused_at_once) {
   const tests::BoundPort nobody;
   release::BackendServer object;
@@ -127,9 +117,7 @@
   cr_assert(harness.status().state == LeafState::kUnreachable);
 }
 
-// Symptom: a cold leaf gets its full load at once and falls over.
-// Events: a leaf says that it is warming up.
-// Cause: the limit stayed where it was.
+// Failure: a cold leaf gets its full load at once and falls over.
 Test(leaf_faults, warming_leaf_gets_one_call_at_a_time) {
   FakeLeaf leaf;
   GatewayHarness harness;
--- a/tests/gateway/leaf_health_policy_test.cc
+++ b/tests/gateway/leaf_health_policy_test.cc
@@ -57,10 +57,7 @@
   cr_assert(policy.state(kStart) == LeafState::kReady);
 }
 
-// Symptom: one slow switch takes a whole service down.
-// Events: calls to all leafs fail at once; all are ejected but the last, which
-// gets the load of all.
-// Cause: each leaf was judged alone.
+// Failure: one slow switch takes a whole service down.
 Test(leaf_health_policy, ejections_stop_at_the_budget) {
   const GatewaySettings settings;
   EjectionBudget budget(settings.most_ejected);
@@ -77,10 +74,7 @@
   cr_assert(fail_often(*leafs.back(), kStart));
 }
 
-// Symptom: a draining leaf gets new work again before it is gone.
-// Events: it closes idle connections; a new one says "ready", because its
-// health endpoint lags.
-// Cause: health was believed over what the calls had shown.
+// Failure: a draining leaf gets new work again before it is gone.
 Test(leaf_health_policy, leaf_that_leaves_returns_as_another_process_only) {
   const GatewaySettings settings;
   EjectionBudget budget(1);
--- a/tests/gateway/leaf_queue_test.cc
+++ b/tests/gateway/leaf_queue_test.cc
@@ -52,9 +52,7 @@
   cr_assert(queue.size() == 2);
 }
 
-// Symptom: callers wait out their whole deadline in a queue, for nothing.
-// Events: a leaf slows down; calls queue that it can't reach in time.
-// Cause: the wait was not compared with what remains.
+// Failure: callers wait out their whole deadline in a queue, for nothing.
 Test(leaf_queue, hopeless_call_is_refused_at_once) {
   LeafQueue queue(10);
   (void)offer(queue, call(1, Priority::kBench, 100));
@@ -69,10 +67,7 @@
                 .verdict == LeafQueue::Verdict::kQueued);
 }
 
-// Symptom: editors wait a second to hear that their call was not run.
-// Events: calls of high priority take the whole leaf; a few of low priority
-// queue, and none is ever started.
-// Cause: only the calls that wait were counted, not those that will overtake.
+// Failure: editors wait a second to hear that their call was not run.
 Test(leaf_queue, call_that_will_be_overtaken_is_refused_at_once) {
   LeafQueue queue(100);
   constexpr milliseconds kPace{10};
--- a/tests/gateway/local_gateway_test.cc
+++ b/tests/gateway/local_gateway_test.cc
@@ -58,9 +58,7 @@
       failed_with(answers[0], ErrorKind::kPeerUnavailable, Execution::kNotRun));
 }
 
-// Symptom: hits of another shard in an answer.
-// Events: a leaf answers with another call's echo; the connection goes on.
-// Cause: a stream that is out of step gives every later call a foreign answer.
+// Failure: hits of another shard in an answer.
 Test(local_gateway, connection_of_a_foreign_answer_is_not_reused) {
   FakeLeaf leaf;
   GatewayHarness harness;
@@ -82,10 +80,7 @@
   cr_assert(eventually([&] { return leaf.count("/v1/health") > 3; }));
 }
 
-// Symptom: a leaf works on for callers that are gone, and its connections are
-// cut, each of which costs it a new one.
-// Events: a caller gives up while a leaf runs its call.
-// Cause: the call was stopped by closing its connection.
+// Failure: work for callers that are gone costs a connection or goes on.
 Test(local_gateway, running_call_is_stopped_by_the_cancel_call) {
   FakeLeaf leaf;
   GatewayHarness harness;
@@ -105,9 +100,7 @@
   cr_assert(answers.size() == 1);
 }
 
-// Symptom: a caller that gave up still waits.
-// Events: a query is cancelled; its leaf does not heed the cancel call.
-// Cause: the answer was held back until the leaf's own.
+// Failure: a caller that gave up still waits.
 Test(local_gateway, cancelled_query_is_answered_at_once) {
   FakeLeaf leaf;
   GatewayHarness harness;
@@ -145,9 +138,7 @@
   cr_assert(leaf.count("/v1/query") == 3);
 }
 
-// Symptom: a reservation is stopped half-way, and nobody knows its outcome.
-// Events: the caller goes while the leaf runs its reservation.
-// Cause: cancel did not tell reservations from queries.
+// Failure: a reservation is stopped half-way, and nobody knows its outcome.
 Test(local_gateway, reservation_that_was_written_is_not_cancelled) {
   FakeLeaf leaf;
   GatewayHarness harness;
@@ -202,9 +193,7 @@
   cr_assert(answers.size() == 1);
 }
 
-// Symptom: a backend server that drains gets new work until it is gone.
-// Events: its answer says so; calls for it wait in the queue.
-// Cause: leaving was known only from the operator's object.
+// Failure: a backend server that drains gets new work until it is gone.
 Test(local_gateway, leaf_that_says_it_leaves_gets_no_new_work) {
   FakeLeaf leaf;
   GatewayHarness harness;
@@ -250,9 +239,7 @@
   cr_assert(answers[3].body.has_value());
 }
 
-// Symptom: calls are cut when a daemon gives a leaf to another one.
-// Events: the membership changes while calls run and wait.
-// Cause: retiring a leaf closed its connections.
+// Failure: calls are cut when a daemon gives a leaf to another one.
 Test(local_gateway, leaf_that_is_given_away_ends_what_runs) {
   FakeLeaf leaf;
   GatewayHarness harness;
@@ -272,9 +259,7 @@
   cr_assert(eventually([&] { return leaf.connections() == 0; }));
 }
 
-// Symptom: a leaf's connection limit is passed under load.
-// Events: many calls wait; the pool opens one connection for each.
-// Cause: the pool followed demand and not its share.
+// Failure: a leaf's connection limit is passed under load.
 Test(local_gateway, connections_stay_within_the_share) {
   FakeLeaf leaf;
   GatewayHarness harness;
@@ -293,10 +278,7 @@
   cr_assert(leaf.connections() <= 4);
 }
 
-// Symptom: a reservation's outcome is unknown though no leaf saw it.
-// Events: others hold all of a leaf's connections; it accepts one more and
-// closes it, and the reservation has been written into it.
-// Cause: TCP's word that a connection is open was taken for the leaf's.
+// Failure: a reservation's outcome is unknown though no leaf saw it.
 Test(local_gateway, leaf_at_its_connection_limit_is_not_run) {
   http::ServerLimits limits;
   limits.connections = 1;
--- a/tests/gateway/ownership_test.cc
+++ b/tests/gateway/ownership_test.cc
@@ -76,10 +76,7 @@
   }
 }
 
-// Symptom: a leaf refuses connections although each daemon keeps its share.
-// Events: the first owner is paused, its connections stay open; the view of the
-// others drops it, and a new member takes a place.
-// Cause: the shares of one view add up to the limit, those of two views do not.
+// Failure: a leaf refuses connections although each daemon keeps its share.
 Test(ownership, paused_member_and_its_replacement_stay_within_the_limit) {
   const auto before = view_of(7, 1);
   for (const std::uint32_t limit : {4U, 25U, 40U, 100U}) {
--- a/tests/gateway/reconnect_pause_test.cc
+++ b/tests/gateway/reconnect_pause_test.cc
@@ -25,12 +25,7 @@
   cr_assert(pause.failed(false) == milliseconds(50));
 }
 
-/// Symptom: queries wait most of a second and are refused as overloaded though
-/// a leaf that was lost has been back for a second.
-/// Sequence: a leaf is gone for 2 s; it comes back; the replica that stood in
-/// for it becomes slow.
-/// Cause: dials to a leaf that is gone were spaced up to 2 s, as if they cost
-/// it anything.
+// Failure: a leaf that is back stays unused for seconds.
 Test(reconnect_pause, a_leaf_that_is_back_is_found_soon) {
   const GatewaySettings settings;
   ReconnectPause pause(settings);
--- a/tests/gateway/remote_gateway_test.cc
+++ b/tests/gateway/remote_gateway_test.cc
@@ -159,9 +159,7 @@
   cr_assert(answers.size() == 0);
 }
 
-// Symptom: queries wait for a dead gateway until their deadline.
-// Events: the gateway's host fails while calls are with it.
-// Cause: only deadlines ended calls.
+// Failure: queries wait for a dead gateway until their deadline.
 Test(remote_gateway, lost_gateway_ends_its_calls_at_once) {
   Pair pair;
   Answers queries;
@@ -178,8 +176,7 @@
                             Execution::kUnknown));
 }
 
-// A peer may still hold what was sent on a connection that both sides agreed to
-// close, so a failed dial says nothing certain of a reservation.
+// Failure: a reservation that may have run is said not to have run.
 Test(remote_gateway, failed_dial_leaves_the_outcome_of_reservations_open) {
   Pair pair;
   Answers reservations;
@@ -190,9 +187,7 @@
                             Execution::kUnknown));
 }
 
-// Symptom: a query gets one answer twice, or another query's.
-// Events: a gateway answers after it was given up, or twice.
-// Cause: an answer was delivered without checking that its call still waits.
+// Failure: a query gets one answer twice, or another query's.
 Test(remote_gateway, late_and_repeated_answers_are_dropped) {
   Pair pair;
   Answers answers;
@@ -214,9 +209,7 @@
   cr_assert(second.size() == 1);
 }
 
-// Symptom: a part of one gateway's answers is another daemon's.
-// Events: a daemon answers a call that was not sent to it.
-// Cause: calls were found by id alone.
+// Failure: a part of one gateway's answers is another daemon's.
 Test(remote_gateway, answer_of_another_member_is_dropped) {
   Pair pair;
   Answers answers;
--- a/tests/gateway/router_test.cc
+++ b/tests/gateway/router_test.cc
@@ -200,9 +200,7 @@
   cr_assert(connections_of(b, name) <= rank_share(25, 0));
 }
 
-// Symptom: leafs of a failed daemon can't be asked until its failure is agreed.
-// Events: a gateway fails; the entry's frame is certainly not sent.
-// Cause: only a change of the view moved its calls.
+// Failure: leafs of a failed daemon can't be asked until its failure is agreed.
 Test(router, unsent_calls_go_to_the_next_owner) {
   const std::vector<std::string> names = {"a", "b"};
   FakeLeaf leaf;
@@ -215,12 +213,7 @@
   cr_assert(all_answered(answers));
 }
 
-// Symptom: after a daemon was killed, queries spend the retry budget on its
-// leafs though stand-bys are there; with none left they fail.
-// Sequence: the connection to the gateway is gone; a call starts a dial and
-// waits for it; the dial fails.
-// Cause: the call ended like one that the gateway may have run. Only calls that
-// came while the next dial had to wait went to the next owner.
+// Failure: queries for a killed daemon's leafs spend the retry budget.
 Test(router, queries_that_waited_for_a_failed_dial_go_to_the_next_owner) {
   const std::vector<std::string> names = {"a", "b"};
   FakeLeaf leaf;
@@ -236,9 +229,7 @@
   cr_assert(all_answered(answers));
 }
 
-// Symptom: calls fail while two daemons' views differ.
-// Events: the entry's view names an owner that holds no share in its own view.
-// Cause: the owner's refusal was final although another one may serve.
+// Failure: calls fail while two daemons' views differ.
 Test(router, owner_without_a_share_passes_calls_to_the_next) {
   const std::vector<std::string> names = {"a", "b"};
   FakeLeaf leaf;
@@ -253,13 +244,7 @@
   cr_assert(all_answered(answers));
 }
 
-// Symptom: calls to leafs of the newest release are refused as if nobody owned
-// them.
-// Sequence: a daemon starts, or a release brings new leafs: it is in force, and
-// queries name its leafs, while their owners are still being computed.
-// Cause: the older table was taken for the whole truth. Each shard spent a
-// token on a retry that ended the same way; a daemon that has just started has
-// ten.
+// Failure: leafs of the newest release are refused as if unowned.
 Test(router, calls_wait_for_the_table_of_a_newer_release) {
   FakeLeaf leaf;
   Daemon a("a");
--- a/tests/gather/gather_exchange_test.cc
+++ b/tests/gather/gather_exchange_test.cc
@@ -138,8 +138,7 @@
   cr_assert(fixture.gatherer.asked.empty());
 }
 
-// Guards against a query that waits for its deadline at a peer that was cut
-// off a moment after its last offer.
+// Failure: a query waits for its deadline at a peer that was cut off.
 Test(gather_exchange, a_query_that_is_not_taken_up_is_gathered_here) {
   Fixture fixture;
   fixture.cluster.hold("weak", "wide");
@@ -149,8 +148,7 @@
   cr_assert(!fixture.client->is_available(Clock::now()));
 }
 
-// Guards against more leafs of a shard than its route allows: a peer whose
-// confirmation was lost repeats calls while the query is gathered here as well.
+// Failure: more leafs of a shard get the query than its route allows.
 Test(gather_exchange, a_peer_whose_confirmation_is_lost_gets_none) {
   Fixture fixture;
   fixture.gatherer.answers = false;
@@ -175,8 +173,7 @@
   }));
 }
 
-// Guards against leafs working for callers that left while a cut held up the
-// frames of their queries.
+// Failure: leafs work for callers that left while a cut held up frames.
 Test(gather_exchange, a_query_on_an_old_offer_is_not_taken) {
   Fixture fixture;
   fixture.cluster.hold("weak", "wide");
@@ -204,8 +201,7 @@
       fixture.run_until([&] { return !fixture.gatherer.given_up.empty(); }));
 }
 
-// Guards against a second run of a query whose peer has already asked as many
-// leafs as its route allows.
+// Failure: a query runs again whose peer has used its attempts up.
 Test(gather_exchange, a_taken_query_whose_peer_is_lost_ends_unknown) {
   Fixture fixture;
   fixture.gatherer.answers = false;
--- a/tests/gather/gatherer_choice_test.cc
+++ b/tests/gather/gatherer_choice_test.cc
@@ -74,8 +74,7 @@
   cr_assert(fixture.chosen() == "a");
 }
 
-// Guards against a peer that can be heard but not reached: its offers go on,
-// and each query handed to it costs the wait for its confirmation.
+// Failure: each query waits for a peer that can be heard but not reached.
 Test(gatherer_choice, one_that_stays_silent_is_tried_ever_more_seldom) {
   Fixture fixture;
   int tries = 0;
--- a/tests/http/client_faults_test.cc
+++ b/tests/http/client_faults_test.cc
@@ -141,9 +141,7 @@
   }
 }
 
-// Symptom: a caller gets the answer to another's request. Sequence: a server
-// answers one request twice; the second answer waits in the socket and is read
-// as the answer to the next request. Cause: HTTP/1.1 has only order to go by.
+// Failure: a caller gets the answer to another's request.
 Test(http_client_faults, duplicate_response_makes_the_connection_unusable) {
   ScriptedServer server(1, [](tcp::socket& socket) {
     ScriptedServer::say(socket, kWhole + kWhole);
@@ -175,10 +173,7 @@
   cr_assert(!client.usable());
 }
 
-// Symptom: a reservation ends as "outcome unknown" that no leaf ever saw.
-// Sequence: a leaf closes an idle connection; before the event loop looks at
-// the socket again, a reservation is written to it. Cause: "usable" is what the
-// loop has seen last.
+// Failure: a reservation ends as "outcome unknown" that no leaf ever saw.
 Test(http_client_faults, close_not_yet_seen_hands_over_no_byte) {
   std::promise<void> may_close;
   std::promise<void> closed;
@@ -269,10 +264,7 @@
   }
 }
 
-// Symptom: the daemon leaks, or touches freed memory, when it ends with calls
-// in flight. Sequence: the event loop is destroyed while an exchange waits for
-// its response. Cause: the waiting coroutine owns the connection and the
-// connection owns the coroutine.
+// Failure: the daemon leaks or touches freed memory at its end.
 Test(http_client_faults, loop_that_ends_within_an_exchange_frees_it) {
   std::promise<void> arrived;
   ScriptedServer server(1, [&arrived](tcp::socket& socket) {
--- a/tests/http/parser_test.cc
+++ b/tests/http/parser_test.cc
@@ -92,8 +92,7 @@
 
 }  // namespace
 
-// A network may split a stream anywhere; what is read must not depend on it,
-// or two hosts on one path disagree about where a request ends.
+// Failure: two hosts disagree about where a request ends.
 Test(http_parser, split_of_the_stream_changes_nothing) {
   pcg32 random(20261202);
   std::size_t whole = 0;
@@ -111,9 +110,7 @@
   cr_assert(whole > kRounds / 10);
 }
 
-// Symptom: the daemon aborts on an assertion within Beast's parser. Sequence: a
-// client ends a chunked body byte by byte. Cause: the parser comes back to the
-// last chunk with fewer bytes than it asserts.
+// Failure: the daemon aborts on an assertion within Beast's parser.
 Test(http_parser, last_chunk_may_come_byte_by_byte) {
   pcg32 random(1);
   const Outcome outcome =
@@ -123,9 +120,7 @@
   cr_assert(outcome.messages.size() == 1);
 }
 
-// Symptom: memory fills while one client sends. Sequence: it begins a chunk and
-// never ends the line of its size, or never ends its trailer fields. Cause: the
-// limits on head and body count neither.
+// Failure: memory fills while one client sends.
 Test(http_parser, endless_lines_around_chunks_are_refused) {
   const std::string head =
       "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -154,9 +149,7 @@
   }
 }
 
-// Symptom: a leaf's answer comes with the framing of a coding in its body.
-// Sequence: the leaf answers with a transfer coding that isn't chunked. Cause:
-// such a response was taken for one that ends with its connection.
+// Failure: a leaf's answer comes with the framing of a coding in its body.
 Test(http_parser, a_response_in_an_unknown_transfer_coding_is_refused) {
   for (const char* head :
        {"HTTP/1.1 200 OK\r\nTransfer-Encoding: xchunked\r\n\r\n",
--- a/tests/http/request_framing_test.cc
+++ b/tests/http/request_framing_test.cc
@@ -87,11 +87,7 @@
 
 }  // namespace
 
-// Symptom: a leaf runs a request that no caller sent. Sequence: a caller posts
-// a body with the transfer coding "xchunked", or "chunked, identity"; another
-// host on the path takes it for chunked, this one for a request without a body,
-// and reads the body as the next request. Cause: a coding that is not known
-// was passed over in place of refused (RFC 9112, section 6.1).
+// Failure: a leaf runs a request that no caller sent.
 Test(http_request_framing, a_transfer_coding_other_than_chunked_is_refused) {
   const std::string body = "5\r\nhello\r\n0\r\n\r\n";
   const std::vector<Case> rows = {
@@ -191,9 +187,7 @@
   }
 }
 
-// Symptom: a request is routed by one host name and run under another.
-// Sequence: a caller sends two Host fields; this host takes the first one, the
-// leaf the last. Cause: fields that may stand once only were not counted.
+// Failure: a request is routed by one host name and run under another.
 Test(http_request_framing, a_request_names_one_host) {
   const std::vector<Case> rows = {
       {"two", get("Host: a\r\nHost: b\r\n"), 400},
@@ -212,10 +206,7 @@
   }
 }
 
-// Symptom: requests through a caller's forward proxy get 404. Sequence: such a
-// client names the whole URI in the request line. Cause: the absolute form of a
-// target was compared with path prefixes as it stands (RFC 9112, section 3.2.2:
-// a server must accept it, and its host goes before the Host field).
+// Failure: requests through a caller's forward proxy get 404.
 Test(http_request_framing, a_target_is_a_path_or_a_whole_uri) {
   const auto with_target = [](const std::string& target) {
     return "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n";
--- a/tests/http/server_lifetime_test.cc
+++ b/tests/http/server_lifetime_test.cc
@@ -104,10 +104,7 @@
   gate.released.set_value();
 }
 
-// Symptom: a client that ends its sending side with its request loses the
-// answer to a reservation that ran. Sequence: the end of its stream comes while
-// the handler runs and counts as "gone". Cause: the server can't tell the two
-// apart; so it tells the handler, and still writes what the handler answers.
+// Failure: a client that has ended its sending side gets no answer.
 Test(http_server_lifetime, half_closed_client_still_gets_its_answer) {
   Gate gate;
   ServerFixture fixture(gate.handler());
@@ -119,8 +116,7 @@
   cr_assert(client.read_all().ends_with("\r\n\r\nwhole"));
 }
 
-// Symptom: a planned stop cuts a request in flight. Sequence: the daemon drains
-// while a handler runs, and closes. Cause: a close that doesn't wait.
+// Failure: a planned stop cuts a request in flight.
 Test(http_server_lifetime, drain_cuts_no_request) {
   Gate gate;
   ServerLimits limits;
@@ -140,10 +136,7 @@
   cr_assert(!listens(fixture.port));
 }
 
-// Symptom: a planned stop cuts a request in flight. Sequence: the daemon
-// drains, sees nothing in flight and stops; a client's next request was on its
-// way over a connection that had been idle. Cause: "idle" is what the server
-// has seen.
+// Failure: a planned stop cuts a request in flight.
 Test(http_server_lifetime, drain_waits_for_requests_on_the_way) {
   ServerLimits limits;
   limits.drain_grace = std::chrono::seconds(5);
--- a/tests/http/server_limits_test.cc
+++ b/tests/http/server_limits_test.cc
@@ -65,10 +65,7 @@
   }
 }
 
-// Symptom: a client waits for its refusal and gets a reset instead. Sequence:
-// it sends a body that is too large; the server answers after the head and
-// closes with the body unread. Cause: closing with unread bytes resets the
-// connection, which drops the answer.
+// Failure: a client waits for its refusal and gets a reset instead.
 Test(http_server_limits, refusal_reaches_a_client_that_is_still_sending) {
   const std::string body(4 * 1024 * 1024, 'b');
   cr_assert(
@@ -146,9 +143,7 @@
   cr_assert(text.ends_with("\r\n\r\n"));
 }
 
-// Symptom: an old client hangs for a minute with its answer in hand. Sequence:
-// it asks by HTTP/1.0 for keep-alive and reads to the end of the stream. Cause:
-// the connection is kept without a word, which HTTP/1.0 takes for "closes".
+// Failure: an old client hangs for a minute with its answer in hand.
 Test(http_server_limits, connection_of_http_1_0_is_closed) {
   ServerFixture fixture;
   RawClient client(fixture.port);
--- a/tests/jsonc/document_test.cc
+++ b/tests/jsonc/document_test.cc
@@ -21,9 +21,7 @@
   cr_assert(document->positions.at("a.b.1").line == 3);
 }
 
-// Symptom: a settings file that opens with a comment line is refused.
-// Sequence: the text is fed byte by byte to learn places; the first bytes are
-// a line comment. Cause: Boost.JSON 1.81 can't resume such a comment.
+// Failure: a settings file that opens with a comment line is refused.
 Test(document, comments_may_stand_ahead_and_behind) {
   cr_assert(parse("f", "// a\n /* b */ // c\n{\"a\": 1}").has_value());
   cr_assert(parse("f", "{\"a\": 1}\n// end\n").has_value());
--- a/tests/load/arrivals_test.cc
+++ b/tests/load/arrivals_test.cc
@@ -102,9 +102,7 @@
   cr_assert(list.front().at >= std::chrono::seconds(20));
 }
 
-/// Symptom: every request of a load is sent twice at the same instant.
-/// Sequence: two threads take seeds that follow each other.
-/// Cause: a generator that ignores the two low bits of its seed.
+// Failure: every request of a load is sent twice at the same instant.
 Test(arrivals, seeds_that_follow_each_other_give_other_arrivals) {
   const std::vector<Arrival> one = all(two_services(), 1, 1000);
   const std::vector<Arrival> next = all(two_services(), 1, 1001);
--- a/tests/membership/membership_engine_test.cc
+++ b/tests/membership/membership_engine_test.cc
@@ -29,9 +29,7 @@
   cr_assert(fleet.seen(victim, State::kFailed) == 6);
 }
 
-// Symptom: a host that lost power keeps its leafs.
-// Sequence: the host stops answering; no connection is reset.
-// Cause: only probes can notice it.
+// Failure: a host that lost power keeps its leafs.
 Test(membership_engine, a_silent_daemon_fails_by_probes) {
   EngineFleet fleet(30);
   fleet.run(15s);
@@ -41,10 +39,7 @@
   cr_assert(fleet.seen(victim, State::kFailed) == 29);
 }
 
-// Symptom: after a pause of one process, the fleet loses healthy members.
-// Sequence: a daemon is frozen, counts as failed, and wakes with all of its
-// timers expired.
-// Cause: it would take everybody's silence during its own sleep for failures.
+// Failure: after a pause of one process, the fleet loses healthy members.
 Test(membership_engine, a_daemon_that_wakes_harms_nobody_and_returns) {
   EngineFleet fleet(7);
   fleet.run(10s);
@@ -64,11 +59,7 @@
   cr_assert(fleet.engine(sleeper).members().self().epoch > epoch);
 }
 
-// Symptom: after a partition the two halves never meet again, or members flap.
-// Sequence: half of the daemons is cut off; each half takes the other for
-// failed; the network heals.
-// Cause: nobody probes failed members, or one half copies the other's old
-// statements of failure.
+// Failure: after a partition the two halves never meet again, or members flap.
 Test(membership_engine, halves_that_were_cut_off_meet_again) {
   for (const std::size_t count : {6U, 40U}) {
     EngineFleet fleet(count);
@@ -102,10 +93,7 @@
   cr_assert(fleet.seen(leaver, State::kFailed) == 6);
 }
 
-// Symptom: statements about a dead run hit the new run of the same member.
-// Sequence: a member is killed and restarted; a late statement about the old
-// run arrives; then the end of an old connection is reported.
-// Cause: names alone don't tell two runs apart.
+// Failure: statements about a dead run hit the new run of the same member.
 Test(membership_engine, an_old_run_does_not_touch_the_new_one) {
   EngineFleet fleet(7);
   fleet.run(10s);
@@ -124,11 +112,7 @@
   cr_assert(fleet.agreed());
 }
 
-// Symptom: when all daemons of a site are started at once, leafs refuse
-// connections.
-// Sequence: a daemon has the release before it has met anyone, and takes itself
-// for the owner of every leaf.
-// Cause: "I know of nobody" taken for "there is nobody".
+// Failure: each daemon of a starting fleet takes all leafs for its own.
 Test(membership_engine, a_daemon_has_joined_when_it_met_one_of_those_listed) {
   EngineFleet fleet(3);
   fleet.run(5s);
@@ -165,9 +149,7 @@
   cr_assert(fleet.engine(only).view().joined);
 }
 
-// Symptom: a restarted daemon whose clock went back stays failed.
-// Sequence: the new run begins with a lower epoch than the old one had.
-// Cause: others hold the old run's statement, which supersedes the new one's.
+// Failure: a restarted daemon whose clock went back stays failed.
 Test(membership_engine, a_clock_that_went_back_does_not_keep_a_member_out) {
   EngineFleet fleet(7);
   fleet.run(10s);
@@ -184,9 +166,7 @@
   cr_assert(fleet.agreed());
 }
 
-// Symptom: one lost gossip message leaves a daemon wrong for ever.
-// Sequence: a change reaches all but one.
-// Cause: gossip is sent once; only comparing tables finds the loss.
+// Failure: one lost gossip message leaves a daemon wrong for ever.
 Test(membership_engine, a_lost_change_is_repaired) {
   EngineFleet fleet(30);
   fleet.run(15s);
--- a/tests/membership/wide_links_test.cc
+++ b/tests/membership/wide_links_test.cc
@@ -59,8 +59,7 @@
   cr_assert(wide_links(view_of(members)) == Names({"c"}));
 }
 
-// Guards against a watcher whose link is full for as long as it takes to send
-// the same entries to all others of its zone.
+// Failure: a watcher's narrow link is full with one update for its zone.
 Test(wide_links, a_host_with_a_wide_link_is_the_first_of_its_zone) {
   std::vector<Member> members;
   for (int i = 0; i < 24; ++i) {
--- a/tests/operator/object_writer_test.cc
+++ b/tests/operator/object_writer_test.cc
@@ -69,9 +69,7 @@
   cr_assert(again->change_id == "c1" && test.store.writes() == 1);
 }
 
-/// Symptom: one operator's change overwrites another's that he never saw.
-/// Sequence: both read version 1 and write with If-Match.
-/// Cause: a write without the condition, or one that reads the version anew.
+// Failure: one operator's change overwrites another's that he never saw.
 Test(object_writer, tells_the_loser_of_a_race_the_current_version) {
   Fixture test;
   (void)test.write(limit(1, "c1"));
@@ -104,10 +102,7 @@
   cr_assert(outcome && outcome->version == 3 && test.stored_id() == "c3");
 }
 
-/// Symptom: an operator is told that a change failed, repeats it, and it is in
-/// the audit trail twice.
-/// Sequence: the platform's answer to the write is lost after it took effect.
-/// Cause: an error taken for "not written".
+// Failure: a change whose answer was lost is made and logged twice.
 Test(object_writer, finds_its_change_after_a_lost_answer) {
   Fixture test;
   test.store.lose_answers(1);
--- a/tests/operator/operator_api_test.cc
+++ b/tests/operator/operator_api_test.cc
@@ -195,10 +195,7 @@
   cr_assert(test.json("/v1/audit").at("from") == 41);
 }
 
-/// Symptom: nothing can be read when the platform is away, though it is all in
-/// force.
-/// Sequence: the platform goes down after a change was accepted.
-/// Cause: reads that only the platform answers.
+// Failure: nothing can be read while the platform is away.
 Test(operator_api, answers_from_the_release_in_an_outage) {
   Fixture test;
   (void)test.call("PUT", kLimitPath, "{'spec':{'concurrency':4}}");
--- a/tests/peer/peer_faults_test.cc
+++ b/tests/peer/peer_faults_test.cc
@@ -29,9 +29,7 @@
   }
 };
 
-// Symptom: frames are lost, or sent twice, when two daemons meet.
-// Sequence: both dial at the same time.
-// Cause: each side ends one connection, and they choose differently.
+// Failure: frames are lost, or sent twice, when two daemons meet.
 Test(peer_faults, crossing_dials_lose_nothing) {
   for (int round = 0; round < 20; ++round) {
     Pair pair;
@@ -47,9 +45,7 @@
   }
 }
 
-// Symptom: a daemon's memory jumps, or it ends.
-// Sequence: a peer sends a header that claims almost 4 GiB.
-// Cause: allocating what a length field says.
+// Failure: a daemon's memory jumps, or it ends.
 Test(peer_faults, an_oversized_frame_ends_the_connection) {
   PeerNode node("a");
   node.start();
@@ -65,9 +61,7 @@
   cr_assert(node.lost.wait(1).size() == 1);
 }
 
-// Symptom: a port scanner or an HTTP client disturbs the daemon.
-// Sequence: bytes arrive that are no hello, or no frame after a good hello.
-// Cause: parsing without a mark, a bound and a known role.
+// Failure: a port scanner or an HTTP client disturbs the daemon.
 Test(peer_faults, garbage_ends_the_connection_and_nothing_else) {
   Pair pair;
   RawPeer stranger(pair.a.port);
@@ -82,9 +76,7 @@
   cr_assert(pair.a.heard.wait(1).size() == 1);
 }
 
-// Symptom: daemons of two releases, or of two clusters, mix their messages.
-// Sequence: a peer of another version, then one of another cluster, connects.
-// Cause: a handshake that doesn't compare them.
+// Failure: daemons of two releases, or of two clusters, mix their messages.
 Test(peer_faults, another_version_and_another_cluster_are_refused) {
   PeerNode node("a");
   node.start();
@@ -117,9 +109,7 @@
   cr_assert(outcomes[0].error().execution == Execution::kNotRun);
 }
 
-// Symptom: a daemon's memory grows until it ends.
-// Sequence: a peer asks and asks, and reads none of the responses.
-// Cause: responses are queued without a bound.
+// Failure: a daemon's memory grows until it ends.
 Test(peer_faults, a_peer_that_does_not_read_responses_is_cut) {
   PeerNode node(PeerNode::named("a"));
   node.network.on_request(MessageKind::kProbe, grow);
@@ -137,10 +127,7 @@
   cr_assert(lost.size() == 1 && lost[0] == Incarnation({"raw", 42}));
 }
 
-// Symptom: as above, with what this daemon itself sends.
-// Sequence: a peer accepts the connection and reads nothing.
-// Cause: a queue without a bound; or one that keeps the promise of `notify`
-// only until it is full.
+// Failure: as above, with what this daemon itself sends.
 Test(peer_faults, a_full_queue_refuses_frames) {
   PeerSettings settings = PeerNode::named("a");
   settings.most_queued_bytes = 1'000'000;
@@ -161,11 +148,7 @@
   cr_assert(taken < 10'000, "nothing bounds the queue");
 }
 
-// Symptom: answers of a dead process are taken for those of its successor, or
-// the successor is cut off when the old connection's end is noticed.
-// Sequence: a member is replaced by a new run, whose connection arrives while
-// the old run's is still open here.
-// Cause: peers told apart by name alone.
+// Failure: a dead process and its successor are taken for each other.
 Test(peer_faults, a_new_incarnation_replaces_the_old_one) {
   PeerNode node("a");
   node.start();
@@ -185,10 +168,7 @@
   cr_assert(new_run.receive() == "to the new one");
 }
 
-// Symptom: a planned stop looks like a failure, and peers suspect a daemon
-// whose connection merely was idle.
-// Sequence: one side says goodbye.
-// Cause: the end of the connection alone says nothing of why.
+// Failure: an idle or stopping daemon is suspected.
 Test(peer_faults, a_goodbye_is_not_a_loss) {
   Pair pair;
   cr_assert(pair.a.network.notify("b", MessageKind::kGossip, "1"));
@@ -204,12 +184,7 @@
   cr_assert(lost.size() == 1 && lost[0].number == 0);
 }
 
-// Symptom: a query that went to a gateway that was stopping waits for its whole
-// deadline.
-// Sequence: a peer says goodbye and ends without reading what was sent to it
-// before its goodbye arrived.
-// Cause: two goodbyes were taken for proof that both sides had read all; only
-// an acknowledgement is.
+// Failure: a query waits for its deadline at a gateway that has stopped.
 Test(peer_faults, a_goodbye_without_acknowledgement_is_a_loss) {
   PeerNode node("a");
   node.start();
--- a/tests/peer/tcp_peer_network_test.cc
+++ b/tests/peer/tcp_peer_network_test.cc
@@ -80,9 +80,7 @@
   cr_assert(heard.size() == 2 && heard[0] == large && heard[1] == "after");
 }
 
-// Symptom: a query waits for its deadline though its gateway is dead.
-// Sequence: a request is under way; the peer's process ends.
-// Cause: nobody told the requester that the connection broke.
+// Failure: a query waits for its deadline though its gateway is dead.
 Test(tcp_peer_network, a_broken_connection_is_reported_at_once) {
   PeerNode a("a");
   auto b = std::make_unique<PeerNode>("b");
@@ -97,9 +95,7 @@
   cr_assert(lost.size() == 1 && lost[0] == gone);
 }
 
-// Symptom: `not run` is promised for work that may have run, or the reverse.
-// Sequence: nothing listens at the peer's address.
-// Cause: a refused dial must fail what waited for it as never sent.
+// Failure: `not run` is promised for work that may have run, or the reverse.
 Test(tcp_peer_network, a_request_that_was_never_sent_says_so) {
   PeerNode a("a");
   const tests::BoundPort nobody;
--- a/tests/process/daemon_failure_test.cc
+++ b/tests/process/daemon_failure_test.cc
@@ -12,10 +12,7 @@
   Trio() : DeclaredSite(3) {}
 };
 
-// Symptom: changes wait for a daemon that is gone.
-// Sequence: a daemon that publishes is killed between two changes, and the next
-// change comes through another one.
-// Cause: publishing hung on one daemon.
+// Failure: changes wait for a daemon that is gone.
 Test(daemon_failure, any_daemon_may_be_killed_between_changes) {
   for (std::size_t victim : {0, 1, 2}) {
     Trio site;
@@ -31,10 +28,7 @@
   }
 }
 
-// Symptom: an old configuration comes back.
-// Sequence: a daemon that publishes is frozen; the others take two changes into
-// force; it goes on where it stopped.
-// Cause: it published, or served, what it knew before.
+// Failure: an old configuration comes back.
 Test(daemon_failure, a_frozen_daemon_brings_nothing_old_back) {
   Trio site;
   site.daemon(0).signal(SIGSTOP);
@@ -52,11 +46,7 @@
   cr_assert(site.comes_to_answer(0));
 }
 
-// Symptom: a daemon that lost its publisher's answer, and its life with it,
-// leaves a change that nobody finishes.
-// Sequence: a change is written through a daemon that is killed at once, before
-// or while it publishes.
-// Cause: only the daemon that took the write knew of it.
+// Failure: nobody finishes the change of a daemon that was killed.
 Test(daemon_failure, a_change_outlives_the_daemon_that_took_it) {
   Trio site;
   for (std::size_t victim : {0, 1}) {
--- a/tests/process/operator_race_test.cc
+++ b/tests/process/operator_race_test.cc
@@ -167,27 +167,17 @@
   }
 }
 
-// Symptom: two operators are both told that they changed an object, and one
-// change is lost; or the loser isn't told what beat him; or the trail tells of
-// a change twice, or not at all.
-// Sequence: two `ibismuxctl apply` with --if-match of one version run at once,
-// at two daemons.
-// Cause: the version was compared at the daemon, not where it is written.
+// Failure: one of two changes to one version is lost, or not told why.
 Test(operator_race, one_of_two_with_one_version_is_told_of_a_conflict) {
   race_for_one_object("{}");
 }
 
-// Symptom: as above; or he who won is told of a conflict with himself.
-// Sequence: as above, and four in ten answers of the platform get lost.
-// Cause: the repeat of a write whose answer was lost was taken for another's.
+// Failure: as above; or he who won is told of a conflict with himself.
 Test(operator_race, lost_answers_make_no_conflict_and_hide_none) {
   race_for_one_object(R"({"lose_answers":0.4,"seed":7})");
 }
 
-// Symptom: two changes that can't both hold are both in force, or neither is;
-// or the one refused is not told why.
-// Sequence: each is valid beside what is in force; both are written at once.
-// Cause: each was checked against what was in force, not against the other.
+// Failure: two changes that exclude each other both hold, or neither.
 Test(operator_race, one_of_two_that_exclude_each_other_is_accepted) {
   race_for_one_place("{}");
 }
--- a/tests/process/partition_test.cc
+++ b/tests/process/partition_test.cc
@@ -96,12 +96,7 @@
   std::thread thread;
 };
 
-// Symptom: a change written on one side of a partition is never in force on the
-// other, or takes the other side's change back.
-// Sequence: connections between two halves are reset; changes are written
-// through daemons of both sides; the halves meet again.
-// Cause: a half waited for the other's publisher, or published what it knew
-// over what the other had published.
+// Failure: one half's change is never in force in the other, or undone.
 Test(partition, changes_of_both_halves_come_into_force_in_both) {
   Halves halves;
   cr_assert(halves.come_to_see(kDaemons));
@@ -122,13 +117,7 @@
   cr_assert(halves.site.deadline_ms(3, "manuals") == 4003);
 }
 
-// Symptom: an order runs twice, or is said not to have run though it did; an
-// answer names shards that did not contribute; or a daemon goes on waiting for
-// the other half when that is back.
-// Sequence: the network between two halves goes silent, without an error, in
-// the middle of queries and reservations, some sent through all daemons at
-// once. When each half has noticed, all that was held up arrives. Cause:
-// silence was taken for "not done", and sent again.
+// Failure: a silent cut doubles an order or falsifies an answer.
 Test(partition, a_silent_cut_doubles_nothing_and_tells_the_truth) {
   Halves halves;
   cr_assert(halves.come_to_see(kDaemons));
@@ -149,12 +138,7 @@
   cr_assert(violations.empty(), "%s", violations.c_str());
 }
 
-// Symptom: what was accepted is lost, or a daemon stays empty, after a
-// partition during which the platform was away.
-// Sequence: the halves are cut off from each other, the platform goes, a daemon
-// restarts on each side; the halves meet again before the platform is back.
-// Cause: a daemon took the release only from the platform, or from a daemon of
-// the other half; or it kept looking for others at their old ports.
+// Failure: a partition without the platform loses what was accepted.
 Test(partition, halves_without_the_platform_keep_what_was_accepted) {
   Halves halves;
   cr_assert(halves.write(0, "manuals", 4000));
--- a/tests/process/platform_failure_test.cc
+++ b/tests/process/platform_failure_test.cc
@@ -59,9 +59,7 @@
   return written;
 }
 
-// Symptom: the tier stops answering, or forgets a change, with the platform.
-// Sequence: a change is accepted; the platform dies and stays away.
-// Cause: something on the way of a query, or what is in force, hung on it.
+// Failure: the tier stops answering, or forgets a change, with the platform.
 Test(platform_failure, what_was_accepted_outlives_the_platform) {
   Pair site;
   site.declare(0, "query_service:manuals", with_deadline(4321));
@@ -78,9 +76,7 @@
   cr_assert(site.generation(1) == generation);
 }
 
-// Symptom: after an outage the operator's next change never comes into force.
-// Sequence: the store is away for a while and comes back.
-// Cause: a watcher or publisher that gave up for good.
+// Failure: after an outage the operator's next change never comes into force.
 Test(platform_failure, changes_go_on_after_an_outage) {
   Pair site;
   site.platform_faults(R"({"outage":true})");
@@ -93,10 +89,7 @@
   cr_assert(site.both_have("manuals", 4001));
 }
 
-// Symptom: during an outage each replaced daemon stays empty; in the end nobody
-// knows the configuration.
-// Sequence: the store is down; all daemons are replaced one after another.
-// Cause: a new daemon asked only the store for the release.
+// Failure: replaced daemons stay empty until nobody has the configuration.
 Test(platform_failure, all_daemons_can_be_replaced_in_an_outage) {
   Pair site;
   const auto generation = site.generation(0);
@@ -112,11 +105,7 @@
   cr_assert(site.both_have("manuals", 4000));
 }
 
-// Symptom: a change that was reported as failed is in force later, or one that
-// was given up on keeps the others out.
-// Sequence: the platform takes the write and hangs; it is carried out when the
-// hang ends, long after its writer has stopped waiting.
-// Cause: a timeout was taken for "not done".
+// Failure: a write that comes late is not told of, or keeps others out.
 Test(platform_failure, a_write_that_comes_late_is_taken_up) {
   Pair site;
   site.platform_faults(R"({"hang_writes":true})");
@@ -138,11 +127,7 @@
   cr_assert(site.both_have("manuals", 4000));
 }
 
-// Symptom: a change stands twice in the audit trail, is missing from it, or is
-// reported as refused and is in force.
-// Sequence: each second write takes effect and its answer is lost, the objects'
-// as well as the release's and the trail's own.
-// Cause: a lost answer was taken for a failed write and the write repeated.
+// Failure: the audit trail tells of a change twice, wrongly or not at all.
 Test(platform_failure, lost_answers_lose_and_double_nothing) {
   Pair site;
   site.platform_faults(R"({"lose_answers":0.5,"seed":11})");
@@ -160,9 +145,7 @@
   }
 }
 
-// Symptom: a change is undone some time after it was in force.
-// Sequence: the platform's watches show old writes again, after newer ones.
-// Cause: the order of events was taken for the order of versions.
+// Failure: a change is undone some time after it was in force.
 Test(platform_failure, old_events_undo_nothing) {
   Pair site;
   for (int deadline : {4000, 4001, 4002}) {
@@ -176,9 +159,7 @@
   cr_assert(site.deadline_ms(1, "manuals") == 4002);
 }
 
-// Symptom: a change is accepted by the platform and never in force.
-// Sequence: watches hear nothing any more, without an error.
-// Cause: nobody looked but those whom the watch had told.
+// Failure: a change is accepted by the platform and never in force.
 Test(platform_failure, a_change_needs_no_watch_to_be_taken_up) {
   Pair site;
   site.platform_faults(R"({"silent_watch":true})");
--- a/tests/process/reservation_failure_test.cc
+++ b/tests/process/reservation_failure_test.cc
@@ -49,10 +49,7 @@
          site.reservation_runs().contains(key_of(i));
 }
 
-// Symptom: a spare is promised to two families.
-// Sequence: the answer to the claim of a key is lost; the caller gives up and
-// asks again, at another daemon.
-// Cause: a claim whose answer was lost was taken for not made.
+// Failure: a spare is promised to two families.
 Test(reservation_failure, lost_answers_of_the_platform_double_no_reservation) {
   DeclaredSite site(2);
   site.platform_faults(R"({"lose_answers":0.5,"seed":5})");
@@ -69,10 +66,7 @@
   cr_assert(!site.reservation_runs().empty());
 }
 
-// Symptom: an order is carried out twice.
-// Sequence: the daemon is killed while the leaf works on the order; the caller
-// sends it again, with the same key, through another daemon.
-// Cause: what had been sent was known to the dead daemon alone.
+// Failure: an order is carried out twice.
 Test(reservation_failure, a_daemon_killed_on_the_way_doubles_no_reservation) {
   DeclaredSite site(2);
   site.leaf_config(R"({"service_ms":300})");
@@ -95,11 +89,7 @@
   cr_assert(ran_at_most_once(site));
 }
 
-// Symptom: an order is carried out that nobody will know of when it is sent
-// again.
-// Sequence: the platform is away, so that the key can't be claimed.
-// Cause: the order was sent without its claim. The answer must not say "not
-// run" either: an earlier attempt under the same key may have been.
+// Failure: an order runs that nobody will know of when it is sent again.
 Test(reservation_failure, without_the_platform_a_key_runs_nothing) {
   DeclaredSite site(2);
   site.platform().kill();
@@ -123,12 +113,7 @@
   cr_assert(runs.size() == 1 && runs.at(ticket) == 1);
 }
 
-// Symptom: an order runs twice, or is said not to have run though it did.
-// Sequence: every order is sent through all daemons at once. Each daemon in
-// turn is frozen in the middle of that, as entry, as gateway of its leafs and
-// as owner of its buckets, until the others have replaced it; then it goes on
-// with all that it had at hand.
-// Cause: a daemon that woke sent, or committed, what had been taken over.
+// Failure: an order runs twice, or is said not to have run though it did.
 Test(reservation_failure, daemons_that_wake_double_no_key_sent_through_all) {
   const std::vector<std::size_t> all{0, 1, 2, 3};
   DeclaredSite site(all.size());
--- a/tests/process/zone_failure_test.cc
+++ b/tests/process/zone_failure_test.cc
@@ -73,13 +73,7 @@
   }
 };
 
-// Symptom: with one availability zone gone, shards stay away from the answers
-// though they lie in other zones as well; or an answer counts shards that are
-// not in it; or the zone's leafs stay idle when it is back.
-// Sequence: all daemons of a zone are killed and its leaf closes its
-// connections, all at once and under load; later all of it comes back.
-// Cause: calls went on to the leafs of the lost zone and were not repeated
-// elsewhere; or those who came back were taken for those who went.
+// Failure: a lost zone takes shards along that lie in others as well.
 Test(zone_failure, answers_outlive_a_zone_and_take_it_back) {
   Zones site;
   cr_assert(site.come_to_see(kAll, kAll.size()));
--- a/tests/query/gather_test.cc
+++ b/tests/query/gather_test.cc
@@ -27,10 +27,7 @@
   return leafs;
 }
 
-/// Symptom: some leafs get four calls at once while others idle.
-/// Sequence: queries take seeds that follow each other.
-/// Cause: a generator that ignores the two low bits of its seed, so that four
-/// queries in a row choose the same replicas.
+// Failure: some leafs get four calls at once while others idle.
 Test(gather, queries_in_a_row_choose_replicas_apart) {
   cr_assert(first_leafs(8) != first_leafs(9));
   cr_assert(first_leafs(8) == first_leafs(8));
@@ -96,10 +93,7 @@
   cr_assert(answer.error().retry_after.has_value());
 }
 
-/// Symptom: a hit of another query, or the same hit twice, in an answer.
-/// Sequence: a leaf's answer comes under a call id of another query, or a
-/// second time, or after its call was given up for a hedge.
-/// Cause: an answer taken for what its connection expects, not for its call id.
+// Failure: a hit of another query, or the same hit twice, in an answer.
 Test(gather, foreign_duplicate_and_late_answers_are_dropped) {
   GatherFixture query(usual_pin(2, 1));
   query.answer(GatherFixture::kFirst - 1, body_of("foreign", 9), 1);
@@ -115,9 +109,7 @@
   cr_assert(query.gather.counts().late == 1);
 }
 
-/// Symptom: coverage names a shard none of whose hits were merged.
-/// Sequence: a leaf answers 200 with a truncated body.
-/// Cause: the status taken for the answer.
+// Failure: coverage names a shard none of whose hits were merged.
 Test(gather, a_malformed_answer_does_not_contribute) {
   GatherFixture query(usual_pin(2, 1), 0.5);
   query.answer_hit(query.started[0], 2);
@@ -153,10 +145,7 @@
   cr_assert(query.gather.take_result()->hedges == 1);
 }
 
-/// Symptom: one query in a hundred at 230 shards takes as long as a straggler,
-/// though each shard has two replicas and stragglers are hedged.
-/// Sequence: a call straggles, and so does its hedge.
-/// Cause: a hedge that is not itself watched.
+// Failure: a query waits for two stragglers of one shard.
 Test(gather, a_hedge_that_straggles_too_is_followed_by_a_last_one) {
   GatherFixture query(usual_pin(1, 2));
   query.learn_delay(milliseconds(20));
--- a/tests/query/policy_test.cc
+++ b/tests/query/policy_test.cc
@@ -57,9 +57,7 @@
   cr_assert(!policy.take_hedge());
 }
 
-/// Symptom: under overload hedges add to the queues that made calls slow.
-/// Sequence: load rises, calls wait in queues, more of them pass the delay.
-/// Cause: a budget that depends on the calls alone.
+// Failure: under overload hedges add to the queues that made calls slow.
 Test(service_policy, the_budget_shuts_while_calls_queue_or_fail) {
   ServicePolicy queueing(0.95, 0.05);
   ServicePolicy failing(0.95, 0.05);
@@ -75,9 +73,7 @@
   cr_assert(queueing.openness() == 1);
 }
 
-/// Symptom: the delay sinks until nearly every call is hedged.
-/// Sequence: hedges win, and the calls that they beat are given up.
-/// Cause: only answered calls count, so the slow ones vanish.
+// Failure: the delay sinks until nearly every call is hedged.
 Test(service_policy, calls_that_were_given_up_count_as_slow) {
   ServicePolicy policy(0.9, 0.05);
   for (int i = 0; i < 5000; ++i) {
@@ -90,11 +86,7 @@
   cr_assert(*policy.hedge_delay() >= milliseconds(50));
 }
 
-/// Symptom: leafs get one call in thirty more than shards ask, and no answer
-/// comes earlier for it.
-/// Sequence: all leafs are about equally quick; the latest few calls in a
-/// hundred are hedged, and each ends before its hedge does. Cause: a delay that
-/// follows from how many calls are late, whatever a hedge brings.
+// Failure: hedges cost calls and bring no answer earlier.
 Test(service_policy, hedges_that_do_not_win_become_fewer) {
   ServicePolicy policy(0.95, 0.05);
   answer_some(policy);
@@ -111,10 +103,7 @@
   cr_assert(*policy.hedge_delay() == at_first);
 }
 
-/// Symptom: after index flips nearly every call is hedged for a while.
-/// Sequence: queries start again a moment after they began; all their calls are
-/// given up at once, and each counts as having taken that moment.
-/// Cause: a time that a call was at least out taken for its latency.
+// Failure: after index flips nearly every call is hedged for a while.
 Test(service_policy, calls_given_up_early_say_nothing) {
   ServicePolicy policy(0.9, 0.05);
   for (int i = 0; i < 1000; ++i) {
@@ -146,11 +135,7 @@
   cr_assert(usual.cost(at(50)) > 10);
 }
 
-/// Symptom: with hedges a slow leaf gets more calls than without, each of which
-/// needs a hedge.
-/// Sequence: the leaf was slow; each call to it is hedged and given up before
-/// it ends; two seconds later it counts as quick again.
-/// Cause: what was learnt fades, and a call given up bears nothing out.
+// Failure: a slow leaf gets more calls with hedges than without.
 Test(leaf_stats, calls_given_up_bear_out_that_a_leaf_is_slow) {
   LeafStats leaf;
   leaf.call_started();
@@ -187,10 +172,7 @@
   cr_assert(policy.judge(at(100), 2, 3, 5) == Verdict::kFail);
 }
 
-/// Symptom: callers see timeouts where a partial answer was to be had.
-/// Sequence: a caller waits 200 ms, the query ends after 200 ms, and its answer
-/// arrives when the caller has gone.
-/// Cause: the whole of the caller's time used up before the way back.
+// Failure: callers see timeouts where a partial answer was to be had.
 Test(gather_plan, a_callers_deadline_leaves_time_for_the_way_back) {
   release::QueryService spec;
   spec.deadline = milliseconds(1000);
--- a/tests/query/restart_test.cc
+++ b/tests/query/restart_test.cc
@@ -17,11 +17,7 @@
   return pin_of(release_of(2, snapshot_of("n2", 2, 4, 1)));
 }
 
-/// Symptom: an answer holds hits of two snapshots.
-/// Sequence: the index flips while a query runs; one shard has answered from
-/// the old snapshot, another says that it is gone; the query starts again, and
-/// answers to its first calls still come in.
-/// Cause: what the first round merged, or its late answers, kept in the second.
+// Failure: an answer holds hits of two snapshots.
 Test(restart, nothing_of_the_old_snapshot_stays) {
   GatherFixture query(old_pin());
   query.answer_hit(query.started[0], 2);
@@ -74,10 +70,7 @@
   cr_assert(answer->coverage.contributed.size() == 2);
 }
 
-/// Symptom: every query takes its whole deadline.
-/// Sequence: a leaf has lost its index; no newer snapshot comes; each query
-/// waits for one to the end, and answers then what it had at once.
-/// Cause: no bound to the wait where a partial answer covers enough.
+// Failure: every query takes its whole deadline.
 Test(restart, an_answer_that_covers_enough_waits_a_moment_only) {
   GatherFixture query(old_pin(), 0.5);
   query.answer_hit(query.started[0], 2);
@@ -97,11 +90,7 @@
   cr_assert(query.gather.wants_restart(query.at(900)));
 }
 
-/// Symptom: at each index flip some queries fail though a newer snapshot is in
-/// force.
-/// Sequence: a leaf says that the snapshot is gone; the retry budget is empty,
-/// so the other replica is not asked, and the shard is given up.
-/// Cause: a shard that lacks the snapshot taken for one that has failed.
+// Failure: queries fail at an index flip though a newer snapshot serves.
 Test(restart, it_needs_no_retry_budget) {
   GatherFixture query(pin_of(release_of(1, snapshot_of("n1", 1, 1, 2))));
   while (query.retries.take()) {
--- a/tests/relay/relay_engine_test.cc
+++ b/tests/relay/relay_engine_test.cc
@@ -92,10 +92,7 @@
   cr_assert(engine.take_commands().fetch == "d1001");
 }
 
-// Symptom: a daemon stays behind until the next comparison.
-// Sequence: two releases come soon after each other; the second is announced
-// while the first is fetched.
-// Cause: an announcement during a fetch is forgotten.
+// Failure: a daemon stays behind until the next comparison.
 Test(relay_engine, an_announcement_during_a_fetch_is_followed_up) {
   RelayEngine engine({}, 1, start_time());
   engine.on_view(view_of(7, 3, 0), start_time());
@@ -108,9 +105,7 @@
   cr_assert(engine.take_commands().fetch == "d1002");
 }
 
-// Symptom: a zone serves old configuration though the platform has newer.
-// Sequence: its watchers have lost the platform but answer their peers.
-// Cause: hearing from a peer was taken for hearing from the platform.
+// Failure: a zone serves old configuration though the platform has newer.
 Test(relay_engine, old_knowledge_of_peers_does_not_keep_it_from_the_platform) {
   RelayEngine engine({}, 1, start_time());
   engine.on_view(view_of(7, 3, 0), start_time());
@@ -140,9 +135,7 @@
   }
 }
 
-// Symptom: the platform refuses everybody when the whole fleet starts.
-// Sequence: 2,400 daemons start in one second; none has a release.
-// Cause: all read the platform at once.
+// Failure: the platform refuses everybody when the whole fleet starts.
 Test(relay_engine, a_cold_start_spreads_the_reads) {
   constexpr std::size_t kMembers = 2400;
   std::map<std::int64_t, std::size_t> reads_by_second;
--- a/tests/relay/relay_service_test.cc
+++ b/tests/relay/relay_service_test.cc
@@ -77,10 +77,7 @@
   cr_assert(fleet.nodes[0]->relay.in_force(3).reached == 0);
 }
 
-// Symptom: an accepted change is not in force elsewhere while the platform is
-// down.
-// Sequence: a daemon publishes; the platform goes down before others read it.
-// Cause: only the platform would carry releases.
+// Failure: an accepted change stays where it is in an outage.
 Test(relay_service, peers_carry_a_release_while_the_platform_is_down) {
   DaemonFleet fleet(7);
   publish(fleet, 1);
@@ -92,11 +89,7 @@
   cr_assert(fleet.wait_for_generation(2));
 }
 
-// Symptom: a large site's change reaches the publisher's daemon alone.
-// Sequence: releases with index chunks, from the platform, then in an outage
-// from a peer, then to a daemon that has nothing.
-// Cause: a fetch that ends with what the head names, and not with what the
-// index chunks name.
+// Failure: a large site's change reaches the publisher's daemon alone.
 Test(relay_service, a_release_with_index_chunks_takes_the_same_ways) {
   DaemonFleet fleet(5);
   cr_assert(fleet.wait_for_members());
@@ -114,9 +107,7 @@
   }
 }
 
-// Symptom: a change takes three round trips on each level of the tree.
-// Sequence: a daemon asks for what is newer; another asks for an index chunk.
-// Cause: an answer with only what was asked for by name.
+// Failure: a change takes three round trips on each level of the tree.
 Test(relay_service, an_answer_brings_what_the_asker_cannot_have) {
   DaemonFleet fleet(1);
   cr_assert(fleet.wait_for_members());
@@ -194,10 +185,7 @@
   Origin origin = Origin::kPublishedHere;
 };
 
-// Symptom: with each change of a large site, a twentieth of a second and more
-// in which queries of one loop are not served.
-// Sequence: a release is put in force while requests come.
-// Cause: the release is validated and compiled on the loop that serves.
+// Failure: queries wait while a release is put in force.
 Test(relay_service, a_loop_serves_while_a_release_is_put_in_force) {
   OfferRig rig;
   rig.expect_turns();
@@ -211,9 +199,7 @@
   cr_assert(rig.releases.generation() == 5);
 }
 
-// Symptom: after a rolling restart in an outage nobody has a configuration.
-// Sequence: the platform is down; every daemon is replaced, one after another.
-// Cause: a new daemon that only asks the platform gets nothing.
+// Failure: after a rolling restart in an outage nobody has a configuration.
 Test(relay_service, every_daemon_is_replaced_during_an_outage) {
   DaemonFleet fleet(5);
   publish(fleet, 4);
@@ -228,9 +214,7 @@
   cr_assert(fleet.wait_for_members());
 }
 
-// Symptom: a daemon goes back to an older configuration.
-// Sequence: an old head arrives late, as an event of the platform.
-// Cause: events are taken for news without comparing generations.
+// Failure: a daemon goes back to an older configuration.
 Test(relay_service, an_old_event_does_nothing) {
   DaemonFleet fleet(3);
   publish(fleet, 5);
@@ -244,10 +228,7 @@
   }
 }
 
-// Symptom: a paused daemon comes back and undoes what happened meanwhile.
-// Sequence: a daemon is frozen with its connections open; the others take it
-// for failed and go on to a newer release; it wakes.
-// Cause: it would trust its old timers and its old release.
+// Failure: a paused daemon comes back and undoes what happened meanwhile.
 Test(relay_service, a_frozen_daemon_wakes_and_catches_up) {
   DaemonFleet fleet(4);
   publish(fleet, 1);
--- a/tests/release/candidate_test.cc
+++ b/tests/release/candidate_test.cc
@@ -108,12 +108,7 @@
   cr_assert(candidate.changes.size() == 2 && candidate.rejections.empty());
 }
 
-/// Symptom: two snapshots of one sequence are in force, and two daemons answer
-/// from different ones.
-/// Sequence: two operators each write a snapshot that is valid by itself; no
-/// release comes between.
-/// Cause: each object is checked against what is in force, and not against the
-/// other one.
+// Failure: two snapshots of one sequence are in force.
 Test(candidate, accepts_exactly_one_of_two_that_are_valid_only_alone) {
   const ReleaseContents base = sample_base();
   ObjectView view = view_of(base);
@@ -126,11 +121,7 @@
                      "spec.sequence must be unique in its service"));
 }
 
-/// Symptom: a change in force comes undone when another operator's later one is
-/// looked at.
-/// Sequence: a backend server is accepted; then another with the same address
-/// is written, whose name comes first.
-/// Cause: the order of names decides instead of what is in force.
+// Failure: a later change undoes one that is in force.
 Test(candidate, prefers_what_is_in_force) {
   const ReleaseContents base = sample_base();
   ObjectView view = view_of(base);
@@ -197,10 +188,7 @@
   cr_assert(!decide(base, view, kNow).differs);
 }
 
-/// Symptom: an object that was removed is in force again.
-/// Sequence: the watch delivers the event of its first write once more, after
-/// that of its removal.
-/// Cause: events taken by name, without regard to their versions.
+// Failure: an object that was removed is in force again.
 Test(object_mirror, ignores_events_that_come_late) {
   ObjectMirror mirror;
   mirror.reset({4, {{"objects", "shard:s", 3, "{}"}}});
--- a/tests/release/publication_property_test.cc
+++ b/tests/release/publication_property_test.cc
@@ -180,18 +180,12 @@
   });
 }
 
-/// Symptom: any of: the generation falls; a chunk in use is gone; a change is
-/// missing from the audit trail; an object has no verdict.
-/// Sequence: three publishers make their calls in any order, some are killed
-/// and replaced, answers and requests are lost, operators write and delete.
-/// Cause: one publisher's step that counts on no other coming between.
+// Failure: a generation falls, or a chunk, a trail or a verdict is lost.
 Test(publication, keeps_its_promises_in_any_interleaving) {
   cr_assert(any_interleaving_keeps_the_invariants({}));
 }
 
-/// Symptom: as above, or an index chunk in use is gone.
-/// Sequence: as above, while the release grows from one level to two.
-/// Cause: index chunks kept, named or removed otherwise than chunks.
+// Failure: as above, or an index chunk in use is gone.
 Test(publication, keeps_its_promises_with_index_chunks) {
   cr_assert(any_interleaving_keeps_the_invariants(kTwoLevels));
 }
--- a/tests/release/publication_test.cc
+++ b/tests/release/publication_test.cc
@@ -98,9 +98,7 @@
   cr_assert(test.store.writes() == writes + 4);
 }
 
-/// Symptom: the platform fills up with index chunks.
-/// Sequence: a large site goes through many changes, and publishers die.
-/// Cause: only chunks are taken for garbage.
+// Failure: the platform fills up with index chunks.
 Test(publication, keeps_no_more_than_the_grace_of_old_index_chunks) {
   Fixture test;
   const std::string left = "index-1-00000000000000000000000000000000";
@@ -126,11 +124,7 @@
   cr_assert(kept == 4 + 1);  // The grace is of one generation.
 }
 
-/// Symptom: two backend servers of one address are in force, or neither.
-/// Sequence: two operators write them; one daemon publishes the first while
-/// another, which has seen both, is between its chunks and its head.
-/// Cause: a head that is written without the condition that its base is still
-/// the newest.
+// Failure: two backend servers of one address are in force, or neither.
 Test(publication, accepts_exactly_one_of_two_that_race) {
   for (int rival_step = 0; rival_step < 24; ++rival_step) {
     Fixture test;
@@ -154,10 +148,7 @@
   }
 }
 
-/// Symptom: a change is published twice, or is missing from the audit trail.
-/// Sequence: each write of a publication in turn takes effect, or doesn't, and
-/// its answer is lost.
-/// Cause: a lost answer taken for a failure, or for a success.
+// Failure: a change is published twice, or is missing from the audit trail.
 Test(publication, settles_a_lost_answer_at_each_step) {
   for (std::size_t write = 0; write < 16; ++write) {
     for (const bool takes_effect : {true, false}) {
@@ -178,10 +169,7 @@
   }
 }
 
-/// Symptom: a change is in force but not in the audit trail, or is never put in
-/// force.
-/// Sequence: a publisher is killed at each step; another goes on.
-/// Cause: work that only the publisher that began it knows of.
+// Failure: a change lacks its audit record or is never in force.
 Test(publication, is_gone_on_with_when_a_publisher_is_killed_at_any_step) {
   for (int killed_at = 0; killed_at < 64; ++killed_at) {
     Fixture test;
@@ -202,11 +190,7 @@
   }
 }
 
-/// Symptom: a configuration that was replaced comes back, or a new object is
-/// taken for a deleted one.
-/// Sequence: a publisher is stopped at each step, others publish newer changes
-/// many times over and remove old chunks, then it wakes and goes on.
-/// Cause: what it does after waking still counts on what it knew before.
+// Failure: a publisher that wakes brings an old configuration back.
 Test(publication, is_not_undone_by_a_publisher_that_was_stopped) {
   for (int stopped_at = 0; stopped_at < 40; ++stopped_at) {
     Fixture test;
@@ -274,10 +258,7 @@
           .version == 0);
 }
 
-/// Symptom: changes are in force that the audit trail never shows.
-/// Sequence: publisher after publisher dies between the head and the trail,
-/// with more changes between them than a head needs to show.
-/// Cause: a head that drops its oldest changes before they are recorded.
+// Failure: changes are in force that the audit trail never shows.
 Test(publication, keeps_changes_in_the_head_until_they_are_recorded) {
   Fixture test;
   std::vector<std::unique_ptr<SteppedPublisher>> killed;
--- a/tests/release/publisher_test.cc
+++ b/tests/release/publisher_test.cc
@@ -119,10 +119,7 @@
   test.wait_for(test.write(2));
 }
 
-/// Symptom: a change made through a daemon is never put in force.
-/// Sequence: the daemons that watch the operators' objects are gone, and their
-/// ranks are not yet given to others.
-/// Cause: only those who watch publish.
+// Failure: a change made through a daemon is never put in force.
 Test(publisher, publishes_from_any_rank_what_was_written_through_it) {
   Fixture test;
   test.add("nine", 9);
@@ -138,11 +135,7 @@
   test.wait_for(7);
 }
 
-/// Symptom: changes written before an outage are forgotten after it.
-/// Sequence: the platform goes down while a publisher watches, changes are
-/// written as it comes back, the history of the watch is gone.
-/// Cause: a watch that goes on from where it was, though the store no longer
-/// knows what came between.
+// Failure: changes written before an outage are forgotten after it.
 Test(publisher, goes_on_after_an_outage) {
   Fixture test;
   test.add("one", 0);
--- a/tests/release/release_store_test.cc
+++ b/tests/release/release_store_test.cc
@@ -76,9 +76,7 @@
   cr_assert(store.chunk(missing->front()) == next.chunks.front());
 }
 
-/// Symptom: a change that was in force comes undone on one daemon.
-/// Sequence: a relay that was paused pushes an old head after a newer one.
-/// Cause: a swap that doesn't compare generations.
+// Failure: a change that was in force comes undone on one daemon.
 Test(release_store, never_goes_back) {
   ReleaseStore store;
   const Encoded old = encode(*store.contents(), testing::sample_objects(), 1);
@@ -139,10 +137,7 @@
   cr_assert(store.written_since(2).empty());
 }
 
-/// Symptom: a daemon asks for the same chunk for ever, or takes objects from a
-/// wrong one.
-/// Sequence: an index chunk is damaged on its way.
-/// Cause: what was fetched is taken for what was asked for.
+// Failure: a chunk that doesn't match its hash is used or asked for ever.
 Test(release_store, refuses_an_index_chunk_that_does_not_match_its_hash) {
   ReleaseStore store;
   Encoded next = next_of_two_levels(store);
--- a/tests/reports/report_board_test.cc
+++ b/tests/reports/report_board_test.cc
@@ -24,10 +24,7 @@
   cr_assert(summary[0].excess == 2.5);
 }
 
-// The load that this answers: 26 daemons of a zone with one or two requests a
-// second each, of which every one meets the slow leaf once in a second. Alone,
-// each needs four calls to learn of it; together they know it within one round
-// of reports.
+// Failure: each daemon of a zone finds a slow leaf out for itself.
 Test(report_board, a_zone_learns_of_a_slow_leaf_from_one_call_of_each_daemon) {
   ReportBoard board;
   const TimePoint now = Clock::now();
@@ -63,11 +60,7 @@
   cr_assert(board.summary(now).empty());
 }
 
-// Symptom: of the daemons of a zone that had been told that a leaf is slow, one
-// tried it again, found it well, and the others never heard of that. Sequence:
-// nobody called the leaf for seconds, and the board dropped what it had. The
-// one good call made a row that was not notable and never had been. Cause: what
-// daemons had been told was forgotten with the calls that it rested on.
+// Failure: a leaf that is well again stays known as slow.
 Test(report_board, a_leaf_that_is_tried_after_a_pause_and_is_well_is_told_of) {
   ReportBoard board;
   TimePoint now = Clock::now();
--- a/tests/reservation/bucket_writer_test.cc
+++ b/tests/reservation/bucket_writer_test.cc
@@ -163,10 +163,7 @@
   cr_assert(rig.verdicts.size() == 3);
 }
 
-// Symptom: a claim that the platform holds is reported as failed, or granted
-// twice.
-// Events: the write takes effect, its answer is lost.
-// Cause: the writer can't tell a lost answer from a lost write.
+// Failure: a claim that is held is reported as failed, or granted twice.
 Test(bucket_writer, a_lost_answer_is_read_back_and_not_written_again) {
   Rig rig;
   rig.answers_to_lose = 1;
--- a/tests/reservation/keyed_test.cc
+++ b/tests/reservation/keyed_test.cc
@@ -102,9 +102,7 @@
   cr_assert(fleet.leafs.runs_of("order-1") == 1);
 }
 
-// Symptom: two daemons promise the same spare to two families.
-// Events: a caller sends one key to all daemons at the same moment.
-// Cause: each daemon finds the key free.
+// Failure: two daemons promise the same spare to two families.
 Test(keyed, one_key_through_all_daemons_at_once_runs_once) {
   Fleet fleet(7);
   std::vector<Fleet::Outcome> outcomes;
@@ -119,10 +117,7 @@
   cr_assert(fleet.leafs.runs_of("order-1") == 1);
 }
 
-// Symptom: a caller that retries after its time-out orders twice.
-// Events: the leaf is slow, the caller gives up, sends the key again through
-// another daemon, and both calls run.
-// Cause: the first attempt is still under way when the second arrives.
+// Failure: a caller that retries after its time-out orders twice.
 Test(keyed, a_retry_waits_for_the_attempt_that_is_running) {
   Fleet fleet(2);
   fleet.leafs.plan(always(Fate::kRunsWhenReleased));
@@ -169,10 +164,7 @@
   cr_assert(known->body == first->body);
 }
 
-// Symptom: a caller hears "not run" of an order that a leaf executed.
-// Events: the order runs, its answer is lost, the platform goes down, the
-// caller sends the key again.
-// Cause: the second attempt can't see the first one's claim.
+// Failure: a caller hears "not run" of an order that a leaf executed.
 Test(keyed, in_an_outage_a_key_is_refused_at_once_as_unknown) {
   Fleet fleet(2);
   cr_assert(fleet.reserve_now(0, "order-1", "fuse").has_value());
@@ -203,10 +195,7 @@
   cr_assert(repeat->body == first->value().value().body);
 }
 
-// Symptom: the daemon believes that its claim failed, and its own repeat finds
-// the key taken by nobody it knows.
-// Events: the platform writes the claim, the answer is lost.
-// Cause: a lost answer is taken for a failed write.
+// Failure: a daemon doesn't recognise its own claim.
 Test(keyed, a_lost_answer_is_settled_by_reading_back) {
   Fleet fleet(1);
   fleet.store.lose_answers(1);
@@ -223,10 +212,7 @@
   cr_assert(fleet.leafs.runs_of("order-1") == 1);
 }
 
-// Symptom: a key runs twice after a membership change.
-// Events: two daemons both believe that they own the bucket, and both commit a
-// claim of the key, one between the other's read and its write.
-// Cause: views of the membership differ.
+// Failure: a key runs twice after a membership change.
 Test(keyed, two_owners_at_once_grant_one_claim) {
   Fleet fleet(2);
   fleet.believe(0, 1, membership::Member::State::kFailed);
@@ -237,11 +223,7 @@
   cr_assert(fleet.leafs.runs_of("order-1") == 1);
 }
 
-// Symptom: an owner that was stopped for a while wakes up and grants a key that
-// its successor has granted meanwhile.
-// Events: the owner is frozen with a claim on the way, the entry turns to the
-// next daemon and runs the key, the owner wakes up and commits the claim.
-// Cause: the owner trusts what it remembers of the bucket.
+// Failure: an owner that wakes grants what its successor has granted.
 Test(keyed, a_frozen_owner_that_wakes_up_grants_nothing_stale) {
   Fleet fleet(3);
   const Cast cast(fleet);
@@ -255,10 +237,7 @@
   cr_assert(fleet.leafs.runs_of(cast.key) == 1);
 }
 
-// Symptom: a key that nobody runs looks "running" for good.
-// Events: the claim waits on its way to the owner, the entry gives up, the
-// owner then commits the claim.
-// Cause: a claim is committed after its executor gave it up.
+// Failure: a key that nobody runs looks "running" for good.
 Test(keyed, a_claim_that_comes_late_is_released) {
   Fleet fleet(3);
   const Cast cast(fleet);
@@ -277,11 +256,7 @@
   cr_assert(fleet.leafs.runs_of(cast.key) == 1);
 }
 
-// Symptom: an order is executed although its daemon died, and once more by the
-// daemon that took over.
-// Events: the entry dies after the claim, before or after the leaf ran the
-// call; the caller sends the key again.
-// Cause: the claim does not tell whether the call was sent.
+// Failure: an order whose daemon died is run again by another one.
 Test(keyed, a_claim_whose_executor_died_is_never_run_again) {
   for (const bool restarts : {false, true}) {
     Fleet fleet(3);
@@ -303,10 +278,7 @@
   }
 }
 
-// Symptom: an order is executed again after its daemon was restarted.
-// Events: the entry is replaced while its call is at the leaf, the others have
-// not heard of it and ask the new run whether the old one's claim is dead.
-// Cause: the new run knows nothing of the claim, which looks like "dead".
+// Failure: an order is executed again after its daemon was restarted.
 Test(keyed, a_later_run_of_the_executor_can_not_release_its_claim) {
   Fleet fleet(3);
   const Cast cast(fleet);
@@ -333,9 +305,7 @@
   cr_assert(fleet.leafs.calls() == 1);
 }
 
-// Symptom: an order runs long after its caller was told that it is late.
-// Events: the entry is frozen after its claim was granted, past the deadline.
-// Cause: only the wait for the claim had a time limit.
+// Failure: an order runs long after its caller was told that it is late.
 Test(keyed, an_entry_frozen_after_its_claim_sends_nothing_late) {
   Fleet fleet(3);
   const Cast cast(fleet);
--- a/tests/reservation/random_test.cc
+++ b/tests/reservation/random_test.cc
@@ -251,11 +251,7 @@
   return wanted != nullptr ? std::strtoull(wanted, nullptr, 10) : kSeeds;
 }
 
-// Symptom: a key runs twice, or "not run" is said of one that ran.
-// Events: any of frozen, killed and restarted daemons, cut and held links,
-// outages, lost answers, lost writes, disagreeing views and failing leafs, in
-// any order, while callers send the same few keys through every daemon.
-// Cause: an order of events that nobody thought of.
+// Failure: a key runs twice, or "not run" is said of one that ran.
 Test(random, no_order_of_faults_makes_a_key_run_twice) {
   for (std::uint64_t seed = kFirstSeed; seed < kFirstSeed + seeds(); ++seed) {
     std::fprintf(stderr, "seed %lu\n", static_cast<unsigned long>(seed));
--- a/tests/reservation/ticket_test.cc
+++ b/tests/reservation/ticket_test.cc
@@ -85,10 +85,7 @@
   cr_assert(fleet.leafs.calls() == 1);
 }
 
-// Symptom: an order is executed by the daemon that died, and once more.
-// Events: the issuer dies, or comes back as a new run, while the call is at the
-// leaf; the caller sends the ticket again.
-// Cause: what the issuer's memory held is gone.
+// Failure: an order is executed by the daemon that died, and once more.
 Test(ticket, whose_issuer_is_gone_is_run_by_nobody) {
   for (const bool restarts : {false, true}) {
     Fleet fleet(2);
--- a/tests/reservation/unkeyed_test.cc
+++ b/tests/reservation/unkeyed_test.cc
@@ -57,10 +57,7 @@
   cr_assert(fleet.leafs.runs().size() == 1);
 }
 
-// Symptom: one order is executed twice by the leaf.
-// Events: the call is written to the leaf, the connection breaks, the daemon
-// sends the call again.
-// Cause: a lost connection does not tell whether the leaf ran the call.
+// Failure: one order is executed twice by the leaf.
 Test(unkeyed, what_may_have_run_is_never_sent_again) {
   for (const Fate fate : {Fate::kRunsAndAnswerLost, Fate::kLostBeforeRun}) {
     Fleet fleet(1);
@@ -71,9 +68,7 @@
   }
 }
 
-// Symptom: a reservation runs long after its caller was told that it failed.
-// Events: the daemon is frozen past the deadline, then thawed, then sends.
-// Cause: the deadline was checked only before the freeze.
+// Failure: a reservation runs long after its caller was told that it failed.
 Test(unkeyed, nothing_is_sent_after_the_deadline) {
   Fleet fleet(1);
   auto outcome = fleet.reserve(0, "", "fuse", std::chrono::milliseconds(-1));
--- a/tests/store/http_object_store_test.cc
+++ b/tests/store/http_object_store_test.cc
@@ -165,9 +165,7 @@
   cr_assert(batch.version == 2);
 }
 
-// Symptom: a watcher that was away misses changes and never notices.
-// Sequence: its history is dropped at the platform while it is cut off.
-// Cause: an answer with what is left would look like all there was.
+// Failure: a watcher that was away misses changes and never notices.
 Test(http_object_store, a_lost_history_is_told_from_no_change) {
   Fixture fixture({}, {"--history", "1"});
   cr_assert(fixture.put("a", 0).value() == 1);
@@ -187,9 +185,7 @@
   cr_assert(batch->events[0].object.version == 1);
 }
 
-// Symptom: a change is refused to the operator and in force nevertheless.
-// Sequence: the write takes effect, its connection is cut before the answer.
-// Cause: a lost answer was taken for a failed write.
+// Failure: a change is refused to the operator and in force nevertheless.
 Test(http_object_store, a_lost_answer_may_have_taken_effect_and_is_settled) {
   Fixture fixture;
   fixture.faults(R"({"lose_answers":1})");
@@ -237,10 +233,7 @@
   cr_assert(fixture.store->state() == PlatformState::kUp);
 }
 
-// Symptom: half a minute after an outage the daemon still refuses to publish.
-// Sequence: the first call after the outage is a watch, which waits; the next
-// ones are refused, since no answer has come.
-// Cause: a waiting watch was the probe.
+// Failure: half a minute after an outage the daemon still refuses to publish.
 Test(http_object_store,
      a_watch_that_is_the_probe_does_not_wait,
      .timeout = 60) {
--- a/tests/store/malformed_answer_test.cc
+++ b/tests/store/malformed_answer_test.cc
@@ -70,9 +70,7 @@
   return result;
 }
 
-// Symptom: a change that took effect is reported as not done.
-// Sequence: the write is done; the answer that says so can't be read.
-// Cause: an answer that can't be read was taken for a refusal.
+// Failure: a change that took effect is reported as not done.
 Test(malformed_answer, after_an_unreadable_200_a_write_is_in_doubt) {
   for (const char* body : {"", "done", "{}", R"({"version":"6"})",
                            R"({"version":5})", R"({"version":4})"}) {
--- a/tests/store/platform_health_test.cc
+++ b/tests/store/platform_health_test.cc
@@ -26,9 +26,7 @@
   cr_assert(health.state() == PlatformState::kUp);
 }
 
-// Symptom: every call waits out its timeout for as long as the outage lasts.
-// Sequence: the platform goes down; each caller sends its call nevertheless.
-// Cause: nobody remembered that the calls before had failed.
+// Failure: every call waits out its timeout for as long as the outage lasts.
 Test(platform_health, in_an_outage_only_one_probe_passes_a_backoff) {
   auto health = failed_times(3);
   cr_assert(health.state() == PlatformState::kDown);
@@ -52,9 +50,7 @@
   cr_assert(health.retry_after(now + seconds(1)) < milliseconds(2000));
 }
 
-// Symptom: after a short outage the daemon stays away for the longest back-off.
-// Sequence: a hundred calls are under way when the platform goes; all fail.
-// Cause: each failure doubled the back-off as if it had been a probe.
+// Failure: after a short outage the daemon stays away for the longest back-off.
 Test(platform_health, calls_that_fail_together_count_as_one) {
   auto health = failed_times(100);
   cr_assert(health.retry_after(kStart) == milliseconds(75));
--- a/tests/store/read_herd_test.cc
+++ b/tests/store/read_herd_test.cc
@@ -96,10 +96,7 @@
   Outcome outcome;
 };
 
-// Symptom: while all daemons read at once, a publisher's read is refused too.
-// Sequence: 2,400 daemons lose their peers and read the release from the
-// platform; together they ask for more than its cap, second after second.
-// Cause: a daemon that was refused came back at the rate it had before.
+// Failure: while all daemons read at once, a publisher's read is refused too.
 Test(read_herd, a_herd_leaves_the_platform_room_for_others) {
   const Outcome outcome = Herd().run();
   cr_assert(outcome.calls - outcome.refused ==
--- a/tests/store/settled_writer_test.cc
+++ b/tests/store/settled_writer_test.cc
@@ -67,10 +67,7 @@
   cr_assert(settlement.result().error().kind == ErrorKind::kConflict);
 }
 
-// Symptom: a change is reported as refused and is in force nevertheless.
-// Sequence: the write's answer is lost; the writer reads the old version and
-// gives up; the request, still on its way, then takes effect.
-// Cause: a read that shows the old version says nothing of what comes after it.
+// Failure: a change is reported as refused and is in force nevertheless.
 Test(write_settlement, the_old_version_read_back_settles_nothing) {
   WriteSettlement settlement(1);
   cr_assert(settlement.after_write(lost()) == Step::kReadBack);
--- a/tests/store/wire_test.cc
+++ b/tests/store/wire_test.cc
@@ -139,10 +139,7 @@
       parse_hosts(replaced(kHosts, "\"leaving\":false", "\"leaving\":0"))));
 }
 
-// Symptom: a change is never seen until the next full listing.
-// Sequence: an answer says version 9 and shows an object of version 10; the
-// next watch goes on from 9, or a watcher takes 10 for known.
-// Cause: the answer's parts come from different moments.
+// Failure: a change is never seen until the next full listing.
 Test(wire, a_row_newer_than_its_answer_is_refused) {
   cr_assert(malformed(parse_listing(
       "c", replaced(kListing, "\"version\":9", "\"version\":2"))));
--- a/tests/users_platform/configuration_reader_test.cc
+++ b/tests/users_platform/configuration_reader_test.cc
@@ -72,8 +72,7 @@
   cr_assert(!(*table)->routes().front().is_idempotent());
 }
 
-// A version that can't be read must not take effect in part: each of these is
-// refused whole, with the key that is wrong.
+// Failure: a version that can't be read takes effect in part.
 Test(configuration_reader, what_is_wrong_is_refused_and_named) {
   cr_assert(error_of("") == "the configuration is no object");
   cr_assert(error_of("[1]") == "the configuration is no object");
--- a/tests/users_platform/edge_process_test.cc
+++ b/tests/users_platform/edge_process_test.cc
@@ -127,8 +127,7 @@
   cr_assert(site.daemon().wait() == 0);
 }
 
-// Guards against a daemon that is gone before the balancer has noticed its
-// stop.
+// Failure: a daemon is gone before the balancer has noticed its stop.
 Test(edge_process,
      a_daemon_that_stops_takes_new_connections_as_long_as_it_is_set) {
   EdgeSite site(1, std::chrono::milliseconds(4000));
--- a/tests/users_platform/leaf_entry_reader_test.cc
+++ b/tests/users_platform/leaf_entry_reader_test.cc
@@ -66,10 +66,7 @@
   cr_assert(decode(entry_with("born", ""))->run.started.count() == 0);
 }
 
-// Symptom: a service loses its leafs, or calls go where none is. Sequence:
-// another writer leaves entries of its own making among those of the leafs.
-// Cause: what was missing was made up, and a state that no leaf has counted as
-// ready.
+// Failure: a service loses its leafs, or calls go where none is.
 Test(leaf_entry_reader, an_entry_by_another_writer_names_no_leaf) {
   using directory::EntryFault;
   for (const char* key : {"Service", "Address", "Zone", "Slots", "State",
--- a/tests/users_platform/objects_dialect_test.cc
+++ b/tests/users_platform/objects_dialect_test.cc
@@ -82,10 +82,7 @@
   }
 }
 
-// Symptom: a daemon knows no leaf, or keeps those of long ago. Sequence:
-// another writer leaves an object whose text is no UTF-8, or that is nested
-// deeply; each listing and watch of the collection brings it. Cause: the whole
-// answer was refused for one object.
+// Failure: a daemon knows no leaf, or keeps those of long ago.
 Test(objects_dialect, one_odd_object_hides_no_other) {
   const std::string deep = std::string(500, '[') + std::string(500, ']');
   for (const std::string& odd :
@@ -116,8 +113,7 @@
   cr_assert(hosts->front().peer_address == "10.0.0.1:7000");
 }
 
-// Symptom: a daemon that starts finds nobody. Sequence: one contact of eight
-// was left by another writer. Cause: all were refused for it.
+// Failure: a daemon that starts finds nobody.
 Test(objects_dialect, an_unreadable_contact_hides_no_other) {
   const auto hosts = kDialect.read_hosts(response(
       R"({"items":[{"meta":{"Name":"contact-0","Revision":3},"spec":7})"
--- a/tests/users_platform/wire_test.cc
+++ b/tests/users_platform/wire_test.cc
@@ -73,10 +73,7 @@
   }
 }
 
-// Symptom: a leaf runs a request under another id or for longer than the caller
-// waits. Sequence: a caller, or a host on its way, sends the field twice; the
-// tier reads the first one, the leaf the last. Cause: only the first was looked
-// at, and all were passed on.
+// Failure: a leaf runs a request under another id or for too long.
 Test(caller_wire, a_field_that_decides_stands_once) {
   for (const char* repeated : {"x-request-id", "X-Deadline-Ms", "host"}) {
     cr_assert(!CallerWire()
@@ -107,10 +104,7 @@
   cr_assert(read->host == "[::1]");
 }
 
-// Symptom: a request that the tier has let in reaches a leaf without its id,
-// and the leaf refuses it. Sequence: the caller names the field in Connection.
-// Cause: what Connection names was taken out, whatever it was (RFC 9110,
-// section 7.6.1, allows only fields of one connection there).
+// Failure: a request reaches a leaf without its id.
 Test(caller_wire, connection_can_not_name_what_is_for_the_leaf) {
   const auto read =
       CallerWire().read(request({{"Host", "a"},
@@ -137,9 +131,7 @@
   cr_assert(written.field("X-Server-Stamp") == "a.1");
 }
 
-// Symptom: a caller repeats a reservation that was made.
-// Sequence: a leaf runs it; its answer is lost; the daemon answers 503.
-// Cause: a status that promises "not run" for what may have run.
+// Failure: a caller repeats a reservation that was made.
 Test(caller_wire, only_what_has_not_run_gets_a_status_that_promises_it) {
   const CallerWire wire;
   for (std::size_t kind = 0; kind < kErrorKinds; ++kind) {
