Tests: one way to make a request and to take a peer's change

gather_for_peer_test built the caller's request as the fixture does, and two tests of the feed spelled the same change out.

--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -86,9 +86,9 @@
         routing::CallerLimits{}));
   }
 
-  /// Begins a request; its outcome comes to `outcomes`.
-  std::shared_ptr<http::CancelToken> begin(const std::string& id,
-                                           const std::string& path) {
+  /// A request that has just come.
+  [[nodiscard]] CallerRequest request(const std::string& id,
+                                      const std::string& path) const {
     CallerRequest request;
     request.id = id;
     request.host = "a";
@@ -98,12 +98,23 @@
     request.message = std::move(message);
     request.received = Clock::now();
     request.deadline = request.received + this->patience;
-    auto token = std::make_shared<http::CancelToken>();
+    return request;
+  }
+
+  /// Runs a task of the dispatcher; its outcome comes to `outcomes`.
+  void spawn(const std::string& id, Task<Outcome> task) {
     boost::asio::co_spawn(
-        this->loop, this->dispatcher.handle(std::move(request), token),
+        this->loop, std::move(task),
         [this, id](const std::exception_ptr&, Outcome outcome) {
           this->outcomes[id] = std::move(outcome);
         });
+  }
+
+  /// Begins a request; its outcome comes to `outcomes`.
+  std::shared_ptr<http::CancelToken> begin(const std::string& id,
+                                           const std::string& path) {
+    auto token = std::make_shared<http::CancelToken>();
+    this->spawn(id, this->dispatcher.handle(this->request(id, path), token));
     return token;
   }
 
--- a/tests/dispatch/gather_for_peer_test.cc
+++ b/tests/dispatch/gather_for_peer_test.cc
@@ -10,29 +10,13 @@
 /// Queries of a peer over four shards of three leafs each; the route allows two
 /// attempts at each shard.
 struct PeerFixture : DispatchFixture {
-  std::shared_ptr<http::CancelToken> gather(const std::string& id,
-                                            bool is_confirmed) {
-    CallerRequest request;
-    request.id = id;
-    request.host = "a";
-    request.path = "/query/";
-    auto message = std::make_shared<http::Request>();
-    message->target = request.path;
-    request.message = std::move(message);
-    request.received = Clock::now();
-    request.deadline = request.received + this->patience;
+  void gather(const std::string& id, bool is_confirmed) {
     auto confirmation = std::make_shared<Confirmation>();
     confirmation->given = is_confirmed;
-    auto token = std::make_shared<http::CancelToken>();
-    boost::asio::co_spawn(
-        this->loop,
-        this->dispatcher.gather(std::move(request), std::move(confirmation),
-                                token),
-        [this, id](const std::exception_ptr&, Outcome outcome) {
-          this->outcomes[id] = std::move(outcome);
-        });
+    this->spawn(id, this->dispatcher.gather(
+                        this->request(id, "/query/"), std::move(confirmation),
+                        std::make_shared<http::CancelToken>()));
     this->run_until([&] { return this->outcomes.contains(id); });
-    return token;
   }
 };
 
--- a/tests/feed/collection_feed_test.cc
+++ b/tests/feed/collection_feed_test.cc
@@ -124,6 +124,16 @@
     own.run();
   }
 
+  /// A peer brings a change of "main".
+  void take_from_peer(const std::string& value) {
+    const store::Version at = this->feed->mirror().version();
+    this->feed->take({"config",
+                      at,
+                      at + 1,
+                      false,
+                      {{{"config", "main", at + 1, value}, false}}});
+  }
+
   bool run_until(const std::function<bool()>& reached) {
     const TimePoint end = Clock::now() + kLimit;
     while (!reached() && Clock::now() < end) {
@@ -226,12 +236,7 @@
   cr_assert(fixture.run_until([&] { return fixture.observer.listings == 1; }));
   run_for_a_while(fixture);
   cr_assert(fixture.store.watches == 0);
-  const store::Version at = fixture.feed->mirror().version();
-  fixture.feed->take({"config",
-                      at,
-                      at + 1,
-                      false,
-                      {{{"config", "main", at + 1, "9"}, false}}});
+  fixture.take_from_peer("9");
   cr_assert(fixture.observer.objects["main"] == "9");
 }
 
@@ -253,12 +258,7 @@
   Fixture fixture;
   cr_assert(fixture.run_until([&] { return fixture.observer.listings == 1; }));
   fixture.feed->suspend();
-  const store::Version at = fixture.feed->mirror().version();
-  fixture.feed->take({"config",
-                      at,
-                      at + 1,
-                      false,
-                      {{{"config", "main", at + 1, "9"}, false}}});
+  fixture.take_from_peer("9");
   cr_assert(fixture.observer.objects["main"] == "9");
 }
 
