A timeout is told as one also where the daemon is late

The deadline of the request and of its call are the same moment. A daemon whose loop is late by more than a millisecond looks at the request's timer again behind what has come meanwhile (is_behind), so that the call's own end came first: the part had failed, and the request ended as "outcome unknown".

Change: a part that fails at or behind the request's end is a timeout, unless it certainly has not run. No rule hung on it: neither status promises anything.

The new test blocks the loop past the deadline; it failed before, and passes.

--- a/ibismux/dispatch/forward_run.cc
+++ b/ibismux/dispatch/forward_run.cc
@@ -15,21 +15,26 @@
   if (part.state() == PartCall::State::kAnswered) {
     this->finish(Answer(std::move(part.answer())));
   } else if (part.state() == PartCall::State::kFailed) {
-    this->settle_failed(part);
+    this->settle_failed(part, now);
   } else if (this->past_final(now)) {
     this->fail_run(ErrorKind::kDeadlineExceeded, "no answer in time");
   }
 }
 
-void ForwardRun::settle_failed(PartCall& part) {
+void ForwardRun::settle_failed(PartCall& part, TimePoint now) {
   // The leaf's own failure says more than one of ours.
   if (part.failure()) {
     this->finish(Answer(*std::move(part.failure())));
     return;
   }
-  const ErrorKind kind = part.certainly_not_run() ? ErrorKind::kOverloaded
-                                                  : ErrorKind::kOutcomeUnknown;
-  this->fail_run(kind, part.error().message);
+  if (part.certainly_not_run()) {
+    this->fail_run(ErrorKind::kOverloaded, part.error().message);
+  } else if (this->past_final(now)) {
+    // The call's own deadline passes at the same moment as the request's.
+    this->fail_run(ErrorKind::kDeadlineExceeded, "no answer in time");
+  } else {
+    this->fail_run(ErrorKind::kOutcomeUnknown, part.error().message);
+  }
 }
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/forward_run.h
+++ b/ibismux/dispatch/forward_run.h
@@ -15,7 +15,7 @@
   void settle(TimePoint now) override;
 
  private:
-  void settle_failed(PartCall& part);
+  void settle_failed(PartCall& part, TimePoint now);
 };
 
 }  // namespace ibismux::dispatch
--- a/tests/dispatch/forward_test.cc
+++ b/tests/dispatch/forward_test.cc
@@ -147,6 +147,23 @@
   cr_assert(fixture.leafs.times_run("r1") == 1);
 }
 
+// Guards against a timeout told as a failed leaf by a daemon that runs late.
+Test(forward, a_silent_leaf_is_a_timeout_also_where_the_daemon_is_late) {
+  for (const char* path : {"/order/1", "/page/1"}) {
+    DispatchFixture fixture;
+    fixture.patience = std::chrono::milliseconds(60);
+    fixture.all_of("desk", {.silent = true});
+    fixture.begin("r1", path);
+    cr_assert(
+        fixture.run_until([&] { return fixture.leafs.times_run("r1") > 0; }));
+    std::this_thread::sleep_for(std::chrono::milliseconds(70));
+    cr_assert(
+        fixture.run_until([&] { return fixture.outcomes.contains("r1"); }));
+    cr_assert(fixture.outcomes.at("r1").error().kind ==
+              ErrorKind::kDeadlineExceeded);
+  }
+}
+
 // Guards against leafs that work for callers who have left.
 Test(forward, work_for_a_caller_that_left_is_stopped) {
   DispatchFixture fixture;
