Requests of routes with regions stay in them

Change: the adapter reads the list, the settings name each zone's region (zone_regions, from the platform's Zones; read again on SIGHUP), and a request carries the zones that it may be sent to. Choice, hedges, retries, the wait for room, Retry-After and the expected wait look at those alone. A query is handed only to peers in a permitted zone. A zone without a known region serves no such request; where no leaf is left the request is refused at once.

Tests: dispatch (leafs, hedges, retries, queue, evacuated, unknown region, handing over), reader, settings, and a daemon against the stand-ins.

--- a/ibismux/dispatch/dispatch_settings.h
+++ b/ibismux/dispatch/dispatch_settings.h
@@ -5,6 +5,7 @@
 #include <cstddef>
 #include <string>
 
+#include "ibismux/base/zone_regions.h"
 #include "ibismux/dispatch/dispatch_policy.h"
 
 namespace ibismux::dispatch {
@@ -13,6 +14,7 @@
 struct DispatchSettings {
   std::string member;  ///< Name of this host.
   std::string zone;    ///< Its availability zone.
+  ZoneRegions zone_regions;
 
   /// Extra arrivals (hedges and retries) at a service, as a share of its first
   /// arrivals. Shares of all daemons add up to the same share of the whole.
--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -82,10 +82,27 @@
                 [&](const auto& row) { return !names.contains(row.first); });
   std::erase_if(this->splits,
                 [&](const auto& row) { return !names.contains(row.first); });
+  this->log_routes_without_zones();
   this->share_links();
   return true;
 }
 
+void Dispatcher::log_routes_without_zones() {
+  if (!this->in_force) {
+    return;
+  }
+  for (const routing::Route& route : this->in_force->routes()) {
+    if (!route.allowed_regions.empty() &&
+        zones_in(this->settings.zone_regions, route.allowed_regions).empty()) {
+      this->log.event(eventlog::Weight::kBelief, "route_without_zones")
+          .with("route", route.name)
+          .with("config", this->in_force->version())
+          .with("regions", route.allowed_regions.size())
+          .with("known_zones", this->settings.zone_regions.size());
+    }
+  }
+}
+
 void Dispatcher::set_fleet(LinkSharers fleet) {
   fleet.zone = this->settings.zone;
   if (fleet.hosts == this->fleet.hosts && fleet.rank == this->fleet.rank &&
@@ -124,10 +141,14 @@
   }
 }
 
-void Dispatcher::set_costs(const DispatchSettings& fresh) {
+void Dispatcher::update_settings(const DispatchSettings& fresh) {
   this->settings.repeat_share = fresh.repeat_share;
   this->settings.repeat_slack = fresh.repeat_slack;
   this->settings.remote_cost = fresh.remote_cost;
+  if (fresh.zone_regions != this->settings.zone_regions) {
+    this->settings.zone_regions = fresh.zone_regions;
+    this->log_routes_without_zones();
+  }
   for (const auto& [name, group] : this->groups) {
     group->set_repeat_burst(repeat_burst(this->settings, this->fleet.hosts));
   }
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -79,8 +79,9 @@
   /// zones could serve is refused.
   void set_evacuated(ZoneNames zones);
 
-  /// Takes over the budget of repeats and the cost of other zones.
-  void set_costs(const DispatchSettings& fresh);
+  /// Takes over the budget of repeats, the cost of other zones and the zones'
+  /// regions.
+  void update_settings(const DispatchSettings& fresh);
 
   /// Writes what was sent to leafs so far, and why calls left the zone.
   void log_sends() { this->metrics.log_sends(this->log); }
@@ -119,6 +120,8 @@
   /// @param end How the leaf ends. Precondition: `id` is known.
   void drop_leaf(const std::string& id, void (Leaf::*end)());
   void log_leaf(std::string_view event, const directory::LeafEntry& entry);
+  /// Tells of routes that no known zone may serve.
+  void log_routes_without_zones();
   void share_links();
   void share_links(const ServiceGroup& group);
   [[nodiscard]] Duration report_half_life();
--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -79,6 +79,10 @@
     error.execution = Execution::kNotRun;
     return refused(std::move(error), &route);
   }
+  if (!route.allowed_regions.empty()) {
+    context->allowed_zones =
+        zones_in(this->settings.zone_regions, route.allowed_regions);
+  }
   context->due =
       answer_due(request.received, route.objective, request.opens_connection);
   context->request = std::move(request);
@@ -124,7 +128,10 @@
 }
 
 bool Dispatcher::may_delegate(const RequestContext& context) const {
-  return this->delegate && this->settings.policy.delegate_queries &&
+  // Peers that gather are hosts of this zone.
+  const ZoneNames* zones = context.zones();
+  return this->delegate && (!zones || zones->contains(this->settings.zone)) &&
+         this->settings.policy.delegate_queries &&
          context.route->shards.size() >= kLeastShardsToDelegate &&
          this->delegate->is_available(Clock::now());
 }
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -74,6 +74,7 @@
   return {.usual = this->context->typical->value(),
           .objective = this->context->route->objective,
           .tried = &this->leafs,
+          .zones = this->context->zones(),
           .is_repeat = is_repeat};
 }
 
@@ -82,7 +83,7 @@
 }
 
 bool PartCall::send_first() {
-  if (!this->group->can_serve()) {
+  if (!this->group->can_serve(this->context->zones())) {
     this->last_error = make_error(ErrorKind::kLeafUnavailable,
                                   "no leaf of " + this->group->name());
     this->finish(State::kFailed);
@@ -251,7 +252,9 @@
   }
   const auto leaf = this->choose(false);
   if (!leaf) {
-    return this->group->can_serve(this->leafs) ? Again::kNoRoom : Again::kNever;
+    return this->group->can_serve(this->context->zones(), this->leafs)
+               ? Again::kNoRoom
+               : Again::kNever;
   }
   // What no byte was sent of arrived nowhere, and costs no budget.
   if (sent && !this->group->take_repeat()) {
--- a/ibismux/dispatch/request_context.h
+++ b/ibismux/dispatch/request_context.h
@@ -3,8 +3,10 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 #include "ibismux/base/time.h"
+#include "ibismux/base/zone_sizes.h"
 #include "ibismux/dispatch/caller_request.h"
 #include "ibismux/dispatch/forward.h"
 #include "ibismux/dispatch/query_gatherer.h"
@@ -21,6 +23,8 @@
   /// Pinned from arrival to answer; owns `route`.
   std::shared_ptr<const routing::RouteTable> table;
   const routing::Route* route = nullptr;
+  /// Zones that the request may be sent to. Absent: all of them.
+  std::optional<ZoneNames> allowed_zones;
   /// Leafs of each shard that a peer may have sent the request to.
   std::uint32_t attempts_elsewhere = 0;
   /// Set where the request is gathered for a peer, which counts it among its
@@ -35,6 +39,10 @@
   DispatchMetrics* metrics = nullptr;
   const DispatchPolicy* policy = nullptr;
 
+  /// The same for a choice of leafs; null: all zones.
+  [[nodiscard]] const ZoneNames* zones() const noexcept {
+    return this->allowed_zones ? &*this->allowed_zones : nullptr;
+  }
   [[nodiscard]] bool is_for_peer() const noexcept {
     return this->confirmation != nullptr;
   }
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -118,13 +118,14 @@
 
 Duration RequestRun::excess_wait_at(const ServiceGroup& service,
                                     TimePoint now) const {
-  if (!service.can_serve()) {
+  const ZoneNames* zones = this->shared->zones();
+  if (!service.can_serve(zones)) {
     return Duration::max();
   }
   const bool stands = service.queue().standing(now) > kStandingQueue;
   const TimePoint latest = stands ? this->shared->due : this->shared->final_at;
   const Duration work = this->shared->typical->unloaded();
-  return service.expected_wait(this->shared->route->priority) -
+  return service.expected_wait(this->shared->route->priority, zones) -
          std::max<Duration>(work, latest - now - work);
 }
 
@@ -265,7 +266,8 @@
     milliseconds pause{0};
     for (const auto& part : this->all) {
       if (part->state() != PartCall::State::kAnswered) {
-        pause = std::max(pause, part->service().retry_after(now));
+        pause = std::max(
+            pause, part->service().retry_after(now, this->shared->zones()));
       }
     }
     error.retry_after = pause;
--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -34,6 +34,10 @@
                             scaled(criteria.usual, kUnresponsiveAfter));
 }
 
+bool is_in(const ZoneNames* zones, const Leaf& leaf) {
+  return !zones || zones->contains(leaf.entry().zone);
+}
+
 bool holds(const std::vector<std::shared_ptr<Leaf>>& leafs, const Leaf* leaf) {
   return std::any_of(leafs.begin(), leafs.end(),
                      [leaf](const auto& other) { return other.get() == leaf; });
@@ -64,21 +68,23 @@
 }
 
 bool ServiceGroup::can_serve(
+    const ZoneNames* zones,
     const std::vector<std::shared_ptr<Leaf>>& tried) const noexcept {
   const TimePoint now = Clock::now();
   return std::any_of(this->members.begin(), this->members.end(),
-                     [&tried, now](const auto& leaf) {
-                       return leaf->in_service() &&
+                     [&tried, zones, now](const auto& leaf) {
+                       return leaf->in_service() && is_in(zones, *leaf) &&
                               !leaf->is_closed_while_cold(now) &&
                               !holds(tried, leaf.get());
                      });
 }
 
-milliseconds ServiceGroup::retry_after(TimePoint now) const {
+milliseconds ServiceGroup::retry_after(TimePoint now,
+                                       const ZoneNames* zones) const {
   Duration soonest = Duration::max();
   for (const auto& leaf : this->members) {
     if (!leaf->is_retired() && !leaf->entry().draining &&
-        !leaf->is_evacuated()) {
+        !leaf->is_evacuated() && is_in(zones, *leaf)) {
       soonest = std::min(soonest, leaf->until_retry(now));
     }
   }
@@ -110,7 +116,7 @@
 std::optional<ZoneExit> ServiceGroup::what_rules_out(
     const Leaf& leaf,
     const SelectionCriteria& criteria) {
-  if (!leaf.in_service()) {
+  if (!leaf.in_service() || !is_in(criteria.zones, leaf)) {
     return ZoneExit::kNoLeaf;
   }
   if (criteria.tried && holds(*criteria.tried, &leaf)) {
@@ -222,14 +228,16 @@
   }
 }
 
-Duration ServiceGroup::expected_wait(std::uint32_t priority) const {
+Duration ServiceGroup::expected_wait(std::uint32_t priority,
+                                     const ZoneNames* zones) const {
   const std::size_t ahead = this->waiting.ahead_of(priority);
   if (ahead == 0) {
     return Duration::zero();
   }
   std::size_t at_once = 0;
   for (const auto& leaf : this->members) {
-    at_once += leaf->in_service() ? leaf->most_calls() : 0;
+    at_once +=
+        leaf->in_service() && is_in(zones, *leaf) ? leaf->most_calls() : 0;
   }
   return this->call_time.value() * (ahead + 1) /
          std::max<std::size_t>(1, at_once);
--- a/ibismux/dispatch/service_group.h
+++ b/ibismux/dispatch/service_group.h
@@ -10,6 +10,7 @@
 #include "ibismux/base/fraction_budget.h"
 #include "ibismux/base/moving_average.h"
 #include "ibismux/base/time.h"
+#include "ibismux/base/zone_sizes.h"
 #include "ibismux/dispatch/call_queue.h"
 #include "ibismux/dispatch/forward.h"
 #include "ibismux/dispatch/zone_exit.h"
@@ -22,6 +23,8 @@
   Duration objective;  ///< Within which its caller wants the answer.
   /// Leafs that have had this request already.
   const std::vector<std::shared_ptr<Leaf>>* tried = nullptr;
+  /// Zones that the request may be sent to; null: all of them.
+  const ZoneNames* zones = nullptr;
   /// A repeat is worth its cost only at a leaf that will answer soon:
   /// unresponsive leafs are left out.
   bool is_repeat = false;
@@ -52,11 +55,15 @@
     return this->members;
   }
   /// Some leaf may take calls, now or once it has room.
+  /// @param zones The zones whose leafs count; null: all of them.
   /// @param tried Leafs that don't count.
   [[nodiscard]] bool can_serve(
+      const ZoneNames* zones = nullptr,
       const std::vector<std::shared_ptr<Leaf>>& tried = {}) const noexcept;
-  /// When to come back where none can.
-  [[nodiscard]] std::chrono::milliseconds retry_after(TimePoint now) const;
+  /// When to come back where none of `zones` can; null: all of them.
+  [[nodiscard]] std::chrono::milliseconds retry_after(
+      TimePoint now,
+      const ZoneNames* zones = nullptr) const;
   /// @}
 
   /// A leaf of this zone that has room and is at ease; else the leaf with room
@@ -96,9 +103,11 @@
   void await_warmer_leafs();
   /// A call took this long at its leaf.
   void note_call(Duration took) noexcept { this->call_time.add(took); }
-  /// How long a call of `priority` that comes now would wait for a leaf, by how
-  /// long recent calls took. Zero where nobody waits.
-  [[nodiscard]] Duration expected_wait(std::uint32_t priority) const;
+  /// How long a call of `priority` that comes now would wait for a leaf of
+  /// `zones` (null: of any zone), by how long recent calls took. Zero where
+  /// nobody waits.
+  [[nodiscard]] Duration expected_wait(std::uint32_t priority,
+                                       const ZoneNames* zones = nullptr) const;
   /// @}
 
  private:
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -249,7 +249,8 @@
   this->settings.remote_cost = fresh->remote_cost;
   this->settings.stop_limit = fresh->stop_limit;
   this->settings.leave_notice = fresh->leave_notice;
-  this->dispatcher.set_costs(dispatch_settings(this->settings));
+  this->settings.zone_regions = fresh->zone_regions;
+  this->dispatcher.update_settings(dispatch_settings(this->settings));
   this->limits.drain_grace = this->settings.leave_notice;
   this->callers.set_limits(this->limits);
   this->log.event(eventlog::Weight::kBelief, "reload")
--- a/ibismux/edge/edge_settings.cc
+++ b/ibismux/edge/edge_settings.cc
@@ -15,6 +15,7 @@
 using Real = settings::RealField<EdgeSettings>;
 using Millis = settings::MillisField<EdgeSettings>;
 using Seconds = settings::SecondsField<EdgeSettings>;
+using TextMap = settings::TextMapField<EdgeSettings>;
 
 // What the platform tells (rates, budgets, times) is worked out there and may
 // have a fraction or grow with the fleet, so these bounds only keep out what
@@ -29,6 +30,10 @@
         Text{&EdgeSettings::member, TextForm::kName}, true},
     Key{"zone", "Availability zone of this host.",
         Text{&EdgeSettings::zone, TextForm::kName}, true},
+    Key{"zone_regions",
+        "The region of each availability zone. Requests that are bound to "
+        "regions are sent to no zone that is not named here.",
+        TextMap{&EdgeSettings::zone_regions}},
 
     Key{"host.link_mbps",
         "Width of this host's network link, in Mbit/s; 0: not known, and "
--- a/ibismux/edge/edge_settings.h
+++ b/ibismux/edge/edge_settings.h
@@ -6,6 +6,7 @@
 #include <span>
 #include <string>
 
+#include "ibismux/base/zone_regions.h"
 #include "ibismux/dispatch/dispatch_policy.h"
 #include "ibismux/settings/field.h"
 
@@ -20,6 +21,7 @@
   /// @{
   std::string member;
   std::string zone;
+  ZoneRegions zone_regions;
   double link_mbps = 0;
   /// @}
 
--- a/ibismux/edge/package_settings.cc
+++ b/ibismux/edge/package_settings.cc
@@ -56,6 +56,7 @@
   dispatch::DispatchSettings dispatch;
   dispatch.member = settings.member;
   dispatch.zone = settings.zone;
+  dispatch.zone_regions = settings.zone_regions;
   dispatch.repeat_share = settings.repeat_ratio * kRepeatSafety;
   dispatch.repeat_slack = settings.repeat_slack;
   dispatch.hosts = settings.hosts;
--- a/ibismux/routing/route.h
+++ b/ibismux/routing/route.h
@@ -31,6 +31,8 @@
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
   /// Most leafs that one request, or one shard of it, is sent to.
   std::uint32_t max_attempts = 1;
+  /// Regions that requests may be sent to. Empty: all of them.
+  std::vector<std::string> allowed_regions;
 
   /// @name Target: exactly one of the two is not empty
   /// @{
--- a/ibismux/settings/field.h
+++ b/ibismux/settings/field.h
@@ -5,6 +5,8 @@
 #include <boost/json/value.hpp>
 #include <chrono>
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -79,6 +81,12 @@
   bool S::*member;
 };
 
+/// Texts by names that the settings file chooses.
+template <class S>
+struct TextMapField {
+  std::map<std::string, std::string, std::less<>> S::*member;
+};
+
 /// One key of a settings file that is read into the struct `S`.
 template <class S>
 struct Field {
@@ -89,7 +97,8 @@
                RealField<S>,
                MillisField<S>,
                SecondsField<S>,
-               FlagField<S>>
+               FlagField<S>,
+               TextMapField<S>>
       binding;
   bool required = false;
 
@@ -128,6 +137,9 @@
   [[nodiscard]] static std::string describe(const FlagField<S>&) {
     return "true or false";
   }
+  [[nodiscard]] static std::string describe(const TextMapField<S>&) {
+    return "an object whose values are texts";
+  }
   [[nodiscard]] static std::string describe(const MillisField<S>& field) {
     return "whole milliseconds from " + std::to_string(field.least.count()) +
            " to " + std::to_string(field.most.count());
@@ -190,6 +202,22 @@
     settings.*field.member = value.get_bool();
     return true;
   }
+  [[nodiscard]] static bool assign(const TextMapField<S>& field,
+                                   S& settings,
+                                   const boost::json::value& value) {
+    if (!value.is_object()) {
+      return false;
+    }
+    std::map<std::string, std::string, std::less<>> texts;
+    for (const auto& [name, text] : value.get_object()) {
+      if (!text.is_string()) {
+        return false;
+      }
+      texts.emplace(name, text.get_string());
+    }
+    settings.*field.member = std::move(texts);
+    return true;
+  }
   [[nodiscard]] static bool assign(const MillisField<S>& field,
                                    S& settings,
                                    const boost::json::value& value) {
@@ -230,6 +258,14 @@
                                                const S& settings) {
     return settings.*field.member;
   }
+  [[nodiscard]] static boost::json::value read(const TextMapField<S>& field,
+                                               const S& settings) {
+    boost::json::object texts;
+    for (const auto& [name, text] : settings.*field.member) {
+      texts[name] = text;
+    }
+    return texts;
+  }
   [[nodiscard]] static boost::json::value read(const MillisField<S>& field,
                                                const S& settings) {
     return (settings.*field.member).count();
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -67,6 +67,7 @@
     }
     query.top_records = 10;
     query.minimum_coverage = 0.75;
+    query.allowed_regions = this->allowed_regions;
     routing::Route page = query;
     page.name = "page";
     page.path_prefix = "/page/";
@@ -144,6 +145,8 @@
     }
   }
 
+  /// Of all routes, from the next `configure()` on.
+  std::vector<std::string> allowed_regions;
   std::chrono::milliseconds objective{20'000};
   std::chrono::milliseconds time_limit{50'000};
   std::chrono::milliseconds patience{50'000};
--- a/tests/dispatch/gather_for_peer_test.cc
+++ b/tests/dispatch/gather_for_peer_test.cc
@@ -103,6 +103,23 @@
   cr_assert(fixture.leafs.times_run("q1") == 9);
 }
 
+// Guards against a query whose body goes to a host outside its regions.
+Test(delegating, a_query_that_is_bound_to_other_regions_stays_here) {
+  for (const bool is_home : {true, false}) {
+    DelegatingFixture fixture;
+    fixture.settings.zone_regions = {
+        {"z0", is_home ? "north" : "south"}, {"z1", "north"}, {"z2", "north"}};
+    fixture.dispatcher.update_settings(fixture.settings);
+    auto route = fixture.dispatcher.table()->routes().front();
+    route.allowed_regions = {"north"};
+    fixture.dispatcher.put_in_force(std::make_shared<const routing::RouteTable>(
+        3, std::vector<routing::Route>{route},
+        std::vector<routing::ServiceSpec>{}, routing::CallerLimits{}));
+    cr_assert(fixture.run("q1", "/query/").has_value());
+    cr_assert(fixture.delegate.asked.size() == (is_home ? 1 : 0));
+  }
+}
+
 Test(delegating, a_query_over_few_shards_stays_here) {
   DispatchFixture fixture;
   LostDelegate delegate;
--- a/tests/edge/edge_settings_test.cc
+++ b/tests/edge/edge_settings_test.cc
@@ -103,6 +103,22 @@
   }
 }
 
+Test(edge_settings, regions_of_zones) {
+  const Outcome outcome =
+      read_text(with(",\"zone_regions\":{\"z\":\"north\",\"hall 2\":\"\",}"));
+  cr_assert(outcome.has_value());
+  cr_assert(outcome->zone_regions ==
+            ZoneRegions({{"z", "north"}, {"hall 2", ""}}));
+  cr_assert(read_text(with(",\"zone_regions\":{ }"))->zone_regions.empty());
+  for (const char* odd : {"[]", "\"north\"", "{\"z\":1}", "{\"z\":null}"}) {
+    const Outcome refused =
+        read_text(with(std::string(",\"zone_regions\":") + odd));
+    cr_assert(!refused.has_value());
+    cr_assert(refused.error().front().find("zone_regions: ") !=
+              std::string::npos);
+  }
+}
+
 Test(edge_settings, groups_that_the_platform_leaves_empty_keep_the_defaults) {
   const Outcome outcome =
       read_text(with(",\"fleet\":{},\"repeats\":{},\"stop\":{},"));
--- a/tests/users_platform/configuration_reader_test.cc
+++ b/tests/users_platform/configuration_reader_test.cc
@@ -66,6 +66,27 @@
   cr_assert(query.top_records == 10 && query.minimum_coverage == 0.89);
 }
 
+Test(configuration_reader, regions_of_a_route) {
+  const auto regions = [](const std::string& value) {
+    const auto table = decode(
+        configuration(route(R"("Service":"desk","AllowedRegions":)" + value)));
+    cr_assert(table.has_value());
+    return (*table)->routes().front().allowed_regions;
+  };
+  cr_assert(regions(R"(["north","south"])") ==
+            std::vector<std::string>({"north", "south"}));
+  cr_assert(regions("[]").empty());
+  cr_assert(regions("null").empty());
+}
+
+Test(configuration_reader, regions_that_cant_be_read_are_refused) {
+  for (const char* odd : {"\"north\"", "[1]", "{}", "[null]"}) {
+    const std::string error = error_of(configuration(
+        route(std::string(R"("Service":"desk","AllowedRegions":)") + odd)));
+    cr_assert(error.find("AllowedRegions") != std::string::npos, "%s", odd);
+  }
+}
+
 Test(configuration_reader, what_may_run_once_only) {
   const auto table =
       decode(configuration(route(R"("Service":"desk")", "non_idempotent")));
--- a/tests/users_platform/edge_process_test.cc
+++ b/tests/users_platform/edge_process_test.cc
@@ -71,6 +71,37 @@
   cr_assert(site.call("q2", "/query/1").value().status == 404);
 }
 
+// Guards against requests that leave the regions of their route.
+Test(edge_process, a_route_with_regions_is_served_there_or_refused) {
+  EdgeSite site;
+  cr_assert(site.wait_until_ready());
+  const auto route = [](const std::string& name, const std::string& region) {
+    return R"({"Name":")" + name +
+           R"(","Host":"search.example","PathPrefix":"/)" + name +
+           R"(/","Type":"idempotent","TimeoutMs":1000,"TargetLatencyMs":200,)" +
+           R"("Service":"desk","AllowedRegions":[")" + region + R"("]})";
+  };
+  site.fake("PUT", "config",
+            R"({"Version":9,"Routes":[)" + route("south", "south") + "," +
+                route("west", "west") +
+                R"(],"Services":[],"Limits":{"MaxHeaderBytes":16384,)"
+                R"("MaxBodyBytes":262144,"HeaderTimeoutMs":3000,)"
+                R"("IdleTimeoutMs":15000}})");
+  int number = 0;
+  const auto call = [&](const std::string& path) {
+    return site.call("n" + std::to_string(++number), path).value();
+  };
+  cr_assert(wait_until([&] { return call("/south/1").status == 200; }));
+  for (int i = 0; i < 10; ++i) {
+    const auto served = call("/south/1");
+    cr_assert(served.status == 200);
+    cr_assert(!served.field("X-Server-Stamp").starts_with("i-desk-0."));
+  }
+  const auto refused = call("/west/1");
+  cr_assert(refused.status == 503);
+  cr_assert(!refused.field("Retry-After").empty());
+}
+
 // Guards against a reservation that is sent to a second leaf.
 Test(edge_process, a_reservation_is_never_run_twice) {
   EdgeSite site;
--- a/tests/users_platform/edge_site.h
+++ b/tests/users_platform/edge_site.h
@@ -35,7 +35,8 @@
     const std::string number = std::to_string(this->daemons.size() + 1);
     this->settings.emplace_back(
         "{\"member\":\"h" + number + "\",\"zone\":\"z" + number +
-        "\",\"caller\":{\"endpoint\":\"127.0.0.1:0\"},"
+        "\",\"zone_regions\":{\"z1\":\"north\",\"z2\":\"south\",\"z3\":"
+        "\"south\"},\"caller\":{\"endpoint\":\"127.0.0.1:0\"},"
         "\"ready\":{\"endpoint\":\"127.0.0.1:0\"},"
         "\"metrics\":{\"endpoint\":\"127.0.0.1:0\"},"
         "\"fleet\":{\"endpoint\":\"127.0.0.1:0\"},\"store\":{\"endpoint\":"
