Leafs' load is read, and counts while it is recent

Machines of leafs are four times as slow for half a second at a time; a daemon's own estimate takes two or three slow calls to notice.

Change: the adapter decodes three or four figures to a LeafLoad; what can't be read is counted and has no effect. The estimate of the leaf holds the load with its age (half forgotten in 100 ms), and its ratio is the worse of what calls took and what the leaf said: a good load hides no slow calls. A switch, policy.use_leaf_load.

--- a/ibismux/dispatch/dispatch_metrics.cc
+++ b/ibismux/dispatch/dispatch_metrics.cc
@@ -54,6 +54,12 @@
                             .Help("Time from a call to a leaf to its end")
                             .Register(registry)
                             .Add({}, kBounds);
+  this->unreadable_loads =
+      &prometheus::BuildCounter()
+           .Name("ibismux_dispatch_unreadable_loads_total")
+           .Help("Answers of leafs whose load can't be read")
+           .Register(registry)
+           .Add({});
   auto& repeats = prometheus::BuildCounter()
                       .Name("ibismux_dispatch_repeats_total")
                       .Help("Requests sent to one more leaf, by cause")
@@ -88,6 +94,10 @@
   this->sends[row][static_cast<std::size_t>(exit)]->Increment();
 }
 
+void DispatchMetrics::load_unreadable() noexcept {
+  this->unreadable_loads->Increment();
+}
+
 void DispatchMetrics::log_sends(eventlog::EventLog& log) const {
   eventlog::Event line = log.event(eventlog::Weight::kBelief, "calls_sent");
   for (std::size_t row = 0; row < this->sends.size(); ++row) {
--- a/ibismux/dispatch/dispatch_metrics.h
+++ b/ibismux/dispatch/dispatch_metrics.h
@@ -41,6 +41,9 @@
   /// A repeat was wanted and the budget had none.
   void repeat_refused(RepeatCause cause) noexcept;
 
+  /// A leaf said something of its load that can't be read.
+  void load_unreadable() noexcept;
+
   /// Writes how many calls were sent since the start, and why they left the
   /// zone, as one line: for who has the log of a daemon and not its metrics.
   void log_sends(eventlog::EventLog& log) const;
@@ -50,6 +53,7 @@
   prometheus::Family<prometheus::Histogram>* request_seconds;
   std::array<prometheus::Counter*, kErrorKinds + 1> calls;
   prometheus::Histogram* call_seconds;
+  prometheus::Counter* unreadable_loads;
   std::array<prometheus::Counter*, kRepeatCauses> repeats;
   std::array<prometheus::Counter*, kRepeatCauses> refused_repeats;
   /// By cause, first sends last, and by exit.
--- a/ibismux/dispatch/dispatch_policy.h
+++ b/ibismux/dispatch/dispatch_policy.h
@@ -20,6 +20,8 @@
   bool zone_reports = true;
   /// They forget a slow leaf one after the other, not all at once.
   bool staggered_memory = true;
+  /// What leafs say of their own load counts, for as long as it is recent.
+  bool use_leaf_load = true;
   /// A leaf that loses calls or can't be dialled is left out for a while.
   bool eject = true;
   /// How many calls a leaf may have at once follows how long they take.
--- a/ibismux/dispatch/forward.h
+++ b/ibismux/dispatch/forward.h
@@ -9,6 +9,7 @@
 struct DispatchSettings;
 struct LeafAnswer;
 struct LeafCall;
+struct LeafLoad;
 struct LeafReply;
 struct SelectionCriteria;
 struct MergedAnswer;
--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -198,6 +198,10 @@
   }
   this->losses = 0;
   this->links.note_answer();
+  if (this->policy.use_leaf_load && end.reply->load &&
+      end.reply->kind != LeafReply::Kind::kOtherInstance) {
+    this->numbers.note_load(*end.reply->load, now);
+  }
   switch (end.reply->kind) {
     case LeafReply::Kind::kSuccess:
       this->window.on_answer(now - *ticket, order.unloaded, this->orders, now);
--- a/ibismux/dispatch/leaf_estimate.cc
+++ b/ibismux/dispatch/leaf_estimate.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "ibismux/dispatch/leaf_load.h"
+
 namespace ibismux::dispatch {
 
 LeafEstimate::Ticket LeafEstimate::sent(TimePoint now) {
@@ -35,8 +37,24 @@
 }
 
 double LeafEstimate::ratio(TimePoint now) const noexcept {
-  return 1 + this->blend(this->excess * this->fading(now),
-                         this->peer_report.excess, now);
+  const double seen = this->blend(this->excess * this->fading(now),
+                                  this->peer_report.excess, now);
+  return 1 + std::max(seen, this->told_excess(now));
+}
+
+void LeafEstimate::note_load(const LeafLoad& load, TimePoint now) noexcept {
+  const double queue = static_cast<double>(load.waiting) / load.slots;
+  const double ratio = load.slowdown.value_or(1) * (1 + queue);
+  this->load_excess = std::clamp(ratio, 1.0, kMostRatio) - 1;
+  this->load_at = now;
+}
+
+double LeafEstimate::told_excess(TimePoint now) const noexcept {
+  if (this->load_at == TimePoint::min()) {
+    return 0;
+  }
+  return this->load_excess *
+         std::exp2(-to_seconds(now - this->load_at) / kLoadHalfLifeSeconds);
 }
 
 double LeafEstimate::failure_share(TimePoint now) const noexcept {
--- a/ibismux/dispatch/leaf_estimate.h
+++ b/ibismux/dispatch/leaf_estimate.h
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "ibismux/base/time.h"
+#include "ibismux/dispatch/forward.h"
 
 namespace ibismux::dispatch {
 
@@ -37,6 +38,9 @@
   void lost(Ticket ticket, TimePoint now);
   /// @}
 
+  /// The leaf said this of its load in an answer that came just now.
+  void note_load(const LeafLoad& load, TimePoint now) noexcept;
+
   /// What the daemons of the zone see together.
   struct PeerReport {
     double excess = 0;    ///< The ratio above 1.
@@ -64,8 +68,9 @@
   [[nodiscard]] bool is_unresponsive(Duration patience,
                                      TimePoint now) const noexcept;
 
-  /// How many times the usual a call takes here; 1 is usual. Falls back towards
-  /// 1 with time, so that a leaf which recovered is tried again.
+  /// How many times the usual a call takes here, by the calls so far or by what
+  /// the leaf said of its load, whichever is more; 1 is usual. Falls back
+  /// towards 1 with time, so that a leaf which recovered is tried again.
   [[nodiscard]] double ratio(TimePoint now) const noexcept;
 
   /// Share of the late calls that failed, 0 to 1; forgotten with time as well.
@@ -92,7 +97,12 @@
   // Less of it than this is as good as nothing.
   static constexpr double kLeastReportWeight = 0.1;
 
+  // Half of what a leaf said of its load is forgotten in this time: queues and
+  // the pace of a shared machine change many times a second.
+  static constexpr double kLoadHalfLifeSeconds = 0.1;
+
   [[nodiscard]] double fading(TimePoint now) const noexcept;
+  [[nodiscard]] double told_excess(TimePoint now) const noexcept;
   [[nodiscard]] double peer_report_fading(TimePoint now) const noexcept;
   /// This daemon's own figure and the reported one, each by its weight.
   [[nodiscard]] double blend(double own,
@@ -107,6 +117,9 @@
   TimePoint updated = TimePoint::min();
   double own_samples = 0;  ///< Decayed as the figures are.
 
+  double load_excess = 0;  ///< The ratio above 1 by the leaf's own word.
+  TimePoint load_at = TimePoint::min();
+
   PeerReport peer_report;
   TimePoint peer_report_at = TimePoint::min();
 
--- a/ibismux/dispatch/leaf_link.h
+++ b/ibismux/dispatch/leaf_link.h
@@ -10,6 +10,7 @@
 #include "ibismux/base/time.h"
 #include "ibismux/directory/forward.h"
 #include "ibismux/dispatch/answer.h"
+#include "ibismux/dispatch/leaf_load.h"
 #include "ibismux/http/forward.h"
 
 namespace ibismux::dispatch {
@@ -35,6 +36,9 @@
 
   Kind kind = Kind::kFailure;
   LeafAnswer answer;
+  /// Absent where the leaf doesn't tell, or not so that it can be read.
+  std::optional<LeafLoad> load;
+  bool has_unreadable_load = false;
 };
 
 /// One connection to one leaf; one call at a time.
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -174,6 +174,9 @@
   const Duration took = now - ended->began;
   const Error* error = end.reply ? nullptr : &end.reply.error();
   this->context->metrics->call_ended(error, took);
+  if (end.reply && end.reply->has_unreadable_load) {
+    this->context->metrics->load_unreadable();
+  }
   if (end.reply && end.reply->kind == LeafReply::Kind::kSuccess) {
     this->context->typical->record(took, now);
     this->group->note_call(took);
--- a/tests/dispatch/leaf_estimate_test.cc
+++ b/tests/dispatch/leaf_estimate_test.cc
@@ -2,6 +2,8 @@
 
 #include <criterion/criterion.h>
 
+#include "ibismux/dispatch/leaf_load.h"
+
 namespace ibismux::dispatch {
 namespace {
 
@@ -36,6 +38,35 @@
   cr_assert(fixture.estimate.ratio(fixture.now) > 3);
 }
 
+// The load: machines of leafs that are four times as slow for half a second.
+Test(leaf_estimate, one_answer_tells_of_a_slow_machine) {
+  Fixture fixture;
+  fixture.estimate.note_load({1, 0, 4, 4.0}, fixture.now);
+  cr_assert(fixture.estimate.ratio(fixture.now) == 4);
+  fixture.estimate.note_load({1, 4, 4, 1.0}, fixture.now);
+  cr_assert(fixture.estimate.ratio(fixture.now) == 2);
+  fixture.estimate.note_load({1, 0, 4, std::nullopt}, fixture.now);
+  cr_assert(fixture.estimate.ratio(fixture.now) == 1);
+}
+
+// Guards against a load that is believed when it has long changed.
+Test(leaf_estimate, what_a_leaf_said_of_its_load_is_soon_forgotten) {
+  Fixture fixture;
+  fixture.estimate.note_load({1, 0, 4, 4.0}, fixture.now);
+  cr_assert(fixture.estimate.ratio(fixture.now + milliseconds(300)) < 1.5);
+  cr_assert(fixture.estimate.ratio(fixture.now + milliseconds(1000)) < 1.01);
+}
+
+// Guards against a leaf that calls itself idle and answers late.
+Test(leaf_estimate, a_good_load_hides_no_slow_calls) {
+  Fixture fixture;
+  for (int i = 0; i < 10; ++i) {
+    fixture.call(milliseconds(40));
+    fixture.estimate.note_load({0, 0, 4, 0.5}, fixture.now);
+  }
+  cr_assert(fixture.estimate.ratio(fixture.now) > 2);
+}
+
 // The load: leafs that stand still for 100 ms in each 2.4 s.
 Test(leaf_estimate, one_pause_hardly_changes_the_estimate) {
   Fixture fixture;
--- a/tests/users_platform/wire_test.cc
+++ b/tests/users_platform/wire_test.cc
@@ -183,6 +183,31 @@
   cr_assert(kind(503, {}) == LeafReply::Kind::kFailure);
 }
 
+Test(leaf_wire, loads_of_three_or_four_figures_are_read) {
+  const auto three = read_leaf_load("3,1,4");
+  cr_assert(three && three->running == 3 && three->waiting == 1);
+  cr_assert(three->slots == 4 && !three->slowdown);
+  const auto four = read_leaf_load("0, 12 , 4,250");
+  cr_assert(four && four->waiting == 12 && four->slowdown == 2.5);
+}
+
+// Guards against an odd load that makes an answer odd, or a leaf look free.
+Test(leaf_wire, odd_loads_are_passed_over) {
+  for (const char* odd :
+       {",", "1,2", "1,2,", "1,2,0", "1,2,3,0", "1,2,3,4,5", "1,2,3,100,",
+        "-1,2,3", "1.5,2,3", "1;2;3", "a,b,c", "1,2,4294967296", " ",
+        "1,2,3,1e2", "+1,2,3", "1 2,3,4"}) {
+    cr_assert(!read_leaf_load(odd), "%s", odd);
+    const auto reply = read_leaf_reply(
+        response(200, {{"X-Server-Stamp", "a.1"}, {"X-Server-Load", odd}}));
+    cr_assert(reply && reply->kind == LeafReply::Kind::kSuccess, "%s", odd);
+    cr_assert(!reply->load && reply->has_unreadable_load, "%s", odd);
+  }
+  const auto without =
+      read_leaf_reply(response(200, {{"X-Server-Stamp", "a"}}));
+  cr_assert(!without->load && !without->has_unreadable_load);
+}
+
 Test(leaf_wire, a_success_that_nobody_signed_is_no_answer) {
   cr_assert(!read_leaf_reply(response(200, {})).has_value());
   cr_assert(!read_leaf_reply(response(200, {{"X-Server-Stamp", "a.1"},
