ibismuxctl explain and losses: from logs of many hosts to a cause

Change: explain reads any number of logs of edge daemons and shows the request's lines, what its hosts believed of the leafs and services in them up to five seconds before, and one sentence with the cause. losses counts requests that were not answered in full by route, outcome and message. Neither needs a daemon.

--- a/apps/ibismuxctl/commands.cc
+++ b/apps/ibismuxctl/commands.cc
@@ -53,6 +53,8 @@
       {"status", &Commands::status, 0, 2},
       {"audit", &Commands::audit, 0, 0},
       {"drain", &Commands::drain, 0, 0},
+      {"explain", &Commands::explain, 2, kAnyCount},
+      {"losses", &Commands::losses, 1, kAnyCount},
       {"version", &Commands::version, 0, 0},
   };
   return table;
--- a/apps/ibismuxctl/commands.h
+++ b/apps/ibismuxctl/commands.h
@@ -4,6 +4,7 @@
 #include <boost/json/array.hpp>
 #include <boost/json/value.hpp>
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <vector>
 
@@ -14,6 +15,8 @@
 
 namespace ibismux::ctl {
 
+struct LogLine;
+
 /// The program's commands, over one client. Results go to the standard output,
 /// and each failure as one line to the standard error. Not thread safe.
 class Commands {
@@ -60,6 +63,15 @@
   ExitCode version();
   /// @}
 
+  /// @name Logs of daemons
+  /// @{
+  ExitCode explain();
+  ExitCode losses();
+  /// Passes on each event of the logs that the arguments from `first` on name.
+  ExitCode read_logs(std::size_t first,
+                     const std::function<void(const LogLine&)>& on_event);
+  /// @}
+
   ExitCode dry_run(const std::vector<release::ObjectRecord>& records);
   ExitCode write(const std::vector<release::ObjectRecord>& records);
   ExitCode await_all(const std::vector<Written>& writes);
--- a/apps/ibismuxctl/options.cc
+++ b/apps/ibismuxctl/options.cc
@@ -29,6 +29,10 @@
   status [KIND NAME]     show the daemon and the fleet, or one object's status
   audit                  show who changed what, newest last
   drain                  stop the daemon gracefully
+  explain REQUEST LOG... show what logs of ibismux-edge daemons say of one
+                         request, and why it ended as it did
+  losses LOG...          count requests that were not answered in full, by route
+                         and cause
   version                print the version
 
 KIND is one of query_service, shard, backend_server, snapshot, limit_policy.
--- a/tests/ctl/ctl_test.cc
+++ b/tests/ctl/ctl_test.cc
@@ -226,5 +226,28 @@
   cr_assert(test.run({"apply", "--wait", "--timeout", "0", path}).code == 4);
 }
 
+// Guards against a lost request whose logs show nothing without a daemon.
+Test(ctl, a_request_is_explained_from_logs) {
+  const Fixture fixture;
+  const std::string head =
+      "{'time':'2026-02-11T13:22:52.723Z','host':'h1','event':";
+  const std::string first = fixture.file(
+      "1.log", head + "'request_end','request':'r1','outcome':'partial'}\n");
+  const std::string second = fixture.file("2.log", "no event\n");
+  cr_assert(fixture.run({"explain", "r1", first, second}).code == 0);
+  cr_assert(fixture.run({"--output", "json", "explain", "r1", first}).code ==
+            0);
+  cr_assert(fixture.run({"losses", first, second}).code == 0);
+  const Ending unknown = fixture.run({"explain", "r2", first, second});
+  cr_assert(unknown.code == 3);
+  cr_assert(unknown.errors.find("no line names request r2") !=
+            std::string::npos);
+  const Ending missing = fixture.run({"losses", "/nowhere/1.log"});
+  cr_assert(missing.code == 2);
+  cr_assert(missing.errors.find("/nowhere/1.log: can't be read") !=
+            std::string::npos);
+  cr_assert(fixture.run({"explain", "r1"}).code == 2);
+}
+
 }  // namespace
 }  // namespace ibismux::ctl
--- /dev/null
+++ b/tests/ctl/request_trace_test.cc
@@ -0,0 +1,107 @@
+#include "apps/ibismuxctl/request_trace.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::ctl {
+namespace {
+
+/// An event of host `host`, `millis` after a fixed minute.
+std::string event(const std::string& host,
+                  int millis,
+                  const std::string& name,
+                  const std::string& fields) {
+  char time[64];
+  std::snprintf(time, sizeof(time), "2026-02-11T13:22:%02d.%03dZ",
+                millis / 1000, millis % 1000);
+  return R"({"time":")" + std::string(time) + R"(","event":")" + name +
+         R"(","host":")" + host + "\"," + fields + "}";
+}
+
+/// A query that a peer gathered without one shard, whose leaf was unresponsive.
+const std::vector<std::string> kLogs = {
+    event("h1", 1000, "config_in_force", R"("config":4)"),
+    event("h2", 8000, "leaf_ejected", R"("leaf":"i-1","service":"s9")"),
+    event("h2", 8100, "leaf_ejected", R"("leaf":"i-7","service":"s8")"),
+    event("h3", 8200, "leaf_ejected", R"("leaf":"i-2","service":"s9")"),
+    event("h2",
+          9040,
+          "leaf_call_lost",
+          R"("request":"r1","service":"s9","leaf":"i-2","detail":"closed",)"
+          R"("at_ms":40)"),
+    event("h2",
+          9060,
+          "request_end",
+          R"("request":"r1","outcome":"partial","took_ms":60.5,)"
+          R"("objective_ms":50.0,"for_peer":true,"without":"s9")"),
+    event("h1",
+          9062,
+          "request_end",
+          R"("request":"r1","outcome":"partial","took_ms":62.25,)"
+          R"("objective_ms":50.0,"delegated":true)"),
+    event("h1", 9070, "request_end", R"("request":"r2","outcome":"ok")")};
+
+RequestTrace trace_of(const std::string& request,
+                      const std::vector<std::string>& logs) {
+  RequestTrace trace(request);
+  for (const std::string& line : logs) {
+    trace.add_own(*parse_log_line(line));
+  }
+  for (const std::string& line : logs) {
+    trace.add_belief(*parse_log_line(line));
+  }
+  return trace;
+}
+
+Test(request_trace, lines_of_all_hosts_and_what_they_believed) {
+  const auto lines = trace_of("r1", kLogs).lines();
+  cr_assert(lines.size() == 4);
+  cr_assert(lines[0].event == "leaf_ejected" && lines[0].text("leaf") == "i-1");
+  cr_assert(lines[1].event == "leaf_call_lost");
+  cr_assert(lines[3].host == "h1");
+}
+
+Test(request_trace, the_cause_names_the_callers_host_and_the_missing_shard) {
+  cr_assert(trace_of("r1", kLogs).cause() ==
+            "h1: partial after 62.25 ms, objective 50 ms; s9: 1 x call lost "
+            "(closed), 1 x leaf_ejected");
+}
+
+Test(request_trace, a_request_that_was_refused_at_its_arrival) {
+  const auto trace = trace_of(
+      "r3",
+      {event("h1", 500, "start", R"("pid":1)"),
+       event("h1", 900, "request_refused",
+             R"("request":"r3","kind":"not_ready","message":"none yet")")});
+  cr_assert(trace.lines().size() == 2);
+  cr_assert(trace.cause() == "h1: refused as not_ready: none yet");
+}
+
+Test(request_trace, a_request_whose_end_no_log_holds) {
+  const auto trace =
+      trace_of("r1", {event("h2", 9040, "leaf_failed",
+                            R"("request":"r1","service":"s9","leaf":"i-2")")});
+  cr_assert(trace.cause() == "no line tells its end; seen at 1 hosts");
+  cr_assert(!trace_of("r9", kLogs).found());
+}
+
+Test(log_line, events_are_read_behind_what_collectors_put_before_them) {
+  const auto line = parse_log_line(
+      "  0.85 h1 " + event("h1", 62'007, "stalled", R"("late_ms":1.5)") + " ");
+  // A leap second and more is carried over.
+  cr_assert(line && line->event == "stalled" && line->number("late_ms") == 1.5);
+  const auto before = parse_log_line(event("h1", 7, "stalled", R"("a":1)"));
+  cr_assert(line->at - before->at == std::chrono::seconds(62));
+}
+
+Test(log_line, anything_else_is_passed_over) {
+  for (const char* odd :
+       {"", "{", "}{", "[]", "{}", "I1203 09:31 peer_link.cc] text",
+        R"({"time":"now","event":"a","host":"h"})",
+        R"({"time":"2026-02-11T13:22:52.723Z","host":"h"})",
+        R"({"time":"2026-02-11T13:22:52.723Z","event":7,"host":"h"})"}) {
+    cr_assert(!parse_log_line(odd), "%s", odd);
+  }
+}
+
+}  // namespace
+}  // namespace ibismux::ctl
