Daemons that gather may save up more repeats; a change of role is taken over

Change: those who gather get up to half of the slack, at most 6 each, the rest is shared by the others; a pure function with a property test that the parts add up to no more than the whole.

Found on reading: set_fleet() passed over a change of role alone, so that a daemon that began to gather kept the links of one that doesn't. The new test failed before.

--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -6,6 +6,7 @@
 #include <set>
 #include <utility>
 
+#include "ibismux/dispatch/repeat_burst.h"
 #include "ibismux/eventlog/event_log.h"
 
 namespace ibismux::dispatch {
@@ -19,16 +20,6 @@
 // objectives are set to by those who know the work.
 constexpr double kFirstGuess = 0.12;
 
-// What one daemon saves up at most for one service: enough for a pause of one
-// leaf, in which each of its calls is sent again.
-constexpr double kMostBurst = 6;
-
-/// This daemon's part of the repeats that a service bears beyond the share.
-double repeat_burst(const DispatchSettings& settings, std::size_t hosts) {
-  return std::min(kMostBurst,
-                  settings.repeat_slack / static_cast<double>(hosts));
-}
-
 /// Whether a leaf has another address, service or zone than before. Its links,
 /// its place among the replicas and what was measured of it are those of the
 /// former one.
@@ -105,18 +96,20 @@
 
 void Dispatcher::set_fleet(LinkSharers fleet) {
   fleet.zone = this->settings.zone;
-  if (fleet.hosts == this->fleet.hosts && fleet.rank == this->fleet.rank &&
-      fleet.hosts_by_zone == this->fleet.hosts_by_zone) {
+  if (fleet == this->fleet) {
     return;
   }
   this->log.event(eventlog::Weight::kBelief, "fleet_size")
       .with("hosts", fleet.hosts)
       .with("rank", fleet.rank)
+      .with("gatherers", fleet.gatherers)
+      .with("gathers", fleet.gathers)
       .with("before", this->fleet.hosts);
   this->fleet = std::move(fleet);
   this->share_links();
   for (const auto& [name, group] : this->groups) {
-    group->set_repeat_burst(repeat_burst(this->settings, this->fleet.hosts));
+    group->set_repeat_burst(
+        repeat_burst(this->settings.repeat_slack, this->fleet));
   }
 }
 
@@ -150,7 +143,8 @@
     this->log_routes_without_zones();
   }
   for (const auto& [name, group] : this->groups) {
-    group->set_repeat_burst(repeat_burst(this->settings, this->fleet.hosts));
+    group->set_repeat_burst(
+        repeat_burst(this->settings.repeat_slack, this->fleet));
   }
 }
 
@@ -296,7 +290,7 @@
   if (!group) {
     group = std::make_shared<ServiceGroup>(
         service, this->settings,
-        repeat_burst(this->settings, this->fleet.hosts));
+        repeat_burst(this->settings.repeat_slack, this->fleet));
   }
   return group;
 }
--- a/ibismux/dispatch/forward.h
+++ b/ibismux/dispatch/forward.h
@@ -11,6 +11,7 @@
 struct LeafCall;
 struct LeafLoad;
 struct LeafReply;
+struct LinkSharers;
 struct SelectionCriteria;
 struct MergedAnswer;
 struct RequestContext;
--- a/ibismux/dispatch/link_plan.h
+++ b/ibismux/dispatch/link_plan.h
@@ -27,6 +27,8 @@
   bool gathers = false;
   /// Daemons of each zone; empty: unknown.
   ZoneSizes hosts_by_zone;
+
+  [[nodiscard]] bool operator==(const LinkSharers&) const = default;
 };
 
 /// What a daemon may do at one leaf.
--- a/tests/dispatch/link_opening_test.cc
+++ b/tests/dispatch/link_opening_test.cc
@@ -59,6 +59,22 @@
   cr_assert(dials(fixture) == static_cast<int>(DispatchFixture::kShards));
 }
 
+// Guards against a change of role that changes no link.
+Test(link_opening, a_daemon_that_begins_to_gather_gets_its_links) {
+  DispatchFixture fixture;
+  LinkSharers fleet;
+  fleet.hosts = 300;
+  fleet.rank = 299;
+  fleet.hosts_by_zone = {{"z0", 100}, {"z1", 100}, {"z2", 100}};
+  fleet.gatherers = 3;
+  fixture.dispatcher.set_fleet(fleet);
+  fixture.run("r1", "/query/1");
+  cr_assert(dials(fixture) < kLeafs);
+  fleet.gathers = true;
+  fixture.dispatcher.set_fleet(fleet);
+  cr_assert(open_all(fixture));
+}
+
 Test(link_opening, links_that_a_reset_took_are_opened_again) {
   DispatchFixture fixture;
   fixture.dispatcher.set_fleet(small_fleet());
--- /dev/null
+++ b/tests/dispatch/repeat_burst_test.cc
@@ -0,0 +1,55 @@
+#include "ibismux/dispatch/repeat_burst.h"
+
+#include "ibismux/dispatch/link_plan.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::dispatch {
+namespace {
+
+constexpr double kSlack = 198;
+
+double burst(std::size_t hosts,
+             std::size_t gatherers,
+             bool gathers,
+             double slack = kSlack) {
+  LinkSharers sharers;
+  sharers.hosts = hosts;
+  sharers.gatherers = gatherers;
+  sharers.gathers = gathers;
+  return repeat_burst(slack, sharers);
+}
+
+Test(repeat_burst, hosts_that_are_alike_share_evenly) {
+  cr_assert(burst(99, 0, false) == 2);
+  cr_assert(burst(99, 99, true) == 2);
+  cr_assert(burst(3, 0, false) == burst(2, 0, false));
+}
+
+// The load: 6 of 79 daemons make the calls of all wide queries, and a third of
+// all leafs lose their answers at once.
+Test(repeat_burst, daemons_that_gather_may_save_up_more) {
+  cr_assert(burst(79, 6, true) == 6);
+  cr_assert(burst(79, 6, false) > 2);
+  cr_assert(burst(79, 6, true) > 2 * burst(79, 0, false));
+}
+
+// Guards against a fleet that sends more repeats than its services bear.
+Test(repeat_burst, all_parts_add_up_to_no_more_than_the_whole) {
+  for (const double slack : {0.0, 3.0, 54.0, 198.0, 5000.0}) {
+    for (std::size_t hosts = 1; hosts <= 300; hosts += 13) {
+      for (std::size_t gatherers = 0; gatherers <= hosts; gatherers += 7) {
+        const auto gathering = static_cast<double>(gatherers);
+        const auto others = static_cast<double>(hosts - gatherers);
+        const double sum = gathering * burst(hosts, gatherers, true, slack) +
+                           others * burst(hosts, gatherers, false, slack);
+        cr_assert(sum <= slack * 1.000001 || slack == 0, "%zu %zu", hosts,
+                  gatherers);
+        cr_assert(burst(hosts, gatherers, false, slack) >= 0);
+      }
+    }
+  }
+}
+
+}  // namespace
+}  // namespace ibismux::dispatch
