--- a/tests/users_platform/edge_process_test.cc
+++ b/tests/users_platform/edge_process_test.cc
@@ -71,6 +71,23 @@
   cr_assert(site.call("q2", "/query/1").value().status == 404);
 }
 
+// Guards against a leaf whose odd load costs its answers.
+Test(edge_process, a_load_that_cant_be_read_is_counted_and_changes_nothing) {
+  EdgeSite site;
+  cr_assert(site.wait_until_ready());
+  const auto unreadable = [&site] {
+    const std::string metrics = site.metrics();
+    const std::string name = "\nibismux_dispatch_unreadable_loads_total ";
+    return std::stod(metrics.substr(metrics.find(name) + name.size()));
+  };
+  site.fake("PUT", "leafs", R"({"service":"desk","load":"1,0,4,250"})");
+  cr_assert(site.call("p1", "/page/1").value().status == 200);
+  cr_assert(unreadable() == 0);
+  site.fake("PUT", "leafs", R"({"service":"desk","load":"busy"})");
+  cr_assert(site.call("p2", "/page/1").value().status == 200);
+  cr_assert(unreadable() == 1);
+}
+
 // Guards against requests that leave the regions of their route.
 Test(edge_process, a_route_with_regions_is_served_there_or_refused) {
   EdgeSite site;
