--- a/apps/ibismuxctl/request_trace.cc
+++ b/apps/ibismuxctl/request_trace.cc
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <array>
+#include <cstdint>
+#include <iterator>
 #include <map>
 #include <sstream>
 #include <string_view>
--- a/apps/ibismuxctl/request_trace.h
+++ b/apps/ibismuxctl/request_trace.h
@@ -4,6 +4,7 @@
 #include <chrono>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "log_line.h"
--- a/tests/ctl/request_trace_test.cc
+++ b/tests/ctl/request_trace_test.cc
@@ -87,7 +87,6 @@
 Test(log_line, events_are_read_behind_what_collectors_put_before_them) {
   const auto line = parse_log_line(
       "  0.85 h1 " + event("h1", 62'007, "stalled", R"("late_ms":1.5)") + " ");
-  // A leap second and more is carried over.
   cr_assert(line && line->event == "stalled" && line->number("late_ms") == 1.5);
   const auto before = parse_log_line(event("h1", 7, "stalled", R"("a":1)"));
   cr_assert(line->at - before->at == std::chrono::seconds(62));
