Log lines of requests name what was asked, not only the attempt

Callers saw: the same query failed again and again, on other daemons each time. Logs could not show it: each attempt has an id of its own. Lines of lost calls and of requests that did not end well now have a digest of method, host, target and body, equal for all attempts on all daemons. Whether a connection that was lost meant that the leaf had ended is told by leaf_ejected with its refused dial, as before. No logic changed. Tests: quarantine (3), dispatch (156) pass.

--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -31,6 +31,12 @@
 // and back, and what both daemons take to pass it on.
 constexpr milliseconds kHopAllowance{2};
 
+quarantine::RequestDigest digest_of(const CallerRequest& request) noexcept {
+  return quarantine::RequestDigest({request.message->method, request.host,
+                                    request.message->target,
+                                    request.message->body});
+}
+
 using OutcomeHandler =
     asio::async_result<asio::use_awaitable_t<>, void(Outcome)>::handler_type;
 
@@ -85,6 +91,7 @@
   }
   context->due =
       answer_due(request.received, route.objective, request.opens_connection);
+  context->digest = digest_of(request);
   context->request = std::move(request);
   context->typical = this->typical(route);
   context->log = &this->log;
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -301,6 +301,7 @@
   }
   const TimePoint now = Clock::now();
   line.with("request", this->context->request.id)
+      .with("digest", this->context->digest.text())
       .with("service", this->group->name())
       .with("leaf", leaf.entry().run.id)
       .with("detail", detail)
--- a/ibismux/dispatch/request_end.cc
+++ b/ibismux/dispatch/request_end.cc
@@ -33,6 +33,9 @@
       .with("took_ms", took)
       .with("objective_ms", Duration(route.objective))
       .with("left_ms", remaining(context.final_at, now));
+  if (!plain) {
+    line.with("digest", context.digest.text());
+  }
   if (context.allowed_zones) {
     line.with("allowed_zones", context.allowed_zones->size());
   }
--- /dev/null
+++ b/ibismux/quarantine/request_digest.cc
@@ -0,0 +1,59 @@
+#include "ibismux/quarantine/request_digest.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <cstdio>
+
+namespace ibismux::quarantine {
+
+namespace {
+
+constexpr std::size_t kDigits = 32;
+constexpr int kBase = 16;
+
+bool read_digits(std::string_view text, std::uint64_t& value) noexcept {
+  const char* end = text.data() + text.size();
+  const auto [last, error] = std::from_chars(text.data(), end, value, kBase);
+  return error == std::errc() && last == end;
+}
+
+}  // namespace
+
+RequestDigest::RequestDigest(const RequestContent& content) noexcept {
+  const std::array<std::string_view, 4> parts{content.method, content.host,
+                                              content.target, content.body};
+  // Each part by itself first: a byte that moves from one part to the next
+  // changes the digest.
+  std::array<XXH128_hash_t, parts.size()> hashes;
+  std::transform(parts.begin(), parts.end(), hashes.begin(),
+                 [](std::string_view part) {
+                   return XXH3_128bits(part.data(), part.size());
+                 });
+  const XXH128_hash_t hash = XXH3_128bits(hashes.data(), sizeof hashes);
+  this->high = hash.high64;
+  this->low = hash.low64;
+}
+
+std::optional<RequestDigest> RequestDigest::parse(
+    std::string_view text) noexcept {
+  RequestDigest digest;
+  if (text.size() != kDigits ||
+      !read_digits(text.substr(0, kDigits / 2), digest.high) ||
+      !read_digits(text.substr(kDigits / 2), digest.low)) {
+    return std::nullopt;
+  }
+  return digest;
+}
+
+std::string RequestDigest::text() const {
+  std::array<char, kDigits + 1> digits{};
+  std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
+                static_cast<unsigned long long>(this->high),
+                static_cast<unsigned long long>(this->low));
+  return {digits.data(), kDigits};
+}
+
+}  // namespace ibismux::quarantine
