--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -48,6 +48,16 @@
       entry.service = service;
       entry.zone = "z" + std::to_string(i);
       entry.slots = 4;
+      this->entries[entry.run.id] = entry;
+      this->dispatcher.on_leaf(entry);
+    }
+  }
+
+  /// Leafs whose process ended are back, as new runs under their ids.
+  void restart_ended_leafs() {
+    for (const std::string& id : this->leafs.revive()) {
+      directory::LeafEntry& entry = this->entries.at(id);
+      ++entry.run.started;
       this->dispatcher.on_leaf(entry);
     }
   }
@@ -159,6 +169,7 @@
   Dispatcher dispatcher{this->loop, this->leafs, this->settings, this->registry,
                         this->log};
   std::map<std::string, Outcome> outcomes;
+  std::map<std::string, directory::LeafEntry> entries;  ///< By leaf.
 };
 
 }  // namespace ibismux::dispatch::testing
--- a/tests/dispatch/fake_leafs.h
+++ b/tests/dispatch/fake_leafs.h
@@ -9,11 +9,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "ibismux/directory/leaf_entry.h"
 #include "ibismux/dispatch/leaf_link.h"
+#include "ibismux/http/message.h"
 #include "ibismux/http/socket.h"
 
 namespace ibismux::dispatch::testing {
@@ -51,13 +54,24 @@
   [[nodiscard]] std::unique_ptr<LeafLink> make(
       const directory::LeafEntry& entry) const override;
 
+  /// A call of this target ends the leaf that begins to work on it: all its
+  /// connections close, and it refuses new ones until `revive()`.
+  std::string crashing_target;
+  /// Starts the leafs again that have ended. @return Their ids.
+  std::set<std::string> revive() noexcept {
+    return std::exchange(this->ended, {});
+  }
+  /// How many leafs calls of `crashing_target` have ended so far.
+  mutable int crashes = 0;
+
   /// Closes all connections that are open now.
   void close_all() noexcept { ++this->epoch; }
 
  private:
   class Link;
 
-  std::uint64_t epoch = 0;  ///< Links of earlier ones are closed.
+  std::uint64_t epoch = 0;              ///< Links of earlier ones are closed.
+  mutable std::set<std::string> ended;  ///< Leafs whose process is gone.
 };
 
 class FakeLeafs::Link : public LeafLink {
@@ -67,7 +81,7 @@
 
   Task<Result<void>> open(TimePoint) override {
     ++this->leafs.dials[this->instance];
-    if (this->now().refuses_dials) {
+    if (this->now().refuses_dials || this->has_ended()) {
       Error error = make_error(ErrorKind::kLeafUnavailable, "refused");
       error.execution = Execution::kNotRun;
       co_return tl::unexpected(std::move(error));
@@ -100,8 +114,12 @@
       this->is_open = false;
       co_return fail(ErrorKind::kDeadlineExceeded, "no answer");
     }
+    if (call->message->target == this->leafs.crashing_target) {
+      ++this->leafs.crashes;
+      this->leafs.ended.insert(this->instance);
+    }
     co_await pause(behaviour.work);
-    if (behaviour.resets) {
+    if (behaviour.resets || this->has_ended()) {
       this->is_open = false;
       co_return fail(ErrorKind::kLeafUnavailable, "reset");
     }
@@ -113,7 +131,8 @@
   }
 
   [[nodiscard]] bool usable() const noexcept override {
-    return this->is_open && this->opened_in == this->leafs.epoch;
+    return this->is_open && this->opened_in == this->leafs.epoch &&
+           !this->has_ended();
   }
   void close() noexcept override {
     this->is_open = false;
@@ -134,6 +153,10 @@
         boost::asio::redirect_error(boost::asio::use_awaitable, error));
   }
 
+  [[nodiscard]] bool has_ended() const {
+    return this->leafs.ended.contains(this->instance);
+  }
+
   [[nodiscard]] Behaviour now() const {
     const auto found = this->leafs.behaviour.find(this->instance);
     return found == this->leafs.behaviour.end() ? Behaviour{} : found->second;
--- a/tests/users_platform/edge_site.h
+++ b/tests/users_platform/edge_site.h
@@ -88,6 +88,12 @@
     return found ? static_cast<int>(found->as_int64()) : 0;
   }
 
+  /// Whether request `id` was run by any leaf of the shards.
+  bool reached_shards(const std::string& id) {
+    return this->runs("s1", id) + this->runs("s2", id) + this->runs("s3", id) >
+           0;
+  }
+
   std::string metrics(std::size_t i = 0) {
     return http_call(this->daemon(i).port("metrics_port"), "GET", "/metrics")
         .value()
