Requests that end the leafs that run them are kept from leafs

Cause: a connection lost under a call was taken for the leaf's misfortune only. The call went to the next replica at once, beside those still under way, until no leaf of the shard was left; the caller's next attempt began anew at another daemon, which knew nothing of it.

Ruled out: leafs that fail by themselves (only leafs that ran the query ended, each within its run); too many repeats (hedging plays no part in the tests).

Change: after a loss the daemon dials the leaf once; a refused connection says that its process has ended. Then one call of the request at a time begins (CrashWatch): any leaf that answers clears the request, and leafs that ended together count once. The third leaf in a row quarantines it: the attempt ends at once, later ones get 503 with the time until which it is held. What each daemon saw goes to the store, one small object a request; a feed brings it to all daemons, also to those that start later. Written on conditions, so that partial knowledge of several daemons adds up; kept in memory while the store is away.

Why it works: a request that is the cause ends leafs that run nothing else of it, one after the other; a crash for another reason does so three times in a row with no answer between only by three coincidences within milliseconds.

--- a/ibismux/base/error.cc
+++ b/ibismux/base/error.cc
@@ -27,6 +27,7 @@
     {ErrorKind::kCancelled, "cancelled", 499, Execution::kUnknown},
     {ErrorKind::kProtocolError, "protocol_error", 502, Execution::kUnknown},
     {ErrorKind::kInternal, "internal", 500, Execution::kUnknown},
+    {ErrorKind::kQuarantined, "quarantined", 503, Execution::kNotRun},
 }};
 
 constexpr bool rows_in_order() {
--- a/ibismux/base/error.h
+++ b/ibismux/base/error.h
@@ -32,10 +32,11 @@
   kCancelled,
   kProtocolError,
   kInternal,
+  kQuarantined,  ///< Leafs end under this request.
 };
 
 /// How many kinds there are; the table has exactly as many rows.
-inline constexpr std::size_t kErrorKinds = 18;
+inline constexpr std::size_t kErrorKinds = 19;
 
 /// Whether the work that failed was run. `kNotRun` is a promise: not one byte
 /// of it was executed by a leaf.
--- a/ibismux/directory/leaf_run.h
+++ b/ibismux/directory/leaf_run.h
@@ -30,6 +30,11 @@
   }
 };
 
+/// `ID@STARTED`, for logs and records. Thread safe.
+[[nodiscard]] inline std::string to_string(const LeafRun& run) {
+  return run.id + '@' + std::to_string(run.started.count());
+}
+
 }  // namespace ibismux::directory
 
 #endif  // IBISMUX_DIRECTORY_LEAF_RUN_H_
--- a/ibismux/dispatch/dispatch_metrics.cc
+++ b/ibismux/dispatch/dispatch_metrics.cc
@@ -54,6 +54,11 @@
                             .Help("Time from a call to a leaf to its end")
                             .Register(registry)
                             .Add({}, kBounds);
+  this->leafs_ended = &prometheus::BuildCounter()
+                           .Name("ibismux_dispatch_leafs_ended_total")
+                           .Help("Calls during which the leaf's process ended.")
+                           .Register(registry)
+                           .Add({});
   this->unreadable_loads =
       &prometheus::BuildCounter()
            .Name("ibismux_dispatch_unreadable_loads_total")
@@ -94,6 +99,10 @@
   this->sends[row][static_cast<std::size_t>(exit)]->Increment();
 }
 
+void DispatchMetrics::leaf_ended() noexcept {
+  this->leafs_ended->Increment();
+}
+
 void DispatchMetrics::load_unreadable() noexcept {
   this->unreadable_loads->Increment();
 }
--- a/ibismux/dispatch/dispatch_metrics.h
+++ b/ibismux/dispatch/dispatch_metrics.h
@@ -41,6 +41,9 @@
   /// A repeat was wanted and the budget had none.
   void repeat_refused(RepeatCause cause) noexcept;
 
+  /// The process of a leaf ended with a call under way.
+  void leaf_ended() noexcept;
+
   /// A leaf said something of its load that can't be read.
   void load_unreadable() noexcept;
 
@@ -54,6 +57,7 @@
   std::array<prometheus::Counter*, kErrorKinds + 1> calls;
   prometheus::Histogram* call_seconds;
   prometheus::Counter* unreadable_loads;
+  prometheus::Counter* leafs_ended;
   std::array<prometheus::Counter*, kRepeatCauses> repeats;
   std::array<prometheus::Counter*, kRepeatCauses> refused_repeats;
   /// By cause, first sends last, and by exit.
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -25,6 +25,7 @@
 #include "ibismux/dispatch/typical_latency.h"
 #include "ibismux/eventlog/forward.h"
 #include "ibismux/http/forward.h"
+#include "ibismux/quarantine/quarantine_table.h"
 #include "ibismux/reports/report_exchange.h"
 #include "ibismux/routing/route_table.h"
 #include "ibismux/routing/split_rotation.h"
@@ -83,6 +84,11 @@
   /// regions.
   void update_settings(const DispatchSettings& fresh);
 
+  /// The requests under which leafs have ended.
+  [[nodiscard]] quarantine::QuarantineTable& quarantine() noexcept {
+    return this->quarantined;
+  }
+
   /// Writes what was sent to leafs so far, and why calls left the zone.
   void log_sends() { this->metrics.log_sends(this->log); }
 
@@ -126,6 +132,9 @@
   void share_links(const ServiceGroup& group);
   [[nodiscard]] Duration report_half_life();
 
+  /// Why a request must reach no leaf, if so.
+  [[nodiscard]] std::optional<Error> quarantine_error(
+      const quarantine::RequestDigest& digest) const;
   /// What is known of a request at its arrival, or why it is refused.
   [[nodiscard]] Result<Context> admit(CallerRequest request);
   [[nodiscard]] bool may_delegate(const RequestContext& context) const;
@@ -152,6 +161,7 @@
   std::shared_ptr<const routing::RouteTable> in_force;
   std::map<std::string, std::shared_ptr<ServiceGroup>> groups;
   std::map<std::string, std::shared_ptr<Leaf>> leafs;  ///< By id.
+  quarantine::QuarantineTable quarantined;
   ZoneNames evacuated;
   bool in_first_listing = false;
   std::shared_ptr<LinkOpener> opener;
--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -60,6 +60,20 @@
   return tl::unexpected(std::move(error));
 }
 
+std::optional<Error> Dispatcher::quarantine_error(
+    const quarantine::RequestDigest& digest) const {
+  const quarantine::UnixTime now = quarantine::unix_now();
+  if (this->quarantined.standing(digest, now) !=
+      quarantine::Standing::kQuarantined) {
+    return std::nullopt;
+  }
+  Error error =
+      make_error(ErrorKind::kQuarantined,
+                 "each leaf that ran " + digest.text() + " has ended");
+  error.retry_after = this->quarantined.held_until(digest) - now;
+  return error;
+}
+
 Result<Dispatcher::Context> Dispatcher::admit(CallerRequest request) {
   const auto refused = [this, &request](Error error,
                                         const routing::Route* route) {
@@ -85,13 +99,18 @@
     error.execution = Execution::kNotRun;
     return refused(std::move(error), &route);
   }
+  context->digest = digest_of(request);
+  if (auto error = this->quarantine_error(context->digest)) {
+    return refused(*std::move(error), &route);
+  }
+  context->crashes = std::make_shared<quarantine::CrashWatch>(
+      this->quarantined, context->digest, &quarantine::unix_now);
   if (!route.allowed_regions.empty()) {
     context->allowed_zones =
         zones_in(this->settings.zone_regions, route.allowed_regions);
   }
   context->due =
       answer_due(request.received, route.objective, request.opens_connection);
-  context->digest = digest_of(request);
   context->request = std::move(request);
   context->typical = this->typical(route);
   context->log = &this->log;
--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -18,6 +18,9 @@
 // Longer than a leaf's pause and a lost first packet on a short way; a host
 // without power answers nothing at all.
 constexpr milliseconds kDialTime{400};
+// A host whose leaf has ended refuses a connection at once. The call that was
+// lost waits this long at most to be sent again.
+constexpr milliseconds kCauseTime{100};
 // A crashed leaf is back within seconds at the earliest; a short first pause
 // finds one that only reset its connections.
 constexpr milliseconds kFirstEjection{100};
@@ -82,6 +85,7 @@
 }
 
 void Leaf::end_run() {
+  this->run_ended = true;
   this->retire();
   // Closing a link ends its call only later, on the loop.
   for (const auto& [number, call] : this->pending) {
@@ -153,9 +157,33 @@
   CallEnd end{std::move(reply), sent};
   self->judge(end, ticket, order, acquired->is_new, Clock::now());
   self->links.give_back(std::move(link), true);
+  const bool is_lost = !end.reply && sent && !order.active->given_up &&
+                       end.reply.error().kind == ErrorKind::kLeafUnavailable;
+  if (is_lost && order.asks_for_cause()) {
+    const bool ended = co_await has_ended(self);
+    end.leaf_ended = ended;
+  }
   co_return end;
 }
 
+Task<bool> Leaf::has_ended(std::shared_ptr<Leaf> self) {
+  if (self->run_ended || (self->ejected && self->was_down)) {
+    co_return true;
+  }
+  auto dialled =
+      co_await self->links.dial(self->known, Clock::now() + kCauseTime);
+  if (dialled) {
+    self->links.give_back(std::move(dialled->link), false);
+    co_return false;
+  }
+  if (dialled.error().kind != ErrorKind::kLeafUnavailable) {
+    co_return false;
+  }
+  self->was_down = true;
+  self->eject("ended under a call: " + dialled.error().message);
+  co_return true;
+}
+
 Task<Result<LinkPool::Acquired>> Leaf::dial(std::shared_ptr<Leaf> self,
                                             TimePoint deadline) {
   const TimePoint latest = Clock::now() + kDialTime;
--- a/ibismux/dispatch/leaf.h
+++ b/ibismux/dispatch/leaf.h
@@ -44,6 +44,8 @@
 struct CallEnd {
   Result<LeafReply> reply;
   bool sent = false;  ///< A byte of the request may have reached the leaf.
+  /// The leaf's process has ended with the call under way.
+  bool leaf_ended = false;
 };
 
 /// One leaf as this daemon sees it: its links, its health, what is under way.
@@ -61,6 +63,8 @@
     /// The leaf was found unresponsive while the call waits. Called at most
     /// once.
     std::function<void()> on_unresponsive;
+    /// Whether a lost call should tell if the leaf has ended.
+    std::function<bool()> asks_for_cause = [] { return false; };
     std::function<void(CallEnd)> on_end;
   };
 
@@ -167,6 +171,8 @@
       std::shared_ptr<Leaf> self,
       TimePoint deadline);
   [[nodiscard]] static Task<void> probe(std::shared_ptr<Leaf> self);
+  /// After a connection was lost: whether the leaf's process has ended.
+  [[nodiscard]] static Task<bool> has_ended(std::shared_ptr<Leaf> self);
 
   /// @param first_use The link was opened for this call.
   void judge(const CallEnd& end,
@@ -194,6 +200,7 @@
   CallWindow window;
 
   bool retired = false;
+  bool run_ended = false;  ///< Its entry names a later run.
   ColdLimit cold;
   Duration warmup{0};
   http::Timer warmer;  ///< For `announce_when_warmer()`.
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -82,7 +82,22 @@
   return this->group->choose(this->criteria(is_repeat), Clock::now());
 }
 
+void PartCall::resume() {
+  if (!this->held || this->current != State::kOpen || this->abandoned ||
+      !this->context->crashes->may_send()) {
+    return;
+  }
+  const auto start = std::exchange(this->held, nullptr);
+  if (!start()) {
+    this->wait_for_room(start);
+  }
+}
+
 bool PartCall::send_first() {
+  if (!this->context->crashes->may_send()) {
+    this->hold([this] { return this->begin(); });
+    return true;
+  }
   if (!this->group->can_serve(this->context->zones())) {
     this->last_error = make_error(ErrorKind::kLeafUnavailable,
                                   "no leaf of " + this->group->name());
@@ -105,7 +120,8 @@
 
 void PartCall::repeat(RepeatCause cause) {
   if (!this->context->route->is_idempotent() || !this->may_repeat() ||
-      this->active.size() != 1 || this->sends == 0) {
+      this->active.size() != 1 || this->sends == 0 ||
+      !this->context->crashes->may_send()) {
     return;
   }
   auto leaf = this->choose(true);
@@ -141,6 +157,7 @@
   this->context->metrics->sent(
       cause, this->group->zone_exit(*leaf, this->criteria(cause.has_value()),
                                     Clock::now()));
+  this->context->crashes->on_send();
   this->leafs.push_back(leaf);
   ++this->sends;
   auto active = std::make_shared<ActiveCall>();
@@ -162,6 +179,10 @@
                self->repeat(RepeatCause::kUnresponsive);
              }
            },
+       .asks_for_cause =
+           [context = this->context] {
+             return context->crashes->asks_for_cause();
+           },
        .on_end = [self = this->shared_from_this(), active](
                      CallEnd end) { self->on_end(active, std::move(end)); }});
 }
@@ -181,10 +202,33 @@
     this->context->typical->record(took, now);
     this->group->note_call(took);
   }
+  const std::shared_ptr<Leaf> leaf = ended->leaf;
   this->active.erase(ended);
-  if (this->current != State::kOpen) {
-    return;
+  this->judge_request(end, *leaf);
+  if (this->current == State::kOpen) {
+    this->take_end(std::move(end));
   }
+  this->context->crashes->release_waiting();
+}
+
+void PartCall::judge_request(const CallEnd& end, const Leaf& leaf) {
+  using End = quarantine::CrashWatch::CallEnd;
+  const bool was_run =
+      end.reply && (end.reply->kind == LeafReply::Kind::kSuccess ||
+                    end.reply->kind == LeafReply::Kind::kFailure);
+  const End what = was_run          ? End::kAnswered
+                   : end.leaf_ended ? End::kLeafEnded
+                                    : End::kOther;
+  if (end.leaf_ended) {
+    this->context->metrics->leaf_ended();
+  }
+  if (this->context->crashes->on_end(what, to_string(leaf.entry().run))) {
+    this->note(was_run ? "request_cleared" : "leaf_ended_under_request", leaf,
+               to_string(this->context->crashes->standing()));
+  }
+}
+
+void PartCall::take_end(CallEnd end) {
   if (end.reply) {
     this->on_reply(*std::move(end.reply));
   } else {
@@ -253,6 +297,11 @@
   if (!safe || !this->may_repeat() || Clock::now() >= this->context->final_at) {
     return Again::kNever;
   }
+  if (!this->context->crashes->may_send()) {
+    this->hold(
+        [this, cause, sent] { return this->send_again_or_fail(cause, sent); });
+    return Again::kHeld;
+  }
   const auto leaf = this->choose(false);
   if (!leaf) {
     return this->group->can_serve(this->context->zones(), this->leafs)
--- a/ibismux/dispatch/part_call.h
+++ b/ibismux/dispatch/part_call.h
@@ -57,6 +57,9 @@
   /// so. From here on `waits_since()` is empty.
   void hedge();
 
+  /// Begins what waited for another call of the request to end, if it may.
+  void resume();
+
   /// The answer isn't wanted any more: nothing is sent from here on. Calls
   /// under way may still end by themselves: a link is worth keeping, and a late
   /// answer says how the leaf fares.
@@ -110,10 +113,15 @@
   /// @param start See `CallQueue`; not called once the part has ended.
   void wait_for_room(std::function<bool()> start);
   void leave_queue();
+  /// Waits for `resume()`. @param start As for `wait_for_room()`.
+  void hold(std::function<bool()> start) { this->held = std::move(start); }
   /// @param cause Absent: for the first time.
   void send_to(const std::shared_ptr<Leaf>& leaf,
                std::optional<RepeatCause> cause);
   void on_end(const std::shared_ptr<ActiveCall>& active, CallEnd end);
+  /// What the end of a call says of the request.
+  void judge_request(const CallEnd& end, const Leaf& leaf);
+  void take_end(CallEnd end);
   void on_reply(LeafReply reply);
   void on_error(Error error, bool sent);
   /// @param sent A byte may have reached the leaf.
@@ -122,6 +130,7 @@
   enum class Again : unsigned char {
     kSent,
     kNoRoom,  ///< Some leaf may take it, but has no room now.
+    kHeld,    ///< It waits for another call of the request to end.
     kNever,   ///< No leaf will, or it isn't allowed.
   };
   [[nodiscard]] Again send_again(RepeatCause cause, bool sent);
@@ -135,6 +144,7 @@
   const std::function<void()> on_change;
 
   std::optional<CallQueue::Place> place;  ///< While it waits for a leaf.
+  std::function<bool()> held;  ///< Set while it waits for `resume()`.
   State current = State::kIdle;
   bool starting = false;
   bool abandoned = false;
--- a/ibismux/dispatch/request_context.h
+++ b/ibismux/dispatch/request_context.h
@@ -12,6 +12,7 @@
 #include "ibismux/dispatch/query_gatherer.h"
 #include "ibismux/dispatch/typical_latency.h"
 #include "ibismux/eventlog/forward.h"
+#include "ibismux/quarantine/crash_watch.h"
 #include "ibismux/quarantine/request_digest.h"
 #include "ibismux/routing/route.h"
 #include "ibismux/routing/route_table.h"
@@ -22,6 +23,7 @@
 struct RequestContext {
   CallerRequest request;
   quarantine::RequestDigest digest;  ///< Of `request`.
+  std::shared_ptr<quarantine::CrashWatch> crashes;
   /// Pinned from arrival to answer; owns `route`.
   std::shared_ptr<const routing::RouteTable> table;
   const routing::Route* route = nullptr;
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -73,6 +73,11 @@
   if (this->refused(Clock::now())) {
     return;
   }
+  this->shared->crashes->on_release([weak = this->weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->release_parts();
+    }
+  });
   // A call may end before `start()` returns: one that can't be sent does. Parts
   // that have not begun yet would then pass for ones that never will.
   this->starting = true;
@@ -83,7 +88,10 @@
   this->starting = false;
   const TimePoint now = Clock::now();
   this->sent_after = now - this->shared->request.received;
-  this->settle(now);
+  this->release_parts();
+  if (!this->ended) {
+    this->settle(now);
+  }
   if (!this->ended) {
     this->hedge_late_parts(now);
     this->arm();
@@ -142,6 +150,22 @@
   }
 }
 
+void RequestRun::release_parts() {
+  if (this->ended || this->starting) {
+    return;
+  }
+  if (this->shared->crashes->is_hopeless()) {
+    this->fail_run(ErrorKind::kQuarantined, "each leaf that ran it has ended");
+    return;
+  }
+  for (const auto& part : this->all) {
+    part->resume();
+    if (this->ended) {
+      return;
+    }
+  }
+}
+
 TimePoint RequestRun::answer_by() const noexcept {
   return this->shared->due - time_to_answer(this->sent_after);
 }
@@ -262,19 +286,25 @@
   Error error = make_error(kind, std::move(message));
   error.execution = not_run ? Execution::kNotRun : Execution::kUnknown;
   if (not_run) {
-    const TimePoint now = Clock::now();
-    milliseconds pause{0};
-    for (const auto& part : this->all) {
-      if (part->state() != PartCall::State::kAnswered) {
-        pause = std::max(
-            pause, part->service().retry_after(now, this->shared->zones()));
-      }
-    }
-    error.retry_after = pause;
+    error.retry_after = kind == ErrorKind::kQuarantined
+                            ? this->shared->crashes->held_for()
+                            : this->leafs_pause();
   }
   this->finish(tl::unexpected(std::move(error)));
 }
 
+milliseconds RequestRun::leafs_pause() const {
+  const TimePoint now = Clock::now();
+  milliseconds pause{0};
+  for (const auto& part : this->all) {
+    if (part->state() != PartCall::State::kAnswered) {
+      pause = std::max(pause,
+                       part->service().retry_after(now, this->shared->zones()));
+    }
+  }
+  return pause;
+}
+
 void RequestRun::log_end(const Outcome& outcome, bool partial) {
   note_request_end(
       *this->shared, outcome, partial, Clock::now(),
--- a/ibismux/dispatch/request_run.h
+++ b/ibismux/dispatch/request_run.h
@@ -97,6 +97,8 @@
   [[nodiscard]] bool refused(TimePoint now);
   void count(const PartCall& part) noexcept;
   void on_change(const PartCall& part);
+  /// Parts may begin calls again, or none may any more.
+  void release_parts();
   void arm();
   /// Whether the timer fired late; arms it again where it did. Then answers may
   /// have come that this daemon has not read yet, for want of time of its own:
@@ -104,6 +106,8 @@
   [[nodiscard]] bool is_behind(TimePoint now);
   void on_timer();
   void leave_parts();
+  /// When leafs may take the parts that are left.
+  [[nodiscard]] std::chrono::milliseconds leafs_pause() const;
   void log_end(const Outcome& outcome, bool partial);
   /// What became of the parts, for the log.
   void describe_parts(eventlog::Event& line) const;
--- a/ibismux/edge/adapters.h
+++ b/ibismux/edge/adapters.h
@@ -62,6 +62,8 @@
   /// Each object is named after a zone whose leafs must get no requests.
   std::string evacuation_collection;
   std::string contact_collection;  ///< Of the daemons themselves.
+  /// Each object is named after the digest of a request that ends leafs.
+  std::string quarantine_collection;
   /// @}
 };
 
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -65,6 +65,7 @@
             this->dispatcher.set_evacuated(zones);
           },
           [this] { this->retry_feeds(); }),
+      quarantine(dispatcher.quarantine(), log, [this] { this->retry_feeds(); }),
       limits{.drain_grace = this->settings.leave_notice},
       callers(pool, this->limits, this->caller_handler()),
       balancer(pool, {}, this->ready_handler()),
--- a/ibismux/edge/edge_daemon_impl.h
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -18,6 +18,7 @@
 #include "ibismux/edge/evacuation_feed.h"
 #include "ibismux/edge/fleet.h"
 #include "ibismux/edge/leaf_feed.h"
+#include "ibismux/edge/quarantine_feed.h"
 #include "ibismux/edge/stall_detector.h"
 #include "ibismux/edge/store_check.h"
 #include "ibismux/eventlog/event_log.h"
@@ -97,6 +98,7 @@
   ConfigurationFeed configuration;
   LeafFeed leafs;
   EvacuationFeed evacuations;
+  QuarantineFeed quarantine;
   std::shared_ptr<feed::CollectionFeed> configuration_feed;
   std::shared_ptr<feed::CollectionFeed> leaf_feed;
   std::vector<std::shared_ptr<feed::CollectionFeed>> feeds;  ///< All of them.
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -5,6 +5,7 @@
 
 #include "ibismux/edge/edge_daemon_impl.h"
 #include "ibismux/edge/package_settings.h"
+#include "ibismux/quarantine/quarantine_writer.h"
 
 namespace ibismux::edge {
 
@@ -53,7 +54,12 @@
       this->make_feed(this->adapters.leaf_collection, this->leafs);
   this->feeds = {
       this->configuration_feed, this->leaf_feed,
-      this->make_feed(this->adapters.evacuation_collection, this->evacuations)};
+      this->make_feed(this->adapters.evacuation_collection, this->evacuations),
+      this->make_feed(this->adapters.quarantine_collection, this->quarantine)};
+  std::make_shared<quarantine::QuarantineWriter>(
+      this->loop(), this->store, this->adapters.quarantine_collection,
+      this->dispatcher.quarantine(), this->log, draw())
+      ->start();
   if (!this->fleet) {
     for (const auto& feed : this->feeds) {
       feed->start();
--- /dev/null
+++ b/ibismux/edge/quarantine_feed.cc
@@ -0,0 +1,42 @@
+#include "ibismux/edge/quarantine_feed.h"
+
+#include <utility>
+
+#include "ibismux/eventlog/event_log.h"
+
+namespace ibismux::edge {
+
+QuarantineFeed::QuarantineFeed(quarantine::QuarantineTable& table,
+                               eventlog::EventLog& log,
+                               std::function<void()> on_back)
+    : table(table), log(log), on_back(std::move(on_back)) {}
+
+void QuarantineFeed::on_listing(const store::Listing& listing) {
+  // The first one only; what is removed later comes as a change.
+  for (const store::StoredObject& object : listing.objects) {
+    this->take(object);
+  }
+}
+
+void QuarantineFeed::on_change(const store::WatchBatch::Event& event) {
+  if (!event.removed) {
+    this->take(event.object);
+  } else if (const auto digest =
+                 quarantine::RequestDigest::parse(event.object.name)) {
+    this->table.take_removal(*digest);
+  }
+}
+
+void QuarantineFeed::take(const store::StoredObject& object) {
+  const auto digest = quarantine::RequestDigest::parse(object.name);
+  const auto record = quarantine::decode_quarantine_record(object.value);
+  if (!digest || !record) {
+    this->log.event(eventlog::Weight::kBelief, "quarantine_unreadable")
+        .with("digest", object.name)
+        .with("reason", digest ? record.error().message : "not a digest");
+    return;
+  }
+  this->table.take(*digest, *record, object.version, quarantine::unix_now());
+}
+
+}  // namespace ibismux::edge
--- /dev/null
+++ b/ibismux/quarantine/crash_watch.cc
@@ -0,0 +1,51 @@
+#include "ibismux/quarantine/crash_watch.h"
+
+#include <utility>
+
+#include "ibismux/quarantine/quarantine_table.h"
+
+namespace ibismux::quarantine {
+
+CrashWatch::CrashWatch(QuarantineTable& table,
+                       RequestDigest digest,
+                       Clock clock)
+    : table(table), digest(digest), clock(std::move(clock)) {}
+
+Standing CrashWatch::standing() const {
+  return this->table.standing(this->digest, this->clock());
+}
+
+std::chrono::milliseconds CrashWatch::held_for() const {
+  return this->table.held_until(this->digest) - this->clock();
+}
+
+bool CrashWatch::may_send() const {
+  if (this->answered) {
+    return true;
+  }
+  const Standing standing = this->standing();
+  return standing == Standing::kClear ||
+         (standing == Standing::kSuspect && this->under_way == 0);
+}
+
+bool CrashWatch::is_hopeless() const {
+  return !this->answered && this->standing() == Standing::kQuarantined;
+}
+
+bool CrashWatch::on_end(CallEnd end, const std::string& leaf_run) {
+  --this->under_way;
+  bool changed = false;
+  if (end == CallEnd::kAnswered && !std::exchange(this->answered, true)) {
+    changed = this->table.on_answer(this->digest);
+  } else if (end == CallEnd::kLeafEnded && !this->answered &&
+             !std::exchange(this->crash_counted, true)) {
+    this->table.on_crash(this->digest, leaf_run, this->clock());
+    changed = true;
+  }
+  if (this->under_way == 0) {
+    this->crash_counted = false;
+  }
+  return changed;
+}
+
+}  // namespace ibismux::quarantine
--- a/ibismux/quarantine/forward.h
+++ b/ibismux/quarantine/forward.h
@@ -3,7 +3,13 @@
 
 namespace ibismux::quarantine {
 
+enum class Standing : unsigned char;
+struct QuarantineRecord;
 struct RequestContent;
+class CrashWatch;
+class QuarantineMetrics;
+class QuarantineTable;
+class QuarantineWriter;
 class RequestDigest;
 
 }  // namespace ibismux::quarantine
--- /dev/null
+++ b/ibismux/quarantine/quarantine_writer.cc
@@ -0,0 +1,176 @@
+#include "ibismux/quarantine/quarantine_writer.h"
+
+#include <algorithm>
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <random>
+#include <utility>
+
+#include "ibismux/eventlog/event_log.h"
+
+namespace ibismux::quarantine {
+
+namespace {
+
+namespace asio = boost::asio;
+using std::chrono::milliseconds;
+
+// A suspect is mostly cleared by the next leaf, and then needs no write.
+constexpr milliseconds kSuspectPause{250};
+// Between tries while the store takes no writes.
+constexpr milliseconds kRetryPause{500};
+constexpr milliseconds kCallTime{1500};
+
+bool is_held(const QuarantineTable::Change& change) {
+  return change.record && change.record->times_held > 0;
+}
+
+}  // namespace
+
+QuarantineWriter::QuarantineWriter(asio::io_context& loop,
+                                   store::ObjectStore& store,
+                                   std::string collection,
+                                   QuarantineTable& table,
+                                   eventlog::EventLog& log,
+                                   std::uint64_t seed)
+    : loop(loop),
+      store(store),
+      collection(std::move(collection)),
+      table(table),
+      log(log),
+      random(seed),
+      timer(loop.get_executor()) {}
+
+void QuarantineWriter::start() {
+  this->table.on_dirty([weak = this->weak_from_this()] {
+    if (const auto self = weak.lock()) {
+      self->timer.cancel();
+    }
+  });
+  asio::co_spawn(this->loop, run(this->shared_from_this()), asio::detached);
+}
+
+Task<void> QuarantineWriter::pause(std::shared_ptr<QuarantineWriter> self,
+                                   Duration time) {
+  self->timer.expires_after(time);
+  co_await self->timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+Task<void> QuarantineWriter::run(std::shared_ptr<QuarantineWriter> self) {
+  constexpr std::chrono::hours kUntilWoken{24};
+  for (;;) {
+    const auto changes = self->table.changes();
+    if (changes.empty()) {
+      co_await pause(self, kUntilWoken);
+      continue;
+    }
+    if (std::none_of(changes.begin(), changes.end(), &is_held)) {
+      co_await pause(self, kSuspectPause);
+    }
+    const bool done = co_await write_all(self);
+    if (!done) {
+      const double part =
+          std::uniform_real_distribution<double>(0.5, 1.5)(self->random);
+      co_await pause(self, scaled(kRetryPause, part));
+    }
+  }
+}
+
+Task<bool> QuarantineWriter::write_all(std::shared_ptr<QuarantineWriter> self) {
+  auto changes = self->table.changes();
+  std::stable_partition(changes.begin(), changes.end(), &is_held);
+  for (const Change& change : changes) {
+    const bool done = co_await write(self, change);
+    if (!done) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+Task<bool> QuarantineWriter::write(std::shared_ptr<QuarantineWriter> self,
+                                   Change change) {
+  const TimePoint deadline = Clock::now() + kCallTime;
+  const std::string name = change.digest.text();
+  Result<store::Version> written = store::Version{0};
+  if (change.record) {
+    auto put =
+        co_await self->store.put(self->collection, name, encode(*change.record),
+                                 change.stored, deadline);
+    written = std::move(put);
+  } else {
+    auto removed = co_await self->store.remove(self->collection, name,
+                                               change.stored, deadline);
+    if (!removed && removed.error().kind != ErrorKind::kNotFound) {
+      written = tl::unexpected(std::move(removed.error()));
+    }
+  }
+  self->log_written(change, written ? "" : written.error().message);
+  if (written) {
+    self->table.written(change, *written);
+    if (change.record && change.stored == 0) {
+      co_await drop_surplus(self);
+    }
+    co_return true;
+  }
+  const bool meets_another = written.error().kind == ErrorKind::kConflict ||
+                             written.error().kind == ErrorKind::kNotFound;
+  if (!meets_another) {
+    co_return false;
+  }
+  const bool read = co_await read_back(self, change.digest);
+  co_return read;
+}
+
+Task<bool> QuarantineWriter::read_back(std::shared_ptr<QuarantineWriter> self,
+                                       RequestDigest digest) {
+  const auto object = co_await self->store.get(self->collection, digest.text(),
+                                               Clock::now() + kCallTime);
+  if (!object) {
+    const bool absent = object.error().kind == ErrorKind::kNotFound;
+    if (absent) {
+      self->table.take_removal(digest);
+    }
+    co_return absent;
+  }
+  const auto record = decode_quarantine_record(object->value);
+  if (!record) {
+    self->log.event(eventlog::Weight::kBelief, "quarantine_unreadable")
+        .with("digest", object->name)
+        .with("reason", record.error().message);
+  }
+  // One that can't be read is replaced.
+  self->table.take(digest, record.value_or(QuarantineRecord{}), object->version,
+                   unix_now());
+  co_return true;
+}
+
+Task<void> QuarantineWriter::drop_surplus(
+    std::shared_ptr<QuarantineWriter> self) {
+  const auto first = self->table.surplus();
+  if (!first) {
+    co_return;
+  }
+  const auto removed =
+      co_await self->store.remove(self->collection, first->digest.text(),
+                                  first->stored, Clock::now() + kCallTime);
+  self->log_written(*first, removed ? "" : removed.error().message);
+  if (removed) {
+    self->table.written(*first, 0);
+  }
+}
+
+void QuarantineWriter::log_written(const Change& change,
+                                   std::string_view reason) {
+  this->log.event(eventlog::Weight::kBelief, "quarantine_written")
+      .with("digest", change.digest.text())
+      .with("leaf_runs", change.record ? change.record->leaf_runs.size() : 0)
+      .with("times_held", change.record ? change.record->times_held : 0)
+      .with("version", change.stored)
+      .with("done", reason.empty())
+      .with("reason", reason);
+}
+
+}  // namespace ibismux::quarantine
--- a/tests/dispatch/fake_leafs.h
+++ b/tests/dispatch/fake_leafs.h
@@ -61,6 +61,12 @@
   std::set<std::string> revive() noexcept {
     return std::exchange(this->ended, {});
   }
+  /// Ends the leafs that have run anything, for no request's sake.
+  void end_all() {
+    for (const auto& [instance, ids] : this->runs) {
+      this->ended.insert(instance);
+    }
+  }
   /// How many leafs calls of `crashing_target` have ended so far.
   mutable int crashes = 0;
 
--- /dev/null
+++ b/tests/quarantine/quarantine_record_test.cc
@@ -0,0 +1,68 @@
+#include "ibismux/quarantine/quarantine_record.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::quarantine {
+namespace {
+
+using std::chrono::hours;
+using std::chrono::minutes;
+
+constexpr UnixTime kNow = hours(500'000);
+
+QuarantineRecord record_of(const std::vector<std::string>& leaf_runs) {
+  QuarantineRecord record;
+  for (const std::string& leaf_run : leaf_runs) {
+    record.add(leaf_run, kNow);
+  }
+  return record;
+}
+
+Test(quarantine_record, the_third_leaf_quarantines) {
+  cr_assert(record_of({}).standing(kNow) == Standing::kClear);
+  cr_assert(record_of({"a", "b"}).standing(kNow) == Standing::kSuspect);
+  cr_assert(record_of({"a", "b", "c"}).standing(kNow) ==
+            Standing::kQuarantined);
+}
+
+// Guards against a leaf that is counted again by each daemon that tells of it.
+Test(quarantine_record, one_run_of_a_leaf_counts_once) {
+  cr_assert(record_of({"a", "a", "a"}).standing(kNow) == Standing::kSuspect);
+}
+
+Test(quarantine_record, it_is_tried_once_more_and_then_held) {
+  QuarantineRecord record = record_of({"a", "b", "c"});
+  const UnixTime later = kNow + hours(2);
+  cr_assert(record.standing(later) == Standing::kSuspect);
+  record.add("d", later);
+  cr_assert(record.standing(later + hours(24 * 300)) == Standing::kQuarantined);
+}
+
+// Guards against leafs that ended elsewhere and are not added up.
+Test(quarantine_record, what_several_daemons_saw_adds_up_in_any_order) {
+  QuarantineRecord one = record_of({"a", "b"});
+  QuarantineRecord other = record_of({"b", "c"});
+  const QuarantineRecord before = one;
+  one.merge(other, kNow);
+  other.merge(before, kNow);
+  cr_assert(one == other);
+  cr_assert(one.standing(kNow) == Standing::kQuarantined);
+}
+
+Test(quarantine_record, it_reads_back_from_the_store) {
+  const QuarantineRecord record = record_of({"c@3", "a@1", "b@2"});
+  cr_assert(decode_quarantine_record(encode(record)) == record);
+}
+
+Test(quarantine_record, odd_objects_are_refused) {
+  for (const char* value :
+       {"", "[]", "{}", R"({"leaf_runs":"a","times_held":0,"held_until_ms":0})",
+        R"({"leaf_runs":["a"],"times_held":-1,"held_until_ms":0})",
+        R"({"leaf_runs":["a","b","c","d"],"times_held":1,"held_until_ms":0})",
+        R"({"leaf_runs":["a"],"times_held":0,"held_until_ms":"soon"})"}) {
+    cr_assert(!decode_quarantine_record(value).has_value(), "%s", value);
+  }
+}
+
+}  // namespace
+}  // namespace ibismux::quarantine
