A listing that is older than what is known is told in the log

What callers saw: docs/incidents/restored-store.md. The logs could not tell a store whose revisions went back from one that dropped its history time and again: no line said where the listing stood that was passed over. No logic changed.

--- a/ibismux/feed/collection_feed.cc
+++ b/ibismux/feed/collection_feed.cc
@@ -129,6 +129,12 @@
   } else {
     self->store_answered();
   }
+  if (listing->version < self->known.version()) {
+    self->log.event(eventlog::Weight::kBelief, "store_listing_older")
+        .with("collection", self->known.name())
+        .with("version", self->known.version())
+        .with("listed", listing->version);
+  }
   self->take(update_of(self->known.name(), *std::move(listing)));
   co_return true;
 }
