A store that is restored from an older copy is followed at once

Callers saw: routes of configurations that were acknowledged seconds before were not served, old ones were.

Cause: the store's revisions went back below one that the daemons had seen. Its listing looked older than what was known and was passed over, and the watch went on from a revision that the store doesn't have, until its revisions had passed that. Class of fault: an order kept in numbers that somebody else may give out again.

Ruled out: history dropped again and again (the listing's revision says otherwise; the stand-in shows the same log with one restore); a configuration held back behind the feed (no config_refused).

Change: versions carry the store's count of restores in their upper bits, put there by the one client of the store; revisions go back on the wire as they were. A watch or a condition of an earlier era is gone or refused. The cheap check sees a new era and reads again at once.

The same cause elsewhere: watches that are taken up again after a restore, conditional writes whose revision is another write's now, listings in parts, evacuated zones and leafs that the copy lacks, quarantines.

Why it works: versions rise over restores, so every comparison of versions in the product holds again.

--- a/ibismux/edge/configuration_feed.cc
+++ b/ibismux/edge/configuration_feed.cc
@@ -38,7 +38,7 @@
   auto table = this->decoder.decode(object);
   if (!table) {
     this->log.event(eventlog::Weight::kBelief, "config_refused")
-        .with("object_version", object.version)
+        .with("object_version", store::version_text(object.version))
         .with("reason", table.error().message);
     return;
   }
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -146,6 +146,9 @@
       .all_current =
           std::all_of(all.begin(), all.end(),
                       [](const auto& feed) { return feed->is_current(); }),
+      .is_restored =
+          store::era_of(configuration) >
+          store::era_of(this->configuration_feed->mirror().version()),
       .is_behind = configuration > this->configuration_feed->mirror().version(),
       .has_watcher = this->relay && this->relay->relies_on_watcher()};
 }
@@ -181,8 +184,9 @@
   this->log.event(eventlog::Weight::kBelief, "refresh")
       .with("reason", reason)
       .with("configuration_version",
-            this->configuration_feed->mirror().version())
-      .with("leaf_version", this->leaf_feed->mirror().version());
+            store::version_text(this->configuration_feed->mirror().version()))
+      .with("leaf_version",
+            store::version_text(this->leaf_feed->mirror().version()));
   if (this->relay && !this->relay->follows_store()) {
     this->relay->invalidate();
     return;
--- a/ibismux/edge/leaf_feed.cc
+++ b/ibismux/edge/leaf_feed.cc
@@ -96,7 +96,7 @@
   this->refusals[static_cast<std::size_t>(refused.fault)]->Increment();
   this->log.event(eventlog::Weight::kBelief, "leaf_entry_refused")
       .with("leaf", object.name)
-      .with("object_version", object.version)
+      .with("object_version", store::version_text(object.version))
       .with("fault", to_string(refused.fault))
       .with("reason", refused.message);
 }
--- a/ibismux/edge/quarantine_feed.cc
+++ b/ibismux/edge/quarantine_feed.cc
@@ -21,8 +21,12 @@
 void QuarantineFeed::on_change(const store::WatchBatch::Event& event) {
   if (!event.removed) {
     this->take(event.object);
-  } else if (const auto digest =
-                 quarantine::RequestDigest::parse(event.object.name)) {
+    return;
+  }
+  const auto digest = quarantine::RequestDigest::parse(event.object.name);
+  if (digest && event.lost) {
+    this->table.take_loss(*digest);
+  } else if (digest) {
     this->table.take_removal(*digest);
   }
 }
--- a/ibismux/edge/store_check.cc
+++ b/ibismux/edge/store_check.cc
@@ -49,6 +49,10 @@
     // again, and peers would rely on it.
     return CheckAction::kReadAgain;
   }
+  if (answer.is_restored) {
+    this->behind = 0;
+    return CheckAction::kReplaceWatch;
+  }
   if (answer.is_behind) {
     // The watch's answer will be a contact. This one would have peers rely on
     // what is known here, which is known to be old.
--- a/ibismux/edge/store_check.h
+++ b/ibismux/edge/store_check.h
@@ -13,7 +13,7 @@
   kNone,
   kContact,    ///< The store answers, and what is known here is what it holds.
   kReadAgain,  ///< It is back: all collections are to be read again.
-  kReplaceWatch,  ///< Its watch has stalled: the same.
+  kReplaceWatch,  ///< Its watch has stalled, or is of no use: the same.
 };
 
 /// Decides what the cheap reads of a daemon that follows the store tell. A
@@ -28,6 +28,7 @@
   struct Answer {
     bool any_lost = false;     ///< Some collection counts as out of date.
     bool all_current = false;  ///< All are read from there, or watched.
+    bool is_restored = false;  ///< From a copy, since they were read.
     bool is_behind = false;    ///< The store has a newer version of one.
     /// Some peer of the zone is to follow the store for this daemon.
     bool has_watcher = false;
--- a/ibismux/feed/collection_feed.cc
+++ b/ibismux/feed/collection_feed.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "ibismux/eventlog/event_log.h"
+#include "ibismux/http/await_timer.h"
 
 namespace ibismux::feed {
 
@@ -72,7 +73,8 @@
       observer(observer),
       log(log),
       known(std::move(collection)),
-      pause_timer(loop.get_executor()) {}
+      pause_timer(loop.get_executor()),
+      settle_timer(loop.get_executor()) {}
 
 void CollectionFeed::start() {
   this->restart();
@@ -133,7 +135,7 @@
     self->log.event(eventlog::Weight::kBelief, "store_listing_older")
         .with("collection", self->known.name())
         .with("version", self->known.version())
-        .with("listed", listing->version);
+        .with("listed", store::version_text(listing->version));
   }
   self->take(update_of(self->known.name(), *std::move(listing)));
   co_return true;
@@ -159,7 +161,7 @@
   if (batch->compacted) {
     self->log.event(eventlog::Weight::kBelief, "store_history_gone")
         .with("collection", self->known.name())
-        .with("version", since);
+        .with("version", store::version_text(since));
     co_return false;
   }
   const bool changed = !batch->events.empty();
@@ -177,10 +179,19 @@
 }
 
 void CollectionFeed::take(Update update) {
-  const auto fresh = this->known.take(std::move(update));
+  const store::Version before = this->known.version();
+  const auto fresh = this->known.take(std::move(update), Clock::now());
   if (!fresh) {
     return;
   }
+  if (before != 0 && store::era_of(fresh->version) > store::era_of(before)) {
+    this->log.event(eventlog::Weight::kBelief, "store_restored")
+        .with("collection", this->known.name())
+        .with("version", store::version_text(fresh->version))
+        .with("before", store::version_text(before))
+        .with("changes", fresh->events.size());
+  }
+  this->schedule_settlement();
   if (fresh->whole) {
     this->observer.on_listing(listing_of(*fresh));
   } else {
@@ -191,6 +202,27 @@
   this->listeners.on_update(*fresh);
 }
 
+void CollectionFeed::schedule_settlement() {
+  const auto when = this->known.settles_at();
+  if (!when) {
+    return;
+  }
+  this->settle_timer.expires_at(*when);
+  http::await_timer(this->settle_timer, this->weak_from_this(),
+                    &CollectionFeed::settle);
+}
+
+void CollectionFeed::settle() {
+  const auto events = this->known.settle();
+  this->log.event(eventlog::Weight::kBelief, "store_restore_settled")
+      .with("collection", this->known.name())
+      .with("version", store::version_text(this->known.version()))
+      .with("lost", events.size());
+  for (const store::WatchBatch::Event& event : events) {
+    this->observer.on_change(event);
+  }
+}
+
 void CollectionFeed::retry_now() {
   if (this->is_lost) {
     this->pause_timer.cancel();
@@ -210,7 +242,7 @@
   }
   this->log.event(eventlog::Weight::kBelief, "store_lost")
       .with("collection", this->known.name())
-      .with("version", this->known.version())
+      .with("version", store::version_text(this->known.version()))
       .with("reason", reason);
   this->observer.on_lost();
 }
@@ -221,7 +253,7 @@
   }
   this->log.event(eventlog::Weight::kBelief, "store_regained")
       .with("collection", this->known.name())
-      .with("version", this->known.version())
+      .with("version", store::version_text(this->known.version()))
       .with("by", reason);
   this->observer.on_regained();
 }
@@ -229,7 +261,7 @@
 Duration CollectionFeed::next_pause(const Error& error) {
   this->log.event(eventlog::Weight::kBelief, "store_call_failed")
       .with("collection", this->known.name())
-      .with("version", this->known.version())
+      .with("version", store::version_text(this->known.version()))
       .with("failures", this->failures)
       .with("kind", error_entry(error.kind).name)
       .with("message", error.message);
--- a/ibismux/feed/collection_feed.h
+++ b/ibismux/feed/collection_feed.h
@@ -115,6 +115,8 @@
   [[nodiscard]] static Task<void> pause(std::shared_ptr<CollectionFeed> self,
                                         Duration time);
   void store_answered();
+  void schedule_settlement();
+  void settle();
   [[nodiscard]] Duration next_pause(const Error& error);
 
   boost::asio::io_context& loop;
@@ -131,6 +133,7 @@
   std::uint64_t round = 0;
   std::uint32_t failures = 0;
   http::Timer pause_timer;
+  http::Timer settle_timer;
 };
 
 }  // namespace ibismux::feed
--- a/ibismux/feed/collection_mirror.cc
+++ b/ibismux/feed/collection_mirror.cc
@@ -5,7 +5,7 @@
 
 namespace ibismux::feed {
 
-std::optional<Update> CollectionMirror::take(Update update) {
+std::optional<Update> CollectionMirror::take(Update update, TimePoint now) {
   // A listing at the version that is known says nothing new, but the first one
   // does even where the collection is empty.
   if (update.version < this->known || this->has_gap(update) ||
@@ -16,15 +16,21 @@
   if (update.whole && !first) {
     update = this->difference(update);
   }
+  bool unsettled =
+      !first && store::era_of(update.version) > store::era_of(this->known);
+  update.since = this->known;
+  this->known = update.version;
   for (const store::WatchBatch::Event& event : update.events) {
     if (event.removed) {
       this->objects.erase(event.object.name);
     } else {
+      unsettled = unsettled || this->is_of_earlier_era(event.object);
       this->objects.insert_or_assign(event.object.name, event.object);
     }
   }
-  update.since = this->known;
-  this->known = update.version;
+  if (unsettled) {
+    this->settle_at = now + kWrittenAgainWithin;
+  }
   this->remember(update);
   return update;
 }
@@ -43,13 +49,29 @@
     }
   }
   for (const auto& [name, object] : this->objects) {
-    if (!listed.contains(name)) {
+    const bool may_return =
+        store::era_of(object.version) < store::era_of(whole.version);
+    if (!listed.contains(name) && !may_return) {
       changes.events.push_back({object, true});
     }
   }
   return changes;
 }
 
+std::vector<store::WatchBatch::Event> CollectionMirror::settle() {
+  this->settle_at.reset();
+  std::vector<store::WatchBatch::Event> events;
+  for (const auto& [name, object] : this->objects) {
+    if (this->is_of_earlier_era(object)) {
+      events.push_back({object, true, true});
+    }
+  }
+  for (const store::WatchBatch::Event& event : events) {
+    this->objects.erase(event.object.name);
+  }
+  return events;
+}
+
 void CollectionMirror::remember(const Update& update) {
   if (update.whole || update.version == update.since) {
     return;
--- a/ibismux/quarantine/quarantine_table.cc
+++ b/ibismux/quarantine/quarantine_table.cc
@@ -26,6 +26,7 @@
     row.cleared = false;
   }
   row.record.add(leaf_run, now);
+  row.lost = false;
   this->mark_dirty(row);
   return row.record.standing(now);
 }
@@ -56,6 +57,7 @@
     row.cleared = false;
   }
   row.stored = version;
+  row.lost = false;
   row.record.merge(record, now);
   row.dirty = row.cleared || row.record != record;
   if (row.dirty) {
@@ -76,13 +78,27 @@
   this->rows.erase(found);
 }
 
+void QuarantineTable::take_loss(const RequestDigest& digest) {
+  const auto found = this->rows.find(digest);
+  if (found == this->rows.end()) {
+    return;
+  }
+  if (found->second.cleared) {
+    this->rows.erase(found);
+    return;
+  }
+  found->second.stored = 0;
+  found->second.lost = true;
+  this->mark_dirty(found->second);
+}
+
 std::vector<QuarantineTable::Change> QuarantineTable::changes() const {
   std::vector<Change> changes;
   for (const auto& [digest, row] : this->rows) {
     if (row.dirty) {
       changes.push_back({digest,
                          row.cleared ? std::nullopt : std::optional(row.record),
-                         row.stored});
+                         row.stored, row.lost});
     }
   }
   return changes;
@@ -95,6 +111,7 @@
   }
   Row& row = found->second;
   row.stored = version;
+  row.lost = false;
   if (version == 0) {
     this->rows.erase(found);
   } else if (!row.cleared && row.record == change.record) {
--- a/ibismux/quarantine/quarantine_table.h
+++ b/ibismux/quarantine/quarantine_table.h
@@ -32,6 +32,8 @@
     /// Absent: the request is cleared, and its object is to be removed.
     std::optional<QuarantineRecord> record;
     store::Version stored = 0;  ///< Version of the object; 0: there is none.
+    /// All daemons know of it: one of them has to write it.
+    bool is_known_to_all = false;
   };
 
   [[nodiscard]] Standing standing(const RequestDigest& digest,
@@ -59,6 +61,9 @@
             UnixTime now);
   /// An object was removed, by another daemon or an operator.
   void take_removal(const RequestDigest& digest);
+  /// The store was restored from a copy without the object: it is written
+  /// again.
+  void take_loss(const RequestDigest& digest);
   /// @}
 
   /// @name Changes to be written
@@ -81,6 +86,7 @@
     store::Version stored = 0;
     bool dirty = false;
     bool cleared = false;  ///< Kept until its object is removed.
+    bool lost = false;     ///< By a store that was restored.
     std::uint64_t order = 0;
   };
   using Rows = std::map<RequestDigest, Row>;
--- a/ibismux/quarantine/quarantine_writer.cc
+++ b/ibismux/quarantine/quarantine_writer.cc
@@ -23,10 +23,18 @@
 constexpr milliseconds kRetryPause{500};
 constexpr milliseconds kCallTime{1500};
 
+// In which the daemons write again what a restored store has lost: the first
+// one writes, and the others hear of it before their turn.
+constexpr milliseconds kRewriteSpread{5000};
+
 bool is_held(const QuarantineTable::Change& change) {
   return change.record && change.record->times_held > 0;
 }
 
+bool is_urgent(const QuarantineTable::Change& change) {
+  return is_held(change) && !change.is_known_to_all;
+}
+
 }  // namespace
 
 QuarantineWriter::QuarantineWriter(asio::io_context& loop,
@@ -66,8 +74,8 @@
       co_await pause(self, kUntilWoken);
       continue;
     }
-    if (std::none_of(changes.begin(), changes.end(), &is_held)) {
-      co_await pause(self, kSuspectPause);
+    if (std::none_of(changes.begin(), changes.end(), &is_urgent)) {
+      co_await pause(self, self->patience(changes));
     }
     const bool done = co_await write_all(self);
     if (!done) {
@@ -78,6 +86,18 @@
   }
 }
 
+Duration QuarantineWriter::patience(const std::vector<Change>& changes) {
+  const bool only_lost =
+      std::all_of(changes.begin(), changes.end(),
+                  [](const Change& change) { return change.is_known_to_all; });
+  if (!only_lost) {
+    return kSuspectPause;
+  }
+  const double part =
+      std::uniform_real_distribution<double>(0, 1)(this->random);
+  return scaled(kRewriteSpread, part);
+}
+
 Task<bool> QuarantineWriter::write_all(std::shared_ptr<QuarantineWriter> self) {
   auto changes = self->table.changes();
   std::stable_partition(changes.begin(), changes.end(), &is_held);
@@ -168,7 +188,7 @@
       .with("digest", change.digest.text())
       .with("leaf_runs", change.record ? change.record->leaf_runs.size() : 0)
       .with("times_held", change.record ? change.record->times_held : 0)
-      .with("version", change.stored)
+      .with("version", store::version_text(change.stored))
       .with("done", reason.empty())
       .with("reason", reason);
 }
--- a/ibismux/quarantine/quarantine_writer.h
+++ b/ibismux/quarantine/quarantine_writer.h
@@ -7,6 +7,7 @@
 #include <pcg_random.hpp>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
@@ -44,6 +45,8 @@
   [[nodiscard]] static Task<void> run(std::shared_ptr<QuarantineWriter> self);
   [[nodiscard]] static Task<void> pause(std::shared_ptr<QuarantineWriter> self,
                                         Duration time);
+  /// How long changes that aren't urgent may wait.
+  [[nodiscard]] Duration patience(const std::vector<Change>& changes);
   /// Writes all changes. @return False where the store doesn't take them now.
   [[nodiscard]] static Task<bool> write_all(
       std::shared_ptr<QuarantineWriter> self);
--- a/ibismux/store/http_object_store.cc
+++ b/ibismux/store/http_object_store.cc
@@ -89,13 +89,36 @@
     if (!response) {
       co_return tl::unexpected(std::move(response.error()));
     }
-    co_return self->dialect->read_object(collection, name, *response);
+    auto object = self->dialect->read_object(collection, name, *response);
+    if (object) {
+      object->version = make_version(self->era(*response), object->version);
+    }
+    co_return object;
   }
 
   /// How a part of a listing is asked for.
   using PartRequest = http::Request (StoreDialect::*)(std::string_view,
                                                       std::string_view) const;
 
+  /// The era of an answer that was taken.
+  [[nodiscard]] std::uint64_t era(const http::Response& response) const {
+    return this->dialect->read_era(response).value_or(0);
+  }
+
+  /// Whether the store was restored since it gave out `version`, as far as is
+  /// known.
+  [[nodiscard]] bool is_of_earlier_era(Version version) const noexcept {
+    return version != 0 &&
+           era_of(version) < this->newest_era.load(std::memory_order_relaxed);
+  }
+
+  /// Sends a write on the condition that the object is at `expected`.
+  static Task<Result<http::Response>> conditional_write(
+      std::shared_ptr<Impl> self,
+      http::Request request,
+      Version expected,
+      TimePoint deadline);
+
   /// Reads a listing part by part.
   static Task<Result<Listing>> read_listing(std::shared_ptr<Impl> self,
                                             std::string collection,
@@ -111,6 +134,7 @@
   const PlatformSettings settings;
   const std::unique_ptr<const StoreDialect> dialect;
   std::atomic<PlatformState> state{PlatformState::kUp};
+  std::atomic<std::uint64_t> newest_era{0};
 
  private:
   static Task<Result<http::Response>> exchange(std::shared_ptr<Impl> self,
@@ -130,6 +154,9 @@
                        ? outcome_of(*response, self->dialect->conflict_status())
                        : outcome_of(response.error(), now - begin,
                                     self->settings.health.slow_after);
+    if (response) {
+      self->note_era(*response, outcome);
+    }
     self->conclude(kind, outcome, begin, now);
     if (outcome.result != CallResult::kOk) {
       co_return tl::unexpected(std::move(outcome.error));
@@ -137,6 +164,17 @@
     co_return response;
   }
 
+  /// An answer whose era can't be read is none.
+  void note_era(const http::Response& response, CallOutcome& outcome) {
+    auto era = this->dialect->read_era(response);
+    if (era) {
+      this->newest_era = std::max(this->newest_era.load(), *era);
+    } else if (outcome.result == CallResult::kOk) {
+      outcome.result = CallResult::kMalformed;
+      outcome.error = std::move(era.error());
+    }
+  }
+
   Result<void> admit(CallKind kind, TimePoint now) {
     if (!this->health.admit(now, this->jitter())) {
       this->metrics.count(kind, CallResult::kBackedOff, {});
@@ -240,6 +278,15 @@
     if (!page) {
       co_return tl::unexpected(std::move(page.error()));
     }
+    const std::uint64_t era = self->era(*response);
+    page->listing.version = make_version(era, page->listing.version);
+    for (StoredObject& object : page->listing.objects) {
+      object.version = make_version(era, object.version);
+    }
+    if (!after.empty() && era != era_of(whole.version)) {
+      co_return fail(ErrorKind::kPlatformUnavailable,
+                     "restored while it was listed");
+    }
     // The whole is as old as its first part: a watch from there on repeats
     // what changed while the other parts were read, and misses nothing.
     if (after.empty()) {
@@ -257,6 +304,27 @@
   }
 }
 
+Task<Result<http::Response>> HttpObjectStore::Impl::conditional_write(
+    std::shared_ptr<Impl> self,
+    http::Request request,
+    Version expected,
+    TimePoint deadline) {
+  if (self->is_of_earlier_era(expected)) {
+    co_return tl::unexpected(Error{ErrorKind::kConflict,
+                                   "the store was restored since",
+                                   Execution::kNotRun});
+  }
+  auto response =
+      co_await timed_call(self, CallKind::kWrite, std::move(request), deadline);
+  if (response && expected != 0 && self->era(*response) != era_of(expected)) {
+    // The condition named a revision of the former era, which may be another
+    // write's now.
+    co_return fail(ErrorKind::kPlatformUnavailable,
+                   "restored since the object was read");
+  }
+  co_return response;
+}
+
 Task<Result<WatchBatch>> HttpObjectStore::watch(
     std::string collection,
     Version since,
@@ -266,7 +334,14 @@
     // again but quiet would leave the other calls refused meanwhile.
     wait = std::chrono::milliseconds::zero();
   }
-  auto request = this->impl->dialect->watch(collection, since, wait);
+  WatchBatch gone;
+  gone.version = since;
+  gone.compacted = true;
+  if (this->impl->is_of_earlier_era(since)) {
+    co_return gone;
+  }
+  auto request =
+      this->impl->dialect->watch(collection, revision_of(since), wait);
   const TimePoint deadline =
       Clock::now() + wait + this->impl->settings.watch_grace;
   auto response = co_await Impl::call(this->impl, CallKind::kWatch,
@@ -274,13 +349,21 @@
   if (!response) {
     co_return tl::unexpected(std::move(response.error()));
   }
-  if (response->status == kGoneStatus) {
-    WatchBatch batch;
-    batch.version = since;
-    batch.compacted = true;
-    co_return batch;
+  // A store that was restored takes a watch up once it has given out the
+  // revision again, and tells nothing of what it holds instead of the lost.
+  const std::uint64_t era = this->impl->era(*response);
+  if (response->status == kGoneStatus || era != era_of(since)) {
+    co_return gone;
+  }
+  auto batch = this->impl->dialect->read_watch(collection, revision_of(since),
+                                               *response);
+  if (batch) {
+    batch->version = make_version(era, batch->version);
+    for (WatchBatch::Event& event : batch->events) {
+      event.object.version = make_version(era, event.object.version);
+    }
   }
-  co_return this->impl->dialect->read_watch(collection, since, *response);
+  co_return batch;
 }
 
 Task<Result<std::vector<HostEntry>>> HttpObjectStore::hosts(
@@ -316,14 +399,17 @@
                                    "over the platform's limit: " + name,
                                    Execution::kNotRun});
   }
-  auto request =
-      this->impl->dialect->put(collection, name, std::move(value), expected);
-  auto response = co_await Impl::timed_call(this->impl, CallKind::kWrite,
-                                            std::move(request), deadline);
+  auto request = this->impl->dialect->put(collection, name, std::move(value),
+                                          revision_of(expected));
+  auto response = co_await Impl::conditional_write(
+      this->impl, std::move(request), expected, deadline);
   if (!response) {
     co_return tl::unexpected(std::move(response.error()));
   }
   auto version = this->impl->dialect->read_written(*response);
+  if (version) {
+    *version = make_version(this->impl->era(*response), *version);
+  }
   if (version && *version <= expected) {
     // It says done, but as a version that can't be: the writer reads back.
     co_return fail(ErrorKind::kProtocolError, "version went back: " + name);
@@ -335,9 +421,10 @@
                                            std::string name,
                                            Version expected,
                                            TimePoint deadline) {
-  auto request = this->impl->dialect->remove(collection, name, expected);
-  auto response = co_await Impl::timed_call(this->impl, CallKind::kWrite,
-                                            std::move(request), deadline);
+  auto request =
+      this->impl->dialect->remove(collection, name, revision_of(expected));
+  auto response = co_await Impl::conditional_write(
+      this->impl, std::move(request), expected, deadline);
   if (!response) {
     co_return tl::unexpected(std::move(response.error()));
   }
--- a/ibismux/store/store_dialect.h
+++ b/ibismux/store/store_dialect.h
@@ -69,6 +69,13 @@
   /// @name Answers with status 200
   /// @{
 
+  /// How often the store has been restored from an older copy, as it says in
+  /// each answer of any status; 0 where the API says nothing of it. Versions in
+  /// answers and requests are revisions of that era.
+  [[nodiscard]] virtual Result<std::uint64_t> read_era(
+      const http::Response&) const {
+    return 0;
+  }
   /// The status of a call whose condition on the version didn't hold.
   [[nodiscard]] virtual int conflict_status() const noexcept = 0;
   [[nodiscard]] virtual Result<StoredObject> read_object(
--- a/tests/edge/store_check_test.cc
+++ b/tests/edge/store_check_test.cc
@@ -86,5 +86,13 @@
   cr_assert(check.on_answer(behind, now) == CheckAction::kNone);
 }
 
+// Guards against a watch that a restored store leaves without an answer.
+Test(store_check, a_store_that_was_restored_is_read_again_at_once) {
+  StoreCheck check;
+  const Answer restored{.all_current = true, .is_restored = true};
+  cr_assert(check.on_answer(restored, Clock::now()) ==
+            CheckAction::kReplaceWatch);
+}
+
 }  // namespace
 }  // namespace ibismux::edge::testing
--- a/tests/feed/collection_mirror_test.cc
+++ b/tests/feed/collection_mirror_test.cc
@@ -22,10 +22,14 @@
   return {"leafs", 0, version, true, std::move(events)};
 }
 
+std::optional<Update> take(CollectionMirror& mirror, Update update) {
+  return mirror.take(std::move(update), Clock::now());
+}
+
 Test(collection_mirror, changes_add_up) {
   CollectionMirror mirror("leafs");
-  cr_assert(mirror.take(whole(5, {event("a", 4), event("b", 5)})).has_value());
-  cr_assert(mirror.take(change(5, 7, {event("a", 6, true), event("c", 7)}))
+  cr_assert(take(mirror, whole(5, {event("a", 4), event("b", 5)})).has_value());
+  cr_assert(take(mirror, change(5, 7, {event("a", 6, true), event("c", 7)}))
                 .has_value());
   const Update all = mirror.whole();
   cr_assert(all.version == 7 && all.events.size() == 2);
@@ -36,29 +40,77 @@
 // Guards against old updates that replace newer ones.
 Test(collection_mirror, older_news_changes_nothing) {
   CollectionMirror mirror("leafs");
-  cr_assert(mirror.take(whole(9, {event("b", 8)})).has_value());
-  cr_assert(!mirror.take(change(5, 7, {event("a", 6)})).has_value());
-  cr_assert(!mirror.take(whole(8, {event("a", 6)})).has_value());
+  cr_assert(take(mirror, whole(9, {event("b", 8)})).has_value());
+  cr_assert(!take(mirror, change(5, 7, {event("a", 6)})).has_value());
+  cr_assert(!take(mirror, whole(8, {event("a", 6)})).has_value());
   cr_assert(mirror.version() == 9);
   cr_assert(mirror.whole().events.size() == 1);
 }
 
 Test(collection_mirror, news_with_a_gap_before_it_is_left_alone) {
   CollectionMirror mirror("leafs");
-  cr_assert(mirror.take(whole(5, {})).has_value());
+  cr_assert(take(mirror, whole(5, {})).has_value());
   const Update later = change(6, 7, {event("a", 7)});
   cr_assert(mirror.has_gap(later));
-  cr_assert(!mirror.take(later).has_value());
+  cr_assert(!take(mirror, later).has_value());
   cr_assert(mirror.version() == 5);
 }
 
 Test(collection_mirror, news_that_overlaps_is_taken) {
   CollectionMirror mirror("leafs");
-  cr_assert(mirror.take(whole(5, {event("a", 5)})).has_value());
+  cr_assert(take(mirror, whole(5, {event("a", 5)})).has_value());
   cr_assert(
-      mirror.take(change(3, 6, {event("a", 5), event("b", 6)})).has_value());
+      take(mirror, change(3, 6, {event("a", 5), event("b", 6)})).has_value());
+  cr_assert(mirror.whole().events.size() == 2);
+}
+
+store::Version restored(std::uint64_t revision) {
+  return store::make_version(1, revision);
+}
+
+// Guards against a configuration that is passed over, as the store's revisions
+// went back.
+Test(collection_mirror, a_restored_store_is_newer_whatever_its_revision) {
+  CollectionMirror mirror("leafs");
+  take(mirror, whole(87, {event("a", 80)}));
+  cr_assert(take(mirror, whole(restored(84), {event("a", restored(84))}))
+                .has_value());
+  cr_assert(mirror.version() == restored(84));
+  cr_assert(!take(mirror, whole(99, {event("a", 99)})).has_value());
+}
+
+// Guards against leafs that vanish until their entries are written again.
+Test(collection_mirror, what_a_restored_store_lacks_is_kept_for_a_while) {
+  CollectionMirror mirror("leafs");
+  take(mirror, whole(87, {event("a", 80), event("b", 81), event("c", 82)}));
+  const auto fresh =
+      take(mirror, whole(restored(84), {event("a", restored(80))}));
+  cr_assert(fresh->events.size() == 1);
+  cr_assert(mirror.settles_at().has_value());
+  take(mirror, change(restored(84), restored(85), {event("b", restored(85))}));
+  const auto lost = mirror.settle();
+  cr_assert(lost.size() == 1 && lost[0].object.name == "c");
+  cr_assert(lost[0].removed && lost[0].lost);
+  cr_assert(!mirror.settles_at().has_value());
   cr_assert(mirror.whole().events.size() == 2);
 }
 
+Test(collection_mirror, a_removal_after_the_restore_holds_at_once) {
+  CollectionMirror mirror("leafs");
+  take(mirror, whole(87, {event("a", 80)}));
+  take(mirror, whole(restored(84), {event("a", restored(80))}));
+  cr_assert(take(mirror, whole(restored(86), {}))->events.size() == 1);
+  cr_assert(mirror.settle().empty());
+}
+
+// Guards against an object of the former era that stays for ever, where it
+// came from a peer that had not dropped it yet.
+Test(collection_mirror, what_a_peer_still_holds_settles_too) {
+  CollectionMirror mirror("leafs");
+  take(mirror, whole(restored(84), {event("a", 80)}));
+  cr_assert(mirror.settles_at().has_value());
+  cr_assert(mirror.settle().size() == 1);
+}
+
 }  // namespace
 }  // namespace ibismux::feed
--- a/tests/quarantine/quarantine_table_test.cc
+++ b/tests/quarantine/quarantine_table_test.cc
@@ -110,6 +110,18 @@
   cr_assert(table.changes().size() == 1 && table.changes()[0].stored == 0);
 }
 
+// Guards against a quarantine that a restored store has lost.
+Test(quarantine_table, what_a_restored_store_lacks_is_written_again) {
+  QuarantineTable table;
+  quarantine(table, digest_of(1));
+  table.written(table.changes()[0], 7);
+  table.take_loss(digest_of(1));
+  cr_assert(table.standing(digest_of(1), kNow) == Standing::kQuarantined);
+  const auto changes = table.changes();
+  cr_assert(changes.size() == 1 && changes[0].stored == 0);
+  cr_assert(changes[0].is_known_to_all);
+}
+
 // Guards against a store that fills up with requests that end leafs.
 Test(quarantine_table, the_oldest_suspect_leaves_a_full_store_first) {
   QuarantineTable table;
--- a/tests/users_platform/objects_dialect_test.cc
+++ b/tests/users_platform/objects_dialect_test.cc
@@ -124,5 +124,18 @@
   cr_assert(hosts->front().name == "h1");
 }
 
+// Guards against revisions of a restored store that pass for older ones.
+Test(objects_dialect, each_answer_tells_how_often_the_store_was_restored) {
+  http::Response answer = response("{}");
+  cr_assert(kDialect.read_era(answer).value() == 0);
+  answer.add("Store-Era", "3");
+  cr_assert(kDialect.read_era(answer).value() == 3);
+  for (const char* odd : {"-1", "x", "3 ", "1.5", "99999999999999999999"}) {
+    http::Response refused = response("{}");
+    refused.add("Store-Era", odd);
+    cr_assert(!kDialect.read_era(refused).has_value(), "%s", odd);
+  }
+}
+
 }  // namespace
 }  // namespace ibismux::users_platform
