A store without the history for a watch is not asked without pause

Each answer 410 was followed by a reading at once, and that by the next watch.

Change: the first one still is; the next ones wait 50 ms, doubled up to 800 ms, until a watch is answered.

--- a/ibismux/feed/collection_feed.cc
+++ b/ibismux/feed/collection_feed.cc
@@ -25,6 +25,10 @@
 // After further ones the store is down. The daemon's cheap checks find out when
 // it is back, and restart the feed.
 constexpr milliseconds kLongestPause{4000};
+// Between readings while each watch finds its history gone, which costs two
+// calls a round trip otherwise. The first one is read again at once.
+constexpr milliseconds kFirstGonePause{50};
+constexpr milliseconds kLongestGonePause{800};
 // As long as nothing is known, every request is refused.
 constexpr milliseconds kLongestFirstPause{200};
 
@@ -162,8 +166,13 @@
     self->log.event(eventlog::Weight::kBelief, "store_history_gone")
         .with("collection", self->known.name())
         .with("version", store::version_text(since));
+    const Duration time = self->gone_pause;
+    self->gone_pause =
+        std::clamp<Duration>(time * 2, kFirstGonePause, kLongestGonePause);
+    co_await pause(self, time);
     co_return false;
   }
+  self->gone_pause = Duration::zero();
   const bool changed = !batch->events.empty();
   self->take(update_of(self->known.name(), since, *std::move(batch)));
   if (changed) {
--- a/ibismux/feed/collection_feed.h
+++ b/ibismux/feed/collection_feed.h
@@ -132,6 +132,8 @@
   bool current = false;
   std::uint64_t round = 0;
   std::uint32_t failures = 0;
+  /// After the next watch whose history is gone: until it is read again.
+  Duration gone_pause{0};
   http::Timer pause_timer;
   http::Timer settle_timer;
 };
--- a/tests/feed/collection_feed_test.cc
+++ b/tests/feed/collection_feed_test.cc
@@ -74,6 +74,16 @@
       co_await timer.async_wait(
           boost::asio::as_tuple(boost::asio::use_awaitable));
     }
+    if (this->forgets) {
+      boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
+                                      std::chrono::milliseconds(4));
+      co_await timer.async_wait(
+          boost::asio::as_tuple(boost::asio::use_awaitable));
+      store::WatchBatch gone;
+      gone.version = since;
+      gone.compacted = true;
+      co_return gone;
+    }
     if (this->cuts > 0) {
       --this->cuts;
       co_return fail(ErrorKind::kPlatformUnavailable, "cut");
@@ -84,7 +94,8 @@
   }
 
   bool deaf = false;
-  bool down = false;  ///< Current readings fail.
+  bool down = false;     ///< Current readings fail.
+  bool forgets = false;  ///< Watches find their history gone.
   int cuts = 0;
   int watches = 0;
   int lists = 0;
@@ -262,5 +273,22 @@
   cr_assert(fixture.observer.objects["main"] == "9");
 }
 
+// Guards against a store that is called without pause, as it has no history for
+// a watch.
+Test(collection_feed, a_history_that_is_gone_again_and_again_costs_few_calls) {
+  Fixture fixture;
+  fixture.store.forgets = true;
+  cr_assert(fixture.run_until([&] { return fixture.store.watches > 2; }));
+  const TimePoint end = Clock::now() + std::chrono::seconds(1);
+  while (Clock::now() < end) {
+    fixture.loop.run_one_for(std::chrono::milliseconds(20));
+  }
+  cr_assert(fixture.store.watches < 10);
+  fixture.store.forgets = false;
+  fixture.put("main", "2");
+  cr_assert(fixture.run_until(
+      [&] { return fixture.observer.objects["main"] == "2"; }));
+}
+
 }  // namespace
 }  // namespace ibismux::feed
