--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -167,7 +167,7 @@
 }
 
 Task<bool> Leaf::has_ended(std::shared_ptr<Leaf> self) {
-  if (self->run_ended || (self->ejected && self->was_down)) {
+  if (self->run_ended) {
     co_return true;
   }
   auto dialled =
--- a/ibismux/dispatch/part_call.h
+++ b/ibismux/dispatch/part_call.h
@@ -114,7 +114,10 @@
   void wait_for_room(std::function<bool()> start);
   void leave_queue();
   /// Waits for `resume()`. @param start As for `wait_for_room()`.
-  void hold(std::function<bool()> start) { this->held = std::move(start); }
+  void hold(std::function<bool()> start) {
+    this->held = std::move(start);
+    this->context->crashes->on_wait();
+  }
   /// @param cause Absent: for the first time.
   void send_to(const std::shared_ptr<Leaf>& leaf,
                std::optional<RepeatCause> cause);
--- a/ibismux/quarantine/crash_watch.h
+++ b/ibismux/quarantine/crash_watch.h
@@ -65,8 +65,14 @@
   void on_release(std::function<void()> release) {
     this->release = std::move(release);
   }
+  /// A call has to wait.
+  void on_wait() noexcept { this->has_waited = true; }
   /// To be called after each `on_end()`, once its part knows of it.
-  void release_waiting() { this->release(); }
+  void release_waiting() {
+    if (this->has_waited) {
+      this->release();
+    }
+  }
   /// @}
 
  private:
@@ -77,6 +83,7 @@
   bool answered = false;
   /// A leaf has ended since no call was under way.
   bool crash_counted = false;
+  bool has_waited = false;  ///< Hardly any request's call ever does.
   std::function<void()> release = [] {};
 };
 
--- a/ibismux/quarantine/quarantine_table.h
+++ b/ibismux/quarantine/quarantine_table.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <utility>
 #include <vector>
 
 #include "ibismux/quarantine/quarantine_record.h"
@@ -69,7 +70,9 @@
   /// @name Changes to be written
   /// @{
   /// Called when there is one more.
-  void on_dirty(std::function<void()> notify) { this->notify = notify; }
+  void on_dirty(std::function<void()> notify) {
+    this->notify = std::move(notify);
+  }
   [[nodiscard]] std::vector<Change> changes() const;
   /// `change` stands in the store, as `version`; 0: removed.
   void written(const Change& change, store::Version version);
--- a/ibismux/quarantine/request_digest.h
+++ b/ibismux/quarantine/request_digest.h
@@ -1,11 +1,11 @@
 #ifndef IBISMUX_QUARANTINE_REQUEST_DIGEST_H_
 #define IBISMUX_QUARANTINE_REQUEST_DIGEST_H_
 
-#include <compare>
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 
 namespace ibismux::quarantine {
 
@@ -35,7 +35,11 @@
   /// 32 hexadecimal digits. Thread safe.
   [[nodiscard]] std::string text() const;
 
-  [[nodiscard]] auto operator<=>(const RequestDigest&) const noexcept = default;
+  [[nodiscard]] bool operator==(const RequestDigest&) const noexcept = default;
+  /// An order for maps.
+  [[nodiscard]] bool operator<(const RequestDigest& other) const noexcept {
+    return std::tie(this->high, this->low) < std::tie(other.high, other.low);
+  }
 
  private:
   std::uint64_t high = 0;
