An outcome whose claim the bucket's owner has not seen is looked up

Callers of ibismuxd saw: a reservation that had run could be told as unknown later. Change: the head is read again where memory is older than the outcome. Why it works: a claim is committed before its outcome is submitted, so a head read after that has it.

--- a/ibismux/reservation/bucket_writer.cc
+++ b/ibismux/reservation/bucket_writer.cc
@@ -91,21 +91,22 @@
     return std::nullopt;
   }
   if (this->must_load) {
-    return Step{Step::Kind::kLoadHead, this->head_name, {}, 0};
+    return this->load_head(now);
   }
   if (!this->to_load.empty()) {
     return Step{Step::Kind::kLoadSegment, this->to_load.back().name, {}, 0};
   }
   if (this->candidate) {  // Its segment has just been written.
-    return this->put_head();
+    return this->put_head(now);
   }
   this->candidate = this->decide(wall);
   if (!this->candidate->bucket.changed()) {
     auto verdicts = std::move(this->candidate->verdicts);
     this->candidate.reset();
-    if (now > after(this->loaded_at, this->settings.fresh)) {
+    if (now > after(this->loaded_at, this->settings.fresh) ||
+        this->misses_outcome(verdicts)) {
       this->must_load = true;
-      return Step{Step::Kind::kLoadHead, this->head_name, {}, 0};
+      return this->load_head(now);
     }
     this->complete_first(std::move(verdicts));
     return std::nullopt;
@@ -113,7 +114,26 @@
   if (this->candidate->bucket.bytes() > this->settings.most_head_bytes) {
     return this->put_segment(salt);
   }
-  return this->put_head();
+  return this->put_head(now);
+}
+
+/// Whether memory is older than an outcome whose claim it lacks. The claim was
+/// committed before: the head has it.
+bool BucketWriter::misses_outcome(const std::vector<Verdict>& verdicts) const {
+  for (std::size_t i = 0; i < verdicts.size(); ++i) {
+    const Queued& queued = this->queue[i];
+    if (queued.operation.kind == OperationKind::kRecord &&
+        verdicts[i].kind != VerdictKind::kApplied &&
+        this->known_as_of < queued.since) {
+      return true;
+    }
+  }
+  return false;
+}
+
+BucketWriter::Step BucketWriter::load_head(TimePoint now) {
+  this->step_began = now;
+  return Step{Step::Kind::kLoadHead, this->head_name, {}, 0};
 }
 
 BucketWriter::Candidate BucketWriter::decide(std::chrono::seconds wall) const {
@@ -145,7 +165,8 @@
               encode_segment(this->segment->records), 0};
 }
 
-BucketWriter::Step BucketWriter::put_head() const {
+BucketWriter::Step BucketWriter::put_head(TimePoint now) {
+  this->step_began = now;
   return Step{Step::Kind::kPutHead, this->head_name,
               this->candidate->bucket.encode(), this->version};
 }
@@ -172,6 +193,7 @@
   this->bucket = std::move(*read);
   this->version = head ? head->version : 0;
   this->loaded_at = now;
+  this->known_as_of = this->step_began;
   this->must_load = false;
   this->settle_segment();
   this->archive.keep_only(this->bucket.segments());
@@ -254,6 +276,7 @@
   this->bucket.mark_written();
   this->version = *version;
   this->loaded_at = now;
+  this->known_as_of = this->step_began;
   if (this->segment) {
     this->archive.add(this->segment->ref, this->segment->version,
                       std::move(this->segment->records));
--- a/ibismux/reservation/bucket_writer.h
+++ b/ibismux/reservation/bucket_writer.h
@@ -109,7 +109,9 @@
   [[nodiscard]] TimePoint due_at() const;
   [[nodiscard]] Candidate decide(std::chrono::seconds wall) const;
   [[nodiscard]] Step put_segment(std::uint64_t salt);
-  [[nodiscard]] Step put_head() const;
+  [[nodiscard]] Step load_head(TimePoint now);
+  [[nodiscard]] Step put_head(TimePoint now);
+  [[nodiscard]] bool misses_outcome(const std::vector<Verdict>& verdicts) const;
   [[nodiscard]] std::optional<Step> remove_garbage();
 
   const std::string head_name;
@@ -121,6 +123,9 @@
   std::vector<SegmentRef> to_load;
   bool must_load = true;
   TimePoint loaded_at = TimePoint::min();  ///< When `bucket` was the newest.
+  /// `bucket` holds all that was committed before this.
+  TimePoint known_as_of = TimePoint::min();
+  TimePoint step_began = TimePoint::min();  ///< Of the head, the last one.
 
   std::deque<Queued> queue;
   std::uint64_t next_ticket = 1;
--- a/tests/reservation/bucket_writer_test.cc
+++ b/tests/reservation/bucket_writer_test.cc
@@ -134,6 +134,28 @@
   cr_assert(rig.verdicts.size() == 17);
 }
 
+// Guards against an outcome dropped by an owner that has not seen its claim.
+Test(bucket_writer, an_outcome_whose_claim_memory_lacks_is_looked_up) {
+  Rig rig;
+  (void)rig.writer.submit(claim(2, 2), kStart, kStart + seconds(1));
+  rig.go(kStart);
+  Rig rival;
+  rival.objects = rig.objects;
+  rival.newest = rig.newest;
+  (void)rival.writer.submit(claim(1, 1), kStart, kStart + seconds(1));
+  rival.go(kStart);
+  rig.objects = rival.objects;
+  rig.newest = rival.newest;
+  const TimePoint soon = kStart + milliseconds(50);
+  const auto recorded = rig.writer.submit(outcome(1, 1, RecordState::kRun),
+                                          soon, soon + seconds(1));
+  // A claim of a key that is taken is due at once, and changes nothing.
+  const auto refused = rig.writer.submit(claim(2, 3), soon, soon + seconds(1));
+  rig.go(soon);
+  cr_assert(rig.verdicts.at(recorded)->kind == VerdictKind::kApplied);
+  cr_assert(rig.verdicts.at(refused)->kind == VerdictKind::kExists);
+}
+
 Test(bucket_writer, a_few_claims_after_a_quiet_time_do_not_wait) {
   Rig rig;
   TimePoint now = kStart;
