Quarantine: fewer writes while many leafs end, no evidence lost to a removal

Callers would have seen nothing yet: the pause before suspects are written was cut by each further suspect, so that a service whose leafs end together cost a write for each request under way, and all daemons wrote again at once what a restored store had lost. Only a quarantine cuts it now, and what was cleared meanwhile isn't written. A leaf that ended while the request's object was being removed was forgotten with it; it is kept and written. Two tests, which fail without.

--- a/ibismux/quarantine/quarantine_table.cc
+++ b/ibismux/quarantine/quarantine_table.cc
@@ -92,18 +92,31 @@
   this->mark_dirty(found->second);
 }
 
+QuarantineTable::Change QuarantineTable::change_of(
+    const Rows::value_type& entry) {
+  const auto& [digest, row] = entry;
+  return {digest, row.cleared ? std::nullopt : std::optional(row.record),
+          row.stored, row.lost};
+}
+
 std::vector<QuarantineTable::Change> QuarantineTable::changes() const {
   std::vector<Change> changes;
-  for (const auto& [digest, row] : this->rows) {
-    if (row.dirty) {
-      changes.push_back({digest,
-                         row.cleared ? std::nullopt : std::optional(row.record),
-                         row.stored, row.lost});
+  for (const auto& entry : this->rows) {
+    if (entry.second.dirty) {
+      changes.push_back(change_of(entry));
     }
   }
   return changes;
 }
 
+std::optional<QuarantineTable::Change> QuarantineTable::change(
+    const RequestDigest& digest) const {
+  const auto found = this->rows.find(digest);
+  return found != this->rows.end() && found->second.dirty
+             ? std::optional(change_of(*found))
+             : std::nullopt;
+}
+
 void QuarantineTable::written(const Change& change, store::Version version) {
   const auto found = this->rows.find(change.digest);
   if (found == this->rows.end()) {
@@ -112,7 +125,7 @@
   Row& row = found->second;
   row.stored = version;
   row.lost = false;
-  if (version == 0) {
+  if (version == 0 && row.cleared) {
     this->rows.erase(found);
   } else if (!row.cleared && row.record == change.record) {
     row.dirty = false;
--- a/ibismux/quarantine/quarantine_table.h
+++ b/ibismux/quarantine/quarantine_table.h
@@ -74,6 +74,8 @@
     this->notify = std::move(notify);
   }
   [[nodiscard]] std::vector<Change> changes() const;
+  /// The one of `digest`, if there is any.
+  [[nodiscard]] std::optional<Change> change(const RequestDigest& digest) const;
   /// `change` stands in the store, as `version`; 0: removed.
   void written(const Change& change, store::Version version);
   /// @}
@@ -94,6 +96,8 @@
   };
   using Rows = std::map<RequestDigest, Row>;
 
+  [[nodiscard]] static Change change_of(const Rows::value_type& entry);
+
   Row& row(const RequestDigest& digest, UnixTime now);
   void mark_dirty(Row& row);
   void make_room(UnixTime now);
--- a/ibismux/quarantine/quarantine_writer.cc
+++ b/ibismux/quarantine/quarantine_writer.cc
@@ -69,14 +69,11 @@
 Task<void> QuarantineWriter::run(std::shared_ptr<QuarantineWriter> self) {
   constexpr std::chrono::hours kUntilWoken{24};
   for (;;) {
-    const auto changes = self->table.changes();
-    if (changes.empty()) {
+    if (self->table.changes().empty()) {
       co_await pause(self, kUntilWoken);
       continue;
     }
-    if (std::none_of(changes.begin(), changes.end(), &is_urgent)) {
-      co_await pause(self, self->patience(changes));
-    }
+    co_await await_due(self);
     const bool done = co_await write_all(self);
     if (!done) {
       const double part =
@@ -86,6 +83,19 @@
   }
 }
 
+Task<void> QuarantineWriter::await_due(std::shared_ptr<QuarantineWriter> self) {
+  const TimePoint due = Clock::now() + self->patience(self->table.changes());
+  for (;;) {
+    const auto changes = self->table.changes();
+    const TimePoint now = Clock::now();
+    if (now >= due || std::any_of(changes.begin(), changes.end(), &is_urgent)) {
+      co_return;
+    }
+    // Each further change ends the pause.
+    co_await pause(self, due - now);
+  }
+}
+
 Duration QuarantineWriter::patience(const std::vector<Change>& changes) {
   const bool only_lost =
       std::all_of(changes.begin(), changes.end(),
@@ -101,8 +111,13 @@
 Task<bool> QuarantineWriter::write_all(std::shared_ptr<QuarantineWriter> self) {
   auto changes = self->table.changes();
   std::stable_partition(changes.begin(), changes.end(), &is_held);
-  for (const Change& change : changes) {
-    const bool done = co_await write(self, change);
+  for (const Change& known : changes) {
+    // It may have been cleared while others were written.
+    const auto change = self->table.change(known.digest);
+    if (!change) {
+      continue;
+    }
+    const bool done = co_await write(self, *change);
     if (!done) {
       co_return false;
     }
--- a/ibismux/quarantine/quarantine_writer.h
+++ b/ibismux/quarantine/quarantine_writer.h
@@ -45,6 +45,9 @@
   [[nodiscard]] static Task<void> run(std::shared_ptr<QuarantineWriter> self);
   [[nodiscard]] static Task<void> pause(std::shared_ptr<QuarantineWriter> self,
                                         Duration time);
+  /// Waits until the changes are to be written.
+  [[nodiscard]] static Task<void> await_due(
+      std::shared_ptr<QuarantineWriter> self);
   /// How long changes that aren't urgent may wait.
   [[nodiscard]] Duration patience(const std::vector<Change>& changes);
   /// Writes all changes. @return False where the store doesn't take them now.
--- a/tests/quarantine/quarantine_table_test.cc
+++ b/tests/quarantine/quarantine_table_test.cc
@@ -79,6 +79,20 @@
   cr_assert(table.size() == 0);
 }
 
+// Guards against a leaf that ends while the request's object is removed.
+Test(quarantine_table, what_was_learned_during_a_removal_is_written_next) {
+  QuarantineTable table;
+  table.on_crash(digest_of(1), "a", kNow);
+  table.written(table.changes()[0], 7);
+  table.on_answer(digest_of(1));
+  const auto removal = table.changes();
+  table.on_crash(digest_of(1), "b", kNow);
+  table.written(removal[0], 0);
+  const auto changes = table.changes();
+  cr_assert(changes.size() == 1 && changes[0].stored == 0);
+  cr_assert(changes[0].record->leaf_runs == std::vector<std::string>{"b"});
+}
+
 // Guards against an old answer that lifts what others have seen since.
 Test(quarantine_table, newer_evidence_outlives_an_answer) {
   QuarantineTable table;
--- a/tests/quarantine/quarantine_writer_test.cc
+++ b/tests/quarantine/quarantine_writer_test.cc
@@ -106,5 +106,26 @@
   cr_assert(daemons.stored().leaf_runs.empty());
 }
 
+// Guards against many leafs that end together, with a write for each request
+// that was under way there and is answered by another leaf a moment later.
+Test(quarantine_writer, requests_that_are_soon_cleared_are_not_written) {
+  Daemons daemons;
+  const std::size_t before = daemons.store.writes();
+  for (int i = 0; i < 50; ++i) {
+    const RequestDigest other({"GET", "a.example", std::to_string(i), ""});
+    daemons.tables[0].on_crash(other, "a", daemons.now);
+    daemons.loop.restart();
+    daemons.loop.run_one_for(std::chrono::milliseconds(1));
+  }
+  for (int i = 0; i < 50; ++i) {
+    daemons.tables[0].on_answer(
+        RequestDigest({"GET", "a.example", std::to_string(i), ""}));
+  }
+  daemons.crash(1, "b");
+  cr_assert(
+      daemons.run_until([&] { return daemons.tables[1].changes().empty(); }));
+  cr_assert(daemons.store.writes() == before + 1);
+}
+
 }  // namespace
 }  // namespace ibismux::quarantine
