store: one exchange with the platform in a class of its own, its era read once

StoreExchange holds connections, budget, health and the newest era, and gives each answer with its era; HttpObjectStore asks and reads.

--- a/ibismux/store/forward.h
+++ b/ibismux/store/forward.h
@@ -10,6 +10,7 @@
 struct HealthSettings;
 struct HostEntry;
 struct PlatformSettings;
+struct StoreAnswer;
 struct StoredObject;
 struct WatchBatch;
 class CallBudget;
@@ -19,6 +20,7 @@
 class PlatformHealth;
 class SettledWriter;
 class StoreDialect;
+class StoreExchange;
 class WriteSettlement;
 
 }  // namespace ibismux::store
--- a/ibismux/store/http_object_store.cc
+++ b/ibismux/store/http_object_store.cc
@@ -1,242 +1,61 @@
 #include "ibismux/store/http_object_store.h"
 
-#include <algorithm>
-#include <atomic>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/post.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <iterator>
-#include <pcg_random.hpp>
-#include <random>
 #include <utility>
 
-#include "ibismux/base/io_pool.h"
-#include "ibismux/http/client_pool.h"
-#include "ibismux/http/message.h"
-#include "ibismux/store/call_budget.h"
-#include "ibismux/store/call_metrics.h"
-#include "ibismux/store/call_outcome.h"
+#include "ibismux/store/store_exchange.h"
 #include "ibismux/store/wire.h"
 
 namespace ibismux::store {
 
 namespace {
 
-namespace asio = boost::asio;
-
 constexpr int kGoneStatus = 410;
 
-Error not_sent(std::string message, Duration wait) {
-  const auto most = std::chrono::duration_cast<Duration>(std::chrono::hours(1));
-  return {ErrorKind::kPlatformUnavailable, std::move(message),
-          Execution::kNotRun,
-          std::chrono::ceil<std::chrono::milliseconds>(std::min(wait, most))};
+/// Makes the revisions of an answer versions.
+void set_era(std::uint64_t era, StoredObject& object) noexcept {
+  object.version = make_version(era, object.version);
 }
 
 }  // namespace
 
-class HttpObjectStore::Impl {
- public:
-  Impl(IoPool& pool,
-       PlatformSettings settings,
-       std::unique_ptr<const StoreDialect> dialect,
-       prometheus::Registry& registry,
-       std::uint64_t seed)
-      : loop(pool.at(0)),
-        settings(std::move(settings)),
-        dialect(std::move(dialect)),
-        client(this->settings.address,
-               this->settings.port,
-               this->settings.idle_connections,
-               {.silence_limit = this->settings.silence_limit}),
-        budget(share_of(this->settings.budget, this->settings.members),
-               Clock::now()),
-        health(this->settings.health),
-        metrics(registry),
-        random(seed) {}
-
-  /// One exchange on the store's loop.
-  /// @return A response with status 200 or 410, or what went wrong.
-  static Task<Result<http::Response>> call(std::shared_ptr<Impl> self,
-                                           CallKind kind,
-                                           http::Request request,
-                                           TimePoint deadline) {
-    const auto executor = self->loop.get_executor();
-    auto running = exchange(self, kind, std::move(request), deadline);
-    auto response = co_await asio::co_spawn(executor, std::move(running),
-                                            asio::use_awaitable);
-    co_return response;
-  }
-
-  /// A call that isn't a watch, within the longest time for one.
-  static Task<Result<http::Response>> timed_call(std::shared_ptr<Impl> self,
-                                                 CallKind kind,
-                                                 http::Request request,
-                                                 TimePoint deadline) {
-    const TimePoint latest = Clock::now() + self->settings.call_timeout;
-    return call(std::move(self), kind, std::move(request),
-                std::min(deadline, latest));
-  }
+/// What a call needs that may outlive the store.
+struct HttpObjectStore::Impl {
+  using Self = std::shared_ptr<const Impl>;
+  /// How a part of a listing is asked for.
+  using PartRequest = http::Request (StoreDialect::*)(std::string_view,
+                                                      std::string_view) const;
 
   /// Sends a `request` for one object, and reads the answer.
-  static Task<Result<StoredObject>> read_object(std::shared_ptr<Impl> self,
+  static Task<Result<StoredObject>> read_object(Self self,
                                                 std::string collection,
                                                 std::string name,
                                                 http::Request request,
-                                                TimePoint deadline) {
-    auto response = co_await timed_call(self, CallKind::kRead,
-                                        std::move(request), deadline);
-    if (!response) {
-      co_return tl::unexpected(std::move(response.error()));
-    }
-    auto object = self->dialect->read_object(collection, name, *response);
-    if (object) {
-      object->version = make_version(self->era(*response), object->version);
-    }
-    co_return object;
-  }
-
-  /// How a part of a listing is asked for.
-  using PartRequest = http::Request (StoreDialect::*)(std::string_view,
-                                                      std::string_view) const;
-
-  /// The era of an answer that was taken.
-  [[nodiscard]] std::uint64_t era(const http::Response& response) const {
-    return this->dialect->read_era(response).value_or(0);
-  }
-
-  /// Whether the store was restored since it gave out `version`, as far as is
-  /// known.
-  [[nodiscard]] bool is_of_earlier_era(Version version) const noexcept {
-    return version != 0 &&
-           era_of(version) < this->newest_era.load(std::memory_order_relaxed);
-  }
-
-  /// Sends a write on the condition that the object is at `expected`.
-  static Task<Result<http::Response>> conditional_write(
-      std::shared_ptr<Impl> self,
-      http::Request request,
-      Version expected,
-      TimePoint deadline);
-
+                                                TimePoint deadline);
   /// Reads a listing part by part.
-  static Task<Result<Listing>> read_listing(std::shared_ptr<Impl> self,
+  static Task<Result<Listing>> read_listing(Self self,
                                             std::string collection,
                                             PartRequest part,
                                             TimePoint deadline);
+  /// Sends a write on the condition that the object is at `expected`.
+  static Task<Result<StoreAnswer>> conditional_write(Self self,
+                                                     http::Request request,
+                                                     Version expected,
+                                                     TimePoint deadline);
 
-  void set_members(std::size_t members) {
-    this->budget.set_rates(share_of(this->settings.budget, members),
-                           Clock::now());
-  }
-
-  asio::io_context& loop;
-  const PlatformSettings settings;
-  const std::unique_ptr<const StoreDialect> dialect;
-  std::atomic<PlatformState> state{PlatformState::kUp};
-  std::atomic<std::uint64_t> newest_era{0};
-
- private:
-  static Task<Result<http::Response>> exchange(std::shared_ptr<Impl> self,
-                                               CallKind kind,
-                                               http::Request request,
-                                               TimePoint deadline) {
-    const TimePoint begin = Clock::now();
-    auto admitted = self->admit(kind, begin);
-    if (!admitted) {
-      co_return tl::unexpected(std::move(admitted.error()));
-    }
-    self->count_waiting(kind, 1);
-    auto response = co_await self->client.send(std::move(request), deadline);
-    self->count_waiting(kind, -1);
-    const TimePoint now = Clock::now();
-    auto outcome = response
-                       ? outcome_of(*response, self->dialect->conflict_status())
-                       : outcome_of(response.error(), now - begin,
-                                    self->settings.health.slow_after);
-    if (response) {
-      self->note_era(*response, outcome);
-    }
-    self->conclude(kind, outcome, begin, now);
-    if (outcome.result != CallResult::kOk) {
-      co_return tl::unexpected(std::move(outcome.error));
-    }
-    co_return response;
-  }
-
-  /// An answer whose era can't be read is none.
-  void note_era(const http::Response& response, CallOutcome& outcome) {
-    auto era = this->dialect->read_era(response);
-    if (era) {
-      this->newest_era = std::max(this->newest_era.load(), *era);
-    } else if (outcome.result == CallResult::kOk) {
-      outcome.result = CallResult::kMalformed;
-      outcome.error = std::move(era.error());
-    }
-  }
-
-  Result<void> admit(CallKind kind, TimePoint now) {
-    if (!this->health.admit(now, this->jitter())) {
-      this->metrics.count(kind, CallResult::kBackedOff, {});
-      return tl::unexpected(
-          not_sent("platform is down", this->health.retry_after(now)));
-    }
-    if (!this->budget.take(kind, now)) {
-      this->metrics.count(kind, CallResult::kOverBudget, {});
-      return tl::unexpected(not_sent("budget of platform calls is spent",
-                                     this->budget.until_next(kind, now)));
-    }
-    return {};
-  }
-
-  void conclude(CallKind kind,
-                const CallOutcome& outcome,
-                TimePoint begin,
-                TimePoint now) {
-    if (outcome.health == CallOutcome::Health::kGood) {
-      this->health.succeeded();
-    } else if (outcome.health == CallOutcome::Health::kBad) {
-      this->health.failed(now, this->jitter());
-    }
-    if (outcome.result == CallResult::kRateLimited) {
-      this->budget.rate_limited(kind, now);
-    } else if (outcome.health == CallOutcome::Health::kGood) {
-      this->budget.taken(kind, now);
-    }
-    this->state.store(this->health.state(), std::memory_order_relaxed);
-    this->metrics.set_state(this->health.state());
-    this->metrics.count(kind, outcome.result, now - begin);
-  }
-
-  // Not the business of a destructor: a coroutine that is destroyed with its
-  // event loop may outlive the metrics' registry.
-  void count_waiting(CallKind kind, int change) {
-    if (kind == CallKind::kWatch) {
-      this->metrics.add_waiting(change);
-    }
-  }
-
-  double jitter() {
-    return std::uniform_real_distribution<double>(0, 1)(this->random);
-  }
-
-  http::ClientPool client;
-  CallBudget budget;
-  PlatformHealth health;
-  CallMetrics metrics;
-  pcg32 random;
+  const std::shared_ptr<const StoreDialect> dialect;
+  const std::shared_ptr<StoreExchange> calls;
 };
 
 HttpObjectStore::HttpObjectStore(IoPool& pool,
                                  PlatformSettings settings,
                                  std::unique_ptr<const StoreDialect> dialect,
                                  prometheus::Registry& registry,
-                                 std::uint64_t seed)
-    : impl(std::make_shared<Impl>(pool,
-                                  std::move(settings),
-                                  std::move(dialect),
-                                  registry,
-                                  seed)) {}
+                                 std::uint64_t seed) {
+  const std::shared_ptr<const StoreDialect> shared = std::move(dialect);
+  this->impl = std::make_shared<const Impl>(
+      Impl{shared, std::make_shared<StoreExchange>(pool, std::move(settings),
+                                                   shared, registry, seed)});
+}
 
 HttpObjectStore::~HttpObjectStore() = default;
 
@@ -248,6 +67,32 @@
                            std::move(request), deadline);
 }
 
+Task<Result<StoredObject>> HttpObjectStore::stale_get(std::string collection,
+                                                      std::string name,
+                                                      TimePoint deadline) {
+  auto request = this->impl->dialect->stale_get(collection, name);
+  return Impl::read_object(this->impl, std::move(collection), std::move(name),
+                           std::move(request), deadline);
+}
+
+Task<Result<StoredObject>> HttpObjectStore::Impl::read_object(
+    Self self,
+    std::string collection,
+    std::string name,
+    http::Request request,
+    TimePoint deadline) {
+  const auto answer = co_await StoreExchange::timed_call(
+      self->calls, CallKind::kRead, std::move(request), deadline);
+  if (!answer) {
+    co_return tl::unexpected(answer.error());
+  }
+  auto object = self->dialect->read_object(collection, name, answer->response);
+  if (object) {
+    set_era(answer->era, *object);
+  }
+  co_return object;
+}
+
 Task<Result<Listing>> HttpObjectStore::list(std::string collection,
                                             TimePoint deadline) {
   return Impl::read_listing(this->impl, std::move(collection),
@@ -261,7 +106,7 @@
 }
 
 Task<Result<Listing>> HttpObjectStore::Impl::read_listing(
-    std::shared_ptr<Impl> self,
+    Self self,
     std::string collection,
     PartRequest part,
     TimePoint deadline) {
@@ -269,31 +114,28 @@
   std::string after;
   for (;;) {
     auto request = ((*self->dialect).*part)(collection, after);
-    auto response = co_await timed_call(self, CallKind::kRead,
-                                        std::move(request), deadline);
-    if (!response) {
-      co_return tl::unexpected(std::move(response.error()));
+    const auto answer = co_await StoreExchange::timed_call(
+        self->calls, CallKind::kRead, std::move(request), deadline);
+    if (!answer) {
+      co_return tl::unexpected(answer.error());
     }
-    auto page = self->dialect->read_listing(collection, *response);
+    auto page = self->dialect->read_listing(collection, answer->response);
     if (!page) {
       co_return tl::unexpected(std::move(page.error()));
     }
-    const std::uint64_t era = self->era(*response);
-    page->listing.version = make_version(era, page->listing.version);
-    for (StoredObject& object : page->listing.objects) {
-      object.version = make_version(era, object.version);
-    }
-    if (!after.empty() && era != era_of(whole.version)) {
+    if (!after.empty() && answer->era != era_of(whole.version)) {
       co_return fail(ErrorKind::kPlatformUnavailable,
                      "restored while it was listed");
     }
     // The whole is as old as its first part: a watch from there on repeats
     // what changed while the other parts were read, and misses nothing.
     if (after.empty()) {
-      whole.version = page->listing.version;
+      whole.version = make_version(answer->era, page->listing.version);
+    }
+    for (StoredObject& object : page->listing.objects) {
+      set_era(answer->era, object);
+      whole.objects.push_back(std::move(object));
     }
-    std::move(page->listing.objects.begin(), page->listing.objects.end(),
-              std::back_inserter(whole.objects));
     if (!page->next_after) {
       co_return whole;
     }
@@ -304,27 +146,6 @@
   }
 }
 
-Task<Result<http::Response>> HttpObjectStore::Impl::conditional_write(
-    std::shared_ptr<Impl> self,
-    http::Request request,
-    Version expected,
-    TimePoint deadline) {
-  if (self->is_of_earlier_era(expected)) {
-    co_return tl::unexpected(Error{ErrorKind::kConflict,
-                                   "the store was restored since",
-                                   Execution::kNotRun});
-  }
-  auto response =
-      co_await timed_call(self, CallKind::kWrite, std::move(request), deadline);
-  if (response && expected != 0 && self->era(*response) != era_of(expected)) {
-    // The condition named a revision of the former era, which may be another
-    // write's now.
-    co_return fail(ErrorKind::kPlatformUnavailable,
-                   "restored since the object was read");
-  }
-  co_return response;
-}
-
 Task<Result<WatchBatch>> HttpObjectStore::watch(
     std::string collection,
     Version since,
@@ -337,30 +158,27 @@
   WatchBatch gone;
   gone.version = since;
   gone.compacted = true;
-  if (this->impl->is_of_earlier_era(since)) {
+  if (this->impl->calls->is_of_earlier_era(since)) {
     co_return gone;
   }
   auto request =
       this->impl->dialect->watch(collection, revision_of(since), wait);
-  const TimePoint deadline =
-      Clock::now() + wait + this->impl->settings.watch_grace;
-  auto response = co_await Impl::call(this->impl, CallKind::kWatch,
-                                      std::move(request), deadline);
-  if (!response) {
-    co_return tl::unexpected(std::move(response.error()));
+  const auto answer = co_await StoreExchange::watch(this->impl->calls,
+                                                    std::move(request), wait);
+  if (!answer) {
+    co_return tl::unexpected(answer.error());
   }
   // A store that was restored takes a watch up once it has given out the
   // revision again, and tells nothing of what it holds instead of the lost.
-  const std::uint64_t era = this->impl->era(*response);
-  if (response->status == kGoneStatus || era != era_of(since)) {
+  if (answer->response.status == kGoneStatus || answer->era != era_of(since)) {
     co_return gone;
   }
   auto batch = this->impl->dialect->read_watch(collection, revision_of(since),
-                                               *response);
+                                               answer->response);
   if (batch) {
-    batch->version = make_version(era, batch->version);
+    batch->version = make_version(answer->era, batch->version);
     for (WatchBatch::Event& event : batch->events) {
-      event.object.version = make_version(era, event.object.version);
+      set_era(answer->era, event.object);
     }
   }
   co_return batch;
@@ -372,20 +190,33 @@
   if (!request) {
     co_return fail(ErrorKind::kNotFound, "this API has no list of hosts");
   }
-  auto response = co_await Impl::timed_call(this->impl, CallKind::kRead,
-                                            *std::move(request), deadline);
-  if (!response) {
-    co_return tl::unexpected(std::move(response.error()));
+  const auto answer = co_await StoreExchange::timed_call(
+      this->impl->calls, CallKind::kRead, *std::move(request), deadline);
+  if (!answer) {
+    co_return tl::unexpected(answer.error());
   }
-  co_return this->impl->dialect->read_hosts(*response);
+  co_return this->impl->dialect->read_hosts(answer->response);
 }
 
-Task<Result<StoredObject>> HttpObjectStore::stale_get(std::string collection,
-                                                      std::string name,
-                                                      TimePoint deadline) {
-  auto request = this->impl->dialect->stale_get(collection, name);
-  return Impl::read_object(this->impl, std::move(collection), std::move(name),
-                           std::move(request), deadline);
+Task<Result<StoreAnswer>> HttpObjectStore::Impl::conditional_write(
+    Self self,
+    http::Request request,
+    Version expected,
+    TimePoint deadline) {
+  if (self->calls->is_of_earlier_era(expected)) {
+    co_return tl::unexpected(Error{ErrorKind::kConflict,
+                                   "the store was restored since",
+                                   Execution::kNotRun});
+  }
+  auto answer = co_await StoreExchange::timed_call(
+      self->calls, CallKind::kWrite, std::move(request), deadline);
+  if (answer && expected != 0 && answer->era != era_of(expected)) {
+    // The condition named a revision of the former era, which may be another
+    // write's now.
+    co_return fail(ErrorKind::kPlatformUnavailable,
+                   "restored since the object was read");
+  }
+  co_return answer;
 }
 
 Task<Result<Version>> HttpObjectStore::put(std::string collection,
@@ -401,16 +232,17 @@
   }
   auto request = this->impl->dialect->put(collection, name, std::move(value),
                                           revision_of(expected));
-  auto response = co_await Impl::conditional_write(
+  const auto answer = co_await Impl::conditional_write(
       this->impl, std::move(request), expected, deadline);
-  if (!response) {
-    co_return tl::unexpected(std::move(response.error()));
+  if (!answer) {
+    co_return tl::unexpected(answer.error());
   }
-  auto version = this->impl->dialect->read_written(*response);
-  if (version) {
-    *version = make_version(this->impl->era(*response), *version);
+  const auto revision = this->impl->dialect->read_written(answer->response);
+  if (!revision) {
+    co_return tl::unexpected(revision.error());
   }
-  if (version && *version <= expected) {
+  const Version version = make_version(answer->era, *revision);
+  if (version <= expected) {
     // It says done, but as a version that can't be: the writer reads back.
     co_return fail(ErrorKind::kProtocolError, "version went back: " + name);
   }
@@ -423,21 +255,20 @@
                                            TimePoint deadline) {
   auto request =
       this->impl->dialect->remove(collection, name, revision_of(expected));
-  auto response = co_await Impl::conditional_write(
+  const auto answer = co_await Impl::conditional_write(
       this->impl, std::move(request), expected, deadline);
-  if (!response) {
-    co_return tl::unexpected(std::move(response.error()));
+  if (!answer) {
+    co_return tl::unexpected(answer.error());
   }
   co_return Result<void>();
 }
 
 PlatformState HttpObjectStore::state() const noexcept {
-  return this->impl->state.load(std::memory_order_relaxed);
+  return this->impl->calls->state();
 }
 
 void HttpObjectStore::set_members(std::size_t members) {
-  asio::post(this->impl->loop,
-             [impl = this->impl, members] { impl->set_members(members); });
+  StoreExchange::set_members(this->impl->calls, members);
 }
 
 }  // namespace ibismux::store
--- a/ibismux/store/http_object_store.h
+++ b/ibismux/store/http_object_store.h
@@ -79,8 +79,8 @@
   void set_members(std::size_t members);
 
  private:
-  class Impl;
-  std::shared_ptr<Impl> impl;
+  struct Impl;
+  std::shared_ptr<const Impl> impl;
 };
 
 }  // namespace ibismux::store
