--- a/ibismux/base/ids.cc
+++ b/ibismux/base/ids.cc
@@ -1,16 +1,11 @@
 #include "ibismux/base/ids.h"
 
-#include <array>
-#include <cstdio>
+#include "ibismux/base/hex.h"
 
 namespace ibismux {
 
 std::string to_string(const CallId& id) {
-  std::array<char, 33> digits{};
-  std::snprintf(digits.data(), digits.size(), "%016lx%016lx",
-                static_cast<unsigned long>(id.origin),
-                static_cast<unsigned long>(id.sequence));
-  return std::string(digits.data(), 32);
+  return hex_digits(id.origin, id.sequence);
 }
 
 }  // namespace ibismux
--- a/ibismux/base/time.h
+++ b/ibismux/base/time.h
@@ -7,7 +7,8 @@
 namespace ibismux {
 
 /// The clock of every deadline and timer. Wall-clock time appears only in what
-/// a person reads (logs, the audit trail) and in claim retention.
+/// a person reads (logs, the audit trail), in claim retention and in how long
+/// requests are quarantined.
 using Clock = std::chrono::steady_clock;
 using TimePoint = Clock::time_point;
 using Duration = Clock::duration;
--- a/ibismux/base/unix_time.h
+++ b/ibismux/base/unix_time.h
@@ -1,12 +1,12 @@
-#ifndef IBISMUX_QUARANTINE_UNIX_TIME_H_
-#define IBISMUX_QUARANTINE_UNIX_TIME_H_
+#ifndef IBISMUX_BASE_UNIX_TIME_H_
+#define IBISMUX_BASE_UNIX_TIME_H_
 
 #include <chrono>
 
-namespace ibismux::quarantine {
+namespace ibismux {
 
-/// Since the Unix epoch, by the host's clock. Quarantines last for hours: that
-/// clocks of hosts differ by seconds doesn't matter.
+/// Since the Unix epoch, by the host's clock: for what outlives a run of the
+/// daemon. Clocks of hosts differ by seconds, and may be set.
 using UnixTime = std::chrono::milliseconds;
 
 /// Thread safe.
@@ -15,6 +15,6 @@
       std::chrono::system_clock::now().time_since_epoch());
 }
 
-}  // namespace ibismux::quarantine
+}  // namespace ibismux
 
-#endif  // IBISMUX_QUARANTINE_UNIX_TIME_H_
+#endif  // IBISMUX_BASE_UNIX_TIME_H_
--- a/ibismux/edge/quarantine_feed.cc
+++ b/ibismux/edge/quarantine_feed.cc
@@ -40,7 +40,7 @@
         .with("reason", digest ? record.error().message : "not a digest");
     return;
   }
-  this->table.take(*digest, *record, object.version, quarantine::unix_now());
+  this->table.take(*digest, *record, object.version, unix_now());
 }
 
 }  // namespace ibismux::edge
--- a/ibismux/eventlog/event_log.cc
+++ b/ibismux/eventlog/event_log.cc
@@ -11,6 +11,8 @@
 #include <ctime>
 #include <utility>
 
+#include "ibismux/base/unix_time.h"
+
 namespace ibismux::eventlog {
 
 namespace {
@@ -23,10 +25,7 @@
 
 /// "2026-01-31T23:59:59.123Z"
 std::string wall_time() {
-  using std::chrono::system_clock;
-  const auto now = system_clock::now().time_since_epoch();
-  const auto millis =
-      std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+  const auto millis = unix_now().count();
   const std::time_t seconds = millis / 1000;
   std::tm parts{};
   gmtime_r(&seconds, &parts);
--- a/ibismux/membership/membership_service.cc
+++ b/ibismux/membership/membership_service.cc
@@ -9,6 +9,7 @@
 #include <random>
 #include <utility>
 
+#include "ibismux/base/unix_time.h"
 #include "ibismux/membership/membership_service_impl.h"
 #include "ibismux/peer/peer_endpoint.h"
 #include "ibismux/peer/peer_network.h"
@@ -25,9 +26,7 @@
 
 std::uint64_t wall_seconds() {
   return static_cast<std::uint64_t>(
-      std::chrono::duration_cast<std::chrono::seconds>(
-          std::chrono::system_clock::now().time_since_epoch())
-          .count());
+      std::chrono::duration_cast<std::chrono::seconds>(unix_now()).count());
 }
 
 std::vector<Contact> contacts_of(const std::vector<store::HostEntry>& hosts) {
--- a/ibismux/quarantine/quarantine_record.cc
+++ b/ibismux/quarantine/quarantine_record.cc
@@ -3,11 +3,12 @@
 #include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value_to.hpp>
 #include <stdexcept>
 
+#include "ibismux/store/object_value.h"
+
 namespace ibismux::quarantine {
 
 namespace {
@@ -92,12 +93,7 @@
 }
 
 Result<QuarantineRecord> decode_quarantine_record(std::string_view value) {
-  try {
-    return record_of(json::parse(value).as_object());
-  } catch (const std::exception& error) {
-    return fail(ErrorKind::kProtocolError,
-                std::string("malformed quarantine record: ") + error.what());
-  }
+  return store::decode_value(value, "quarantine record", &record_of);
 }
 
 }  // namespace ibismux::quarantine
--- a/ibismux/quarantine/quarantine_record.h
+++ b/ibismux/quarantine/quarantine_record.h
@@ -7,7 +7,7 @@
 #include <vector>
 
 #include "ibismux/base/error.h"
-#include "ibismux/quarantine/unix_time.h"
+#include "ibismux/base/unix_time.h"
 
 namespace ibismux::quarantine {
 
--- a/ibismux/quarantine/request_digest.cc
+++ b/ibismux/quarantine/request_digest.cc
@@ -5,7 +5,8 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <cstdio>
+
+#include "ibismux/base/hex.h"
 
 namespace ibismux::quarantine {
 
@@ -49,11 +50,7 @@
 }
 
 std::string RequestDigest::text() const {
-  std::array<char, kDigits + 1> digits{};
-  std::snprintf(digits.data(), digits.size(), "%016llx%016llx",
-                static_cast<unsigned long long>(this->high),
-                static_cast<unsigned long long>(this->low));
-  return {digits.data(), kDigits};
+  return hex_digits(this->high, this->low);
 }
 
 }  // namespace ibismux::quarantine
--- a/ibismux/release/chunk_ref.cc
+++ b/ibismux/release/chunk_ref.cc
@@ -3,9 +3,10 @@
 #include <xxhash.h>
 
 #include <charconv>
-#include <cstdio>
 #include <string_view>
 
+#include "ibismux/base/hex.h"
+
 namespace ibismux::release {
 namespace {
 
@@ -51,11 +52,7 @@
 
 std::string content_hash(const std::string& bytes) {
   const XXH128_hash_t hash = XXH3_128bits(bytes.data(), bytes.size());
-  char digits[33];
-  std::snprintf(digits, sizeof(digits), "%016llx%016llx",
-                static_cast<unsigned long long>(hash.high64),
-                static_cast<unsigned long long>(hash.low64));
-  return digits;
+  return hex_digits(hash.high64, hash.low64);
 }
 
 }  // namespace ibismux::release
--- a/ibismux/reservation/bucket_keeper.cc
+++ b/ibismux/reservation/bucket_keeper.cc
@@ -7,6 +7,7 @@
 #include <optional>
 #include <utility>
 
+#include "ibismux/base/unix_time.h"
 #include "ibismux/reservation/random_source.h"
 #include "ibismux/reservation/reservation_metrics.h"
 #include "ibismux/store/object_store.h"
@@ -22,8 +23,7 @@
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
 std::chrono::seconds wall_seconds() {
-  return std::chrono::duration_cast<std::chrono::seconds>(
-      std::chrono::system_clock::now().time_since_epoch());
+  return std::chrono::duration_cast<std::chrono::seconds>(unix_now());
 }
 
 CommitOutcome outcome_of(const Result<store::Version>& version) {
--- a/ibismux/store/host_entry.cc
+++ b/ibismux/store/host_entry.cc
@@ -1,12 +1,13 @@
 #include "ibismux/store/host_entry.h"
 
 #include <boost/json/object.hpp>
-#include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
 #include <boost/json/value.hpp>
 #include <boost/json/value_to.hpp>
 #include <utility>
 
+#include "ibismux/store/object_value.h"
+
 namespace ibismux::store {
 
 namespace {
@@ -43,12 +44,7 @@
 }
 
 Result<HostEntry> decode_host_entry(std::string_view value) {
-  try {
-    return entry_of(json::parse(value).as_object());
-  } catch (const std::exception& error) {
-    return fail(ErrorKind::kProtocolError,
-                std::string("malformed host entry: ") + error.what());
-  }
+  return decode_value(value, "host entry", &entry_of);
 }
 
 }  // namespace ibismux::store
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -18,6 +18,7 @@
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/http/cancel_token.h"
 #include "tests/dispatch/fake_leafs.h"
+#include "tests/support/run_until.h"
 
 namespace ibismux::dispatch::testing {
 
@@ -130,12 +131,7 @@
   }
 
   bool run_until(const std::function<bool()>& reached) {
-    const TimePoint end = Clock::now() + kLimit;
-    while (!reached() && Clock::now() < end) {
-      this->loop.restart();
-      this->loop.run_one_for(std::chrono::milliseconds(20));
-    }
-    return reached();
+    return ibismux::testing::run_until(this->loop, reached);
   }
 
   /// Runs one request to its end.
--- a/tests/feed/collection_feed_test.cc
+++ b/tests/feed/collection_feed_test.cc
@@ -2,6 +2,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "tests/support/memory_object_store.h"
+#include "tests/support/run_until.h"
 
 #include "ibismux/feed/collection_feed.h"
 
@@ -146,11 +147,7 @@
   }
 
   bool run_until(const std::function<bool()>& reached) {
-    const TimePoint end = Clock::now() + kLimit;
-    while (!reached() && Clock::now() < end) {
-      this->loop.run_one_for(std::chrono::milliseconds(50));
-    }
-    return reached();
+    return ibismux::testing::run_until(this->loop, reached);
   }
 
   std::map<std::string, store::Version> versions;
--- a/tests/feed/feed_relay_test.cc
+++ b/tests/feed/feed_relay_test.cc
@@ -7,6 +7,7 @@
 
 #include "tests/support/fake_peer_network.h"
 #include "tests/support/memory_object_store.h"
+#include "tests/support/run_until.h"
 
 #include "ibismux/feed/feed_relay.h"
 
@@ -25,7 +26,6 @@
 
 using ibismux::testing::MemoryObjectStore;
 
-constexpr std::chrono::seconds kLimit{20};
 // Longer than any test takes: nobody reads the store for want of patience.
 constexpr std::chrono::minutes kPatience{10};
 constexpr int kHosts = 12;
@@ -123,11 +123,7 @@
   }
 
   bool run_until(const std::function<bool()>& reached) {
-    const TimePoint end = Clock::now() + kLimit;
-    while (!reached() && Clock::now() < end) {
-      this->loop.run_one_for(std::chrono::milliseconds(50));
-    }
-    return reached();
+    return ibismux::testing::run_until(this->loop, reached);
   }
 
   [[nodiscard]] bool all_know() const {
@@ -213,11 +209,7 @@
                           [](std::exception_ptr, Result<store::Version>) {});
   };
   const auto run_until = [&](const std::function<bool()>& reached) {
-    const TimePoint end = Clock::now() + kLimit;
-    while (!reached() && Clock::now() < end) {
-      loop.run_one_for(std::chrono::milliseconds(50));
-    }
-    return reached();
+    return ibismux::testing::run_until(loop, reached);
   };
   put("servers", "i-1");
   relay->start(Duration::zero());
--- a/tests/gather/gather_exchange_test.cc
+++ b/tests/gather/gather_exchange_test.cc
@@ -11,6 +11,7 @@
 #include "ibismux/gather/gather_host.h"
 #include "ibismux/http/cancel_token.h"
 #include "tests/support/fake_peer_network.h"
+#include "tests/support/run_until.h"
 
 #include <criterion/criterion.h>
 
@@ -20,8 +21,6 @@
 using std::chrono::milliseconds;
 using Delegated = dispatch::QueryDelegate::Delegated;
 
-constexpr std::chrono::seconds kLimit{20};
-
 /// Answers when told to; remembers what it was asked and what was given up.
 class ManualGatherer : public dispatch::QueryGatherer {
  public:
@@ -87,12 +86,7 @@
   }
 
   bool run_until(const std::function<bool()>& reached) {
-    const TimePoint end = Clock::now() + kLimit;
-    while (!reached() && Clock::now() < end) {
-      this->loop.restart();
-      this->loop.run_one_for(milliseconds(20));
-    }
-    return reached();
+    return ibismux::testing::run_until(this->loop, reached);
   }
 
   std::shared_ptr<http::CancelToken> begin(const std::string& id,
--- a/tests/quarantine/quarantine_writer_test.cc
+++ b/tests/quarantine/quarantine_writer_test.cc
@@ -3,6 +3,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include "tests/support/memory_object_store.h"
+#include "tests/support/run_until.h"
 
 #include "ibismux/quarantine/quarantine_writer.h"
 
@@ -29,12 +30,7 @@
   }
 
   bool run_until(const std::function<bool()>& reached) {
-    const TimePoint end = Clock::now() + kLimit;
-    while (!reached() && Clock::now() < end) {
-      this->loop.restart();
-      this->loop.run_one_for(std::chrono::milliseconds(20));
-    }
-    return reached();
+    return ibismux::testing::run_until(this->loop, reached);
   }
 
   /// What the store holds of the request.
