dispatch: a leaf's links are opened in one place; no clock is read where nothing is quarantined

Opening an idle link and taking a leaf for down stood three and four times in Leaf: open_idle, note_down. The refusal of a quarantined request asked the table what its CrashWatch tells. A log line told a version as a bare number (store_listing_older); it is ERA.REVISION as in the others. Nothing else changes.

--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -133,9 +133,6 @@
   void share_links(const ServiceGroup& group);
   [[nodiscard]] Duration report_half_life();
 
-  /// Why a request must reach no leaf, if so.
-  [[nodiscard]] std::optional<Error> quarantine_error(
-      const quarantine::RequestDigest& digest) const;
   /// What is known of a request at its arrival, or why it is refused.
   [[nodiscard]] Result<Context> admit(CallerRequest request);
   [[nodiscard]] bool may_delegate(const RequestContext& context) const;
--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -60,20 +60,6 @@
   return tl::unexpected(std::move(error));
 }
 
-std::optional<Error> Dispatcher::quarantine_error(
-    const quarantine::RequestDigest& digest) const {
-  const quarantine::UnixTime now = quarantine::unix_now();
-  if (this->quarantined.standing(digest, now) !=
-      quarantine::Standing::kQuarantined) {
-    return std::nullopt;
-  }
-  Error error =
-      make_error(ErrorKind::kQuarantined,
-                 "each leaf that ran " + digest.text() + " has ended");
-  error.retry_after = this->quarantined.held_until(digest) - now;
-  return error;
-}
-
 Result<Dispatcher::Context> Dispatcher::admit(CallerRequest request) {
   if (!this->in_force) {
     Error error = make_error(ErrorKind::kNotReady, "no configuration yet");
@@ -96,11 +82,15 @@
     return this->refuse(request, std::move(error), &route);
   }
   context->digest = digest_of(request);
-  if (auto error = this->quarantine_error(context->digest)) {
-    return this->refuse(request, *std::move(error), &route);
-  }
   context->crashes = std::make_shared<quarantine::CrashWatch>(
-      this->quarantined, context->digest, &quarantine::unix_now);
+      this->quarantined, context->digest, &unix_now);
+  if (context->crashes->is_hopeless()) {
+    Error error = make_error(
+        ErrorKind::kQuarantined,
+        "each leaf that ran " + context->digest.text() + " has ended");
+    error.retry_after = context->crashes->held_for();
+    return this->refuse(request, std::move(error), &route);
+  }
   if (!route.allowed_regions.empty()) {
     context->allowed_zones =
         zones_in(this->settings.zone_regions, route.allowed_regions);
--- a/ibismux/dispatch/leaf.cc
+++ b/ibismux/dispatch/leaf.cc
@@ -8,6 +8,7 @@
 
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/http/await_timer.h"
+#include "ibismux/quarantine/crash_watch.h"
 
 namespace ibismux::dispatch {
 
@@ -154,28 +155,31 @@
   self->links.give_back(std::move(link), true);
   const bool is_lost = !end.reply && sent && !order.active->given_up &&
                        end.reply.error().kind == ErrorKind::kLeafUnavailable;
-  if (is_lost && order.asks_for_cause()) {
+  if (is_lost && order.crashes && order.crashes->asks_for_cause()) {
     const bool ended = co_await has_ended(self);
     end.leaf_ended = ended;
   }
   co_return end;
 }
 
+Task<Result<void>> Leaf::open_idle(std::shared_ptr<Leaf> self, Duration time) {
+  auto dialled = co_await self->links.dial(self->known, Clock::now() + time);
+  if (!dialled) {
+    co_return tl::unexpected(std::move(dialled.error()));
+  }
+  self->links.give_back(std::move(dialled->link), false);
+  co_return Result<void>();
+}
+
 Task<bool> Leaf::has_ended(std::shared_ptr<Leaf> self) {
   if (self->run_ended) {
     co_return true;
   }
-  auto dialled =
-      co_await self->links.dial(self->known, Clock::now() + kCauseTime);
-  if (dialled) {
-    self->links.give_back(std::move(dialled->link), false);
-    co_return false;
-  }
-  if (dialled.error().kind != ErrorKind::kLeafUnavailable) {
+  const auto opened = co_await open_idle(self, kCauseTime);
+  if (opened || opened.error().kind != ErrorKind::kLeafUnavailable) {
     co_return false;
   }
-  self->was_down = true;
-  self->eject("ended under a call: " + dialled.error().message);
+  self->note_down("ended under a call: " + opened.error().message);
   co_return true;
 }
 
@@ -188,24 +192,25 @@
       !dialled && dialled.error().kind == ErrorKind::kDeadlineExceeded &&
       deadline < latest;
   if (!dialled && !in_a_hurry) {
-    self->was_down = true;
-    self->eject("dial: " + dialled.error().message);
+    self->note_down("dial: " + dialled.error().message);
   }
   co_return dialled;
 }
 
 Task<void> Leaf::open_ahead(std::shared_ptr<Leaf> self) {
-  auto dialled =
-      co_await self->links.dial(self->known, Clock::now() + kDialTime);
-  if (!dialled) {
-    self->was_down = true;
-    self->eject("dial ahead: " + dialled.error().message);
+  const auto opened = co_await open_idle(self, kDialTime);
+  if (!opened) {
+    self->note_down("dial ahead: " + opened.error().message);
     co_return;
   }
-  self->links.give_back(std::move(dialled->link), false);
   self->on_free();
 }
 
+void Leaf::note_down(std::string_view reason) {
+  this->was_down = true;
+  this->eject(reason);
+}
+
 void Leaf::judge(const CallEnd& end,
                  LeafEstimate::Ticket ticket,
                  const Order& order,
@@ -330,10 +335,8 @@
     if (self->retired) {
       break;
     }
-    auto dialled =
-        co_await self->links.dial(self->known, Clock::now() + kDialTime);
-    if (dialled) {
-      self->links.give_back(std::move(dialled->link), false);
+    const auto opened = co_await open_idle(self, kDialTime);
+    if (opened) {
       self->come_back();
       break;
     }
--- a/ibismux/dispatch/leaf.h
+++ b/ibismux/dispatch/leaf.h
@@ -21,6 +21,7 @@
 #include "ibismux/dispatch/link_pool.h"
 #include "ibismux/eventlog/forward.h"
 #include "ibismux/http/socket.h"
+#include "ibismux/quarantine/forward.h"
 
 namespace ibismux::dispatch {
 
@@ -63,8 +64,9 @@
     /// The leaf was found unresponsive while the call waits. Called at most
     /// once.
     std::function<void()> on_unresponsive;
-    /// Whether a lost call should tell if the leaf has ended.
-    std::function<bool()> asks_for_cause = [] { return false; };
+    /// Tells whether a lost call should find out if the leaf has ended; null:
+    /// no.
+    std::shared_ptr<const quarantine::CrashWatch> crashes;
     std::function<void(CallEnd)> on_end;
   };
 
@@ -171,6 +173,9 @@
       std::shared_ptr<Leaf> self,
       TimePoint deadline);
   [[nodiscard]] static Task<void> probe(std::shared_ptr<Leaf> self);
+  /// Opens a link, and keeps it.
+  [[nodiscard]] static Task<Result<void>> open_idle(std::shared_ptr<Leaf> self,
+                                                    Duration time);
   /// After a connection was lost: whether the leaf's process has ended.
   [[nodiscard]] static Task<bool> has_ended(std::shared_ptr<Leaf> self);
 
@@ -185,6 +190,8 @@
                   const Order& order,
                   TimePoint now);
   void note_connection_limit(TimePoint now);
+  /// No connection can be made. @param reason For the log.
+  void note_down(std::string_view reason);
   void tell_free() { this->on_free(); }
   void eject(std::string_view reason);
   void come_back();
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -179,10 +179,7 @@
                self->repeat(RepeatCause::kUnresponsive);
              }
            },
-       .asks_for_cause =
-           [context = this->context] {
-             return context->crashes->asks_for_cause();
-           },
+       .crashes = this->context->crashes,
        .on_end = [self = this->shared_from_this(), active](
                      CallEnd end) { self->on_end(active, std::move(end)); }});
 }
--- a/ibismux/feed/collection_feed.cc
+++ b/ibismux/feed/collection_feed.cc
@@ -138,7 +138,7 @@
   if (listing->version < self->known.version()) {
     self->log.event(eventlog::Weight::kBelief, "store_listing_older")
         .with("collection", self->known.name())
-        .with("version", self->known.version())
+        .with("version", store::version_text(self->known.version()))
         .with("listed", store::version_text(listing->version));
   }
   self->take(update_of(self->known.name(), *std::move(listing)));
--- a/ibismux/http/client_connection.cc
+++ b/ibismux/http/client_connection.cc
@@ -26,17 +26,6 @@
 // A body up to this size is copied behind the head and goes out as one buffer.
 constexpr std::size_t kMostCopiedBody = 16 * 1024;
 
-/// Whether this host lacks what a connection takes: that says nothing of the
-/// server.
-bool is_own_fault(const ErrorCode& error) noexcept {
-  return error == asio::error::no_descriptors ||
-         error == asio::error::no_memory ||
-         error == asio::error::no_buffer_space ||
-         error == asio::error::network_down ||
-         error == asio::error::network_unreachable ||
-         error == boost::system::errc::address_not_available;
-}
-
 }  // namespace
 
 ClientConnection::Impl::Impl(std::string address,
--- a/ibismux/quarantine/crash_watch.cc
+++ b/ibismux/quarantine/crash_watch.cc
@@ -12,7 +12,10 @@
     : table(table), digest(digest), clock(std::move(clock)) {}
 
 Standing CrashWatch::standing() const {
-  return this->table.standing(this->digest, this->clock());
+  // Mostly nothing is held against any request: no call reads the clock then.
+  return this->table.size() == 0
+             ? Standing::kClear
+             : this->table.standing(this->digest, this->clock());
 }
 
 std::chrono::milliseconds CrashWatch::held_for() const {
