--- a/tests/dispatch/crashing_request_test.cc
+++ b/tests/dispatch/crashing_request_test.cc
@@ -39,8 +39,7 @@
   cr_assert(attempts_that_reach_leafs(fixture, "/page/bad", 8) <= kMostRetries);
 }
 
-// Guards against a caller that waits for the end of a hopeless request, or is
-// told to come back before it may run.
+// Guards against a caller that waits in vain, or is told to return too soon.
 Test(crashing_request, the_refusal_comes_at_once_with_the_time_to_return) {
   DispatchFixture fixture;
   attempts_that_reach_leafs(fixture, "/query/bad", 3);
--- a/tests/feed/collection_feed_test.cc
+++ b/tests/feed/collection_feed_test.cc
@@ -270,8 +270,7 @@
   cr_assert(fixture.observer.objects["main"] == "9");
 }
 
-// Guards against a store that is called without pause, as it has no history for
-// a watch.
+// Guards against a store without history that is called without pause.
 Test(collection_feed, a_history_that_is_gone_again_and_again_costs_few_calls) {
   Fixture fixture;
   fixture.store.forgets = true;
--- a/tests/feed/collection_mirror_test.cc
+++ b/tests/feed/collection_mirror_test.cc
@@ -68,8 +68,7 @@
   return store::make_version(1, revision);
 }
 
-// Guards against a configuration that is passed over, as the store's revisions
-// went back.
+// Guards against a configuration passed over, as the store's revisions fell.
 Test(collection_mirror, a_restored_store_is_newer_whatever_its_revision) {
   CollectionMirror mirror("leafs");
   take(mirror, whole(87, {event("a", 80)}));
@@ -103,8 +102,7 @@
   cr_assert(mirror.settle().empty());
 }
 
-// Guards against an object of the former era that stays for ever, where it
-// came from a peer that had not dropped it yet.
+// Guards against a peer's object of the former era that stays for ever.
 Test(collection_mirror, what_a_peer_still_holds_settles_too) {
   CollectionMirror mirror("leafs");
   take(mirror, whole(restored(84), {event("a", 80)}));
--- a/tests/quarantine/crash_watch_test.cc
+++ b/tests/quarantine/crash_watch_test.cc
@@ -20,8 +20,7 @@
   RequestDigest digest{{"GET", "a.example", "/bad", ""}};
 };
 
-// Guards against a query whose first calls end a leaf of each shard, and whose
-// next ones end the replicas.
+// Guards against a query that ends a leaf of each shard, then all replicas.
 Test(crash_watch, after_a_leaf_has_ended_one_call_at_a_time_begins) {
   Attempts attempts;
   CrashWatch watch = attempts.begin();
--- a/tests/quarantine/quarantine_writer_test.cc
+++ b/tests/quarantine/quarantine_writer_test.cc
@@ -33,6 +33,12 @@
     return ibismux::testing::run_until(this->loop, reached);
   }
 
+  /// Waits until the store holds all that a daemon has learned.
+  bool all_written(std::size_t table) {
+    return this->run_until(
+        [this, table] { return this->tables[table].changes().empty(); });
+  }
+
   /// What the store holds of the request.
   QuarantineRecord stored() {
     std::optional<QuarantineRecord> record;
@@ -77,8 +83,7 @@
   Daemons daemons;
   daemons.store.lose_answers(1);
   daemons.crash(0, "a");
-  cr_assert(
-      daemons.run_until([&] { return daemons.tables[0].changes().empty(); }));
+  cr_assert(daemons.all_written(0));
   cr_assert(daemons.stored().leaf_runs == std::vector<std::string>{"a"});
 }
 
@@ -87,23 +92,20 @@
   daemons.crash(0, "a");
   daemons.tables[0].on_answer(daemons.digest);
   daemons.crash(1, "b");
-  cr_assert(
-      daemons.run_until([&] { return daemons.tables[1].changes().empty(); }));
+  cr_assert(daemons.all_written(1));
   cr_assert(daemons.stored().leaf_runs == std::vector<std::string>{"b"});
 }
 
 Test(quarantine_writer, a_cleared_request_is_removed) {
   Daemons daemons;
   daemons.crash(0, "a");
-  cr_assert(
-      daemons.run_until([&] { return daemons.tables[0].changes().empty(); }));
+  cr_assert(daemons.all_written(0));
   daemons.tables[0].on_answer(daemons.digest);
   cr_assert(daemons.run_until([&] { return daemons.tables[0].size() == 0; }));
   cr_assert(daemons.stored().leaf_runs.empty());
 }
 
-// Guards against many leafs that end together, with a write for each request
-// that was under way there and is answered by another leaf a moment later.
+// Guards against a write for each request whose leaf ended and another answers.
 Test(quarantine_writer, requests_that_are_soon_cleared_are_not_written) {
   Daemons daemons;
   const std::size_t before = daemons.store.writes();
@@ -118,8 +120,7 @@
         RequestDigest({"GET", "a.example", std::to_string(i), ""}));
   }
   daemons.crash(1, "b");
-  cr_assert(
-      daemons.run_until([&] { return daemons.tables[1].changes().empty(); }));
+  cr_assert(daemons.all_written(1));
   cr_assert(daemons.store.writes() == before + 1);
 }
 
--- a/tests/store/restored_store_test.cc
+++ b/tests/store/restored_store_test.cc
@@ -86,8 +86,7 @@
   cr_assert(refused.error().execution == Execution::kNotRun);
 }
 
-// Guards against a watch that is taken up by a store that was restored, and
-// tells nothing of what changed before.
+// Guards against a watch that a restored store takes up without the changes.
 Test(restored_store, a_watch_of_the_former_era_is_gone) {
   Fixture fixture;
   const Version before = fixture.put("a", 0).value();
--- a/tests/users_platform/crashing_request_test.cc
+++ b/tests/users_platform/crashing_request_test.cc
@@ -12,14 +12,6 @@
 // Attempts of callers that may reach leafs once three leafs have ended.
 constexpr int kMostRetries = 3;
 
-void let_requests_end_leafs(EdgeSite& site, const std::string& target) {
-  for (const char* service : {"s1", "s2", "s3", "desk"}) {
-    site.fake("PUT", "leafs",
-              std::string(R"({"service":")") + service + R"(","crash_on":")" +
-                  target + "\"}");
-  }
-}
-
 /// Waits until all daemons have answers of all shards again.
 bool wait_for_leafs(EdgeSite& site) {
   static int number = 0;
@@ -64,10 +56,8 @@
 
 struct CrashSite : EdgeSite {
   CrashSite() : EdgeSite(kDaemons) {
-    for (std::size_t i = 0; i < kDaemons; ++i) {
-      cr_assert(this->wait_until_ready(i));
-    }
-    let_requests_end_leafs(*this, "/query/bad");
+    cr_assert(this->wait_until_all_ready());
+    this->let_requests_end_leafs("/query/bad");
   }
 };
 
--- a/tests/users_platform/edge_process_test.cc
+++ b/tests/users_platform/edge_process_test.cc
@@ -57,12 +57,7 @@
   cr_assert(site.wait_until_ready());
   site.fake("PUT", "config", "{\"Version\":\"odd\"}");
   cr_assert(site.call("q1", "/query/1").value().status == 200);
-  site.fake("PUT", "config",
-            R"({"Version":9,"Routes":[{"Name":"new","Host":"search.example",)"
-            R"("PathPrefix":"/new/","Type":"idempotent","TimeoutMs":1000,)"
-            R"("TargetLatencyMs":200,"Service":"desk"}],"Services":[],)"
-            R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,)"
-            R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})");
+  site.fake("PUT", "config", configuration(9, desk_route("new")));
   int number = 0;
   cr_assert(wait_until([&] {
     return site.call("n" + std::to_string(++number), "/new/1").value().status ==
@@ -93,17 +88,11 @@
   EdgeSite site;
   cr_assert(site.wait_until_ready());
   const auto route = [](const std::string& name, const std::string& region) {
-    return R"({"Name":")" + name +
-           R"(","Host":"search.example","PathPrefix":"/)" + name +
-           R"(/","Type":"idempotent","TimeoutMs":1000,"TargetLatencyMs":200,)" +
-           R"("Service":"desk","AllowedRegions":[")" + region + R"("]})";
+    return desk_route(name, R"(,"AllowedRegions":[")" + region + R"("])");
   };
-  site.fake("PUT", "config",
-            R"({"Version":9,"Routes":[)" + route("south", "south") + "," +
-                route("west", "west") +
-                R"(],"Services":[],"Limits":{"MaxHeaderBytes":16384,)"
-                R"("MaxBodyBytes":262144,"HeaderTimeoutMs":3000,)"
-                R"("IdleTimeoutMs":15000}})");
+  site.fake(
+      "PUT", "config",
+      configuration(9, route("south", "south") + "," + route("west", "west")));
   int number = 0;
   const auto call = [&](const std::string& path) {
     return site.call("n" + std::to_string(++number), path).value();
@@ -220,9 +209,7 @@
 
 Test(edge_process, daemons_find_each_other_in_the_store_and_all_serve) {
   EdgeSite site(3);
-  for (std::size_t i = 0; i < 3; ++i) {
-    cr_assert(site.wait_until_ready(i));
-  }
+  cr_assert(site.wait_until_all_ready());
   // All three have met: each reckons with three daemons or more.
   const auto met = [&](std::size_t i) {
     return site.metrics(i).find("ibismux_peer_connections 0") ==
--- a/tests/users_platform/edge_site.h
+++ b/tests/users_platform/edge_site.h
@@ -16,6 +16,24 @@
 
 namespace ibismux::testing {
 
+/// A route `/NAME/` to the service "desk". @param more Further members.
+inline std::string desk_route(const std::string& name,
+                              const std::string& more = {}) {
+  return R"({"Name":")" + name +
+         R"(","Host":"search.example","PathPrefix":"/)" + name +
+         R"(/","Type":"idempotent","TimeoutMs":1000,"TargetLatencyMs":200,)" +
+         R"("Service":"desk")" + more + "}";
+}
+
+/// A configuration with `routes`, separated by commas.
+inline std::string configuration(int version, const std::string& routes) {
+  return R"({"Version":)" + std::to_string(version) + R"(,"Routes":[)" +
+         routes +
+         R"(],"Services":[],"Limits":{"MaxHeaderBytes":16384,)"
+         R"("MaxBodyBytes":262144,"HeaderTimeoutMs":3000,)"
+         R"("IdleTimeoutMs":15000}})";
+}
+
 /// The stand-ins for the users' platform and some edge daemons, as processes.
 /// Every wait is on a state that a process reports. Not thread safe.
 class EdgeSite {
@@ -59,6 +77,24 @@
     return wait_until([this, i] { return this->ready(i).status == 200; });
   }
 
+  bool wait_until_all_ready() {
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+      if (!this->wait_until_ready(i)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /// From here on a request of `target` ends each leaf that runs it.
+  void let_requests_end_leafs(const std::string& target) {
+    for (const char* service : {"s1", "s2", "s3", "desk"}) {
+      this->fake("PUT", "leafs",
+                 std::string(R"({"service":")") + service +
+                     R"(","crash_on":")" + target + "\"}");
+    }
+  }
+
   Result<http::Response> call(const std::string& id,
                               const std::string& path,
                               const std::string& method = "GET",
--- a/tests/users_platform/restored_store_test.cc
+++ b/tests/users_platform/restored_store_test.cc
@@ -12,21 +12,9 @@
 
 constexpr std::size_t kDaemons = 3;
 
-std::string configuration(int version, const std::string& name) {
-  return R"({"Version":)" + std::to_string(version) +
-         R"(,"Routes":[{"Name":")" + name +
-         R"(","Host":"search.example","PathPrefix":"/)" + name +
-         R"(/","Type":"idempotent","TimeoutMs":1000,"TargetLatencyMs":200,)"
-         R"("Service":"desk"}],"Services":[],)"
-         R"("Limits":{"MaxHeaderBytes":16384,"MaxBodyBytes":262144,)"
-         R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}})";
-}
-
 struct RestoredSite : EdgeSite {
   RestoredSite() : EdgeSite(kDaemons) {
-    for (std::size_t i = 0; i < kDaemons; ++i) {
-      cr_assert(this->wait_until_ready(i));
-    }
+    cr_assert(this->wait_until_all_ready());
   }
 
   int status(std::size_t daemon, const std::string& path) {
@@ -53,17 +41,16 @@
   int number = 0;
 };
 
-// Guards against configurations that are passed over, as the store's revisions
-// are below those that a daemon has seen.
+// Guards against configurations passed over as the store's revisions went back.
 Test(restored_store, configurations_are_in_force_again) {
   RestoredSite site;
   site.fake("POST", "save");
-  site.fake("PUT", "config", configuration(5, "five"));
+  site.fake("PUT", "config", configuration(5, desk_route("five")));
   cr_assert(site.served("/five/1"));
-  site.fake("PUT", "config", configuration(6, "six"));
+  site.fake("PUT", "config", configuration(6, desk_route("six")));
   cr_assert(site.served("/six/1"));
   site.fake("POST", "restore");
-  site.fake("PUT", "config", configuration(8, "eight"));
+  site.fake("PUT", "config", configuration(8, desk_route("eight")));
   cr_assert(site.served("/eight/1"));
   for (std::size_t i = 0; i < kDaemons; ++i) {
     cr_assert(site.status(i, "/six/1") == 404);
@@ -117,11 +104,7 @@
 Test(restored_store, a_quarantine_is_written_again) {
   RestoredSite site;
   site.fake("POST", "save");
-  for (const char* service : {"s1", "s2", "s3"}) {
-    site.fake("PUT", "leafs",
-              std::string(R"({"service":")") + service +
-                  R"(","crash_on":"/query/bad"})");
-  }
+  site.let_requests_end_leafs("/query/bad");
   const auto is_refused = [&](std::size_t daemon) {
     return wait_until([&] { return site.status(daemon, "/query/bad") == 503; });
   };
