--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -19,6 +19,7 @@
 pkg_check_modules(THRIFT REQUIRED IMPORTED_TARGET thrift)
 pkg_check_modules(CRITERION REQUIRED IMPORTED_TARGET criterion)
 pkg_check_modules(URCU REQUIRED IMPORTED_TARGET liburcu-bp)
+pkg_check_modules(SODIUM REQUIRED IMPORTED_TARGET libsodium)
 pkg_check_modules(XXHASH REQUIRED IMPORTED_TARGET libxxhash)
 find_package(prometheus-cpp CONFIG REQUIRED)
 
--- a/ibismux/base/error.cc
+++ b/ibismux/base/error.cc
@@ -28,6 +28,7 @@
     {ErrorKind::kProtocolError, "protocol_error", 502, Execution::kUnknown},
     {ErrorKind::kInternal, "internal", 500, Execution::kUnknown},
     {ErrorKind::kQuarantined, "quarantined", 503, Execution::kNotRun},
+    {ErrorKind::kUnauthorized, "unauthorized", 401, Execution::kNotRun},
 }};
 
 constexpr bool rows_in_order() {
--- a/ibismux/base/error.h
+++ b/ibismux/base/error.h
@@ -32,11 +32,12 @@
   kCancelled,
   kProtocolError,
   kInternal,
-  kQuarantined,  ///< Leafs end under this request.
+  kQuarantined,   ///< Leafs end under this request.
+  kUnauthorized,  ///< No API key, or one that no customer holds.
 };
 
 /// How many kinds there are; the table has exactly as many rows.
-inline constexpr std::size_t kErrorKinds = 19;
+inline constexpr std::size_t kErrorKinds = 20;
 
 /// Whether the work that failed was run. `kNotRun` is a promise: not one byte
 /// of it was executed by a leaf.
--- /dev/null
+++ b/ibismux/customers/forward.h
@@ -0,0 +1,21 @@
+#ifndef IBISMUX_CUSTOMERS_FORWARD_H_
+#define IBISMUX_CUSTOMERS_FORWARD_H_
+
+namespace ibismux::customers {
+
+struct Customer;
+struct RateLimit;
+struct RateReply;
+struct RateRequest;
+struct RateTolerance;
+class CustomerTable;
+class OwnerSelector;
+class RateAdmission;
+class RateLimiter;
+class RateOwner;
+class TokenBucket;
+class UngrantedAllowance;
+
+}  // namespace ibismux::customers
+
+#endif  // IBISMUX_CUSTOMERS_FORWARD_H_
--- /dev/null
+++ b/ibismux/customers/rate_limiter.cc
@@ -0,0 +1,250 @@
+#include "ibismux/customers/rate_limiter.h"
+
+#include <prometheus/family.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+#include "ibismux/customers/rate_parts.h"
+#include "ibismux/eventlog/event_log.h"
+#include "ibismux/membership/membership_view.h"
+
+namespace ibismux::customers {
+
+namespace {
+
+using peer::MessageKind;
+using std::chrono::milliseconds;
+
+// How long an owner may take to reply before the next one is asked.
+constexpr milliseconds kAskTimeout{25};
+// An owner that did not reply is not asked for this long.
+constexpr milliseconds kUnreachablePause{500};
+// An owner that refused is asked again after this long at the latest: a token
+// that was promised to a caller elsewhere may not have been taken.
+constexpr milliseconds kMaxRefusalPause{100};
+// Retry-After if no owner can be reached. Callers retry at another daemon.
+constexpr milliseconds kNoOwnerRetryAfter{50};
+constexpr milliseconds kMinRetryAfter{20};
+// Above this number of customers, what is known of them is dropped. They then
+// have no ungranted requests until owners have granted some again.
+constexpr std::size_t kMaxStates = 20'000;
+
+prometheus::Family<prometheus::Counter>& requests_family(
+    prometheus::Registry& registry) {
+  return prometheus::BuildCounter()
+      .Name("ibismux_customer_rate_requests_total")
+      .Help("Requests of customers with a limit, by how it was applied.")
+      .Register(registry);
+}
+
+}  // namespace
+
+RateLimiter::RateLimiter(peer::PeerNetwork* network,
+                         Settings settings,
+                         prometheus::Registry& registry,
+                         eventlog::EventLog& log)
+    : network(network),
+      settings(std::move(settings)),
+      log(log),
+      owned(this->settings.tolerance),
+      granted(requests_family(registry).Add({{"result", "granted"}})),
+      ungranted(requests_family(registry).Add({{"result", "ungranted"}})),
+      refused(requests_family(registry).Add({{"result", "refused"}})),
+      undecided(requests_family(registry).Add({{"result", "undecided"}})) {
+  if (!network) {
+    static_cast<void>(this->selector.on_members(
+        {{this->settings.member, this->settings.zone}}, 1, Clock::now()));
+  }
+}
+
+void RateLimiter::start() {
+  if (!this->network) {
+    return;
+  }
+  this->network->on_request(
+      MessageKind::kRateRequest,
+      [weak = this->weak_from_this()](
+          Incarnation from, std::string payload) -> Task<Result<std::string>> {
+        const auto self = weak.lock();
+        if (!self) {
+          co_return fail(ErrorKind::kNotReady, "this daemon ends");
+        }
+        const auto request = decode_rate_request(payload);
+        if (!request) {
+          self->log.event(eventlog::Weight::kBelief, "rate_request_refused")
+              .with("from", from.member)
+              .with("reason", request.error().message);
+          co_return tl::unexpected(request.error());
+        }
+        co_return encode(self->decide(*request));
+      });
+}
+
+void RateLimiter::on_view(const membership::MembershipView& view,
+                          std::size_t fleet_size) {
+  std::vector<OwnerSelector::Candidate> candidates;
+  candidates.reserve(view.members.size());
+  for (const membership::Member& member : view.members) {
+    const bool leaving = member.state == membership::Member::State::kLeaving;
+    if (member.serves() || leaving) {
+      candidates.push_back({member.name, member.zone, leaving});
+    }
+  }
+  const TimePoint now = Clock::now();
+  // Until it has joined, a daemon doesn't know who else there is.
+  const std::size_t known_size =
+      view.joined ? fleet_size : std::max<std::size_t>(fleet_size, 2);
+  if (this->selector.on_members(candidates, known_size, now)) {
+    this->owned.retain([this](const std::string& customer) {
+      return this->selector.is_owner(this->settings.member, customer);
+    });
+  }
+}
+
+RateReply RateLimiter::decide(const RateRequest& request) {
+  if (!this->selector.is_owner(this->settings.member, request.customer)) {
+    return {};
+  }
+  const TimePoint now = Clock::now();
+  const TimePoint since =
+      this->owned.knows(request.customer)
+          ? now
+          : this->selector.owner_since(this->settings.member, request.customer);
+  const RateOwner::Decision decision = this->owned.take(
+      request.customer, request.limit, request.configuration, since, now);
+  return {true, decision.granted, decision.retry_after};
+}
+
+std::optional<RateReply> RateLimiter::decide_own(const RateRequest& request) {
+  // Peers that ask agree that this daemon is an owner.
+  if (!this->owned.knows(request.customer) &&
+      !this->selector.is_settled(Clock::now())) {
+    return std::nullopt;
+  }
+  const RateReply reply = this->decide(request);
+  return reply.is_owner ? std::optional(reply) : std::nullopt;
+}
+
+std::vector<std::string> RateLimiter::owners_in_order(
+    const std::string& customer) {
+  std::vector<std::string> owners = this->selector.owners(customer);
+  std::stable_sort(
+      owners.begin(), owners.end(),
+      [this](const std::string& a, const std::string& b) {
+        const auto distance = [this](const std::string& owner) {
+          const bool is_near =
+              this->selector.zone_of(owner) == this->settings.zone;
+          return owner == this->settings.member ? 0 : is_near ? 1 : 2;
+        };
+        return distance(a) < distance(b);
+      });
+  return owners;
+}
+
+RateLimiter::State& RateLimiter::state(const std::string& customer) {
+  if (this->states.size() >= kMaxStates && !this->states.contains(customer)) {
+    this->states.clear();
+  }
+  return this->states.try_emplace(customer, this->settings.tolerance.window)
+      .first->second;
+}
+
+Task<Result<void>> RateLimiter::admit(Customer customer,
+                                      std::uint64_t configuration,
+                                      TimePoint deadline) {
+  const auto self = this->shared_from_this();
+  const RateRequest request{customer.name, configuration, customer.limit};
+  const RateParts parts(customer.limit, this->settings.tolerance);
+  std::optional<TimePoint> next_fit;
+  const auto note_refusal = [&next_fit](TimePoint until) {
+    next_fit = next_fit ? std::min(*next_fit, until) : until;
+  };
+  bool all_reached = true;
+  const std::vector<std::string> owners = this->owners_in_order(customer.name);
+  for (const std::string& owner : owners) {
+    const TimePoint now = Clock::now();
+    const Refusals& refusals = this->state(customer.name).refused_until;
+    const auto refusal = refusals.find(owner);
+    if (refusal != refusals.end() && refusal->second > now) {
+      note_refusal(refusal->second);
+      continue;
+    }
+    const auto reply = co_await this->ask(owner, request, deadline);
+    if (!reply) {
+      all_reached = false;
+      continue;
+    }
+    State& state = this->state(customer.name);
+    const TimePoint replied = Clock::now();
+    if (reply->granted) {
+      state.ungranted.on_grant(parts.ungranted_share(), replied);
+      this->granted.Increment();
+      co_return Result<void>{};
+    }
+    note_refusal(replied + reply->retry_after);
+    state.refused_until[owner] =
+        replied + std::min<Duration>(reply->retry_after, kMaxRefusalPause);
+  }
+  const TimePoint now = Clock::now();
+  if (owners.empty() || !all_reached) {
+    if (this->state(customer.name).ungranted.take(now)) {
+      this->ungranted.Increment();
+      co_return Result<void>{};
+    }
+  }
+  if (!next_fit) {
+    this->undecided.Increment();
+    Error error = make_error(ErrorKind::kNotReady,
+                             "no owner of the limit can be reached");
+    error.retry_after = kNoOwnerRetryAfter;
+    co_return tl::unexpected(std::move(error));
+  }
+  this->refused.Increment();
+  Error error = make_error(
+      ErrorKind::kRateLimited,
+      "beyond the limit of " + std::to_string(customer.limit.per_second) +
+          " a second and " + std::to_string(customer.limit.burst));
+  error.retry_after = std::max(
+      kMinRetryAfter, std::chrono::ceil<milliseconds>(*next_fit - now));
+  co_return tl::unexpected(std::move(error));
+}
+
+Task<std::optional<RateReply>> RateLimiter::ask(const std::string& owner,
+                                                const RateRequest& request,
+                                                TimePoint deadline) {
+  const TimePoint now = Clock::now();
+  if (owner == this->settings.member) {
+    co_return this->decide_own(request);
+  }
+  const auto pause = this->unreachable_until.find(owner);
+  if (!this->network ||
+      (pause != this->unreachable_until.end() && pause->second > now)) {
+    co_return std::nullopt;
+  }
+  const auto answer = co_await this->network->request(
+      owner, MessageKind::kRateRequest, encode(request),
+      std::min(deadline, now + kAskTimeout));
+  if (!answer) {
+    this->on_unreachable(owner, answer.error().message);
+    co_return std::nullopt;
+  }
+  const auto reply = decode_rate_reply(*answer);
+  if (!reply) {
+    this->on_unreachable(owner, reply.error().message);
+    co_return std::nullopt;
+  }
+  // The views of the two daemons may differ for a moment.
+  co_return reply->is_owner ? std::optional(*reply) : std::nullopt;
+}
+
+void RateLimiter::on_unreachable(const std::string& owner,
+                                 std::string_view reason) {
+  this->unreachable_until[owner] = Clock::now() + kUnreachablePause;
+  this->log.event(eventlog::Weight::kFailure, "rate_owner_unreachable")
+      .with("owner", owner)
+      .with("reason", reason);
+}
+
+}  // namespace ibismux::customers
--- /dev/null
+++ b/ibismux/customers/rate_limiter.h
@@ -0,0 +1,102 @@
+#ifndef IBISMUX_CUSTOMERS_RATE_LIMITER_H_
+#define IBISMUX_CUSTOMERS_RATE_LIMITER_H_
+
+#include <prometheus/counter.h>
+#include <prometheus/registry.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "ibismux/base/ids.h"
+#include "ibismux/customers/customer.h"
+#include "ibismux/customers/messages.h"
+#include "ibismux/customers/owner_selector.h"
+#include "ibismux/customers/rate_admission.h"
+#include "ibismux/customers/rate_owner.h"
+#include "ibismux/customers/ungranted_allowance.h"
+#include "ibismux/eventlog/forward.h"
+#include "ibismux/membership/forward.h"
+#include "ibismux/peer/peer_network.h"
+
+namespace ibismux::customers {
+
+/// Enforces the limits of customers for the whole fleet.
+///
+/// Each limit is owned in equal parts by a few daemons of different zones. For
+/// each request, the daemon that received it asks the owners, the one of its
+/// own zone first, until one grants the request. A daemon that reaches none of
+/// them sends no more than a small share of what it was granted before.
+/// docs/design/customers.md gives the reasons and the bound on the sum.
+///
+/// Belongs to one event loop, which is also the network's; not thread safe.
+class RateLimiter : public RateAdmission,
+                    public std::enable_shared_from_this<RateLimiter> {
+ public:
+  struct Settings {
+    std::string member;
+    std::string zone;
+    RateTolerance tolerance;
+  };
+
+  /// Precondition: the network has not started. All references outlive this
+  /// object. @param network Null if this daemon has no peers.
+  RateLimiter(peer::PeerNetwork* network,
+              Settings settings,
+              prometheus::Registry& registry,
+              eventlog::EventLog& log);
+
+  /// Registers the message handler. Call once, before the network starts.
+  void start();
+
+  /// @param fleet_size The number of daemons, those that can't be reached
+  /// included, as far as it is known.
+  void on_view(const membership::MembershipView& view, std::size_t fleet_size);
+
+  [[nodiscard]] Task<Result<void>> admit(Customer customer,
+                                         std::uint64_t configuration,
+                                         TimePoint deadline) override;
+
+ private:
+  /// What an owner that refused a customer has said.
+  using Refusals = std::map<std::string, TimePoint>;
+
+  /// What this daemon knows of one customer.
+  struct State {
+    explicit State(Duration window) : ungranted(window) {}
+
+    UngrantedAllowance ungranted;
+    Refusals refused_until;  ///< By owner.
+  };
+
+  /// Nothing if `owner` can't be reached.
+  [[nodiscard]] Task<std::optional<RateReply>> ask(const std::string& owner,
+                                                   const RateRequest& request,
+                                                   TimePoint deadline);
+  [[nodiscard]] RateReply decide(const RateRequest& request);
+  /// The same for a request that this daemon has received itself.
+  [[nodiscard]] std::optional<RateReply> decide_own(const RateRequest& request);
+  [[nodiscard]] std::vector<std::string> owners_in_order(
+      const std::string& customer);
+  [[nodiscard]] State& state(const std::string& customer);
+  void on_unreachable(const std::string& owner, std::string_view reason);
+
+  peer::PeerNetwork* network;
+  const Settings settings;
+  eventlog::EventLog& log;
+  OwnerSelector selector;
+  RateOwner owned;
+  std::map<std::string, State> states;                 ///< By customer.
+  std::map<std::string, TimePoint> unreachable_until;  ///< By owner.
+  prometheus::Counter& granted;
+  prometheus::Counter& ungranted;
+  prometheus::Counter& refused;
+  prometheus::Counter& undecided;
+};
+
+}  // namespace ibismux::customers
+
+#endif  // IBISMUX_CUSTOMERS_RATE_LIMITER_H_
--- /dev/null
+++ b/ibismux/customers/rate_owner.h
@@ -0,0 +1,71 @@
+#ifndef IBISMUX_CUSTOMERS_RATE_OWNER_H_
+#define IBISMUX_CUSTOMERS_RATE_OWNER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "ibismux/base/time.h"
+#include "ibismux/customers/rate_limit.h"
+#include "ibismux/customers/token_bucket.h"
+
+namespace ibismux::customers {
+
+/// This daemon's parts of the limits that it owns.
+///
+/// The bucket of a part is empty when this daemon begins to own it, since the
+/// previous owner, or this daemon before a restart, may just have granted all
+/// that the window allows.
+///
+/// Uses no sockets and reads no clock; not thread safe. The times passed in
+/// must not decrease.
+class RateOwner {
+ public:
+  struct Decision {
+    bool granted = false;
+    Duration retry_after{0};  ///< If refused.
+  };
+
+  explicit RateOwner(RateTolerance tolerance) : tolerance(tolerance) {}
+
+  /// Grants one request of `customer` if its bucket allows it. The limit of the
+  /// newest configuration that was passed in for the customer applies.
+  /// @param owned_since Since when this daemon has owned its part of the limit.
+  /// Only read for a customer that is new here.
+  [[nodiscard]] Decision take(const std::string& customer,
+                              const RateLimit& limit,
+                              std::uint64_t configuration,
+                              TimePoint owned_since,
+                              TimePoint now);
+
+  [[nodiscard]] bool knows(const std::string& customer) const {
+    return this->buckets.contains(customer);
+  }
+
+  /// Removes the limits for which `is_owner` is false. If this daemon owns one
+  /// of them again later, another owner may have granted requests meanwhile.
+  void retain(const std::function<bool(const std::string& customer)>& is_owner);
+
+ private:
+  struct Row {
+    std::uint64_t configuration;
+    RateLimit limit;
+    TokenBucket bucket;
+  };
+
+  [[nodiscard]] Row& row(const std::string& customer,
+                         const RateLimit& limit,
+                         std::uint64_t configuration,
+                         TimePoint owned_since,
+                         TimePoint now);
+  void remove_full(TimePoint now);
+
+  const RateTolerance tolerance;
+  std::map<std::string, Row> buckets;
+};
+
+}  // namespace ibismux::customers
+
+#endif  // IBISMUX_CUSTOMERS_RATE_OWNER_H_
--- /dev/null
+++ b/ibismux/customers/token_bucket.cc
@@ -0,0 +1,74 @@
+#include "ibismux/customers/token_bucket.h"
+
+#include <algorithm>
+
+namespace ibismux::customers {
+
+namespace {
+
+using std::chrono::seconds;
+
+// Longest time between two tokens, for rates near zero.
+constexpr Duration kMaxInterval = seconds(60);
+// Promises reach no further than this; callers don't wait longer either.
+constexpr Duration kMaxPromise = seconds(2);
+
+}  // namespace
+
+TokenBucket::TokenBucket(Size size, TimePoint now)
+    : size(size), created_at(now), refilled_at(now) {}
+
+double TokenBucket::level_at(TimePoint now) const {
+  const TimePoint steady_at = this->created_at + this->size.start;
+  const Duration starting =
+      remaining(std::min(now, steady_at), this->refilled_at);
+  const Duration steady =
+      remaining(now, std::max(steady_at, this->refilled_at));
+  const double earned = to_seconds(starting) * this->size.starting_per_second +
+                        to_seconds(steady) * this->size.per_second;
+  return std::min(this->size.capacity, this->level + earned);
+}
+
+void TokenBucket::refill(TimePoint now) {
+  this->level = this->level_at(now);
+  this->refilled_at = std::max(this->refilled_at, now);
+}
+
+bool TokenBucket::take(TimePoint now) {
+  this->refill(now);
+  if (this->level < 1) {
+    return false;
+  }
+  this->level -= 1;
+  return true;
+}
+
+Duration TokenBucket::promise_next(TimePoint now) {
+  this->refill(now);
+  const auto time_for = [this](double tokens) {
+    const double seconds_needed = tokens / this->size.per_second;
+    return seconds_needed < to_seconds(kMaxInterval)
+               ? std::chrono::duration_cast<Duration>(
+                     std::chrono::duration<double>(seconds_needed))
+               : kMaxInterval;
+  };
+  const TimePoint next = now + time_for(std::max(0.0, 1 - this->level));
+  const TimePoint slot = std::max(next, this->promised_until + time_for(1));
+  if (slot - now > kMaxPromise) {
+    return std::max(next - now, kMaxPromise);
+  }
+  this->promised_until = slot;
+  return slot - now;
+}
+
+void TokenBucket::resize(Size fresh, TimePoint now) {
+  this->refill(now);
+  this->size = fresh;
+  this->level = std::min(this->level, fresh.capacity);
+}
+
+bool TokenBucket::is_full(TimePoint now) const {
+  return this->level_at(now) >= this->size.capacity;
+}
+
+}  // namespace ibismux::customers
--- a/ibismux/dispatch/caller_request.h
+++ b/ibismux/dispatch/caller_request.h
@@ -3,6 +3,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "ibismux/base/time.h"
 #include "ibismux/http/message.h"
@@ -17,6 +18,10 @@
   /// The method, target, body, and those header fields that are forwarded to
   /// leafs.
   std::shared_ptr<const http::Request> message;
+  /// The values of the `Authorization` fields, which `message` doesn't have.
+  std::vector<std::string> authorization;
+  /// The customer that sent the request; empty if it isn't identified.
+  std::string customer;
   /// The request is the first one on its connection.
   bool opens_connection = false;
   TimePoint received;
--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -50,10 +50,13 @@
   if (this->active_table && table->version() <= this->active_table->version()) {
     return false;
   }
+  const customers::CustomerTable* customers = table->customers();
   this->log.event(eventlog::Weight::kBelief, "config_in_force")
       .with("config", table->version())
       .with("before", this->active_table ? this->active_table->version() : 0)
-      .with("routes", table->routes().size());
+      .with("routes", table->routes().size())
+      .with("customers", customers ? customers->size() : 0)
+      .with("odd_customer_entries", customers ? customers->odd_entries() : 0);
   this->active_table = std::move(table);
   std::set<std::string> names;
   for (const routing::Route& route : this->active_table->routes()) {
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 
 #include "ibismux/base/task.h"
 #include "ibismux/base/zone_sizes.h"
+#include "ibismux/customers/forward.h"
 #include "ibismux/directory/leaf_directory.h"
 #include "ibismux/dispatch/answer.h"
 #include "ibismux/dispatch/caller_request.h"
@@ -77,6 +78,11 @@
       std::shared_ptr<http::CancelToken> cancelled) override;
   /// @}
 
+  /// Sets what enforces the limits of customers. Without it, customers are not
+  /// limited.
+  /// @param rates Outlives the dispatcher's requests.
+  void set_rates(customers::RateAdmission& rates) { this->rates = &rates; }
+
   /// Replaces the set of evacuated zones, whose leafs get no further requests.
   /// Calls in progress there continue; links there are closed. A request that
   /// only leafs of evacuated zones could serve is refused.
@@ -137,7 +143,15 @@
   [[nodiscard]] Duration report_half_life();
 
   /// Creates the context of a request that has arrived, or refuses it.
-  [[nodiscard]] Result<Context> admit(CallerRequest request);
+  /// @param is_from_peer A peer has identified the customer.
+  [[nodiscard]] Result<Context> admit(CallerRequest request, bool is_from_peer);
+  /// Sets the customer and priority of the request, and restores its
+  /// `Authorization` fields if there are no customers.
+  [[nodiscard]] static Result<void> identify(RequestContext& context,
+                                             CallerRequest& request,
+                                             bool is_from_peer);
+  /// Counts the request against the limit of its customer.
+  [[nodiscard]] Task<Result<void>> check_rate(const RequestContext& context);
   [[nodiscard]] bool may_delegate(const RequestContext& context) const;
   /// Has a peer gather the query. @return Nothing if it must be gathered here,
   /// with no more attempts than `context` then allows.
@@ -168,6 +182,7 @@
   bool in_first_listing = false;
   std::shared_ptr<LinkOpener> opener;
   QueryDelegate* delegate = nullptr;
+  customers::RateAdmission* rates = nullptr;
   std::map<std::string, std::shared_ptr<TypicalLatency>> latencies;
   std::map<std::string, routing::WeightedRoundRobin> splits;
 };
--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -6,6 +6,9 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
 
+#include "ibismux/customers/bearer_key.h"
+#include "ibismux/customers/customer_table.h"
+#include "ibismux/customers/rate_admission.h"
 #include "ibismux/dispatch/answer_timing.h"
 #include "ibismux/dispatch/dispatcher.h"
 #include "ibismux/dispatch/forward_run.h"
@@ -51,6 +54,7 @@
   this->log.event(eventlog::Weight::kFailure, "request_refused")
       .with("request", request.id)
       .with("route", route ? route->name : "")
+      .with("customer", request.customer)
       .with("caller_host", request.host)
       .with("path", request.path)
       .with("config", this->active_table ? this->active_table->version() : 0)
@@ -60,7 +64,46 @@
   return tl::unexpected(std::move(error));
 }
 
-Result<Dispatcher::Context> Dispatcher::admit(CallerRequest request) {
+Result<void> Dispatcher::identify(RequestContext& context,
+                                  CallerRequest& request,
+                                  bool is_from_peer) {
+  const customers::CustomerTable* table = context.table->customers();
+  context.priority = context.route->priority;
+  if (!table) {
+    if (!request.authorization.empty()) {
+      auto message = std::make_shared<http::Request>(*request.message);
+      for (std::string& value : request.authorization) {
+        message->fields.emplace_back("Authorization", std::move(value));
+      }
+      request.authorization.clear();
+      request.message = std::move(message);
+    }
+    return {};
+  }
+  const customers::Customer* customer = nullptr;
+  if (is_from_peer) {
+    customer = table->find_by_name(request.customer);
+  } else if (const auto key = customers::bearer_key(request.authorization)) {
+    customer = table->find_by_key(*key);
+  } else if (!context.route->is_public) {
+    return tl::unexpected(key.error());
+  }
+  request.authorization.clear();
+  if (customer) {
+    request.customer = customer->name;
+    context.priority = customer->priority.value_or(context.priority);
+  } else if (!context.route->is_public) {
+    // Both daemons have the same version, so a peer's customer is known here
+    // unless the store was restored in between.
+    return is_from_peer
+               ? fail(ErrorKind::kNotReady, "the peer's customer is unknown")
+               : fail(ErrorKind::kUnauthorized, "no customer holds the key");
+  }
+  return {};
+}
+
+Result<Dispatcher::Context> Dispatcher::admit(CallerRequest request,
+                                              bool is_from_peer) {
   if (!this->active_table) {
     Error error = make_error(ErrorKind::kNotReady, "no configuration yet");
     error.retry_after = kNotReadyRetryAfter;
@@ -74,6 +117,10 @@
                         nullptr);
   }
   const routing::Route& route = *context->route;
+  if (auto identified = identify(*context, request, is_from_peer);
+      !identified) {
+    return this->refuse(request, std::move(identified.error()), &route);
+  }
   context->final_deadline =
       std::min(request.deadline, request.received + route.time_limit);
   if (context->final_deadline <= Clock::now()) {
@@ -107,10 +154,14 @@
 
 Task<Outcome> Dispatcher::handle(CallerRequest request,
                                  std::shared_ptr<http::CancelToken> caller) {
-  auto context = this->admit(std::move(request));
+  auto context = this->admit(std::move(request), false);
   if (!context) {
     co_return tl::unexpected(std::move(context.error()));
   }
+  if (auto within = co_await this->check_rate(**context); !within) {
+    co_return this->refuse((*context)->request, std::move(within.error()),
+                           (*context)->route);
+  }
   if (this->may_delegate(**context)) {
     auto outcome = co_await this->delegate_query(*context, caller);
     if (outcome) {
@@ -124,7 +175,7 @@
     CallerRequest request,
     std::shared_ptr<const Confirmation> confirmation,
     std::shared_ptr<http::CancelToken> cancelled) {
-  auto context = this->admit(std::move(request));
+  auto context = this->admit(std::move(request), true);
   if (!context) {
     co_return tl::unexpected(std::move(context.error()));
   }
@@ -139,13 +190,25 @@
   co_return co_await this->run(*std::move(context), std::move(cancelled));
 }
 
+Task<Result<void>> Dispatcher::check_rate(const RequestContext& context) {
+  const customers::CustomerTable* table = context.table->customers();
+  const customers::Customer* customer =
+      table ? table->find_by_name(context.request.customer) : nullptr;
+  if (!customer || !customer->limit.is_limited() || !this->rates) {
+    co_return Result<void>{};
+  }
+  co_return co_await this->rates->admit(*customer, context.table->version(),
+                                        context.final_deadline);
+}
+
 bool Dispatcher::may_delegate(const RequestContext& context) const {
   // Gathering peers are always hosts of this zone.
   const ZoneNames* zones = context.zones();
   return this->delegate && (!zones || zones->contains(this->settings.zone)) &&
          this->settings.policy.delegate_queries &&
          context.route->shards.size() >= kMinShardsToDelegate &&
-         this->delegate->is_available(Clock::now());
+         this->delegate->is_available(!context.request.customer.empty(),
+                                      Clock::now());
 }
 
 Task<std::optional<Outcome>> Dispatcher::delegate_query(
--- a/ibismux/dispatch/leaf_link.h
+++ b/ibismux/dispatch/leaf_link.h
@@ -23,6 +23,7 @@
   /// it answers `kOtherInstance` and doesn't execute the request.
   std::string leaf_id;
   TimePoint deadline;
+  std::string customer;  ///< Empty if the request has none.
 };
 
 /// What a leaf answered.
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -47,7 +47,7 @@
 
 void PartCall::wait_for_room(std::function<bool()> start) {
   this->place = this->group->queue().enqueue(
-      this->context->route->priority,
+      this->context->priority,
       [weak = this->weak_from_this(), start = std::move(start)] {
         const auto self = weak.lock();
         if (!self || !self->place) {
@@ -168,6 +168,7 @@
   call->request_id = this->context->request.id;
   call->leaf_id = leaf->entry().run.id;
   call->deadline = this->context->final_deadline;
+  call->customer = this->context->request.customer;
   const std::weak_ptr<PartCall> weak = this->weak_from_this();
   leaf->start(
       {.call = std::move(call),
--- a/ibismux/dispatch/query_delegate.h
+++ b/ibismux/dispatch/query_delegate.h
@@ -37,7 +37,10 @@
   virtual ~QueryDelegate() = default;
 
   /// Whether a daemon is available to take a query now.
-  [[nodiscard]] virtual bool is_available(TimePoint now) const = 0;
+  /// @param has_customer The query is sent by a customer, which older daemons
+  /// don't pass on to leafs.
+  [[nodiscard]] virtual bool is_available(bool has_customer,
+                                          TimePoint now) const = 0;
 
   /// Has `query` gathered by another daemon. Ends with an outcome of kind
   /// kCancelled soon after the caller has disconnected.
--- a/ibismux/dispatch/request_context.h
+++ b/ibismux/dispatch/request_context.h
@@ -28,6 +28,8 @@
   /// answered; owns `route`.
   std::shared_ptr<const routing::RouteTable> table;
   const routing::Route* route = nullptr;
+  /// Of the customer, or else of the route; 0 is the most urgent.
+  std::uint32_t priority = 0;
   /// Zones that the request may be sent to; all zones if absent.
   std::optional<ZoneNames> allowed_zones;
   /// The number of leafs of each shard to which a peer may have sent the
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -137,7 +137,7 @@
   const TimePoint latest = is_standing ? this->shared_context->due
                                        : this->shared_context->final_deadline;
   const Duration work = this->shared_context->typical->unloaded();
-  return service.expected_wait(this->shared_context->route->priority, zones) -
+  return service.expected_wait(this->shared_context->priority, zones) -
          std::max<Duration>(work, latest - now - work);
 }
 
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -188,6 +188,7 @@
   if (!this->dispatcher.activate(table)) {
     return;
   }
+  this->update_rate_owners();
   const routing::CallerLimits& configured = table->limits();
   const http::ServerLimits defaults;
   this->limits.header_bytes =
--- a/ibismux/edge/edge_daemon_impl.h
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "ibismux/base/io_pool.h"
+#include "ibismux/customers/rate_limiter.h"
 #include "ibismux/directory/leaf_directory.h"
 #include "ibismux/dispatch/dispatcher.h"
 #include "ibismux/edge/configuration_feed.h"
@@ -64,11 +65,15 @@
   /// collection.
   void retry_feeds();
   void start_gathering();
+  void start_rates();
   /// Returns the number of requests in flight, from callers and from peers.
   [[nodiscard]] std::size_t in_flight() const;
   void on_view(const membership::MembershipView& view,
                const gather::GatherRoles& roles);
   void apply_fleet_size();
+  /// Tells the limiter of customers who is in the fleet. Does nothing while the
+  /// configuration has no customers.
+  void update_rate_owners();
   void apply_table(const std::shared_ptr<const routing::RouteTable>& table);
   /// Reads one object from time to time to detect whether the store answers
   /// this host. A pending watch can't distinguish a store without changes from
@@ -112,6 +117,7 @@
   std::shared_ptr<reports::ReportExchange> reports;
   std::shared_ptr<gather::GatherClient> gather_client;
   std::shared_ptr<gather::GatherHost> gather_host;
+  std::shared_ptr<customers::RateLimiter> rates;
   http::ServerLimits limits;  ///< Limits in force for callers.
   http::Server callers;
   http::Server balancer;
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -62,6 +62,7 @@
       this->loop(), this->store, this->adapters.quarantine_collection,
       this->dispatcher.quarantine(), this->log, random_number())
       ->start();
+  this->start_rates();
   if (!this->fleet) {
     for (const auto& feed : this->feeds) {
       feed->start();
@@ -90,6 +91,22 @@
   this->gather_host->start();
 }
 
+void EdgeDaemon::Impl::start_rates() {
+  this->rates = std::make_shared<customers::RateLimiter>(
+      this->fleet ? &this->fleet->network() : nullptr,
+      rate_settings(this->settings), this->registry, this->log);
+  this->rates->start();
+  this->dispatcher.set_rates(*this->rates);
+}
+
+void EdgeDaemon::Impl::update_rate_owners() {
+  const auto& table = this->dispatcher.table();
+  if (this->fleet && this->rates && table && table->customers()) {
+    this->rates->on_view(*this->fleet->members(),
+                         this->fleet->size(Clock::now()).sharers.hosts);
+  }
+}
+
 std::size_t EdgeDaemon::Impl::in_flight() const {
   return this->callers.in_flight() +
          (this->gather_host ? this->gather_host->in_flight() : 0);
@@ -103,6 +120,7 @@
   this->relay->on_view(view);
   this->reports->on_view(view);
   this->gather_host->on_roles(roles);
+  this->update_rate_owners();
 }
 
 void EdgeDaemon::Impl::apply_fleet_size() {
@@ -217,6 +235,7 @@
     }
     if (this->ticks % kTicksPerSummary == 0) {
       this->dispatcher.log_sends();
+      this->update_rate_owners();
     }
     this->tick();
   });
--- a/ibismux/edge/edge_settings.cc
+++ b/ibismux/edge/edge_settings.cc
@@ -23,6 +23,7 @@
 constexpr double kMaxSlackCalls = 1e9;
 constexpr double kMaxRepeatRatio = 100;  // Repeats per request.
 constexpr double kMaxLinkMbps = 1e9;
+constexpr double kMaxOverage = 100;
 
 const std::array kFields = {
     Key{"member", "Name of this host.",
@@ -101,6 +102,19 @@
         "multiple of the usual duration of a call.",
         Real{&EdgeSettings::remote_cost, 0, 10}},
 
+    Key{"customers.rate_window_s",
+        "Window in which the requests of a customer are compared with its "
+        "limit.",
+        Seconds{&EdgeSettings::rate_window, milliseconds(100),
+                milliseconds(3'600'000)}},
+    Key{"customers.rate_overage",
+        "By which share all daemons together may exceed a customer's limit "
+        "within a window.",
+        Real{&EdgeSettings::rate_overage, 0, kMaxOverage}},
+    Key{"customers.rate_slack",
+        "How many requests they may send in addition to that share.",
+        Real{&EdgeSettings::rate_slack, 0, kMaxSlackCalls}},
+
     Key{"policy.hedge",
         "Send a call that takes longer than usual to a second leaf.",
         Flag{&EdgeSettings::hedge}},
--- a/ibismux/edge/edge_settings.h
+++ b/ibismux/edge/edge_settings.h
@@ -57,6 +57,13 @@
   double remote_cost = 1.0;
   /// @}
 
+  /// @name Limits of customers
+  /// @{
+  Millis rate_window{5000};
+  double rate_overage = 0;
+  double rate_slack = 0;
+  /// @}
+
   /// @name Shutdown
   /// @{
   Millis stop_limit{6000};
--- a/ibismux/edge/package_settings.cc
+++ b/ibismux/edge/package_settings.cc
@@ -66,6 +66,12 @@
   return dispatch;
 }
 
+customers::RateLimiter::Settings rate_settings(const EdgeSettings& settings) {
+  return {settings.member,
+          settings.zone,
+          {settings.rate_window, settings.rate_overage, settings.rate_slack}};
+}
+
 Fleet::Settings fleet_settings(const EdgeSettings& settings) {
   return {settings.member, settings.zone, settings.peer_endpoint,
           settings.link_mbps};
--- a/ibismux/edge/package_settings.h
+++ b/ibismux/edge/package_settings.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 
 #include "ibismux/base/time.h"
+#include "ibismux/customers/rate_limiter.h"
 #include "ibismux/dispatch/dispatch_settings.h"
 #include "ibismux/edge/edge_settings.h"
 #include "ibismux/edge/fleet.h"
@@ -21,6 +22,8 @@
     const EdgeSettings& settings);
 [[nodiscard]] dispatch::DispatchSettings dispatch_settings(
     const EdgeSettings& settings);
+[[nodiscard]] customers::RateLimiter::Settings rate_settings(
+    const EdgeSettings& settings);
 [[nodiscard]] Fleet::Settings fleet_settings(const EdgeSettings& settings);
 [[nodiscard]] eventlog::EventLogSettings log_settings(
     const EdgeSettings& settings);
--- a/ibismux/gather/gather_client.cc
+++ b/ibismux/gather/gather_client.cc
@@ -53,7 +53,7 @@
     return;
   }
   this->selector.on_offer(from.member, offer->sequence, offer->room,
-                          Clock::now());
+                          offer->reads_customer, Clock::now());
 }
 
 void GatherClient::on_taken(const Incarnation& from,
@@ -78,7 +78,8 @@
     std::shared_ptr<http::CancelToken> caller) {
   const auto self = this->shared_from_this();
   const TimePoint now = Clock::now();
-  const auto selection = this->selector.select(now);
+  const auto selection =
+      this->selector.select(!query.request.customer.empty(), now);
   if (!selection) {
     co_return DelegationResult{};
   }
--- a/ibismux/gather/gather_client.h
+++ b/ibismux/gather/gather_client.h
@@ -43,8 +43,9 @@
   /// Registers the message handlers. Call once, before the network starts.
   void start();
 
-  [[nodiscard]] bool is_available(TimePoint now) const override {
-    return this->selector.has_candidate(now);
+  [[nodiscard]] bool is_available(bool has_customer,
+                                  TimePoint now) const override {
+    return this->selector.has_candidate(has_customer, now);
   }
   [[nodiscard]] Task<DelegationResult> run(
       Query query,
--- a/ibismux/gather/gather_host.cc
+++ b/ibismux/gather/gather_host.cc
@@ -97,7 +97,7 @@
   while (now - this->offers.front().second > kOfferAcceptedFor) {
     this->offers.pop_front();
   }
-  const std::string payload = encode(GatherOffer{this->sequence, room});
+  const std::string payload = encode(GatherOffer{this->sequence, room, true});
   for (const std::string& member : this->roles.served) {
     this->network.notify(member, MessageKind::kGatherOffer, payload);
   }
--- a/ibismux/gather/gatherer_selector.cc
+++ b/ibismux/gather/gatherer_selector.cc
@@ -16,26 +16,33 @@
 void GathererSelector::on_offer(const std::string& member,
                                 std::uint64_t sequence,
                                 std::size_t room,
+                                bool reads_customer,
                                 TimePoint now) {
   Gatherer& gatherer = this->gatherers[member];
   gatherer.offer = sequence;
   gatherer.room = room;
+  gatherer.reads_customer = reads_customer;
   gatherer.offered_at = now;
   this->remove_stale(now);
 }
 
-bool GathererSelector::is_eligible(const Gatherer& gatherer, TimePoint now) {
-  return gatherer.room > 0 && now - gatherer.offered_at <= kOfferLifetime &&
+bool GathererSelector::is_eligible(const Gatherer& gatherer,
+                                   bool has_customer,
+                                   TimePoint now) {
+  return gatherer.room > 0 && (gatherer.reads_customer || !has_customer) &&
+         now - gatherer.offered_at <= kOfferLifetime &&
          now >= gatherer.backoff_until;
 }
 
-bool GathererSelector::has_candidate(TimePoint now) const {
-  return std::any_of(
-      this->gatherers.begin(), this->gatherers.end(),
-      [now](const Entry& entry) { return is_eligible(entry.second, now); });
+bool GathererSelector::has_candidate(bool has_customer, TimePoint now) const {
+  return std::any_of(this->gatherers.begin(), this->gatherers.end(),
+                     [=](const Entry& entry) {
+                       return is_eligible(entry.second, has_customer, now);
+                     });
 }
 
 std::optional<GathererSelector::Selection> GathererSelector::select(
+    bool has_customer,
     TimePoint now) {
   Entry* best = nullptr;
   const auto rank = [this](const Entry& entry) {
@@ -43,7 +50,7 @@
                      entry.first == this->last_selected);
   };
   for (Entry& entry : this->gatherers) {
-    if (is_eligible(entry.second, now) &&
+    if (is_eligible(entry.second, has_customer, now) &&
         (!best || rank(entry) < rank(*best))) {
       best = &entry;
     }
--- a/ibismux/gather/gatherer_selector.h
+++ b/ibismux/gather/gatherer_selector.h
@@ -31,15 +31,20 @@
   };
 
   /// @param room How many more queries the peer takes; 0 withdraws the offer.
+  /// @param reads_customer Whether the peer passes the customer of a query on
+  /// to leafs.
   void on_offer(const std::string& member,
                 std::uint64_t sequence,
                 std::size_t room,
+                bool reads_customer,
                 TimePoint now);
 
   /// Returns the peer that gathers the next query, which counts as in flight
   /// there until `on_end()`, or nothing if the query is to be gathered here.
-  [[nodiscard]] std::optional<Selection> select(TimePoint now);
-  [[nodiscard]] bool has_candidate(TimePoint now) const;
+  /// @param has_customer Only peers that read the customer are eligible.
+  [[nodiscard]] std::optional<Selection> select(bool has_customer,
+                                                TimePoint now);
+  [[nodiscard]] bool has_candidate(bool has_customer, TimePoint now) const;
 
   /// @name Results of a query
   /// @{
@@ -61,6 +66,7 @@
   struct Gatherer {
     std::uint64_t offer = 0;
     std::size_t room = 0;
+    bool reads_customer = false;
     TimePoint offered_at = TimePoint::min();
     std::size_t in_flight = 0;
     Duration backoff{0};
@@ -69,6 +75,7 @@
   using Entry = std::map<std::string, Gatherer>::value_type;
 
   [[nodiscard]] static bool is_eligible(const Gatherer& gatherer,
+                                        bool has_customer,
                                         TimePoint now);
   void remove_stale(TimePoint now);
 
--- a/ibismux/gather/gen/gather_types.cpp
+++ b/ibismux/gather/gen/gather_types.cpp
@@ -25,6 +25,10 @@
 void Offer::__set_room(const int32_t val) {
   this->room = val;
 }
+
+void Offer::__set_reads_customer(const bool val) {
+  this->reads_customer = val;
+}
 std::ostream& operator<<(std::ostream& out, const Offer& obj)
 {
   obj.printTo(out);
@@ -69,6 +73,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->reads_customer);
+          this->__isset.reads_customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -94,6 +106,10 @@
   xfer += oprot->writeI32(this->room);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("reads_customer", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->reads_customer);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -103,17 +119,20 @@
   using ::std::swap;
   swap(a.sequence, b.sequence);
   swap(a.room, b.room);
+  swap(a.reads_customer, b.reads_customer);
   swap(a.__isset, b.__isset);
 }
 
 Offer::Offer(const Offer& other0) noexcept {
   sequence = other0.sequence;
   room = other0.room;
+  reads_customer = other0.reads_customer;
   __isset = other0.__isset;
 }
 Offer& Offer::operator=(const Offer& other1) noexcept {
   sequence = other1.sequence;
   room = other1.room;
+  reads_customer = other1.reads_customer;
   __isset = other1.__isset;
   return *this;
 }
@@ -122,6 +141,7 @@
   out << "Offer(";
   out << "sequence=" << to_string(sequence);
   out << ", " << "room=" << to_string(room);
+  out << ", " << "reads_customer=" << to_string(reads_customer);
   out << ")";
 }
 
@@ -293,6 +313,10 @@
 void Query::__set_opens_connection(const bool val) {
   this->opens_connection = val;
 }
+
+void Query::__set_customer(const std::string& val) {
+  this->customer = val;
+}
 std::ostream& operator<<(std::ostream& out, const Query& obj)
 {
   obj.printTo(out);
@@ -437,6 +461,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->customer);
+          this->__isset.customer = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -514,6 +546,10 @@
   xfer += oprot->writeBool(this->opens_connection);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("customer", ::apache::thrift::protocol::T_STRING, 14);
+  xfer += oprot->writeString(this->customer);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -534,6 +570,7 @@
   swap(a.elapsed_us, b.elapsed_us);
   swap(a.left_us, b.left_us);
   swap(a.opens_connection, b.opens_connection);
+  swap(a.customer, b.customer);
   swap(a.__isset, b.__isset);
 }
 
@@ -551,6 +588,7 @@
   elapsed_us = other10.elapsed_us;
   left_us = other10.left_us;
   opens_connection = other10.opens_connection;
+  customer = other10.customer;
   __isset = other10.__isset;
 }
 Query& Query::operator=(const Query& other11) {
@@ -567,6 +605,7 @@
   elapsed_us = other11.elapsed_us;
   left_us = other11.left_us;
   opens_connection = other11.opens_connection;
+  customer = other11.customer;
   __isset = other11.__isset;
   return *this;
 }
@@ -586,6 +625,7 @@
   out << ", " << "elapsed_us=" << to_string(elapsed_us);
   out << ", " << "left_us=" << to_string(left_us);
   out << ", " << "opens_connection=" << to_string(opens_connection);
+  out << ", " << "customer=" << to_string(customer);
   out << ")";
 }
 
--- a/ibismux/gather/gen/gather_types.h
+++ b/ibismux/gather/gen/gather_types.h
@@ -32,9 +32,10 @@
 class Answer;
 
 typedef struct _Offer__isset {
-  _Offer__isset() : sequence(false), room(false) {}
+  _Offer__isset() : sequence(false), room(false), reads_customer(false) {}
   bool sequence :1;
   bool room :1;
+  bool reads_customer :1;
 } _Offer__isset;
 
 class Offer : public virtual ::apache::thrift::TBase {
@@ -44,12 +45,14 @@
   Offer& operator=(const Offer&) noexcept;
   Offer() noexcept
         : sequence(0),
-          room(0) {
+          room(0),
+          reads_customer(0) {
   }
 
   virtual ~Offer() noexcept;
   int64_t sequence;
   int32_t room;
+  bool reads_customer;
 
   _Offer__isset __isset;
 
@@ -57,12 +60,16 @@
 
   void __set_room(const int32_t val);
 
+  void __set_reads_customer(const bool val);
+
   bool operator == (const Offer & rhs) const
   {
     if (!(sequence == rhs.sequence))
       return false;
     if (!(room == rhs.room))
       return false;
+    if (!(reads_customer == rhs.reads_customer))
+      return false;
     return true;
   }
   bool operator != (const Offer &rhs) const {
@@ -132,7 +139,7 @@
 std::ostream& operator<<(std::ostream& out, const Field& obj);
 
 typedef struct _Query__isset {
-  _Query__isset() : number(false), offer(false), configuration(false), request_id(false), host(false), path(false), method(false), target(false), fields(false), body(false), elapsed_us(false), left_us(false), opens_connection(false) {}
+  _Query__isset() : number(false), offer(false), configuration(false), request_id(false), host(false), path(false), method(false), target(false), fields(false), body(false), elapsed_us(false), left_us(false), opens_connection(false), customer(false) {}
   bool number :1;
   bool offer :1;
   bool configuration :1;
@@ -146,6 +153,7 @@
   bool elapsed_us :1;
   bool left_us :1;
   bool opens_connection :1;
+  bool customer :1;
 } _Query__isset;
 
 class Query : public virtual ::apache::thrift::TBase {
@@ -165,7 +173,8 @@
           body(),
           elapsed_us(0),
           left_us(0),
-          opens_connection(0) {
+          opens_connection(0),
+          customer() {
   }
 
   virtual ~Query() noexcept;
@@ -182,6 +191,7 @@
   int64_t elapsed_us;
   int64_t left_us;
   bool opens_connection;
+  std::string customer;
 
   _Query__isset __isset;
 
@@ -211,6 +221,8 @@
 
   void __set_opens_connection(const bool val);
 
+  void __set_customer(const std::string& val);
+
   bool operator == (const Query & rhs) const
   {
     if (!(number == rhs.number))
@@ -239,6 +251,8 @@
       return false;
     if (!(opens_connection == rhs.opens_connection))
       return false;
+    if (!(customer == rhs.customer))
+      return false;
     return true;
   }
   bool operator != (const Query &rhs) const {
--- a/ibismux/gather/messages.cc
+++ b/ibismux/gather/messages.cc
@@ -44,6 +44,7 @@
   wire::Offer out;
   out.__set_sequence(static_cast<std::int64_t>(offer.sequence));
   out.__set_room(static_cast<std::int32_t>(offer.room));
+  out.__set_reads_customer(offer.reads_customer);
   return peer::encode(out);
 }
 
@@ -68,6 +69,7 @@
   out.__set_elapsed_us(to_micros(now - request.received));
   out.__set_left_us(to_micros(remaining(request.deadline, now)));
   out.__set_opens_connection(request.opens_connection);
+  out.__set_customer(request.customer);
   return peer::encode(out);
 }
 
@@ -101,7 +103,7 @@
     return fail(ErrorKind::kProtocolError, "room is negative");
   }
   return GatherOffer{static_cast<std::uint64_t>(in->sequence),
-                     static_cast<std::size_t>(in->room)};
+                     static_cast<std::size_t>(in->room), in->reads_customer};
 }
 
 Result<GatherQuery> decode_query(const std::string& payload, TimePoint now) {
@@ -121,6 +123,7 @@
   query.request.host = std::move(in->host);
   query.request.path = std::move(in->path);
   query.request.opens_connection = in->opens_connection;
+  query.request.customer = std::move(in->customer);
   query.request.received = now - microseconds(in->elapsed_us);
   query.request.deadline = now + microseconds(in->left_us);
   auto message = std::make_shared<http::Request>();
--- a/ibismux/gather/messages.h
+++ b/ibismux/gather/messages.h
@@ -16,6 +16,8 @@
 struct GatherOffer {
   std::uint64_t sequence = 0;
   std::size_t room = 0;  ///< How many more queries the sender takes.
+  /// Whether the sender reads the customer of a query.
+  bool reads_customer = false;
 };
 
 /// Payload of kGatherQuery. Times are transmitted as elapsed and remaining
--- a/ibismux/peer/peer_network.h
+++ b/ibismux/peer/peer_network.h
@@ -37,6 +37,7 @@
   kInForce = 23,      ///< Tallies of a subtree by generation.
   kFeedPull = 24,     ///< "What is newer in the store than this?"
   kGatherQuery = 25,  ///< A caller's query, to be gathered by the receiver.
+  kRateRequest = 26,  ///< "May this customer send one more request?"
 };
 
 /// Typed frames between this daemon and its peers.
--- a/ibismux/routing/route.h
+++ b/ibismux/routing/route.h
@@ -32,6 +32,8 @@
   std::uint32_t priority = 0;  ///< 0 is the most urgent.
   /// Maximum number of leafs that a request, or each of its shards, is sent to.
   std::uint32_t max_attempts = 1;
+  /// Requests need no API key.
+  bool is_public = false;
   /// Regions that requests may be sent to. Empty: all of them.
   std::vector<std::string> allowed_regions;
 
--- a/ibismux/routing/route_table.cc
+++ b/ibismux/routing/route_table.cc
@@ -17,13 +17,16 @@
 
 }  // namespace
 
-RouteTable::RouteTable(std::uint64_t version,
-                       std::vector<Route> routes,
-                       std::vector<ServiceSpec> services,
-                       CallerLimits limits)
+RouteTable::RouteTable(
+    std::uint64_t version,
+    std::vector<Route> routes,
+    std::vector<ServiceSpec> services,
+    CallerLimits limits,
+    std::shared_ptr<const customers::CustomerTable> customers)
     : table_version(version),
       all_routes(std::move(routes)),
-      caller_limits(limits) {
+      caller_limits(limits),
+      customer_table(std::move(customers)) {
   for (std::size_t i = 0; i < this->all_routes.size(); ++i) {
     const Route& route = this->all_routes[i];
     this->by_host[lower_case(route.host)].emplace(route.path_prefix, i);
--- a/ibismux/routing/route_table.h
+++ b/ibismux/routing/route_table.h
@@ -10,6 +10,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "ibismux/customers/customer_table.h"
 #include "ibismux/routing/route.h"
 
 namespace ibismux::routing {
@@ -42,7 +43,8 @@
   RouteTable(std::uint64_t version,
              std::vector<Route> routes,
              std::vector<ServiceSpec> services,
-             CallerLimits limits);
+             CallerLimits limits,
+             std::shared_ptr<const customers::CustomerTable> customers = {});
 
   [[nodiscard]] std::uint64_t version() const noexcept {
     return this->table_version;
@@ -53,6 +55,11 @@
   [[nodiscard]] const CallerLimits& limits() const noexcept {
     return this->caller_limits;
   }
+  /// The customers whose requests are served on routes that aren't public;
+  /// null: requests need no key.
+  [[nodiscard]] const customers::CustomerTable* customers() const noexcept {
+    return this->customer_table.get();
+  }
 
   /// The route of `host` with the longest prefix of `path`, or null.
   /// Thread safe.
@@ -69,6 +76,7 @@
   std::vector<Route> all_routes;
   std::map<std::string, ServiceSpec, std::less<>> services;
   CallerLimits caller_limits;
+  std::shared_ptr<const customers::CustomerTable> customer_table;
   /// Maps the lower-case host and then the path prefix to the index in
   /// `all_routes`.
   std::unordered_map<std::string, std::unordered_map<std::string, std::size_t>>
--- /dev/null
+++ b/tests/customers/fleet_limit_test.cc
@@ -0,0 +1,268 @@
+// Limits of customers in a simulated fleet, in virtual time: the loads that
+// they must hold for, and faults between the daemons.
+
+#include <rapidcheck.h>
+
+#include <algorithm>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "ibismux/customers/owner_selector.h"
+#include "ibismux/customers/rate_owner.h"
+#include "ibismux/customers/rate_parts.h"
+#include "ibismux/customers/ungranted_allowance.h"
+
+#include <criterion/criterion.h>
+
+namespace ibismux::customers::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr RateTolerance kTolerance{seconds(5), 0.1, 20};
+
+/// Daemons that make the decisions of `RateLimiter`. Daemons of different
+/// `sides` don't reach each other.
+class FleetModel {
+ public:
+  explicit FleetModel(std::size_t hosts) : sides(hosts, 0) {
+    for (std::size_t i = 0; i < hosts; ++i) {
+      this->restart(i);
+    }
+  }
+
+  /// A new process on host `i`, which knows nothing.
+  void restart(std::size_t i) {
+    this->daemons.resize(this->sides.size());
+    this->daemons[i] = std::make_unique<Daemon>();
+    this->update(i);
+  }
+
+  /// Host `i` is cut off, or back on the side of the others.
+  void move(std::size_t i, int side) { this->sides[i] = side; }
+
+  /// All failure detectors have noticed who reaches whom.
+  void detect() {
+    for (std::size_t i = 0; i < this->daemons.size(); ++i) {
+      this->update(i);
+    }
+  }
+
+  void advance(Duration time) { this->now += time; }
+
+  /// A request of the customer that arrives at host `i`.
+  bool request(std::size_t i, const RateLimit& limit) {
+    ++this->asked;
+    Daemon& daemon = *this->daemons[i];
+    bool all_reached = true;
+    for (const std::string& name : daemon.selector.owners("c")) {
+      const std::size_t owner = std::stoul(name);
+      if (this->sides[owner] != this->sides[i]) {
+        all_reached = false;
+        continue;
+      }
+      Daemon& other = *this->daemons[owner];
+      const bool is_vouched_for = owner != i || other.owned.knows("c") ||
+                                  other.selector.is_settled(this->now);
+      if (!is_vouched_for || !other.selector.is_owner(name, "c")) {
+        all_reached = false;
+        continue;
+      }
+      const TimePoint since = other.selector.owner_since(name, "c");
+      if (other.owned.take("c", limit, 1, since, this->now).granted) {
+        daemon.ungranted.on_grant(
+            RateParts(limit, kTolerance).ungranted_share(), this->now);
+        this->run();
+        return true;
+      }
+    }
+    if ((!all_reached || daemon.selector.owners("c").empty()) &&
+        daemon.ungranted.take(this->now)) {
+      this->run();
+      return true;
+    }
+    return false;
+  }
+
+  /// The most requests that ran in any window.
+  [[nodiscard]] std::size_t busiest_window() const { return this->busiest; }
+  [[nodiscard]] std::size_t total_run() const { return this->total; }
+  [[nodiscard]] std::size_t total_asked() const { return this->asked; }
+
+ private:
+  struct Daemon {
+    OwnerSelector selector;
+    RateOwner owned{kTolerance};
+    UngrantedAllowance ungranted{kTolerance.window};
+  };
+
+  void update(std::size_t i) {
+    std::vector<OwnerSelector::Candidate> reached;
+    for (std::size_t j = 0; j < this->sides.size(); ++j) {
+      if (this->sides[j] == this->sides[i]) {
+        reached.push_back({std::to_string(j), "z" + std::to_string(j % 3)});
+      }
+    }
+    Daemon& daemon = *this->daemons[i];
+    if (daemon.selector.on_members(reached, this->sides.size(), this->now)) {
+      daemon.owned.retain([&](const std::string& customer) {
+        return daemon.selector.is_owner(std::to_string(i), customer);
+      });
+    }
+  }
+
+  void run() {
+    ++this->total;
+    this->runs.push_back(this->now);
+    while (this->now - this->runs.front() > kTolerance.window) {
+      this->runs.pop_front();
+    }
+    this->busiest = std::max(this->busiest, this->runs.size());
+  }
+
+  TimePoint now = Clock::now();
+  std::vector<int> sides;
+  std::vector<std::unique_ptr<Daemon>> daemons;
+  std::deque<TimePoint> runs;
+  std::size_t busiest = 0;
+  std::size_t total = 0;
+  std::size_t asked = 0;
+};
+
+double allowed(const RateLimit& limit) {
+  return (limit.per_second * 5 + limit.burst) * 1.1 + 20;
+}
+
+/// Sends `per_second` requests for `time`, the n-th one to host `host(n)`.
+void load(FleetModel& fleet,
+          const RateLimit& limit,
+          double per_second,
+          Duration time,
+          const std::function<std::size_t(std::size_t)>& host) {
+  const auto count = static_cast<std::size_t>(to_seconds(time) * per_second);
+  for (std::size_t n = 0; n < count; ++n) {
+    fleet.advance(scaled(time, 1.0 / static_cast<double>(count)));
+    fleet.request(host(n), limit);
+  }
+}
+
+/// The share of requests that run when a customer asks for exactly its rate.
+double share_served(const std::function<std::size_t(std::size_t)>& host) {
+  FleetModel fleet(74);
+  fleet.advance(seconds(14));
+  const RateLimit limit{44, 0};
+  load(fleet, limit, 44, seconds(20), host);
+  return static_cast<double>(fleet.total_run()) /
+         static_cast<double>(fleet.total_asked());
+}
+
+Test(fleet_limit, demand_at_one_host_is_served) {
+  cr_assert(share_served([](std::size_t) { return 5; }) >= 0.95);
+}
+
+Test(fleet_limit, demand_that_moves_each_second_is_served) {
+  cr_assert(share_served([](std::size_t n) { return n / 44 % 74; }) >= 0.95);
+}
+
+Test(fleet_limit, demand_at_all_hosts_is_served) {
+  cr_assert(share_served([](std::size_t n) { return n * 31 % 74; }) >= 0.95);
+}
+
+Test(fleet_limit, one_hot_customer_is_held_to_its_limit) {
+  FleetModel fleet(74);
+  fleet.advance(seconds(60));
+  const RateLimit limit{44, 10};
+  load(fleet, limit, 330, seconds(20), [](std::size_t n) { return n % 74; });
+  cr_assert(fleet.busiest_window() <= allowed(limit));
+  cr_assert(fleet.total_run() >= 44 * 20);
+}
+
+Test(fleet_limit, a_rate_of_one_holds_over_a_thousand_hosts) {
+  FleetModel fleet(1000);
+  fleet.advance(seconds(60));
+  const RateLimit limit{1, 0};
+  load(fleet, limit, 200, seconds(10), [](std::size_t n) { return n % 1000; });
+  cr_assert(fleet.busiest_window() <= allowed(limit));
+  cr_assert(fleet.total_run() >= 10);
+}
+
+Test(fleet_limit, half_of_the_fleet_cut_off) {
+  FleetModel fleet(74);
+  fleet.advance(seconds(60));
+  const RateLimit limit{44, 10};
+  const auto all = [](std::size_t n) { return n % 74; };
+  load(fleet, limit, 330, seconds(6), all);
+  for (std::size_t i = 0; i < 37; ++i) {
+    fleet.move(i, 1);
+  }
+  load(fleet, limit, 330, seconds(2), all);
+  fleet.detect();
+  load(fleet, limit, 330, seconds(10), all);
+  cr_assert(fleet.busiest_window() <= allowed(limit));
+}
+
+// Guards against a loss of most of a customer's requests while one owner of
+// its limit is down.
+Test(fleet_limit, usual_demand_is_served_while_an_owner_is_away) {
+  FleetModel fleet(74);
+  fleet.advance(seconds(60));
+  const RateLimit limit{48, 0};
+  for (std::size_t i = 0; i < 74; i += 3) {
+    fleet.move(i, 1);  // A whole zone, and with it one owner.
+  }
+  load(fleet, limit, 30, seconds(20),
+       [](std::size_t n) { return n % 24 * 3 + 1; });
+  cr_assert(static_cast<double>(fleet.total_run()) >=
+            0.95 * static_cast<double>(fleet.total_asked()));
+}
+
+/// One random run of requests and faults. @return The most requests in any
+/// window.
+std::size_t play(const std::vector<unsigned>& choices, const RateLimit& limit) {
+  constexpr std::size_t kHosts = 9;
+  FleetModel fleet(kHosts);
+  for (const unsigned choice : choices) {
+    const std::size_t host = choice / 16 % kHosts;
+    switch (choice % 16) {
+      case 0:
+        fleet.restart(host);
+        break;
+      case 1:
+        fleet.move(host, 1);
+        break;
+      case 2:
+        fleet.move(host, 0);
+        break;
+      case 3:
+        fleet.detect();
+        break;
+      case 4:
+        fleet.advance(seconds(1));
+        break;
+      default:
+        fleet.advance(milliseconds(choice / 256 % 50));
+        for (int i = 0; i < 8; ++i) {
+          fleet.request(host, limit);
+        }
+    }
+  }
+  return fleet.busiest_window();
+}
+
+Test(fleet_limit, holds_under_any_order_of_cuts_and_restarts) {
+  const bool holds = rc::check([] {
+    const RateLimit limit{static_cast<double>(*rc::gen::inRange(1, 200)),
+                          static_cast<double>(*rc::gen::inRange(0, 50))};
+    const auto choices = *rc::gen::container<std::vector<unsigned>>(
+        1000, rc::gen::inRange(0U, 1U << 20));
+    RC_ASSERT(static_cast<double>(play(choices, limit)) <= allowed(limit));
+  });
+  cr_assert(holds);
+}
+
+}  // namespace
+}  // namespace ibismux::customers::testing
--- a/tests/dispatch/dispatch_fixture.h
+++ b/tests/dispatch/dispatch_fixture.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "ibismux/customers/customer_table.h"
 #include "ibismux/dispatch/dispatcher.h"
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/http/cancel_token.h"
@@ -94,9 +95,13 @@
       services.push_back({"s" + std::to_string(i), 40});
     }
     services.push_back({"desk", 40});
+    routing::Route open = page;
+    open.name = "open";
+    open.path_prefix = "/open/";
+    open.is_public = true;
     this->dispatcher.activate(std::make_shared<const routing::RouteTable>(
-        version, std::vector<routing::Route>{query, page, order}, services,
-        routing::CallerLimits{}));
+        version, std::vector<routing::Route>{query, page, order, open},
+        services, routing::CallerLimits{}, this->customers));
   }
 
   /// A request received now.
@@ -164,6 +169,8 @@
     }
   }
 
+  /// Customers from the next `configure()` on.
+  std::shared_ptr<const customers::CustomerTable> customers;
   /// Allowed regions of all routes from the next `configure()` on.
   std::vector<std::string> allowed_regions;
   std::chrono::milliseconds objective{20'000};
--- a/tests/dispatch/fake_leafs.h
+++ b/tests/dispatch/fake_leafs.h
@@ -41,6 +41,8 @@
   mutable std::map<std::string, std::vector<std::string>>
       runs;  ///< Request ids.
   mutable std::map<std::string, int> dials;
+  /// The customer and the Authorization field of each call.
+  mutable std::vector<std::pair<std::string, std::string>> identities;
 
   /// How many times the leafs have run request `id`.
   [[nodiscard]] int times_run(const std::string& id) const {
@@ -111,6 +113,8 @@
       co_return reply;
     }
     this->leafs.runs[this->instance].push_back(call->request_id);
+    this->leafs.identities.emplace_back(call->customer,
+                                        call->message->field("Authorization"));
     if (behaviour.silent) {
       this->silence_timer.emplace(co_await boost::asio::this_coro::executor);
       this->silence_timer->expires_at(call->deadline);
--- a/tests/dispatch/gather_for_peer_test.cc
+++ b/tests/dispatch/gather_for_peer_test.cc
@@ -48,7 +48,9 @@
 /// the query.
 class LostDelegate : public QueryDelegate {
  public:
-  [[nodiscard]] bool is_available(TimePoint) const override { return true; }
+  [[nodiscard]] bool is_available(bool, TimePoint) const override {
+    return true;
+  }
   [[nodiscard]] Task<DelegationResult> run(
       Query query,
       std::shared_ptr<http::CancelToken>) override {
--- a/tests/gather/gatherer_selector_test.cc
+++ b/tests/gather/gatherer_selector_test.cc
@@ -12,18 +12,21 @@
   GathererSelector selector;
   std::uint64_t sequence = 0;
 
-  void offer(const std::string& member, std::size_t room = 10) {
-    this->selector.on_offer(member, ++this->sequence, room, this->now);
+  void offer(const std::string& member,
+             std::size_t room = 10,
+             bool reads_customer = true) {
+    this->selector.on_offer(member, ++this->sequence, room, reads_customer,
+                            this->now);
   }
-  std::string chosen() {
-    const auto selection = this->selector.select(this->now);
+  std::string chosen(bool has_customer = false) {
+    const auto selection = this->selector.select(has_customer, this->now);
     return selection ? selection->member : "";
   }
 };
 
 Test(gatherer_selector, without_offers_no_peer_is_selected) {
   Fixture fixture;
-  cr_assert(!fixture.selector.has_candidate(fixture.now));
+  cr_assert(!fixture.selector.has_candidate(false, fixture.now));
   cr_assert(fixture.chosen().empty());
 }
 
@@ -48,6 +51,18 @@
   cr_assert(fixture.chosen().empty());
 }
 
+// Guards against calls to leafs without the customer, by a peer of an older
+// build that doesn't know of customers.
+Test(gatherer_selector, a_peer_that_reads_no_customers_gets_none) {
+  Fixture fixture;
+  fixture.offer("old", 10, false);
+  cr_assert(fixture.chosen(true).empty());
+  cr_assert(!fixture.selector.has_candidate(true, fixture.now));
+  cr_assert(fixture.chosen(false) == "old");
+  fixture.offer("new");
+  cr_assert(fixture.chosen(true) == "new");
+}
+
 Test(gatherer_selector, an_expired_offer_is_ignored) {
   Fixture fixture;
   fixture.offer("a");
--- a/tests/gather/messages_test.cc
+++ b/tests/gather/messages_test.cc
@@ -16,6 +16,8 @@
   query.request.host = "a";
   query.request.path = "/query/";
   query.request.opens_connection = true;
+  query.request.customer = "c1";
+  query.request.authorization = {"Bearer secret"};
   query.request.received = now - milliseconds(5);
   query.request.deadline = now + milliseconds(100);
   auto message = std::make_shared<http::Request>();
@@ -34,6 +36,7 @@
   cr_assert(got.number == 7 && got.offer == 8 && got.configuration == 9);
   cr_assert(got.request.id == "r1" && got.request.host == "a");
   cr_assert(got.request.path == "/query/" && got.request.opens_connection);
+  cr_assert(got.request.customer == "c1");
   cr_assert(got.request.received == read - milliseconds(5));
   cr_assert(got.request.deadline == read + milliseconds(100));
   cr_assert(got.request.message->method == "POST");
@@ -42,6 +45,14 @@
   cr_assert(got.request.message->body == std::string("\0\xff", 2));
 }
 
+// Guards against keys of customers on the network between daemons.
+Test(gather_messages, a_query_is_sent_without_the_callers_key) {
+  const TimePoint now = Clock::now();
+  const std::string sent = encode(query(now), now);
+  cr_assert(sent.find("secret") == std::string::npos);
+  cr_assert(decode_query(sent, now)->request.authorization.empty());
+}
+
 Test(gather_messages, an_answer_round_trips) {
   dispatch::MergedAnswer merged{{"r1", "r2"}, 3, std::string(32, '\xfe')};
   const GatherAnswer answer{dispatch::Outcome(dispatch::Answer(merged)), {}};
--- a/tests/support/process.cc
+++ b/tests/support/process.cc
@@ -175,6 +175,17 @@
   return this->child > 0 && !this->reap(WNOHANG);
 }
 
+std::string Process::output() {
+  static_cast<void>(this->ready_line());
+  std::string text;
+  char block[4096];
+  for (ssize_t got = 0;
+       (got = ::read(this->stdout_pipe, block, sizeof block)) > 0;) {
+    text.append(block, static_cast<std::size_t>(got));
+  }
+  return text;
+}
+
 std::string Process::log() const {
   std::string text;
   char block[4096];
--- a/tests/support/process.h
+++ b/tests/support/process.h
@@ -59,6 +59,10 @@
   /// Whether the program has not ended yet.
   [[nodiscard]] bool running();
 
+  /// What the program wrote to stdout after the ready line. Precondition: it
+  /// has ended.
+  [[nodiscard]] std::string output();
+
   /// What the program wrote to stderr so far.
   [[nodiscard]] std::string log() const;
 
--- a/tests/users_platform/edge_site.h
+++ b/tests/users_platform/edge_site.h
@@ -107,6 +107,18 @@
                       {"X-Deadline-Ms", std::to_string(deadline_ms)}});
   }
 
+  /// A query with these credentials, which names another customer.
+  Result<http::Response> call_with_key(const std::string& id,
+                                       const std::string& credentials,
+                                       std::size_t i = 0) {
+    return http_call(this->daemon(i).port("caller_port"), "GET", "/query/1", {},
+                     {{"Host", "search.example"},
+                      {"X-Request-Id", id},
+                      {"X-Deadline-Ms", "5000"},
+                      {"X-Tenant-Id", "another"},
+                      {"Authorization", credentials}});
+  }
+
   /// A switch of the stand-ins.
   boost::json::object fake(const std::string& method,
                            const std::string& what,
@@ -130,6 +142,19 @@
            0;
   }
 
+  /// The customers that leafs ran request `id` for.
+  std::vector<std::string> customers_of(const std::string& id) {
+    const auto all = this->fake("GET", "customers");
+    const auto* found = all.at("requests").as_object().if_contains(id);
+    std::vector<std::string> names;
+    if (found) {
+      for (const auto& name : found->as_array()) {
+        names.emplace_back(name.as_string());
+      }
+    }
+    return names;
+  }
+
   std::string metrics(std::size_t i = 0) {
     return http_call(this->daemon(i).port("metrics_port"), "GET", "/metrics")
         .value()
--- a/tests/users_platform/wire_test.cc
+++ b/tests/users_platform/wire_test.cc
@@ -61,6 +61,28 @@
                                              {"X-Kept", "yes"}}));
 }
 
+// Guards against keys at leafs, and against a caller that names a customer.
+Test(caller_wire, leafs_see_neither_the_key_nor_a_customer_by_the_caller) {
+  const auto read = CallerWire().read(request({{"Host", "a.example"},
+                                               {"X-Request-Id", "r1"},
+                                               {"authorization", "Bearer k1"},
+                                               {"Authorization", "Basic k2"},
+                                               {"x-tenant-id", "other"}}),
+                                      Clock::now());
+  cr_assert(read->message->fields ==
+            Fields({{"Host", "a.example"}, {"X-Request-Id", "r1"}}));
+  cr_assert(read->authorization ==
+            std::vector<std::string>({"Bearer k1", "Basic k2"}));
+  cr_assert(read->customer.empty());
+}
+
+Test(caller_wire, an_unknown_key_is_answered_401) {
+  const auto written =
+      CallerWire().write(fail(ErrorKind::kUnauthorized, "no key"));
+  cr_assert(written.status == 401);
+  cr_assert(written.field("WWW-Authenticate") == "Bearer");
+}
+
 Test(caller_wire, odd_requests_are_refused) {
   const CallerWire wire;
   cr_assert(!wire.read(request({{"Host", "a"}}), Clock::now()).has_value());
@@ -155,6 +177,15 @@
   return call;
 }
 
+Test(leaf_wire, a_call_names_the_customer) {
+  dispatch::LeafCall sent = call();
+  cr_assert(leaf_call_fields(sent, Clock::now()).size() == 2);
+  sent.customer = "c1";
+  const auto fields = leaf_call_fields(sent, Clock::now());
+  cr_assert(fields.back().first == "X-Tenant-Id");
+  cr_assert(fields.back().second == "c1");
+}
+
 Test(leaf_wire, a_call_names_the_instance_and_the_time_left) {
   const TimePoint now = Clock::now();
   dispatch::LeafCall sent = call();
--- a/thrift/gather.thrift
+++ b/thrift/gather.thrift
@@ -8,6 +8,8 @@
   1: i64 sequence
   /// How many more queries the sender takes; 0 withdraws earlier offers.
   2: i32 room
+  /// Whether the sender reads `Query.customer`. Absent in older builds.
+  3: bool reads_customer
 }
 
 struct Field {
@@ -35,6 +37,8 @@
   11: i64 elapsed_us
   12: i64 left_us
   13: bool opens_connection
+  /// The customer that sent the query; empty if it was not identified.
+  14: string customer
 }
 
 /// kGatherTaken, kGatherConfirm and kGatherCancel: each refers to one query
