dispatch: links ahead of calls no longer grow with the leafs

Links are opened ahead to at most three replicas of a shard, the preferred ones, and to none by daemons whose queries wide hosts gather. The bound has no size of the fleet in it. link_plan_test has the load at 1,000 and 2,000 hosts.

--- a/ibismux/dispatch/link_plan.cc
+++ b/ibismux/dispatch/link_plan.cc
@@ -22,6 +22,11 @@
 // power loss of the fleet, leafs hold the old connections until their idle
 // timeout, so that the old and the new connections must fit at the same time.
 constexpr double kOpenAheadShare = 0.45;
+// Number of replicas of a shard to which one daemon opens links ahead of calls,
+// however many its share would allow: a call and its hedge need two, and one
+// may be paused or away. The calls of one daemon don't keep more links in use,
+// so that leafs would close the others, and the daemon open them again.
+constexpr std::size_t kMaxReplicasAhead = 3;
 // Links of all daemons together per slot of a leaf, and the minimum for one
 // daemon: one for a call being executed, one for a waiting call, and one for a
 // call caught in a pause.
@@ -105,6 +110,20 @@
       1, round_by_rank(per_host * kPartlyUsableShare, rank));
 }
 
+/// Leaves links to few replicas, the preferred ones, to be opened ahead.
+void limit_open_ahead(std::vector<LinkGrant>& grants,
+                      const std::vector<Replica>& replicas,
+                      const LinkSharers& sharers) {
+  const std::vector<std::size_t> preferred =
+      preference_order(replicas, sharers);
+  std::size_t ahead = 0;
+  for (const std::size_t index : preferred) {
+    LinkGrant& grant = grants[index];
+    grant.open_ahead = grant.open_ahead && ahead < kMaxReplicasAhead;
+    ahead += grant.open_ahead ? 1 : 0;
+  }
+}
+
 /// The plan if all of `sharers` make about the same number of calls.
 std::vector<LinkGrant> plan_uniform(const std::vector<Replica>& replicas,
                                     const LinkSharers& sharers) {
@@ -139,7 +158,9 @@
 std::vector<LinkGrant> plan_links(const std::vector<Replica>& replicas,
                                   const LinkSharers& sharers) {
   if (!sharers.has_roles()) {
-    return plan_uniform(replicas, sharers);
+    std::vector<LinkGrant> grants = plan_uniform(replicas, sharers);
+    limit_open_ahead(grants, replicas, sharers);
+    return grants;
   }
   std::vector<Replica> part = replicas;
   for (Replica& replica : part) {
@@ -152,7 +173,15 @@
   LinkSharers group = sharers;
   group.hosts =
       sharers.gathers ? sharers.gatherers : sharers.hosts - sharers.gatherers;
-  return plan_uniform(part, group);
+  std::vector<LinkGrant> grants = plan_uniform(part, group);
+  limit_open_ahead(grants, part, group);
+  if (!sharers.gathers) {
+    // Its queries are gathered elsewhere while a gatherer can be reached.
+    for (LinkGrant& grant : grants) {
+      grant.open_ahead = false;
+    }
+  }
+  return grants;
 }
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/link_plan.h
+++ b/ibismux/dispatch/link_plan.h
@@ -59,6 +59,10 @@
 /// daemon isn't whole, the fraction determines which part of the daemons,
 /// chosen by rank, keeps links to one more.
 ///
+/// Links are opened ahead of calls only to a few replicas, so that their number
+/// grows with the number of shards and not with the number of leafs; a daemon
+/// whose queries are gathered by others opens none.
+///
 /// The number of links is also limited to little more than a leaf can execute:
 /// a call that waits at the daemon can still be dropped when its caller
 /// disconnects or has enough answers, but a call in the queue of a leaf is
--- a/tests/dispatch/link_plan_test.cc
+++ b/tests/dispatch/link_plan_test.cc
@@ -134,6 +134,43 @@
   cr_assert(second > 295 / 2);
 }
 
+/// Links that a fleet of `hosts`, `wide` of which gather queries for the
+/// others, opens ahead of calls to one shard with `replicas` leafs in five
+/// zones.
+std::size_t opened_ahead(std::size_t replicas,
+                         std::size_t hosts,
+                         std::size_t wide) {
+  Replicas leafs;
+  for (std::size_t i = 0; i < replicas; ++i) {
+    leafs.push_back({zone(i % 5), 195, 7});
+  }
+  std::size_t opened = 0;
+  for (std::size_t i = 0; i < hosts; ++i) {
+    LinkSharers sharers;
+    sharers.hosts = hosts;
+    sharers.rank = (i * 7919 + 13) % hosts;
+    sharers.zone = zone(i % 5);
+    sharers.gatherers = wide;
+    sharers.gathers = i < wide;
+    for (std::size_t j = 0; j < 5; ++j) {
+      sharers.hosts_by_zone[zone(j)] = hosts / 5;
+    }
+    for (const LinkGrant& grant : plan_links(leafs, sharers)) {
+      opened += grant.open_ahead ? 1 : 0;
+    }
+  }
+  return opened;
+}
+
+// Guards against connections that no call uses, which leafs close and daemons
+// open again: a thousand hosts opened ten for each request.
+Test(link_plan, links_ahead_of_calls_do_not_grow_with_the_leafs) {
+  cr_assert(opened_ahead(45, 1000, 50) <= 50 * 3);
+  cr_assert(opened_ahead(90, 2000, 100) <= 100 * 3);
+  cr_assert(opened_ahead(90, 1000, 0) <= 1000 * 3);
+  cr_assert(opened_ahead(45, 1000, 50) >= 50 * 2);
+}
+
 Test(link_plan, replicas_of_the_same_zone_are_preferred) {
   const auto all = grants_of_all(three(70, 4), 77, 3);
   for (std::size_t i = 0; i < all.size(); ++i) {
