--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "ibismux/base/text_hash.h"
 #include "ibismux/dispatch/dispatch_settings.h"
 #include "ibismux/dispatch/leaf.h"
 #include "ibismux/dispatch/leaf_cost.h"
@@ -60,6 +61,7 @@
                            double repeat_burst)
     : service(std::move(name)),
       settings(settings),
+      first_choice(text_hash(settings.member, text_hash(this->service))),
       repeats(repeat_burst, repeat_burst / 2) {}
 
 void ServiceGroup::add(std::shared_ptr<Leaf> leaf) {
@@ -185,7 +187,9 @@
     bool only_healthy_in_own_zone) const {
   std::shared_ptr<Leaf> best;
   Duration least = Duration::max();
-  for (const auto& leaf : this->members) {
+  for (std::size_t i = 0; i < this->members.size(); ++i) {
+    const auto& leaf =
+        this->members[(this->first_choice + i) % this->members.size()];
     if (exclusion_reason(*leaf, criteria) ||
         (only_healthy_in_own_zone &&
          !(this->is_own_zone(*leaf) &&
--- a/ibismux/dispatch/service_group.h
+++ b/ibismux/dispatch/service_group.h
@@ -145,6 +145,10 @@
 
   const std::string service;
   const DispatchSettings& settings;
+  /// Where the search for the cheapest leaf begins. Differs from daemon to
+  /// daemon: daemons that make few calls know no leaf to be better than the
+  /// others, and would all choose the first one.
+  const std::size_t first_choice;
   std::vector<std::shared_ptr<Leaf>> members;
   FractionBudget repeats;
   CallQueue waiting;
