dispatch: a query that was not answered lately goes to one leaf first

Cause: a query reaches a leaf of each shard at once, so that one deadly request ended ten leafs of thirty before the first loss was seen, and all of them with the repeats of its caller.

Until a leaf has answered, a query goes to one leaf, and to a second one after the usual hedge delay; to all shortly before the deadline. Only where the measured times of calls and queries leave room within the objective, and not for requests that this daemon has seen answered lately. The test of the first query fails before this commit: it ended four leafs and more, three now.

--- a/ibismux/dispatch/dispatch_policy.h
+++ b/ibismux/dispatch/dispatch_policy.h
@@ -33,6 +33,9 @@
   /// Answers a query without its slowest shards once waiting for them would
   /// make the answer late.
   bool partial_answers = true;
+  /// Sends a query that no leaf has answered lately to one leaf first, if its
+  /// objective leaves time for that.
+  bool canary = true;
   /// Opens links to leafs before calls need them.
   bool open_ahead = true;
   /// Has queries over many shards gathered by a peer with more bandwidth.
--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -16,6 +16,8 @@
 // It is the usual ratio for routes whose objective was set by someone who knows
 // the workload.
 constexpr double kInitialLatencyShare = 0.12;
+// The same for whole requests, which take as long as their slowest call.
+constexpr double kInitialRunShare = 0.4;
 
 /// Whether a leaf has another address, service or zone than before. Its links,
 /// its position among the replicas and its measurements are then invalid.
@@ -291,12 +293,14 @@
   return group;
 }
 
-std::shared_ptr<TypicalLatency> Dispatcher::typical_latency(
+const Dispatcher::RouteLatency& Dispatcher::typical_latency(
     const routing::Route& route) {
-  auto& typical = this->latencies[route.name];
-  if (!typical) {
-    typical = std::make_shared<TypicalLatency>(
+  RouteLatency& typical = this->latencies[route.name];
+  if (!typical.call) {
+    typical.call = std::make_shared<TypicalLatency>(
         scaled(route.objective, kInitialLatencyShare));
+    typical.run = std::make_shared<TypicalLatency>(
+        scaled(route.objective, kInitialRunShare));
   }
   return typical;
 }
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -127,7 +127,12 @@
   using Context = std::shared_ptr<RequestContext>;
 
   [[nodiscard]] std::shared_ptr<ServiceGroup> group(const std::string& service);
-  [[nodiscard]] std::shared_ptr<TypicalLatency> typical_latency(
+  struct RouteLatency {
+    std::shared_ptr<TypicalLatency> call;
+    std::shared_ptr<TypicalLatency> run;
+  };
+
+  [[nodiscard]] const RouteLatency& typical_latency(
       const routing::Route& route);
   [[nodiscard]] std::vector<std::shared_ptr<ServiceGroup>> target_groups(
       const routing::Route& route);
@@ -183,7 +188,7 @@
   std::shared_ptr<LinkOpener> opener;
   QueryDelegate* delegate = nullptr;
   customers::RateAdmission* rates = nullptr;
-  std::map<std::string, std::shared_ptr<TypicalLatency>> latencies;
+  std::map<std::string, RouteLatency> latencies;  ///< By route.
   std::map<std::string, routing::WeightedRoundRobin> splits;
 };
 
--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -145,7 +145,8 @@
   context->due =
       answer_due(request.received, route.objective, request.opens_connection);
   context->request = std::move(request);
-  context->typical = this->typical_latency(route);
+  context->typical = this->typical_latency(route).call;
+  context->typical_run = this->typical_latency(route).run;
   context->log = &this->log;
   context->metrics = &this->metrics;
   context->policy = &this->settings.policy;
--- a/ibismux/dispatch/forward_run.h
+++ b/ibismux/dispatch/forward_run.h
@@ -13,6 +13,9 @@
 
  protected:
   [[nodiscard]] Duration excess_wait(TimePoint now) const override;
+  [[nodiscard]] bool starts_with_canary(TimePoint) const override {
+    return false;
+  }
   void check_completion(TimePoint now) override;
 
  private:
--- a/ibismux/dispatch/request_context.h
+++ b/ibismux/dispatch/request_context.h
@@ -44,6 +44,8 @@
   /// When the answer should be sent to arrive within the route's objective.
   TimePoint due;
   std::shared_ptr<TypicalLatency> typical;  ///< Of the route's leaf calls.
+  /// Of the route's requests on this daemon, from sending their calls.
+  std::shared_ptr<TypicalLatency> typical_run;
   eventlog::EventLog* log = nullptr;
   DispatchMetrics* metrics = nullptr;
   const DispatchPolicy* policy = nullptr;
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "ibismux/base/text_hash.h"
 #include "ibismux/dispatch/answer_timing.h"
 #include "ibismux/dispatch/dispatch_metrics.h"
 #include "ibismux/dispatch/dispatch_policy.h"
@@ -38,6 +39,10 @@
 // They are served late rather than refused.
 constexpr milliseconds kStandingQueueAge{1000};
 
+// Leafs that a request is sent to, the second one after the usual hedge delay,
+// before any of them has answered: one of them may be paused.
+constexpr std::size_t kMaxCanaries = 2;
+
 Duration hedge_delay_of(const RequestContext& context) {
   return hedge_delay(context.typical->value(),
                      context.due - context.request.received);
@@ -79,11 +84,23 @@
       self->resume_parts();
     }
   });
+  this->parts_started = Clock::now();
+  if (this->starts_with_canary(this->parts_started)) {
+    this->waits_for_canary = true;
+    this->shared_context->crashes->limit_first_calls(1);
+    this->canary_due =
+        this->parts_started + hedge_delay_of(*this->shared_context);
+  }
   // A call that cannot be sent ends before `start()` returns. Completion must
   // not be checked until all parts are started: the others would be taken for
   // parts that will never send anything.
   this->starting = true;
-  for (const auto& part : this->part_calls) {
+  // The first one that can be sent is the canary, so that each request starts
+  // with another shard.
+  const std::size_t first =
+      text_hash(this->shared_context->request.id) % this->part_calls.size();
+  for (std::size_t i = 0; i < this->part_calls.size(); ++i) {
+    const auto& part = this->part_calls[(first + i) % this->part_calls.size()];
     part->start();
     this->count_if_ended(*part);
   }
@@ -162,12 +179,53 @@
     this->fail_run(ErrorKind::kQuarantined, "each leaf that ran it has ended");
     return;
   }
+  const TimePoint now = Clock::now();
   for (const auto& part : this->part_calls) {
     part->resume();
     if (this->ended) {
       return;
     }
   }
+  if (this->waits_for_canary &&
+      !this->shared_context->crashes->first_call_limit()) {
+    this->on_canary_answered(now);
+  }
+}
+
+void RequestRun::on_canary_answered(TimePoint now) {
+  this->waits_for_canary = false;
+  this->parts_started = now;
+  // Sending the calls takes as long as it would have taken on arrival.
+  this->sent_after = Clock::now() - now;
+  this->hedge_late_parts(now);
+  if (!this->ended) {
+    this->arm();
+  }
+}
+
+bool RequestRun::wait_for_canary(TimePoint now) {
+  const auto limit = this->shared_context->crashes->first_call_limit();
+  if (!this->waits_for_canary || !limit) {
+    return false;
+  }
+  if (now + kHedgeBatchWindow < this->canary_due) {
+    this->wake_at(this->canary_due);
+    return true;
+  }
+  if (*limit < kMaxCanaries) {
+    this->shared_context->crashes->limit_first_calls(*limit + 1);
+    // A leaf may run a request for several times the usual before it ends. If
+    // no canary answers, the answer is late in any case, and the calls wait as
+    // long as it can still be in time for the deadline.
+    const Duration needed = this->shared_context->typical_run->value() * 2;
+    this->canary_due =
+        std::max(now, this->shared_context->final_deadline - needed);
+    this->wake_at(this->canary_due);
+  } else {
+    this->shared_context->crashes->end_first_calls();
+  }
+  this->resume_parts();
+  return this->waits_for_canary;
 }
 
 TimePoint RequestRun::answer_by() const noexcept {
@@ -228,6 +286,9 @@
 }
 
 void RequestRun::hedge_late_parts(TimePoint now) {
+  if (this->wait_for_canary(now) || this->ended) {
+    return;
+  }
   const Duration delay = hedge_delay_of(*this->shared_context);
   for (const auto& part : this->part_calls) {
     const auto since = part->waiting_since();
@@ -261,6 +322,10 @@
     // Whether leafs have run the calls of the peer is unknown here.
     outcome.error().execution = Execution::kUnknown;
   }
+  if (outcome && !partial) {
+    const TimePoint now = Clock::now();
+    this->shared_context->typical_run->record(now - this->parts_started, now);
+  }
   this->log_end(outcome, partial);
   this->stop_parts();
   const Done report = std::exchange(this->done, nullptr);
--- a/ibismux/dispatch/request_run.h
+++ b/ibismux/dispatch/request_run.h
@@ -59,6 +59,9 @@
   [[nodiscard]] Duration excess_wait_at(const ServiceGroup& service,
                                         TimePoint now) const;
 
+  /// Whether the request is sent to a single leaf first.
+  [[nodiscard]] virtual bool starts_with_canary(TimePoint now) const = 0;
+
   /// Ends the run if the states of its parts allow or require it.
   virtual void check_completion(TimePoint now) = 0;
 
@@ -107,6 +110,13 @@
   /// request may not be sent any more.
   void resume_parts();
   void arm();
+  /// While calls wait for a canary that takes longer than usual, sends the
+  /// request to one more leaf, and shortly before the deadline to all of them.
+  /// @return Whether
+  /// calls still wait.
+  [[nodiscard]] bool wait_for_canary(TimePoint now);
+  /// Starts hedging once all calls may be sent.
+  void on_canary_answered(TimePoint now);
   /// Rearms the timer if it fired late, and returns whether it did. If the
   /// event loop is late, answers may have arrived that have not been read yet.
   /// Hedging their calls would add load and delay the loop further.
@@ -125,6 +135,10 @@
   Parts part_calls;
   PartCounts ended_counts;
   Duration sent_after{0};  ///< From the arrival until all parts were started.
+  /// When all parts could be started.
+  TimePoint parts_started;
+  TimePoint canary_due;  ///< When the request is sent to one more leaf.
+  bool waits_for_canary = false;
   http::Timer timer;
   TimePoint wake_time;
   /// The timer has fired late, and the events that were pending then have been
--- a/ibismux/dispatch/scatter_run.cc
+++ b/ibismux/dispatch/scatter_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "ibismux/dispatch/canary_timing.h"
 #include "ibismux/dispatch/dispatch_policy.h"
 #include "ibismux/dispatch/record_merger.h"
 #include "ibismux/dispatch/service_group.h"
@@ -41,6 +42,15 @@
   return *last;
 }
 
+bool ScatterRun::starts_with_canary(TimePoint now) const {
+  const RequestContext& context = this->context();
+  return context.policy->canary && this->parts().size() > 1 &&
+         !context.crashes->was_answered_lately() &&
+         leaves_time_for_canary(context.typical->value(),
+                                context.typical_run->value(),
+                                this->answer_by() - now);
+}
+
 void ScatterRun::check_completion(TimePoint now) {
   const std::size_t answered = this->part_counts().answered;
   const std::size_t open =
--- a/ibismux/edge/edge_settings.cc
+++ b/ibismux/edge/edge_settings.cc
@@ -146,6 +146,10 @@
     Key{"policy.partial_answers",
         "Answer queries without their slowest shards rather than late.",
         Flag{&EdgeSettings::partial_answers}},
+    Key{"policy.canary",
+        "Send a query that no leaf has answered lately to one leaf first, if "
+        "its objective leaves time for that.",
+        Flag{&EdgeSettings::canary}},
     Key{"policy.open_ahead", "Open links to leafs before calls need them.",
         Flag{&EdgeSettings::open_ahead}},
     Key{"policy.delegate_queries",
--- a/ibismux/quarantine/crash_watch.cc
+++ b/ibismux/quarantine/crash_watch.cc
@@ -27,10 +27,15 @@
     return true;
   }
   const QuarantineState state = this->state();
-  return state == QuarantineState::kClear ||
+  return (state == QuarantineState::kClear &&
+          this->in_flight < this->first_calls) ||
          (state == QuarantineState::kSuspect && this->in_flight == 0);
 }
 
+bool CrashWatch::was_answered_lately() const {
+  return this->table.was_answered(this->digest);
+}
+
 bool CrashWatch::is_quarantined() const {
   return !this->answered && this->state() == QuarantineState::kQuarantined;
 }
--- a/ibismux/quarantine/crash_watch.h
+++ b/ibismux/quarantine/crash_watch.h
@@ -4,6 +4,8 @@
 #include <chrono>
 #include <cstddef>
 #include <functional>
+#include <limits>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -23,6 +25,12 @@
 /// other, each while no other call of the request is in flight, the request is
 /// considered the cause.
 ///
+/// A request that no leaf has answered lately may be sent to a canary first: a
+/// single leaf, or a few if the first one is slow. All other calls wait until
+/// one of them has answered. Otherwise a query over many shards would end a
+/// leaf of each of them before the first end is noticed (J. Dean, L. Barroso,
+/// "The Tail at Scale", 2013).
+///
 /// Belongs to one event loop; not thread safe.
 class CrashWatch {
  public:
@@ -63,6 +71,24 @@
   /// Time until the quarantine ends. Precondition: the request is quarantined.
   [[nodiscard]] std::chrono::milliseconds remaining_quarantine() const;
 
+  /// @name Canaries
+  /// @{
+  /// Whether leafs have answered the request lately, so that it needs none.
+  [[nodiscard]] bool was_answered_lately() const;
+  /// Limits the calls in flight until a leaf has answered.
+  void limit_first_calls(std::size_t limit) noexcept {
+    this->first_calls = limit;
+  }
+  /// Ends the limit.
+  void end_first_calls() noexcept { this->first_calls = kUnlimited; }
+  /// The limit, or nothing if calls may be sent without one.
+  [[nodiscard]] std::optional<std::size_t> first_call_limit() const noexcept {
+    return this->answered || this->first_calls == kUnlimited
+               ? std::nullopt
+               : std::optional(this->first_calls);
+  }
+  /// @}
+
   /// @name Calls that wait until they may start
   /// @{
   /// @param on_released Called when calls that had to wait may be able to
@@ -82,10 +108,14 @@
   /// @}
 
  private:
+  static constexpr std::size_t kUnlimited =
+      std::numeric_limits<std::size_t>::max();
+
   QuarantineTable& table;
   const RequestDigest digest;
   const Clock clock;
   std::size_t in_flight = 0;
+  std::size_t first_calls = kUnlimited;
   bool answered = false;
   /// A crash was counted since there was last no call in flight.
   bool crash_counted = false;
--- a/ibismux/quarantine/quarantine_table.cc
+++ b/ibismux/quarantine/quarantine_table.cc
@@ -20,6 +20,7 @@
 QuarantineState QuarantineTable::on_crash(const RequestDigest& digest,
                                           const std::string& leaf_run,
                                           UnixTime now) {
+  this->answered.remove(digest);
   Row& row = this->row(digest, now);
   if (row.cleared) {
     row.record = {};
@@ -32,6 +33,7 @@
 }
 
 bool QuarantineTable::on_answer(const RequestDigest& digest) {
+  this->answered.add(digest);
   const auto found = this->rows.find(digest);
   if (found == this->rows.end() || found->second.cleared) {
     return false;
--- a/ibismux/quarantine/quarantine_table.h
+++ b/ibismux/quarantine/quarantine_table.h
@@ -8,6 +8,7 @@
 #include <utility>
 #include <vector>
 
+#include "ibismux/quarantine/answered_requests.h"
 #include "ibismux/quarantine/quarantine_record.h"
 #include "ibismux/quarantine/request_digest.h"
 #include "ibismux/store/stored_object.h"
@@ -56,6 +57,11 @@
   /// @return Whether there was any evidence against it.
   bool on_answer(const RequestDigest& digest);
 
+  /// Whether leafs have answered the request lately.
+  [[nodiscard]] bool was_answered(const RequestDigest& digest) const {
+    return this->answered.contains(digest);
+  }
+
   /// @name Updates from the store
   /// @{
   /// An object was written. Changes that it doesn't contain remain to be
@@ -108,6 +114,7 @@
   void evict_if_full(UnixTime now);
 
   Rows rows;
+  AnsweredRequests answered;
   std::uint64_t next_insertion_order = 0;
   std::function<void()> notify_dirty = [] {};
 };
--- a/tests/dispatch/crashing_request_test.cc
+++ b/tests/dispatch/crashing_request_test.cc
@@ -10,6 +10,19 @@
 // The maximum number of attempts of callers that reach leafs before the request
 // is quarantined, which happens once three leafs have crashed.
 constexpr int kMaxAttemptsReachingLeafs = 3;
+constexpr int kShardCount = static_cast<int>(DispatchFixture::kShards);
+
+/// A fixture that has learned how long queries take, so that there is time for
+/// canaries.
+struct CanaryFixture : DispatchFixture {
+  CanaryFixture() {
+    for (int shard = 1; shard <= kShardCount; ++shard) {
+      this->set_behaviour_of_service("s" + std::to_string(shard),
+                                     {.work = std::chrono::milliseconds(20)});
+    }
+    this->run_many("/query/usual", 60);
+  }
+};
 
 /// Sends `path` `attempts` times; all crashed leafs are restarted before each.
 /// @return How many attempts reached a leaf.
@@ -65,6 +78,59 @@
   cr_assert(fixture.run("good", "/query/good").has_value());
 }
 
+// Guards against a query that ends a leaf of each shard before the first end is
+// noticed.
+Test(crashing_request, the_first_query_ends_no_more_leafs_than_a_quarantine) {
+  constexpr int kLeafsToQuarantine = 3;
+  CanaryFixture fixture;
+  fixture.leafs.crashing_target = "/query/bad";
+  fixture.run("bad", "/query/bad");
+  cr_assert(fixture.leafs.crashes <= kLeafsToQuarantine);
+  cr_assert(fixture.run("good", "/query/good").has_value());
+}
+
+// Guards against canaries that are given up while a leaf still runs the
+// request: leafs took seven times the usual until they ended.
+Test(crashing_request, canaries_are_given_time_to_end) {
+  constexpr int kLeafsToQuarantine = 3;
+  CanaryFixture fixture;
+  for (int shard = 1; shard <= kShardCount; ++shard) {
+    fixture.set_behaviour_of_service("s" + std::to_string(shard),
+                                     {.work = std::chrono::milliseconds(140)});
+  }
+  fixture.leafs.crashing_target = "/query/bad";
+  fixture.run("bad", "/query/bad");
+  // The first two end together and count once.
+  cr_assert(fixture.leafs.crashes <= kLeafsToQuarantine + 1);
+}
+
+// Guards against a query that waits for a canary that never answers.
+Test(crashing_request, a_silent_canary_is_followed_by_others) {
+  CanaryFixture fixture;
+  fixture.time_limit = std::chrono::milliseconds(3000);
+  fixture.configure(2);
+  fixture.set_behaviour_of_service("s1", {.silent = true});
+  fixture.set_behaviour_of_service("s2", {.silent = true});
+  fixture.begin("q1", "/query/x");
+  cr_assert(fixture.run_until(
+      [&] { return fixture.leafs.times_run("q1") >= kShardCount; }));
+}
+
+Test(crashing_request, a_query_that_was_answered_lately_has_no_canary) {
+  CanaryFixture fixture;
+  cr_assert(fixture.run("q1", "/query/x").has_value());
+  for (int shard = 1; shard <= 4; ++shard) {
+    fixture.set_behaviour_of_service("s" + std::to_string(shard),
+                                     {.silent = true});
+  }
+  fixture.begin("q2", "/query/x");
+  cr_assert(fixture.run_until(
+      [&] { return fixture.leafs.times_run("q2") >= kShardCount; }));
+  fixture.begin("q3", "/query/y");
+  cr_assert(
+      fixture.run_until([&] { return fixture.leafs.times_run("q3") == 1; }));
+}
+
 // Guards against the quarantine of a request because of leafs that ended for
 // other reasons.
 Test(crashing_request, leafs_that_end_for_other_reasons_cause_no_quarantine) {
--- a/tests/quarantine/crash_watch_test.cc
+++ b/tests/quarantine/crash_watch_test.cc
@@ -39,6 +39,24 @@
   cr_assert(!watch.may_send());
 }
 
+// Guards against a query that ends a leaf of each shard at once.
+Test(crash_watch, first_calls_are_limited_until_a_leaf_has_answered) {
+  Attempts attempts;
+  CrashWatch watch = attempts.begin();
+  cr_assert(!watch.was_answered_lately());
+  watch.limit_first_calls(1);
+  cr_assert(watch.may_send());
+  watch.on_send();
+  cr_assert(!watch.may_send());
+  watch.limit_first_calls(2);
+  cr_assert(watch.may_send());
+  watch.on_send();
+  cr_assert(!watch.may_send());
+  watch.on_end(End::kAnswered, "a");
+  cr_assert(watch.may_send() && !watch.first_call_limit());
+  cr_assert(attempts.begin().was_answered_lately());
+}
+
 // Guards against a quarantine caused by a power failure in a zone, which ends
 // many leafs of one query.
 Test(crash_watch, leafs_that_end_together_count_once) {
