--- a/ibismux/customers/rate_limiter.cc
+++ b/ibismux/customers/rate_limiter.cc
@@ -151,50 +151,60 @@
       .first->second;
 }
 
-Task<Result<void>> RateLimiter::admit(Customer customer,
-                                      std::uint64_t configuration,
-                                      TimePoint deadline) {
-  const auto self = this->shared_from_this();
-  const RateRequest request{customer.name, configuration, customer.limit};
-  const RateParts parts(customer.limit, this->settings.tolerance);
-  std::optional<TimePoint> next_fit;
-  const auto note_refusal = [&next_fit](TimePoint until) {
-    next_fit = next_fit ? std::min(*next_fit, until) : until;
+Task<RateLimiter::Round> RateLimiter::ask_owners(RateRequest request,
+                                                 TimePoint deadline) {
+  Round round;
+  const auto note_refusal = [&round](TimePoint until) {
+    round.next_fit = std::min(round.next_fit.value_or(until), until);
   };
-  bool all_reached = true;
-  const std::vector<std::string> owners = this->owners_in_order(customer.name);
+  const std::vector<std::string> owners =
+      this->owners_in_order(request.customer);
+  round.all_reached = !owners.empty();
   for (const std::string& owner : owners) {
-    const TimePoint now = Clock::now();
-    const Refusals& refusals = this->state(customer.name).refused_until;
+    const Refusals& refusals = this->state(request.customer).refused_until;
     const auto refusal = refusals.find(owner);
-    if (refusal != refusals.end() && refusal->second > now) {
+    if (refusal != refusals.end() && refusal->second > Clock::now()) {
       note_refusal(refusal->second);
       continue;
     }
     const auto reply = co_await this->ask(owner, request, deadline);
     if (!reply) {
-      all_reached = false;
+      round.all_reached = false;
       continue;
     }
-    State& state = this->state(customer.name);
-    const TimePoint replied = Clock::now();
     if (reply->granted) {
-      state.ungranted.on_grant(parts.ungranted_share(), replied);
-      this->granted.Increment();
-      co_return Result<void>{};
+      round.granted = true;
+      co_return round;
     }
-    note_refusal(replied + reply->retry_after);
-    state.refused_until[owner] =
-        replied + std::min<Duration>(reply->retry_after, kMaxRefusalPause);
+    const TimePoint now = Clock::now();
+    note_refusal(now + reply->retry_after);
+    this->state(request.customer).refused_until[owner] =
+        now + std::min<Duration>(reply->retry_after, kMaxRefusalPause);
   }
+  co_return round;
+}
+
+Task<Result<void>> RateLimiter::admit(Customer customer,
+                                      std::uint64_t configuration,
+                                      TimePoint deadline) {
+  const auto self = this->shared_from_this();
+  // A variable of its own: GCC 12 miscompiles aggregates that are initialized
+  // among the arguments of an awaited call.
+  RateRequest request{customer.name, configuration, customer.limit};
+  const Round round = co_await this->ask_owners(std::move(request), deadline);
   const TimePoint now = Clock::now();
-  if (owners.empty() || !all_reached) {
-    if (this->state(customer.name).ungranted.take(now)) {
-      this->ungranted.Increment();
-      co_return Result<void>{};
-    }
+  UngrantedAllowance& allowance = this->state(customer.name).ungranted;
+  if (round.granted) {
+    const RateParts parts(customer.limit, this->settings.tolerance);
+    allowance.on_grant(parts.ungranted_share(), now);
+    this->granted.Increment();
+    co_return Result<void>{};
+  }
+  if (!round.all_reached && allowance.take(now)) {
+    this->ungranted.Increment();
+    co_return Result<void>{};
   }
-  if (!next_fit) {
+  if (!round.next_fit) {
     this->undecided.Increment();
     Error error = make_error(ErrorKind::kNotReady,
                              "no owner of the limit can be reached");
@@ -207,7 +217,7 @@
       "beyond the limit of " + std::to_string(customer.limit.per_second) +
           " a second and " + std::to_string(customer.limit.burst));
   error.retry_after = std::max(
-      kMinRetryAfter, std::chrono::ceil<milliseconds>(*next_fit - now));
+      kMinRetryAfter, std::chrono::ceil<milliseconds>(*round.next_fit - now));
   co_return tl::unexpected(std::move(error));
 }
 
--- a/ibismux/customers/rate_limiter.h
+++ b/ibismux/customers/rate_limiter.h
@@ -72,6 +72,16 @@
     Refusals refused_until;  ///< By owner.
   };
 
+  /// What the owners of one limit have said to one request.
+  struct Round {
+    bool granted = false;
+    bool all_reached = true;  ///< Or skipped, since they refused just before.
+    /// The earliest time at which an owner that refused has a token.
+    std::optional<TimePoint> next_fit;
+  };
+
+  /// Asks one owner after the other until one grants the request.
+  [[nodiscard]] Task<Round> ask_owners(RateRequest request, TimePoint deadline);
   /// Nothing if `owner` can't be reached.
   [[nodiscard]] Task<std::optional<RateReply>> ask(const std::string& owner,
                                                    const RateRequest& request,
--- a/tests/users_platform/customer_reader_test.cc
+++ b/tests/users_platform/customer_reader_test.cc
@@ -51,6 +51,19 @@
   cr_assert(all.odd_entries() == 0);
 }
 
+// Guards against a daemon that gets no configuration from peers of an older
+// build, which know nothing of digests.
+Test(customer_reader, keys_that_a_peer_passed_on_are_read) {
+  const auto table = ConfigurationReader().decode(
+      {"config", "main", 9,
+       R"({"Version":7,"Routes":[],"Services":[],"Limits":{)"
+       R"("MaxHeaderBytes":16384,"MaxBodyBytes":262144,)"
+       R"("HeaderTimeoutMs":3000,"IdleTimeoutMs":15000},)"
+       R"("Tenants":[{"Name":"a","ApiKeys":["k1"]}]})"});
+  cr_assert(table.has_value());
+  cr_assert((*table)->customers()->find_by_key("k1")->name == "a");
+}
+
 // Guards against one odd entry that keeps a whole version from taking effect.
 Test(customer_reader, odd_entries_are_counted_and_left_out) {
   const auto table =
