--- a/ibismux/dispatch/request_run.h
+++ b/ibismux/dispatch/request_run.h
@@ -112,8 +112,7 @@
   void arm();
   /// While calls wait for a canary that takes longer than usual, sends the
   /// request to one more leaf, and shortly before the deadline to all of them.
-  /// @return Whether
-  /// calls still wait.
+  /// @return Whether calls still wait.
   [[nodiscard]] bool wait_for_canary(TimePoint now);
   /// Starts hedging once all calls may be sent.
   void on_canary_answered(TimePoint now);
