--- a/ibismux/customers/forward.h
+++ b/ibismux/customers/forward.h
@@ -4,6 +4,8 @@
 namespace ibismux::customers {
 
 struct Customer;
+struct RateCheck;
+struct RateGrant;
 struct RateLimit;
 struct RateReply;
 struct RateRequest;
--- a/ibismux/customers/gen/customers_types.cpp
+++ b/ibismux/customers/gen/customers_types.cpp
@@ -33,6 +33,10 @@
 void RateRequest::__set_burst(const double val) {
   this->burst = val;
 }
+
+void RateRequest::__set_is_late(const bool val) {
+  this->is_late = val;
+}
 std::ostream& operator<<(std::ostream& out, const RateRequest& obj)
 {
   obj.printTo(out);
@@ -93,6 +97,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->is_late);
+          this->__isset.is_late = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -126,6 +138,10 @@
   xfer += oprot->writeDouble(this->burst);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("is_late", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->is_late);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -137,6 +153,7 @@
   swap(a.configuration, b.configuration);
   swap(a.per_second, b.per_second);
   swap(a.burst, b.burst);
+  swap(a.is_late, b.is_late);
   swap(a.__isset, b.__isset);
 }
 
@@ -145,6 +162,7 @@
   configuration = other0.configuration;
   per_second = other0.per_second;
   burst = other0.burst;
+  is_late = other0.is_late;
   __isset = other0.__isset;
 }
 RateRequest& RateRequest::operator=(const RateRequest& other1) {
@@ -152,6 +170,7 @@
   configuration = other1.configuration;
   per_second = other1.per_second;
   burst = other1.burst;
+  is_late = other1.is_late;
   __isset = other1.__isset;
   return *this;
 }
@@ -162,6 +181,7 @@
   out << ", " << "configuration=" << to_string(configuration);
   out << ", " << "per_second=" << to_string(per_second);
   out << ", " << "burst=" << to_string(burst);
+  out << ", " << "is_late=" << to_string(is_late);
   out << ")";
 }
 
@@ -181,6 +201,10 @@
 void RateReply::__set_retry_after_us(const int64_t val) {
   this->retry_after_us = val;
 }
+
+void RateReply::__set_usage(const double val) {
+  this->usage = val;
+}
 std::ostream& operator<<(std::ostream& out, const RateReply& obj)
 {
   obj.printTo(out);
@@ -233,6 +257,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->usage);
+          this->__isset.usage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -262,6 +294,10 @@
   xfer += oprot->writeI64(this->retry_after_us);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("usage", ::apache::thrift::protocol::T_DOUBLE, 4);
+  xfer += oprot->writeDouble(this->usage);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -272,6 +308,7 @@
   swap(a.is_owner, b.is_owner);
   swap(a.granted, b.granted);
   swap(a.retry_after_us, b.retry_after_us);
+  swap(a.usage, b.usage);
   swap(a.__isset, b.__isset);
 }
 
@@ -279,12 +316,14 @@
   is_owner = other2.is_owner;
   granted = other2.granted;
   retry_after_us = other2.retry_after_us;
+  usage = other2.usage;
   __isset = other2.__isset;
 }
 RateReply& RateReply::operator=(const RateReply& other3) noexcept {
   is_owner = other3.is_owner;
   granted = other3.granted;
   retry_after_us = other3.retry_after_us;
+  usage = other3.usage;
   __isset = other3.__isset;
   return *this;
 }
@@ -294,6 +333,7 @@
   out << "is_owner=" << to_string(is_owner);
   out << ", " << "granted=" << to_string(granted);
   out << ", " << "retry_after_us=" << to_string(retry_after_us);
+  out << ", " << "usage=" << to_string(usage);
   out << ")";
 }
 
--- a/ibismux/customers/gen/customers_types.h
+++ b/ibismux/customers/gen/customers_types.h
@@ -26,11 +26,12 @@
 class RateReply;
 
 typedef struct _RateRequest__isset {
-  _RateRequest__isset() : customer(false), configuration(false), per_second(false), burst(false) {}
+  _RateRequest__isset() : customer(false), configuration(false), per_second(false), burst(false), is_late(false) {}
   bool customer :1;
   bool configuration :1;
   bool per_second :1;
   bool burst :1;
+  bool is_late :1;
 } _RateRequest__isset;
 
 class RateRequest : public virtual ::apache::thrift::TBase {
@@ -42,7 +43,8 @@
               : customer(),
                 configuration(0),
                 per_second(0),
-                burst(0) {
+                burst(0),
+                is_late(0) {
   }
 
   virtual ~RateRequest() noexcept;
@@ -50,6 +52,7 @@
   int64_t configuration;
   double per_second;
   double burst;
+  bool is_late;
 
   _RateRequest__isset __isset;
 
@@ -61,6 +64,8 @@
 
   void __set_burst(const double val);
 
+  void __set_is_late(const bool val);
+
   bool operator == (const RateRequest & rhs) const
   {
     if (!(customer == rhs.customer))
@@ -71,6 +76,8 @@
       return false;
     if (!(burst == rhs.burst))
       return false;
+    if (!(is_late == rhs.is_late))
+      return false;
     return true;
   }
   bool operator != (const RateRequest &rhs) const {
@@ -90,10 +97,11 @@
 std::ostream& operator<<(std::ostream& out, const RateRequest& obj);
 
 typedef struct _RateReply__isset {
-  _RateReply__isset() : is_owner(false), granted(false), retry_after_us(false) {}
+  _RateReply__isset() : is_owner(false), granted(false), retry_after_us(false), usage(false) {}
   bool is_owner :1;
   bool granted :1;
   bool retry_after_us :1;
+  bool usage :1;
 } _RateReply__isset;
 
 class RateReply : public virtual ::apache::thrift::TBase {
@@ -104,13 +112,15 @@
   RateReply() noexcept
             : is_owner(0),
               granted(0),
-              retry_after_us(0) {
+              retry_after_us(0),
+              usage(0) {
   }
 
   virtual ~RateReply() noexcept;
   bool is_owner;
   bool granted;
   int64_t retry_after_us;
+  double usage;
 
   _RateReply__isset __isset;
 
@@ -120,6 +130,8 @@
 
   void __set_retry_after_us(const int64_t val);
 
+  void __set_usage(const double val);
+
   bool operator == (const RateReply & rhs) const
   {
     if (!(is_owner == rhs.is_owner))
@@ -128,6 +140,8 @@
       return false;
     if (!(retry_after_us == rhs.retry_after_us))
       return false;
+    if (!(usage == rhs.usage))
+      return false;
     return true;
   }
   bool operator != (const RateReply &rhs) const {
--- a/ibismux/customers/messages.cc
+++ b/ibismux/customers/messages.cc
@@ -23,6 +23,7 @@
   out.__set_configuration(static_cast<std::int64_t>(request.configuration));
   out.__set_per_second(request.limit.per_second);
   out.__set_burst(request.limit.burst);
+  out.__set_is_late(request.is_late);
   return peer::encode(out);
 }
 
@@ -32,6 +33,7 @@
   out.__set_granted(reply.granted);
   out.__set_retry_after_us(
       std::chrono::ceil<microseconds>(reply.retry_after).count());
+  out.__set_usage(reply.usage);
   return peer::encode(out);
 }
 
@@ -46,7 +48,8 @@
   }
   return RateRequest{std::move(in->customer),
                      static_cast<std::uint64_t>(in->configuration),
-                     {in->per_second, in->burst}};
+                     {in->per_second, in->burst},
+                     in->is_late};
 }
 
 Result<RateReply> decode_rate_reply(const std::string& payload) {
@@ -57,7 +60,11 @@
   if (in->retry_after_us < 0 || in->retry_after_us > kMaxRetryAfterUs) {
     return fail(ErrorKind::kProtocolError, "a time is out of range");
   }
-  return RateReply{in->is_owner, in->granted, microseconds(in->retry_after_us)};
+  if (!std::isfinite(in->usage) || in->usage < 0) {
+    return fail(ErrorKind::kProtocolError, "the usage is out of range");
+  }
+  return RateReply{in->is_owner, in->granted, microseconds(in->retry_after_us),
+                   in->usage};
 }
 
 }  // namespace ibismux::customers
--- a/ibismux/customers/messages.h
+++ b/ibismux/customers/messages.h
@@ -15,6 +15,8 @@
   std::string customer;
   std::uint64_t configuration = 0;  ///< The version that states `limit`.
   RateLimit limit;
+  /// See `RateCheck`.
+  bool is_late = false;
 };
 
 /// The reply to kRateRequest.
@@ -23,6 +25,8 @@
   bool is_owner = false;
   bool granted = false;
   Duration retry_after{0};  ///< If it owns a part and has refused.
+  /// If it owns a part; see `RateGrant`.
+  double usage = 0;
 };
 
 /// @name Encoding of frame payloads. Thread safe.
--- a/ibismux/customers/rate_admission.h
+++ b/ibismux/customers/rate_admission.h
@@ -1,11 +1,8 @@
 #ifndef IBISMUX_CUSTOMERS_RATE_ADMISSION_H_
 #define IBISMUX_CUSTOMERS_RATE_ADMISSION_H_
 
-#include <cstdint>
-
 #include "ibismux/base/error.h"
 #include "ibismux/base/task.h"
-#include "ibismux/base/time.h"
 #include "ibismux/customers/forward.h"
 
 namespace ibismux::customers {
@@ -17,14 +14,12 @@
  public:
   virtual ~RateAdmission() = default;
 
-  /// Counts one request of `customer`, if its limit allows the request.
+  /// Counts one request against the limit of its customer, if the limit allows
+  /// the request. May wait, but no longer than until `check.latest_start`.
   /// Errors: kRateLimited, with the time at which the customer's next request
   /// fits; kNotReady if no owner of the limit can be reached.
   /// Precondition: the customer has a limit.
-  /// @param configuration The version of the configuration that states it.
-  [[nodiscard]] virtual Task<Result<void>> admit(Customer customer,
-                                                 std::uint64_t configuration,
-                                                 TimePoint deadline) = 0;
+  [[nodiscard]] virtual Task<Result<RateGrant>> admit(RateCheck check) = 0;
 };
 
 }  // namespace ibismux::customers
--- a/ibismux/customers/rate_limiter.cc
+++ b/ibismux/customers/rate_limiter.cc
@@ -172,6 +172,7 @@
       round.all_reached = false;
       continue;
     }
+    round.usage = std::max(round.usage, reply->usage);
     if (reply->granted) {
       round.granted = true;
       co_return round;
@@ -184,25 +185,26 @@
   co_return round;
 }
 
-Task<Result<void>> RateLimiter::admit(Customer customer,
-                                      std::uint64_t configuration,
-                                      TimePoint deadline) {
+Task<Result<RateGrant>> RateLimiter::admit(RateCheck check) {
   const auto self = this->shared_from_this();
+  const Customer& customer = check.customer;
   // A variable of its own: GCC 12 miscompiles aggregates that are initialized
   // among the arguments of an awaited call.
-  RateRequest request{customer.name, configuration, customer.limit};
-  const Round round = co_await this->ask_owners(std::move(request), deadline);
+  RateRequest request{customer.name, check.configuration, customer.limit,
+                      check.is_late};
+  const Round round =
+      co_await this->ask_owners(std::move(request), check.deadline);
   const TimePoint now = Clock::now();
   UngrantedAllowance& allowance = this->state(customer.name).ungranted;
   if (round.granted) {
     const RateParts parts(customer.limit, this->settings.tolerance);
     allowance.on_grant(parts.ungranted_share(), now);
     this->granted.Increment();
-    co_return Result<void>{};
+    co_return RateGrant{round.usage};
   }
   if (!round.all_reached && allowance.take(now)) {
     this->ungranted.Increment();
-    co_return Result<void>{};
+    co_return RateGrant{round.usage};
   }
   if (!round.next_fit) {
     this->undecided.Increment();
--- a/ibismux/customers/rate_limiter.h
+++ b/ibismux/customers/rate_limiter.h
@@ -16,6 +16,8 @@
 #include "ibismux/customers/messages.h"
 #include "ibismux/customers/owner_selector.h"
 #include "ibismux/customers/rate_admission.h"
+#include "ibismux/customers/rate_check.h"
+#include "ibismux/customers/rate_grant.h"
 #include "ibismux/customers/rate_owner.h"
 #include "ibismux/customers/ungranted_allowance.h"
 #include "ibismux/eventlog/forward.h"
@@ -56,9 +58,7 @@
   /// included, as far as it is known.
   void on_view(const membership::MembershipView& view, std::size_t fleet_size);
 
-  [[nodiscard]] Task<Result<void>> admit(Customer customer,
-                                         std::uint64_t configuration,
-                                         TimePoint deadline) override;
+  [[nodiscard]] Task<Result<RateGrant>> admit(RateCheck check) override;
 
  private:
   /// What an owner that refused a customer has said.
@@ -78,6 +78,7 @@
     bool all_reached = true;  ///< Or skipped, since they refused just before.
     /// The earliest time at which an owner that refused has a token.
     std::optional<TimePoint> next_fit;
+    double usage = 0;  ///< The largest one that an owner has said.
   };
 
   /// Asks one owner after the other until one grants the request.
--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -9,6 +9,8 @@
 #include "ibismux/customers/bearer_key.h"
 #include "ibismux/customers/customer_table.h"
 #include "ibismux/customers/rate_admission.h"
+#include "ibismux/customers/rate_check.h"
+#include "ibismux/customers/rate_grant.h"
 #include "ibismux/dispatch/answer_timing.h"
 #include "ibismux/dispatch/dispatcher.h"
 #include "ibismux/dispatch/forward_run.h"
@@ -198,8 +200,11 @@
   if (!customer || !customer->limit.is_limited() || !this->rates) {
     co_return Result<void>{};
   }
-  co_return co_await this->rates->admit(*customer, context.table->version(),
-                                        context.final_deadline);
+  customers::RateCheck check{*customer, context.table->version(),
+                             context.due - context.typical_run->value(),
+                             context.final_deadline, false};
+  const auto grant = co_await this->rates->admit(std::move(check));
+  co_return grant ? Result<void>{} : tl::unexpected(grant.error());
 }
 
 bool Dispatcher::may_delegate(const RequestContext& context) const {
--- /dev/null
+++ b/ibismux/startup/forward.h
@@ -0,0 +1,10 @@
+#ifndef IBISMUX_STARTUP_FORWARD_H_
+#define IBISMUX_STARTUP_FORWARD_H_
+
+namespace ibismux::startup {
+
+class StartGate;
+
+}  // namespace ibismux::startup
+
+#endif  // IBISMUX_STARTUP_FORWARD_H_
--- a/tests/dispatch/customers_test.cc
+++ b/tests/dispatch/customers_test.cc
@@ -3,6 +3,8 @@
 #include <algorithm>
 
 #include "ibismux/customers/rate_admission.h"
+#include "ibismux/customers/rate_check.h"
+#include "ibismux/customers/rate_grant.h"
 #include "tests/dispatch/dispatch_fixture.h"
 
 #include <criterion/criterion.h>
@@ -15,17 +17,16 @@
 /// Allows a number of requests.
 class FakeRates : public customers::RateAdmission {
  public:
-  Task<Result<void>> admit(customers::Customer customer,
-                           std::uint64_t,
-                           TimePoint) override {
-    this->asked.push_back(customer.name);
+  Task<Result<customers::RateGrant>> admit(
+      customers::RateCheck check) override {
+    this->asked.push_back(check.customer.name);
     if (this->room == 0) {
       Error error = make_error(ErrorKind::kRateLimited, "full");
       error.retry_after = std::chrono::milliseconds(70);
       co_return tl::unexpected(std::move(error));
     }
     --this->room;
-    co_return Result<void>{};
+    co_return customers::RateGrant{};
   }
 
   std::size_t room = 1000;
--- a/thrift/customers.thrift
+++ b/thrift/customers.thrift
@@ -12,6 +12,8 @@
   3: double per_second
   /// Requests at once.
   4: double burst
+  /// The answer is late whenever the request is granted. Absent in older builds.
+  5: bool is_late
 }
 
 /// The response to kRateRequest.
@@ -21,4 +23,7 @@
   2: bool granted
   /// After what time the next request may be granted.
   3: i64 retry_after_us
+  /// Requests that the receiver was asked for in the last window, over those that
+  /// its part of the limit allows in one. Absent in older builds.
+  4: double usage
 }
