customers: owners without a copy and a sort of the whole fleet for each change

Cause: OwnerSelector copied the map of all members at each change, kept 32 such copies, and sorted all members with maps for each customer and each remembered change. With more than 32 changes within a minute, as after an outage of a fleet, a bucket counted as owned only since the oldest copy: emptier than it is.

Ruled out: a hash of precomputed hashes, which would rank members differently from daemons of the version before.

Change: only what changes is kept (up to 300 changes); OwnerRanking orders as many members as a limit has owners, out of a heap; owner_since() undoes the changes. Who owns what is the same as before.

--- a/ibismux/customers/forward.h
+++ b/ibismux/customers/forward.h
@@ -4,6 +4,7 @@
 namespace ibismux::customers {
 
 struct Customer;
+struct OwnerCandidate;
 struct RateCheck;
 struct RateGrant;
 struct RateLimit;
@@ -11,6 +12,7 @@
 struct RateRequest;
 struct RateTolerance;
 class CustomerTable;
+class OwnerRanking;
 class OwnerSelector;
 class RateAdmission;
 class RateLimiter;
--- a/ibismux/customers/owner_selector.cc
+++ b/ibismux/customers/owner_selector.cc
@@ -2,11 +2,9 @@
 
 #include <algorithm>
 #include <iterator>
+#include <set>
 #include <utility>
 
-#include "ibismux/base/text_hash.h"
-#include "ibismux/customers/rate_parts.h"
-
 namespace ibismux::customers {
 
 namespace {
@@ -16,48 +14,74 @@
 
 }  // namespace
 
+void OwnerSelector::note(const Candidate& candidate,
+                         TimePoint now,
+                         Change& change) {
+  const auto known = this->members.find(candidate.name);
+  const bool is_same = known != this->members.end() &&
+                       known->second.member->zone == candidate.zone;
+  if (known != this->members.end() && (candidate.leaving || !is_same)) {
+    change.removed.push_back(std::move(known->second.member));
+    this->members.erase(known);
+  } else if (is_same) {
+    known->second.seen_at = now;
+  }
+  if (!candidate.leaving && !is_same) {
+    auto member = std::make_shared<const OwnerCandidate>(candidate);
+    change.added.push_back(member);
+    this->members[candidate.name] = {std::move(member), now};
+  }
+}
+
 bool OwnerSelector::on_members(const std::vector<Candidate>& fresh,
                                std::size_t fleet_size,
                                TimePoint now) {
   this->started = std::min(this->started, now);
+  Change change;
   std::size_t present = 0;
   for (const Candidate& candidate : fresh) {
-    if (candidate.leaving) {
-      this->members.erase(candidate.name);
-    } else {
-      this->members[candidate.name] = {candidate.zone, now};
-      ++present;
-    }
+    this->note(candidate, now, change);
+    present += candidate.leaving ? 0 : 1;
   }
-  std::erase_if(this->members, [now](const auto& row) {
-    return now - row.second.seen_at > kRetention;
+  std::erase_if(this->members, [&](const auto& row) {
+    const bool expired = now - row.second.seen_at > kRetention;
+    if (expired) {
+      change.removed.push_back(row.second.member);
+    }
+    return expired;
   });
   const std::size_t size = std::max(present, fleet_size);
   if (size >= this->largest || now - this->largest_at > kSizeRetention) {
     this->largest = size;
     this->largest_at = now;
   }
-  Electorate electorate;
-  for (const auto& [name, member] : this->members) {
-    electorate.zones.emplace(name, member.zone);
-  }
-  electorate.has_majority = present * 2 > this->largest;
-  electorate.since = now;
-  const Electorate& before = this->electorates.back();
-  if (before.zones == electorate.zones &&
-      before.has_majority == electorate.has_majority) {
+  change.has_majority = present * 2 > this->largest;
+  change.at = now;
+  if (change.added.empty() && change.removed.empty() &&
+      change.has_majority == this->has_majority()) {
     return false;
   }
-  this->electorates.push_back(std::move(electorate));
-  while (this->electorates.size() > kMaxHistory ||
-         (this->electorates.size() > 1 &&
-          now - this->electorates[1].since > kHistory)) {
-    this->electorates.pop_front();
+  this->changes.push_back(std::move(change));
+  while (this->changes.size() > kMaxHistory ||
+         (this->changes.size() > 1 && now - this->changes[1].at > kHistory)) {
+    this->changes.pop_front();
   }
   this->cache.clear();
   return true;
 }
 
+std::vector<OwnerSelector::Member> OwnerSelector::members_in_history() const {
+  std::vector<Member> all;
+  all.reserve(this->members.size());
+  for (const auto& [name, sighting] : this->members) {
+    all.push_back(sighting.member);
+  }
+  for (const Change& change : this->changes) {
+    all.insert(all.end(), change.removed.begin(), change.removed.end());
+  }
+  return all;
+}
+
 const std::vector<std::string>& OwnerSelector::owners(
     const std::string& customer) {
   const auto cached = this->cache.find(customer);
@@ -67,42 +91,18 @@
   if (this->cache.size() >= kMaxCached) {
     this->cache.clear();
   }
-  return this->cache[customer] = this->electorates.back().owners(customer);
-}
-
-std::vector<std::string> OwnerSelector::Electorate::owners(
-    const std::string& customer) const {
-  if (!this->has_majority) {
-    return {};
-  }
-  struct Ranked {
-    std::size_t place_in_zone;
-    std::uint64_t hash;
-    const std::string* name;
-  };
-  std::vector<Ranked> ranked;
-  ranked.reserve(this->zones.size());
-  const std::uint64_t salt = text_hash(customer);
-  for (const auto& [name, zone] : this->zones) {
-    ranked.push_back({0, text_hash(name, salt), &name});
-  }
-  std::sort(ranked.begin(), ranked.end(),
-            [](const Ranked& a, const Ranked& b) { return a.hash > b.hash; });
-  std::map<std::string, std::size_t> in_zone;
-  for (Ranked& candidate : ranked) {
-    candidate.place_in_zone =
-        in_zone[this->zones.find(*candidate.name)->second]++;
-  }
-  const std::size_t count = std::min(kOwners, ranked.size());
-  std::stable_sort(ranked.begin(), ranked.end(),
-                   [](const Ranked& a, const Ranked& b) {
-                     return a.place_in_zone < b.place_in_zone;
-                   });
-  std::vector<std::string> selected;
-  for (std::size_t i = 0; i < count; ++i) {
-    selected.push_back(*ranked[i].name);
+  std::vector<std::string>& owners = this->cache[customer];
+  if (this->has_majority()) {
+    std::vector<Member> present;
+    present.reserve(this->members.size());
+    for (const auto& [name, sighting] : this->members) {
+      present.push_back(sighting.member);
+    }
+    owners = OwnerRanking(customer, present).owners([](const auto&) {
+      return true;
+    });
   }
-  return selected;
+  return owners;
 }
 
 bool OwnerSelector::is_owner(const std::string& member,
@@ -113,14 +113,37 @@
 
 TimePoint OwnerSelector::owner_since(const std::string& member,
                                      const std::string& customer) const {
-  TimePoint since = this->electorates.back().since;
-  for (auto older = std::next(this->electorates.rbegin());
-       older != this->electorates.rend(); ++older) {
-    const std::vector<std::string> owners = older->owners(customer);
-    if (std::find(owners.begin(), owners.end(), member) == owners.end()) {
+  const std::vector<Member> all = this->members_in_history();
+  OwnerRanking ranking(customer, all);
+  // Members by whether they were present before the changes that have been
+  // undone so far.
+  std::set<const OwnerCandidate*> absent;
+  for (const Change& change : this->changes) {
+    for (const Member& removed : change.removed) {
+      absent.insert(removed.get());
+    }
+  }
+  const auto is_owner = [&] {
+    const std::vector<std::string> owners =
+        ranking.owners([&absent](const OwnerCandidate& candidate) {
+          return !absent.contains(&candidate);
+        });
+    return std::find(owners.begin(), owners.end(), member) != owners.end();
+  };
+  TimePoint since = this->changes.back().at;
+  for (auto change = this->changes.rbegin();
+       std::next(change) != this->changes.rend(); ++change) {
+    for (const Member& added : change->added) {
+      absent.insert(added.get());
+    }
+    for (const Member& removed : change->removed) {
+      absent.erase(removed.get());
+    }
+    const Change& older = *std::next(change);
+    if (!older.has_majority || !is_owner()) {
       break;
     }
-    since = older->since;
+    since = older.at;
   }
   return since;
 }
@@ -131,7 +154,8 @@
 
 std::string OwnerSelector::zone_of(const std::string& member) const {
   const auto found = this->members.find(member);
-  return found == this->members.end() ? std::string() : found->second.zone;
+  return found == this->members.end() ? std::string()
+                                      : found->second.member->zone;
 }
 
 }  // namespace ibismux::customers
--- a/ibismux/customers/owner_selector.h
+++ b/ibismux/customers/owner_selector.h
@@ -8,6 +8,8 @@
 #include <vector>
 
 #include "ibismux/base/time.h"
+#include "ibismux/customers/owner_candidate.h"
+#include "ibismux/customers/owner_ranking.h"
 
 namespace ibismux::customers {
 
@@ -25,13 +27,7 @@
  public:
   static constexpr std::chrono::seconds kRetention{30};
 
-  struct Candidate {
-    std::string name;
-    std::string zone;
-    bool leaving = false;
-
-    [[nodiscard]] bool operator==(const Candidate&) const = default;
-  };
+  using Candidate = OwnerCandidate;
 
   /// Replaces the members.
   /// @param fleet_size The number of members, those that can't be reached
@@ -63,34 +59,44 @@
   [[nodiscard]] std::string zone_of(const std::string& member) const;
 
  private:
-  struct Member {
-    std::string zone;
+  using Member = OwnerRanking::Member;
+
+  struct Sighting {
+    Member member;
     TimePoint seen_at;
   };
 
   // How long the largest fleet that was seen counts for the majority.
   static constexpr std::chrono::minutes kSizeRetention{10};
 
-  /// The members that may be owners.
-  struct Electorate {
-    std::map<std::string, std::string> zones;  ///< By member.
-    bool has_majority = false;
-    TimePoint since;
-
-    [[nodiscard]] std::vector<std::string> owners(
-        const std::string& customer) const;
+  /// What has changed in the set of members that may be owners. Only changes
+  /// are kept: the sets themselves are as large as the fleet.
+  struct Change {
+    std::vector<Member> added;
+    std::vector<Member> removed;
+    bool has_majority = false;  ///< From this change on.
+    TimePoint at;
   };
 
-  // How long changes of the members are remembered, and how many of them.
+  // How long changes of the members are remembered, and how many of them: as
+  // many as views of a membership that ticks five times a second.
   static constexpr std::chrono::seconds kHistory{60};
-  static constexpr std::size_t kMaxHistory = 32;
+  static constexpr std::size_t kMaxHistory = 300;
+
+  /// Records a member that was seen now. @param change What it changes.
+  void note(const Candidate& candidate, TimePoint now, Change& change);
+  [[nodiscard]] bool has_majority() const noexcept {
+    return this->changes.back().has_majority;
+  }
+  /// All members, and those that the remembered changes have removed.
+  [[nodiscard]] std::vector<Member> members_in_history() const;
 
-  std::map<std::string, Member> members;
+  std::map<std::string, Sighting> members;
   std::size_t largest = 0;
   TimePoint largest_at = TimePoint::min();
   TimePoint started = TimePoint::max();  ///< First call of `on_members()`.
   /// The newest last; not empty.
-  std::deque<Electorate> electorates = {Electorate{}};
+  std::deque<Change> changes = {Change{}};
   std::map<std::string, std::vector<std::string>> cache;  ///< By customer.
 };
 
--- a/tests/customers/owner_selector_test.cc
+++ b/tests/customers/owner_selector_test.cc
@@ -1,5 +1,6 @@
 #include "ibismux/customers/owner_selector.h"
 
+#include <algorithm>
 #include <set>
 
 #include "ibismux/customers/rate_parts.h"
@@ -116,5 +117,42 @@
   }
 }
 
+// Guards against buckets that are taken for empty because hosts come one after
+// the other, as after an outage of a whole fleet.
+Test(owner_selector, ownership_counts_over_many_changes_of_the_members) {
+  Fixture fixture(74);
+  const TimePoint start = fixture.now;
+  std::set<std::string> lasting;
+  for (const auto& owner : fixture.selector.owners("c")) {
+    lasting.insert(owner);
+  }
+  for (int i = 74; i < 170; ++i) {
+    fixture.now += std::chrono::milliseconds(500);
+    fixture.members.push_back(
+        {"h" + std::to_string(i), "z" + std::to_string(i % 3)});
+    cr_assert(fixture.update());
+    const auto owners = fixture.selector.owners("c");
+    std::erase_if(lasting, [&](const std::string& owner) {
+      return std::find(owners.begin(), owners.end(), owner) == owners.end();
+    });
+  }
+  cr_assert(!lasting.empty());
+  for (const std::string& owner : lasting) {
+    cr_assert(fixture.selector.owner_since(owner, "c") == start);
+  }
+}
+
+Test(owner_selector, a_member_that_moves_to_another_zone_is_another_member) {
+  Fixture fixture(9);
+  const std::string owner = fixture.selector.owners("c").front();
+  for (auto& member : fixture.members) {
+    member.zone = member.name == owner ? "z9" : member.zone;
+  }
+  fixture.now += seconds(5);
+  cr_assert(fixture.update());
+  cr_assert(fixture.selector.zone_of(owner) == "z9");
+  cr_assert(fixture.selector.is_owner(owner, "c"));
+}
+
 }  // namespace
 }  // namespace ibismux::customers::testing
