membership: daemons of a fleet that all start at once find each other sooner

Cause: a daemon that knows nobody tried its contacts once a second, and these were starting as well; what a first contact didn't know yet was asked for again after five seconds. Until then daemons knew different members, so that limits had no owners, or different ones.

Ruled out: the members' list in the store, which a start in a minority would believe as well.

Change: for four seconds after its start a daemon ticks at 50 ms, probes and tries contacts at 0.2 s, and compares tables at 0.2 s for each 500 members.

--- a/ibismux/membership/membership_engine.cc
+++ b/ibismux/membership/membership_engine.cc
@@ -18,6 +18,8 @@
 constexpr std::chrono::seconds kRepairInterval{5};
 /// The pace of contacts falls with the fleet: there are more to do it.
 constexpr std::size_t kMembersPerContactInterval = 100;
+/// The same for repairs during the start: tables are larger.
+constexpr std::size_t kMembersPerStartInterval = 500;
 
 }  // namespace
 
@@ -48,12 +50,18 @@
   this->rebuild_overlay();
   this->settle_join(now);
   if (now >= this->next_probe) {
-    this->next_probe = now + this->settings.probe_interval;
+    this->next_probe =
+        now + (this->is_starting(now) ? std::min(this->settings.start_interval,
+                                                 this->settings.probe_interval)
+                                      : this->settings.probe_interval);
     this->probe_next(now);
   }
   if (now >= this->next_contact) {
-    const std::size_t slower = 1 + this->live / kMembersPerContactInterval;
-    this->next_contact = now + this->settings.contact_interval * slower;
+    const bool is_alone = this->is_starting(now) && this->live <= 1;
+    this->next_contact =
+        now + (is_alone ? this->settings.start_interval
+                        : this->slowed(this->settings.contact_interval,
+                                       kMembersPerContactInterval));
     this->try_contacts(now);
     this->table.drop_tombstones(now - this->settings.tombstones);
   }
@@ -204,9 +212,14 @@
   if (answer->digest != this->table.digest()) {
     if (answer->next_bucket >= 0) {
       this->pull(target, static_cast<std::size_t>(answer->next_bucket), now);
-    } else if (!flight.pull && (flight.contact || settled) &&
+    } else if (!flight.pull &&
+               (flight.contact || settled || this->is_starting(now)) &&
                now >= this->next_repair) {
-      this->next_repair = now + kRepairInterval;
+      this->next_repair =
+          now + (this->is_starting(now)
+                     ? Duration(this->slowed(this->settings.start_interval,
+                                             kMembersPerStartInterval))
+                     : Duration(kRepairInterval));
       this->pull(target, 0, now);
     }
   }
--- a/ibismux/membership/membership_engine.h
+++ b/ibismux/membership/membership_engine.h
@@ -82,6 +82,11 @@
   [[nodiscard]] std::size_t serving() const noexcept { return this->live; }
   /// @}
 
+  /// See `MembershipSettings::start_period`.
+  [[nodiscard]] bool is_starting(TimePoint now) const noexcept {
+    return now - this->started < this->settings.start_period;
+  }
+
  private:
   struct Flight {
     TimePoint begun;
@@ -103,6 +108,12 @@
                    const std::string& source,
                    TimePoint now);
 
+  /// `interval`, longer by itself for each `members` that serve.
+  [[nodiscard]] std::chrono::milliseconds slowed(
+      std::chrono::milliseconds interval,
+      std::size_t members) const noexcept {
+    return interval * static_cast<std::int64_t>(1 + this->live / members);
+  }
   void recover_from_stall(TimePoint now);
   void settle_suspects(TimePoint now);
   /// Notes when this daemon has joined the others, or goes on alone.
--- a/ibismux/membership/membership_service.cc
+++ b/ibismux/membership/membership_service.cc
@@ -2,6 +2,7 @@
 
 #include <glog/logging.h>
 
+#include <algorithm>
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -112,7 +113,10 @@
   while (!self->stopped) {
     self->engine->tick(Clock::now());
     self->carry_out();
-    self->tick_timer.expires_after(self->settings.tick);
+    const bool starts = self->engine->is_starting(Clock::now());
+    self->tick_timer.expires_after(
+        starts ? std::min(self->settings.start_tick, self->settings.tick)
+               : self->settings.tick);
     const auto [cancelled] = co_await self->tick_timer.async_wait(kAwait);
     static_cast<void>(cancelled);
   }
--- a/ibismux/membership/membership_settings.h
+++ b/ibismux/membership/membership_settings.h
@@ -22,6 +22,13 @@
   std::size_t rings = 3;
   /// How often a failed or not yet met host is tried.
   std::chrono::milliseconds contact_interval{1000};
+  /// For so long after its start, a daemon probes members, tries contacts and
+  /// compares its table with those of others at a shorter interval: all daemons
+  /// of a fleet may be starting, and those that it reaches first know as
+  /// little.
+  std::chrono::milliseconds start_period{4000};
+  std::chrono::milliseconds start_interval{200};
+  std::chrono::milliseconds start_tick{50};
   /// After so long without an answer from any, a daemon goes on alone.
   std::chrono::milliseconds join_patience{3000};
   std::chrono::milliseconds tombstones{2 * 60 * 60 * 1000};
--- a/tests/membership/membership_engine_test.cc
+++ b/tests/membership/membership_engine_test.cc
@@ -19,6 +19,45 @@
   }
 }
 
+/// Starts `count` daemons within 0.3 s, those that the host list names last.
+void start_all(EngineFleet& fleet, std::size_t count) {
+  constexpr std::size_t kContacts = 5;
+  std::vector<Contact> contacts;
+  for (std::size_t i = 0; i < kContacts; ++i) {
+    contacts.push_back({EngineFleet::name(i), "127.0.0.1",
+                        static_cast<std::uint16_t>(60'000 + i)});
+  }
+  for (std::size_t batch = 4; batch-- > 0;) {
+    for (std::size_t i = 0; i < count; ++i) {
+      if (i < kContacts ? batch == 0 : i % 4 == batch) {
+        const std::string name = EngineFleet::name(i);
+        fleet.start(name);
+        fleet.engine(name).on_contacts(contacts);
+      }
+    }
+    fleet.run(100ms);
+  }
+}
+
+// Failure: after a loss of all hosts, daemons try their contacts before these
+// listen, and for seconds know different members. Callers that were refused
+// come back within 0.4 s.
+Test(membership_engine, daemons_that_all_start_at_once_soon_know_a_majority) {
+  for (const std::size_t count : {7U, 74U}) {
+    EngineFleet fleet(0);
+    start_all(fleet, count);
+    fleet.run(300ms);
+    std::size_t informed = 0;
+    for (const std::string& name : fleet.names()) {
+      const auto& rows = fleet.engine(name).members().rows();
+      informed += rows.size() * 2 > count ? 1 : 0;
+    }
+    cr_assert(informed * 10 >= count * 9, "%zu of %zu", informed, count);
+    fleet.run(1500ms);
+    cr_assert(fleet.agreed());
+  }
+}
+
 Test(membership_engine, a_killed_daemon_is_suspected_at_once_then_failed) {
   EngineFleet fleet(7);
   fleet.run(10s);
