customers: tokens go to requests in time; usage for operators; owners waited for

Cause: owners granted by arrival. While a customer sent several times its limit, refused callers came back and took tokens from new requests that could be in time; operators saw neither who asked for how much nor why one was refused.

Change: a daemon tells from the waits that callers of a route state whether a request's caller has been waiting elsewhere; an owner grants such a request only if none in time was refused within the last second. Replies carry how much of its limit a customer asks for. Owners log customer_usage; ibismuxctl customers sums it up with the refusals.

Ruled out: counting what requests in time have asked for in a window (built first): after an excess, late requests were refused for seconds while tokens were left, found in review. Tokens kept for callers that were promised one: these are late, and new ones are refused in their place.

Tests: rate_owner_test and fleet_limit_test pass the new argument; the property test now mixes late requests in. Their checks are unchanged.

--- a/apps/ibismuxctl/commands.cc
+++ b/apps/ibismuxctl/commands.cc
@@ -55,6 +55,7 @@
       {"drain", &Commands::drain, 0, 0},
       {"explain", &Commands::explain, 2, kAnyCount},
       {"losses", &Commands::losses, 1, kAnyCount},
+      {"customers", &Commands::customers, 1, kAnyCount},
       {"version", &Commands::version, 0, 0},
   };
   return table;
--- a/apps/ibismuxctl/commands.h
+++ b/apps/ibismuxctl/commands.h
@@ -67,6 +67,7 @@
   /// @{
   ExitCode explain();
   ExitCode losses();
+  ExitCode customers();
   /// Passes on each event of the logs that the arguments from `first` on name.
   ExitCode read_logs(std::size_t first,
                      const std::function<void(const LogLine&)>& on_event);
--- a/apps/ibismuxctl/log_commands.cc
+++ b/apps/ibismuxctl/log_commands.cc
@@ -5,9 +5,11 @@
 #include <functional>
 #include <iostream>
 #include <map>
+#include <sstream>
 #include <tuple>
 
 #include "commands.h"
+#include "customer_summary.h"
 #include "log_line.h"
 #include "request_trace.h"
 #include "table.h"
@@ -43,6 +45,12 @@
   return text;
 }
 
+std::string without_zeros(double number) {
+  std::ostringstream text;
+  text << number;
+  return text.str();
+}
+
 /// All fields but those that head the line.
 std::string fields_text(const LogLine& line) {
   std::string text;
@@ -149,4 +157,44 @@
   return ExitCode::kOk;
 }
 
+ExitCode Commands::customers() {
+  CustomerSummary summary;
+  const ExitCode read = this->read_logs(
+      0, [&summary](const LogLine& line) { summary.add(line); });
+  if (read != ExitCode::kOk) {
+    return read;
+  }
+  if (this->options.json) {
+    for (const CustomerSummary::Row& row : summary.rows()) {
+      std::cout << boost::json::serialize(
+                       boost::json::object{{"customer", row.customer},
+                                           {"per_second", row.per_second},
+                                           {"burst", row.burst},
+                                           {"asked", row.asked},
+                                           {"granted", row.granted},
+                                           {"late", row.late},
+                                           {"beyond_limit", row.beyond_limit},
+                                           {"without_owner", row.without_owner},
+                                           {"overloaded", row.overloaded},
+                                           {"other_losses", row.other_losses},
+                                           {"owners", row.owners.size()}})
+                << "\n";
+    }
+    return ExitCode::kOk;
+  }
+  Table table({"CUSTOMER", "PER_SECOND", "BURST", "ASKED", "GRANTED", "LATE",
+               "BEYOND_LIMIT", "WITHOUT_OWNER", "OVERLOADED", "OTHER_LOSSES",
+               "OWNERS"});
+  for (const CustomerSummary::Row& row : summary.rows()) {
+    table.add(
+        {row.customer, without_zeros(row.per_second), without_zeros(row.burst),
+         std::to_string(row.asked), std::to_string(row.granted),
+         std::to_string(row.late), std::to_string(row.beyond_limit),
+         std::to_string(row.without_owner), std::to_string(row.overloaded),
+         std::to_string(row.other_losses), std::to_string(row.owners.size())});
+  }
+  table.print();
+  return ExitCode::kOk;
+}
+
 }  // namespace ibismux::ctl
--- a/apps/ibismuxctl/options.cc
+++ b/apps/ibismuxctl/options.cc
@@ -33,6 +33,8 @@
                          request, and why it ended as it did
   losses LOG...          count requests that were not answered in full, by route
                          and cause
+  customers LOG...       sum up, by customer, what was asked of its limit, and
+                         what was refused and why
   version                print the version
 
 KIND is one of query_service, shard, backend_server, snapshot, limit_policy.
--- a/ibismux/customers/customer_table.cc
+++ b/ibismux/customers/customer_table.cc
@@ -32,6 +32,13 @@
   for (Entry& entry : entries) {
     this->add(std::move(entry));
   }
+  double total = 0;
+  std::size_t limited = 0;
+  for (const auto& [name, customer] : this->by_name) {
+    total += customer.limit.per_second;
+    limited += customer.limit.is_limited() ? 1 : 0;
+  }
+  this->mean_limit = limited > 0 ? total / static_cast<double>(limited) : 1;
 }
 
 void CustomerTable::add(Entry entry) {
--- a/ibismux/customers/customer_table.h
+++ b/ibismux/customers/customer_table.h
@@ -1,6 +1,7 @@
 #ifndef IBISMUX_CUSTOMERS_CUSTOMER_TABLE_H_
 #define IBISMUX_CUSTOMERS_CUSTOMER_TABLE_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <cstring>
 #include <map>
@@ -38,6 +39,16 @@
   [[nodiscard]] const Customer* find_by_key(std::string_view key) const;
   [[nodiscard]] const Customer* find_by_name(std::string_view name) const;
 
+  /// The customer's part of what customers compete for: its limit relative to
+  /// the mean of all limits, within bounds, or 1 if it has none. Positive.
+  [[nodiscard]] double weight_of(const Customer& customer) const noexcept {
+    constexpr double kMaxRatio = 100;
+    return customer.limit.is_limited()
+               ? std::clamp(customer.limit.per_second / this->mean_limit,
+                            1 / kMaxRatio, kMaxRatio)
+               : 1;
+  }
+
   [[nodiscard]] std::size_t size() const noexcept {
     return this->by_name.size();
   }
@@ -58,6 +69,7 @@
 
   KeyHasher hasher;
   std::size_t odd;
+  double mean_limit = 1;  ///< Of the customers that have one, per second.
   std::map<std::string, Customer, std::less<>> by_name;
   /// Null for a key that two customers hold.
   std::unordered_map<KeyDigest, const Customer*, DigestHash> by_key;
--- a/ibismux/customers/forward.h
+++ b/ibismux/customers/forward.h
@@ -12,11 +12,13 @@
 struct RateRequest;
 struct RateTolerance;
 class CustomerTable;
+class DemandWindow;
 class OwnerRanking;
 class OwnerSelector;
 class RateAdmission;
 class RateLimiter;
 class RateOwner;
+class StatedPatience;
 class TokenBucket;
 class UngrantedAllowance;
 
--- a/ibismux/customers/owner_ranking.cc
+++ b/ibismux/customers/owner_ranking.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <map>
+#include <set>
 #include <string_view>
 
 #include "ibismux/base/text_hash.h"
@@ -17,6 +18,11 @@
   for (const Member& member : members) {
     this->unsorted.push_back({text_hash(member->name, salt), member.get()});
   }
+  std::set<std::string_view> zones;
+  for (const Member& member : members) {
+    zones.insert(member->zone);
+  }
+  this->zones = zones.size();
   std::make_heap(this->unsorted.begin(), this->unsorted.end());
 }
 
@@ -34,7 +40,9 @@
   // By place in their zone: the first ones of all zones come first.
   std::array<std::vector<const OwnerCandidate*>, kOwners> places;
   std::map<std::string_view, std::size_t> in_zone;
-  for (std::size_t i = 0; places[0].size() < kOwners; ++i) {
+  std::size_t found = 0;
+  const std::size_t firsts = std::min(kOwners, this->zones);
+  for (std::size_t i = 0; places[0].size() < firsts || found < kOwners; ++i) {
     const OwnerCandidate* member = this->at(i);
     if (member == nullptr) {
       break;
@@ -45,6 +53,7 @@
     const std::size_t place = in_zone[member->zone]++;
     if (place < kOwners) {
       places[place].push_back(member);
+      ++found;
     }
   }
   std::vector<std::string> selected;
--- a/ibismux/customers/owner_ranking.h
+++ b/ibismux/customers/owner_ranking.h
@@ -23,8 +23,8 @@
  public:
   using Member = std::shared_ptr<const OwnerCandidate>;
 
-  /// @param members May hold the same member in several zones. Outlive this
-  /// object.
+  /// @param members Outlives this object. May hold the same name in several
+  /// zones.
   OwnerRanking(const std::string& customer, const std::vector<Member>& members);
 
   /// The first `kOwners` of the members for which `is_member` is true, best
@@ -45,6 +45,7 @@
   /// The member with the `index`-th greatest hash, or null after the last one.
   [[nodiscard]] const OwnerCandidate* at(std::size_t index);
 
+  std::size_t zones = 0;
   std::vector<Ranked> unsorted;  ///< A heap of those that aren't in `sorted`.
   std::vector<Ranked> sorted;    ///< Greatest hash first.
 };
--- a/ibismux/customers/rate_check.h
+++ b/ibismux/customers/rate_check.h
@@ -1,6 +1,7 @@
 #ifndef IBISMUX_CUSTOMERS_RATE_CHECK_H_
 #define IBISMUX_CUSTOMERS_RATE_CHECK_H_
 
+#include <cstddef>
 #include <cstdint>
 
 #include "ibismux/base/time.h"
@@ -20,6 +21,7 @@
   /// The caller has already waited for longer than the objective, as far as its
   /// deadline shows: the answer is late whenever the request is granted.
   bool is_late = false;
+  std::size_t bytes = 0;  ///< Held while the request waits.
 };
 
 }  // namespace ibismux::customers
--- a/ibismux/customers/rate_grant.h
+++ b/ibismux/customers/rate_grant.h
@@ -5,9 +5,9 @@
 
 /// A request that the limit of its customer allows.
 struct RateGrant {
-  /// Requests that an owner of the limit was asked for within the last window,
-  /// granted or not, over those that the limit allows in a window. 0 if no
-  /// owner has said.
+  /// Requests that the owner which granted this one was asked for within the
+  /// last window, granted or not, over those that its part of the limit allows
+  /// in one. At most 1 unless it has refused some. 0 if no owner has said.
   double usage = 0;
 };
 
--- a/ibismux/customers/rate_limiter.cc
+++ b/ibismux/customers/rate_limiter.cc
@@ -9,6 +9,7 @@
 #include "ibismux/customers/rate_parts.h"
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/membership/membership_view.h"
+#include "ibismux/startup/start_waiters.h"
 
 namespace ibismux::customers {
 
@@ -21,6 +22,10 @@
 constexpr milliseconds kAskTimeout{25};
 // An owner that did not reply is not asked for this long.
 constexpr milliseconds kUnreachablePause{500};
+// The same, while this daemon starts, for one that has never replied: the
+// connection to it may take longer to open than an answer.
+constexpr milliseconds kFirstContactPause{60};
+constexpr std::chrono::seconds kStartPeriod{4};
 // An owner that refused is asked again after this long at the latest: a token
 // that was promised to a caller elsewhere may not have been taken.
 constexpr milliseconds kMaxRefusalPause{100};
@@ -30,6 +35,8 @@
 // Above this number of customers, what is known of them is dropped. They then
 // have no ungranted requests until owners have granted some again.
 constexpr std::size_t kMaxStates = 20'000;
+// Customers in one log summary.
+constexpr std::size_t kLoggedCustomers = 20;
 
 prometheus::Family<prometheus::Counter>& requests_family(
     prometheus::Registry& registry) {
@@ -92,6 +99,7 @@
       candidates.push_back({member.name, member.zone, leaving});
     }
   }
+  ++this->views;
   const TimePoint now = Clock::now();
   // Until it has joined, a daemon doesn't know who else there is.
   const std::size_t known_size =
@@ -101,6 +109,9 @@
       return this->selector.is_owner(this->settings.member, customer);
     });
   }
+  if (this->start_waiters) {
+    this->start_waiters->notify();
+  }
 }
 
 RateReply RateLimiter::decide(const RateRequest& request) {
@@ -112,9 +123,10 @@
       this->owned.knows(request.customer)
           ? now
           : this->selector.owner_since(this->settings.member, request.customer);
-  const RateOwner::Decision decision = this->owned.take(
-      request.customer, request.limit, request.configuration, since, now);
-  return {true, decision.granted, decision.retry_after};
+  const RateOwner::Decision decision =
+      this->owned.take(request.customer, request.limit, request.configuration,
+                       request.is_late, since, now);
+  return {true, decision.granted, decision.retry_after, decision.usage};
 }
 
 std::optional<RateReply> RateLimiter::decide_own(const RateRequest& request) {
@@ -159,7 +171,8 @@
   };
   const std::vector<std::string> owners =
       this->owners_in_order(request.customer);
-  round.all_reached = !owners.empty();
+  round.has_owners = !owners.empty();
+  round.all_reached = round.has_owners;
   for (const std::string& owner : owners) {
     const Refusals& refusals = this->state(request.customer).refused_until;
     const auto refusal = refusals.find(owner);
@@ -172,15 +185,18 @@
       round.all_reached = false;
       continue;
     }
-    round.usage = std::max(round.usage, reply->usage);
     if (reply->granted) {
       round.granted = true;
+      round.usage = reply->usage;
       co_return round;
     }
     const TimePoint now = Clock::now();
     note_refusal(now + reply->retry_after);
-    this->state(request.customer).refused_until[owner] =
-        now + std::min<Duration>(reply->retry_after, kMaxRefusalPause);
+    // An owner that refuses a late request may have tokens for others.
+    if (!request.is_late) {
+      this->state(request.customer).refused_until[owner] =
+          now + std::min<Duration>(reply->retry_after, kMaxRefusalPause);
+    }
   }
   co_return round;
 }
@@ -190,37 +206,70 @@
   const Customer& customer = check.customer;
   // A variable of its own: GCC 12 miscompiles aggregates that are initialized
   // among the arguments of an awaited call.
-  RateRequest request{customer.name, check.configuration, customer.limit,
-                      check.is_late};
-  const Round round =
-      co_await this->ask_owners(std::move(request), check.deadline);
+  const RateRequest request{customer.name, check.configuration, customer.limit,
+                            check.is_late};
+  milliseconds retry_after = kNoOwnerRetryAfter;
+  TimePoint ask_until = check.deadline;
+  for (;;) {
+    const std::uint64_t seen = this->views;
+    const Round round = co_await this->ask_owners(request, ask_until);
+    if (this->is_allowed(customer, round)) {
+      co_return RateGrant{round.usage};
+    }
+    bool may_ask_again = false;
+    if (!round.has_owners && this->start_waiters) {
+      std::function<bool()> is_met = [this, seen] {
+        return this->views != seen;
+      };
+      const startup::StartWaiters::Result waited =
+          co_await this->start_waiters->wait(startup::Need::kRateOwners,
+                                             check.latest_start - kAskTimeout,
+                                             check.bytes, std::move(is_met));
+      may_ask_again = waited.is_met;
+      retry_after = waited.retry_after;
+      ask_until = std::min(check.deadline, check.latest_start);
+    }
+    if (!may_ask_again) {
+      co_return tl::unexpected(this->refusal(customer, round, retry_after));
+    }
+  }
+}
+
+bool RateLimiter::is_allowed(const Customer& customer, const Round& round) {
   const TimePoint now = Clock::now();
   UngrantedAllowance& allowance = this->state(customer.name).ungranted;
   if (round.granted) {
     const RateParts parts(customer.limit, this->settings.tolerance);
     allowance.on_grant(parts.ungranted_share(), now);
     this->granted.Increment();
-    co_return RateGrant{round.usage};
+    return true;
   }
   if (!round.all_reached && allowance.take(now)) {
     this->ungranted.Increment();
-    co_return RateGrant{round.usage};
+    return true;
   }
+  return false;
+}
+
+Error RateLimiter::refusal(const Customer& customer,
+                           const Round& round,
+                           milliseconds no_owner_retry_after) {
   if (!round.next_fit) {
     this->undecided.Increment();
     Error error = make_error(ErrorKind::kNotReady,
                              "no owner of the limit can be reached");
-    error.retry_after = kNoOwnerRetryAfter;
-    co_return tl::unexpected(std::move(error));
+    error.retry_after = no_owner_retry_after;
+    return error;
   }
   this->refused.Increment();
   Error error = make_error(
       ErrorKind::kRateLimited,
       "beyond the limit of " + std::to_string(customer.limit.per_second) +
           " a second and " + std::to_string(customer.limit.burst));
-  error.retry_after = std::max(
-      kMinRetryAfter, std::chrono::ceil<milliseconds>(*round.next_fit - now));
-  co_return tl::unexpected(std::move(error));
+  error.retry_after =
+      std::max(kMinRetryAfter,
+               std::chrono::ceil<milliseconds>(*round.next_fit - Clock::now()));
+  return error;
 }
 
 Task<std::optional<RateReply>> RateLimiter::ask(const std::string& owner,
@@ -247,13 +296,31 @@
     this->on_unreachable(owner, reply.error().message);
     co_return std::nullopt;
   }
+  this->repliers.insert(owner);
   // The views of the two daemons may differ for a moment.
   co_return reply->is_owner ? std::optional(*reply) : std::nullopt;
 }
 
+void RateLimiter::log_usage() {
+  for (const CustomerUsage& usage : this->owned.take_usage(kLoggedCustomers)) {
+    this->log.event(eventlog::Weight::kBelief, "customer_usage")
+        .with("customer", usage.customer)
+        .with("per_second", usage.limit.per_second)
+        .with("burst", usage.limit.burst)
+        .with("asked", usage.asked)
+        .with("granted", usage.granted)
+        .with("late", usage.late);
+  }
+}
+
 void RateLimiter::on_unreachable(const std::string& owner,
                                  std::string_view reason) {
-  this->unreachable_until[owner] = Clock::now() + kUnreachablePause;
+  const TimePoint now = Clock::now();
+  const bool is_first_contact = this->start_waiters &&
+                                now - this->created < kStartPeriod &&
+                                !this->repliers.contains(owner);
+  this->unreachable_until[owner] =
+      now + (is_first_contact ? kFirstContactPause : kUnreachablePause);
   this->log.event(eventlog::Weight::kFailure, "rate_owner_unreachable")
       .with("owner", owner)
       .with("reason", reason);
--- a/ibismux/customers/rate_limiter.h
+++ b/ibismux/customers/rate_limiter.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,7 @@
 #include "ibismux/eventlog/forward.h"
 #include "ibismux/membership/forward.h"
 #include "ibismux/peer/peer_network.h"
+#include "ibismux/startup/forward.h"
 
 namespace ibismux::customers {
 
@@ -54,12 +56,22 @@
   /// Registers the message handler. Call once, before the network starts.
   void start();
 
+  /// Lets requests wait for owners while this daemon starts.
+  /// @param waiters Outlives the requests.
+  void set_start_waiters(startup::StartWaiters& waiters) {
+    this->start_waiters = &waiters;
+  }
+
   /// @param fleet_size The number of daemons, those that can't be reached
   /// included, as far as it is known.
   void on_view(const membership::MembershipView& view, std::size_t fleet_size);
 
   [[nodiscard]] Task<Result<RateGrant>> admit(RateCheck check) override;
 
+  /// Logs what this daemon was asked for as an owner of limits since the last
+  /// call, of the customers that asked most.
+  void log_usage();
+
  private:
   /// What an owner that refused a customer has said.
   using Refusals = std::map<std::string, TimePoint>;
@@ -78,9 +90,16 @@
     bool all_reached = true;  ///< Or skipped, since they refused just before.
     /// The earliest time at which an owner that refused has a token.
     std::optional<TimePoint> next_fit;
-    double usage = 0;  ///< The largest one that an owner has said.
+    double usage = 0;  ///< As the owner that granted it has said.
+    bool has_owners = false;
   };
 
+  /// Whether the request runs by the owners' answers, or without a grant.
+  [[nodiscard]] bool is_allowed(const Customer& customer, const Round& round);
+  /// Why the request is refused.
+  [[nodiscard]] Error refusal(const Customer& customer,
+                              const Round& round,
+                              std::chrono::milliseconds no_owner_retry_after);
   /// Asks one owner after the other until one grants the request.
   [[nodiscard]] Task<Round> ask_owners(RateRequest request, TimePoint deadline);
   /// Nothing if `owner` can't be reached.
@@ -98,10 +117,14 @@
   peer::PeerNetwork* network;
   const Settings settings;
   eventlog::EventLog& log;
+  startup::StartWaiters* start_waiters = nullptr;
+  const TimePoint created = Clock::now();
+  std::uint64_t views = 0;  ///< Changes of the members.
   OwnerSelector selector;
   RateOwner owned;
   std::map<std::string, State> states;                 ///< By customer.
   std::map<std::string, TimePoint> unreachable_until;  ///< By owner.
+  std::set<std::string> repliers;  ///< Owners that have replied once.
   prometheus::Counter& granted;
   prometheus::Counter& ungranted;
   prometheus::Counter& refused;
--- a/tests/ctl/ctl_test.cc
+++ b/tests/ctl/ctl_test.cc
@@ -249,5 +249,16 @@
   cr_assert(fixture.run({"explain", "r1"}).code == 2);
 }
 
+Test(ctl, customers_are_summed_up_from_logs) {
+  const Fixture fixture;
+  const std::string log = fixture.file(
+      "1.log",
+      "{'time':'2026-02-11T13:22:52.723Z','host':'h1','customer':'large',"
+      "'event':'request_refused','kind':'rate_limited'}\n");
+  cr_assert(fixture.run({"customers", log}).code == 0);
+  cr_assert(fixture.run({"--output", "json", "customers", log}).code == 0);
+  cr_assert(fixture.run({"customers", "/nowhere/1.log"}).code == 2);
+}
+
 }  // namespace
 }  // namespace ibismux::ctl
--- a/tests/customers/fleet_limit_test.cc
+++ b/tests/customers/fleet_limit_test.cc
@@ -55,7 +55,7 @@
   void advance(Duration time) { this->now += time; }
 
   /// A request of the customer that arrives at host `i`.
-  bool request(std::size_t i, const RateLimit& limit) {
+  bool request(std::size_t i, const RateLimit& limit, bool is_late = false) {
     ++this->asked;
     Daemon& daemon = *this->daemons[i];
     bool all_reached = true;
@@ -73,7 +73,7 @@
         continue;
       }
       const TimePoint since = other.selector.owner_since(name, "c");
-      if (other.owned.take("c", limit, 1, since, this->now).granted) {
+      if (other.owned.take("c", limit, 1, is_late, since, this->now).granted) {
         daemon.ungranted.on_grant(
             RateParts(limit, kTolerance).ungranted_share(), this->now);
         this->run();
@@ -246,7 +246,7 @@
       default:
         fleet.advance(milliseconds(choice / 256 % 50));
         for (int i = 0; i < 8; ++i) {
-          fleet.request(host, limit);
+          fleet.request(host, limit, choice % 3 == 0);
         }
     }
   }
--- a/tests/customers/rate_owner_test.cc
+++ b/tests/customers/rate_owner_test.cc
@@ -20,12 +20,12 @@
   int take(int count, RateLimit limit, std::uint64_t configuration = 1) {
     int granted = 0;
     for (int i = 0; i < count; ++i) {
-      granted +=
-          this->owner
-                  .take("c", limit, configuration, this->owned_since, this->now)
-                  .granted
-              ? 1
-              : 0;
+      granted += this->owner
+                         .take("c", limit, configuration, false,
+                               this->owned_since, this->now)
+                         .granted
+                     ? 1
+                     : 0;
     }
     return granted;
   }
@@ -72,7 +72,7 @@
   Duration before = Duration::zero();
   for (int i = 0; i < 5; ++i) {
     const auto decision =
-        fixture.owner.take("c", limit, 1, fixture.start, fixture.now);
+        fixture.owner.take("c", limit, 1, false, fixture.start, fixture.now);
     cr_assert(!decision.granted && decision.retry_after > before);
     before = decision.retry_after;
   }
--- a/tools/completion/ibismuxctl.bash
+++ b/tools/completion/ibismuxctl.bash
@@ -2,7 +2,7 @@
 
 _ibismuxctl() {
   local kinds="query_service shard backend_server snapshot limit_policy"
-  local commands="apply get delete diff watch status audit drain explain losses version"
+  local commands="apply get delete diff watch status audit drain explain losses customers version"
   local options="--help --address --output --operator --timeout --wait
     --dry-run --if-match --since --from --limit"
   local current="${COMP_WORDS[COMP_CWORD]}"
@@ -35,7 +35,7 @@
     COMPREPLY=($(compgen -W "$options" -- "$current"))
   elif [[ -z "$command" ]]; then
     COMPREPLY=($(compgen -W "$commands" -- "$current"))
-  elif [[ "$command" =~ ^(apply|diff|losses)$ ]] ||
+  elif [[ "$command" =~ ^(apply|diff|losses|customers)$ ]] ||
     [[ "$command" == explain && $arguments -gt 0 ]]; then
     COMPREPLY=($(compgen -f -- "$current"))
   elif [[ "$command" =~ ^(get|delete|status)$ && $arguments == 0 ]]; then
