fairness: waiting calls of one priority in a fair order of customers

Cause: CallQueue knew priority and arrival only. One customer's calls filled the queue of all others, and what made a request late was counted without regard to whose calls it would wait behind.

Change: start-time fair queueing over customers, by their limits; the expected wait is that of the customer. A peer that gathers a query is told how much of its limit the customer asks for. Without customers, calls are served by arrival as before.

Ruled out: finish times (a customer with a small limit waits behind several calls of a large one); a penalty on the first call of a customer beyond its limit (starves it where customers keep coming, found in review).

Reviewed by one who didn't write it: virtual time moved once a round only, calls that left still counted, the wait of a backlog was too short, weights were not bounded.

Tests: call_queue_test passes a share; its checks are unchanged.

--- a/ibismux/dispatch/call_queue.h
+++ b/ibismux/dispatch/call_queue.h
@@ -8,16 +8,19 @@
 #include <optional>
 
 #include "ibismux/base/time.h"
+#include "ibismux/fairness/fair_order.h"
+#include "ibismux/fairness/share.h"
 
 namespace ibismux::dispatch {
 
 /// Priority queue of calls to one service that wait for a leaf with capacity.
+/// Calls of one priority are served in a fair order of their customers.
 ///
 /// A call in this queue can still be removed when its caller disconnects or its
 /// query has enough answers, and a more urgent call can overtake it. A call in
 /// a leaf's own queue is executed in any case.
 ///
-///     const auto position = queue.enqueue(priority, send, Clock::now());
+///     const auto position = queue.enqueue(priority, share, send, now);
 ///     queue.remove(position);             // The caller has disconnected.
 ///     queue.start_waiting(has_capacity);  // A leaf has capacity.
 ///
@@ -27,18 +30,20 @@
   /// Identifies a waiting call. Never reused within one queue.
   struct Position {
     std::uint32_t priority = 0;
-    std::uint64_t number = 0;
+    fairness::FairOrder::Tag tag;
   };
 
   /// Starts a call. @return False if it can't be started because it has already
   /// been tried at the leafs that have capacity.
   using Start = std::function<bool()>;
 
-  /// Adds a call behind all calls of the same priority and ahead of all calls
-  /// with a higher priority number.
+  /// Adds a call ahead of all calls with a higher priority number. Calls of the
+  /// same priority are served by `fairness::FairOrder`: in the order of their
+  /// arrival if they have the same customer.
   /// @param start Called when there is capacity. If it returns true, the call
   /// is removed from the queue; otherwise the call keeps its position.
   [[nodiscard]] Position enqueue(std::uint32_t priority,
+                                 const fairness::Share& share,
                                  Start start,
                                  TimePoint now);
 
@@ -59,21 +64,29 @@
     return this->lanes.empty() ? Duration::zero() : now - this->nonempty_since;
   }
 
-  /// The number of calls that a new call of `priority` would wait behind.
-  [[nodiscard]] std::size_t count_ahead(std::uint32_t priority) const noexcept;
+  /// The number of calls that a new call of `priority` and `share` would wait
+  /// behind, including those that others are likely to add meanwhile.
+  [[nodiscard]] std::size_t count_ahead(std::uint32_t priority,
+                                        const fairness::Share& share) const;
 
  private:
-  using Lane = std::map<std::uint64_t, Start>;
+  struct Call {
+    fairness::Share share;
+    Start start;
+  };
+  using Lane = std::map<fairness::FairOrder::Tag, Call>;
 
   /// The first call after `position`, or the first of all if `position` is
   /// absent; absent after the last call.
   [[nodiscard]] std::optional<Position> next_after(
       const std::optional<Position>& position) const;
-  [[nodiscard]] Start extract(const Position& position);
+  [[nodiscard]] Call extract(const Position& position);
+  void reset_empty_orders();
 
   std::map<std::uint32_t, Lane> lanes;  ///< By priority; no lane is empty.
+  std::map<std::uint32_t, fairness::FairOrder> orders;  ///< By priority.
+  std::size_t starting = 0;  ///< Calls whose `Start` is running.
   TimePoint nonempty_since = TimePoint::min();
-  std::uint64_t next_number = 0;
 };
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/caller_request.h
+++ b/ibismux/dispatch/caller_request.h
@@ -22,6 +22,8 @@
   std::vector<std::string> authorization;
   /// The customer that sent the request; empty if it isn't identified.
   std::string customer;
+  /// How much of its limit the customer asks for; see `customers::RateGrant`.
+  double customer_usage = 0;
   /// The request is the first one on its connection.
   bool opens_connection = false;
   TimePoint received;
--- a/ibismux/dispatch/request_context.h
+++ b/ibismux/dispatch/request_context.h
@@ -12,6 +12,7 @@
 #include "ibismux/dispatch/query_gatherer.h"
 #include "ibismux/dispatch/typical_latency.h"
 #include "ibismux/eventlog/forward.h"
+#include "ibismux/fairness/share.h"
 #include "ibismux/quarantine/crash_watch.h"
 #include "ibismux/quarantine/request_digest.h"
 #include "ibismux/routing/route.h"
@@ -30,6 +31,8 @@
   const routing::Route* route = nullptr;
   /// Of the customer, or else of the route; 0 is the most urgent.
   std::uint32_t priority = 0;
+  /// The customer's claim among the requests of this priority.
+  fairness::Share share;
   /// Zones that the request may be sent to; all zones if absent.
   std::optional<ZoneNames> allowed_zones;
   /// The number of leafs of each shard to which a peer may have sent the
--- a/ibismux/gather/gen/gather_types.cpp
+++ b/ibismux/gather/gen/gather_types.cpp
@@ -317,6 +317,10 @@
 void Query::__set_customer(const std::string& val) {
   this->customer = val;
 }
+
+void Query::__set_customer_usage(const double val) {
+  this->customer_usage = val;
+}
 std::ostream& operator<<(std::ostream& out, const Query& obj)
 {
   obj.printTo(out);
@@ -469,6 +473,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 15:
+        if (ftype == ::apache::thrift::protocol::T_DOUBLE) {
+          xfer += iprot->readDouble(this->customer_usage);
+          this->__isset.customer_usage = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -550,6 +562,10 @@
   xfer += oprot->writeString(this->customer);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("customer_usage", ::apache::thrift::protocol::T_DOUBLE, 15);
+  xfer += oprot->writeDouble(this->customer_usage);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -571,6 +587,7 @@
   swap(a.left_us, b.left_us);
   swap(a.opens_connection, b.opens_connection);
   swap(a.customer, b.customer);
+  swap(a.customer_usage, b.customer_usage);
   swap(a.__isset, b.__isset);
 }
 
@@ -589,6 +606,7 @@
   left_us = other10.left_us;
   opens_connection = other10.opens_connection;
   customer = other10.customer;
+  customer_usage = other10.customer_usage;
   __isset = other10.__isset;
 }
 Query& Query::operator=(const Query& other11) {
@@ -606,6 +624,7 @@
   left_us = other11.left_us;
   opens_connection = other11.opens_connection;
   customer = other11.customer;
+  customer_usage = other11.customer_usage;
   __isset = other11.__isset;
   return *this;
 }
@@ -626,6 +645,7 @@
   out << ", " << "left_us=" << to_string(left_us);
   out << ", " << "opens_connection=" << to_string(opens_connection);
   out << ", " << "customer=" << to_string(customer);
+  out << ", " << "customer_usage=" << to_string(customer_usage);
   out << ")";
 }
 
--- a/ibismux/gather/gen/gather_types.h
+++ b/ibismux/gather/gen/gather_types.h
@@ -139,7 +139,7 @@
 std::ostream& operator<<(std::ostream& out, const Field& obj);
 
 typedef struct _Query__isset {
-  _Query__isset() : number(false), offer(false), configuration(false), request_id(false), host(false), path(false), method(false), target(false), fields(false), body(false), elapsed_us(false), left_us(false), opens_connection(false), customer(false) {}
+  _Query__isset() : number(false), offer(false), configuration(false), request_id(false), host(false), path(false), method(false), target(false), fields(false), body(false), elapsed_us(false), left_us(false), opens_connection(false), customer(false), customer_usage(false) {}
   bool number :1;
   bool offer :1;
   bool configuration :1;
@@ -154,6 +154,7 @@
   bool left_us :1;
   bool opens_connection :1;
   bool customer :1;
+  bool customer_usage :1;
 } _Query__isset;
 
 class Query : public virtual ::apache::thrift::TBase {
@@ -174,7 +175,8 @@
           elapsed_us(0),
           left_us(0),
           opens_connection(0),
-          customer() {
+          customer(),
+          customer_usage(0) {
   }
 
   virtual ~Query() noexcept;
@@ -192,6 +194,7 @@
   int64_t left_us;
   bool opens_connection;
   std::string customer;
+  double customer_usage;
 
   _Query__isset __isset;
 
@@ -223,6 +226,8 @@
 
   void __set_customer(const std::string& val);
 
+  void __set_customer_usage(const double val);
+
   bool operator == (const Query & rhs) const
   {
     if (!(number == rhs.number))
@@ -253,6 +258,8 @@
       return false;
     if (!(customer == rhs.customer))
       return false;
+    if (!(customer_usage == rhs.customer_usage))
+      return false;
     return true;
   }
   bool operator != (const Query &rhs) const {
--- a/ibismux/gather/messages.cc
+++ b/ibismux/gather/messages.cc
@@ -1,5 +1,6 @@
 #include "ibismux/gather/messages.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "ibismux/gather/gen/gather_types.h"
@@ -70,6 +71,7 @@
   out.__set_left_us(to_micros(remaining(request.deadline, now)));
   out.__set_opens_connection(request.opens_connection);
   out.__set_customer(request.customer);
+  out.__set_customer_usage(request.customer_usage);
   return peer::encode(out);
 }
 
@@ -124,6 +126,7 @@
   query.request.path = std::move(in->path);
   query.request.opens_connection = in->opens_connection;
   query.request.customer = std::move(in->customer);
+  query.request.customer_usage = std::max(0.0, in->customer_usage);
   query.request.received = now - microseconds(in->elapsed_us);
   query.request.deadline = now + microseconds(in->left_us);
   auto message = std::make_shared<http::Request>();
--- a/tests/dispatch/call_queue_test.cc
+++ b/tests/dispatch/call_queue_test.cc
@@ -14,11 +14,12 @@
   TimePoint now = Clock::now();
   std::string started;
   int room = 0;
+  fairness::Share share;
 
   /// Adds a call that uses one unit of capacity when it starts.
   CallQueue::Position enqueue(std::uint32_t priority, char name) {
     return this->queue.enqueue(
-        priority,
+        priority, this->share,
         [this, name] {
           this->started += name;
           --this->room;
@@ -68,10 +69,10 @@
   fixture.enqueue(1, 'a');
   fixture.enqueue(2, 'b');
   fixture.enqueue(3, 'c');
-  cr_assert(fixture.queue.count_ahead(0) == 0);
-  cr_assert(fixture.queue.count_ahead(1) == 1);
-  cr_assert(fixture.queue.count_ahead(2) == 2);
-  cr_assert(fixture.queue.count_ahead(9) == 3);
+  cr_assert(fixture.queue.count_ahead(0, {}) == 0);
+  cr_assert(fixture.queue.count_ahead(1, {}) == 1);
+  cr_assert(fixture.queue.count_ahead(2, {}) == 2);
+  cr_assert(fixture.queue.count_ahead(9, {}) == 3);
 }
 
 Test(call_queue, is_nonempty_from_the_first_call_to_the_last) {
@@ -93,16 +94,32 @@
      a_call_that_cannot_start_is_tried_once_and_keeps_its_position) {
   Fixture fixture;
   int tries = 0;
-  (void)fixture.queue.enqueue(1, unstartable(tries), fixture.now);
+  (void)fixture.queue.enqueue(1, {}, unstartable(tries), fixture.now);
   fixture.enqueue(1, 'b');
   fixture.start_waiting(5);
   cr_assert(tries == 1);
   cr_assert(fixture.started == "b");
-  cr_assert(fixture.queue.count_ahead(1) == 1);
+  cr_assert(fixture.queue.count_ahead(1, {}) == 1);
   fixture.enqueue(1, 'c');
   fixture.start_waiting(1);
   cr_assert(tries == 2, "still ahead of later calls");
 }
 
+// Guards against one customer's calls that hold up those of all others.
+Test(call_queue, a_customer_without_backlog_overtakes_one_with_many_calls) {
+  Fixture fixture;
+  fixture.share = {"hot"};
+  for (int i = 0; i < 50; ++i) {
+    fixture.enqueue(1, 'h');
+  }
+  cr_assert(fixture.queue.count_ahead(1, {"hot"}) == 50);
+  cr_assert(fixture.queue.count_ahead(1, {"quiet"}) <= 1);
+  fixture.share = {"quiet"};
+  fixture.enqueue(1, 'q');
+  fixture.enqueue(0, 'u');
+  fixture.start_waiting(3);
+  cr_assert(fixture.started == "uhq");
+}
+
 }  // namespace
 }  // namespace ibismux::dispatch
--- a/thrift/gather.thrift
+++ b/thrift/gather.thrift
@@ -39,6 +39,9 @@
   13: bool opens_connection
   /// The customer that sent the query; empty if it was not identified.
   14: string customer
+  /// How much of its limit the customer asks for: see `RateReply.usage` of
+  /// customers.thrift. Absent in older builds.
+  15: double customer_usage
 }
 
 /// kGatherTaken, kGatherConfirm and kGatherCancel: each refers to one query
