coverage: parts of a query that can leave out no further shard are urgent

Cause: a query behaved the same whether it could leave out many shards or none. Of 35 leafs that must all answer, one is nearly always paused or slow.

Change: where nothing is left to spare, parts are hedged after 0.8 of the usual delay, a third leaf may be asked, and repeats go to the leaf expected to answer first. Within the route's attempts and the budget of repeats.

Ruled out: queries with shards to spare that leave repeats to others (built first): on hosts that may save up two repeats it allows hardly any, found in review.

--- a/ibismux/coverage/coverage_budget.h
+++ b/ibismux/coverage/coverage_budget.h
@@ -34,9 +34,9 @@
     return this->shards - lost >= this->required;
   }
 
-  /// What the open parts may spend. @param open The number of open parts.
-  [[nodiscard]] PartUrgency urgency(std::size_t lost,
-                                    std::size_t open) const noexcept;
+  /// What the open parts may spend after `lost` shards have failed or have no
+  /// leaf. Queries over a few shards are as they are without a budget.
+  [[nodiscard]] PartUrgency urgency(std::size_t lost) const noexcept;
 
  private:
   std::size_t shards;
--- a/ibismux/dispatch/hedge_timing.cc
+++ b/ibismux/dispatch/hedge_timing.cc
@@ -22,13 +22,16 @@
 
 }  // namespace
 
-Duration hedge_delay(Duration typical_latency, Duration until_due) noexcept {
+Duration hedge_delay(Duration typical_latency,
+                     Duration until_due,
+                     double urgency) noexcept {
   const Duration latest =
       std::max(scaled(typical_latency, kMinHedgeFactor),
                until_due - scaled(typical_latency, kSecondAnswerFactor));
-  return std::max<Duration>(
-      kMinHedgeDelay,
-      std::min(scaled(typical_latency, kHedgeDelayFactor), latest));
+  const Duration earliest = scaled(typical_latency, kMinHedgeFactor);
+  const Duration usual = scaled(typical_latency, kHedgeDelayFactor * urgency);
+  return std::max<Duration>(kMinHedgeDelay,
+                            std::min(std::max(earliest, usual), latest));
 }
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/hedge_timing.h
+++ b/ibismux/dispatch/hedge_timing.h
@@ -14,9 +14,12 @@
 ///
 /// @param typical_latency The median latency of such a call.
 /// @param until_due From the arrival of the request until its answer is due.
+/// @param urgency Shortens the delay, within its bounds; see
+/// `coverage::PartUrgency`.
 /// Thread safe.
 [[nodiscard]] Duration hedge_delay(Duration typical_latency,
-                                   Duration until_due) noexcept;
+                                   Duration until_due,
+                                   double urgency = 1) noexcept;
 
 }  // namespace ibismux::dispatch
 
--- a/ibismux/dispatch/part_call.cc
+++ b/ibismux/dispatch/part_call.cc
@@ -47,7 +47,7 @@
 
 void PartCall::wait_for_room(std::function<bool()> start) {
   this->place = this->group->queue().enqueue(
-      this->context->priority,
+      this->context->priority, this->context->share,
       [weak = this->weak_from_this(), start = std::move(start)] {
         const auto self = weak.lock();
         if (!self || !self->place) {
@@ -75,7 +75,8 @@
           .objective = this->context->route->objective,
           .tried = &this->tried_leafs,
           .zones = this->context->zones(),
-          .is_repeat = is_repeat};
+          .is_repeat = is_repeat,
+          .fastest = is_repeat && this->urgency.fastest_repeat};
 }
 
 std::shared_ptr<Leaf> PartCall::choose(bool is_repeat) const {
@@ -120,8 +121,9 @@
 
 void PartCall::repeat(RepeatCause cause) {
   if (!this->context->route->is_idempotent() || !this->may_repeat() ||
-      this->open_attempts.size() != 1 || this->sends == 0 ||
-      !this->context->crashes->may_send()) {
+      this->open_attempts.empty() ||
+      this->open_attempts.size() >= this->urgency.max_open_calls ||
+      this->sends == 0 || !this->context->crashes->may_send()) {
     return;
   }
   auto leaf = this->choose(true);
@@ -138,16 +140,23 @@
 }
 
 std::optional<TimePoint> PartCall::waiting_since() const {
-  if (this->current_state != State::kOpen || this->hedged ||
-      this->open_attempts.empty()) {
+  // A second leaf that waits as well is a sign for others, even if the route
+  // allows no second call.
+  const std::uint32_t max_calls =
+      std::min(this->urgency.max_open_calls,
+               std::max<std::uint32_t>(2, this->context->attempt_limit()));
+  if (this->current_state != State::kOpen || this->open_attempts.empty() ||
+      this->hedges + 1 >= max_calls) {
     return std::nullopt;
   }
   const Attempt& last = this->open_attempts.back();
-  return last.active->sent_at.value_or(last.started_at + kDialAllowance);
+  return std::max(this->hedged_at, last.active->sent_at.value_or(
+                                       last.started_at + kDialAllowance));
 }
 
 void PartCall::hedge() {
-  this->hedged = true;
+  ++this->hedges;
+  this->hedged_at = Clock::now();
   if (this->context->policy->hedge) {
     this->repeat(RepeatCause::kSlow);
   }
--- a/ibismux/dispatch/part_call.h
+++ b/ibismux/dispatch/part_call.h
@@ -8,6 +8,7 @@
 
 #include "ibismux/base/error.h"
 #include "ibismux/base/time.h"
+#include "ibismux/coverage/part_urgency.h"
 #include "ibismux/dispatch/answer.h"
 #include "ibismux/dispatch/call_queue.h"
 #include "ibismux/dispatch/forward.h"
@@ -50,15 +51,19 @@
   /// likely to answer sooner.
   void repeat(RepeatCause cause);
 
+  /// What the part may spend on its answer from now on.
+  void set_urgency(const coverage::PartUrgency& fresh) {
+    this->urgency = fresh;
+  }
+
   /// Returns since when the part has been waiting for a leaf and nothing else:
-  /// the time when the call was sent on an open connection, or when dialing
-  /// should have been done. Empty if the part has ended, waits in the queue, or
-  /// was hedged.
+  /// the time when the last call was sent on an open connection, or when
+  /// dialing should have been done. Empty if the part has ended, waits in the
+  /// queue, or was hedged as often as its urgency allows.
   [[nodiscard]] std::optional<TimePoint> waiting_since() const;
 
-  /// Marks the part as hedged and repeats it if the policy enables hedging. To
-  /// be called when the part has waited longer than usual. From then on
-  /// `waiting_since()` is empty.
+  /// Counts a hedge of the part and repeats it if the policy enables hedging.
+  /// To be called when the part has waited longer than usual.
   void hedge();
 
   /// Starts the send that was deferred until another call of the request has
@@ -159,7 +164,10 @@
   State current_state = State::kIdle;
   bool starting = false;
   bool stopped = false;
-  bool hedged = false;
+  coverage::PartUrgency urgency;
+  std::uint32_t hedges = 0;
+  /// When the part was last hedged, whether or not a leaf could be called.
+  TimePoint hedged_at = TimePoint::min();
   std::vector<std::shared_ptr<Leaf>> tried_leafs;
   std::vector<Attempt> open_attempts;
   /// The number of sends. Those that a leaf may have run count against the
--- a/ibismux/dispatch/request_run.cc
+++ b/ibismux/dispatch/request_run.cc
@@ -33,9 +33,9 @@
 // before any of them has answered: one of them may be paused.
 constexpr std::size_t kMaxCanaries = 2;
 
-Duration hedge_delay_of(const RequestContext& context) {
+Duration hedge_delay_of(const RequestContext& context, double urgency = 1) {
   return hedge_delay(context.typical->value(),
-                     context.due - context.request.received);
+                     context.due - context.request.received, urgency);
 }
 
 }  // namespace
@@ -69,6 +69,11 @@
   if (this->refuse_if_unservable(Clock::now())) {
     return;
   }
+  const ZoneNames* zones = this->shared_context->zones();
+  this->lost_at_start = static_cast<std::size_t>(std::count_if(
+      this->groups.begin(), this->groups.end(),
+      [zones](const auto& group) { return !group->can_serve(zones); }));
+  this->update_urgency();
   this->shared_context->crashes->on_release([weak = this->weak_from_this()] {
     if (const auto self = weak.lock()) {
       self->resume_parts();
@@ -144,7 +149,8 @@
   const TimePoint latest = is_standing ? this->shared_context->due
                                        : this->shared_context->final_deadline;
   const Duration work = this->shared_context->typical->unloaded();
-  return service.expected_wait(this->shared_context->priority, zones) -
+  return service.expected_wait(this->shared_context->priority,
+                               this->shared_context->share, zones) -
          std::max<Duration>(work, latest - now - work);
 }
 
@@ -156,9 +162,28 @@
 
 void RequestRun::on_change(const PartCall& part) {
   this->count_if_ended(part);
-  if (!this->ended && !this->starting) {
-    this->check_completion(Clock::now());
+  if (this->ended || this->starting) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  this->check_completion(now);
+  if (!this->ended && this->update_urgency()) {
+    this->wake_at(now);
+    this->arm();
+  }
+}
+
+bool RequestRun::update_urgency() {
+  const coverage::PartUrgency fresh =
+      this->urgency(std::max(this->lost_at_start, this->ended_counts.failed));
+  if (fresh == this->part_urgency) {
+    return false;
   }
+  this->part_urgency = fresh;
+  for (const auto& part : this->part_calls) {
+    part->set_urgency(fresh);
+  }
+  return true;
 }
 
 void RequestRun::resume_parts() {
@@ -279,7 +304,9 @@
   if (this->wait_for_canary(now) || this->ended) {
     return;
   }
-  const Duration delay = hedge_delay_of(*this->shared_context);
+  const Duration delay = hedge_delay_of(*this->shared_context,
+                                        this->part_urgency.hedge_delay_factor);
+  const Duration unresponsive_after = hedge_delay_of(*this->shared_context);
   for (const auto& part : this->part_calls) {
     const auto since = part->waiting_since();
     if (!since) {
@@ -291,8 +318,11 @@
     }
     const std::shared_ptr<Leaf> leaf = part->tried().back();
     part->hedge();
+    if (const auto next = part->waiting_since()) {
+      this->wake_at(*next + delay);
+    }
     if (this->shared_context->policy->share_unresponsive &&
-        leaf->estimate().is_unresponsive(delay, now)) {
+        leaf->estimate().is_unresponsive(unresponsive_after, now)) {
       leaf->report_unresponsive(now);
     }
   }
--- a/ibismux/dispatch/request_run.h
+++ b/ibismux/dispatch/request_run.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "ibismux/base/time.h"
+#include "ibismux/coverage/part_urgency.h"
 #include "ibismux/dispatch/answer.h"
 #include "ibismux/dispatch/forward.h"
 #include "ibismux/dispatch/part_call.h"
@@ -59,6 +60,13 @@
   [[nodiscard]] Duration excess_wait_at(const ServiceGroup& service,
                                         TimePoint now) const;
 
+  /// What the open parts may spend on their answers, after `lost` parts have
+  /// failed or have no leaf.
+  [[nodiscard]] virtual coverage::PartUrgency urgency(std::size_t lost) const {
+    static_cast<void>(lost);
+    return {};
+  }
+
   /// Whether the request is sent to a single leaf first.
   [[nodiscard]] virtual bool starts_with_canary(TimePoint now) const = 0;
 
@@ -90,8 +98,8 @@
     return now >= this->shared_context->final_deadline;
   }
 
-  /// Hedges each part whose leaf takes longer than usual, at most once per
-  /// part, and schedules the timer for the next part.
+  /// Hedges each part whose leaf takes longer than usual, as often as its
+  /// urgency allows, and schedules the timer for the next one.
   void hedge_late_parts(TimePoint now);
 
   /// Ends the run.
@@ -104,6 +112,8 @@
  private:
   /// Ends the run if it cannot succeed in time. @return Whether it did.
   [[nodiscard]] bool refuse_if_unservable(TimePoint now);
+  /// Sets the urgency of all parts. @return Whether it has changed.
+  bool update_urgency();
   void count_if_ended(const PartCall& part) noexcept;
   void on_change(const PartCall& part);
   /// Resumes the parts whose sends were deferred, or fails the run if the
@@ -133,6 +143,8 @@
   Done done;
   Parts part_calls;
   PartCounts ended_counts;
+  coverage::PartUrgency part_urgency;
+  std::size_t lost_at_start = 0;  ///< Parts without a leaf on arrival.
   Duration sent_after{0};  ///< From the arrival until all parts were started.
   /// When all parts could be started.
   TimePoint parts_started;
--- a/ibismux/dispatch/scatter_run.cc
+++ b/ibismux/dispatch/scatter_run.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "ibismux/coverage/coverage_budget.h"
 #include "ibismux/dispatch/canary_timing.h"
 #include "ibismux/dispatch/dispatch_policy.h"
 #include "ibismux/dispatch/record_merger.h"
@@ -42,6 +43,14 @@
   return *last;
 }
 
+coverage::PartUrgency ScatterRun::urgency(std::size_t lost) const {
+  if (!this->context().policy->coverage_urgency) {
+    return {};
+  }
+  return coverage::CoverageBudget(this->parts().size(), this->required_shards())
+      .urgency(lost);
+}
+
 bool ScatterRun::starts_with_canary(TimePoint now) const {
   const RequestContext& context = this->context();
   return context.policy->canary && this->parts().size() > 1 &&
--- a/ibismux/dispatch/scatter_run.h
+++ b/ibismux/dispatch/scatter_run.h
@@ -16,6 +16,7 @@
 
  protected:
   [[nodiscard]] Duration excess_wait(TimePoint now) const override;
+  [[nodiscard]] coverage::PartUrgency urgency(std::size_t lost) const override;
   [[nodiscard]] bool starts_with_canary(TimePoint now) const override;
   void check_completion(TimePoint now) override;
 
--- a/ibismux/dispatch/service_group.cc
+++ b/ibismux/dispatch/service_group.cc
@@ -114,7 +114,8 @@
       .active_calls = leaf.active_calls(),
       .slots = entry.slots,
       .cold = policy.weigh_cold && entry.warmup_left.count() > 0,
-      .remote = policy.prefer_own_zone && !this->is_own_zone(leaf),
+      .remote = policy.prefer_own_zone && !criteria.fastest &&
+                !this->is_own_zone(leaf),
       .keeps_links = leaf.keeps_links(),
       .has_idle_link = leaf.has_idle_link()};
   return leaf_cost(state, criteria.typical_latency, criteria.objective,
@@ -213,7 +214,7 @@
 
 std::shared_ptr<Leaf> ServiceGroup::choose(const SelectionCriteria& criteria,
                                            TimePoint now) const {
-  if (this->settings.policy.prefer_own_zone) {
+  if (this->settings.policy.prefer_own_zone && !criteria.fastest) {
     if (auto own_zone_leaf = this->cheapest(criteria, now, true)) {
       return own_zone_leaf;
     }
@@ -245,8 +246,9 @@
 }
 
 Duration ServiceGroup::expected_wait(std::uint32_t priority,
+                                     const fairness::Share& share,
                                      const ZoneNames* zones) const {
-  const std::size_t ahead = this->waiting.count_ahead(priority);
+  const std::size_t ahead = this->waiting.count_ahead(priority, share);
   if (ahead == 0) {
     return Duration::zero();
   }
--- a/ibismux/dispatch/service_group.h
+++ b/ibismux/dispatch/service_group.h
@@ -28,6 +28,8 @@
   /// The call is a retry or a hedge. Unresponsive leafs are then excluded, as a
   /// repeat is worth its cost only at a leaf that will answer soon.
   bool is_repeat = false;
+  /// The leaf that is expected to answer first, also one of another zone.
+  bool fastest = false;
 };
 
 /// The leafs of one service and the state that all requests for it share: leaf
@@ -106,10 +108,11 @@
   void schedule_queue_retry();
   /// Records how long a call took at its leaf.
   void record_call_time(Duration took) noexcept { this->call_time.add(took); }
-  /// Estimated queueing time of a call of `priority` that arrives now, for a
-  /// leaf of `zones` (null: of any zone), from the duration of recent calls.
-  /// Zero if no call that would be served before it is waiting.
+  /// Estimated queueing time of a call of `priority` and `share` that arrives
+  /// now, for a leaf of `zones` (null: of any zone), from the duration of
+  /// recent calls. Zero if no call that would be served before it is waiting.
   [[nodiscard]] Duration expected_wait(std::uint32_t priority,
+                                       const fairness::Share& share,
                                        const ZoneNames* zones = nullptr) const;
   /// @}
 
