startup: requests wait for what a daemon lacks after its start

Cause: a request that came before its daemon had a configuration, leafs or owners of limits was refused with a fixed time, 200 or 50 ms, and its caller's one retry met the same state.

Change: it waits if what it lacks usually comes in time, and is refused otherwise with the time until then. policy.hold_at_start; also the switches of the parts before, and their wiring.

--- a/ibismux/customers/rate_limiter.cc
+++ b/ibismux/customers/rate_limiter.cc
@@ -25,7 +25,6 @@
 // The same, while this daemon starts, for one that has never replied: the
 // connection to it may take longer to open than an answer.
 constexpr milliseconds kFirstContactPause{60};
-constexpr std::chrono::seconds kStartPeriod{4};
 // An owner that refused is asked again after this long at the latest: a token
 // that was promised to a caller elsewhere may not have been taken.
 constexpr milliseconds kMaxRefusalPause{100};
@@ -316,9 +315,10 @@
 void RateLimiter::on_unreachable(const std::string& owner,
                                  std::string_view reason) {
   const TimePoint now = Clock::now();
-  const bool is_first_contact = this->start_waiters &&
-                                now - this->created < kStartPeriod &&
-                                !this->repliers.contains(owner);
+  const bool is_first_contact =
+      this->start_waiters &&
+      now - this->created < startup::StartGate::kStartPeriod &&
+      !this->repliers.contains(owner);
   this->unreachable_until[owner] =
       now + (is_first_contact ? kFirstContactPause : kUnreachablePause);
   this->log.event(eventlog::Weight::kFailure, "rate_owner_unreachable")
--- a/ibismux/dispatch/dispatch_policy.h
+++ b/ibismux/dispatch/dispatch_policy.h
@@ -30,12 +30,23 @@
   bool learn_window = true;
   /// Refuses requests at arrival if queueing would make their answers late.
   bool refuse_early = true;
+  /// Serves waiting calls of one priority in a fair order of their customers.
+  /// No effect without customers.
+  bool fair_shares = true;
   /// Answers a query without its slowest shards once waiting for them would
   /// make the answer late.
   bool partial_answers = true;
+  /// Hedges the calls of a query earlier and more often that can hardly leave
+  /// out further shards.
+  bool coverage_urgency = true;
   /// Sends a query that no leaf has answered lately to one leaf first, if its
   /// objective leaves time for that.
   bool canary = true;
+  /// Leaves the tokens of a customer beyond its limit to requests that can
+  /// still be in time. No effect without limits of customers.
+  bool late_requests_last = true;
+  /// Lets requests wait for what a daemon lacks after its start.
+  bool hold_at_start = true;
   /// Opens links to leafs before calls need them.
   bool open_ahead = true;
   /// Has queries over many shards gathered by a peer with more bandwidth.
--- a/ibismux/dispatch/dispatcher.cc
+++ b/ibismux/dispatch/dispatcher.cc
@@ -70,6 +70,7 @@
                 [&](const auto& row) { return !names.contains(row.first); });
   this->log_routes_without_zones();
   this->distribute_links();
+  this->notify_start_waiters();
   return true;
 }
 
@@ -181,6 +182,8 @@
 }
 
 void Dispatcher::on_listing_end() {
+  this->listed = true;
+  this->notify_start_waiters();
   if (!std::exchange(this->in_first_listing, false)) {
     return;
   }
@@ -293,7 +296,7 @@
   return group;
 }
 
-const Dispatcher::RouteLatency& Dispatcher::typical_latency(
+Dispatcher::RouteLatency& Dispatcher::typical_latency(
     const routing::Route& route) {
   RouteLatency& typical = this->latencies[route.name];
   if (!typical.call) {
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -11,6 +11,7 @@
 #include "ibismux/base/task.h"
 #include "ibismux/base/zone_sizes.h"
 #include "ibismux/customers/forward.h"
+#include "ibismux/customers/stated_patience.h"
 #include "ibismux/directory/leaf_directory.h"
 #include "ibismux/dispatch/answer.h"
 #include "ibismux/dispatch/caller_request.h"
@@ -30,6 +31,7 @@
 #include "ibismux/reports/report_exchange.h"
 #include "ibismux/routing/route_table.h"
 #include "ibismux/routing/weighted_round_robin.h"
+#include "ibismux/startup/forward.h"
 
 namespace ibismux::dispatch {
 
@@ -83,6 +85,13 @@
   /// @param rates Outlives the dispatcher's requests.
   void set_rates(customers::RateAdmission& rates) { this->rates = &rates; }
 
+  /// Lets requests wait for the configuration and the leafs while this daemon
+  /// starts. Without it, they are refused.
+  /// @param waiters Outlives the dispatcher's requests.
+  void set_start_waiters(startup::StartWaiters& waiters) {
+    this->start_waiters = &waiters;
+  }
+
   /// Replaces the set of evacuated zones, whose leafs get no further requests.
   /// Calls in progress there continue; links there are closed. A request that
   /// only leafs of evacuated zones could serve is refused.
@@ -130,10 +139,11 @@
   struct RouteLatency {
     std::shared_ptr<TypicalLatency> call;
     std::shared_ptr<TypicalLatency> run;
+    /// How long the callers of the route wait.
+    customers::StatedPatience patience;
   };
 
-  [[nodiscard]] const RouteLatency& typical_latency(
-      const routing::Route& route);
+  [[nodiscard]] RouteLatency& typical_latency(const routing::Route& route);
   [[nodiscard]] std::vector<std::shared_ptr<ServiceGroup>> target_groups(
       const routing::Route& route);
   void add_leaf(const directory::LeafEntry& entry);
@@ -147,6 +157,15 @@
   void distribute_links(const ServiceGroup& group);
   [[nodiscard]] Duration report_half_life();
 
+  /// Whether the configuration and the leafs are known.
+  [[nodiscard]] bool can_route() const noexcept {
+    return this->active_table && (this->listed || !this->leafs.empty());
+  }
+  /// Waits until `can_route()`, as far as the start of this daemon lets
+  /// requests wait. @return An error if there is no configuration then.
+  [[nodiscard]] Task<Result<void>> wait_for_start(const CallerRequest& request);
+  void notify_start_waiters();
+
   /// Creates the context of a request that has arrived, or refuses it.
   /// @param is_from_peer A peer has identified the customer.
   [[nodiscard]] Result<Context> admit(CallerRequest request, bool is_from_peer);
@@ -155,8 +174,11 @@
   [[nodiscard]] static Result<void> identify(RequestContext& context,
                                              CallerRequest& request,
                                              bool is_from_peer);
-  /// Counts the request against the limit of its customer.
-  [[nodiscard]] Task<Result<void>> check_rate(const RequestContext& context);
+  /// Sets the customer's claim among the requests of the same priority.
+  void set_share(RequestContext& context) const;
+  /// Counts the request against the limit of its customer, and sets how much of
+  /// the limit the customer asks for.
+  [[nodiscard]] Task<Result<void>> check_rate(Context context);
   [[nodiscard]] bool may_delegate(const RequestContext& context) const;
   /// Has a peer gather the query. @return Nothing if it must be gathered here,
   /// with no more attempts than `context` then allows.
@@ -185,9 +207,11 @@
   quarantine::QuarantineTable quarantined;
   ZoneNames evacuated;
   bool in_first_listing = false;
+  bool listed = false;  ///< The leafs have been listed once.
   std::shared_ptr<LinkOpener> opener;
   QueryDelegate* delegate = nullptr;
   customers::RateAdmission* rates = nullptr;
+  startup::StartWaiters* start_waiters = nullptr;
   std::map<std::string, RouteLatency> latencies;  ///< By route.
   std::map<std::string, routing::WeightedRoundRobin> splits;
 };
--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -18,6 +18,7 @@
 #include "ibismux/dispatch/scatter_run.h"
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/http/cancel_token.h"
+#include "ibismux/startup/start_waiters.h"
 
 namespace ibismux::dispatch {
 
@@ -42,6 +43,16 @@
                                     request.message->body});
 }
 
+// While no route is known, the objective of a request is taken to be this share
+// of the time that its caller waits.
+constexpr double kUnknownObjectiveShare = 0.1;
+
+tl::unexpected<Error> no_configuration(milliseconds retry_after) {
+  Error error = make_error(ErrorKind::kNotReady, "no configuration yet");
+  error.retry_after = retry_after;
+  return tl::unexpected(std::move(error));
+}
+
 using OutcomeHandler =
     asio::async_result<asio::use_awaitable_t<>, void(Outcome)>::handler_type;
 
@@ -107,9 +118,8 @@
 Result<Dispatcher::Context> Dispatcher::admit(CallerRequest request,
                                               bool is_from_peer) {
   if (!this->active_table) {
-    Error error = make_error(ErrorKind::kNotReady, "no configuration yet");
-    error.retry_after = kNotReadyRetryAfter;
-    return this->refuse(request, std::move(error), nullptr);
+    return this->refuse(request, no_configuration(kNotReadyRetryAfter).value(),
+                        nullptr);
   }
   auto context = std::make_shared<RequestContext>();
   context->table = this->active_table;
@@ -147,6 +157,7 @@
   context->due =
       answer_due(request.received, route.objective, request.opens_connection);
   context->request = std::move(request);
+  this->set_share(*context);
   context->typical = this->typical_latency(route).call;
   context->typical_run = this->typical_latency(route).run;
   context->log = &this->log;
@@ -155,13 +166,43 @@
   return context;
 }
 
+Task<Result<void>> Dispatcher::wait_for_start(const CallerRequest& request) {
+  // The route and its objective are not known yet.
+  const TimePoint latest_start =
+      request.received +
+      scaled(request.deadline - request.received, kUnknownObjectiveShare);
+  std::function<bool()> is_met = [this] { return this->can_route(); };
+  const startup::StartWaiters::Result waited =
+      co_await this->start_waiters->wait(
+          startup::Need::kConfiguration, latest_start,
+          request.message->body.size(), std::move(is_met));
+  if (!this->active_table) {
+    co_return no_configuration(waited.retry_after);
+  }
+  co_return Result<void>{};
+}
+
+void Dispatcher::notify_start_waiters() {
+  if (this->start_waiters) {
+    this->start_waiters->notify();
+  }
+}
+
 Task<Outcome> Dispatcher::handle(CallerRequest request,
                                  std::shared_ptr<http::CancelToken> caller) {
+  if (this->start_waiters && !this->can_route()) {
+    if (auto ready = co_await this->wait_for_start(request); !ready) {
+      co_return this->refuse(request, std::move(ready.error()), nullptr);
+    }
+  }
   auto context = this->admit(std::move(request), false);
   if (!context) {
     co_return tl::unexpected(std::move(context.error()));
   }
-  if (auto within = co_await this->check_rate(**context); !within) {
+  if (caller->cancelled()) {
+    co_return fail(ErrorKind::kCancelled, "the caller is gone");
+  }
+  if (auto within = co_await this->check_rate(*context); !within) {
     co_return this->refuse((*context)->request, std::move(within.error()),
                            (*context)->route);
   }
@@ -193,18 +234,42 @@
   co_return co_await this->run(*std::move(context), std::move(cancelled));
 }
 
-Task<Result<void>> Dispatcher::check_rate(const RequestContext& context) {
+void Dispatcher::set_share(RequestContext& context) const {
   const customers::CustomerTable* table = context.table->customers();
   const customers::Customer* customer =
       table ? table->find_by_name(context.request.customer) : nullptr;
+  if (customer && this->settings.policy.fair_shares) {
+    context.share = {customer->name, table->weight_of(*customer),
+                     context.request.customer_usage};
+  }
+}
+
+Task<Result<void>> Dispatcher::check_rate(Context context) {
+  const customers::CustomerTable* table = context->table->customers();
+  const customers::Customer* customer =
+      table ? table->find_by_name(context->request.customer) : nullptr;
   if (!customer || !customer->limit.is_limited() || !this->rates) {
     co_return Result<void>{};
   }
-  customers::RateCheck check{*customer, context.table->version(),
-                             context.due - context.typical_run->value(),
-                             context.final_deadline, false};
+  const Duration stated = context->request.deadline - context->request.received;
+  customers::StatedPatience& patience =
+      this->typical_latency(*context->route).patience;
+  patience.record(stated);
+  const bool is_late = this->settings.policy.late_requests_last &&
+                       patience.is_late(stated, context->route->objective);
+  customers::RateCheck check{*customer,
+                             context->table->version(),
+                             context->due - context->typical_run->value(),
+                             context->final_deadline,
+                             is_late,
+                             context->request.message->body.size()};
   const auto grant = co_await this->rates->admit(std::move(check));
-  co_return grant ? Result<void>{} : tl::unexpected(grant.error());
+  if (!grant) {
+    co_return tl::unexpected(grant.error());
+  }
+  context->request.customer_usage = grant->usage;
+  this->set_share(*context);
+  co_return Result<void>{};
 }
 
 bool Dispatcher::may_delegate(const RequestContext& context) const {
--- a/ibismux/dispatch/request_end.cc
+++ b/ibismux/dispatch/request_end.cc
@@ -33,6 +33,9 @@
       .with("took_ms", took)
       .with("objective_ms", Duration(route.objective))
       .with("left_ms", remaining(context.final_deadline, now));
+  if (!context.request.customer.empty()) {
+    line.with("customer", context.request.customer);
+  }
   if (!is_ordinary) {
     line.with("digest", context.digest.text());
   }
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -42,6 +42,7 @@
             std::move(this->adapters.store_dialect),
             registry,
             random_number()),
+      start_waiters(pool.at(0), {}, Clock::now(), registry),
       dispatcher(pool.at(0),
                  *this->adapters.leaf_connector,
                  dispatch_settings(this->settings),
@@ -73,6 +74,9 @@
       signals(pool.at(0)),
       ticker(pool.at(0).get_executor()),
       stalls(kTick, Clock::now(), StallDetector::boot_time()) {
+  if (this->settings.hold_at_start) {
+    this->dispatcher.set_start_waiters(this->start_waiters);
+  }
   if (!this->settings.peer_endpoint.empty()) {
     this->fleet.emplace(
         this->pool, this->store, this->registry, fleet_settings(this->settings),
--- a/ibismux/edge/edge_daemon_impl.h
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -29,6 +29,7 @@
 #include "ibismux/gather/gather_host.h"
 #include "ibismux/http/server.h"
 #include "ibismux/reports/report_exchange.h"
+#include "ibismux/startup/start_waiters.h"
 #include "ibismux/store/http_object_store.h"
 
 namespace ibismux::edge {
@@ -103,6 +104,7 @@
   IoPool pool;
   eventlog::EventLog log;
   store::HttpObjectStore store;
+  startup::StartWaiters start_waiters;
   dispatch::Dispatcher dispatcher;
   directory::LeafDirectory directory;
   ConfigurationFeed configuration;
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -95,6 +95,9 @@
   this->rates = std::make_shared<customers::RateLimiter>(
       this->fleet ? &this->fleet->network() : nullptr,
       rate_settings(this->settings), this->registry, this->log);
+  if (this->settings.hold_at_start) {
+    this->rates->set_start_waiters(this->start_waiters);
+  }
   this->rates->start();
   this->dispatcher.set_rates(*this->rates);
 }
@@ -236,6 +239,7 @@
     if (this->ticks % kTicksPerSummary == 0) {
       this->dispatcher.log_sends();
       this->update_rate_owners();
+      this->rates->log_usage();
     }
     this->tick();
   });
--- a/ibismux/startup/forward.h
+++ b/ibismux/startup/forward.h
@@ -4,6 +4,7 @@
 namespace ibismux::startup {
 
 class StartGate;
+class StartWaiters;
 
 }  // namespace ibismux::startup
 
