--- a/ibismux/membership/membership_engine.h
+++ b/ibismux/membership/membership_engine.h
@@ -108,7 +108,7 @@
                    const std::string& source,
                    TimePoint now);
 
-  /// `interval`, longer by itself for each `members` that serve.
+  /// `interval`, once more for each `members` members that serve.
   [[nodiscard]] std::chrono::milliseconds slowed(
       std::chrono::milliseconds interval,
       std::size_t members) const noexcept {
