--- a/ibismux/dispatch/dispatch_policy.h
+++ b/ibismux/dispatch/dispatch_policy.h
@@ -45,8 +45,19 @@
   /// Leaves the tokens of a customer beyond its limit to requests that can
   /// still be in time. No effect without limits of customers.
   bool late_requests_last = true;
+  /// Lets a request that is beyond its customer's limit wait for a token that
+  /// comes in time for it. No effect without limits of customers.
+  bool wait_for_token = true;
+  /// Tells refused callers of a customer a later time to return, the longer the
+  /// customer has been beyond its limit. No effect without limits of customers.
+  bool pace_returns = true;
   /// Lets requests wait for what a daemon lacks after its start.
   bool hold_at_start = true;
+  /// Keeps the leafs that run in the store, for daemons that start while the
+  /// registry has lost their entries.
+  bool leaf_checkpoint = true;
+  /// Lets few daemons of each zone find out whether the store answers again.
+  bool few_probes = true;
   /// Opens links to leafs before calls need them.
   bool open_ahead = true;
   /// Has queries over many shards gathered by a peer with more bandwidth.
--- a/ibismux/edge/edge_settings.cc
+++ b/ibismux/edge/edge_settings.cc
@@ -115,6 +115,16 @@
         "How many requests they may send in addition to that share.",
         Real{&EdgeSettings::rate_slack, 0, kMaxSlackCalls}},
 
+    Key{"customers.strict_keys",
+        "Refuse requests with a key while the last news of the store are older "
+        "than key_lifetime_ms.",
+        Flag{&EdgeSettings::strict_keys}},
+    Key{"customers.key_lifetime_ms",
+        "How long a key that was removed may be accepted by a daemon without "
+        "news of the store, if strict_keys is set.",
+        Millis{&EdgeSettings::key_lifetime, milliseconds(100),
+               milliseconds(3'600'000)}},
+
     Key{"policy.hedge",
         "Send a call that takes longer than usual to a second leaf.",
         Flag{&EdgeSettings::hedge}},
@@ -160,10 +170,26 @@
         "Leave the tokens of a customer beyond its limit to requests that can "
         "still be in time.",
         Flag{&EdgeSettings::late_requests_last}},
+    Key{"policy.wait_for_token",
+        "Let a request beyond its customer's limit wait for a token that comes "
+        "in time for it.",
+        Flag{&EdgeSettings::wait_for_token}},
+    Key{"policy.pace_returns",
+        "Tell refused callers of a customer a later time to return, the longer "
+        "the customer has been beyond its limit.",
+        Flag{&EdgeSettings::pace_returns}},
     Key{"policy.hold_at_start",
         "Let requests wait for what this daemon lacks after its start, if it "
         "usually comes in time.",
         Flag{&EdgeSettings::hold_at_start}},
+    Key{"policy.leaf_checkpoint",
+        "Keep the leafs that run in the store, for daemons that start while "
+        "the registry has lost their entries.",
+        Flag{&EdgeSettings::leaf_checkpoint}},
+    Key{"policy.few_probes",
+        "Let few daemons of each zone find out whether the store answers "
+        "again.",
+        Flag{&EdgeSettings::few_probes}},
     Key{"policy.open_ahead", "Open links to leafs before calls need them.",
         Flag{&EdgeSettings::open_ahead}},
     Key{"policy.delegate_queries",
--- a/ibismux/edge/edge_settings.h
+++ b/ibismux/edge/edge_settings.h
@@ -57,11 +57,13 @@
   double remote_cost = 1.0;
   /// @}
 
-  /// @name Limits of customers
+  /// @name Keys and limits of customers
   /// @{
   Millis rate_window{5000};
   double rate_overage = 0;
   double rate_slack = 0;
+  bool strict_keys = false;
+  Millis key_lifetime{5000};
   /// @}
 
   /// @name Shutdown
