partition_test: a daemon that doesn't answer the watching thread fails the test with its log

Not traced yet.

Change: the thread keeps the exception and the logs of all daemons, and the test fails with them. The checks are the same ones, and it still fails where a daemon doesn't answer.

--- a/tests/process/partition_test.cc
+++ b/tests/process/partition_test.cc
@@ -69,30 +69,48 @@
       this->done = true;
       this->thread.join();
     }
-    return this->looks > 0 && !this->reverted;
+    return this->looks > 0 && !this->reverted && this->failure.empty();
   }
 
+  /// What kept a daemon from being looked at, with the logs of all; empty if
+  /// nothing did. Precondition: `end()` was called.
+  [[nodiscard]] const std::string& why_failed() const { return this->failure; }
+
  private:
   void look() {
-    std::array<std::uint64_t, kDaemons> generations{};
-    std::array<std::int64_t, kDaemons> deadlines{};
-    while (!this->done) {
-      for (std::size_t i = 0; i < kDaemons; ++i) {
-        const auto generation = this->site.generation(i);
-        const auto deadline = this->site.deadline_ms(i, "rising");
-        this->reverted = this->reverted || generation < generations[i] ||
-                         deadline < deadlines[i];
-        generations[i] = generation;
-        deadlines[i] = deadline;
+    try {
+      while (!this->done) {
+        for (std::size_t i = 0; i < kDaemons; ++i) {
+          this->look_at(i);
+        }
+        ++this->looks;
       }
-      ++this->looks;
+    } catch (const std::exception& error) {
+      // Thrown on this thread, it would end the test without a word on which
+      // daemon did not answer.
+      this->failure = std::string(error.what()) + "\n" + this->site.logs();
     }
   }
 
+  void look_at(std::size_t daemon) {
+    const auto generation = this->site.generation(daemon);
+    const auto deadline = this->site.deadline_ms(daemon, "rising");
+    this->reverted = this->reverted || generation < this->generations[daemon] ||
+                     deadline < this->deadlines[daemon];
+    this->generations[daemon] = generation;
+    this->deadlines[daemon] = deadline;
+  }
+
   DeclaredSite& site;
   std::atomic<bool> done = false;
   std::atomic<bool> reverted = false;
   std::atomic<int> looks = 0;
+  /// @name Of the watching thread until it has ended
+  /// @{
+  std::array<std::uint64_t, kDaemons> generations{};
+  std::array<std::int64_t, kDaemons> deadlines{};
+  std::string failure;
+  /// @}
   std::thread thread;
 };
 
@@ -112,7 +130,8 @@
   cr_assert(halves.come_to_see(kDaemons));
   cr_assert(halves.come_to_say_all("manuals"));
   cr_assert(halves.come_to_say_all("rising"));
-  cr_assert(watch.end(), "something went back");
+  cr_assert(watch.end(), "something went back, or did not answer: %s",
+            watch.why_failed().c_str());
   cr_assert(halves.site.deadline_ms(0, "rising") == 2003);
   cr_assert(halves.site.deadline_ms(3, "manuals") == 4003);
 }
