customers: counters by customer, and an event for each refusal by a limit

Cause: the metric of limits has no customer, and no line tells which owners refused a request, which weren't reached and how old a remembered refusal was.

Change: CustomerCounters replaces the four counters of RateLimiter; the metric by result is unchanged, ibismux_customer_requests_total has the first 20 customers with ten refusals. All others have an empty label: no customer has an empty name, whereas "other" may be one. RateLimiter logs rate_refused.

Ruled out: ignoring new names when 1,000 are remembered, as customers refused once would keep later ones from counters; all counts start again instead.

--- a/ibismux/customers/customer_counters.h
+++ b/ibismux/customers/customer_counters.h
@@ -22,9 +22,9 @@
 inline constexpr std::size_t kRateResults = 4;
 
 /// Counts requests by how limits were applied: in all, and by customer for the
-/// customers that were refused most. A customer keeps its own counters once it
-/// has them; the number of such customers is bounded, all others are counted
-/// together.
+/// first customers that were refused `kMinRefusals` times. A customer keeps its
+/// own counters once it has them; the number of such customers is bounded, all
+/// others are counted together.
 ///
 /// Not thread safe, but metrics may be read from other threads.
 class CustomerCounters {
@@ -33,10 +33,17 @@
   static constexpr std::size_t kMaxCustomers = 20;
   /// A customer gets counters of its own with this many refusals.
   static constexpr std::size_t kMinRefusals = 10;
+  /// Customers whose refusals are counted until they have counters of their
+  /// own. When one more is refused, all these counts start again.
+  static constexpr std::size_t kMaxNames = 1000;
+  /// The label of all other customers. No customer has an empty name.
+  static constexpr const char* kOthers = "";
 
   /// @param registry Outlives this object.
   explicit CustomerCounters(prometheus::Registry& registry);
 
+  /// Counts one request. Those before a customer has counters of its own stay
+  /// with the others. Precondition: `customer` isn't empty.
   void count(const std::string& customer, RateResult result);
 
  private:
@@ -48,7 +55,7 @@
 
   prometheus::Family<prometheus::Counter>& by_result;
   prometheus::Family<prometheus::Counter>& by_customer;
-  Row all;
+  Row all{};
   Row others;
   std::map<std::string, Row> rows;
   /// Of customers without a row; bounded.
--- a/ibismux/customers/rate_check.h
+++ b/ibismux/customers/rate_check.h
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <string>
 
 #include "ibismux/base/time.h"
 #include "ibismux/customers/customer.h"
@@ -22,6 +23,7 @@
   /// deadline shows: the answer is late whenever the request is granted.
   bool is_late = false;
   std::size_t bytes = 0;  ///< Held while the request waits.
+  std::string request;    ///< Its id, for the log.
 };
 
 }  // namespace ibismux::customers
--- a/ibismux/customers/rate_limiter.cc
+++ b/ibismux/customers/rate_limiter.cc
@@ -1,7 +1,5 @@
 #include "ibismux/customers/rate_limiter.h"
 
-#include <prometheus/family.h>
-
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -37,12 +35,12 @@
 // Customers in one log summary.
 constexpr std::size_t kLoggedCustomers = 20;
 
-prometheus::Family<prometheus::Counter>& requests_family(
-    prometheus::Registry& registry) {
-  return prometheus::BuildCounter()
-      .Name("ibismux_customer_rate_requests_total")
-      .Help("Requests of customers with a limit, by how it was applied.")
-      .Register(registry);
+std::string joined(const std::vector<std::string>& names) {
+  std::string text;
+  for (const std::string& name : names) {
+    text += (text.empty() ? "" : " ") + name;
+  }
+  return text;
 }
 
 }  // namespace
@@ -55,10 +53,7 @@
       settings(std::move(settings)),
       log(log),
       owned(this->settings.tolerance),
-      granted(requests_family(registry).Add({{"result", "granted"}})),
-      ungranted(requests_family(registry).Add({{"result", "ungranted"}})),
-      refused(requests_family(registry).Add({{"result", "refused"}})),
-      undecided(requests_family(registry).Add({{"result", "undecided"}})) {
+      counters(registry) {
   if (!network) {
     static_cast<void>(this->selector.on_members(
         {{this->settings.member, this->settings.zone}}, 1, Clock::now()));
@@ -165,23 +160,29 @@
 Task<RateLimiter::Round> RateLimiter::ask_owners(RateRequest request,
                                                  TimePoint deadline) {
   Round round;
-  const auto note_refusal = [&round](TimePoint until) {
+  const auto note_refusal = [&round](const std::string& owner,
+                                     TimePoint until) {
     round.next_fit = std::min(round.next_fit.value_or(until), until);
+    round.refused_by.push_back(owner);
   };
   const std::vector<std::string> owners =
       this->owners_in_order(request.customer);
   round.has_owners = !owners.empty();
   round.all_reached = round.has_owners;
   for (const std::string& owner : owners) {
-    const Refusals& refusals = this->state(request.customer).refused_until;
+    const Refusals& refusals = this->state(request.customer).refusals;
     const auto refusal = refusals.find(owner);
-    if (refusal != refusals.end() && refusal->second > Clock::now()) {
-      note_refusal(refusal->second);
+    if (refusal != refusals.end() && refusal->second.until > Clock::now()) {
+      const TimePoint at = refusal->second.at;
+      round.remembered_since =
+          std::min(round.remembered_since.value_or(at), at);
+      note_refusal(owner, refusal->second.until);
       continue;
     }
     const auto reply = co_await this->ask(owner, request, deadline);
     if (!reply) {
       round.all_reached = false;
+      round.unreached.push_back(owner);
       continue;
     }
     if (reply->granted) {
@@ -190,11 +191,12 @@
       co_return round;
     }
     const TimePoint now = Clock::now();
-    note_refusal(now + reply->retry_after);
+    note_refusal(owner, now + reply->retry_after);
     // An owner that refuses a late request may have tokens for others.
     if (!request.is_late) {
-      this->state(request.customer).refused_until[owner] =
-          now + std::min<Duration>(reply->retry_after, kMaxRefusalPause);
+      const Duration pause =
+          std::min<Duration>(reply->retry_after, kMaxRefusalPause);
+      this->state(request.customer).refusals[owner] = {now, now + pause};
     }
   }
   co_return round;
@@ -229,7 +231,7 @@
       ask_until = std::min(check.deadline, check.latest_start);
     }
     if (!may_ask_again) {
-      co_return tl::unexpected(this->refusal(customer, round, retry_after));
+      co_return tl::unexpected(this->refusal(check, round, retry_after));
     }
   }
 }
@@ -240,27 +242,29 @@
   if (round.granted) {
     const RateParts parts(customer.limit, this->settings.tolerance);
     allowance.on_grant(parts.ungranted_share(), now);
-    this->granted.Increment();
+    this->counters.count(customer.name, RateResult::kGranted);
     return true;
   }
   if (!round.all_reached && allowance.take(now)) {
-    this->ungranted.Increment();
+    this->counters.count(customer.name, RateResult::kUngranted);
     return true;
   }
   return false;
 }
 
-Error RateLimiter::refusal(const Customer& customer,
+Error RateLimiter::refusal(const RateCheck& check,
                            const Round& round,
                            milliseconds no_owner_retry_after) {
+  const Customer& customer = check.customer;
   if (!round.next_fit) {
-    this->undecided.Increment();
+    this->counters.count(customer.name, RateResult::kUndecided);
     Error error = make_error(ErrorKind::kNotReady,
                              "no owner of the limit can be reached");
     error.retry_after = no_owner_retry_after;
+    this->log_refusal(check, round, error);
     return error;
   }
-  this->refused.Increment();
+  this->counters.count(customer.name, RateResult::kRefused);
   Error error = make_error(
       ErrorKind::kRateLimited,
       "beyond the limit of " + std::to_string(customer.limit.per_second) +
@@ -268,9 +272,31 @@
   error.retry_after =
       std::max(kMinRetryAfter,
                std::chrono::ceil<milliseconds>(*round.next_fit - Clock::now()));
+  this->log_refusal(check, round, error);
   return error;
 }
 
+void RateLimiter::log_refusal(const RateCheck& check,
+                              const Round& round,
+                              const Error& error) {
+  eventlog::Event line =
+      this->log.event(eventlog::Weight::kFailure, "rate_refused");
+  if (!line.enabled()) {
+    return;
+  }
+  line.with("request", check.request)
+      .with("customer", check.customer.name)
+      .with("per_second", check.customer.limit.per_second)
+      .with("burst", check.customer.limit.burst)
+      .with("result", round.next_fit ? "refused" : "undecided")
+      .with("refused_by", joined(round.refused_by))
+      .with("unreached", joined(round.unreached))
+      .with("retry_after_ms", Duration(*error.retry_after));
+  if (round.remembered_since) {
+    line.with("remembered_ms", Clock::now() - *round.remembered_since);
+  }
+}
+
 Task<std::optional<RateReply>> RateLimiter::ask(const std::string& owner,
                                                 const RateRequest& request,
                                                 TimePoint deadline) {
--- a/ibismux/customers/rate_limiter.h
+++ b/ibismux/customers/rate_limiter.h
@@ -1,7 +1,6 @@
 #ifndef IBISMUX_CUSTOMERS_RATE_LIMITER_H_
 #define IBISMUX_CUSTOMERS_RATE_LIMITER_H_
 
-#include <prometheus/counter.h>
 #include <prometheus/registry.h>
 
 #include <cstdint>
@@ -14,6 +13,7 @@
 
 #include "ibismux/base/ids.h"
 #include "ibismux/customers/customer.h"
+#include "ibismux/customers/customer_counters.h"
 #include "ibismux/customers/messages.h"
 #include "ibismux/customers/owner_selector.h"
 #include "ibismux/customers/rate_admission.h"
@@ -74,14 +74,18 @@
 
  private:
   /// What an owner that refused a customer has said.
-  using Refusals = std::map<std::string, TimePoint>;
+  struct Refusal {
+    TimePoint at;
+    TimePoint until;
+  };
+  using Refusals = std::map<std::string, Refusal>;
 
   /// What this daemon knows of one customer.
   struct State {
     explicit State(Duration window) : ungranted(window) {}
 
     UngrantedAllowance ungranted;
-    Refusals refused_until;  ///< By owner.
+    Refusals refusals;  ///< By owner.
   };
 
   /// What the owners of one limit have said to one request.
@@ -92,14 +96,21 @@
     std::optional<TimePoint> next_fit;
     double usage = 0;  ///< As the owner that granted it has said.
     bool has_owners = false;
+    std::vector<std::string> refused_by;
+    std::vector<std::string> unreached;
+    /// The oldest refusal that was remembered rather than asked for.
+    std::optional<TimePoint> remembered_since;
   };
 
   /// Whether the request runs by the owners' answers, or without a grant.
   [[nodiscard]] bool is_allowed(const Customer& customer, const Round& round);
-  /// Why the request is refused.
-  [[nodiscard]] Error refusal(const Customer& customer,
+  /// Counts and logs a refusal. @return Why the request is refused.
+  [[nodiscard]] Error refusal(const RateCheck& check,
                               const Round& round,
                               std::chrono::milliseconds no_owner_retry_after);
+  void log_refusal(const RateCheck& check,
+                   const Round& round,
+                   const Error& error);
   /// Asks one owner after the other until one grants the request.
   [[nodiscard]] Task<Round> ask_owners(RateRequest request, TimePoint deadline);
   /// Nothing if `owner` can't be reached.
@@ -125,10 +136,7 @@
   std::map<std::string, State> states;                 ///< By customer.
   std::map<std::string, TimePoint> unreachable_until;  ///< By owner.
   std::set<std::string> repliers;  ///< Owners that have replied once.
-  prometheus::Counter& granted;
-  prometheus::Counter& ungranted;
-  prometheus::Counter& refused;
-  prometheus::Counter& undecided;
+  CustomerCounters counters;
 };
 
 }  // namespace ibismux::customers
