--- a/ibismux/customers/key_trust.h
+++ b/ibismux/customers/key_trust.h
@@ -1,6 +1,8 @@
 #ifndef IBISMUX_CUSTOMERS_KEY_TRUST_H_
 #define IBISMUX_CUSTOMERS_KEY_TRUST_H_
 
+#include <chrono>
+
 #include "ibismux/base/error.h"
 #include "ibismux/base/time.h"
 
@@ -22,7 +24,8 @@
   explicit KeyTrust(Settings settings) noexcept : settings(settings) {}
 
   /// @param contact_age Time since this daemon, or a peer that told it, was
-  /// last in contact with the store of keys.
+  /// last in contact with the store of keys; `Duration::max()` if there was no
+  /// contact.
   /// Errors: kNotReady, with the time after which callers may come back;
   /// another daemon may know more.
   [[nodiscard]] Result<void> check(Duration contact_age) const;
