ibismuxctl explain: say which limit refused a request, and who decided

Cause: for a 429 or 503 of a limit, explain printed the kind and message only.

Change: the cause takes limit, owners, the age of a remembered refusal and the time to come back from rate_refused.

--- a/apps/ibismuxctl/request_trace.cc
+++ b/apps/ibismuxctl/request_trace.cc
@@ -95,6 +95,32 @@
   return last;
 }
 
+std::string RequestTrace::why_refused(const std::string& host) const {
+  const auto line = std::find_if(
+      this->own.begin(), this->own.end(), [&host](const LogLine& any) {
+        return any.event == "rate_refused" && any.host == host;
+      });
+  if (line == this->own.end()) {
+    return {};
+  }
+  std::string text = "; limit of customer " + line->text("customer") + ": " +
+                     line->text("per_second") + " a second and " +
+                     line->text("burst") + " in addition";
+  if (const std::string owners = line->text("refused_by"); !owners.empty()) {
+    text += "; refused by " + owners;
+  }
+  if (const std::string owners = line->text("unreached"); !owners.empty()) {
+    text += "; not reached: " + owners;
+  }
+  if (line->fields.contains("remembered_ms")) {
+    text += "; the oldest refusal was remembered for " +
+            line->text("remembered_ms") + " ms";
+  } else if (line->text("result") == "refused") {
+    text += "; all that refused were asked for this request";
+  }
+  return text + "; retry after " + line->text("retry_after_ms") + " ms";
+}
+
 std::string RequestTrace::why_without(const std::string& service) const {
   std::map<std::string, int> calls;
   for (const LogLine& line : this->own) {
@@ -125,7 +151,7 @@
   std::string text = last->host + ": ";
   if (last->event == "request_refused") {
     return text + "refused as " + last->text("kind") + ": " +
-           last->text("message");
+           last->text("message") + this->why_refused(last->host);
   }
   text += last->text("outcome") + " after " + last->text("took_ms") + " ms, " +
           "objective " + last->text("objective_ms") + " ms";
--- a/tests/ctl/request_trace_test.cc
+++ b/tests/ctl/request_trace_test.cc
@@ -76,6 +76,34 @@
   cr_assert(trace.cause() == "h1: refused as not_ready: none yet");
 }
 
+Test(request_trace, a_request_beyond_a_limit_names_the_owners_and_their_age) {
+  const std::string end =
+      event("h1", 901, "request_refused",
+            R"("request":"r3","kind":"rate_limited","message":"beyond it")");
+  const std::string limit =
+      R"("request":"r3","customer":"c1","per_second":10,"burst":2.5,)";
+  cr_assert(
+      trace_of("r3",
+               {event("h1", 900, "rate_refused",
+                      limit + R"("result":"refused","refused_by":"h2 h3",)"
+                              R"("unreached":"h4","retry_after_ms":70.0,)"
+                              R"("remembered_ms":34.5)"),
+                end})
+          .cause() ==
+      "h1: refused as rate_limited: beyond it; limit of customer c1: 10 a "
+      "second and 2.5 in addition; refused by h2 h3; not reached: h4; the "
+      "oldest refusal was remembered for 34.5 ms; retry after 70 ms");
+  cr_assert(
+      trace_of("r3", {event("h1", 900, "rate_refused",
+                            limit + R"("result":"refused","refused_by":"h2",)"
+                                    R"("unreached":"","retry_after_ms":70.0)"),
+                      end})
+          .cause()
+          .find(
+              "refused by h2; all that refused were asked for this request") !=
+      std::string::npos);
+}
+
 Test(request_trace, a_request_whose_end_no_log_holds) {
   const auto trace =
       trace_of("r1", {event("h2", 9040, "leaf_failed",
