gather: queries that no host of their zone takes go to gatherers of other zones

Cause: wide hosts make offers to their own zone only.

Change: a host that finds no gatherer asks two of other zones at random for an offer; these keep half of their room for their own zone. A refused query is offered once more.

--- a/ibismux/dispatch/dispatch_policy.h
+++ b/ibismux/dispatch/dispatch_policy.h
@@ -62,6 +62,9 @@
   bool open_ahead = true;
   /// Has queries over many shards gathered by a peer with more bandwidth.
   bool delegate_queries = true;
+  /// Has queries gathered by peers of other zones while none of this zone takes
+  /// them.
+  bool gather_overflow = true;
   /// Assumes that a leaf that has just started answers more slowly.
   bool weigh_cold = true;
 };
--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -33,6 +33,8 @@
 
 // The answers to a query over fewer shards fit into the bandwidth of any host.
 constexpr std::size_t kMinShardsToDelegate = 8;
+// Peers that are asked to gather one query, if they refuse it.
+constexpr int kMaxDelegations = 2;
 // Subtracted from the time until an answer is due, for the round trip to the
 // peer that gathers it and the forwarding overhead of both daemons.
 constexpr milliseconds kDelegationOverhead{2};
@@ -53,6 +55,11 @@
   return tl::unexpected(std::move(error));
 }
 
+QueryDelegate::Needs delegation_needs(const RequestContext& context) {
+  return {.has_customer = !context.request.customer.empty(),
+          .own_zone = context.zones() != nullptr};
+}
+
 using OutcomeHandler =
     asio::async_result<asio::use_awaitable_t<>, void(Outcome)>::handler_type;
 
@@ -206,11 +213,15 @@
     co_return this->refuse((*context)->request, std::move(within.error()),
                            (*context)->route);
   }
-  if (this->may_delegate(**context)) {
+  for (int i = 0; i < kMaxDelegations && this->may_delegate(**context); ++i) {
     auto outcome = co_await this->delegate_query(*context, caller);
     if (outcome) {
       co_return *std::move(outcome);
     }
+    if ((*context)->peer_attempts > 0 ||
+        !this->settings.policy.gather_overflow) {
+      break;
+    }
   }
   co_return co_await this->run(*std::move(context), std::move(caller));
 }
@@ -273,20 +284,27 @@
 }
 
 bool Dispatcher::may_delegate(const RequestContext& context) const {
-  // Gathering peers are always hosts of this zone.
   const ZoneNames* zones = context.zones();
-  return this->delegate && (!zones || zones->contains(this->settings.zone)) &&
-         this->settings.policy.delegate_queries &&
-         context.route->shards.size() >= kMinShardsToDelegate &&
-         this->delegate->is_available(!context.request.customer.empty(),
-                                      Clock::now());
+  if (!this->delegate || (zones && !zones->contains(this->settings.zone)) ||
+      !this->settings.policy.delegate_queries ||
+      context.route->shards.size() < kMinShardsToDelegate) {
+    return false;
+  }
+  const QueryDelegate::Needs needs = delegation_needs(context);
+  const TimePoint now = Clock::now();
+  const bool is_available = this->delegate->is_available(needs, now);
+  if (!is_available && this->settings.policy.gather_overflow) {
+    this->delegate->on_unavailable(needs, now);
+  }
+  return is_available;
 }
 
 Task<std::optional<Outcome>> Dispatcher::delegate_query(
     Context context,
     std::shared_ptr<http::CancelToken> caller) {
-  QueryDelegate::Query query{context->request, context->table->version(),
-                             context->due, context->final_deadline};
+  QueryDelegate::Query query{context->request, delegation_needs(*context),
+                             context->table->version(), context->due,
+                             context->final_deadline};
   auto delegated = co_await this->delegate->run(std::move(query), caller);
   if (delegated.outcome) {
     const Outcome& outcome = *delegated.outcome;
--- a/ibismux/dispatch/query_delegate.h
+++ b/ibismux/dispatch/query_delegate.h
@@ -18,9 +18,18 @@
 /// Belongs to the dispatcher's event loop; not thread safe.
 class QueryDelegate {
  public:
+  /// What a query needs of the daemon that gathers it.
+  struct Needs {
+    /// It is sent by a customer, which older daemons don't pass on to leafs.
+    bool has_customer = false;
+    /// It may only be sent to leafs of some zones, this one among them.
+    bool own_zone = false;
+  };
+
   /// A query and the version of the configuration that routed it.
   struct Query {
     CallerRequest request;
+    Needs needs;
     std::uint64_t configuration = 0;
     TimePoint due;             ///< When its answer should be sent.
     TimePoint final_deadline;  ///< The deadline for any answer.
@@ -37,11 +46,13 @@
   virtual ~QueryDelegate() = default;
 
   /// Whether a daemon is available to take a query now.
-  /// @param has_customer The query is sent by a customer, which older daemons
-  /// don't pass on to leafs.
-  [[nodiscard]] virtual bool is_available(bool has_customer,
+  [[nodiscard]] virtual bool is_available(const Needs& needs,
                                           TimePoint now) const = 0;
 
+  /// No daemon was available for a query: others may be asked to take the next
+  /// ones.
+  virtual void on_unavailable(const Needs&, TimePoint) {}
+
   /// Has `query` gathered by another daemon. Ends with an outcome of kind
   /// kCancelled soon after the caller has disconnected.
   /// @param caller Its callback is replaced.
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -83,7 +83,7 @@
 
 void EdgeDaemon::Impl::start_gathering() {
   this->gather_client = std::make_shared<gather::GatherClient>(
-      this->loop(), this->fleet->network(), this->log);
+      this->loop(), this->fleet->network(), this->log, random_number());
   this->gather_client->start();
   this->dispatcher.set_delegate(*this->gather_client);
   this->gather_host = std::make_shared<gather::GatherHost>(
@@ -122,6 +122,7 @@
       .with("joined", view.joined);
   this->relay->on_view(view);
   this->reports->on_view(view);
+  this->gather_client->on_roles(roles);
   this->gather_host->on_roles(roles);
   this->update_rate_owners();
 }
--- a/ibismux/edge/edge_settings.cc
+++ b/ibismux/edge/edge_settings.cc
@@ -196,6 +196,10 @@
         "Have queries over many shards gathered by a peer of the zone that has "
         "much more bandwidth.",
         Flag{&EdgeSettings::delegate_queries}},
+    Key{"policy.gather_overflow",
+        "Have queries gathered by peers of other zones while none of this zone "
+        "takes them.",
+        Flag{&EdgeSettings::gather_overflow}},
     Key{"policy.weigh_cold",
         "Assume that leafs that have just started answer more slowly.",
         Flag{&EdgeSettings::weigh_cold}},
--- a/ibismux/gather/forward.h
+++ b/ibismux/gather/forward.h
@@ -10,6 +10,7 @@
 class GatherClient;
 class GatherHost;
 class GathererSelector;
+class OverflowAsks;
 
 }  // namespace ibismux::gather
 
--- a/ibismux/gather/gather_client.cc
+++ b/ibismux/gather/gather_client.cc
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "ibismux/eventlog/event_log.h"
+#include "ibismux/gather/gather_roles.h"
 #include "ibismux/gather/log_refused.h"
 #include "ibismux/http/cancel_token.h"
 #include "ibismux/peer/notify_member.h"
@@ -35,8 +36,9 @@
 
 GatherClient::GatherClient(asio::io_context& loop,
                            peer::PeerNetwork& network,
-                           eventlog::EventLog& log)
-    : loop(loop), network(network), log(log) {}
+                           eventlog::EventLog& log,
+                           std::uint64_t seed)
+    : loop(loop), network(network), log(log), overflow(seed) {}
 
 void GatherClient::start() {
   peer::notify_member(this->network, MessageKind::kGatherOffer,
@@ -45,6 +47,21 @@
                       this->weak_from_this(), &GatherClient::on_taken);
 }
 
+void GatherClient::on_roles(const GatherRoles& roles) {
+  this->distant_gatherers = {roles.distant_gatherers.begin(),
+                             roles.distant_gatherers.end()};
+  this->overflow.set_gatherers(roles.distant_gatherers);
+}
+
+void GatherClient::on_unavailable(const Needs& needs, TimePoint now) {
+  if (needs.own_zone) {
+    return;
+  }
+  for (const std::string& member : this->overflow.on_unavailable(now)) {
+    this->network.notify(member, MessageKind::kGatherWanted, "");
+  }
+}
+
 void GatherClient::on_offer(const Incarnation& from,
                             const std::string& payload) {
   const auto offer = decode_offer(payload);
@@ -52,8 +69,9 @@
     log_refused(this->log, "gather_offer_refused", from, offer.error());
     return;
   }
-  this->selector.on_offer(from.member, offer->sequence, offer->room,
-                          offer->reads_customer, Clock::now());
+  this->selector.on_offer(
+      from.member, offer->sequence, offer->room, offer->reads_customer,
+      this->distant_gatherers.contains(from.member), Clock::now());
 }
 
 void GatherClient::on_taken(const Incarnation& from,
@@ -68,6 +86,7 @@
       found == this->pending_queries.end() ? nullptr : found->second.lock();
   if (pending) {
     pending->taken = true;
+    pending->confirmed_after = Clock::now() - pending->sent_at;
     pending->timer.cancel();
     this->network.notify(from.member, MessageKind::kGatherConfirm, payload);
   }
@@ -78,17 +97,17 @@
     std::shared_ptr<http::CancelToken> caller) {
   const auto self = this->shared_from_this();
   const TimePoint now = Clock::now();
-  const auto selection =
-      this->selector.select(!query.request.customer.empty(), now);
+  const auto selection = this->selector.select(query.needs, now);
   if (!selection) {
     co_return DelegationResult{};
   }
   const std::uint64_t number = ++this->last_number;
   auto pending = std::make_shared<PendingQuery>(this->loop);
   this->pending_queries.emplace(number, pending);
+  // The way there and back is time that the peer doesn't have.
   std::string payload = encode(
       GatherQuery{number, selection->offer, query.configuration, query.request},
-      now);
+      now + selection->round_trip);
   asio::co_spawn(this->loop,
                  request(self, selection->member, std::move(payload),
                          query.final_deadline, pending),
@@ -192,7 +211,7 @@
     this->selector.on_refused(member);
     return {};
   }
-  this->selector.on_taken(member);
+  this->selector.on_taken(member, pending.confirmed_after);
   return {.outcome = std::move(answer->outcome)};
 }
 
--- a/ibismux/gather/gather_client.h
+++ b/ibismux/gather/gather_client.h
@@ -6,13 +6,16 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "ibismux/base/ids.h"
 #include "ibismux/dispatch/query_delegate.h"
 #include "ibismux/eventlog/forward.h"
+#include "ibismux/gather/forward.h"
 #include "ibismux/gather/gatherer_selector.h"
 #include "ibismux/gather/messages.h"
+#include "ibismux/gather/overflow_asks.h"
 #include "ibismux/http/socket.h"
 #include "ibismux/peer/peer_network.h"
 
@@ -35,18 +38,23 @@
                      public std::enable_shared_from_this<GatherClient> {
  public:
   /// Precondition: the network has not started. All references outlive this
-  /// object.
+  /// object. @param seed Differs between daemons.
   GatherClient(boost::asio::io_context& loop,
                peer::PeerNetwork& network,
-               eventlog::EventLog& log);
+               eventlog::EventLog& log,
+               std::uint64_t seed);
 
   /// Registers the message handlers. Call once, before the network starts.
   void start();
 
-  [[nodiscard]] bool is_available(bool has_customer,
+  /// Applies the roles that result from a membership change.
+  void on_roles(const GatherRoles& roles);
+
+  [[nodiscard]] bool is_available(const Needs& needs,
                                   TimePoint now) const override {
-    return this->selector.has_candidate(has_customer, now);
+    return this->selector.has_candidate(needs, now);
   }
+  void on_unavailable(const Needs& needs, TimePoint now) override;
   [[nodiscard]] Task<DelegationResult> run(
       Query query,
       std::shared_ptr<http::CancelToken> caller) override;
@@ -58,6 +66,8 @@
         : timer(loop.get_executor()) {}
 
     http::Timer timer;  ///< Cancelled when a member below changes.
+    TimePoint sent_at = Clock::now();
+    Duration confirmed_after{0};  ///< If `taken`.
     bool taken = false;
     bool caller_gone = false;
     std::optional<Result<std::string>> reply;
@@ -93,6 +103,8 @@
   peer::PeerNetwork& network;
   eventlog::EventLog& log;
   GathererSelector selector;
+  OverflowAsks overflow;
+  std::set<std::string> distant_gatherers;
   std::uint64_t last_number = 0;
   std::map<std::uint64_t, std::weak_ptr<PendingQuery>> pending_queries;
 };
--- a/ibismux/gather/gather_host.cc
+++ b/ibismux/gather/gather_host.cc
@@ -28,6 +28,11 @@
 // of this host; beyond this limit the daemons that received the queries gather
 // them faster themselves.
 constexpr std::size_t kMaxQueries = 24;
+// Part of that which daemons of other zones don't get, so that a sudden demand
+// of this zone finds room.
+constexpr std::size_t kReservedForZone = kMaxQueries / 2;
+// Room in one offer to a daemon of another zone: several ask at the same time.
+constexpr std::size_t kMaxDistantRoom = 4;
 // Limit of stored cancellations for queries that have not been read yet.
 constexpr std::size_t kMaxEarlyCancels = 64;
 
@@ -55,6 +60,8 @@
                       &GatherHost::on_cancel);
   peer::notify_member(this->network, MessageKind::kGatherConfirm, weak,
                       &GatherHost::on_confirm);
+  peer::notify_member(this->network, MessageKind::kGatherWanted, weak,
+                      &GatherHost::on_wanted);
   this->network.on_lost([weak](const Incarnation& from) {
     if (const auto self = weak.lock()) {
       self->on_lost(from.member);
@@ -92,17 +99,40 @@
   if (!this->roles.gathers) {
     return;
   }
+  const std::string payload = this->make_offer(room);
+  for (const std::string& member : this->roles.served) {
+    this->network.notify(member, MessageKind::kGatherOffer, payload);
+  }
+}
+
+std::string GatherHost::make_offer(std::size_t room) {
   const TimePoint now = Clock::now();
   this->offers.emplace_back(++this->sequence, now);
   while (now - this->offers.front().second > kOfferAcceptedFor) {
     this->offers.pop_front();
   }
-  const std::string payload = encode(GatherOffer{this->sequence, room, true});
-  for (const std::string& member : this->roles.served) {
-    this->network.notify(member, MessageKind::kGatherOffer, payload);
+  return encode(GatherOffer{this->sequence, room, true});
+}
+
+void GatherHost::on_wanted(const Incarnation& from, const std::string&) {
+  const std::size_t room = std::min(kMaxDistantRoom, this->distant_room());
+  if (this->roles.gathers && !this->draining &&
+      this->gatherer.configuration() > 0 && room > 0) {
+    this->network.notify(from.member, MessageKind::kGatherOffer,
+                         this->make_offer(room));
   }
 }
 
+bool GatherHost::is_distant(const std::string& member) const {
+  const auto& served = this->roles.served;
+  return std::find(served.begin(), served.end(), member) == served.end();
+}
+
+std::size_t GatherHost::distant_room() const {
+  const std::size_t used = this->running.size() + kReservedForZone;
+  return kMaxQueries - std::min(kMaxQueries, used);
+}
+
 bool GatherHost::is_recent(std::uint64_t offer, TimePoint now) const {
   const auto found =
       std::find_if(this->offers.begin(), this->offers.end(),
@@ -123,7 +153,8 @@
   if (this->gatherer.configuration() != query.configuration) {
     return "another configuration is in force here";
   }
-  if (this->running.size() >= kMaxQueries) {
+  if (this->running.size() >= kMaxQueries ||
+      (this->distant_room() == 0 && this->is_distant(key.first))) {
     return "no room";
   }
   const bool is_cancelled =
--- a/ibismux/gather/gather_host.h
+++ b/ibismux/gather/gather_host.h
@@ -24,7 +24,8 @@
 namespace ibismux::gather {
 
 /// Gathers queries for the daemons of the zone that have narrower network
-/// links, and sends them offers to do so.
+/// links, and sends them offers to do so. Daemons of other zones get an offer
+/// when they ask, as long as most of this host's room is free.
 ///
 /// A query is taken only if it refers to a recent offer. Frames that a network
 /// partition has delayed arrive when it heals, when their callers have already
@@ -68,6 +69,9 @@
 
   void tick();
   void send_offers(std::size_t room);
+  /// Registers an offer. @return Its payload.
+  [[nodiscard]] std::string make_offer(std::size_t room);
+  void on_wanted(const Incarnation& from, const std::string& payload);
   [[nodiscard]] static Task<Result<std::string>> serve(
       std::shared_ptr<GatherHost> self,
       Incarnation from,
@@ -76,6 +80,10 @@
   [[nodiscard]] std::optional<std::string>
   refusal_reason(const GatherQuery& query, const Key& key, TimePoint now) const;
   [[nodiscard]] bool is_recent(std::uint64_t offer, TimePoint now) const;
+  /// Whether queries of this member are those of another zone.
+  [[nodiscard]] bool is_distant(const std::string& member) const;
+  /// Room for queries of other zones.
+  [[nodiscard]] std::size_t distant_room() const;
   void on_confirm(const Incarnation& from, const std::string& payload);
   void on_cancel(const Incarnation& from, const std::string& payload);
   void on_lost(const std::string& member);
--- a/ibismux/gather/gather_roles.cc
+++ b/ibismux/gather/gather_roles.cc
@@ -15,14 +15,19 @@
   const auto own = std::find_if(
       view.members.begin(), view.members.end(),
       [&view](const auto& member) { return member.name == view.self; });
-  if (!roles.gathers || own == view.members.end()) {
+  if (own == view.members.end() || own->link_mbps <= 0) {
     return roles;
   }
   for (const membership::Member& member : view.members) {
-    if (member.zone == own->zone && member.serves() && member.link_mbps > 0 &&
-        !wide.contains(member.name)) {
+    const bool is_wide = wide.contains(member.name);
+    const bool is_near = member.zone == own->zone;
+    if (roles.gathers && is_near && !is_wide && member.serves() &&
+        member.link_mbps > 0) {
       roles.served.push_back(member.name);
     }
+    if (!roles.gathers && !is_near && is_wide) {
+      roles.distant_gatherers.push_back(member.name);
+    }
   }
   return roles;
 }
--- a/ibismux/gather/gather_roles.h
+++ b/ibismux/gather/gather_roles.h
@@ -15,13 +15,17 @@
   bool gathers = false;
   /// Members of its zone that have narrower network links.
   std::vector<std::string> served;
+  /// Members of other zones that gather, and may be asked for offers; only for
+  /// a daemon that doesn't gather itself and reports its link's bandwidth.
+  std::vector<std::string> distant_gatherers;
   /// Number of daemons, in all zones, that gather for others.
   std::size_t gatherers = 0;
 };
 
 /// Derives the roles from a membership view: in each zone, members with wide
 /// links (see `membership::wide_links`) gather for those other serving members
-/// that report the bandwidth of their links. Thread safe.
+/// that report the bandwidth of their links, and for those of other zones that
+/// ask. Thread safe.
 [[nodiscard]] GatherRoles assign_roles(const membership::MembershipView& view);
 
 }  // namespace ibismux::gather
--- a/ibismux/gather/gatherer_selector.cc
+++ b/ibismux/gather/gatherer_selector.cc
@@ -1,7 +1,7 @@
 #include "ibismux/gather/gatherer_selector.h"
 
 #include <algorithm>
-#include <utility>
+#include <tuple>
 
 namespace ibismux::gather {
 
@@ -17,40 +17,44 @@
                                 std::uint64_t sequence,
                                 std::size_t room,
                                 bool reads_customer,
+                                bool is_distant,
                                 TimePoint now) {
   Gatherer& gatherer = this->gatherers[member];
   gatherer.offer = sequence;
   gatherer.room = room;
   gatherer.reads_customer = reads_customer;
+  gatherer.is_distant = is_distant;
   gatherer.offered_at = now;
   this->remove_stale(now);
 }
 
 bool GathererSelector::is_eligible(const Gatherer& gatherer,
-                                   bool has_customer,
+                                   const Needs& needs,
                                    TimePoint now) {
-  return gatherer.room > 0 && (gatherer.reads_customer || !has_customer) &&
+  return gatherer.room > 0 &&
+         (gatherer.reads_customer || !needs.has_customer) &&
+         !(gatherer.is_distant && needs.own_zone) &&
          now - gatherer.offered_at <= kOfferLifetime &&
          now >= gatherer.backoff_until;
 }
 
-bool GathererSelector::has_candidate(bool has_customer, TimePoint now) const {
+bool GathererSelector::has_candidate(const Needs& needs, TimePoint now) const {
   return std::any_of(this->gatherers.begin(), this->gatherers.end(),
-                     [=](const Entry& entry) {
-                       return is_eligible(entry.second, has_customer, now);
+                     [&needs, now](const Entry& entry) {
+                       return is_eligible(entry.second, needs, now);
                      });
 }
 
 std::optional<GathererSelector::Selection> GathererSelector::select(
-    bool has_customer,
+    const Needs& needs,
     TimePoint now) {
   Entry* best = nullptr;
   const auto rank = [this](const Entry& entry) {
-    return std::pair(entry.second.in_flight,
-                     entry.first == this->last_selected);
+    return std::tuple(entry.second.is_distant, entry.second.in_flight,
+                      entry.first == this->last_selected);
   };
   for (Entry& entry : this->gatherers) {
-    if (is_eligible(entry.second, has_customer, now) &&
+    if (is_eligible(entry.second, needs, now) &&
         (!best || rank(entry) < rank(*best))) {
       best = &entry;
     }
@@ -61,11 +65,17 @@
   --best->second.room;
   ++best->second.in_flight;
   this->last_selected = best->first;
-  return Selection{best->first, best->second.offer};
+  const Gatherer& gatherer = best->second;
+  return Selection{
+      best->first, gatherer.offer,
+      gatherer.is_distant ? gatherer.round_trip.value() : Duration::zero()};
 }
 
-void GathererSelector::on_taken(const std::string& member) {
-  this->gatherers[member].backoff = Duration::zero();
+void GathererSelector::on_taken(const std::string& member,
+                                Duration confirmed_after) {
+  Gatherer& gatherer = this->gatherers[member];
+  gatherer.backoff = Duration::zero();
+  gatherer.round_trip.add(confirmed_after);
 }
 
 void GathererSelector::on_refused(const std::string& member) {
--- a/ibismux/gather/gatherer_selector.h
+++ b/ibismux/gather/gatherer_selector.h
@@ -7,7 +7,9 @@
 #include <optional>
 #include <string>
 
+#include "ibismux/base/moving_average.h"
 #include "ibismux/base/time.h"
+#include "ibismux/dispatch/query_delegate.h"
 
 namespace ibismux::gather {
 
@@ -25,30 +27,38 @@
   /// How long an offer is valid; several times the interval between offers.
   static constexpr std::chrono::milliseconds kOfferLifetime{600};
 
+  using Needs = dispatch::QueryDelegate::Needs;
+
   struct Selection {
     std::string member;
     std::uint64_t offer = 0;
+    /// Time that a message to a peer of another zone and its answer take; zero
+    /// for peers of this zone.
+    Duration round_trip{0};
   };
 
   /// @param room How many more queries the peer takes; 0 withdraws the offer.
   /// @param reads_customer Whether the peer passes the customer of a query on
   /// to leafs.
+  /// @param is_distant Whether the peer is in another zone.
   void on_offer(const std::string& member,
                 std::uint64_t sequence,
                 std::size_t room,
                 bool reads_customer,
+                bool is_distant,
                 TimePoint now);
 
   /// Returns the peer that gathers the next query, which counts as in flight
   /// there until `on_end()`, or nothing if the query is to be gathered here.
-  /// @param has_customer Only peers that read the customer are eligible.
-  [[nodiscard]] std::optional<Selection> select(bool has_customer,
+  /// Peers of other zones are selected only if there is none of this zone.
+  [[nodiscard]] std::optional<Selection> select(const Needs& needs,
                                                 TimePoint now);
-  [[nodiscard]] bool has_candidate(bool has_customer, TimePoint now) const;
+  [[nodiscard]] bool has_candidate(const Needs& needs, TimePoint now) const;
 
   /// @name Results of a query
   /// @{
-  void on_taken(const std::string& member);
+  /// @param confirmed_after Time until the peer reported that it took it.
+  void on_taken(const std::string& member, Duration confirmed_after);
   /// The peer refused the query; it is skipped until its next offer.
   void on_refused(const std::string& member);
   /// The peer did not report in time that it took the query, or the request to
@@ -63,10 +73,15 @@
   static constexpr std::chrono::milliseconds kInitialBackoff{500};
   static constexpr std::chrono::milliseconds kMaxBackoff{4000};
 
+  // The round trip is averaged over about this many queries.
+  static constexpr int kAveragedQueries = 8;
+
   struct Gatherer {
     std::uint64_t offer = 0;
     std::size_t room = 0;
     bool reads_customer = false;
+    bool is_distant = false;
+    MovingAverage round_trip{kAveragedQueries};
     TimePoint offered_at = TimePoint::min();
     std::size_t in_flight = 0;
     Duration backoff{0};
@@ -75,7 +90,7 @@
   using Entry = std::map<std::string, Gatherer>::value_type;
 
   [[nodiscard]] static bool is_eligible(const Gatherer& gatherer,
-                                        bool has_customer,
+                                        const Needs& needs,
                                         TimePoint now);
   void remove_stale(TimePoint now);
 
--- a/tests/dispatch/gather_for_peer_test.cc
+++ b/tests/dispatch/gather_for_peer_test.cc
@@ -48,7 +48,7 @@
 /// the query.
 class LostDelegate : public QueryDelegate {
  public:
-  [[nodiscard]] bool is_available(bool, TimePoint) const override {
+  [[nodiscard]] bool is_available(const Needs&, TimePoint) const override {
     return true;
   }
   [[nodiscard]] Task<DelegationResult> run(
--- a/tests/gather/gather_exchange_test.cc
+++ b/tests/gather/gather_exchange_test.cc
@@ -70,7 +70,10 @@
       this->cluster.add({"wide", 2}, this->loop.get_executor());
   ManualGatherer gatherer{this->loop};
   std::shared_ptr<GatherClient> client =
-      std::make_shared<GatherClient>(this->loop, this->weak_network, this->log);
+      std::make_shared<GatherClient>(this->loop,
+                                     this->weak_network,
+                                     this->log,
+                                     1);
   std::shared_ptr<GatherHost> host =
       std::make_shared<GatherHost>(this->loop,
                                    this->wide_network,
@@ -83,7 +86,7 @@
     this->host->start();
     this->host->on_roles({.gathers = true, .served = {"weak"}, .gatherers = 1});
     this->run_until(
-        [this] { return this->client->is_available(false, Clock::now()); });
+        [this] { return this->client->is_available({}, Clock::now()); });
   }
 
   bool run_until(const std::function<bool()>& reached) {
@@ -141,7 +144,7 @@
   const DelegationResult& delegated = fixture.run("q1");
   cr_assert(!delegated.outcome.has_value());
   cr_assert(delegated.may_have_run);
-  cr_assert(!fixture.client->is_available(false, Clock::now()));
+  cr_assert(!fixture.client->is_available({}, Clock::now()));
 }
 
 // Guards against calls to more leafs of a shard than the route allows: the
@@ -224,7 +227,7 @@
   cr_assert(fixture.run_until([&] { return fixture.host->in_flight() == 1; }));
   fixture.host->drain();
   cr_assert(fixture.run_until(
-      [&] { return !fixture.client->is_available(false, Clock::now()); }));
+      [&] { return !fixture.client->is_available({}, Clock::now()); }));
   fixture.gatherer.answers = true;
   cr_assert(fixture.run_until([&] { return fixture.ended.contains("q1"); }));
   cr_assert(fixture.ended["q1"].outcome->has_value());
--- a/tests/gather/gather_roles_test.cc
+++ b/tests/gather/gather_roles_test.cc
@@ -32,6 +32,12 @@
   cr_assert(!roles.gathers);
   cr_assert(roles.gatherers == 2);
   cr_assert(roles.served.empty());
+  cr_assert(roles.distant_gatherers == std::vector<std::string>({"h4"}));
+}
+
+// Guards against gatherers that hand the queries of their zone on.
+Test(gather_roles, a_gatherer_asks_no_others) {
+  cr_assert(assign_roles(view_of("h0")).distant_gatherers.empty());
 }
 
 Test(gather_roles, hosts_with_equal_links_have_no_roles) {
--- a/tests/gather/gatherer_selector_test.cc
+++ b/tests/gather/gatherer_selector_test.cc
@@ -14,19 +14,21 @@
 
   void offer(const std::string& member,
              std::size_t room = 10,
-             bool reads_customer = true) {
+             bool reads_customer = true,
+             bool is_distant = false) {
     this->selector.on_offer(member, ++this->sequence, room, reads_customer,
-                            this->now);
+                            is_distant, this->now);
   }
-  std::string chosen(bool has_customer = false) {
-    const auto selection = this->selector.select(has_customer, this->now);
+  std::string chosen(bool has_customer = false, bool own_zone = false) {
+    const auto selection =
+        this->selector.select({has_customer, own_zone}, this->now);
     return selection ? selection->member : "";
   }
 };
 
 Test(gatherer_selector, without_offers_no_peer_is_selected) {
   Fixture fixture;
-  cr_assert(!fixture.selector.has_candidate(false, fixture.now));
+  cr_assert(!fixture.selector.has_candidate({}, fixture.now));
   cr_assert(fixture.chosen().empty());
 }
 
@@ -57,7 +59,7 @@
   Fixture fixture;
   fixture.offer("old", 10, false);
   cr_assert(fixture.chosen(true).empty());
-  cr_assert(!fixture.selector.has_candidate(true, fixture.now));
+  cr_assert(!fixture.selector.has_candidate({true, false}, fixture.now));
   cr_assert(fixture.chosen(false) == "old");
   fixture.offer("new");
   cr_assert(fixture.chosen(true) == "new");
@@ -89,6 +91,30 @@
   cr_assert(fixture.chosen() == "a");
 }
 
+Test(gatherer_selector, peers_of_other_zones_come_after_those_of_this_zone) {
+  Fixture fixture;
+  fixture.offer("far", 10, true, true);
+  fixture.offer("near", 1);
+  cr_assert(fixture.chosen() == "near");
+  cr_assert(fixture.chosen() == "far");
+}
+
+// Guards against calls to leafs of zones that a query may not be sent to.
+Test(gatherer_selector, a_query_that_stays_in_its_zone_goes_to_no_other) {
+  Fixture fixture;
+  fixture.offer("far", 10, true, true);
+  cr_assert(fixture.chosen(false, true).empty());
+  cr_assert(!fixture.selector.has_candidate({false, true}, fixture.now));
+}
+
+Test(gatherer_selector, the_way_to_another_zone_is_measured) {
+  Fixture fixture;
+  fixture.offer("far", 10, true, true);
+  fixture.selector.on_taken("far", milliseconds(7));
+  const auto selection = fixture.selector.select({}, fixture.now);
+  cr_assert(selection->round_trip == milliseconds(7));
+}
+
 // Guards against a wait in each query for a peer whose offers arrive but which
 // does not receive queries.
 Test(gatherer_selector, an_unresponsive_peer_is_retried_with_backoff) {
@@ -107,7 +133,7 @@
   fixture.now += std::chrono::seconds(4);
   fixture.offer("a");
   cr_assert(fixture.chosen() == "a");
-  fixture.selector.on_taken("a");
+  fixture.selector.on_taken("a", milliseconds(1));
   fixture.selector.on_unresponsive("a", fixture.now);
   fixture.now += milliseconds(500);
   fixture.offer("a");
--- a/thrift/gather.thrift
+++ b/thrift/gather.thrift
@@ -2,7 +2,7 @@
 /// shards to a peer. docs/design/gathering.md says when and why.
 namespace cpp ibismux.gather.wire
 
-/// kGatherOffer: the sender offers to gather queries for the receiver.
+/// kGatherOffer, also in answer to kGatherWanted, which has no payload: the sender offers to gather queries for the receiver.
 struct Offer {
   /// Increases with each offer during one run of the sender.
   1: i64 sequence
