edge: a failed question of a daemon that probes doesn't count its collections as lost

Cause: an early reader asks when its contacts are 1.8 s old. The failed question reported its collections lost, the next message of a peer, with a contact younger than 2 s, reported them regained, and the relay reported them lost again at 2 s. Seen in a trial with 8 daemons of one zone as processes: 8 lines store_lost in place of 4 on both early readers.

Ruled out: ignoring such messages of peers; a daemon that probes returns to its peers by them.

Change: while a daemon probes, only the relay reports the loss, by the age of the contacts.

No test in the repository guards this: the trial is a script outside of it.

--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -205,8 +205,13 @@
 }
 
 void EdgeDaemon::Impl::report_store_lost(std::string_view reason) {
+  // A daemon that probes still uses what its peers send, and its relay reports
+  // when their contacts are too old.
+  const bool uses_peers = this->relay && this->relay->is_probing();
   for (const auto& feed : this->feeds) {
-    feed->report_lost(reason);
+    if (!uses_peers) {
+      feed->report_lost(reason);
+    }
   }
   if (this->relay) {
     this->relay->on_store_failure();
