startup: StartGate counts waiting requests with WaitingRoom

Cause: the gate counted requests and bytes by hand, and requests that wait for a token need the same bound. Ruled out: a shared room of both; each is bounded by itself. Result: test_startup, unchanged, 7 of 7 pass.

--- a/ibismux/startup/start_gate.cc
+++ b/ibismux/startup/start_gate.cc
@@ -38,22 +38,13 @@
   const Duration wait = std::max<Duration>(until_usual, timing.overdue_wait);
   const milliseconds retry_after = std::max(
       timing.retry_after, std::chrono::ceil<milliseconds>(until_usual));
-  const bool has_room =
-      this->waiting < this->settings.max_waiting &&
-      this->waiting_bytes + bytes <= this->settings.max_waiting_bytes;
   // A request that would be late after the wait is better refused at once: its
   // caller comes back when the daemon is ready.
-  if (!has_room || now + wait > latest_start) {
+  if (!this->room.has_room(bytes) || now + wait > latest_start) {
     return {std::nullopt, retry_after, true};
   }
-  ++this->waiting;
-  this->waiting_bytes += bytes;
+  this->room.enter(bytes);
   return {now + wait, timing.retry_after, true};
 }
 
-void StartGate::release(std::size_t bytes) noexcept {
-  --this->waiting;
-  this->waiting_bytes -= bytes;
-}
-
 }  // namespace ibismux::startup
--- a/ibismux/startup/start_gate.h
+++ b/ibismux/startup/start_gate.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "ibismux/base/time.h"
+#include "ibismux/base/waiting_room.h"
 #include "ibismux/startup/need.h"
 
 namespace ibismux::startup {
@@ -40,7 +41,8 @@
 
   /// @param started When the process has started.
   StartGate(Settings settings, TimePoint started) noexcept
-      : settings(settings), started(started) {}
+      : room({settings.max_waiting, settings.max_waiting_bytes}),
+        started(started) {}
 
   /// Decides about a request that lacks `need`.
   /// @param latest_start When it must start to be answered within its
@@ -53,13 +55,11 @@
 
   /// A request waits no longer. Precondition: `decide()` has let it wait, with
   /// the same `bytes`.
-  void release(std::size_t bytes) noexcept;
+  void release(std::size_t bytes) noexcept { this->room.leave(bytes); }
 
  private:
-  const Settings settings;
+  WaitingRoom room;
   const TimePoint started;
-  std::size_t waiting = 0;
-  std::size_t waiting_bytes = 0;
 };
 
 }  // namespace ibismux::startup
