customers: callers of a long load are told to stay away for as long

Cause: refused callers of a customer that sends several times its limit for seconds were told a time at most 2 s ahead, found the customer's new requests before them and were refused again. Ruled out: pacing by the age of the first refusal alone. A customer near its limit is refused once in a second at each owner, so that its load never ends; it counts as a short load while the owner is asked for up to 1.5 times its part. Change: RateOwner asks ReturnTimes, by a switch of its constructor, what a refused caller is told.

--- a/ibismux/customers/rate_owner.cc
+++ b/ibismux/customers/rate_owner.cc
@@ -14,6 +14,9 @@
 // For so long after a request that could be in time was refused, late ones
 // leave the tokens to others.
 constexpr std::chrono::seconds kContention{1};
+// Up to this usage a customer counts as near its limit: requests that were
+// refused and ask again count twice.
+constexpr double kNearLimit = 1.5;
 
 }  // namespace
 
@@ -37,12 +40,25 @@
     row.usage.granted += 1;
     return {.granted = true, .usage = this->usage_of(row, now)};
   }
+  return this->refuse(row, is_late, now);
+}
+
+RateOwner::Decision RateOwner::refuse(Row& row,
+                                      bool is_late,
+                                      TimePoint now) const {
   if (!is_late) {
     row.contended_until = now + kContention;
   }
+  const double usage = this->usage_of(row, now);
+  if (!is_late) {
+    row.returns.on_refusal(usage <= kNearLimit, now);
+  }
+  const Duration next_token = row.bucket.promise_next(now);
   return {.granted = false,
-          .retry_after = row.bucket.promise_next(now),
-          .usage = this->usage_of(row, now)};
+          .retry_after = this->paces_returns
+                             ? row.returns.retry_after(next_token, now)
+                             : next_token,
+          .usage = usage};
 }
 
 double RateOwner::usage_of(const Row& row, TimePoint now) const {
@@ -75,7 +91,8 @@
                                bucket,
                                DemandWindow(this->tolerance.window, now),
                                {},
-                               std::nullopt})
+                               std::nullopt,
+                               {}})
         .first->second;
   }
   Row& row = known->second;
--- a/ibismux/customers/rate_owner.h
+++ b/ibismux/customers/rate_owner.h
@@ -13,6 +13,7 @@
 #include "ibismux/customers/customer_usage.h"
 #include "ibismux/customers/demand_window.h"
 #include "ibismux/customers/rate_limit.h"
+#include "ibismux/customers/return_times.h"
 #include "ibismux/customers/token_bucket.h"
 
 namespace ibismux::customers {
@@ -33,7 +34,10 @@
     double usage = 0;         ///< See `RateGrant`.
   };
 
-  explicit RateOwner(RateTolerance tolerance) : tolerance(tolerance) {}
+  /// @param paces_returns Whether refused callers of a customer that has been
+  /// beyond its limit for long are told a later time; see `ReturnTimes`.
+  explicit RateOwner(RateTolerance tolerance, bool paces_returns = false)
+      : tolerance(tolerance), paces_returns(paces_returns) {}
 
   /// Grants one request of `customer` if its bucket allows it. The limit of the
   /// newest configuration that was passed in for the customer applies.
@@ -74,8 +78,12 @@
     CustomerUsage usage;  ///< Since it was last taken.
     /// Until when late requests leave the tokens to others.
     std::optional<TimePoint> contended_until;
+    ReturnTimes returns;
   };
 
+  /// A request that finds no token.
+  [[nodiscard]] Decision refuse(Row& row, bool is_late, TimePoint now) const;
+
   /// See `RateGrant::usage`.
   [[nodiscard]] double usage_of(const Row& row, TimePoint now) const;
 
@@ -87,6 +95,7 @@
   void remove_full(TimePoint now);
 
   const RateTolerance tolerance;
+  const bool paces_returns;
   std::map<std::string, Row> buckets;
 };
 
--- a/ibismux/customers/return_times.h
+++ b/ibismux/customers/return_times.h
@@ -25,7 +25,9 @@
   static constexpr std::chrono::seconds kCalm{1};
 
   /// Records a refusal of a request that could have been in time.
-  void on_refusal(TimePoint now) noexcept;
+  /// @param is_near_limit The customer asks for little more than its limit. The
+  /// load then counts as a short one, however long it has lasted.
+  void on_refusal(bool is_near_limit, TimePoint now) noexcept;
 
   /// What a caller is told that is refused now.
   /// @param next_token Until the next token that nobody was promised.
--- a/tests/customers/grant_order_test.cc
+++ b/tests/customers/grant_order_test.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 
 #include "ibismux/customers/rate_owner.h"
 #include "ibismux/customers/stated_patience.h"
@@ -75,6 +76,50 @@
   cr_assert(after.granted >= before.granted * 0.98);
 }
 
+/// Of the callers that one owner refuses during a load of five times its part
+/// of the limit, the share that come back when they are told, and are refused
+/// again while the load goes on.
+double share_in_vain(Duration load, bool paces_returns) {
+  const RateLimit limit{60, 0};
+  RateOwner owner(kTolerance, paces_returns);
+  const TimePoint start = Clock::now();
+  const TimePoint begin = start + seconds(10);
+  std::multimap<TimePoint, bool> asking;  ///< Whether it comes back, by time.
+  for (TimePoint at = begin; at < begin + load; at += milliseconds(10)) {
+    asking.emplace(at, false);
+  }
+  int refused = 0;
+  int in_vain = 0;
+  while (!asking.empty()) {
+    const auto [now, comes_back] = *asking.begin();
+    asking.erase(asking.begin());
+    const RateOwner::Decision decision =
+        owner.take("c", limit, 1, comes_back, start, now);
+    if (decision.granted) {
+      continue;
+    }
+    if (!comes_back) {
+      ++refused;
+      asking.emplace(now + decision.retry_after, true);
+    } else if (now < begin + load) {
+      ++in_vain;
+    }
+  }
+  return static_cast<double>(in_vain) / refused;
+}
+
+// Guards against callers that are told a time within the load, at which its new
+// requests take all tokens.
+Test(grant_order, few_callers_of_a_hot_customer_come_back_in_vain) {
+  // A load that ends soon after callers are first sent away saves less.
+  for (const auto& [load, most] :
+       {std::pair{seconds(5), 0.85}, {seconds(8), 0.7}}) {
+    const double before = share_in_vain(load, false);
+    const double after = share_in_vain(load, true);
+    cr_assert(after <= before * most, "%f before, %f after", before, after);
+  }
+}
+
 // Guards against callers that come back after a short excess and are refused
 // although the limit has room for them.
 Test(grant_order, late_requests_are_granted_again_after_an_excess) {
