customers: promises of tokens count on the faster refill after a start

Cause: in its first window a bucket refills faster than later, but promises were computed with the later rate: the token of a customer with a small limit was free long before the time that callers were told. Ruled out: rounding alone; promises are also rounded up now, so that a request that asks at that time finds a whole token. Change: TokenBucket::time_to_earn knows both rates.

--- a/ibismux/customers/token_bucket.cc
+++ b/ibismux/customers/token_bucket.cc
@@ -16,7 +16,7 @@
 }  // namespace
 
 TokenBucket::TokenBucket(Size size, TimePoint now)
-    : size(size), created_at(now), refilled_at(now) {}
+    : size(size), created_at(now), refilled_at(now), promised_until(now) {}
 
 double TokenBucket::level_at(TimePoint now) const {
   const TimePoint steady_at = this->created_at + this->size.start;
@@ -43,17 +43,28 @@
   return true;
 }
 
+Duration TokenBucket::time_to_earn(double tokens, TimePoint from) const {
+  const double starting =
+      to_seconds(remaining(this->created_at + this->size.start, from));
+  const double at_start = tokens / this->size.starting_per_second;
+  const double seconds_needed =
+      at_start <= starting
+          ? at_start
+          : starting + (tokens - starting * this->size.starting_per_second) /
+                           this->size.per_second;
+  // Rounded up, so that there is a whole token then.
+  return seconds_needed < to_seconds(kMaxInterval)
+             ? std::chrono::ceil<std::chrono::microseconds>(
+                   std::chrono::duration<double>(seconds_needed))
+             : kMaxInterval;
+}
+
 Duration TokenBucket::promise_next(TimePoint now) {
   this->refill(now);
-  const auto time_for = [this](double tokens) {
-    const double seconds_needed = tokens / this->size.per_second;
-    return seconds_needed < to_seconds(kMaxInterval)
-               ? std::chrono::duration_cast<Duration>(
-                     std::chrono::duration<double>(seconds_needed))
-               : kMaxInterval;
-  };
-  const TimePoint next = now + time_for(std::max(0.0, 1 - this->level));
-  const TimePoint slot = std::max(next, this->promised_until + time_for(1));
+  const TimePoint next =
+      now + this->time_to_earn(std::max(0.0, 1 - this->level), now);
+  const TimePoint slot = std::max(
+      next, this->promised_until + this->time_to_earn(1, this->promised_until));
   if (slot - now > kMaxPromise) {
     return std::max(next - now, kMaxPromise);
   }
--- a/ibismux/customers/token_bucket.h
+++ b/ibismux/customers/token_bucket.h
@@ -39,13 +39,14 @@
 
  private:
   [[nodiscard]] double level_at(TimePoint now) const;
+  [[nodiscard]] Duration time_to_earn(double tokens, TimePoint from) const;
   void refill(TimePoint now);
 
   Size size;
   double level = 0;
   const TimePoint created_at;
   TimePoint refilled_at;
-  TimePoint promised_until = TimePoint::min();
+  TimePoint promised_until;
 };
 
 }  // namespace ibismux::customers
--- a/tests/customers/rate_owner_test.cc
+++ b/tests/customers/rate_owner_test.cc
@@ -79,6 +79,20 @@
   cr_assert(before < seconds(1));
 }
 
+// Guards against promises that come later than the tokens just after a start,
+// when buckets refill faster.
+Test(rate_owner, a_promise_after_a_start_is_when_the_token_is_free) {
+  for (const RateLimit limit : {RateLimit{5, 0}, {0.3, 0.3}, {60, 30}}) {
+    Fixture fixture;
+    const auto promised =
+        fixture.owner.take("c", limit, 1, false, fixture.start, fixture.start);
+    fixture.now += promised.retry_after - milliseconds(1);
+    cr_assert(fixture.take(1, limit) == 0);
+    fixture.now += milliseconds(1);
+    cr_assert(fixture.take(1, limit) == 1);
+  }
+}
+
 Test(rate_owner, a_limit_that_was_owned_by_another_daemon_starts_empty) {
   Fixture fixture;
   fixture.now += seconds(60);
