customers: a request waits for a token that comes in time

Cause: just after a loss of all owners their buckets are empty, and a burst at about the limit finds them so: requests were refused though a token came some ten milliseconds later. What daemons remembered of refusals was also told to callers as the time of the next token, 100 ms at most, when there was none. Ruled out: stopping a request that wakes by the remembered refusal of another one; it asks the owner that promised first. Remembering refusals only: requests of a burst would all wait for the same token, so an owner whose promise is in time is asked for one more. Change: TokenWaiters holds requests as TokenWait decides; OwnerRefusals keeps the promised time apart from the pause; both switches of the settings reach the limiter. The property test plays each case with and without waits, its bound unchanged.

--- a/ibismux/customers/forward.h
+++ b/ibismux/customers/forward.h
@@ -13,13 +13,17 @@
 struct RateTolerance;
 class CustomerTable;
 class DemandWindow;
+class OwnerRefusals;
 class OwnerRanking;
 class OwnerSelector;
 class RateAdmission;
 class RateLimiter;
 class RateOwner;
+class ReturnTimes;
 class StatedPatience;
 class TokenBucket;
+class TokenWait;
+class TokenWaiters;
 class UngrantedAllowance;
 
 }  // namespace ibismux::customers
--- a/ibismux/customers/rate_limiter.cc
+++ b/ibismux/customers/rate_limiter.cc
@@ -25,9 +25,6 @@
 // The same, while this daemon starts, for one that has never replied: the
 // connection to it may take longer to open than an answer.
 constexpr milliseconds kFirstContactPause{60};
-// An owner that refused is asked again after this long at the latest: a token
-// that was promised to a caller elsewhere may not have been taken.
-constexpr milliseconds kMaxRefusalPause{100};
 // Retry-After if no owner can be reached. Callers retry at another daemon.
 constexpr milliseconds kNoOwnerRetryAfter{50};
 constexpr milliseconds kMinRetryAfter{20};
@@ -54,7 +51,8 @@
     : network(network),
       settings(std::move(settings)),
       log(log),
-      owned(this->settings.tolerance),
+      owned(this->settings.tolerance, this->settings.pace_returns),
+      token_waiters(registry),
       granted(requests_family(registry).Add({{"result", "granted"}})),
       ungranted(requests_family(registry).Add({{"result", "ungranted"}})),
       refused(requests_family(registry).Add({{"result", "refused"}})),
@@ -162,24 +160,33 @@
       .first->second;
 }
 
-Task<RateLimiter::Round> RateLimiter::ask_owners(RateRequest request,
-                                                 TimePoint deadline) {
+Task<RateLimiter::Round> RateLimiter::ask_owners(Question question) {
+  const RateRequest& request = question.request;
   Round round;
-  const auto note_refusal = [&round](TimePoint until) {
-    round.next_fit = std::min(round.next_fit.value_or(until), until);
+  const auto note_refusal = [&round](const std::string& owner,
+                                     TimePoint next_token) {
+    if (!round.next_fit || next_token < *round.next_fit) {
+      round.next_fit = next_token;
+      round.next_owner = owner;
+    }
   };
-  const std::vector<std::string> owners =
-      this->owners_in_order(request.customer);
+  std::vector<std::string> owners = this->owners_in_order(request.customer);
+  const auto first =
+      std::find(owners.begin(), owners.end(), question.promised_by);
+  if (first != owners.end()) {
+    std::rotate(owners.begin(), first, first + 1);
+  }
   round.has_owners = !owners.empty();
   round.all_reached = round.has_owners;
   for (const std::string& owner : owners) {
-    const Refusals& refusals = this->state(request.customer).refused_until;
-    const auto refusal = refusals.find(owner);
-    if (refusal != refusals.end() && refusal->second > Clock::now()) {
-      note_refusal(refusal->second);
+    const auto next_token =
+        this->state(request.customer)
+            .refusals.next_token(owner, question.latest_token, Clock::now());
+    if (next_token && owner != question.promised_by) {
+      note_refusal(owner, *next_token);
       continue;
     }
-    const auto reply = co_await this->ask(owner, request, deadline);
+    const auto reply = co_await this->ask(owner, request, question.deadline);
     if (!reply) {
       round.all_reached = false;
       continue;
@@ -190,11 +197,11 @@
       co_return round;
     }
     const TimePoint now = Clock::now();
-    note_refusal(now + reply->retry_after);
+    note_refusal(owner, now + reply->retry_after);
     // An owner that refuses a late request may have tokens for others.
     if (!request.is_late) {
-      this->state(request.customer).refused_until[owner] =
-          now + std::min<Duration>(reply->retry_after, kMaxRefusalPause);
+      this->state(request.customer)
+          .refusals.record(owner, now + reply->retry_after, now);
     }
   }
   co_return round;
@@ -205,35 +212,50 @@
   const Customer& customer = check.customer;
   // A variable of its own: GCC 12 miscompiles aggregates that are initialized
   // among the arguments of an awaited call.
-  const RateRequest request{customer.name, check.configuration, customer.limit,
-                            check.is_late};
+  Question question{
+      {customer.name, check.configuration, customer.limit, check.is_late},
+      check.deadline,
+      this->settings.wait_for_token ? TokenWait::latest_token(check)
+                                    : TimePoint::min(),
+      {}};
   milliseconds retry_after = kNoOwnerRetryAfter;
-  TimePoint ask_until = check.deadline;
+  int waits = 0;
   for (;;) {
     const std::uint64_t seen = this->views;
-    const Round round = co_await this->ask_owners(request, ask_until);
+    const Round round = co_await this->ask_owners(question);
     if (this->is_allowed(customer, round)) {
+      this->token_waiters.count(waits, true);
       co_return RateGrant{round.usage};
     }
     bool may_ask_again = false;
     if (!round.has_owners && this->start_waiters) {
-      std::function<bool()> is_met = [this, seen] {
-        return this->views != seen;
-      };
       const startup::StartWaiters::Result waited =
-          co_await this->start_waiters->wait(startup::Need::kRateOwners,
-                                             check.latest_start - kAskTimeout,
-                                             check.bytes, std::move(is_met));
+          co_await this->wait_for_owners(check, seen);
       may_ask_again = waited.is_met;
       retry_after = waited.retry_after;
-      ask_until = std::min(check.deadline, check.latest_start);
+      question.deadline = std::min(check.deadline, check.latest_start);
+    } else if (round.next_fit && this->settings.wait_for_token) {
+      may_ask_again =
+          co_await this->token_waiters.wait(check, *round.next_fit, waits);
+      waits += may_ask_again ? 1 : 0;
+      question.promised_by = round.next_owner;
     }
     if (!may_ask_again) {
+      this->token_waiters.count(waits, false);
       co_return tl::unexpected(this->refusal(customer, round, retry_after));
     }
   }
 }
 
+Task<startup::StartWaiters::Result> RateLimiter::wait_for_owners(
+    const RateCheck& check,
+    std::uint64_t seen) {
+  std::function<bool()> is_met = [this, seen] { return this->views != seen; };
+  co_return co_await this->start_waiters->wait(startup::Need::kRateOwners,
+                                               check.latest_start - kAskTimeout,
+                                               check.bytes, std::move(is_met));
+}
+
 bool RateLimiter::is_allowed(const Customer& customer, const Round& round) {
   const TimePoint now = Clock::now();
   UngrantedAllowance& allowance = this->state(customer.name).ungranted;
--- a/ibismux/customers/rate_limiter.h
+++ b/ibismux/customers/rate_limiter.h
@@ -15,16 +15,18 @@
 #include "ibismux/base/ids.h"
 #include "ibismux/customers/customer.h"
 #include "ibismux/customers/messages.h"
+#include "ibismux/customers/owner_refusals.h"
 #include "ibismux/customers/owner_selector.h"
 #include "ibismux/customers/rate_admission.h"
 #include "ibismux/customers/rate_check.h"
 #include "ibismux/customers/rate_grant.h"
 #include "ibismux/customers/rate_owner.h"
+#include "ibismux/customers/token_waiters.h"
 #include "ibismux/customers/ungranted_allowance.h"
 #include "ibismux/eventlog/forward.h"
 #include "ibismux/membership/forward.h"
 #include "ibismux/peer/peer_network.h"
-#include "ibismux/startup/forward.h"
+#include "ibismux/startup/start_waiters.h"
 
 namespace ibismux::customers {
 
@@ -44,6 +46,8 @@
     std::string member;
     std::string zone;
     RateTolerance tolerance;
+    bool wait_for_token = false;  ///< See `TokenWait`.
+    bool pace_returns = false;    ///< See `ReturnTimes`.
   };
 
   /// Precondition: the network has not started. All references outlive this
@@ -73,15 +77,12 @@
   void log_usage();
 
  private:
-  /// What an owner that refused a customer has said.
-  using Refusals = std::map<std::string, TimePoint>;
-
   /// What this daemon knows of one customer.
   struct State {
     explicit State(Duration window) : ungranted(window) {}
 
     UngrantedAllowance ungranted;
-    Refusals refused_until;  ///< By owner.
+    OwnerRefusals refusals;
   };
 
   /// What the owners of one limit have said to one request.
@@ -90,10 +91,21 @@
     bool all_reached = true;  ///< Or skipped, since they refused just before.
     /// The earliest time at which an owner that refused has a token.
     std::optional<TimePoint> next_fit;
-    double usage = 0;  ///< As the owner that granted it has said.
+    std::string next_owner;  ///< The owner that has it.
+    double usage = 0;        ///< As the owner that granted it has said.
     bool has_owners = false;
   };
 
+  /// One request's question to the owners.
+  struct Question {
+    RateRequest request;
+    TimePoint deadline;  ///< No owner is asked later.
+    /// The latest time of a token for which the request may wait.
+    TimePoint latest_token;
+    /// The owner for whose token it has waited; asked first, in any case.
+    std::string promised_by;
+  };
+
   /// Whether the request runs by the owners' answers, or without a grant.
   [[nodiscard]] bool is_allowed(const Customer& customer, const Round& round);
   /// Why the request is refused.
@@ -101,7 +113,12 @@
                               const Round& round,
                               std::chrono::milliseconds no_owner_retry_after);
   /// Asks one owner after the other until one grants the request.
-  [[nodiscard]] Task<Round> ask_owners(RateRequest request, TimePoint deadline);
+  [[nodiscard]] Task<Round> ask_owners(Question question);
+  /// Waits while this daemon starts and knows no owners.
+  /// @param seen The value of `views` when it knew none.
+  [[nodiscard]] Task<startup::StartWaiters::Result> wait_for_owners(
+      const RateCheck& check,
+      std::uint64_t seen);
   /// Nothing if `owner` can't be reached.
   [[nodiscard]] Task<std::optional<RateReply>> ask(const std::string& owner,
                                                    const RateRequest& request,
@@ -122,6 +139,7 @@
   std::uint64_t views = 0;  ///< Changes of the members.
   OwnerSelector selector;
   RateOwner owned;
+  TokenWaiters token_waiters;
   std::map<std::string, State> states;                 ///< By customer.
   std::map<std::string, TimePoint> unreachable_until;  ///< By owner.
   std::set<std::string> repliers;  ///< Owners that have replied once.
--- a/ibismux/customers/token_wait.cc
+++ b/ibismux/customers/token_wait.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <optional>
 
 #include "ibismux/customers/rate_check.h"
 
@@ -9,18 +10,21 @@
 
 namespace {
 
-// An owner in the same zone answers within this time.
+// An owner usually answers within this time.
 constexpr std::chrono::milliseconds kAskTime{5};
 
 }  // namespace
 
+TimePoint TokenWait::latest_token(const RateCheck& check) noexcept {
+  return check.is_late ? TimePoint::min() : check.latest_start - kAskTime;
+}
+
 std::optional<TimePoint> TokenWait::decide(const RateCheck& check,
                                            TimePoint next_fit,
                                            int waits,
                                            TimePoint now) {
   const TimePoint ask_at = std::max(next_fit, now);
-  const bool is_in_time = ask_at + kAskTime <= check.latest_start;
-  if (check.is_late || !is_in_time || waits >= kMaxWaits ||
+  if (waits >= kMaxWaits || ask_at > latest_token(check) ||
       !this->room.has_room(check.bytes)) {
     return std::nullopt;
   }
--- a/ibismux/customers/token_wait.h
+++ b/ibismux/customers/token_wait.h
@@ -26,6 +26,10 @@
 
   explicit TokenWait(WaitingRoom::Limits limits) noexcept : room(limits) {}
 
+  /// The latest time of a token for which the request may wait; the start of
+  /// the clock for one that is late in any case. Thread safe.
+  [[nodiscard]] static TimePoint latest_token(const RateCheck& check) noexcept;
+
   /// Decides about a request that was refused until `next_fit`. If it waits, it
   /// takes a place, which `release()` frees.
   /// @param waits How often it has waited before.
--- a/ibismux/edge/package_settings.cc
+++ b/ibismux/edge/package_settings.cc
@@ -69,7 +69,9 @@
 customers::RateLimiter::Settings rate_settings(const EdgeSettings& settings) {
   return {settings.member,
           settings.zone,
-          {settings.rate_window, settings.rate_overage, settings.rate_slack}};
+          {settings.rate_window, settings.rate_overage, settings.rate_slack},
+          settings.wait_for_token,
+          settings.pace_returns};
 }
 
 Fleet::Settings fleet_settings(const EdgeSettings& settings) {
--- a/tests/customers/fleet_limit_test.cc
+++ b/tests/customers/fleet_limit_test.cc
@@ -6,13 +6,18 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "ibismux/customers/owner_selector.h"
+#include "ibismux/customers/rate_check.h"
 #include "ibismux/customers/rate_owner.h"
 #include "ibismux/customers/rate_parts.h"
+#include "ibismux/customers/token_wait.h"
 #include "ibismux/customers/ungranted_allowance.h"
 
 #include <criterion/criterion.h>
@@ -24,12 +29,17 @@
 using std::chrono::seconds;
 
 constexpr RateTolerance kTolerance{seconds(5), 0.1, 20};
+// A request that runs within this time is answered within 120 ms.
+constexpr milliseconds kRoom{100};
 
 /// Daemons that make the decisions of `RateLimiter`. Daemons of different
 /// `sides` don't reach each other.
 class FleetModel {
  public:
-  explicit FleetModel(std::size_t hosts) : sides(hosts, 0) {
+  /// @param waits Whether requests wait for tokens, and refused callers are
+  /// told later times under long loads.
+  explicit FleetModel(std::size_t hosts, bool waits = false)
+      : waits(waits), sides(hosts, 0) {
     for (std::size_t i = 0; i < hosts; ++i) {
       this->restart(i);
     }
@@ -38,7 +48,9 @@
   /// A new process on host `i`, which knows nothing.
   void restart(std::size_t i) {
     this->daemons.resize(this->sides.size());
-    this->daemons[i] = std::make_unique<Daemon>();
+    this->daemons[i] = std::make_unique<Daemon>(this->waits);
+    std::erase_if(this->waiting,
+                  [i](const auto& entry) { return entry.second.host == i; });
     this->update(i);
   }
 
@@ -52,14 +64,61 @@
     }
   }
 
-  void advance(Duration time) { this->now += time; }
+  void advance(Duration time) {
+    const TimePoint end = this->now + time;
+    while (!this->waiting.empty() && this->waiting.begin()->first <= end) {
+      const auto [wake, request] = *this->waiting.begin();
+      this->waiting.erase(this->waiting.begin());
+      this->now = std::max(this->now, wake);
+      this->daemons[request.host]->token_wait.release(0);
+      this->ask(request);
+    }
+    this->now = end;
+  }
 
   /// A request of the customer that arrives at host `i`.
-  bool request(std::size_t i, const RateLimit& limit, bool is_late = false) {
+  void request(std::size_t i, const RateLimit& limit, bool is_late = false) {
     ++this->asked;
+    RateCheck check;
+    check.customer.limit = limit;
+    check.latest_start = this->now + kRoom;
+    check.is_late = is_late;
+    this->ask({i, check, {}, 0});
+  }
+
+  /// The most requests that ran in any window.
+  [[nodiscard]] std::size_t busiest_window() const { return this->busiest; }
+  [[nodiscard]] std::size_t total_run() const { return this->total; }
+  [[nodiscard]] std::size_t total_asked() const { return this->asked; }
+
+ private:
+  struct Daemon {
+    explicit Daemon(bool paces_returns) : owned(kTolerance, paces_returns) {}
+
+    OwnerSelector selector;
+    RateOwner owned;
+    UngrantedAllowance ungranted{kTolerance.window};
+    TokenWait token_wait{WaitingRoom::Limits{}};
+  };
+
+  struct Request {
+    std::size_t host;
+    RateCheck check;
+    std::string promised_by;
+    int waits;
+  };
+
+  void ask(Request request) {
+    const std::size_t i = request.host;
+    const RateLimit& limit = request.check.customer.limit;
     Daemon& daemon = *this->daemons[i];
     bool all_reached = true;
-    for (const std::string& name : daemon.selector.owners("c")) {
+    std::optional<TimePoint> next_fit;
+    std::vector<std::string> owners = daemon.selector.owners("c");
+    std::stable_partition(
+        owners.begin(), owners.end(),
+        [by = request.promised_by](const auto& name) { return name == by; });
+    for (const std::string& name : owners) {
       const std::size_t owner = std::stoul(name);
       if (this->sides[owner] != this->sides[i]) {
         all_reached = false;
@@ -73,33 +132,35 @@
         continue;
       }
       const TimePoint since = other.selector.owner_since(name, "c");
-      if (other.owned.take("c", limit, 1, is_late, since, this->now).granted) {
+      const RateOwner::Decision decision = other.owned.take(
+          "c", limit, 1, request.check.is_late, since, this->now);
+      if (decision.granted) {
         daemon.ungranted.on_grant(
             RateParts(limit, kTolerance).ungranted_share(), this->now);
         this->run();
-        return true;
+        return;
+      }
+      const TimePoint fit = this->now + decision.retry_after;
+      if (!next_fit || fit < *next_fit) {
+        next_fit = fit;
+        request.promised_by = name;
       }
     }
     if ((!all_reached || daemon.selector.owners("c").empty()) &&
         daemon.ungranted.take(this->now)) {
       this->run();
-      return true;
+      return;
+    }
+    if (this->waits && next_fit) {
+      const auto wake = daemon.token_wait.decide(request.check, *next_fit,
+                                                 request.waits, this->now);
+      if (wake) {
+        ++request.waits;
+        this->waiting.emplace(*wake, std::move(request));
+      }
     }
-    return false;
   }
 
-  /// The most requests that ran in any window.
-  [[nodiscard]] std::size_t busiest_window() const { return this->busiest; }
-  [[nodiscard]] std::size_t total_run() const { return this->total; }
-  [[nodiscard]] std::size_t total_asked() const { return this->asked; }
-
- private:
-  struct Daemon {
-    OwnerSelector selector;
-    RateOwner owned{kTolerance};
-    UngrantedAllowance ungranted{kTolerance.window};
-  };
-
   void update(std::size_t i) {
     std::vector<OwnerSelector::Candidate> reached;
     for (std::size_t j = 0; j < this->sides.size(); ++j) {
@@ -124,7 +185,9 @@
     this->busiest = std::max(this->busiest, this->runs.size());
   }
 
+  const bool waits;
   TimePoint now = Clock::now();
+  std::multimap<TimePoint, Request> waiting;  ///< By when they ask again.
   std::vector<int> sides;
   std::vector<std::unique_ptr<Daemon>> daemons;
   std::deque<TimePoint> runs;
@@ -220,11 +283,47 @@
             0.95 * static_cast<double>(fleet.total_asked()));
 }
 
+/// The share of requests that run in time in the first second of a fleet whose
+/// daemons were all killed, for a customer at half its limit.
+double share_after_loss(const RateLimit& limit, bool waits) {
+  constexpr int kPhases = 20;
+  std::size_t run = 0;
+  std::size_t asked = 0;
+  const Duration interval = scaled(seconds(1), 2 / limit.per_second);
+  for (int phase = 0; phase < kPhases; ++phase) {
+    FleetModel fleet(74, waits);
+    fleet.advance(scaled(interval, static_cast<double>(phase) / kPhases));
+    for (Duration at{0}; at < seconds(1); at += interval) {
+      fleet.request(fleet.total_asked() * 31 % 74, limit);
+      fleet.advance(interval);
+    }
+    fleet.advance(kRoom);
+    run += fleet.total_run();
+    asked += fleet.total_asked();
+  }
+  return static_cast<double>(run) / static_cast<double>(asked);
+}
+
+// Guards against refusals just after a loss of all owners, whose buckets are
+// empty, of customers far within their limits.
+Test(fleet_limit, usual_demand_is_served_after_a_loss_of_all_owners) {
+  // At the smaller one, the first token comes too late for some.
+  for (const auto& [rate, least] : {std::pair{20.0, 0.93}, {60.0, 0.99}}) {
+    const double before = share_after_loss({rate, 0}, false);
+    const double after = share_after_loss({rate, 0}, true);
+    cr_assert(after >= least, "%f before, %f after", before, after);
+    cr_assert((1 - after) <= (1 - before) / 2, "%f before, %f after", before,
+              after);
+  }
+}
+
 /// One random run of requests and faults. @return The most requests in any
 /// window.
-std::size_t play(const std::vector<unsigned>& choices, const RateLimit& limit) {
+std::size_t play(const std::vector<unsigned>& choices,
+                 const RateLimit& limit,
+                 bool waits) {
   constexpr std::size_t kHosts = 9;
-  FleetModel fleet(kHosts);
+  FleetModel fleet(kHosts, waits);
   for (const unsigned choice : choices) {
     const std::size_t host = choice / 16 % kHosts;
     switch (choice % 16) {
@@ -259,7 +358,10 @@
                           static_cast<double>(*rc::gen::inRange(0, 50))};
     const auto choices = *rc::gen::container<std::vector<unsigned>>(
         1000, rc::gen::inRange(0U, 1U << 20));
-    RC_ASSERT(static_cast<double>(play(choices, limit)) <= allowed(limit));
+    for (const bool waits : {false, true}) {
+      RC_ASSERT(static_cast<double>(play(choices, limit, waits)) <=
+                allowed(limit));
+    }
   });
   cr_assert(holds);
 }
