--- a/tests/customers/rate_limiter_test.cc
+++ b/tests/customers/rate_limiter_test.cc
@@ -75,10 +75,11 @@
 
   void request(Duration room) {
     this->loop.restart();
-    boost::asio::co_spawn(this->loop, this->limiter->admit(this->check(room)),
-                          [this](std::exception_ptr, Result<RateGrant> result) {
-                            this->results.push_back(std::move(result));
-                          });
+    boost::asio::co_spawn(
+        this->loop, this->limiter->admit(this->check(room)),
+        [this](const std::exception_ptr&, Result<RateGrant> result) {
+          this->results.push_back(std::move(result));
+        });
   }
 
   Result<RateGrant> run(Duration room) {
