--- a/ibismux/customers/forward.h
+++ b/ibismux/customers/forward.h
@@ -15,13 +15,17 @@
 class CustomerTable;
 class DemandWindow;
 class KeyTrust;
+class OwnerRefusals;
 class OwnerRanking;
 class OwnerSelector;
 class RateAdmission;
 class RateLimiter;
 class RateOwner;
+class ReturnTimes;
 class StatedPatience;
 class TokenBucket;
+class TokenWait;
+class TokenWaiters;
 class UngrantedAllowance;
 
 }  // namespace ibismux::customers
