Take out KeyTrust: the age of the last contact isn't one that keys can rely on

Cause: review of the part. (1) A check by a read of old state renews the age; (2) a host that follows the store keeps its age over a suspension; (3) a push that waited in a socket counts as fresh when it is read. Each lets a removed key pass for longer than strict keys promise.

The test that keys outlast an outage by default stays.

--- a/ibismux/customers/forward.h
+++ b/ibismux/customers/forward.h
@@ -14,7 +14,6 @@
 class CustomerCounters;
 class CustomerTable;
 class DemandWindow;
-class KeyTrust;
 class OwnerRefusals;
 class OwnerRanking;
 class OwnerSelector;
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -2,7 +2,6 @@
 #define IBISMUX_DISPATCH_DISPATCHER_H_
 
 #include <boost/asio/io_context.hpp>
-#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -86,17 +85,6 @@
   /// @param rates Outlives the dispatcher's requests.
   void set_rates(customers::RateAdmission& rates) { this->rates = &rates; }
 
-  /// Returns the age of this daemon's last news of the store.
-  using NewsAge = std::function<Duration()>;
-
-  /// Sets what decides whether keys are still accepted. Without it, they are
-  /// accepted however old the news are.
-  /// @param trust Outlives the dispatcher's requests.
-  void set_key_trust(const customers::KeyTrust& trust, NewsAge news_age) {
-    this->key_trust = &trust;
-    this->news_age = std::move(news_age);
-  }
-
   /// Lets requests wait for the configuration and the leafs while this daemon
   /// starts. Without it, they are refused.
   /// @param waiters Outlives the dispatcher's requests.
@@ -183,11 +171,9 @@
   [[nodiscard]] Result<Context> admit(CallerRequest request, bool is_from_peer);
   /// Sets the customer and priority of the request, and restores its
   /// `Authorization` fields if there are no customers.
-  [[nodiscard]] Result<void> identify(RequestContext& context,
-                                      CallerRequest& request,
-                                      bool is_from_peer) const;
-  /// Whether keys are still accepted.
-  [[nodiscard]] Result<void> check_keys() const;
+  [[nodiscard]] static Result<void> identify(RequestContext& context,
+                                             CallerRequest& request,
+                                             bool is_from_peer);
   /// Sets the customer's claim among the requests of the same priority.
   void set_share(RequestContext& context) const;
   /// Counts the request against the limit of its customer, and sets how much of
@@ -225,8 +211,6 @@
   std::shared_ptr<LinkOpener> opener;
   QueryDelegate* delegate = nullptr;
   customers::RateAdmission* rates = nullptr;
-  const customers::KeyTrust* key_trust = nullptr;
-  NewsAge news_age;
   startup::StartWaiters* start_waiters = nullptr;
   std::map<std::string, RouteLatency> latencies;  ///< By route.
   std::map<std::string, routing::WeightedRoundRobin> splits;
--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -8,7 +8,6 @@
 
 #include "ibismux/customers/bearer_key.h"
 #include "ibismux/customers/customer_table.h"
-#include "ibismux/customers/key_trust.h"
 #include "ibismux/customers/rate_admission.h"
 #include "ibismux/customers/rate_check.h"
 #include "ibismux/customers/rate_grant.h"
@@ -85,14 +84,9 @@
   return tl::unexpected(std::move(error));
 }
 
-Result<void> Dispatcher::check_keys() const {
-  return this->key_trust ? this->key_trust->check(this->news_age())
-                         : Result<void>{};
-}
-
 Result<void> Dispatcher::identify(RequestContext& context,
                                   CallerRequest& request,
-                                  bool is_from_peer) const {
+                                  bool is_from_peer) {
   const customers::CustomerTable* table = context.table->customers();
   context.priority = context.route->priority;
   if (!table) {
@@ -110,12 +104,6 @@
   if (is_from_peer) {
     customer = table->find_by_name(request.customer);
   } else if (const auto key = customers::bearer_key(request.authorization)) {
-    if (!context.route->is_public) {
-      // A key that isn't known may have been added meanwhile.
-      if (auto trusted = this->check_keys(); !trusted) {
-        return trusted;
-      }
-    }
     customer = table->find_by_key(*key);
   } else if (!context.route->is_public) {
     return tl::unexpected(key.error());
@@ -286,7 +274,6 @@
                              context->final_deadline,
                              is_late,
                              context->request.message->body.size()};
-  check.request = context->request.id;
   const auto grant = co_await this->rates->admit(std::move(check));
   if (!grant) {
     co_return tl::unexpected(grant.error());
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -67,7 +67,6 @@
           },
           [this] { this->retry_feeds(); }),
       quarantine(dispatcher.quarantine(), log, [this] { this->retry_feeds(); }),
-      key_trust({this->settings.strict_keys, this->settings.key_lifetime}),
       limits{.drain_grace = this->settings.leave_notice},
       callers(pool, this->limits, this->caller_handler()),
       balancer(pool, {}, this->ready_handler()),
--- a/ibismux/edge/edge_daemon_impl.h
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -11,7 +11,6 @@
 #include <vector>
 
 #include "ibismux/base/io_pool.h"
-#include "ibismux/customers/key_trust.h"
 #include "ibismux/customers/rate_limiter.h"
 #include "ibismux/directory/leaf_directory.h"
 #include "ibismux/dispatch/dispatcher.h"
@@ -68,12 +67,6 @@
   void retry_feeds();
   void start_gathering();
   void start_rates();
-  /// Lets the dispatcher refuse keys while there are no news of the store.
-  void start_key_trust();
-  /// The store has answered this daemon.
-  void on_store_contact();
-  /// Age of the last news of the store; `Duration::max()` if there were none.
-  [[nodiscard]] Duration news_age(TimePoint now) const;
   /// Returns the number of requests in flight, from callers and from peers.
   [[nodiscard]] std::size_t in_flight() const;
   void on_view(const membership::MembershipView& view,
@@ -127,9 +120,6 @@
   std::shared_ptr<gather::GatherClient> gather_client;
   std::shared_ptr<gather::GatherHost> gather_host;
   std::shared_ptr<customers::RateLimiter> rates;
-  const customers::KeyTrust key_trust;
-  /// Of a daemon without peers; see `FeedRelay::contact_age()` for others.
-  std::optional<TimePoint> last_store_contact;
   http::ServerLimits limits;  ///< Limits in force for callers.
   http::Server callers;
   http::Server balancer;
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -64,11 +64,8 @@
       this->dispatcher.quarantine(), this->log, random_number())
       ->start();
   this->start_rates();
-  this->start_key_trust();
   if (!this->fleet) {
     for (const auto& feed : this->feeds) {
-      feed->set_listeners(
-          {.on_store_contact = [this] { this->on_store_contact(); }});
       feed->start();
     }
     return;
@@ -108,32 +105,6 @@
   this->dispatcher.set_rates(*this->rates);
 }
 
-void EdgeDaemon::Impl::start_key_trust() {
-  this->dispatcher.set_key_trust(
-      this->key_trust, [this] { return this->news_age(Clock::now()); });
-}
-
-void EdgeDaemon::Impl::on_store_contact() {
-  if (this->relay) {
-    this->relay->on_store_contact();
-    return;
-  }
-  const bool any_lost =
-      std::any_of(this->feeds.begin(), this->feeds.end(),
-                  [](const auto& feed) { return feed->lost(); });
-  if (!any_lost) {
-    this->last_store_contact = Clock::now();
-  }
-}
-
-Duration EdgeDaemon::Impl::news_age(TimePoint now) const {
-  if (this->relay) {
-    return this->relay->contact_age(now);
-  }
-  return this->last_store_contact ? now - *this->last_store_contact
-                                  : Duration::max();
-}
-
 void EdgeDaemon::Impl::update_rate_owners() {
   const auto& table = this->dispatcher.table();
   if (this->fleet && this->rates && table && table->customers()) {
@@ -221,7 +192,9 @@
     case CheckAction::kNone:
       return;
     case CheckAction::kContact:
-      this->on_store_contact();
+      if (this->relay) {
+        this->relay->on_store_contact();
+      }
       return;
     case CheckAction::kReadAgain:
       this->refresh("store is back");
@@ -257,7 +230,6 @@
     this->relay->invalidate();
     return;
   }
-  this->last_store_contact.reset();
   if (this->relay) {
     this->relay->stop_probing();
   }
--- a/ibismux/edge/edge_settings.cc
+++ b/ibismux/edge/edge_settings.cc
@@ -115,16 +115,6 @@
         "How many requests they may send in addition to that share.",
         Real{&EdgeSettings::rate_slack, 0, kMaxSlackCalls}},
 
-    Key{"customers.strict_keys",
-        "Refuse requests with a key while the last news of the store are older "
-        "than key_lifetime_ms.",
-        Flag{&EdgeSettings::strict_keys}},
-    Key{"customers.key_lifetime_ms",
-        "How long a key that was removed may be accepted by a daemon without "
-        "news of the store, if strict_keys is set.",
-        Millis{&EdgeSettings::key_lifetime, milliseconds(100),
-               milliseconds(3'600'000)}},
-
     Key{"policy.hedge",
         "Send a call that takes longer than usual to a second leaf.",
         Flag{&EdgeSettings::hedge}},
--- a/ibismux/edge/edge_settings.h
+++ b/ibismux/edge/edge_settings.h
@@ -57,13 +57,11 @@
   double remote_cost = 1.0;
   /// @}
 
-  /// @name Keys and limits of customers
+  /// @name Limits of customers
   /// @{
   Millis rate_window{5000};
   double rate_overage = 0;
   double rate_slack = 0;
-  bool strict_keys = false;
-  Millis key_lifetime{5000};
   /// @}
 
   /// @name Shutdown
--- a/ibismux/feed/feed_relay.h
+++ b/ibismux/feed/feed_relay.h
@@ -94,12 +94,6 @@
     return this->started && this->choice.source() == Source::kStore;
   }
 
-  /// Time since this daemon, or a peer that told it, was last in contact with
-  /// the store; `Duration::max()` if no contact is certain.
-  [[nodiscard]] Duration contact_age(TimePoint now) const noexcept {
-    return this->choice.certain_age(now);
-  }
-
  private:
   void register_handlers();
   void tick();
--- a/ibismux/feed/source_choice.cc
+++ b/ibismux/feed/source_choice.cc
@@ -23,7 +23,6 @@
 
 void SourceChoice::on_store_contact(TimePoint now) {
   this->last_contact = std::max(this->last_contact, now);
-  this->certain_contact = this->last_contact;
   this->has_had_source = true;
   this->has_invalid_contacts = false;
   this->probing = false;
@@ -33,11 +32,6 @@
   this->last_peer_report = now;
   // Peers report ages instead of times, so their clocks don't matter.
   this->last_contact = std::max(this->last_contact, now - age);
-  // A peer that assumes its last contact reports at least `read_after`.
-  if (age < this->settings.read_after) {
-    this->certain_contact =
-        std::max(this->certain_contact.value_or(now - age), now - age);
-  }
   const TimePoint until = now - age + this->settings.max_contact_age;
   if (until < now) {
     return;
@@ -72,7 +66,6 @@
 void SourceChoice::invalidate(TimePoint now) noexcept {
   this->last_contact =
       std::min(this->last_contact, now - this->settings.read_after);
-  this->certain_contact.reset();
   this->peers_recent_until = std::min(this->peers_recent_until, now);
   this->has_invalid_contacts = true;
 }
--- a/ibismux/feed/source_choice.h
+++ b/ibismux/feed/source_choice.h
@@ -136,12 +136,6 @@
   [[nodiscard]] Duration age(TimePoint now) const noexcept {
     return now - this->last_contact;
   }
-  /// The same, but `Duration::max()` from the start or `invalidate()` until the
-  /// next recent contact, for which `age()` returns an assumption.
-  [[nodiscard]] Duration certain_age(TimePoint now) const noexcept {
-    return this->certain_contact ? now - *this->certain_contact
-                                 : Duration::max();
-  }
   /// @}
 
  private:
@@ -168,8 +162,6 @@
   bool probing = false;
   /// Last contact with the store, of this daemon or a peer.
   TimePoint last_contact;
-  /// The same, unless none is certain.
-  std::optional<TimePoint> certain_contact;
   /// The contacts of peers count as recent until then.
   TimePoint peers_recent_until;
   /// Since when peers have reported recent contacts without a gap.
