--- a/ibismux/checkpoint/checkpoint_schedule.h
+++ b/ibismux/checkpoint/checkpoint_schedule.h
@@ -24,6 +24,13 @@
     bool is_complete = false;
   };
 
+  /// Nothing is written in the first `kMinInterval`: a daemon that has just
+  /// started may have listed leafs of which others are yet to write their
+  /// entries again.
+  /// @param started When the process has started.
+  explicit CheckpointSchedule(TimePoint started) noexcept
+      : not_before(started + kMinInterval) {}
+
   /// A leaf was added or removed, or its address has changed.
   void on_change() noexcept { this->changed = true; }
   /// The object in the store holds what this daemon knows.
@@ -35,7 +42,7 @@
 
  private:
   bool changed = false;
-  TimePoint not_before = TimePoint::min();
+  TimePoint not_before;
 };
 
 }  // namespace ibismux::checkpoint
--- a/ibismux/checkpoint/leaf_checkpoint.h
+++ b/ibismux/checkpoint/leaf_checkpoint.h
@@ -16,11 +16,17 @@
   std::vector<directory::LeafEntry> leafs;
 };
 
+/// Whether both hold the same runs of leafs, at the same addresses and with the
+/// same slots, in any order. Sequence numbers may differ: leafs raise them with
+/// each entry. Thread safe.
+[[nodiscard]] bool have_same_leafs(const LeafCheckpoint& one,
+                                   const LeafCheckpoint& other);
+
 /// @name Encoding as the value of an object in the store: JSON, by service.
 /// Thread safe.
 /// @{
 [[nodiscard]] std::string encode(const LeafCheckpoint& checkpoint);
-/// Errors: kProtocolError.
+/// Members that aren't known are ignored. Errors: kProtocolError.
 [[nodiscard]] Result<LeafCheckpoint> decode_leaf_checkpoint(
     std::string_view value);
 /// @}
--- a/ibismux/directory/leaf_directory.cc
+++ b/ibismux/directory/leaf_directory.cc
@@ -22,8 +22,27 @@
     }
   }
   for (const std::string& id : absent) {
-    this->remove(id, now, nullptr);
+    if (!this->is_adopted(id)) {
+      this->remove(id, now, nullptr);
+    }
+  }
+}
+
+void LeafDirectory::adopt(const std::vector<LeafEntry>& entries,
+                          TimePoint now) {
+  this->listener.on_listing_begin();
+  for (const LeafEntry& entry : entries) {
+    if (this->was_removed(entry) ||
+        !this->entries.try_emplace(entry.run.id, entry).second) {
+      continue;
+    }
+    this->tombstones.erase(entry.run.id);
+    this->missing.insert_or_assign(
+        entry.run.id, Missing{now + kReregistrationTime, Cause::kAdopted});
+    ++this->changes;
+    this->listener.on_leaf_updated(entry);
   }
+  this->listener.on_listing_end();
 }
 
 void LeafDirectory::put(const LeafEntry& entry, TimePoint now) {
@@ -41,6 +60,10 @@
   if (known == entry) {
     return;
   }
+  LeafEntry renewed = known;
+  renewed.sequence = entry.sequence;
+  renewed.warmup_left = entry.warmup_left;
+  this->changes += renewed == entry ? 0 : 1;
   known = entry;
   this->listener.on_leaf_updated(entry);
 }
@@ -54,10 +77,14 @@
   }
   const bool removes_earlier_run =
       last && known->second.run.is_after(last->run);
-  if (this->in_grace_period(now)) {
-    this->missing.try_emplace(id, Missing{this->grace_period_end, false});
+  if (this->is_adopted(id) && !removes_earlier_run) {
+    this->erase(id, now, "removed");
+  } else if (this->in_grace_period(now)) {
+    this->missing.try_emplace(id,
+                              Missing{this->grace_period_end, Cause::kOutage});
   } else if (removes_earlier_run) {
-    this->missing.try_emplace(id, Missing{now + kReregistrationTime, true});
+    this->missing.try_emplace(
+        id, Missing{now + kReregistrationTime, Cause::kLaterRun});
   } else {
     this->erase(id, now, "removed");
   }
@@ -78,7 +105,13 @@
     // Entries that expired during the outage get the same grace period as those
     // that expire now.
     for (auto& [id, row] : this->missing) {
+      if (row.cause == Cause::kAdoptedBeforeOutage) {
+        continue;
+      }
       row.removal_at = this->grace_period_end;
+      if (row.cause == Cause::kAdopted) {
+        row.cause = Cause::kAdoptedBeforeOutage;
+      }
     }
   }
 }
@@ -89,7 +122,7 @@
   }
   this->grace_period_end = since + kReregistrationTime;
   for (auto& [id, row] : this->missing) {
-    if (!row.replaces_earlier_run) {
+    if (row.cause == Cause::kOutage) {
       row.removal_at = this->grace_period_end;
     }
   }
@@ -106,7 +139,13 @@
     }
   }
   for (const std::string& id : expired) {
+    const bool was_adopted = this->is_adopted(id);
     this->erase(id, now, "not_back");
+    if (was_adopted) {
+      // The registry has never reported it, so an entry that it reports from
+      // now on is no delayed one.
+      this->tombstones.erase(id);
+    }
   }
 }
 
@@ -141,6 +180,28 @@
           entry.sequence == before.sequence);
 }
 
+bool LeafDirectory::was_removed(const LeafEntry& entry) const {
+  const auto last = this->tombstones.find(entry.run.id);
+  return last != this->tombstones.end() &&
+         !last->second.entry.is_older_than(entry);
+}
+
+bool LeafDirectory::is_adopted(const std::string& id) const {
+  const auto row = this->missing.find(id);
+  return row != this->missing.end() &&
+         (row->second.cause == Cause::kAdopted ||
+          row->second.cause == Cause::kAdoptedBeforeOutage);
+}
+
+std::vector<LeafEntry> LeafDirectory::all() const {
+  std::vector<LeafEntry> all;
+  all.reserve(this->entries.size());
+  for (const auto& [id, entry] : this->entries) {
+    all.push_back(entry);
+  }
+  return all;
+}
+
 bool LeafDirectory::lacks_known_start_time(const LeafEntry& entry) const {
   const auto known = this->entries.find(entry.run.id);
   return known != this->entries.end() && entry.run.started.count() == 0 &&
@@ -157,6 +218,7 @@
   }
   this->add_tombstone(std::move(known->second), now);
   this->entries.erase(known);
+  ++this->changes;
   this->listener.on_leaf_removed(id, reason);
 }
 
--- a/ibismux/directory/leaf_directory.h
+++ b/ibismux/directory/leaf_directory.h
@@ -1,6 +1,7 @@
 #ifndef IBISMUX_DIRECTORY_LEAF_DIRECTORY_H_
 #define IBISMUX_DIRECTORY_LEAF_DIRECTORY_H_
 
+#include <cstdint>
 #include <deque>
 #include <map>
 #include <string>
@@ -74,6 +75,14 @@
   /// an earlier run than the known one, the leaf is kept for
   /// `kReregistrationTime`, within which the later run writes its entry again.
   void remove(const std::string& id, TimePoint now, const LeafEntry* last);
+  /// Adds leafs that may run although the registry has lost their entries.
+  ///
+  /// Each is kept until its entry arrives, its removal is reported, or
+  /// `kReregistrationTime` has passed; a listing that lacks it doesn't remove
+  /// it sooner. An outage of the registry extends that time once. Known leafs
+  /// are left out, and those that were removed lately unless `entries` has a
+  /// newer entry of them.
+  void adopt(const std::vector<LeafEntry>& entries, TimePoint now);
   /// Removes the leaf at once because its entry can't be read any more.
   void discard(const std::string& id, TimePoint now);
   /// @}
@@ -101,6 +110,19 @@
     return this->entries.size();
   }
 
+  /// The current leafs, including those without an entry.
+  [[nodiscard]] std::vector<LeafEntry> all() const;
+
+  /// Whether the registry answers and has the entries of all current leafs.
+  [[nodiscard]] bool is_complete() const noexcept {
+    return !this->registry_is_down && this->missing.empty();
+  }
+
+  /// Rises with each change of `all()` other than that of a sequence number.
+  [[nodiscard]] std::uint64_t revision() const noexcept {
+    return this->changes;
+  }
+
  private:
   /// The last entry of a removed leaf and the time of the removal.
   struct Tombstone {
@@ -108,27 +130,36 @@
     TimePoint at;
   };
 
+  [[nodiscard]] bool is_adopted(const std::string& id) const;
   /// Whether the leaf of a missing entry may still be running.
   [[nodiscard]] bool in_grace_period(TimePoint now) const noexcept;
   /// Whether the leaf has already written a newer entry than this one.
   [[nodiscard]] bool is_outdated(const LeafEntry& entry) const;
+  /// Whether the leaf was removed lately, and not by an earlier entry than
+  /// this one.
+  [[nodiscard]] bool was_removed(const LeafEntry& entry) const;
   [[nodiscard]] bool lacks_known_start_time(const LeafEntry& entry) const;
   void erase(const std::string& id, TimePoint now, std::string_view reason);
   void add_tombstone(LeafEntry entry, TimePoint now);
 
   DirectoryListener& listener;
   std::map<std::string, LeafEntry> entries;  ///< By id.
-  /// A leaf that is kept although the registry has no entry of it.
+  /// Why a leaf is kept although the registry has no entry of it.
+  enum class Cause : unsigned char {
+    kOutage,
+    kLaterRun,  ///< The removed entry belonged to an earlier run.
+    kAdopted,
+    kAdoptedBeforeOutage,  ///< Its time has been extended by an outage.
+  };
   struct Missing {
     TimePoint removal_at;
-    /// Whether the leaf is kept because the removed entry belonged to an
-    /// earlier run, and not because of an outage.
-    bool replaces_earlier_run = false;
+    Cause cause = Cause::kOutage;
   };
   std::map<std::string, Missing> missing;  ///< By id.
   std::map<std::string, Tombstone>
       tombstones;  ///< By id, for `kTombstoneRetention`.
   std::deque<std::string> tombstone_order;  ///< The same ids, oldest first.
+  std::uint64_t changes = 0;
   bool registry_is_down = false;
   /// Running leafs have registered again by this time.
   TimePoint grace_period_end = TimePoint::min();
--- a/tests/directory/leaf_directory_test.cc
+++ b/tests/directory/leaf_directory_test.cc
@@ -240,5 +240,106 @@
   cr_assert(fixture.listener.known == std::set<std::string>({"b"}));
 }
 
+struct AdoptedFixture : Fixture {
+  AdoptedFixture() { this->directory.adopt({run_of_a(500, 7), x}, this->now); }
+
+  bool knows_x() const { return this->listener.known.contains("x"); }
+
+  /// Lets leafs expire `after` the adoption.
+  void expire(milliseconds after) { this->directory.expire(this->now + after); }
+
+  const LeafEntry x = leaf("x");
+  const milliseconds time = LeafDirectory::kReregistrationTime;
+};
+
+// Guards against refusing all requests after a start while the registry has
+// lost the entries of running leafs.
+Test(adopted_leafs, are_kept_until_they_must_have_registered_again) {
+  AdoptedFixture fixture;
+  cr_assert(fixture.knows_x());
+  cr_assert(!fixture.directory.is_complete());
+  cr_assert(fixture.directory.next_expiry() == fixture.now + fixture.time);
+  fixture.directory.replace({leaf("a"), leaf("b")}, fixture.now);
+  fixture.expire(fixture.time - milliseconds(1));
+  cr_assert(fixture.knows_x());
+  fixture.expire(fixture.time);
+  cr_assert(!fixture.knows_x());
+  cr_assert(fixture.directory.is_complete());
+}
+
+Test(adopted_leafs, stay_when_their_entries_arrive) {
+  AdoptedFixture fixture;
+  fixture.directory.put(fixture.x, fixture.now);
+  cr_assert(fixture.directory.is_complete());
+  fixture.expire(fixture.time);
+  cr_assert(fixture.knows_x());
+}
+
+// Guards against calls to a leaf that is known to have ended.
+Test(adopted_leafs, are_removed_when_their_removal_is_reported) {
+  AdoptedFixture fixture;
+  fixture.directory.remove("x", fixture.now, &fixture.x);
+  cr_assert(!fixture.knows_x());
+}
+
+// Guards against replacing what the registry says by an older state.
+Test(adopted_leafs, exclude_known_ones_and_those_removed_lately) {
+  Fixture fixture;
+  fixture.directory.put(run_of_a(500, 8), fixture.now);
+  fixture.directory.remove("a", fixture.now, nullptr);
+  const int reports = fixture.listener.reports;
+  LeafEntry changed = leaf("b");
+  changed.port = 9;
+  fixture.directory.adopt({run_of_a(500, 8), changed}, fixture.now);
+  cr_assert(fixture.listener.reports == reports);
+  cr_assert(fixture.directory.is_complete());
+  fixture.directory.adopt({run_of_a(600, 1)}, fixture.now);
+  cr_assert(fixture.listener.known.contains("a"));
+}
+
+// Guards against a leaf that is passed over for its late return.
+Test(adopted_leafs, that_register_late_are_used_again) {
+  Fixture fixture;
+  LeafEntry entry = run_of_a(500, 7);
+  entry.run.id = "x";
+  fixture.directory.adopt({entry}, fixture.now);
+  fixture.now += LeafDirectory::kReregistrationTime;
+  fixture.directory.expire(fixture.now);
+  cr_assert(!fixture.listener.known.contains("x"));
+  fixture.directory.put(entry, fixture.now);
+  cr_assert(fixture.listener.known.contains("x"));
+}
+
+// Guards against leafs that are kept forever by a registry that fails again and
+// again.
+Test(adopted_leafs, are_kept_longer_for_one_outage_only) {
+  AdoptedFixture fixture;
+  fixture.directory.registry_lost();
+  fixture.expire(fixture.time);
+  cr_assert(fixture.knows_x());
+  fixture.directory.registry_regained(fixture.now + fixture.time);
+  fixture.expire(fixture.time);
+  cr_assert(fixture.knows_x());
+  fixture.directory.registry_lost();
+  fixture.directory.registry_regained(fixture.now + fixture.time * 2 -
+                                      milliseconds(1));
+  fixture.directory.registry_available_since(fixture.now + fixture.time * 2);
+  fixture.expire(fixture.time * 2);
+  cr_assert(!fixture.knows_x());
+}
+
+// Guards against a write of the checkpoint for each heartbeat.
+Test(leaf_directory, the_revision_rises_with_leafs_and_not_with_heartbeats) {
+  Fixture fixture;
+  fixture.directory.put(run_of_a(500, 7), fixture.now);
+  const auto before = fixture.directory.revision();
+  fixture.directory.put(run_of_a(500, 8), fixture.now);
+  cr_assert(fixture.directory.revision() == before);
+  fixture.directory.put(run_of_a(500, 9, true), fixture.now);
+  cr_assert(fixture.directory.revision() == before + 1);
+  fixture.directory.remove("b", fixture.now, nullptr);
+  cr_assert(fixture.directory.revision() == before + 2);
+}
+
 }  // namespace
 }  // namespace ibismux::directory
