Daemons that start while the registry has lost entries use the checkpoint of leafs

Cause: the store was away for longer than the entries of leafs live in it, and all daemons were killed around its return. A daemon that starts lists no leafs, and reads again only with its first watch; until then it refuses all requests although all leafs run.

Change: CheckpointWriter keeps the leafs that run in one object of the store; LeafRecovery reads it once if, after the first configuration and listing, some service of a route has no leaf, and the directory adopts those that lost_leafs() names. Requests to services without leafs wait for that read (Dispatcher::expect_leafs). The expiry of leafs is scheduled again after each expiry: rows with different times would otherwise wait for the next event.

Ruled out: waiting of all requests while the checkpoint is read; those of services that have leafs need none of it.

The new process test starts a daemon with policy.leaf_checkpoint false first, which refuses the request with 503, and then one with it, which serves it.

--- a/ibismux/directory/leaf_directory.cc
+++ b/ibismux/directory/leaf_directory.cc
@@ -77,9 +77,7 @@
   }
   const bool removes_earlier_run =
       last && known->second.run.is_after(last->run);
-  if (this->is_adopted(id) && !removes_earlier_run) {
-    this->erase(id, now, "removed");
-  } else if (this->in_grace_period(now)) {
+  if (this->in_grace_period(now) && !this->is_adopted(id)) {
     this->missing.try_emplace(id,
                               Missing{this->grace_period_end, Cause::kOutage});
   } else if (removes_earlier_run) {
--- a/ibismux/dispatch/dispatcher.h
+++ b/ibismux/dispatch/dispatcher.h
@@ -92,6 +92,11 @@
     this->start_waiters = &waiters;
   }
 
+  /// Sets whether missing leafs may become known at any moment. Meanwhile,
+  /// requests to services without leafs wait as far as the start of this daemon
+  /// lets them.
+  void expect_leafs(bool expected);
+
   /// Replaces the set of evacuated zones, whose leafs get no further requests.
   /// Calls in progress there continue; links there are closed. A request that
   /// only leafs of evacuated zones could serve is refused.
@@ -157,10 +162,9 @@
   void distribute_links(const ServiceGroup& group);
   [[nodiscard]] Duration report_half_life();
 
-  /// Whether the configuration and the leafs are known.
-  [[nodiscard]] bool can_route() const noexcept {
-    return this->active_table && (this->listed || !this->leafs.empty());
-  }
+  /// Whether the configuration and the leafs are known that `request` needs.
+  [[nodiscard]] bool can_route(const CallerRequest& request) const;
+  [[nodiscard]] bool has_leafs(const std::string& service) const;
   /// Waits until `can_route()`, as far as the start of this daemon lets
   /// requests wait. @return An error if there is no configuration then.
   [[nodiscard]] Task<Result<void>> wait_for_start(const CallerRequest& request);
@@ -208,6 +212,7 @@
   ZoneNames evacuated;
   bool in_first_listing = false;
   bool listed = false;  ///< The leafs have been listed once.
+  bool expects_leafs = false;
   std::shared_ptr<LinkOpener> opener;
   QueryDelegate* delegate = nullptr;
   customers::RateAdmission* rates = nullptr;
--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -166,12 +166,42 @@
   return context;
 }
 
+bool Dispatcher::has_leafs(const std::string& service) const {
+  const auto group = this->groups.find(service);
+  return group != this->groups.end() && !group->second->leafs().empty();
+}
+
+bool Dispatcher::can_route(const CallerRequest& request) const {
+  if (!this->active_table || (!this->listed && this->leafs.empty())) {
+    return false;
+  }
+  if (!this->expects_leafs) {
+    return true;
+  }
+  const routing::Route* route =
+      this->active_table->find(request.host, request.path);
+  if (!route) {
+    return true;
+  }
+  const std::vector<std::string> services = route->services();
+  return std::all_of(
+      services.begin(), services.end(),
+      [this](const std::string& service) { return this->has_leafs(service); });
+}
+
+void Dispatcher::expect_leafs(bool expected) {
+  this->expects_leafs = expected;
+  this->notify_start_waiters();
+}
+
 Task<Result<void>> Dispatcher::wait_for_start(const CallerRequest& request) {
   // The route and its objective are not known yet.
   const TimePoint latest_start =
       request.received +
       scaled(request.deadline - request.received, kUnknownObjectiveShare);
-  std::function<bool()> is_met = [this] { return this->can_route(); };
+  std::function<bool()> is_met = [this, &request] {
+    return this->can_route(request);
+  };
   const startup::StartWaiters::Result waited =
       co_await this->start_waiters->wait(
           startup::Need::kConfiguration, latest_start,
@@ -190,7 +220,7 @@
 
 Task<Outcome> Dispatcher::handle(CallerRequest request,
                                  std::shared_ptr<http::CancelToken> caller) {
-  if (this->start_waiters && !this->can_route()) {
+  if (this->start_waiters && !this->can_route(request)) {
     if (auto ready = co_await this->wait_for_start(request); !ready) {
       co_return this->refuse(request, std::move(ready.error()), nullptr);
     }
--- a/ibismux/edge/adapters.h
+++ b/ibismux/edge/adapters.h
@@ -66,6 +66,7 @@
   std::string contact_collection;  ///< Contact entries of daemons.
   /// Each object has as its name the digest of a request that crashes leafs.
   std::string quarantine_collection;
+  std::string checkpoint_collection;  ///< The leafs that run, in one object.
   /// @}
 };
 
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -55,12 +55,14 @@
           log,
           [this](auto table) { this->apply_table(std::move(table)); },
           [this] { this->retry_feeds(); }),
-      leafs(pool.at(0),
-            directory,
-            *this->adapters.leaf_entries,
-            registry,
-            log,
-            [this] { this->retry_feeds(); }),
+      leafs(
+          pool.at(0),
+          directory,
+          *this->adapters.leaf_entries,
+          registry,
+          log,
+          [this] { this->retry_feeds(); },
+          [this] { this->recover_leafs(); }),
       evacuations(
           [this](const ZoneNames& zones) {
             this->dispatcher.set_evacuated(zones);
@@ -192,6 +194,7 @@
   if (!this->dispatcher.activate(table)) {
     return;
   }
+  this->recover_leafs();
   this->update_rate_owners();
   const routing::CallerLimits& configured = table->limits();
   const http::ServerLimits defaults;
--- a/ibismux/edge/edge_daemon_impl.h
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -19,6 +19,7 @@
 #include "ibismux/edge/evacuation_feed.h"
 #include "ibismux/edge/fleet.h"
 #include "ibismux/edge/leaf_feed.h"
+#include "ibismux/edge/leaf_recovery.h"
 #include "ibismux/edge/quarantine_feed.h"
 #include "ibismux/edge/stall_detector.h"
 #include "ibismux/edge/store_check.h"
@@ -65,6 +66,10 @@
   /// Makes all feeds retry at once; called when the store answers for one
   /// collection.
   void retry_feeds();
+  /// Starts to keep the checkpoint of leafs. Precondition: the feeds exist and
+  /// have not started.
+  void start_checkpoint();
+  void recover_leafs();
   void start_gathering();
   void start_rates();
   /// Returns the number of requests in flight, from callers and from peers.
@@ -114,6 +119,7 @@
   std::shared_ptr<feed::CollectionFeed> configuration_feed;
   std::shared_ptr<feed::CollectionFeed> leaf_feed;
   std::vector<std::shared_ptr<feed::CollectionFeed>> feeds;  ///< All of them.
+  std::shared_ptr<LeafRecovery> recovery;  ///< Null without a checkpoint.
   std::optional<Fleet> fleet;
   std::shared_ptr<feed::FeedRelay> relay;
   std::shared_ptr<reports::ReportExchange> reports;
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <utility>
 
+#include "ibismux/checkpoint/checkpoint_writer.h"
+#include "ibismux/edge/contact_slots.h"
 #include "ibismux/edge/edge_daemon_impl.h"
 #include "ibismux/edge/package_settings.h"
 #include "ibismux/quarantine/quarantine_writer.h"
@@ -30,6 +32,11 @@
 // Time that is left for the last answers before the platform kills the process.
 constexpr milliseconds kStopMargin{400};
 
+/// Whether the daemon knows other members and is the first of them.
+bool is_first(const membership::MembershipView& view) {
+  return view.joined && view.serving() > 1 && slot_of(view) == 0;
+}
+
 }  // namespace
 
 std::shared_ptr<feed::CollectionFeed> EdgeDaemon::Impl::make_feed(
@@ -63,6 +70,9 @@
       this->dispatcher.quarantine(), this->log, random_number())
       ->start();
   this->start_rates();
+  if (this->settings.leaf_checkpoint) {
+    this->start_checkpoint();
+  }
   if (!this->fleet) {
     for (const auto& feed : this->feeds) {
       feed->start();
@@ -81,6 +91,32 @@
   this->relay->start(lazy ? first_start_read_delay() : Duration::zero());
 }
 
+void EdgeDaemon::Impl::start_checkpoint() {
+  const TimePoint started = Clock::now();
+  this->recovery = std::make_shared<LeafRecovery>(
+      this->loop(), this->store, this->adapters.checkpoint_collection,
+      this->directory, this->leafs,
+      [this](bool expected) { this->dispatcher.expect_leafs(expected); },
+      this->log, started);
+  const auto state = [this]() -> checkpoint::CheckpointSchedule::State {
+    return {.is_writer = !this->fleet || is_first(*this->fleet->members()),
+            .is_complete = this->directory.is_complete()};
+  };
+  std::make_shared<checkpoint::CheckpointWriter>(
+      this->loop(), this->store, this->adapters.checkpoint_collection,
+      checkpoint::CheckpointWriter::Sources{
+          state, [this] { return this->directory.revision(); },
+          [this] { return running_leafs(this->directory); }},
+      this->log, started)
+      ->start();
+}
+
+void EdgeDaemon::Impl::recover_leafs() {
+  if (this->recovery && this->dispatcher.table() && this->leafs.is_listed()) {
+    this->recovery->start(*this->dispatcher.table());
+  }
+}
+
 void EdgeDaemon::Impl::start_gathering() {
   this->gather_client = std::make_shared<gather::GatherClient>(
       this->loop(), this->fleet->network(), this->log);
--- a/ibismux/edge/leaf_feed.cc
+++ b/ibismux/edge/leaf_feed.cc
@@ -15,11 +15,13 @@
                    const LeafEntryDecoder& decoder,
                    prometheus::Registry& registry,
                    eventlog::EventLog& log,
-                   std::function<void()> on_recovery)
+                   std::function<void()> on_recovery,
+                   std::function<void()> on_listed)
     : directory(directory),
       decoder(decoder),
       log(log),
       on_recovery(std::move(on_recovery)),
+      on_listed(std::move(on_listed)),
       expiry(loop.get_executor()) {
   auto& family = prometheus::BuildCounter()
                      .Name("ibismux_leaf_entries_refused_total")
@@ -41,6 +43,13 @@
   }
   this->directory.replace(entries, Clock::now());
   this->schedule_expiry();
+  this->listed = true;
+  this->on_listed();
+}
+
+void LeafFeed::adopt(const std::vector<directory::LeafEntry>& entries) {
+  this->directory.adopt(entries, Clock::now());
+  this->schedule_expiry();
 }
 
 void LeafFeed::on_change(const store::WatchBatch::Event& event) {
@@ -110,6 +119,7 @@
   this->expiry.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
       this->directory.expire(Clock::now());
+      this->schedule_expiry();
     }
   });
 }
--- a/ibismux/edge/leaf_feed.h
+++ b/ibismux/edge/leaf_feed.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include "ibismux/directory/leaf_directory.h"
 #include "ibismux/edge/adapters.h"
@@ -34,13 +35,22 @@
  public:
   /// @param registry Receives the metric ibismux_leaf_entries_refused_total.
   /// @param on_recovery Called when the registry of leafs answers again.
+  /// @param on_listed Called after each listing.
   /// @param loop, directory, decoder, log Must outlive this.
   LeafFeed(boost::asio::io_context& loop,
            directory::LeafDirectory& directory,
            const LeafEntryDecoder& decoder,
            prometheus::Registry& registry,
            eventlog::EventLog& log,
-           std::function<void()> on_recovery);
+           std::function<void()> on_recovery,
+           std::function<void()> on_listed);
+
+  /// Adds leafs whose entries the registry has lost; see
+  /// `LeafDirectory::adopt()`.
+  void adopt(const std::vector<directory::LeafEntry>& entries);
+
+  /// Whether the leafs have been listed once.
+  [[nodiscard]] bool is_listed() const noexcept { return this->listed; }
 
   void on_listing(const store::Listing& listing) override;
   void on_change(const store::WatchBatch::Event& event) override;
@@ -61,9 +71,11 @@
   const LeafEntryDecoder& decoder;
   eventlog::EventLog& log;
   const std::function<void()> on_recovery;
+  const std::function<void()> on_listed;
   std::array<prometheus::Counter*, directory::kEntryFaultCount> refusals;
   /// The last refused version of each entry, so that each is logged only once.
   std::map<std::string, store::Version> refused_versions;
+  bool listed = false;
   http::Timer expiry;
 };
 
--- a/ibismux/routing/route.h
+++ b/ibismux/routing/route.h
@@ -52,6 +52,14 @@
   [[nodiscard]] bool is_scatter() const noexcept {
     return !this->shards.empty();
   }
+  /// The services that its requests may need.
+  [[nodiscard]] std::vector<std::string> services() const {
+    std::vector<std::string> services = this->shards;
+    for (const WeightedService& target : this->split) {
+      services.push_back(target.service);
+    }
+    return services;
+  }
   [[nodiscard]] bool is_idempotent() const noexcept {
     return this->repeatability == Repeatability::kIdempotent;
   }
--- a/tests/users_platform/edge_site.h
+++ b/tests/users_platform/edge_site.h
@@ -49,7 +49,8 @@
     }
   }
 
-  void start_daemon() {
+  /// @param more Further members of the settings, each after a comma.
+  void start_daemon(const std::string& more = {}) {
     const std::string number = std::to_string(this->daemons.size() + 1);
     this->settings.emplace_back(
         "{\"member\":\"h" + number + "\",\"zone\":\"z" + number +
@@ -61,7 +62,7 @@
         "\"127.0.0.1:" +
         std::to_string(this->platform.port("store")) +
         "\"},\"stop\":{\"limit_s\":9,\"leave_notice_ms\":" +
-        std::to_string(this->leave_notice.count()) + "}}");
+        std::to_string(this->leave_notice.count()) + "}" + more + "}");
     this->daemons.emplace_back(
         "ibismux-edge",
         std::vector<std::string>{"--settings", this->settings.back().name()});
