--- a/tests/checkpoint/leaf_checkpoint_test.cc
+++ b/tests/checkpoint/leaf_checkpoint_test.cc
@@ -48,10 +48,13 @@
       R"({"id":"a","start_ms":1,"seq":1,"address":"10.0.0.1","port":1,)"
       R"("zone":"z","slots":1})";
   cr_assert(decode_leaf_checkpoint(of_service(good)).has_value());
+  std::string twice = good;
+  twice += ',';
+  twice += good;
   for (const std::string& value :
        {std::string(), std::string("[]"), std::string("{}"),
         std::string(R"({"services":[]})"), of_service("3"), of_service("{}"),
-        of_service(good + "," + good),
+        of_service(twice),
         of_service(R"({"id":"","start_ms":1,"seq":1,"address":"10.0.0.1",)"
                    R"("port":1,"zone":"z","slots":1})"),
         of_service(R"({"id":"a","start_ms":-1,"seq":1,"address":"10.0.0.1",)"
--- a/tests/dispatch/start_test.cc
+++ b/tests/dispatch/start_test.cc
@@ -47,6 +47,35 @@
   cr_assert(fixture.outcomes.at("r1").has_value());
 }
 
+// Guards against refusals while the leafs that a registry has lost are read
+// from elsewhere.
+Test(start, a_request_waits_for_leafs_that_are_expected) {
+  Fixture fixture;
+  fixture.starting.set_start_waiters(fixture.waiters);
+  fixture.starting.activate(fixture.dispatcher.table());
+  fixture.starting.on_listing_begin();
+  fixture.starting.on_listing_end();
+  fixture.starting.expect_leafs(true);
+  fixture.begin_at_start("r1");
+  cr_assert(!fixture.outcomes.contains("r1"));
+  fixture.list_leafs();
+  fixture.starting.expect_leafs(false);
+  cr_assert(fixture.run_until([&] { return fixture.outcomes.contains("r1"); }));
+  cr_assert(fixture.outcomes.at("r1").has_value());
+}
+
+// Guards against requests that wait for the leafs of other services.
+Test(start, a_request_whose_leafs_are_known_waits_for_no_others) {
+  Fixture fixture;
+  fixture.starting.set_start_waiters(fixture.waiters);
+  fixture.starting.activate(fixture.dispatcher.table());
+  fixture.list_leafs();
+  fixture.starting.expect_leafs(true);
+  fixture.begin_at_start("r1");
+  cr_assert(fixture.run_until([&] { return fixture.outcomes.contains("r1"); }));
+  cr_assert(fixture.outcomes.at("r1").has_value());
+}
+
 Test(start, without_waiting_a_request_is_refused_at_once) {
   Fixture fixture;
   fixture.begin_at_start("r1");
