leaf_checkpoint_test: a daemon that starts while the store is still away

Cause: the process test covered only a store that answers at the start.

Change: one more daemon starts during an outage of the store; once it is ready, it serves before any entry is back.

Ruled out: a request that is sent while that daemon isn't ready.

--- a/tests/users_platform/leaf_checkpoint_test.cc
+++ b/tests/users_platform/leaf_checkpoint_test.cc
@@ -45,6 +45,17 @@
   cr_assert(query.value().field("X-Missing-Parts") == "0");
   const auto page = site.call("p1", "/page/1", "GET", {}, 5000, with);
   cr_assert(page.value().status == 200);
+  // The store is still away when the next one starts.
+  site.daemon(with).kill();
+  site.fake("PUT", "faults", R"({"outage":true})");
+  site.start_daemon();
+  const std::size_t early = with + 1;
+  cr_assert(site.ready(early).status == 503);
+  site.fake("PUT", "faults", R"({"outage":false})");
+  cr_assert(site.wait_until_ready(early));
+  const auto held = site.call("q3", "/query/1", "GET", {}, 5000, early);
+  cr_assert(held.value().status == 200);
+  cr_assert(held.value().field("X-Missing-Parts") == "0");
 }
 
 }  // namespace
