Mends from the reviews of store outages and overflow

Store outages: one lost answer no longer makes a daemon that the store serves wait for its watcher (data of up to 6 s); the wait is 0.8 s after a second one; the longest pause is 2 s; an answer that comes after peers have sent updates isn't judged any more.

--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -57,7 +57,8 @@
 
 QueryDelegate::Needs delegation_needs(const RequestContext& context) {
   return {.has_customer = !context.request.customer.empty(),
-          .own_zone = context.zones() != nullptr};
+          .stays_in_zone =
+              context.zones() != nullptr || context.attempt_limit() <= 1};
 }
 
 using OutcomeHandler =
--- a/ibismux/dispatch/query_delegate.h
+++ b/ibismux/dispatch/query_delegate.h
@@ -22,8 +22,10 @@
   struct Needs {
     /// It is sent by a customer, which older daemons don't pass on to leafs.
     bool has_customer = false;
-    /// It may only be sent to leafs of some zones, this one among them.
-    bool own_zone = false;
+    /// It stays in this zone: it may only be sent to leafs of some zones, or
+    /// its route allows no further attempt if a peer's confirmation is lost on
+    /// the way.
+    bool stays_in_zone = false;
   };
 
   /// A query and the version of the configuration that routed it.
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -126,7 +126,8 @@
   this->gather_client->start();
   this->dispatcher.set_delegate(*this->gather_client);
   this->gather_host = std::make_shared<gather::GatherHost>(
-      this->loop(), this->fleet->network(), this->dispatcher, this->log);
+      this->loop(), this->fleet->network(), this->dispatcher, this->log,
+      this->settings.gather_overflow);
   this->gather_host->start();
 }
 
@@ -194,6 +195,12 @@
     auto object = co_await this->store.stale_get(
         this->adapters.configuration_collection,
         this->adapters.configuration_name, Clock::now() + kStoreCheckTimeout);
+    if (this->settings.few_probes && this->relay &&
+        !this->relay->follows_store()) {
+      // Peers have sent updates meanwhile.
+      check.on_peer_updates();
+      continue;
+    }
     const bool is_missing =
         !object && object.error().kind == ErrorKind::kNotFound;
     if (object || (is_missing && this->relay && this->relay->is_probing())) {
--- a/ibismux/edge/store_check.cc
+++ b/ibismux/edge/store_check.cc
@@ -15,6 +15,9 @@
 // this long for the updates of the watcher: the watcher needs time to read the
 // store and to become a source that the daemon relies on.
 constexpr milliseconds kWatcherTimeout{2200};
+// The same for a daemon that relied on peers when the outage began: longer than
+// the pause between their messages.
+constexpr milliseconds kProbingWatcherTimeout{800};
 // One read isn't enough, because a very recent change may not have reached the
 // watch yet.
 constexpr int kReadsUntilStalled = 2;
@@ -30,6 +33,7 @@
 
 void StoreCheck::set_recovered() noexcept {
   this->was_lost = false;
+  this->failures = 0;
   this->asks_seldom = false;
   this->recovered_at.reset();
 }
@@ -43,6 +47,7 @@
 
 void StoreCheck::on_failure(bool asks_often) noexcept {
   this->was_lost = true;
+  ++this->failures;
   this->recovered_at.reset();
   this->asks_seldom = this->probes && !asks_often;
   this->pause =
@@ -55,11 +60,14 @@
     this->probes->on_answer();
   }
   if (this->was_lost || answer.any_lost || answer.is_probing) {
-    // A store that answers the first question of a daemon whose peers know
-    // nothing new is away for those peers only.
-    const bool is_away_for_peers = answer.is_probing && !this->was_lost;
+    // A store that answers an early question of a daemon whose peers know
+    // nothing new is away for those peers only; a single answer may be lost.
+    const bool is_away_for_peers = answer.is_probing && this->failures <= 1;
     this->recovered_at = this->recovered_at.value_or(now);
-    const Duration left = remaining(*this->recovered_at + kWatcherTimeout, now);
+    // A daemon that has asked seldom may be late already.
+    const Duration patience =
+        answer.is_probing ? kProbingWatcherTimeout : kWatcherTimeout;
+    const Duration left = remaining(*this->recovered_at + patience, now);
     if (answer.has_watcher && !is_away_for_peers && left > Duration::zero()) {
       this->pause = std::min(this->was_lost ? this->pause : kOutageInterval,
                              std::max<Duration>(left, kOutageInterval));
--- a/ibismux/edge/store_check.h
+++ b/ibismux/edge/store_check.h
@@ -64,6 +64,7 @@
   bool was_lost = false;
   Duration pause{0};         ///< Until the next read while `was_lost`.
   bool asks_seldom = false;  ///< `pause` may exceed the usual interval.
+  int failures = 0;          ///< In a row.
   std::optional<TimePoint> recovered_at;  ///< Set while a watcher is awaited.
   int reads_behind = 0;  ///< Consecutive answers with `is_behind`.
 };
--- a/ibismux/feed/outage_probes.h
+++ b/ibismux/feed/outage_probes.h
@@ -23,7 +23,7 @@
   /// First and longest pause of the others; each waits a random part of it, at
   /// least half.
   static constexpr std::chrono::milliseconds kFirstPause{600};
-  static constexpr std::chrono::milliseconds kMaxPause{4000};
+  static constexpr std::chrono::milliseconds kMaxPause{2000};
 
   /// @param seed Differs between daemons.
   explicit OutageProbes(std::uint64_t seed) : random(seed) {}
--- a/ibismux/gather/forward.h
+++ b/ibismux/gather/forward.h
@@ -9,6 +9,7 @@
 struct GatherRoles;
 class GatherClient;
 class GatherHost;
+class GatherRoom;
 class GathererSelector;
 class OverflowAsks;
 
--- a/ibismux/gather/gather_client.cc
+++ b/ibismux/gather/gather_client.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <utility>
+#include <vector>
 
 #include "ibismux/eventlog/event_log.h"
 #include "ibismux/gather/gather_roles.h"
@@ -43,21 +44,26 @@
 void GatherClient::start() {
   peer::notify_member(this->network, MessageKind::kGatherOffer,
                       this->weak_from_this(), &GatherClient::on_offer);
+  peer::notify_member(this->network, MessageKind::kGatherSpare,
+                      this->weak_from_this(), &GatherClient::on_spare);
   peer::notify_member(this->network, MessageKind::kGatherTaken,
                       this->weak_from_this(), &GatherClient::on_taken);
 }
 
 void GatherClient::on_roles(const GatherRoles& roles) {
-  this->distant_gatherers = {roles.distant_gatherers.begin(),
-                             roles.distant_gatherers.end()};
   this->overflow.set_gatherers(roles.distant_gatherers);
 }
 
 void GatherClient::on_unavailable(const Needs& needs, TimePoint now) {
-  if (needs.own_zone) {
+  if (needs.stays_in_zone) {
     return;
   }
-  for (const std::string& member : this->overflow.on_unavailable(now)) {
+  const std::vector<std::string> asked = this->overflow.on_unavailable(now);
+  if (!asked.empty()) {
+    this->asked_at.clear();
+  }
+  for (const std::string& member : asked) {
+    this->asked_at[member] = now;
     this->network.notify(member, MessageKind::kGatherWanted, "");
   }
 }
@@ -69,9 +75,24 @@
     log_refused(this->log, "gather_offer_refused", from, offer.error());
     return;
   }
-  this->selector.on_offer(
-      from.member, offer->sequence, offer->room, offer->reads_customer,
-      this->distant_gatherers.contains(from.member), Clock::now());
+  this->selector.on_offer(from.member, offer->sequence, offer->room,
+                          offer->reads_customer, Clock::now());
+}
+
+void GatherClient::on_spare(const Incarnation& from,
+                            const std::string& payload) {
+  const auto offer = decode_offer(payload);
+  if (!offer) {
+    log_refused(this->log, "gather_offer_refused", from, offer.error());
+    return;
+  }
+  const auto asked = this->asked_at.find(from.member);
+  if (asked == this->asked_at.end()) {
+    return;
+  }
+  const TimePoint now = Clock::now();
+  this->selector.on_distant_offer(from.member, offer->sequence, offer->room,
+                                  now - asked->second, now);
 }
 
 void GatherClient::on_taken(const Incarnation& from,
@@ -86,7 +107,6 @@
       found == this->pending_queries.end() ? nullptr : found->second.lock();
   if (pending) {
     pending->taken = true;
-    pending->confirmed_after = Clock::now() - pending->sent_at;
     pending->timer.cancel();
     this->network.notify(from.member, MessageKind::kGatherConfirm, payload);
   }
@@ -121,7 +141,8 @@
   const Duration confirm_budget =
       scaled(query.due - now, kConfirmTimeoutFraction);
   const TimePoint confirm_deadline =
-      now + std::min<Duration>(kConfirmTimeout, confirm_budget);
+      now + std::min<Duration>(kConfirmTimeout + selection->round_trip,
+                               confirm_budget);
   co_await wait(pending, confirm_deadline, query.final_deadline);
   caller->on_cancel([] {});
   this->pending_queries.erase(number);
@@ -211,7 +232,7 @@
     this->selector.on_refused(member);
     return {};
   }
-  this->selector.on_taken(member, pending.confirmed_after);
+  this->selector.on_taken(member);
   return {.outcome = std::move(answer->outcome)};
 }
 
--- a/ibismux/gather/gather_client.h
+++ b/ibismux/gather/gather_client.h
@@ -6,7 +6,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "ibismux/base/ids.h"
@@ -66,8 +65,6 @@
         : timer(loop.get_executor()) {}
 
     http::Timer timer;  ///< Cancelled when a member below changes.
-    TimePoint sent_at = Clock::now();
-    Duration confirmed_after{0};  ///< If `taken`.
     bool taken = false;
     bool caller_gone = false;
     std::optional<Result<std::string>> reply;
@@ -94,6 +91,8 @@
                                             const PendingQuery& pending);
   void on_taken(const Incarnation& from, const std::string& payload);
   void on_offer(const Incarnation& from, const std::string& payload);
+  /// An offer of another zone.
+  void on_spare(const Incarnation& from, const std::string& payload);
   void log_failure(std::string_view event,
                    const std::string& member,
                    const Query& query,
@@ -104,7 +103,7 @@
   eventlog::EventLog& log;
   GathererSelector selector;
   OverflowAsks overflow;
-  std::set<std::string> distant_gatherers;
+  std::map<std::string, TimePoint> asked_at;  ///< By member of other zones.
   std::uint64_t last_number = 0;
   std::map<std::uint64_t, std::weak_ptr<PendingQuery>> pending_queries;
 };
--- a/ibismux/gather/gather_host.cc
+++ b/ibismux/gather/gather_host.cc
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include "ibismux/eventlog/event_log.h"
+#include "ibismux/gather/gather_room.h"
 #include "ibismux/gather/log_refused.h"
 #include "ibismux/http/await_timer.h"
 #include "ibismux/http/cancel_token.h"
@@ -24,15 +25,6 @@
 // `GathererSelector::kOfferLifetime` plus the time that a frame may take in
 // transit.
 constexpr milliseconds kOfferAcceptedFor{900};
-// Limit of concurrent queries. Their answers share the link and the processor
-// of this host; beyond this limit the daemons that received the queries gather
-// them faster themselves.
-constexpr std::size_t kMaxQueries = 24;
-// Part of that which daemons of other zones don't get, so that a sudden demand
-// of this zone finds room.
-constexpr std::size_t kReservedForZone = kMaxQueries / 2;
-// Room in one offer to a daemon of another zone: several ask at the same time.
-constexpr std::size_t kMaxDistantRoom = 4;
 // Limit of stored cancellations for queries that have not been read yet.
 constexpr std::size_t kMaxEarlyCancels = 64;
 
@@ -41,11 +33,13 @@
 GatherHost::GatherHost(boost::asio::io_context& loop,
                        peer::PeerNetwork& network,
                        dispatch::QueryGatherer& gatherer,
-                       eventlog::EventLog& log)
+                       eventlog::EventLog& log,
+                       bool serves_other_zones)
     : loop(loop),
       network(network),
       gatherer(gatherer),
       log(log),
+      serves_other_zones(serves_other_zones),
       timer(loop.get_executor()) {}
 
 void GatherHost::start() {
@@ -88,8 +82,7 @@
 void GatherHost::tick() {
   if (this->roles.gathers && !this->draining &&
       this->gatherer.configuration() > 0) {
-    const std::size_t busy = std::min(kMaxQueries, this->running.size());
-    this->send_offers(kMaxQueries - busy);
+    this->send_offers(GatherRoom::near_room(this->running.size()));
   }
   this->timer.expires_after(kOfferInterval);
   http::await_timer(this->timer, this->weak_from_this(), &GatherHost::tick);
@@ -99,46 +92,38 @@
   if (!this->roles.gathers) {
     return;
   }
-  const std::string payload = this->make_offer(room);
+  const std::string payload = this->make_offer(room, false);
   for (const std::string& member : this->roles.served) {
     this->network.notify(member, MessageKind::kGatherOffer, payload);
   }
 }
 
-std::string GatherHost::make_offer(std::size_t room) {
+std::string GatherHost::make_offer(std::size_t room, bool is_distant) {
   const TimePoint now = Clock::now();
-  this->offers.emplace_back(++this->sequence, now);
-  while (now - this->offers.front().second > kOfferAcceptedFor) {
+  this->offers.push_back({++this->sequence, now, is_distant});
+  while (now - this->offers.front().at > kOfferAcceptedFor) {
     this->offers.pop_front();
   }
   return encode(GatherOffer{this->sequence, room, true});
 }
 
 void GatherHost::on_wanted(const Incarnation& from, const std::string&) {
-  const std::size_t room = std::min(kMaxDistantRoom, this->distant_room());
-  if (this->roles.gathers && !this->draining &&
+  const std::size_t room = GatherRoom::distant_room(this->running.size());
+  if (this->serves_other_zones && this->roles.gathers && !this->draining &&
       this->gatherer.configuration() > 0 && room > 0) {
-    this->network.notify(from.member, MessageKind::kGatherOffer,
-                         this->make_offer(room));
+    this->network.notify(from.member, MessageKind::kGatherSpare,
+                         this->make_offer(room, true));
   }
 }
 
-bool GatherHost::is_distant(const std::string& member) const {
-  const auto& served = this->roles.served;
-  return std::find(served.begin(), served.end(), member) == served.end();
-}
-
-std::size_t GatherHost::distant_room() const {
-  const std::size_t used = this->running.size() + kReservedForZone;
-  return kMaxQueries - std::min(kMaxQueries, used);
-}
-
-bool GatherHost::is_recent(std::uint64_t offer, TimePoint now) const {
-  const auto found =
-      std::find_if(this->offers.begin(), this->offers.end(),
-                   [offer](const auto& row) { return row.first == offer; });
-  return found != this->offers.end() &&
-         now - found->second <= kOfferAcceptedFor;
+const GatherHost::SentOffer* GatherHost::recent_offer(std::uint64_t number,
+                                                      TimePoint now) const {
+  const auto found = std::find_if(
+      this->offers.begin(), this->offers.end(),
+      [number](const SentOffer& offer) { return offer.number == number; });
+  return found != this->offers.end() && now - found->at <= kOfferAcceptedFor
+             ? &*found
+             : nullptr;
 }
 
 std::optional<std::string> GatherHost::refusal_reason(const GatherQuery& query,
@@ -147,14 +132,14 @@
   if (this->draining) {
     return "this daemon stops";
   }
-  if (!this->is_recent(query.offer, now)) {
+  const SentOffer* offer = this->recent_offer(query.offer, now);
+  if (!offer) {
     return "the offer is old";
   }
   if (this->gatherer.configuration() != query.configuration) {
     return "another configuration is in force here";
   }
-  if (this->running.size() >= kMaxQueries ||
-      (this->distant_room() == 0 && this->is_distant(key.first))) {
+  if (!GatherRoom::has_room(this->running.size(), offer->is_distant)) {
     return "no room";
   }
   const bool is_cancelled =
--- a/ibismux/gather/gather_host.h
+++ b/ibismux/gather/gather_host.h
@@ -25,7 +25,7 @@
 
 /// Gathers queries for the daemons of the zone that have narrower network
 /// links, and sends them offers to do so. Daemons of other zones get an offer
-/// when they ask, as long as most of this host's room is free.
+/// when they ask, as long as `GatherRoom` leaves some for them.
 ///
 /// A query is taken only if it refers to a recent offer. Frames that a network
 /// partition has delayed arrive when it heals, when their callers have already
@@ -35,11 +35,13 @@
 class GatherHost : public std::enable_shared_from_this<GatherHost> {
  public:
   /// Precondition: the network has not started. All references outlive this
-  /// object.
+  /// object. @param serves_other_zones Whether daemons of other zones get
+  /// offers.
   GatherHost(boost::asio::io_context& loop,
              peer::PeerNetwork& network,
              dispatch::QueryGatherer& gatherer,
-             eventlog::EventLog& log);
+             eventlog::EventLog& log,
+             bool serves_other_zones);
 
   /// Registers the message handlers and starts sending offers. Call once,
   /// before the network starts.
@@ -62,6 +64,12 @@
   /// number.
   using Key = std::pair<std::string, std::uint64_t>;
 
+  struct SentOffer {
+    std::uint64_t number = 0;
+    TimePoint at;
+    bool is_distant = false;  ///< Made to a daemon of another zone.
+  };
+
   struct Running {
     std::shared_ptr<dispatch::Confirmation> confirmation;
     std::shared_ptr<http::CancelToken> cancelled;
@@ -70,7 +78,7 @@
   void tick();
   void send_offers(std::size_t room);
   /// Registers an offer. @return Its payload.
-  [[nodiscard]] std::string make_offer(std::size_t room);
+  [[nodiscard]] std::string make_offer(std::size_t room, bool is_distant);
   void on_wanted(const Incarnation& from, const std::string& payload);
   [[nodiscard]] static Task<Result<std::string>> serve(
       std::shared_ptr<GatherHost> self,
@@ -79,11 +87,9 @@
   /// Why a query is refused, or nothing if it is taken.
   [[nodiscard]] std::optional<std::string>
   refusal_reason(const GatherQuery& query, const Key& key, TimePoint now) const;
-  [[nodiscard]] bool is_recent(std::uint64_t offer, TimePoint now) const;
-  /// Whether queries of this member are those of another zone.
-  [[nodiscard]] bool is_distant(const std::string& member) const;
-  /// Room for queries of other zones.
-  [[nodiscard]] std::size_t distant_room() const;
+  /// The offer with this number, or null if it is not recent.
+  [[nodiscard]] const SentOffer* recent_offer(std::uint64_t number,
+                                              TimePoint now) const;
   void on_confirm(const Incarnation& from, const std::string& payload);
   void on_cancel(const Incarnation& from, const std::string& payload);
   void on_lost(const std::string& member);
@@ -92,12 +98,12 @@
   peer::PeerNetwork& network;
   dispatch::QueryGatherer& gatherer;
   eventlog::EventLog& log;
+  const bool serves_other_zones;
   http::Timer timer;
   GatherRoles roles;
   bool draining = false;
   std::uint64_t sequence = 0;
-  /// Sequence numbers and times of the recent offers, the newest last.
-  std::deque<std::pair<std::uint64_t, TimePoint>> offers;
+  std::deque<SentOffer> offers;  ///< The recent ones, the newest last.
   std::map<Key, Running> running;
   std::deque<Key> cancelled_early;  ///< Cancelled before the query was read.
 };
--- a/ibismux/gather/gather_roles.cc
+++ b/ibismux/gather/gather_roles.cc
@@ -25,7 +25,8 @@
         member.link_mbps > 0) {
       roles.served.push_back(member.name);
     }
-    if (!roles.gathers && !is_near && is_wide) {
+    if (!roles.gathers && !is_near && is_wide &&
+        member.link_mbps >= own->link_mbps * membership::kWideLinkRatio) {
       roles.distant_gatherers.push_back(member.name);
     }
   }
--- a/ibismux/gather/gather_roles.h
+++ b/ibismux/gather/gather_roles.h
@@ -15,8 +15,9 @@
   bool gathers = false;
   /// Members of its zone that have narrower network links.
   std::vector<std::string> served;
-  /// Members of other zones that gather, and may be asked for offers; only for
-  /// a daemon that doesn't gather itself and reports its link's bandwidth.
+  /// Members of other zones that gather, with links much wider than this
+  /// daemon's, which it may ask for offers; empty if it gathers itself or
+  /// doesn't report the bandwidth of its link.
   std::vector<std::string> distant_gatherers;
   /// Number of daemons, in all zones, that gather for others.
   std::size_t gatherers = 0;
--- a/ibismux/gather/gatherer_selector.cc
+++ b/ibismux/gather/gatherer_selector.cc
@@ -17,23 +17,33 @@
                                 std::uint64_t sequence,
                                 std::size_t room,
                                 bool reads_customer,
-                                bool is_distant,
                                 TimePoint now) {
   Gatherer& gatherer = this->gatherers[member];
   gatherer.offer = sequence;
   gatherer.room = room;
   gatherer.reads_customer = reads_customer;
-  gatherer.is_distant = is_distant;
+  gatherer.is_distant = false;
   gatherer.offered_at = now;
   this->remove_stale(now);
 }
 
+void GathererSelector::on_distant_offer(const std::string& member,
+                                        std::uint64_t sequence,
+                                        std::size_t room,
+                                        Duration round_trip,
+                                        TimePoint now) {
+  this->on_offer(member, sequence, room, true, now);
+  Gatherer& gatherer = this->gatherers[member];
+  gatherer.is_distant = true;
+  gatherer.round_trip.add(round_trip);
+}
+
 bool GathererSelector::is_eligible(const Gatherer& gatherer,
                                    const Needs& needs,
                                    TimePoint now) {
   return gatherer.room > 0 &&
          (gatherer.reads_customer || !needs.has_customer) &&
-         !(gatherer.is_distant && needs.own_zone) &&
+         !(gatherer.is_distant && needs.stays_in_zone) &&
          now - gatherer.offered_at <= kOfferLifetime &&
          now >= gatherer.backoff_until;
 }
@@ -71,11 +81,8 @@
       gatherer.is_distant ? gatherer.round_trip.value() : Duration::zero()};
 }
 
-void GathererSelector::on_taken(const std::string& member,
-                                Duration confirmed_after) {
-  Gatherer& gatherer = this->gatherers[member];
-  gatherer.backoff = Duration::zero();
-  gatherer.round_trip.add(confirmed_after);
+void GathererSelector::on_taken(const std::string& member) {
+  this->gatherers[member].backoff = Duration::zero();
 }
 
 void GathererSelector::on_refused(const std::string& member) {
--- a/ibismux/gather/gatherer_selector.h
+++ b/ibismux/gather/gatherer_selector.h
@@ -40,14 +40,20 @@
   /// @param room How many more queries the peer takes; 0 withdraws the offer.
   /// @param reads_customer Whether the peer passes the customer of a query on
   /// to leafs.
-  /// @param is_distant Whether the peer is in another zone.
   void on_offer(const std::string& member,
                 std::uint64_t sequence,
                 std::size_t room,
                 bool reads_customer,
-                bool is_distant,
                 TimePoint now);
 
+  /// The same of a peer in another zone, which reads customers.
+  /// @param round_trip Time from the question to this offer.
+  void on_distant_offer(const std::string& member,
+                        std::uint64_t sequence,
+                        std::size_t room,
+                        Duration round_trip,
+                        TimePoint now);
+
   /// Returns the peer that gathers the next query, which counts as in flight
   /// there until `on_end()`, or nothing if the query is to be gathered here.
   /// Peers of other zones are selected only if there is none of this zone.
@@ -57,8 +63,7 @@
 
   /// @name Results of a query
   /// @{
-  /// @param confirmed_after Time until the peer reported that it took it.
-  void on_taken(const std::string& member, Duration confirmed_after);
+  void on_taken(const std::string& member);
   /// The peer refused the query; it is skipped until its next offer.
   void on_refused(const std::string& member);
   /// The peer did not report in time that it took the query, or the request to
@@ -73,15 +78,15 @@
   static constexpr std::chrono::milliseconds kInitialBackoff{500};
   static constexpr std::chrono::milliseconds kMaxBackoff{4000};
 
-  // The round trip is averaged over about this many queries.
-  static constexpr int kAveragedQueries = 8;
+  // The round trip is averaged over about this many offers.
+  static constexpr int kAveragedOffers = 8;
 
   struct Gatherer {
     std::uint64_t offer = 0;
     std::size_t room = 0;
     bool reads_customer = false;
     bool is_distant = false;
-    MovingAverage round_trip{kAveragedQueries};
+    MovingAverage round_trip{kAveragedOffers};
     TimePoint offered_at = TimePoint::min();
     std::size_t in_flight = 0;
     Duration backoff{0};
--- a/ibismux/membership/wide_links.cc
+++ b/ibismux/membership/wide_links.cc
@@ -11,10 +11,6 @@
 
 namespace {
 
-// Times the zone's median. Handing work over costs a hop, which a link that is
-// only a little wider does not make up for.
-constexpr double kMuchWider = 3;
-
 double median_width(const std::vector<const Member*>& members) {
   std::vector<double> widths;
   widths.reserve(members.size());
@@ -38,7 +34,7 @@
   }
   std::set<std::string, std::less<>> wide;
   for (const auto& [zone, members] : zones) {
-    const double least = median_width(members) * kMuchWider;
+    const double least = median_width(members) * kWideLinkRatio;
     for (const Member* member : members) {
       if (member->link_mbps >= least) {
         wide.insert(member->name);
--- a/ibismux/membership/wide_links.h
+++ b/ibismux/membership/wide_links.h
@@ -9,6 +9,11 @@
 
 namespace ibismux::membership {
 
+/// A link is wide if it is at least this many times as wide as others. Handing
+/// work over costs a hop, which a link that is only a little wider does not
+/// make up for.
+inline constexpr double kWideLinkRatio = 3;
+
 /// Members that serve and whose network link is several times as wide as the
 /// median of their zone: work that fills a link is theirs. None where all are
 /// alike, or don't say how wide their links are. Views that agree give the same
--- a/ibismux/peer/peer_network.h
+++ b/ibismux/peer/peer_network.h
@@ -26,7 +26,8 @@
   kGatherTaken = 9,  ///< A query has come, and is being gathered.
   kGatherConfirm = 11,  ///< The sender knows that its query was taken.
   kGatherCancel = 10,   ///< Nobody waits for a query any more.
-  kGatherWanted = 12,   ///< The sender asks for a kGatherOffer.
+  kGatherWanted = 12,   ///< The sender asks another zone for kGatherSpare.
+  kGatherSpare = 13,    ///< An offer to a daemon of another zone.
   // Request and response.
   kProbe = 16,
   kIndirectProbe = 17,
