--- a/ibismux/checkpoint/checkpoint_schedule.cc
+++ b/ibismux/checkpoint/checkpoint_schedule.cc
@@ -1,7 +1,15 @@
 #include "ibismux/checkpoint/checkpoint_schedule.h"
 
+#include <algorithm>
+
 namespace ibismux::checkpoint {
 
+void CheckpointSchedule::on_state(const State& state, TimePoint now) noexcept {
+  if (!state.is_complete) {
+    this->not_before = std::max(this->not_before, now + kMinInterval);
+  }
+}
+
 void CheckpointSchedule::on_stored(TimePoint now) noexcept {
   this->changed = false;
   this->not_before = now + kMinInterval;
--- a/ibismux/checkpoint/checkpoint_schedule.h
+++ b/ibismux/checkpoint/checkpoint_schedule.h
@@ -31,6 +31,10 @@
   explicit CheckpointSchedule(TimePoint started) noexcept
       : not_before(started + kMinInterval) {}
 
+  /// To be called with each check. Nothing is written within `kMinInterval`
+  /// after an incomplete state either: leafs may be writing their entries
+  /// again.
+  void on_state(const State& state, TimePoint now) noexcept;
   /// A leaf was added or removed, or its address has changed.
   void on_change() noexcept { this->changed = true; }
   /// The object in the store holds what this daemon knows.
--- a/ibismux/checkpoint/checkpoint_writer.cc
+++ b/ibismux/checkpoint/checkpoint_writer.cc
@@ -46,9 +46,11 @@
       self->schedule.on_change();
     }
     const CheckpointSchedule::State state = self->sources.state();
+    self->schedule.on_state(state, Clock::now());
     if (!state.is_writer) {
       // Another daemon may write from now on.
       self->stored.reset();
+      self->schedule.on_change();
     }
     if (!self->schedule.is_due(state, Clock::now())) {
       continue;
--- a/ibismux/checkpoint/lost_leafs.cc
+++ b/ibismux/checkpoint/lost_leafs.cc
@@ -21,10 +21,11 @@
     std::size_t listed = 0;
   };
   std::map<std::string, Count> by_service;
+  for (const directory::LeafEntry& entry : listed) {
+    ++by_service[entry.service].listed;
+  }
   for (const directory::LeafEntry& entry : checkpoint.leafs) {
-    Count& count = by_service[entry.service];
-    ++count.all;
-    count.listed += listed_ids.contains(entry.run.id) ? 1 : 0;
+    ++by_service[entry.service].all;
   }
   std::vector<directory::LeafEntry> lost;
   for (const directory::LeafEntry& entry : checkpoint.leafs) {
--- a/ibismux/customers/rate_limiter.cc
+++ b/ibismux/customers/rate_limiter.cc
@@ -329,11 +329,15 @@
       (pause != this->unreachable_until.end() && pause->second > now)) {
     co_return std::nullopt;
   }
+  const bool has_full_time = deadline >= now + kAskTimeout;
   const auto answer = co_await this->network->request(
       owner, MessageKind::kRateRequest, encode(request),
-      std::min(deadline, now + kAskTimeout));
+      has_full_time ? now + kAskTimeout : deadline);
   if (!answer) {
-    this->on_unreachable(owner, answer.error().message);
+    // An owner that had less time than it may take is not taken for lost.
+    if (has_full_time || answer.error().kind != ErrorKind::kDeadlineExceeded) {
+      this->on_unreachable(owner, answer.error().message);
+    }
     co_return std::nullopt;
   }
   const auto reply = decode_rate_reply(*answer);
--- a/ibismux/directory/leaf_directory.cc
+++ b/ibismux/directory/leaf_directory.cc
@@ -30,6 +30,11 @@
 
 void LeafDirectory::adopt(const std::vector<LeafEntry>& entries,
                           TimePoint now) {
+  const TimePoint removal_at =
+      std::min(now, this->available_since.value_or(now)) + kReregistrationTime;
+  if (removal_at <= now) {
+    return;
+  }
   this->listener.on_listing_begin();
   for (const LeafEntry& entry : entries) {
     if (this->was_removed(entry) ||
@@ -37,8 +42,8 @@
       continue;
     }
     this->tombstones.erase(entry.run.id);
-    this->missing.insert_or_assign(
-        entry.run.id, Missing{now + kReregistrationTime, Cause::kAdopted});
+    this->missing.insert_or_assign(entry.run.id,
+                                   Missing{removal_at, Cause::kAdopted});
     ++this->changes;
     this->listener.on_leaf_updated(entry);
   }
@@ -93,6 +98,7 @@
 }
 
 void LeafDirectory::registry_lost() {
+  this->available_since.reset();
   this->registry_is_down = true;
 }
 
@@ -118,10 +124,13 @@
   if (this->registry_is_down) {
     return;
   }
+  this->available_since = since;
   this->grace_period_end = since + kReregistrationTime;
   for (auto& [id, row] : this->missing) {
     if (row.cause == Cause::kOutage) {
       row.removal_at = this->grace_period_end;
+    } else if (row.cause != Cause::kLaterRun) {
+      row.removal_at = std::min(row.removal_at, this->grace_period_end);
     }
   }
 }
--- a/ibismux/directory/leaf_directory.h
+++ b/ibismux/directory/leaf_directory.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -79,7 +80,8 @@
   ///
   /// Each is kept until its entry arrives, its removal is reported, or
   /// `kReregistrationTime` has passed; a listing that lacks it doesn't remove
-  /// it sooner. An outage of the registry extends that time once. Known leafs
+  /// it sooner. An outage of the registry extends that time once. Nothing is
+  /// added if the registry has been available for that long. Known leafs
   /// are left out, and those that were removed lately unless `entries` has a
   /// newer entry of them.
   void adopt(const std::vector<LeafEntry>& entries, TimePoint now);
@@ -161,6 +163,8 @@
   std::deque<std::string> tombstone_order;  ///< The same ids, oldest first.
   std::uint64_t changes = 0;
   bool registry_is_down = false;
+  /// See `registry_available_since()`, if it was called since the last outage.
+  std::optional<TimePoint> available_since;
   /// Running leafs have registered again by this time.
   TimePoint grace_period_end = TimePoint::min();
 };
--- a/ibismux/dispatch/dispatch_policy.h
+++ b/ibismux/dispatch/dispatch_policy.h
@@ -5,7 +5,8 @@
 
 /// Switches for the mechanisms that decide when and where calls are sent. Each
 /// can be switched off to measure its effect at a site, or because it makes
-/// wrong decisions there. All are on by default; docs/design/decisions.md lists
+/// wrong decisions there. All but
+/// `wait_for_token` and `pace_returns` are on by default; docs/design/decisions.md lists
 /// the measured effect of each.
 struct DispatchPolicy {
   /// Hedges a call that takes longer than usual by sending it to a second leaf.
@@ -47,10 +48,10 @@
   bool late_requests_last = true;
   /// Lets a request that is beyond its customer's limit wait for a token that
   /// comes in time for it. No effect without limits of customers.
-  bool wait_for_token = true;
+  bool wait_for_token = false;
   /// Tells refused callers of a customer a later time to return, the longer the
   /// customer has been beyond its limit. No effect without limits of customers.
-  bool pace_returns = true;
+  bool pace_returns = false;
   /// Lets requests wait for what a daemon lacks after its start.
   bool hold_at_start = true;
   /// Keeps the leafs that run in the store, for daemons that start while the
--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -305,6 +305,7 @@
                              context->final_deadline,
                              is_late,
                              context->request.message->body.size()};
+  check.request = context->request.id;
   const auto grant = co_await this->rates->admit(std::move(check));
   if (!grant) {
     co_return tl::unexpected(grant.error());
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -103,7 +103,8 @@
       this->log, started);
   const auto state = [this]() -> checkpoint::CheckpointSchedule::State {
     return {.is_writer = !this->fleet || is_first(*this->fleet->members()),
-            .is_complete = this->directory.is_complete()};
+            .is_complete =
+                this->leafs.is_listed() && this->directory.is_complete()};
   };
   std::make_shared<checkpoint::CheckpointWriter>(
       this->loop(), this->store, this->adapters.checkpoint_collection,
--- a/tests/checkpoint/checkpoint_schedule_test.cc
+++ b/tests/checkpoint/checkpoint_schedule_test.cc
@@ -44,6 +44,19 @@
   cr_assert(fixture.is_due());
 }
 
+// Guards against replacing the last good state just after an outage, when some
+// leafs have written their entries again.
+Test(checkpoint_schedule, nothing_is_written_just_after_an_incomplete_state) {
+  Fixture fixture;
+  fixture.now += 2 * kInterval;
+  fixture.schedule.on_change();
+  fixture.schedule.on_state({.is_writer = true, .is_complete = false},
+                            fixture.now);
+  cr_assert(!fixture.is_due());
+  fixture.now += kInterval;
+  cr_assert(fixture.is_due());
+}
+
 // Guards against replacing the last good state during an outage.
 Test(checkpoint_schedule, only_the_writer_writes_and_only_complete_states) {
   Fixture fixture;
--- a/tests/directory/leaf_directory_test.cc
+++ b/tests/directory/leaf_directory_test.cc
@@ -267,6 +267,25 @@
   cr_assert(fixture.directory.is_complete());
 }
 
+// Guards against calls to leafs that have left, at a daemon whose peers know
+// that the registry has lost nothing.
+Test(adopted_leafs, are_not_added_while_the_registry_has_long_been_available) {
+  Fixture fixture;
+  fixture.directory.registry_available_since(fixture.now -
+                                             std::chrono::hours(1));
+  fixture.directory.adopt({leaf("gone")}, fixture.now);
+  cr_assert(!fixture.listener.known.contains("gone"));
+}
+
+// The same, if the peers tell it after the adoption.
+Test(adopted_leafs, go_when_peers_tell_that_the_registry_was_available) {
+  AdoptedFixture fixture;
+  fixture.directory.registry_available_since(fixture.now -
+                                             std::chrono::hours(1));
+  fixture.directory.expire(fixture.now);
+  cr_assert(!fixture.knows_x());
+}
+
 Test(adopted_leafs, stay_when_their_entries_arrive) {
   AdoptedFixture fixture;
   fixture.directory.put(fixture.x, fixture.now);
--- a/tests/edge/package_settings_test.cc
+++ b/tests/edge/package_settings_test.cc
@@ -10,6 +10,8 @@
 // Guards against switches of policies that operators set in vain.
 Test(package_settings, policies_of_limits_reach_the_limiter) {
   EdgeSettings settings;
+  settings.wait_for_token = true;
+  settings.pace_returns = true;
   cr_assert(rate_settings(settings).wait_for_token);
   cr_assert(rate_settings(settings).pace_returns);
   settings.wait_for_token = false;
