--- a/ibismux/dispatch/dispatch_policy.h
+++ b/ibismux/dispatch/dispatch_policy.h
@@ -6,8 +6,8 @@
 /// Switches for the mechanisms that decide when and where calls are sent. Each
 /// can be switched off to measure its effect at a site, or because it makes
 /// wrong decisions there. All but
-/// `wait_for_token` and `pace_returns` are on by default; docs/design/decisions.md lists
-/// the measured effect of each.
+/// `wait_for_token` and `pace_returns` are on by default;
+/// docs/design/decisions.md lists the measured effect of each.
 struct DispatchPolicy {
   /// Hedges a call that takes longer than usual by sending it to a second leaf.
   bool hedge = true;
