gather: an offer of another zone that comes long after the question is ignored

GatherClient believed kGatherSpare however old it was, and took the time since its question for the way, which then shortened the time of queries to that host.

Change: it is ignored once an offer would have expired.

--- a/ibismux/gather/gather_client.cc
+++ b/ibismux/gather/gather_client.cc
@@ -86,11 +86,13 @@
     log_refused(this->log, "gather_offer_refused", from, offer.error());
     return;
   }
+  const TimePoint now = Clock::now();
   const auto asked = this->asked_at.find(from.member);
-  if (asked == this->asked_at.end()) {
+  // An answer that was held up on the way says nothing of the room now.
+  if (asked == this->asked_at.end() ||
+      now - asked->second > GathererSelector::kOfferLifetime) {
     return;
   }
-  const TimePoint now = Clock::now();
   this->selector.on_distant_offer(from.member, offer->sequence, offer->room,
                                   now - asked->second, now);
 }
--- a/tests/gather/gather_exchange_test.cc
+++ b/tests/gather/gather_exchange_test.cc
@@ -181,6 +181,20 @@
             "%zu", taken);
 }
 
+// Guards against an offer that was held up on the way and counts as fresh.
+Test(gather_exchange, an_offer_that_comes_long_after_the_question_is_ignored) {
+  DistantFixture fixture;
+  fixture.cluster.hold("wide", "weak");
+  fixture.client->on_unavailable({}, Clock::now());
+  const TimePoint late =
+      Clock::now() + GathererSelector::kOfferLifetime + milliseconds(50);
+  fixture.run_until([late] { return Clock::now() > late; });
+  fixture.cluster.deliver_held("wide", "weak");
+  const TimePoint end = Clock::now() + milliseconds(50);
+  fixture.run_until([end] { return Clock::now() > end; });
+  cr_assert(!fixture.client->is_available({}, Clock::now()));
+}
+
 Test(gather_exchange, a_host_may_serve_its_own_zone_only) {
   DistantFixture fixture(false);
   cr_assert(!fixture.gets_an_offer());
