--- a/review/store.py
+++ b/review/store.py
@@ -18,6 +18,8 @@
         self.objects = {}       # (kind, name) -> object
         self.changed = threading.Condition()
         self.listings = []      # what stale listings were answered with
+        self.lost_share = 0.0   # share of the answers that are lost now
+        self.lost = []          # (time, call) of those
         self.server = http.server.ThreadingHTTPServer(
             ("127.0.0.1", 0), handler_of(self))
         self.server.daemon_threads = True
@@ -133,6 +135,16 @@
             else:
                 status, value = store.read(
                     parts[1], "".join(parts[2:3]), query)
+            with store.changed:
+                lost = store.random.random() < store.lost_share
+            if lost:
+                # The connection returns nothing further.
+                store.lost.append((time.monotonic(), self.command + " " +
+                                   self.path))
+                while self.rfile.read(1):
+                    pass
+                self.close_connection = True
+                return
             text = json.dumps(value).encode()
             self.send_response(status)
             self.send_header("Content-Type", "application/json")
