--- a/review/3/run.py
+++ b/review/3/run.py
@@ -16,17 +16,21 @@
 from store import Store  # noqa: E402
 
 SEED = int(os.environ.get("SEED", "1"))
-SHARDS = {"bay-diag": 10, "parts-counter": 15}
-SINGLE = {"editor-desk": 5, "member-portal": 3}
-DAEMONS = 7
+# As at mcbs-treaty.
+SHARDS = {"claims-desk": 10, "cedent-portal": 15}
+SINGLE = {"ledger-recon": 11, "audit-trail": 5}
+DAEMONS = 6
 LOST_SHARE = 0.1      # the site file has 0.35
 LOST_S = 4.5          # as in the site file
 DRAIN_S = 3.0         # DrainMs
 STABILITY_S = 4.0     # StabilityWindowMs
 SERVES_ON_S = 12.0    # DrainMs "and a little longer (at times many seconds)"
-RELEASE_GAP_S = 0.5
+RELEASE_SHARE = 0.45  # as in the site file
+RELEASE_GAP_S = 0.8   # as in the site file
+HEARTBEAT_S = 1.2     # HeartbeatMs
+WARMUP_MS = 3000      # the site file's cold_s
 SETTLED_S = 8.0
-RELEASE_S = 24.0
+RELEASE_S = 26.0
 
 
 def run(site, trouble):
@@ -36,16 +40,26 @@
     farm = Farm(site)
     names = [f"{base}-{i}" for base, n in SHARDS.items() for i in range(n)]
     counts = {**{name: 3 for name in names}, **SINGLE}
-    specs = {}
+    specs, servers = {}, {}
 
-    def add_leaf(service, zone):
+    def add_leaf(service, zone, warmup_ms=0):
         leaf_id = f"i-{rng.randrange(1 << 32):08x}"
-        server, port = farm.add(leaf_id)
+        servers[leaf_id], port = farm.add(leaf_id)
         specs[leaf_id] = {
             "Service": service, "Address": f"127.0.0.1:{port}", "Zone": zone,
-            "Version": "v1", "Slots": 4, "State": "ready", "WarmupLeftMs": 0,
-            "Seq": 1}
+            "Version": "v1", "Slots": 2, "State": "ready",
+            "WarmupLeftMs": warmup_ms, "Seq": 1}
         store.put("servers", leaf_id, specs[leaf_id])
+        return leaf_id
+
+    def warm_up(leaf_id):
+        """The heartbeats of a new leaf, as long as they change its entry."""
+        spec = specs[leaf_id]
+        while spec["WarmupLeftMs"] > 0:
+            time.sleep(HEARTBEAT_S)
+            left = max(0, spec["WarmupLeftMs"] - int(HEARTBEAT_S * 1000))
+            spec = {**spec, "WarmupLeftMs": left, "Seq": spec["Seq"] + 1}
+            store.put("servers", leaf_id, spec)
 
     for service, count in counts.items():
         for i in range(count):
@@ -53,12 +67,12 @@
     shards = {base: [f"{base}-{i}" for i in range(n)]
               for base, n in SHARDS.items()}
     routes = [
-        route("torque", "/torque/", "idempotent", Gather=shards["bay-diag"],
+        route("loss", "/loss/", "idempotent", Gather=shards["claims-desk"],
               TopK=10, MinCoverage=0.89),
-        route("parts", "/parts/", "idempotent", Gather=shards["parts-counter"],
-              TopK=5, MinCoverage=0.75),
-        route("manual", "/manual/", "idempotent", Service="editor-desk"),
-        route("portal", "/portal/", "idempotent", Service="member-portal")]
+        route("renewal", "/renewal/", "idempotent",
+              Gather=shards["cedent-portal"], TopK=5, MinCoverage=0.75),
+        route("recon", "/recon/", "idempotent", Service="ledger-recon"),
+        route("audit", "/audit/", "idempotent", Service="audit-trail")]
     store.put("config", "main", configuration(2, routes, list(counts)))
 
     stop, failures = threading.Event(), []
@@ -66,7 +80,7 @@
     def consume(number, port):
         consumer, count = Consumer(port), 0
         while not stop.is_set():
-            for prefix in ("torque", "parts", "manual", "portal"):
+            for prefix in ("loss", "renewal", "recon", "audit"):
                 count += 1
                 request_id = f"edge{number}-{count}"
                 answer = consumer.ask(request_id, f"/{prefix}/{count}")
@@ -94,18 +108,21 @@
     if trouble:
         threading.Timer(1.0, lose, (LOST_SHARE,)).start()
         threading.Timer(1.0 + LOST_S, lose, (0.0,)).start()
-    for leaf_id in rng.sample(sorted(specs), len(specs)):
-        now = time.monotonic() - began
-        if now > RELEASE_S:
+    replaced = rng.sample(sorted(specs), int(RELEASE_SHARE * len(specs)))
+    for leaf_id in replaced:
+        if time.monotonic() - began > RELEASE_S:
             break
         old = specs[leaf_id]
-        add_leaf(old["Service"], old["Zone"])
+        fresh = add_leaf(old["Service"], old["Zone"], WARMUP_MS)
+        threading.Thread(target=warm_up, args=(fresh,), daemon=True).start()
         specs[leaf_id] = {**old, "State": "draining", "Seq": 2}
         farm.draining[leaf_id] = store.put("servers", leaf_id, specs[leaf_id])
         site.note(f"DRAINING {leaf_id} of {old['Service']} in {old['Zone']}")
         for other, since in list(farm.draining.items()):
-            if time.monotonic() - since > SERVES_ON_S:
+            if other in servers and time.monotonic() - since > SERVES_ON_S:
+                farm.end(other, servers.pop(other))
                 store.delete("servers", other)
+                site.note(f"ENDED {other}")
         time.sleep(RELEASE_GAP_S)
     time.sleep(DRAIN_S + 1)
     stop.set()
--- a/review/farm.py
+++ b/review/farm.py
@@ -11,6 +11,7 @@
 
     def __init__(self, site):
         self.site, self.runs, self.draining = site, [], {}
+        self.writers = {}  # of the connections, by leaf
         self.loop = asyncio.new_event_loop()
         threading.Thread(target=self.loop.run_forever, daemon=True).start()
 
@@ -18,12 +19,21 @@
         return asyncio.run_coroutine_threadsafe(
             self.listen(leaf_id), self.loop).result(5)
 
+    def end(self, leaf_id, server):
+        """The leaf ends: it takes no connections, and its own are closed."""
+        def close():
+            server.close()
+            for writer in self.writers.get(leaf_id, []):
+                writer.close()
+        self.loop.call_soon_threadsafe(close)
+
     async def listen(self, leaf_id):
         server = await asyncio.start_server(
             lambda r, w: self.serve(leaf_id, r, w), "127.0.0.1", 0)
         return server, server.sockets[0].getsockname()[1]
 
     async def serve(self, leaf_id, reader, writer):
+        self.writers.setdefault(leaf_id, []).append(writer)
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
