--- a/review/1/run.py
+++ b/review/1/run.py
@@ -63,7 +63,7 @@
             request_id = f"c{number}-{i}"
             answer = consumer.ask(request_id, f"/page/{number}/{i}")
             status = answer.status if answer else "closed"
-            site.note(f"ANSWER to {request_id}: {status} "
+            site.note(f"SENT {request_id} /page/{number}/{i} ANSWER {status} "
                       f"id={answer.get('X-Request-Id') if answer else ''} "
                       f"stamp={answer.get('X-Server-Stamp') if answer else ''}")
             if answer and 200 <= status < 300:
--- a/review/3/run.py
+++ b/review/3/run.py
@@ -84,10 +84,11 @@
                 count += 1
                 request_id = f"edge{number}-{count}"
                 answer = consumer.ask(request_id, f"/{prefix}/{count}")
-                if not answer or answer.status != 200:
+                status = answer.status if answer else "closed"
+                site.note(f"SENT {request_id} /{prefix}/{count} "
+                          f"ANSWER {status}")
+                if status != 200:
                     failures.append(request_id)
-                    site.note(f"ANSWER to {request_id}: "
-                              f"{answer.status if answer else 'closed'}")
             time.sleep(0.05)
 
     for number in range(DAEMONS):
@@ -127,6 +128,7 @@
     time.sleep(DRAIN_S + 1)
     stop.set()
     time.sleep(0.5)
+    site.note_runs(farm.runs)
     for when, call in store.lost:
         site.note(f"LOST the answer to {call}, "
                   f"{when - began:.2f} s after the release began")
--- a/review/deployment.py
+++ b/review/deployment.py
@@ -37,7 +37,13 @@
     def note(self, line):
         with self.lock:
             self.record.write(f"{time.monotonic() - self.began:8.3f} {line}\n")
-            self.record.flush()
+
+    def note_runs(self, runs):
+        """Notes what leafs ran: (when, leaf, request id)."""
+        with self.lock:
+            for when, leaf_id, request_id in runs:
+                self.record.write(f"{when - self.began:8.3f} RUN {request_id} "
+                                  f"leaf={leaf_id}\n")
 
     def start(self, name, command, environment=None):
         if not pathlib.Path(command[0]).exists():
@@ -118,6 +124,8 @@
         for process in self.processes:
             process.wait()
         self.temporary.cleanup()
+        with self.lock:
+            self.record.flush()
 
 
 def route(name, prefix, kind, **more):
