--- a/review/deployment.py
+++ b/review/deployment.py
@@ -279,12 +279,19 @@
 
 def main(folder, run):
     """Calls `run(site, trouble)`, which says whether the rule was broken."""
-    trouble = os.environ.get("TROUBLE", "1") != "0"
+    trouble = os.environ["TROUBLE"] != "0"
     site = Site(folder)
+    site.note("with the disruption" if trouble else "TROUBLE=0: without it")
+
+    def stop(*_):
+        raise CouldNotRun("ended from outside")
+
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
     try:
         broken = run(site, trouble)
         result = BROKEN if broken else HELD
-    except (CouldNotRun, OSError, KeyError, ValueError) as error:
+    except Exception as error:  # Python's own exit code for these is 1.
         site.note(f"could not run: {error!r}")
         print(f"could not run: {error!r}")
         result = COULD_NOT_RUN
