http: a late answer without a length no longer answers the next request

Cause: ClientConnection asked `is_answer` only in on_bytes(), where the parser has completed a response. A response without a length is completed in on_read() by the end of the connection, and went to the caller unasked. If the leaf kept the connection open, the request waited for its deadline instead.

Ruled out: late answers as such.

Change: the test is made once the head is complete. A late answer that ends with its connection fails the exchange at once (kLeafUnavailable, execution unknown), so that what may be repeated goes to another leaf.

--- a/ibismux/http/client_connection.cc
+++ b/ibismux/http/client_connection.cc
@@ -257,14 +257,18 @@
                         "bad response: " + step.message);
     return;
   }
-  if (step.state == ParseState::kDone &&
-      (!this->is_answer || this->is_answer(this->response))) {
+  const bool is_done = step.state == ParseState::kDone;
+  // A response that ends with the connection is tested by its head: the server
+  // may keep the connection open until the deadline.
+  const bool is_late = (is_done || this->parser.ends_by_close()) &&
+                       this->is_answer && !this->is_answer(this->response);
+  if (is_done && !is_late) {
     this->on_response(this->filled > 0);
     return;
   }
   std::copy_n(this->input.data() + step.consumed, this->filled,
               this->input.data());
-  if (step.state == ParseState::kDone) {
+  if (is_late) {
     this->on_late_response();
     return;
   }
--- a/ibismux/http/parser.cc
+++ b/ibismux/http/parser.cc
@@ -271,8 +271,7 @@
       this->impl->start();
       continue;
     }
-    if (step.state != ParseState::kFailed && parser.is_header_done() &&
-        !parser.is_done() && parser.need_eof() &&
+    if (step.state != ParseState::kFailed && this->ends_by_close() &&
         !this->impl->may_end_by_close) {
       step.state = ParseState::kFailed;
       step.message = "response without a length";
@@ -282,16 +281,20 @@
 }
 
 bool ResponseParser::finish() {
-  auto& parser = *this->impl->parser;
-  if (!this->impl->may_end_by_close || !parser.is_header_done() ||
-      !parser.need_eof()) {
+  if (!this->impl->may_end_by_close || !this->ends_by_close()) {
     return false;
   }
+  auto& parser = *this->impl->parser;
   error_code error;
   parser.put_eof(error);
   return !error && parser.is_done();
 }
 
+bool ResponseParser::ends_by_close() const noexcept {
+  const auto& parser = *this->impl->parser;
+  return parser.is_header_done() && !parser.is_done() && parser.need_eof();
+}
+
 bool ResponseParser::keep_alive() const noexcept {
   return this->impl->parser->keep_alive();
 }
--- a/ibismux/http/parser.h
+++ b/ibismux/http/parser.h
@@ -66,7 +66,11 @@
   /// complete by that. Precondition: started, and not yet done or failed.
   [[nodiscard]] bool finish();
 
-  /// Whether the connection stays open. Precondition: done.
+  /// Whether the head is complete and the body ends with the connection.
+  /// Precondition: started.
+  [[nodiscard]] bool ends_by_close() const noexcept;
+
+  /// Whether the connection stays open. Precondition: the head is complete.
   [[nodiscard]] bool keep_alive() const noexcept;
 
  private:
--- a/tests/http/client_faults_test.cc
+++ b/tests/http/client_faults_test.cc
@@ -73,7 +73,7 @@
       1, [&text](tcp::socket& socket) { ScriptedServer::say(socket, text); });
   IoPool pool(1);
   pool.start();
-  TestClient client(pool, server.port, max_body);
+  TestClient client(pool, server.port, {.max_body = max_body});
   const auto answer = client.send(Request{});
   return answer ? make_error(ErrorKind::kInternal, "a response")
                 : answer.error();
@@ -83,6 +83,48 @@
   return error.kind == kind && error.execution == execution;
 }
 
+/// Sends requests that each name themselves, and takes only answers to them.
+class NamedRequests {
+ public:
+  NamedRequests(IoPool& pool, std::uint16_t port)
+      : client(pool, port, {.body_may_end_by_close = true}) {}
+
+  Result<Response> send(const std::string& id, std::string method = "GET") {
+    Request request;
+    request.method = std::move(method);
+    return this->client.send(
+        std::move(request), soon(),
+        [id](const Response& response) { return response.field("Id") == id; });
+  }
+
+ private:
+  TestClient client;
+};
+
+/// The answer to request `id`, with the length in its head or without.
+std::string answer_to(const std::string& id, bool has_length) {
+  return "HTTP/1.1 200 OK\r\nId: " + id + "\r\n" +
+         (has_length ? "Content-Length: 4\r\n\r\n" : "\r\n") + "to " + id;
+}
+
+/// The error of a request behind which the server sends the answer to the
+/// request before it a second time, without a length.
+/// @param then What the server does before it closes.
+Error error_behind_late_answer(const std::function<void(tcp::socket&)>& then) {
+  ScriptedServer server(1, [&then](tcp::socket& socket) {
+    ScriptedServer::say(socket, answer_to("a", true));
+    ScriptedServer::read_request(socket);
+    ScriptedServer::say(socket, answer_to("a", false));
+    then(socket);
+  });
+  IoPool pool(1);
+  pool.start();
+  NamedRequests client(pool, server.port);
+  cr_assert(client.send("a")->body == "to a");
+  const auto next = client.send("b");
+  return next ? make_error(ErrorKind::kInternal, "a response") : next.error();
+}
+
 void close_soon(TestClient& client) {
   boost::asio::post(client.pool.at(0),
                     [connection = client.connection] { connection->close(); });
@@ -173,6 +215,34 @@
   cr_assert(!client.usable());
 }
 
+// Failure: a caller gets the answer to another's request, which the server
+// sends again, late and without a length.
+Test(http_client_faults, late_answer_without_a_length_is_not_the_next_one) {
+  const Error error = error_behind_late_answer([](tcp::socket&) {});
+  cr_assert(is(error, ErrorKind::kLeafUnavailable, Execution::kUnknown));
+}
+
+// Failure: a caller waits until its deadline behind an answer that isn't its
+// own and that ends with a connection which the server keeps open.
+Test(http_client_faults, late_answer_without_an_end_fails_the_next_at_once) {
+  const Error error = error_behind_late_answer(ScriptedServer::wait_for_close);
+  cr_assert(is(error, ErrorKind::kLeafUnavailable, Execution::kUnknown));
+}
+
+Test(http_client_faults, own_answer_without_a_length_is_taken) {
+  ScriptedServer server(1, [](tcp::socket& socket) {
+    ScriptedServer::say(socket, answer_to("a", true));
+    ScriptedServer::read_request(socket);
+    ScriptedServer::say(socket, answer_to("a", true));
+    ScriptedServer::say(socket, answer_to("b", false));
+  });
+  IoPool pool(1);
+  pool.start();
+  NamedRequests client(pool, server.port);
+  cr_assert(client.send("a").has_value());
+  cr_assert(client.send("b")->body == "to b");
+}
+
 // Failure: a reservation ends as "outcome unknown" that no leaf ever saw.
 Test(http_client_faults, close_not_yet_seen_hands_over_no_byte) {
   std::promise<void> may_close;
--- a/tests/http/harness.h
+++ b/tests/http/harness.h
@@ -67,18 +67,20 @@
 /// A `ClientConnection` that is used, and destroyed, on the pool's first loop.
 class TestClient {
  public:
-  TestClient(IoPool& pool, std::uint16_t port, std::size_t max_body = 1 << 24)
+  TestClient(IoPool& pool,
+             std::uint16_t port,
+             ClientOptions options = {.max_body = 1 << 24})
       : pool(pool),
-        connection(std::make_shared<ClientConnection>(
-            "127.0.0.1",
-            port,
-            ClientOptions{.max_body = max_body})) {}
+        connection(
+            std::make_shared<ClientConnection>("127.0.0.1", port, options)) {}
   ~TestClient() { run(this->pool, drop(std::move(this->connection))); }
 
   /// Connects where there is need, and sends.
-  Result<Response> send(Request request, TimePoint deadline = soon()) {
-    return run(this->pool,
-               exchange(this->connection, std::move(request), deadline));
+  Result<Response> send(Request request,
+                        TimePoint deadline = soon(),
+                        ClientConnection::AnswerTest is_answer = nullptr) {
+    return run(this->pool, exchange(this->connection, std::move(request),
+                                    deadline, std::move(is_answer)));
   }
 
   /// Sends with a deadline that is set once the connection stands, on its own
@@ -106,7 +108,8 @@
   static Task<Result<Response>> exchange(
       std::shared_ptr<ClientConnection> connection,
       Request request,
-      TimePoint deadline) {
+      TimePoint deadline,
+      ClientConnection::AnswerTest is_answer) {
     if (!connection->usable()) {
       auto connected = co_await connection->connect(deadline);
       if (!connected) {
@@ -114,7 +117,8 @@
       }
     }
     const auto shared = std::make_shared<const Request>(std::move(request));
-    co_return co_await connection->exchange(shared, deadline);
+    co_return co_await connection->exchange(shared, deadline,
+                                            std::move(is_answer));
   }
 
   static Task<Result<Response>> exchange_within(
