feed: a lost answer to a watch no longer hides changes until the watch ends

Cause: while a watch is pending, the daemon reads config/main once a second and compares its version alone. The answer counted as a contact with the store for all collections, and the zone's other daemons relied on it. A watch whose answer was lost stayed pending for its 25 s and 2 s of grace.

Ruled out: entries that were read and not used (the version stood still); peers that passed on too little (watcher and follower were equally old); a dead connection (the store keeps it open, so keep-alives are answered).

Change: with each check every other collection that is watched is asked for the changes after the newest version seen, without waiting and at the price of a stale read (ObjectStore::stale_changes). Changes are applied at once; a watch that is still pending at the next check is replaced. A collection for which three checks in a row got no answer isn't current, and no answer for another collection is a contact then. Lost collections aren't checked: the daemon decides when a store that has recovered is read.

Tried and changed within this commit: asking from the known version.

--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -207,6 +207,12 @@
     if (object || (is_missing && this->relay && this->relay->is_probing())) {
       const store::Version version = object ? object->version : 0;
       this->act_on(check.on_answer(this->compare(version), Clock::now()));
+      // The configuration's version tells nothing about other collections.
+      for (const auto& feed : this->feeds) {
+        if (feed != this->configuration_feed) {
+          feed->check_watch(Clock::now() + kStoreCheckTimeout);
+        }
+      }
     } else if (!is_missing) {
       check.on_failure(!this->relay || this->relay->asks_often());
       this->report_store_lost(object.error().message);
--- a/ibismux/feed/collection_feed.cc
+++ b/ibismux/feed/collection_feed.cc
@@ -89,12 +89,58 @@
 
 void CollectionFeed::restart() {
   ++this->round;
+  this->pending_watch = 0;
   asio::co_spawn(this->loop, run(this->shared_from_this(), this->round),
                  asio::detached);
 }
 
 void CollectionFeed::suspend() {
   ++this->round;
+  this->pending_watch = 0;
+}
+
+void CollectionFeed::check_watch(TimePoint deadline) {
+  // A lost collection is read again anyway, at a time that the daemon chooses.
+  if (this->is_lost || this->pending_watch == 0) {
+    return;
+  }
+  if (this->overdue_watch == this->pending_watch) {
+    this->log.event(eventlog::Weight::kBelief, "watch_stalled")
+        .with("collection", this->known.name())
+        .with("version", store::version_text(this->known.version()));
+    this->current = false;
+    this->restart();
+    return;
+  }
+  ++this->unanswered_checks;
+  asio::co_spawn(this->loop, run_check(this->shared_from_this(), deadline),
+                 asio::detached);
+}
+
+Task<void> CollectionFeed::run_check(std::shared_ptr<CollectionFeed> self,
+                                     TimePoint deadline) {
+  const WatchNumber watch = self->pending_watch;
+  // Asking from the known version would fail as soon as the store has dropped
+  // the history of a collection that rarely changes.
+  const store::Version since =
+      std::max(self->known.version(), self->unchanged_until);
+  auto changes =
+      co_await self->store.stale_changes(self->known.name(), since, deadline);
+  if (!changes || self->pending_watch != watch) {
+    co_return;
+  }
+  if (changes->compacted) {
+    self->overdue_watch = watch;
+    co_return;
+  }
+  self->unanswered_checks = 0;
+  if (changes->events.empty()) {
+    self->unchanged_until = changes->version;
+    co_return;
+  }
+  self->overdue_watch = watch;
+  self->apply(update_of(self->known.name(), self->known.version(),
+                        *std::move(changes)));
 }
 
 Task<void> CollectionFeed::run(std::shared_ptr<CollectionFeed> self,
@@ -128,9 +174,7 @@
                      : self->store.list(self->known.name(), deadline);
   auto listing = co_await std::move(reading);
   if (!listing) {
-    self->listeners.on_store_failure();
-    self->report_lost(listing.error().message);
-    co_await pause(self, self->next_pause(listing.error()));
+    co_await on_failure(self, std::move(listing.error()));
     co_return false;
   }
   if (may_be_stale) {
@@ -153,12 +197,15 @@
   const store::Version since = self->known.version();
   // The store answers a watch at once if it holds anything newer.
   self->current = true;
+  const WatchNumber watch = ++self->last_watch;
+  self->pending_watch = watch;
   auto batch = co_await self->store.watch(self->known.name(), since,
                                           self->settings.watch_wait);
+  if (self->pending_watch == watch) {
+    self->pending_watch = 0;
+  }
   if (!batch) {
-    self->listeners.on_store_failure();
-    self->report_lost(batch.error().message);
-    co_await pause(self, self->next_pause(batch.error()));
+    co_await on_failure(self, std::move(batch.error()));
     // Read the complete collection instead of resuming the watch at its
     // version. A store that closed its watches because it dropped their history
     // may accept the same watch again without sending the dropped changes, and
@@ -186,6 +233,13 @@
   co_return true;
 }
 
+Task<void> CollectionFeed::on_failure(std::shared_ptr<CollectionFeed> self,
+                                      Error error) {
+  self->listeners.on_store_failure();
+  self->report_lost(error.message);
+  co_await pause(self, self->next_pause(error));
+}
+
 Task<void> CollectionFeed::pause(std::shared_ptr<CollectionFeed> self,
                                  Duration time) {
   self->pause_timer.expires_after(time);
@@ -245,6 +299,7 @@
 
 void CollectionFeed::store_answered() {
   this->failures = 0;
+  this->unanswered_checks = 0;
   this->current = true;
   this->report_regained("store");
   this->listeners.on_store_contact();
--- a/ibismux/feed/collection_feed.h
+++ b/ibismux/feed/collection_feed.h
@@ -75,6 +75,14 @@
   /// received during that time, even after it has recovered.
   void restart();
 
+  /// Asks the store for changes that the pending watch should have delivered,
+  /// and applies them: the answer to a watch may be lost while the store
+  /// answers other calls. A watch that delivers nothing until the next check
+  /// although the store holds a change is replaced, after a complete read. Does
+  /// nothing unless a watch is pending.
+  /// @param deadline Of the question to the store.
+  void check_watch(TimePoint deadline);
+
   /// Stops calling the store because peers send updates. If a pending watch is
   /// answered later, its answer is still applied.
   void suspend();
@@ -92,7 +100,15 @@
 
   /// Whether the known state comes from a current read of the store, rather
   /// than a possibly stale one, or is being watched.
-  [[nodiscard]] bool is_current() const noexcept { return this->current; }
+  [[nodiscard]] bool is_current() const noexcept {
+    return this->current && this->is_confirmed();
+  }
+
+  /// Whether the store has answered a call of this feed, or one of the last
+  /// checks of its watch.
+  [[nodiscard]] bool is_confirmed() const noexcept {
+    return this->unanswered_checks <= kMaxUnansweredChecks;
+  }
 
   /// Whether the known state may be out of date because the last call failed or
   /// no peer sends updates.
@@ -109,12 +125,26 @@
   }
 
  private:
+  /// Identifies a watch; 0 is none.
+  using WatchNumber = std::uint64_t;
+
+  /// One lost answer says nothing about the watch; several in a row leave the
+  /// known state unconfirmed.
+  static constexpr int kMaxUnansweredChecks = 2;
+
   /// Follows the store until a later round starts.
   [[nodiscard]] static Task<void> run(std::shared_ptr<CollectionFeed> self,
                                       std::uint64_t round);
   [[nodiscard]] static Task<bool> read_all(
       std::shared_ptr<CollectionFeed> self);
   [[nodiscard]] static Task<bool> follow(std::shared_ptr<CollectionFeed> self);
+  /// Reports that a call failed, and waits for the next attempt.
+  [[nodiscard]] static Task<void> on_failure(
+      std::shared_ptr<CollectionFeed> self,
+      Error error);
+  [[nodiscard]] static Task<void> run_check(
+      std::shared_ptr<CollectionFeed> self,
+      TimePoint deadline);
   /// Waits for `time`, or until `retry_now()`.
   [[nodiscard]] static Task<void> pause(std::shared_ptr<CollectionFeed> self,
                                         Duration time);
@@ -136,6 +166,13 @@
   bool current = false;
   std::uint64_t round = 0;
   std::uint32_t failures = 0;
+  WatchNumber last_watch = 0;
+  WatchNumber pending_watch = 0;
+  /// A watch that was pending while the store held a newer change.
+  WatchNumber overdue_watch = 0;
+  /// The store held no change between the known version and this one.
+  store::Version unchanged_until = 0;
+  int unanswered_checks = 0;  ///< In a row.
   /// Pause before the next read that follows a watch whose history was
   /// compacted.
   Duration compacted_pause{0};
--- a/ibismux/feed/feed_relay.cc
+++ b/ibismux/feed/feed_relay.cc
@@ -118,14 +118,14 @@
 
 void FeedRelay::on_store_contact() {
   // An answer for one collection says nothing about another collection whose
-  // last call failed and which is still out of date. If the answer counted as a
+  // last calls failed and which may be out of date. If the answer counted as a
   // contact, peers would rely on an old configuration for as long as the other
   // collection's watch continues: when the store rejects a part of the hosts,
   // some of them would still refuse routes five seconds after their addition.
   bool all_current = true;
   for (const auto& feed : this->feeds) {
+    all_current = all_current && !feed->lost() && feed->is_confirmed();
     if (feed->lost()) {
-      all_current = false;
       feed->retry_now();
     }
   }
--- a/ibismux/store/http_object_store.cc
+++ b/ibismux/store/http_object_store.cc
@@ -36,6 +36,15 @@
                                             std::string collection,
                                             PartRequest part,
                                             TimePoint deadline);
+  /// Reads the answer to a question for the changes after `since`.
+  /// @param oldest The answer must not be of an earlier version.
+  [[nodiscard]] Result<WatchBatch> read_changes(
+      const std::string& collection,
+      Version since,
+      Version oldest,
+      const StoreAnswer& answer) const;
+  /// A batch that says that the history after `since` is gone.
+  [[nodiscard]] static WatchBatch compacted_batch(Version since);
   /// Sends a write on the condition that the object is at `expected`.
   static Task<Result<StoreAnswer>> conditional_write(Self self,
                                                      http::Request request,
@@ -155,11 +164,8 @@
     // again but quiet would leave the other calls refused meanwhile.
     wait = std::chrono::milliseconds::zero();
   }
-  WatchBatch gone;
-  gone.version = since;
-  gone.compacted = true;
   if (this->impl->calls->is_of_earlier_era(since)) {
-    co_return gone;
+    co_return Impl::compacted_batch(since);
   }
   auto request =
       this->impl->dialect->watch(collection, revision_of(since), wait);
@@ -168,20 +174,60 @@
   if (!answer) {
     co_return tl::unexpected(answer.error());
   }
+  co_return this->impl->read_changes(collection, since, since, *answer);
+}
+
+Task<Result<WatchBatch>> HttpObjectStore::stale_changes(std::string collection,
+                                                        Version since,
+                                                        TimePoint deadline) {
+  if (this->impl->calls->is_of_earlier_era(since)) {
+    co_return Impl::compacted_batch(since);
+  }
+  auto request =
+      this->impl->dialect->stale_changes(collection, revision_of(since));
+  const auto answer = co_await StoreExchange::timed_call(
+      this->impl->calls, CallKind::kRead, std::move(request), deadline);
+  if (!answer) {
+    co_return tl::unexpected(answer.error());
+  }
+  WatchBatch nothing_newer;
+  nothing_newer.version = since;
+  if (answer->era < era_of(since)) {
+    co_return nothing_newer;
+  }
+  auto batch = this->impl->read_changes(collection, since, 0, *answer);
+  if (batch && batch->version < since) {
+    co_return nothing_newer;
+  }
+  co_return batch;
+}
+
+WatchBatch HttpObjectStore::Impl::compacted_batch(Version since) {
+  WatchBatch gone;
+  gone.version = since;
+  gone.compacted = true;
+  return gone;
+}
+
+Result<WatchBatch> HttpObjectStore::Impl::read_changes(
+    const std::string& collection,
+    Version since,
+    Version oldest,
+    const StoreAnswer& answer) const {
   // A store that was restored takes a watch up once it has given out the
   // revision again, and tells nothing of what it holds instead of the lost.
-  if (answer->response.status == kGoneStatus || answer->era != era_of(since)) {
-    co_return gone;
+  if (answer.response.status == kGoneStatus || answer.era != era_of(since)) {
+    return compacted_batch(since);
   }
-  auto batch = this->impl->dialect->read_watch(collection, revision_of(since),
-                                               answer->response);
+  auto batch = this->dialect->read_watch(collection, revision_of(oldest),
+                                         answer.response);
   if (batch) {
-    batch->version = make_version(answer->era, batch->version);
+    batch->version = make_version(answer.era, batch->version);
     for (WatchBatch::Event& event : batch->events) {
-      set_era(answer->era, event.object);
+      set_era(answer.era, event.object);
     }
   }
-  co_return batch;
+  return batch;
 }
 
 Task<Result<std::vector<HostEntry>>> HttpObjectStore::hosts(
--- a/ibismux/store/http_object_store.h
+++ b/ibismux/store/http_object_store.h
@@ -57,6 +57,10 @@
       TimePoint deadline) override;
   [[nodiscard]] Task<Result<Listing>> stale_list(std::string collection,
                                                  TimePoint deadline) override;
+  [[nodiscard]] Task<Result<WatchBatch>> stale_changes(
+      std::string collection,
+      Version since,
+      TimePoint deadline) override;
   [[nodiscard]] Task<Result<StoredObject>> stale_get(
       std::string collection,
       std::string name,
--- a/ibismux/store/object_store.h
+++ b/ibismux/store/object_store.h
@@ -52,6 +52,14 @@
                                                          TimePoint deadline) {
     return this->list(std::move(collection), deadline);
   }
+  /// The same of the changes after `since`, without waiting for one. State that
+  /// is older than `since` gives an empty batch of that version.
+  [[nodiscard]] virtual Task<Result<WatchBatch>>
+  stale_changes(std::string collection, Version since, TimePoint deadline) {
+    (void)deadline;
+    return this->watch(std::move(collection), since,
+                       std::chrono::milliseconds::zero());
+  }
   /// @}
 
   /// @name Conditional writes
--- a/ibismux/store/store_dialect.h
+++ b/ibismux/store/store_dialect.h
@@ -64,6 +64,11 @@
                                                  std::string_view after) const {
     return this->list(collection, after);
   }
+  /// The same of the changes after `since`, without waiting for one.
+  [[nodiscard]] virtual http::Request stale_changes(std::string_view collection,
+                                                    Version since) const {
+    return this->watch(collection, since, std::chrono::milliseconds::zero());
+  }
   /// @}
 
   /// @name Answers with status 200
--- a/tests/feed/collection_feed_test.cc
+++ b/tests/feed/collection_feed_test.cc
@@ -71,9 +71,11 @@
     ++this->watches;
     if (this->never_answers_watches) {
       boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
-                                      kLimit);
+                                      this->silence);
       co_await timer.async_wait(
           boost::asio::as_tuple(boost::asio::use_awaitable));
+      ++this->ended_watches;
+      co_return fail(ErrorKind::kPlatformUnavailable, "no response");
     }
     if (this->compacts_history) {
       boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
@@ -94,9 +96,27 @@
     co_return batch;
   }
 
+  Task<Result<store::WatchBatch>> stale_changes(std::string collection,
+                                                store::Version since,
+                                                TimePoint) override {
+    ++this->checks;
+    this->checked_from = since;
+    if (this->fails_checks) {
+      co_return fail(ErrorKind::kPlatformUnavailable, "no response");
+    }
+    auto batch = co_await MemoryObjectStore::watch(
+        std::move(collection), since, std::chrono::milliseconds::zero());
+    co_return batch;
+  }
+
   bool never_answers_watches = false;
-  bool fails_lists = false;       ///< Reads of the current state fail.
-  bool compacts_history = false;  ///< Watches find their history compacted.
+  bool fails_checks = false;
+  Duration silence = kLimit;  ///< Until a watch without an answer fails.
+  int ended_watches = 0;      ///< Those without an answer.
+  int checks = 0;
+  store::Version checked_from = 0;  ///< By the last check.
+  bool fails_lists = false;         ///< Reads of the current state fail.
+  bool compacts_history = false;    ///< Watches find their history compacted.
   int watch_failures = 0;
   int watches = 0;
   int lists = 0;
@@ -122,18 +142,28 @@
   ~Fixture() { this->feed->suspend(); }
 
   void put(const std::string& name, const std::string& value) {
-    store::Version expected = 0;
-    const auto at = this->versions.find(name);
-    if (at != this->versions.end()) {
-      expected = at->second;
-    }
+    store::Version& version = this->versions[name];
+    version = this->write("config", name, value, version);
+  }
+
+  /// Writes an object of another collection.
+  void put_elsewhere() { this->write("another", "main", "1", 0); }
+
+  /// Returns the new version.
+  store::Version write(const std::string& collection,
+                       const std::string& name,
+                       const std::string& value,
+                       store::Version expected) {
     boost::asio::io_context own;
+    store::Version written = 0;
     boost::asio::co_spawn(
-        own, this->store.put("config", name, value, expected, TimePoint::max()),
+        own,
+        this->store.put(collection, name, value, expected, TimePoint::max()),
         [&](std::exception_ptr, Result<store::Version> version) {
-          this->versions[name] = version.value();
+          written = version.value();
         });
     own.run();
+    return written;
   }
 
   /// Applies a change of "main" that a peer has sent.
@@ -186,6 +216,99 @@
       [&] { return fixture.observer.objects["main"] == "2"; }));
 }
 
+/// A feed whose watch is pending and will never be answered.
+struct SilentWatch : Fixture {
+  SilentWatch() {
+    this->store.never_answers_watches = true;
+    cr_assert(this->run_until([this] {
+      return this->store.watches > 0 && this->feed->is_current();
+    }));
+  }
+
+  /// Checks the watch, and waits for the store's answer.
+  void check() {
+    const int before = this->store.checks;
+    this->feed->check_watch(TimePoint::max());
+    cr_assert(this->run_until([&] { return this->store.checks > before; }));
+  }
+};
+
+// Guards against changes that stay unknown because the answer to a watch was
+// lost.
+Test(collection_feed, a_check_brings_the_changes_of_a_lost_answer) {
+  SilentWatch fixture;
+  fixture.put("main", "2");
+  fixture.check();
+  cr_assert(fixture.run_until(
+      [&] { return fixture.observer.objects["main"] == "2"; }));
+}
+
+// Guards against a watch that is never answered and stays pending.
+Test(collection_feed, a_watch_that_misses_a_change_is_replaced) {
+  SilentWatch fixture;
+  fixture.put("main", "2");
+  fixture.check();
+  fixture.store.never_answers_watches = false;
+  fixture.feed->check_watch(TimePoint::max());
+  cr_assert(fixture.run_until([&] { return fixture.store.watches == 2; }));
+  cr_assert(fixture.store.lists == 1);
+  fixture.put("main", "3");
+  cr_assert(fixture.run_until(
+      [&] { return fixture.observer.objects["main"] == "3"; }));
+}
+
+Test(collection_feed, a_watch_without_changes_is_kept) {
+  SilentWatch fixture;
+  for (int i = 0; i < 10; ++i) {
+    fixture.check();
+  }
+  cr_assert(fixture.store.watches == 1 && fixture.store.lists == 0);
+  cr_assert(fixture.feed->is_current());
+}
+
+// Guards against reading a collection again that rarely changes: the store
+// drops the history since its last change.
+Test(collection_feed, checks_ask_from_the_newest_version_they_have_seen) {
+  SilentWatch fixture;
+  const store::Version known = fixture.feed->mirror().version();
+  fixture.put_elsewhere();
+  fixture.check();
+  fixture.check();
+  cr_assert(fixture.store.checked_from > known);
+  cr_assert(fixture.feed->mirror().version() == known);
+  fixture.put("main", "2");
+  fixture.check();
+  cr_assert(fixture.run_until(
+      [&] { return fixture.observer.objects["main"] == "2"; }));
+}
+
+// Guards against a state that is vouched for although no call confirms it.
+Test(collection_feed, a_watch_whose_checks_fail_is_not_current) {
+  SilentWatch fixture;
+  fixture.store.fails_checks = true;
+  fixture.check();
+  cr_assert(fixture.feed->is_current());
+  while (fixture.store.checks < 10) {
+    fixture.check();
+  }
+  cr_assert(!fixture.feed->is_current());
+  fixture.store.fails_checks = false;
+  fixture.check();
+  cr_assert(fixture.run_until([&] { return fixture.feed->is_current(); }));
+}
+
+// Guards against a load spike: a store that has recovered is read when the
+// daemon says so, not by each feed for itself.
+Test(collection_feed, a_lost_collection_is_not_checked) {
+  SilentWatch fixture;
+  fixture.feed->report_lost("down");
+  fixture.put("main", "2");
+  for (int i = 0; i < 3; ++i) {
+    fixture.feed->check_watch(TimePoint::max());
+  }
+  cr_assert(fixture.store.checks == 0 && fixture.store.lists == 0);
+}
+
 Test(collection_feed, a_suspended_feed_stops_calling_the_store) {
   Fixture fixture;
   cr_assert(fixture.run_until([&] { return fixture.store.watches > 0; }));
--- a/tests/store/malformed_answer_test.cc
+++ b/tests/store/malformed_answer_test.cc
@@ -44,6 +44,9 @@
   Error get() {
     return run_task(this->store->get("c", "n", deadline())).error();
   }
+  Result<WatchBatch> stale_changes(Version since) {
+    return run_task(this->store->stale_changes("c", since, deadline()));
+  }
 
  private:
   static TimePoint deadline() { return Clock::now() + testing::kTestLimit; }
@@ -98,5 +101,13 @@
   }
 }
 
+// Guards against a watch that is replaced because a read replica lags.
+Test(malformed_answer, an_older_state_has_no_changes) {
+  const http::Response older = response(200, R"({"version":4,"events":[]})");
+  const auto changes = FixedAnswer(older).stale_changes(5);
+  cr_assert(changes->version == 5 && changes->events.empty());
+  cr_assert(!changes->compacted);
+}
+
 }  // namespace
 }  // namespace ibismux::store
--- a/tests/users_platform/edge_process_test.cc
+++ b/tests/users_platform/edge_process_test.cc
@@ -150,6 +150,21 @@
   }));
 }
 
+// Guards against calls to leafs that have left, because the store's answer to
+// the watch of the leafs was lost while its other answers arrive.
+Test(edge_process, a_watch_that_is_never_answered_hides_no_change_of_leafs) {
+  EdgeSite site;
+  cr_assert(site.wait_until_ready());
+  cr_assert(site.call("p1", "/page/1").value().status == 200);
+  site.fake("PUT", "faults", R"({"silent_watch":true})");
+  site.fake("PUT", "leafs", R"({"service":"desk","draining":true})");
+  cr_assert(wait_until(
+      [&site] { return site.call("p2", "/page/1").value().status == 503; }));
+  site.fake("PUT", "leafs", R"({"service":"desk","restart":true})");
+  cr_assert(wait_until(
+      [&site] { return site.call("p3", "/page/1").value().status == 200; }));
+}
+
 Test(edge_process, a_planned_stop_cuts_no_request) {
   EdgeSite site;
   cr_assert(site.wait_until_ready());
--- a/tests/users_platform/objects_dialect_test.cc
+++ b/tests/users_platform/objects_dialect_test.cc
@@ -29,6 +29,8 @@
             "/objects/servers?after=i-7&Serializable=1");
   cr_assert(kDialect.stale_get("config", "main").target ==
             "/objects/config/main?Serializable=1");
+  cr_assert(kDialect.stale_changes("servers", 7).target ==
+            "/objects/servers?Watch=7&WaitMs=0&Serializable=1");
   cr_assert(kDialect.remove("k", "n", 7).target == "/objects/k/n?Revision=7");
 }
 
