feed: a failure of a watch that a restart has overtaken is not reported

Callers' requests could go to leafs that had been removed for two seconds longer: a feed that replaces a watch leaves the old one pending. When that one ended, up to 27 s later, the feed reported the store as lost, and entries that were missing then counted as lapsed in an outage instead of removed.

Cause: read_all() and follow() reported failures whatever round they belonged to. Ruled out: that the failure tells of an outage that nobody else sees; the later round has calls of its own.

Change: a failure, or a history that is gone, concerns the feed only if it belongs to the current round. Answers with changes are applied as before.

--- a/ibismux/feed/collection_feed.cc
+++ b/ibismux/feed/collection_feed.cc
@@ -150,11 +150,11 @@
   bool is_complete = false;
   while (self->round == round) {
     if (is_complete) {
-      const bool is_still_complete = co_await follow(self);
+      const bool is_still_complete = co_await follow(self, round);
       is_complete = is_still_complete;
       continue;
     }
-    const bool succeeded = co_await read_all(self);
+    const bool succeeded = co_await read_all(self, round);
     is_complete = succeeded;
     if (succeeded && std::exchange(self->is_first_read, false)) {
       co_await pause(self, self->settings.first_watch_delay);
@@ -166,7 +166,8 @@
   }
 }
 
-Task<bool> CollectionFeed::read_all(std::shared_ptr<CollectionFeed> self) {
+Task<bool> CollectionFeed::read_all(std::shared_ptr<CollectionFeed> self,
+                                    std::uint64_t round) {
   const bool may_be_stale = self->known.version() == 0;
   const TimePoint deadline = Clock::now() + kListTimeout;
   auto reading = may_be_stale
@@ -174,7 +175,7 @@
                      : self->store.list(self->known.name(), deadline);
   auto listing = co_await std::move(reading);
   if (!listing) {
-    co_await on_failure(self, std::move(listing.error()));
+    co_await on_failure(self, round, std::move(listing.error()));
     co_return false;
   }
   if (may_be_stale) {
@@ -193,7 +194,8 @@
   co_return true;
 }
 
-Task<bool> CollectionFeed::follow(std::shared_ptr<CollectionFeed> self) {
+Task<bool> CollectionFeed::follow(std::shared_ptr<CollectionFeed> self,
+                                  std::uint64_t round) {
   const store::Version since = self->known.version();
   // The store answers a watch at once if it holds anything newer.
   self->current = true;
@@ -205,7 +207,7 @@
     self->pending_watch = 0;
   }
   if (!batch) {
-    co_await on_failure(self, std::move(batch.error()));
+    co_await on_failure(self, round, std::move(batch.error()));
     // Read the complete collection instead of resuming the watch at its
     // version. A store that closed its watches because it dropped their history
     // may accept the same watch again without sending the dropped changes, and
@@ -214,6 +216,9 @@
     co_return false;
   }
   self->store_answered();
+  if (batch->compacted && self->round != round) {
+    co_return false;
+  }
   if (batch->compacted) {
     self->log.event(eventlog::Weight::kBelief, "store_history_gone")
         .with("collection", self->known.name())
@@ -234,7 +239,11 @@
 }
 
 Task<void> CollectionFeed::on_failure(std::shared_ptr<CollectionFeed> self,
+                                      std::uint64_t round,
                                       Error error) {
+  if (self->round != round) {
+    co_return;
+  }
   self->listeners.on_store_failure();
   self->report_lost(error.message);
   co_await pause(self, self->next_pause(error));
--- a/ibismux/feed/collection_feed.h
+++ b/ibismux/feed/collection_feed.h
@@ -135,12 +135,15 @@
   /// Follows the store until a later round starts.
   [[nodiscard]] static Task<void> run(std::shared_ptr<CollectionFeed> self,
                                       std::uint64_t round);
-  [[nodiscard]] static Task<bool> read_all(
-      std::shared_ptr<CollectionFeed> self);
-  [[nodiscard]] static Task<bool> follow(std::shared_ptr<CollectionFeed> self);
-  /// Reports that a call failed, and waits for the next attempt.
+  [[nodiscard]] static Task<bool> read_all(std::shared_ptr<CollectionFeed> self,
+                                           std::uint64_t round);
+  [[nodiscard]] static Task<bool> follow(std::shared_ptr<CollectionFeed> self,
+                                         std::uint64_t round);
+  /// Reports that a call of a round failed, and waits for the next attempt. A
+  /// failure that a later round has overtaken tells nothing about the store.
   [[nodiscard]] static Task<void> on_failure(
       std::shared_ptr<CollectionFeed> self,
+      std::uint64_t round,
       Error error);
   [[nodiscard]] static Task<void> run_check(
       std::shared_ptr<CollectionFeed> self,
--- a/tests/feed/collection_feed_test.cc
+++ b/tests/feed/collection_feed_test.cc
@@ -309,6 +309,22 @@
   cr_assert(fixture.store.checks == 0 && fixture.store.lists == 0);
 }
 
+// Guards against a store that counts as lost because a call failed that a
+// restart had overtaken.
+Test(collection_feed, a_failure_of_a_replaced_watch_is_not_reported) {
+  Fixture fixture;
+  fixture.store.never_answers_watches = true;
+  fixture.store.silence = std::chrono::milliseconds(50);
+  cr_assert(fixture.run_until([&] { return fixture.store.watches > 0; }));
+  fixture.store.never_answers_watches = false;
+  fixture.feed->restart();
+  cr_assert(fixture.run_until([&] { return fixture.store.ended_watches > 0; }));
+  fixture.put("main", "2");
+  cr_assert(fixture.run_until(
+      [&] { return fixture.observer.objects["main"] == "2"; }));
+  cr_assert(fixture.observer.losses == 0);
+}
+
 Test(collection_feed, a_suspended_feed_stops_calling_the_store) {
   Fixture fixture;
   cr_assert(fixture.run_until([&] { return fixture.store.watches > 0; }));
