http: a late answer on a connection with a HEAD fails the exchange

A caller's HEAD could be answered with bytes out of the body of another request's answer: an answer to a HEAD has a length and no body, so behind a HEAD the parser took a late answer to a GET for complete at its head, and its body for the next response. If that body held a response without an id, or with the right one, the caller got it. Behind a GET a late answer to a HEAD swallowed the start of the true answer.

Ruled out: connections that never carried a HEAD, where the length tells the end.

Change: where a HEAD was sent since the connection was opened, a late answer fails the exchange at once (kLeafUnavailable, execution unknown), as one without a length does.

Measured: http_client_faults::late_answer_beside_a_head_fails_the_next_request failed before (a response was returned for HEAD) and passes; test_http 57 of 57, three times.

--- a/ibismux/http/client_connection.cc
+++ b/ibismux/http/client_connection.cc
@@ -43,6 +43,7 @@
   auto& context = static_cast<asio::io_context&>(executor.context());
   self->opening++;
   self->sent = false;
+  self->has_sent_head = false;
   self->failure.reset();
   self->filled = 0;
   ErrorCode error;
@@ -141,9 +142,11 @@
     co_return tl::unexpected(*std::exchange(self->failure, std::nullopt));
   }
   self->request = std::move(request);
+  const bool is_head = self->request->method == "HEAD";
+  self->has_sent_head = self->has_sent_head || is_head;
   self->is_answer = std::move(is_answer);
   self->response = Response{};
-  self->parser.start(self->response, self->request->method == "HEAD");
+  self->parser.start(self->response, is_head);
   self->arm_timer(deadline);
   self->start_send(*self->request, extra);
   if (self->phase == Phase::kExchange) {
@@ -281,14 +284,16 @@
 
 void ClientConnection::Impl::on_late_response() {
   // Taken for the answer, it would give this caller what another one asked for.
-  if (!this->parser.keep_alive()) {
+  // Where a HEAD was sent its end is unknown: whether it has a body depends on
+  // the request that it answers.
+  if (this->has_sent_head || !this->parser.keep_alive()) {
     this->fail_exchange(ErrorKind::kLeafUnavailable,
                         "closed behind an answer to an earlier request");
     return;
   }
   this->response = Response{};
   this->response_begun = false;
-  this->parser.start(this->response, this->request->method == "HEAD");
+  this->parser.start(this->response, false);
   if (this->filled > 0) {
     this->on_bytes(0);
   } else {
--- a/ibismux/http/client_connection.h
+++ b/ibismux/http/client_connection.h
@@ -43,8 +43,8 @@
   /// @param is_answer Tells an answer to this request from one to an earlier
   /// request that the server sends late; the latter is dropped, and the wait
   /// goes on, or fails with kLeafUnavailable where the late answer ends with
-  /// the connection. Called with a complete head, perhaps without the whole
-  /// body. Empty: any response is the answer.
+  /// the connection or a HEAD was sent on it. Called with a complete head,
+  /// perhaps without the whole body. Empty: any response is the answer.
   /// @param extra What this server alone gets: the same request can go to many
   /// without a copy for each.
   [[nodiscard]] Task<Result<Response>> exchange(
--- a/ibismux/http/client_connection_impl.h
+++ b/ibismux/http/client_connection_impl.h
@@ -121,6 +121,7 @@
   std::string output;
   AnswerTest is_answer;
   bool sent = false;
+  bool has_sent_head = false;  ///< Since the connection was opened.
   bool sending = false;  ///< Bytes of the request still wait for the socket.
   bool response_begun = false;
   bool just_read = false;  ///< The socket was found empty a moment ago.
--- a/tests/http/client_faults_test.cc
+++ b/tests/http/client_faults_test.cc
@@ -229,6 +229,31 @@
   cr_assert(is(error, ErrorKind::kLeafUnavailable, Execution::kUnknown));
 }
 
+// Failure: bytes of a late answer are read as the next one, since an answer to
+// a HEAD has a length and no body.
+Test(http_client_faults, late_answer_beside_a_head_fails_the_next_request) {
+  const std::string hidden = answer_to("b", true);
+  for (const auto& [first, second] :
+       {std::pair("GET", "HEAD"), std::pair("HEAD", "GET")}) {
+    ScriptedServer server(1, [&hidden](tcp::socket& socket) {
+      const std::string late = "HTTP/1.1 200 OK\r\nId: a\r\nContent-Length: " +
+                               std::to_string(hidden.size()) + "\r\n\r\n";
+      ScriptedServer::say(socket, "HTTP/1.1 204 No Content\r\nId: a\r\n\r\n");
+      ScriptedServer::read_request(socket);
+      ScriptedServer::say(socket, late + hidden + hidden);
+      ScriptedServer::wait_for_close(socket);
+    });
+    IoPool pool(1);
+    pool.start();
+    NamedRequests client(pool, server.port);
+    cr_assert(client.send("a", first).has_value());
+    const auto next = client.send("b", second);
+    cr_assert(!next, "%s", second);
+    cr_assert(
+        is(next.error(), ErrorKind::kLeafUnavailable, Execution::kUnknown));
+  }
+}
+
 Test(http_client_faults, own_answer_without_a_length_is_taken) {
   ScriptedServer server(1, [](tcp::socket& socket) {
     ScriptedServer::say(socket, answer_to("a", true));
