--- a/ibismux/http/client_connection.cc
+++ b/ibismux/http/client_connection.cc
@@ -1,7 +1,5 @@
 #include "ibismux/http/client_connection.h"
 
-#include <netinet/tcp.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/buffer.hpp>
@@ -12,6 +10,7 @@
 #include <utility>
 
 #include "ibismux/http/client_connection_impl.h"
+#include "ibismux/http/silence_limit.h"
 #include "ibismux/http/wire_format.h"
 
 namespace ibismux::http {
@@ -88,7 +87,10 @@
     } else {
       this->phase = Phase::kIdle;
       this->deadline = TimePoint::max();
-      this->set_options();
+      this->socket->set_option(asio::ip::tcp::no_delay(true), ignored);
+      if (this->options.silence_limit) {
+        limit_silence(*this->socket, *this->options.silence_limit);
+      }
       this->socket->non_blocking(true, ignored);
       this->read();
     }
@@ -96,28 +98,6 @@
   this->resume();
 }
 
-void ClientConnection::Impl::set_options() {
-  ErrorCode ignored;
-  this->socket->set_option(asio::ip::tcp::no_delay(true), ignored);
-  if (!this->options.silence_limit) {
-    return;
-  }
-  using asio::detail::socket_option::integer;
-  using FirstProbe = integer<IPPROTO_TCP, TCP_KEEPIDLE>;
-  using NextProbe = integer<IPPROTO_TCP, TCP_KEEPINTVL>;
-  using Probes = integer<IPPROTO_TCP, TCP_KEEPCNT>;
-  using UserTimeout = integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
-  const auto limit = this->options.silence_limit->count();
-  // One probe a second, the first after one second of silence.
-  const auto probes = static_cast<int>(std::max<std::int64_t>(1, limit - 1));
-  this->socket->set_option(asio::socket_base::keep_alive(true), ignored);
-  this->socket->set_option(FirstProbe(1), ignored);
-  this->socket->set_option(NextProbe(1), ignored);
-  this->socket->set_option(Probes(probes), ignored);
-  this->socket->set_option(UserTimeout(static_cast<int>(limit * 1000)),
-                           ignored);
-}
-
 Task<Result<Response>> ClientConnection::Impl::exchange(
     std::shared_ptr<Impl> self,
     std::shared_ptr<const Request> request,
--- a/ibismux/http/client_connection_impl.h
+++ b/ibismux/http/client_connection_impl.h
@@ -83,7 +83,6 @@
   [[nodiscard]] bool is_quiet();
   void start_send(const Request& request, const ExtraFields& extra);
   void on_sent(const ErrorCode& error, std::size_t bytes);
-  void set_options();
   void read();
   void on_read(const ErrorCode& error, std::size_t bytes);
   void on_bytes(std::size_t bytes);
