feed: a check of a watch that is still to be answered doesn't count as failed

With a check interval shorter than the store's answers, a slow store would have counted as silent: the daemon would have withheld its contacts, and the peers of its zone would have read the store themselves.

Cause: check_watch() counted a check as unanswered when it was sent, and sent further ones while the first still waited.

Change: one check of a collection is under way at a time, and it counts when it fails. A silent store so holds one connection a collection, not one a check. Ruled out: a shorter deadline, which would only have made it rarer.

--- a/ibismux/feed/collection_feed.cc
+++ b/ibismux/feed/collection_feed.cc
@@ -101,7 +101,7 @@
 
 void CollectionFeed::check_watch(TimePoint deadline) {
   // A lost collection is read again anyway, at a time that the daemon chooses.
-  if (this->is_lost || this->pending_watch == 0) {
+  if (this->is_lost || this->pending_watch == 0 || this->is_checking) {
     return;
   }
   if (this->overdue_watch == this->pending_watch) {
@@ -112,7 +112,7 @@
     this->restart();
     return;
   }
-  ++this->unanswered_checks;
+  this->is_checking = true;
   asio::co_spawn(this->loop, run_check(this->shared_from_this(), deadline),
                  asio::detached);
 }
@@ -126,7 +126,12 @@
       std::max(self->known.version(), self->unchanged_until);
   auto changes =
       co_await self->store.stale_changes(self->known.name(), since, deadline);
-  if (!changes || self->pending_watch != watch) {
+  self->is_checking = false;
+  if (self->pending_watch != watch) {
+    co_return;
+  }
+  if (!changes) {
+    ++self->unanswered_checks;
     co_return;
   }
   if (changes->compacted) {
@@ -217,6 +222,7 @@
   }
   self->store_answered();
   if (batch->compacted && self->round != round) {
+    // The later round has read the collection, or is about to.
     co_return false;
   }
   if (batch->compacted) {
--- a/ibismux/feed/collection_feed.h
+++ b/ibismux/feed/collection_feed.h
@@ -79,7 +79,8 @@
   /// and applies them: the answer to a watch may be lost while the store
   /// answers other calls. A watch that delivers nothing until the next check
   /// although the store holds a change is replaced, after a complete read. Does
-  /// nothing unless a watch is pending.
+  /// nothing while the collection is lost, no watch is pending, or the last
+  /// check has not ended.
   /// @param deadline Of the question to the store.
   void check_watch(TimePoint deadline);
 
@@ -104,8 +105,7 @@
     return this->current && this->is_confirmed();
   }
 
-  /// Whether the store has answered a call of this feed, or one of the last
-  /// checks of its watch.
+  /// False after several failed checks of the pending watch in a row.
   [[nodiscard]] bool is_confirmed() const noexcept {
     return this->unanswered_checks <= kMaxUnansweredChecks;
   }
@@ -128,8 +128,7 @@
   /// Identifies a watch; 0 is none.
   using WatchNumber = std::uint64_t;
 
-  /// One lost answer says nothing about the watch; several in a row leave the
-  /// known state unconfirmed.
+  /// A single answer may be lost.
   static constexpr int kMaxUnansweredChecks = 2;
 
   /// Follows the store until a later round starts.
@@ -175,6 +174,7 @@
   WatchNumber overdue_watch = 0;
   /// The store held no change between the known version and this one.
   store::Version unchanged_until = 0;
+  bool is_checking = false;
   int unanswered_checks = 0;  ///< In a row.
   /// Pause before the next read that follows a watch whose history was
   /// compacted.
--- a/ibismux/store/object_store.h
+++ b/ibismux/store/object_store.h
@@ -52,8 +52,9 @@
                                                          TimePoint deadline) {
     return this->list(std::move(collection), deadline);
   }
-  /// The same of the changes after `since`, without waiting for one. State that
-  /// is older than `since` gives an empty batch of that version.
+  /// Changes of a collection after `since`, without waiting for one; perhaps
+  /// from state some seconds old. If that state is older than `since`, the
+  /// batch is empty and has the version `since`.
   [[nodiscard]] virtual Task<Result<WatchBatch>>
   stale_changes(std::string collection, Version since, TimePoint deadline) {
     (void)deadline;
