edge: drain and stop say how long a stop may take, why it ended and what it cuts

It now has reason (idle or limit), reading, handling, writing and gathering; drain has limit_ms. No logic changes.

--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -113,10 +113,21 @@
   this->tick();
   this->await_signal();
   this->loop().run();
+  this->log_stop();
+  return {};
+}
+
+void EdgeDaemon::Impl::log_stop() {
+  const http::OpenRequests cut = this->callers.open_requests();
   this->log.event(eventlog::Weight::kBelief, "stop")
-      .with("in_flight", this->callers.in_flight());
+      .with("in_flight", this->in_flight())
+      .with("reason", this->in_flight() == 0 ? "idle" : "limit")
+      .with("reading", cut.reading)
+      .with("handling", cut.handling)
+      .with("writing", cut.writing)
+      .with("gathering",
+            this->gather_host ? this->gather_host->in_flight() : 0);
   this->log.flush();
-  return {};
 }
 
 http::Server::Handler EdgeDaemon::Impl::caller_handler() {
--- a/ibismux/edge/edge_daemon_impl.h
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -100,6 +100,8 @@
   void reload_settings(bool forced);
   void drain();
   void await_idle();
+  /// Logs what the stop cuts.
+  void log_stop();
 
   EdgeSettings settings;
   Adapters adapters;
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -366,15 +366,17 @@
 
 void EdgeDaemon::Impl::drain() {
   this->stopping = true;
+  const Duration limit = this->settings.stop_limit - kStopMargin;
+  this->stop_deadline = Clock::now() + limit;
   this->log.event(eventlog::Weight::kBelief, "drain")
       .with("in_flight", this->in_flight())
-      .with("connections", this->callers.connections());
+      .with("connections", this->callers.connections())
+      .with("limit_ms", limit);
   if (this->fleet) {
     this->fleet->announce_leaving();
     this->gather_host->drain();
   }
   this->callers.drain();
-  this->stop_deadline = Clock::now() + this->settings.stop_limit - kStopMargin;
   this->ticker.cancel();
   this->await_idle();
 }
--- a/ibismux/http/server.cc
+++ b/ibismux/http/server.cc
@@ -321,6 +321,13 @@
   return this->impl->core->in_flight.load(std::memory_order_acquire);
 }
 
+OpenRequests Server::open_requests() const noexcept {
+  const ServerCore& core = *this->impl->core;
+  return {core.reading.load(std::memory_order_acquire),
+          core.handling.load(std::memory_order_acquire),
+          core.writing.load(std::memory_order_acquire)};
+}
+
 void Server::stop() {
   this->impl->stop();
 }
--- a/ibismux/http/server.h
+++ b/ibismux/http/server.h
@@ -13,6 +13,7 @@
 #include "ibismux/base/time.h"
 #include "ibismux/http/cancel_token.h"
 #include "ibismux/http/message.h"
+#include "ibismux/http/open_requests.h"
 
 namespace ibismux::http {
 
@@ -68,6 +69,10 @@
   /// nothing. Thread safe.
   [[nodiscard]] std::size_t in_flight() const noexcept;
 
+  /// Returns the requests that `stop()` would cut now. Thread safe; the counts
+  /// are not of one moment.
+  [[nodiscard]] OpenRequests open_requests() const noexcept;
+
   /// Closes everything at once. Thread safe.
   void stop();
 
--- a/ibismux/http/server_connection.cc
+++ b/ibismux/http/server_connection.cc
@@ -76,7 +76,7 @@
     return;
   }
   const auto self = this->shared_from_this();
-  this->phase = Phase::kClosed;
+  this->set_phase(Phase::kClosed);
   this->in_flight.reset();
   this->timer.cancel();
   ErrorCode ignored;
@@ -90,7 +90,7 @@
 }
 
 void ServerConnection::await_request() {
-  this->phase = Phase::kIdle;
+  this->set_phase(Phase::kIdle);
   this->set_deadline(this->core->limits.read()->idle_timeout);
   this->request = std::make_shared<Request>();
   this->request->remote = this->remote;
@@ -158,7 +158,7 @@
 void ServerConnection::parse() {
   if (!this->input.empty()) {
     if (this->phase == Phase::kIdle) {
-      this->phase = Phase::kReading;
+      this->set_phase(Phase::kReading);
       this->count_in_flight();
       this->set_deadline(this->core->limits.read()->transfer_timeout);
     }
@@ -192,7 +192,7 @@
 }
 
 void ServerConnection::handle() {
-  this->phase = Phase::kHandling;
+  this->set_phase(Phase::kHandling);
   this->deadline = TimePoint::max();
   this->token = std::make_shared<CancelToken>();
   auto done = [self = this->shared_from_this()](
@@ -229,7 +229,7 @@
 }
 
 void ServerConnection::write(Response response, bool keep_alive) {
-  this->phase = Phase::kWriting;
+  this->set_phase(Phase::kWriting);
   this->set_deadline(this->core->limits.read()->transfer_timeout);
   this->response = std::move(response);
   this->head.clear();
@@ -261,7 +261,7 @@
 }
 
 void ServerConnection::linger() {
-  this->phase = Phase::kLingering;
+  this->set_phase(Phase::kLingering);
   this->in_flight.reset();
   this->set_deadline(
       std::min(this->core->limits.read()->transfer_timeout, kMostLinger));
@@ -284,6 +284,17 @@
   this->read();
 }
 
+void ServerConnection::set_phase(Phase next) {
+  static constexpr std::array<Counted::Counter, kPhases> kCounters{
+      nullptr, &ServerCore::reading, &ServerCore::handling,
+      &ServerCore::writing};
+  this->phase = next;
+  this->phase_counted.reset();
+  if (const auto counter = kCounters[static_cast<std::size_t>(next)]) {
+    this->phase_counted.emplace(this->core, counter);
+  }
+}
+
 void ServerConnection::count_in_flight() {
   // Not counted anew, which would show 0 in between.
   if (!this->in_flight) {
--- a/ibismux/http/server_connection.h
+++ b/ibismux/http/server_connection.h
@@ -46,6 +46,7 @@
     kLingering,  ///< Answered and shut for sending; drops what still comes.
     kClosed,
   };
+  static constexpr std::size_t kPhases = 6;
 
   void await_request();
   void read();
@@ -60,6 +61,8 @@
   void on_written(const boost::system::error_code& error, bool keep_alive);
   void linger();
   void send_continue();
+  /// Also counts the connection among those in `next`.
+  void set_phase(Phase next);
   void count_in_flight();
   void set_deadline(Duration from_now);
   void arm_timer(TimePoint when);
@@ -75,6 +78,7 @@
   bool had_request = false;
 
   Phase phase = Phase::kIdle;
+  std::optional<Counted> phase_counted;
   bool reading = false;    ///< A read is pending.
   bool peer_done = false;  ///< The client sends no more.
 
--- a/ibismux/http/server_core.h
+++ b/ibismux/http/server_core.h
@@ -23,6 +23,12 @@
   Server::Handler handler;
   std::atomic<std::size_t> connections{0};
   std::atomic<std::size_t> in_flight{0};
+  /// @name Connections by what their requests wait for
+  /// @{
+  std::atomic<std::size_t> reading{0};
+  std::atomic<std::size_t> handling{0};
+  std::atomic<std::size_t> writing{0};
+  /// @}
   std::atomic<bool> draining{false};
   std::atomic<bool> stopped{false};
 };
