--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -1,5 +1,6 @@
 #include "ibismux/edge/edge_daemon.h"
 
+#include <prometheus/gauge.h>
 #include <prometheus/text_serializer.h>
 
 #include <algorithm>
@@ -164,12 +165,28 @@
 http::Server::Handler EdgeDaemon::Impl::metrics_handler() {
   return [this](std::shared_ptr<const http::Request>,
                 std::shared_ptr<http::CancelToken>) -> Task<http::Response> {
+    this->update_gauges();
     const prometheus::TextSerializer serializer;
     co_return text_response(200,
                             serializer.Serialize(this->registry.Collect()));
   };
 }
 
+void EdgeDaemon::Impl::update_gauges() {
+  auto& family = prometheus::BuildGauge()
+                     .Name("ibismux_caller_requests_open")
+                     .Help("Requests of callers that are not answered yet.")
+                     .Register(this->registry);
+  const http::OpenRequests open = this->callers.open_requests();
+  const std::pair<const char*, std::size_t> phases[] = {
+      {"reading", open.reading},
+      {"handling", open.handling},
+      {"writing", open.writing}};
+  for (const auto& [phase, count] : phases) {
+    family.Add({{"phase", phase}}).Set(static_cast<double>(count));
+  }
+}
+
 bool EdgeDaemon::Impl::is_ready() const {
   return !this->stopping && this->dispatcher.table() &&
          this->leaf_feed->mirror().version() > 0;
--- a/ibismux/edge/edge_daemon_impl.h
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -54,6 +54,7 @@
                              std::shared_ptr<http::CancelToken> caller);
   [[nodiscard]] http::Server::Handler ready_handler();
   [[nodiscard]] http::Server::Handler metrics_handler();
+  void update_gauges();
   /// Returns whether the configuration and the leafs are known and the daemon
   /// isn't stopping. A later outage of the store doesn't make the daemon
   /// unready, because it can still serve with the data that it has.
