test: requests in flight end without an answer when a stop runs out of time

A daemon whose stop may take 2 s, leafs that take requests and never answer, routes of a minute; SIGTERM.

--- a/tests/users_platform/edge_site.h
+++ b/tests/users_platform/edge_site.h
@@ -39,10 +39,13 @@
 class EdgeSite {
  public:
   /// @param leave_notice How long a daemon that stops takes new connections.
+  /// @param stop_limit How long a daemon that stops may take.
   explicit EdgeSite(
       std::size_t daemons = 1,
-      std::chrono::milliseconds leave_notice = std::chrono::milliseconds(200))
+      std::chrono::milliseconds leave_notice = std::chrono::milliseconds(200),
+      std::chrono::seconds stop_limit = std::chrono::seconds(9))
       : leave_notice(leave_notice),
+        stop_limit(stop_limit),
         platform("ibismux-users-platform", {"--shards", "3"}) {
     for (std::size_t i = 0; i < daemons; ++i) {
       this->start_daemon();
@@ -61,7 +64,8 @@
         "\"fleet\":{\"endpoint\":\"127.0.0.1:0\"},\"store\":{\"endpoint\":"
         "\"127.0.0.1:" +
         std::to_string(this->platform.port("store")) +
-        "\"},\"stop\":{\"limit_s\":9,\"leave_notice_ms\":" +
+        "\"},\"stop\":{\"limit_s\":" +
+        std::to_string(this->stop_limit.count()) + ",\"leave_notice_ms\":" +
         std::to_string(this->leave_notice.count()) + "}" + more + "}");
     this->daemons.emplace_back(
         "ibismux-edge",
@@ -164,6 +168,7 @@
 
  private:
   const std::chrono::milliseconds leave_notice;
+  const std::chrono::seconds stop_limit;
   Process platform;
   std::deque<TemporaryFile> settings;
   std::deque<Process> daemons;
