http, edge: requests in flight are answered when a stop runs out of time

Cause: await_idle ended the event loop 0.4 s before the limit of the stop, whatever was in flight, and all connections were closed with the process. A request whose deadline lies beyond the limit and whose leaf is silent is still open then. Nothing in the server, the dispatcher or the waits before it could end a request early with an answer: a cancelled token meant that the caller was gone.

Class: a time limit of the process that ends it without ending what it owes.

Ruled out for this trace: a stop that comes too early (drain and stop are 1.6 s apart with a limit of 2 s, in_flight is above 0), an end without a stop (stop is logged).

Change: a CancelToken says why it is cancelled. Server::cancel_requests() cancels all handlers with kStopping, refuses requests that are half read or come later (503, not run), and answers 502 for a handler that doesn't answer; answers that are half written go on. A run ends as at its deadline: a query with the shards that are in, a request that was not sent with 503 and Retry-After, others with 504. Waits for a start or a token end with their usual refusal. Queries gathered for peers and queries at peers end as well. The edge daemon does this 0.4 s before the limit, where it was cut before, and leaves callers 0.3 s to take the answers.

--- a/ibismux/customers/rate_limiter.h
+++ b/ibismux/customers/rate_limiter.h
@@ -72,6 +72,10 @@
 
   [[nodiscard]] Task<Result<RateGrant>> admit(RateCheck check) override;
 
+  /// Ends all waits for tokens, because the daemon stops; no request waits from
+  /// now on.
+  void stop_waiting() { this->token_waiters.close(); }
+
   /// Logs what this daemon was asked for as an owner of limits since the last
   /// call, of the customers that asked most.
   void log_usage();
--- a/ibismux/customers/token_waiters.cc
+++ b/ibismux/customers/token_waiters.cc
@@ -17,18 +17,31 @@
 
 constexpr auto kAwait = boost::asio::as_tuple(boost::asio::use_awaitable);
 
+using Timers = std::list<boost::asio::steady_timer*>;
+
 /// Frees the place of a request, also if its coroutine ends with the loop.
 class Place {
  public:
-  Place(TokenWait& decisions, std::size_t bytes) noexcept
-      : decisions(decisions), bytes(bytes) {}
+  Place(TokenWait& decisions,
+        std::size_t bytes,
+        Timers& timers,
+        boost::asio::steady_timer& timer)
+      : decisions(decisions),
+        bytes(bytes),
+        timers(timers),
+        position(timers.insert(timers.end(), &timer)) {}
   Place(const Place&) = delete;
   Place& operator=(const Place&) = delete;
-  ~Place() { this->decisions.release(this->bytes); }
+  ~Place() {
+    this->decisions.release(this->bytes);
+    this->timers.erase(this->position);
+  }
 
  private:
   TokenWait& decisions;
   const std::size_t bytes;
+  Timers& timers;
+  const Timers::iterator position;
 };
 
 prometheus::Family<prometheus::Counter>& waits_family(
@@ -53,11 +66,20 @@
   if (!ask_at) {
     co_return false;
   }
-  const Place place(this->decisions, check.bytes);
   const auto executor = co_await boost::asio::this_coro::executor;
   boost::asio::steady_timer timer(executor, *ask_at);
-  const auto [error] = co_await timer.async_wait(kAwait);
-  co_return !error;
+  const Place place(this->decisions, check.bytes, this->timers, timer);
+  if (!this->closed) {
+    co_await timer.async_wait(kAwait);
+  }
+  co_return !this->closed;
+}
+
+void TokenWaiters::close() {
+  this->closed = true;
+  for (boost::asio::steady_timer* timer : this->timers) {
+    timer->cancel();
+  }
 }
 
 void TokenWaiters::count(int waits, bool is_granted) {
--- a/ibismux/customers/token_waiters.h
+++ b/ibismux/customers/token_waiters.h
@@ -4,6 +4,9 @@
 #include <prometheus/counter.h>
 #include <prometheus/registry.h>
 
+#include <boost/asio/steady_timer.hpp>
+#include <list>
+
 #include "ibismux/base/task.h"
 #include "ibismux/base/time.h"
 #include "ibismux/customers/forward.h"
@@ -28,11 +31,16 @@
                                 TimePoint next_fit,
                                 int waits);
 
+  /// Ends all waits, because the daemon stops; no request waits from now on.
+  void close();
+
   /// Counts a request that was decided after `waits` waits, if it has waited.
   void count(int waits, bool is_granted);
 
  private:
   TokenWait decisions{WaitingRoom::Limits{}};
+  bool closed = false;
+  std::list<boost::asio::steady_timer*> timers;  ///< Of the waits.
   prometheus::Counter& granted;
   prometheus::Counter& refused;
 };
--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -49,6 +49,19 @@
 // of the time that its caller waits.
 constexpr double kUnknownObjectiveShare = 0.1;
 
+/// The outcome of a request that was cancelled before it was sent to a leaf.
+tl::unexpected<Error> cancelled_before_run(http::CancelReason reason) {
+  const bool is_stopping = reason == http::CancelReason::kStopping;
+  Error error =
+      make_error(is_stopping ? ErrorKind::kNotReady : ErrorKind::kCancelled,
+                 is_stopping ? "this daemon stops" : "the caller is gone");
+  if (is_stopping) {
+    // Another daemon can take it at once.
+    error.retry_after = milliseconds(0);
+  }
+  return tl::unexpected(std::move(error));
+}
+
 tl::unexpected<Error> no_configuration(milliseconds retry_after) {
   Error error = make_error(ErrorKind::kNotReady, "no configuration yet");
   error.retry_after = retry_after;
@@ -238,7 +251,7 @@
     co_return tl::unexpected(std::move(context.error()));
   }
   if (caller->cancelled()) {
-    co_return fail(ErrorKind::kCancelled, "the caller is gone");
+    co_return cancelled_before_run(*caller->reason());
   }
   if (auto within = co_await this->check_rate(*context); !within) {
     co_return this->refuse((*context)->request, std::move(within.error()),
@@ -365,7 +378,11 @@
 Task<Outcome> Dispatcher::run(Context context,
                               std::shared_ptr<http::CancelToken> caller) {
   if (caller->cancelled()) {
-    co_return fail(ErrorKind::kCancelled, "the caller is gone");
+    auto cancelled = cancelled_before_run(*caller->reason());
+    if (context->peer_attempts > 0) {
+      cancelled.value().execution = Execution::kUnknown;
+    }
+    co_return cancelled;
   }
   const bool is_scatter = context->route->is_scatter();
   auto groups = this->target_groups(*context->route);
@@ -382,9 +399,9 @@
       run = std::make_shared<ForwardRun>(this->loop, context, std::move(groups),
                                          std::move(done));
     }
-    caller->on_cancel([weak = std::weak_ptr(run)] {
+    caller->on_cancel([weak = std::weak_ptr(run)](http::CancelReason reason) {
       if (const auto live = weak.lock()) {
-        live->cancel();
+        live->cancel(reason);
       }
     });
     run->start();
--- a/ibismux/dispatch/forward_run.cc
+++ b/ibismux/dispatch/forward_run.cc
@@ -17,7 +17,7 @@
   } else if (part.state() == PartCall::State::kFailed) {
     this->finish_failed(part, now);
   } else if (this->is_past_deadline(now)) {
-    this->fail_run(ErrorKind::kDeadlineExceeded, "no answer in time");
+    this->fail_past_deadline("no answer");
   }
 }
 
@@ -33,7 +33,7 @@
   } else if (this->is_past_deadline(now)) {
     // The call has the same deadline as the request, so an expired call may be
     // reported before the request itself is found to have expired.
-    this->fail_run(ErrorKind::kDeadlineExceeded, "no answer in time");
+    this->fail_past_deadline("no answer");
   } else {
     this->fail_run(ErrorKind::kOutcomeUnknown, part.error().message);
   }
--- a/ibismux/dispatch/query_delegate.h
+++ b/ibismux/dispatch/query_delegate.h
@@ -55,8 +55,8 @@
   /// ones.
   virtual void on_unavailable(const Needs&, TimePoint) {}
 
-  /// Has `query` gathered by another daemon. Ends with an outcome of kind
-  /// kCancelled soon after the caller has disconnected.
+  /// Has `query` gathered by another daemon. Ends with an error soon after the
+  /// token is cancelled, of kind kCancelled if the caller has disconnected.
   /// @param caller Its callback is replaced.
   [[nodiscard]] virtual Task<DelegationResult> run(
       Query query,
--- a/ibismux/dispatch/request_run.h
+++ b/ibismux/dispatch/request_run.h
@@ -13,6 +13,7 @@
 #include "ibismux/dispatch/forward.h"
 #include "ibismux/dispatch/part_call.h"
 #include "ibismux/dispatch/request_context.h"
+#include "ibismux/http/cancel_reason.h"
 #include "ibismux/http/socket.h"
 
 namespace ibismux::dispatch {
@@ -37,10 +38,11 @@
   /// Starts the run. Must be called only once.
   void start();
 
-  /// The caller has disconnected. Calls that are about to complete may do so;
-  /// the others, unless the request is at-most-once, are cancelled within
-  /// `kCallerGoneGrace`.
-  void cancel();
+  /// Ends the run before its deadline. If the caller has disconnected, calls
+  /// that are about to complete may do so; the others, unless the request is
+  /// at-most-once, are cancelled within `kCallerGoneGrace`. If the daemon
+  /// stops, the run ends as at its deadline, with what it has.
+  void cancel(http::CancelReason reason);
 
  protected:
   using Parts = std::vector<std::shared_ptr<PartCall>>;
@@ -94,8 +96,9 @@
   }
   /// When the answer should be sent, even if shards are still missing.
   [[nodiscard]] TimePoint answer_by() const noexcept;
+  /// Whether the run must end now, with what it has.
   [[nodiscard]] bool is_past_deadline(TimePoint now) const noexcept {
-    return now >= this->shared_context->final_deadline;
+    return this->stopping || now >= this->shared_context->final_deadline;
   }
 
   /// Hedges each part whose leaf takes longer than usual, as often as its
@@ -109,6 +112,10 @@
   /// run or will run any part.
   void fail_run(ErrorKind kind, std::string message);
 
+  /// Ends the run with an error because it must end now.
+  /// @param message Why there is no answer yet.
+  void fail_past_deadline(std::string message);
+
  private:
   /// Ends the run if it cannot succeed in time. @return Whether it did.
   [[nodiscard]] bool refuse_if_unservable(TimePoint now);
@@ -158,6 +165,7 @@
   bool starting = false;
   bool ended = false;
   bool caller_gone = false;  ///< The caller has disconnected.
+  bool stopping = false;     ///< The daemon stops.
 };
 
 }  // namespace ibismux::dispatch
--- a/ibismux/dispatch/request_run_end.cc
+++ b/ibismux/dispatch/request_run_end.cc
@@ -24,10 +24,19 @@
 
 }  // namespace
 
-void RequestRun::cancel() {
+void RequestRun::cancel(http::CancelReason reason) {
   if (this->ended) {
     return;
   }
+  if (reason == http::CancelReason::kStopping) {
+    this->stopping = true;
+    if (this->part_calls.empty()) {
+      this->fail_past_deadline("not started");
+    } else {
+      this->check_completion(Clock::now());
+    }
+    return;
+  }
   this->caller_gone = true;
   this->finish(fail(ErrorKind::kCancelled, "the caller is gone"));
 }
@@ -82,6 +91,12 @@
   this->finish(tl::unexpected(std::move(error)));
 }
 
+void RequestRun::fail_past_deadline(std::string message) {
+  this->fail_run(
+      ErrorKind::kDeadlineExceeded,
+      message + (this->stopping ? " before this daemon stops" : " in time"));
+}
+
 milliseconds RequestRun::retry_after_unanswered() const {
   const TimePoint now = Clock::now();
   milliseconds pause{0};
--- a/ibismux/dispatch/scatter_run.cc
+++ b/ibismux/dispatch/scatter_run.cc
@@ -71,7 +71,7 @@
   if (enough && (open == 0 || may_omit_open || this->is_past_deadline(now))) {
     this->finish_merged(answered);
   } else if (this->is_past_deadline(now)) {
-    this->fail_run(ErrorKind::kDeadlineExceeded, "too few shards in time");
+    this->fail_past_deadline("too few shards");
   } else if (answered + open < required_shards) {
     this->fail_run(ErrorKind::kLeafUnavailable,
                    "too few shards can be reached");
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -114,21 +114,21 @@
   this->tick();
   this->await_signal();
   this->loop().run();
-  this->log_stop();
+  this->log_open_requests("stop");
+  this->log.flush();
   return {};
 }
 
-void EdgeDaemon::Impl::log_stop() {
-  const http::OpenRequests cut = this->callers.open_requests();
-  this->log.event(eventlog::Weight::kBelief, "stop")
+void EdgeDaemon::Impl::log_open_requests(std::string_view event) {
+  const http::OpenRequests open = this->callers.open_requests();
+  this->log.event(eventlog::Weight::kBelief, event)
       .with("in_flight", this->in_flight())
       .with("reason", this->in_flight() == 0 ? "idle" : "limit")
-      .with("reading", cut.reading)
-      .with("handling", cut.handling)
-      .with("writing", cut.writing)
+      .with("reading", open.reading)
+      .with("handling", open.handling)
+      .with("writing", open.writing)
       .with("gathering",
             this->gather_host ? this->gather_host->in_flight() : 0);
-  this->log.flush();
 }
 
 http::Server::Handler EdgeDaemon::Impl::caller_handler() {
--- a/ibismux/edge/edge_daemon_impl.h
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -100,9 +100,13 @@
   /// settings are applied only if the file has changed.
   void reload_settings(bool forced);
   void drain();
+  /// Stops the event loop once no request is in flight. Requests that still
+  /// are at `answer_deadline` are answered then, and cut at `stop_deadline`.
   void await_idle();
-  /// Logs what the stop cuts.
-  void log_stop();
+  /// Has all requests in flight answered now.
+  void cancel_requests();
+  /// Logs how many requests are in flight, and in which phase.
+  void log_open_requests(std::string_view event);
 
   EdgeSettings settings;
   Adapters adapters;
@@ -139,6 +143,8 @@
   StallDetector stalls;
   Duration max_idle_timeout{0};
   bool stopping = false;
+  bool cancelling = false;  ///< Requests in flight are being answered.
+  TimePoint answer_deadline;
   TimePoint stop_deadline;
 };
 
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -30,8 +30,12 @@
 // Delay of the first watch, in which the daemon joins its peers and they may
 // offer to forward updates.
 constexpr milliseconds kFirstWatchDelay{1500};
-// Time that is left for the last answers before the platform kills the process.
-constexpr milliseconds kStopMargin{400};
+// Subtracted from the time that a shutdown may take: the requests that are
+// still in flight then get an answer.
+constexpr milliseconds kAnswerMargin{400};
+// How long callers have to take these answers. The rest of the margin is left
+// for the exit, before the platform kills the process.
+constexpr milliseconds kAnswerTime{300};
 
 /// Whether the daemon knows other members and is the first of them.
 bool is_first(const membership::MembershipView& view) {
@@ -366,8 +370,10 @@
 
 void EdgeDaemon::Impl::drain() {
   this->stopping = true;
-  const Duration limit = this->settings.stop_limit - kStopMargin;
-  this->stop_deadline = Clock::now() + limit;
+  const Duration limit = std::max<Duration>(
+      this->settings.stop_limit - kAnswerMargin, Duration::zero());
+  this->answer_deadline = Clock::now() + limit;
+  this->stop_deadline = this->answer_deadline + kAnswerTime;
   this->log.event(eventlog::Weight::kBelief, "drain")
       .with("in_flight", this->in_flight())
       .with("connections", this->callers.connections())
@@ -381,11 +387,26 @@
   this->await_idle();
 }
 
+void EdgeDaemon::Impl::cancel_requests() {
+  this->cancelling = true;
+  this->log_open_requests("stop_limit");
+  this->start_waiters.close();
+  this->rates->stop_waiting();
+  this->callers.cancel_requests();
+  if (this->gather_host) {
+    this->gather_host->cancel_queries();
+  }
+}
+
 void EdgeDaemon::Impl::await_idle() {
-  if (this->in_flight() == 0 || Clock::now() >= this->stop_deadline) {
+  const TimePoint now = Clock::now();
+  if (this->in_flight() == 0 || now >= this->stop_deadline) {
     this->loop().stop();
     return;
   }
+  if (now >= this->answer_deadline && !this->cancelling) {
+    this->cancel_requests();
+  }
   this->ticker.expires_after(kDrainPollInterval);
   this->ticker.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
--- a/ibismux/gather/gather_client.cc
+++ b/ibismux/gather/gather_client.cc
@@ -134,9 +134,9 @@
                  request(self, selection->member, std::move(payload),
                          query.final_deadline, pending),
                  asio::detached);
-  caller->on_cancel([weak = std::weak_ptr(pending)] {
+  caller->on_cancel([weak = std::weak_ptr(pending)](http::CancelReason reason) {
     if (const auto live = weak.lock()) {
-      live->caller_gone = true;
+      live->cancelled = reason;
       live->timer.cancel();
     }
   });
@@ -146,7 +146,7 @@
       now + std::min<Duration>(kConfirmTimeout + selection->round_trip,
                                confirm_budget);
   co_await wait(pending, confirm_deadline, query.final_deadline);
-  caller->on_cancel([] {});
+  caller->on_cancel([](http::CancelReason) {});
   this->pending_queries.erase(number);
   this->selector.on_end(selection->member);
   co_return this->finish(selection->member, number, query, *pending);
@@ -168,7 +168,7 @@
                               TimePoint confirm_deadline,
                               TimePoint final_deadline) {
   bool has_rechecked = false;
-  while (!pending->reply && !pending->caller_gone) {
+  while (!pending->reply && !pending->cancelled) {
     const TimePoint until = pending->taken ? final_deadline : confirm_deadline;
     pending->timer.expires_at(until);
     const auto [cancelled] = co_await pending->timer.async_wait(kAwait);
@@ -195,9 +195,14 @@
   }
   this->network.notify(member, MessageKind::kGatherCancel,
                        encode_query_number(number));
-  if (pending.caller_gone) {
+  if (pending.cancelled == http::CancelReason::kClientGone) {
     return {.outcome = fail(ErrorKind::kCancelled, "the caller is gone")};
   }
+  if (pending.cancelled == http::CancelReason::kStopping) {
+    return {.outcome =
+                fail(ErrorKind::kOutcomeUnknown,
+                     "no answer from " + member + " before this daemon stops")};
+  }
   if (pending.taken) {
     this->log_failure("gather_lost", member, query, "no answer in time");
     return {.outcome = fail(ErrorKind::kDeadlineExceeded,
--- a/ibismux/gather/gather_client.h
+++ b/ibismux/gather/gather_client.h
@@ -15,6 +15,7 @@
 #include "ibismux/gather/gatherer_selector.h"
 #include "ibismux/gather/messages.h"
 #include "ibismux/gather/overflow_asks.h"
+#include "ibismux/http/cancel_reason.h"
 #include "ibismux/http/socket.h"
 #include "ibismux/peer/peer_network.h"
 
@@ -66,7 +67,7 @@
 
     http::Timer timer;  ///< Cancelled when a member below changes.
     bool taken = false;
-    bool caller_gone = false;
+    std::optional<http::CancelReason> cancelled;
     std::optional<Result<std::string>> reply;
   };
 
@@ -76,7 +77,7 @@
       std::string payload,
       TimePoint deadline,
       std::shared_ptr<PendingQuery> pending);
-  /// Waits until the reply arrives, the caller disconnects, or time runs out:
+  /// Waits until the reply arrives, the token is cancelled, or time runs out:
   /// `confirm_deadline` while the query isn't taken, `final_deadline`
   /// afterwards.
   [[nodiscard]] static Task<void> wait(std::shared_ptr<PendingQuery> pending,
--- a/ibismux/gather/gather_host.cc
+++ b/ibismux/gather/gather_host.cc
@@ -214,16 +214,27 @@
   }
 }
 
-void GatherHost::on_lost(const std::string& member) {
-  std::vector<std::shared_ptr<http::CancelToken>> orphans;
+template <class Condition>
+void GatherHost::cancel_if(Condition condition, http::CancelReason reason) {
+  std::vector<std::shared_ptr<http::CancelToken>> tokens;
   for (const auto& [key, run] : this->running) {
-    if (key.first == member) {
-      orphans.push_back(run.cancelled);
+    if (condition(key)) {
+      tokens.push_back(run.cancelled);
     }
   }
-  for (const auto& token : orphans) {
-    token->cancel();
+  for (const auto& token : tokens) {
+    token->cancel(reason);
   }
 }
 
+void GatherHost::on_lost(const std::string& member) {
+  this->cancel_if([&member](const Key& key) { return key.first == member; },
+                  http::CancelReason::kClientGone);
+}
+
+void GatherHost::cancel_queries() {
+  this->cancel_if([](const Key&) { return true; },
+                  http::CancelReason::kStopping);
+}
+
 }  // namespace ibismux::gather
--- a/ibismux/gather/gather_host.h
+++ b/ibismux/gather/gather_host.h
@@ -17,6 +17,7 @@
 #include "ibismux/eventlog/forward.h"
 #include "ibismux/gather/gather_roles.h"
 #include "ibismux/gather/messages.h"
+#include "ibismux/http/cancel_reason.h"
 #include "ibismux/http/forward.h"
 #include "ibismux/http/socket.h"
 #include "ibismux/peer/peer_network.h"
@@ -54,6 +55,9 @@
   /// continue.
   void drain();
 
+  /// Ends all queries now, with what they have.
+  void cancel_queries();
+
   /// Number of queries in progress.
   [[nodiscard]] std::size_t in_flight() const noexcept {
     return this->running.size();
@@ -93,6 +97,9 @@
   void on_confirm(const Incarnation& from, const std::string& payload);
   void on_cancel(const Incarnation& from, const std::string& payload);
   void on_lost(const std::string& member);
+  /// Cancels the queries in progress whose key meets `condition`.
+  template <class Condition>
+  void cancel_if(Condition condition, http::CancelReason reason);
 
   boost::asio::io_context& loop;
   peer::PeerNetwork& network;
--- a/ibismux/http/cancel_token.h
+++ b/ibismux/http/cancel_token.h
@@ -3,41 +3,52 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <utility>
 
+#include "ibismux/http/cancel_reason.h"
+
 namespace ibismux::http {
 
-/// Tells a request's handler that its client is gone.
+/// Tells a request's handler to end, as its client is gone or waits for an
+/// answer that must be given now.
 ///
 /// Belongs to one event loop; not thread safe.
 class CancelToken {
  public:
-  [[nodiscard]] bool cancelled() const noexcept { return this->is_cancelled; }
+  [[nodiscard]] bool cancelled() const noexcept {
+    return this->given_reason.has_value();
+  }
+
+  /// The first reason given; nothing before.
+  [[nodiscard]] std::optional<CancelReason> reason() const noexcept {
+    return this->given_reason;
+  }
 
-  /// `callback` runs once, on the loop, when the client goes; at once if it has
-  /// gone already. A later call replaces the callback.
-  void on_cancel(std::function<void()> callback) {
-    if (this->is_cancelled) {
-      callback();
+  /// `callback` runs once, on the loop, when the token is cancelled; at once if
+  /// it is already. A later call replaces the callback.
+  void on_cancel(std::function<void(CancelReason)> callback) {
+    if (this->given_reason) {
+      callback(*this->given_reason);
       return;
     }
     this->callback = std::move(callback);
   }
 
   /// Called by the server.
-  void cancel() {
-    if (this->is_cancelled) {
+  void cancel(CancelReason reason = CancelReason::kClientGone) {
+    if (this->cancelled()) {
       return;
     }
-    this->is_cancelled = true;
+    this->given_reason = reason;
     if (this->callback) {
-      std::exchange(this->callback, nullptr)();
+      std::exchange(this->callback, nullptr)(reason);
     }
   }
 
  private:
-  bool is_cancelled = false;
-  std::function<void()> callback;
+  std::optional<CancelReason> given_reason;
+  std::function<void(CancelReason)> callback;
 };
 
 }  // namespace ibismux::http
--- a/ibismux/http/server.cc
+++ b/ibismux/http/server.cc
@@ -260,6 +260,11 @@
     this->visit_all(&ServerConnection::drain);
   }
 
+  void cancel_requests() {
+    this->core->cancelling = true;
+    this->visit_all(&ServerConnection::cancel_request);
+  }
+
   void stop() {
     this->core->stopped = true;
     for (const auto& listener : this->listeners) {
@@ -313,6 +318,10 @@
   this->impl->drain();
 }
 
+void Server::cancel_requests() {
+  this->impl->cancel_requests();
+}
+
 std::size_t Server::connections() const noexcept {
   return this->impl->core->connections.load(std::memory_order_acquire);
 }
--- a/ibismux/http/server.h
+++ b/ibismux/http/server.h
@@ -33,6 +33,10 @@
   Duration drain_grace = std::chrono::milliseconds(500);
 };
 
+/// How long a handler whose token was cancelled for a stop has for its answer.
+inline constexpr Duration kCancelledHandlerTime =
+    std::chrono::milliseconds(100);
+
 /// An HTTP/1.1 keep-alive server over an `IoPool`.
 ///
 /// Each connection lives on one event loop; its handler runs there.
@@ -61,6 +65,13 @@
   /// after the grace accepts no more. Thread safe.
   void drain();
 
+  /// Has every request answered now: cancels the tokens of handlers with
+  /// `CancelReason::kStopping`, and answers 502 for those that don't answer
+  /// within `kCancelledHandlerTime`. Requests that arrive later, or of which
+  /// only a part is here, are refused as not run. Answers are still written.
+  /// Precondition: `drain()` was called. Thread safe.
+  void cancel_requests();
+
   /// Open connections. Thread safe.
   [[nodiscard]] std::size_t connections() const noexcept;
 
--- a/ibismux/http/server_connection.cc
+++ b/ibismux/http/server_connection.cc
@@ -71,6 +71,18 @@
   this->arm_timer(this->deadline);
 }
 
+void ServerConnection::cancel_request() {
+  if (this->phase == Phase::kReading) {
+    this->refuse_for_stop();
+  } else if (this->phase == Phase::kHandling) {
+    this->set_deadline(kCancelledHandlerTime);
+    this->arm_timer(this->deadline);
+    // Replaced when the handler answers from its callback.
+    const auto cancelled = this->token;
+    cancelled->cancel(CancelReason::kStopping);
+  }
+}
+
 void ServerConnection::close() {
   if (this->phase == Phase::kClosed) {
     return;
@@ -85,7 +97,7 @@
     owner->connections.erase(self);
   }
   if (const auto cancelled = std::exchange(this->token, nullptr)) {
-    cancelled->cancel();
+    cancelled->cancel(CancelReason::kClientGone);
   }
 }
 
@@ -146,7 +158,7 @@
   this->peer_done = true;
   if (this->phase == Phase::kHandling || this->phase == Phase::kWriting) {
     if (this->token) {
-      this->token->cancel();
+      this->token->cancel(CancelReason::kClientGone);
     }
   } else if (this->phase == Phase::kReading && error == asio::error::eof) {
     this->refuse(400, ErrorKind::kInvalidRequest, "request was cut short");
@@ -192,6 +204,10 @@
 }
 
 void ServerConnection::handle() {
+  if (this->core->cancelling.load()) {
+    this->refuse_for_stop();
+    return;
+  }
   this->set_phase(Phase::kHandling);
   this->deadline = TimePoint::max();
   this->token = std::make_shared<CancelToken>();
@@ -228,6 +244,14 @@
   this->write(refusal(status, kind, message), false);
 }
 
+void ServerConnection::refuse_for_stop() {
+  Response response =
+      refusal(503, ErrorKind::kNotReady, "the server is stopping");
+  // Another server can take it at once.
+  response.add("Retry-After", "0");
+  this->write(std::move(response), false);
+}
+
 void ServerConnection::write(Response response, bool keep_alive) {
   this->set_phase(Phase::kWriting);
   this->set_deadline(this->core->limits.read()->transfer_timeout);
@@ -340,6 +364,10 @@
     this->refuse(408, ErrorKind::kInvalidRequest, "request took too long");
     return;
   }
+  if (this->phase == Phase::kHandling) {
+    this->refuse(502, ErrorKind::kOutcomeUnknown, "the server is stopping");
+    return;
+  }
   // A request may have come since the loop last looked: it is in flight, and
   // a planned stop cuts none.
   ErrorCode ignored;
--- a/ibismux/http/server_connection.h
+++ b/ibismux/http/server_connection.h
@@ -34,6 +34,9 @@
   /// comes before, or is being handled, gets its answer first.
   void drain();
 
+  /// Has the request answered or refused now; see `Server::cancel_requests()`.
+  void cancel_request();
+
   /// Closes at once; the handler's token fires.
   void close();
 
@@ -57,6 +60,7 @@
   void handle();
   void on_answer(const std::exception_ptr& thrown, Response response);
   void refuse(int status, ErrorKind kind, const std::string& message);
+  void refuse_for_stop();
   void write(Response response, bool keep_alive);
   void on_written(const boost::system::error_code& error, bool keep_alive);
   void linger();
--- a/ibismux/http/server_core.h
+++ b/ibismux/http/server_core.h
@@ -30,6 +30,8 @@
   std::atomic<std::size_t> writing{0};
   /// @}
   std::atomic<bool> draining{false};
+  /// Handlers are to answer at once; see `Server::cancel_requests()`.
+  std::atomic<bool> cancelling{false};
   std::atomic<bool> stopped{false};
 };
 
--- a/ibismux/query/active_query.cc
+++ b/ibismux/query/active_query.cc
@@ -36,11 +36,12 @@
   this->gather.start(std::move(pin), first, Clock::now());
   this->perform();
   if (cancel != nullptr) {
-    cancel->on_cancel([query = this->weak_from_this()] {
-      if (const std::shared_ptr<ActiveQuery> alive = query.lock()) {
-        alive->on_cancel();
-      }
-    });
+    cancel->on_cancel(
+        [query = this->weak_from_this()](http::CancelReason reason) {
+          if (const std::shared_ptr<ActiveQuery> alive = query.lock()) {
+            alive->on_cancel(reason);
+          }
+        });
   }
 }
 
@@ -79,8 +80,12 @@
   }
 }
 
-void ActiveQuery::on_cancel() {
-  this->gather.on_cancel(Clock::now());
+void ActiveQuery::on_cancel(http::CancelReason reason) {
+  if (reason == http::CancelReason::kStopping) {
+    this->gather.on_stop();
+  } else {
+    this->gather.on_cancel(Clock::now());
+  }
   this->perform();
   this->timer.cancel();
 }
--- a/ibismux/query/active_query.h
+++ b/ibismux/query/active_query.h
@@ -53,7 +53,7 @@
 
  private:
   void on_answer(const gateway::LeafAnswer& answer);
-  void on_cancel();
+  void on_cancel(http::CancelReason reason);
   void on_timer();
   /// Restarts the query if shards no longer hold the pinned snapshot and this
   /// daemon knows a newer one.
--- a/ibismux/query/gather.cc
+++ b/ibismux/query/gather.cc
@@ -112,6 +112,12 @@
   }
 }
 
+void Gather::on_stop() {
+  if (!this->is_finished) {
+    this->check_outcome(this->plan.deadlines.deadline());
+  }
+}
+
 std::vector<GatherCall> Gather::take_starts() noexcept {
   return std::exchange(this->starts, {});
 }
--- a/ibismux/query/gather.h
+++ b/ibismux/query/gather.h
@@ -59,6 +59,9 @@
   /// The caller no longer waits for the answer. Ends the query with kCancelled.
   void on_cancel(TimePoint now);
 
+  /// The daemon stops. Ends the query as at its deadline, with what it has.
+  void on_stop();
+
   /// @}
   /// @name Actions for the owner
   /// @{
--- a/ibismux/startup/start_waiters.cc
+++ b/ibismux/startup/start_waiters.cc
@@ -48,7 +48,7 @@
   counted.held->Increment();
   http::Timer timer(this->loop.get_executor());
   const auto place = this->timers.insert(this->timers.end(), &timer);
-  while (!is_met() && Clock::now() < *decision.wait_until) {
+  while (!this->closed && !is_met() && Clock::now() < *decision.wait_until) {
     timer.expires_at(*decision.wait_until);
     const auto [cancelled] = co_await timer.async_wait(kAwait);
     static_cast<void>(cancelled);
@@ -58,6 +58,11 @@
   co_return Result{is_met(), decision.retry_after};
 }
 
+void StartWaiters::close() {
+  this->closed = true;
+  this->notify();
+}
+
 void StartWaiters::notify() {
   for (http::Timer* timer : this->timers) {
     timer->cancel();
--- a/ibismux/startup/start_waiters.h
+++ b/ibismux/startup/start_waiters.h
@@ -47,6 +47,9 @@
   /// Something that requests wait for may be met now.
   void notify();
 
+  /// Ends all waits, because the daemon stops; no request waits from now on.
+  void close();
+
  private:
   struct Counters {
     prometheus::Counter* held;
@@ -55,6 +58,7 @@
 
   boost::asio::io_context& loop;
   StartGate gate;
+  bool closed = false;
   std::list<http::Timer*> timers;         ///< One for each request that waits.
   std::array<Counters, kNeeds> counters;  ///< By `Need`.
 };
--- a/tests/gather/gather_exchange_test.cc
+++ b/tests/gather/gather_exchange_test.cc
@@ -37,7 +37,7 @@
       std::shared_ptr<http::CancelToken> cancelled) override {
     this->asked.push_back(request.id);
     this->confirmation = std::move(confirmation);
-    cancelled->on_cancel([this, id = request.id] {
+    cancelled->on_cancel([this, id = request.id](http::CancelReason) {
       this->cancelled_ids.push_back(id);
       this->answers = true;
     });
@@ -291,6 +291,30 @@
       [&] { return !fixture.gatherer.cancelled_ids.empty(); }));
 }
 
+// Guards against queries of peers that a stopping daemon leaves without an
+// answer.
+Test(gather_exchange, a_stopping_host_ends_its_queries) {
+  Fixture fixture;
+  fixture.gatherer.answers = false;
+  fixture.begin("q1");
+  cr_assert(fixture.run_until([&] { return fixture.host->in_flight() == 1; }));
+  fixture.host->cancel_queries();
+  cr_assert(fixture.gatherer.cancelled_ids.size() == 1);
+}
+
+// Guards against a query at a silent peer that outlasts the stop of its daemon.
+Test(gather_exchange, a_delegated_query_ends_as_unknown_at_a_stop) {
+  Fixture fixture;
+  fixture.gatherer.answers = false;
+  const auto token = fixture.begin("q1");
+  cr_assert(fixture.run_until([&] { return !fixture.gatherer.asked.empty(); }));
+  token->cancel(http::CancelReason::kStopping);
+  cr_assert(fixture.run_until([&] { return fixture.ended.contains("q1"); }));
+  const auto& outcome = fixture.ended["q1"].outcome;
+  cr_assert(outcome.has_value() && !outcome->has_value());
+  cr_assert(outcome->error().kind == ErrorKind::kOutcomeUnknown);
+}
+
 Test(gather_exchange, a_draining_host_withdraws_offers_and_finishes) {
   Fixture fixture;
   fixture.gatherer.answers = false;
--- a/tests/http/harness.h
+++ b/tests/http/harness.h
@@ -5,6 +5,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
--- a/tests/http/server_lifetime_test.cc
+++ b/tests/http/server_lifetime_test.cc
@@ -32,7 +32,7 @@
 
  private:
   static Task<Response> hold(Gate* gate, std::shared_ptr<CancelToken> token) {
-    token->on_cancel([gate] { gate->cancelled.set_value(); });
+    token->on_cancel([gate](CancelReason) { gate->cancelled.set_value(); });
     gate->entered.set_value();
     auto opened = gate->released.get_future();
     boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
--- a/tests/startup/start_waiters_test.cc
+++ b/tests/startup/start_waiters_test.cc
@@ -58,6 +58,19 @@
   cr_assert(fixture.served == 2);
 }
 
+// Guards against requests that wait beyond the stop of their daemon.
+Test(start_waiters, no_request_waits_once_the_daemon_stops) {
+  Fixture fixture;
+  fixture.request(hours(1));
+  fixture.loop.poll();
+  cr_assert(fixture.ended == 0);
+  fixture.waiters.close();
+  fixture.request(hours(1));
+  fixture.loop.poll();
+  cr_assert(fixture.ended == 2);
+  cr_assert(fixture.served == 0);
+}
+
 Test(start_waiters, a_request_that_waits_in_vain_ends_by_itself) {
   Fixture fixture(10, milliseconds(3900));
   fixture.request(hours(1));
--- a/tests/users_platform/stop_limit_test.cc
+++ b/tests/users_platform/stop_limit_test.cc
@@ -96,7 +96,7 @@
     for (const auto& answer : silent.answers) {
       cr_assert(answer.has_value(), "%s: %s", path,
                 answer.error().message.c_str());
-      cr_assert(answer->status == 502, "%s: %d", path, answer->status);
+      cr_assert(answer->status == 504, "%s: %d", path, answer->status);
     }
     cr_assert(silent.site.daemon().wait() == 0);
   }
@@ -121,7 +121,7 @@
     const auto& answer = silent.answers[i];
     const bool ran = all.at("desk").as_object().contains(SilentSite::name(i));
     cr_assert(answer.has_value(), "%s", answer.error().message.c_str());
-    cr_assert(answer->status == (ran ? 502 : 503), "%d", answer->status);
+    cr_assert(answer->status == (ran ? 504 : 503), "%d", answer->status);
     cr_assert(ran || !answer->field("Retry-After").empty());
     refused += ran ? 0 : 1;
   }
