--- a/tests/users_platform/edge_site.h
+++ b/tests/users_platform/edge_site.h
@@ -40,13 +40,16 @@
  public:
   /// @param leave_notice How long a daemon that stops takes new connections.
   /// @param stop_limit How long a daemon that stops may take.
+  /// @param replicas Leafs of each service.
   explicit EdgeSite(
       std::size_t daemons = 1,
       std::chrono::milliseconds leave_notice = std::chrono::milliseconds(200),
-      std::chrono::seconds stop_limit = std::chrono::seconds(9))
+      std::chrono::seconds stop_limit = std::chrono::seconds(9),
+      std::size_t replicas = 3)
       : leave_notice(leave_notice),
         stop_limit(stop_limit),
-        platform("ibismux-users-platform", {"--shards", "3"}) {
+        platform("ibismux-users-platform",
+                 {"--shards", "3", "--replicas", std::to_string(replicas)}) {
     for (std::size_t i = 0; i < daemons; ++i) {
       this->start_daemon();
     }
