http: responses that arrive at once take bounded memory together

Cause: max_body (16 MiB) bounds one response; a daemon reads as many at once as it has calls. The read buffers, up to 256 KiB a connection, were never given back.

Class: a limit for each of many, and none for all.

Ruled out: heads, heads of chunks, noise, interim responses, late answers (below 30 MB).

Change: the responses on all links to leafs share a ResponseMemory (leaf.response_memory_mb, 64 by default). A read buffer that has grown is given back with the end of the response. Metrics: ibismux_leaf_response_bytes, ibismux_leaf_responses_given_up_total.

--- a/ibismux/edge/adapters.h
+++ b/ibismux/edge/adapters.h
@@ -10,6 +10,7 @@
 #include "ibismux/dispatch/answer.h"
 #include "ibismux/dispatch/caller_request.h"
 #include "ibismux/dispatch/leaf_link.h"
+#include "ibismux/http/forward.h"
 #include "ibismux/http/message.h"
 #include "ibismux/routing/route_table.h"
 #include "ibismux/store/store_dialect.h"
@@ -51,6 +52,8 @@
 struct Adapters {
   std::unique_ptr<const store::StoreDialect> store_dialect;
   std::unique_ptr<const dispatch::LeafConnector> leaf_connector;
+  /// What the responses on the connector's links take; null: not known.
+  std::shared_ptr<http::ResponseMemory> response_memory;
   std::unique_ptr<const CallerProtocol> caller_protocol;
   std::unique_ptr<const ConfigurationDecoder> configuration;
   std::unique_ptr<const LeafEntryDecoder> leaf_entries;
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -1,5 +1,6 @@
 #include "ibismux/edge/edge_daemon.h"
 
+#include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/text_serializer.h>
 
@@ -15,6 +16,7 @@
 #include "ibismux/edge/edge_daemon_impl.h"
 #include "ibismux/edge/endpoint.h"
 #include "ibismux/edge/package_settings.h"
+#include "ibismux/http/response_memory.h"
 
 namespace ibismux::edge {
 
@@ -177,6 +179,21 @@
                      .Name("ibismux_caller_requests_open")
                      .Help("Requests of callers that are not answered yet.")
                      .Register(this->registry);
+  if (const auto& memory = this->adapters.response_memory) {
+    prometheus::BuildGauge()
+        .Name("ibismux_leaf_response_bytes")
+        .Help("Memory of the responses of leafs that are arriving.")
+        .Register(this->registry)
+        .Add({})
+        .Set(static_cast<double>(memory->held()));
+    auto& given_up = prometheus::BuildCounter()
+                         .Name("ibismux_leaf_responses_given_up_total")
+                         .Help("Responses given up for want of memory.")
+                         .Register(this->registry)
+                         .Add({});
+    given_up.Increment(static_cast<double>(memory->given_up()) -
+                       given_up.Value());
+  }
   const http::OpenRequests open = this->callers.open_requests();
   const std::pair<const char*, std::size_t> phases[] = {
       {"reading", open.reading},
--- a/ibismux/edge/edge_settings.cc
+++ b/ibismux/edge/edge_settings.cc
@@ -101,6 +101,10 @@
         "How much better a leaf of another zone must be to be preferred, as a "
         "multiple of the usual duration of a call.",
         Real{&EdgeSettings::remote_cost, 0, 10}},
+    Key{"leaf.response_memory_mb",
+        "Megabytes that responses of leafs may take while they arrive. Beyond "
+        "them the longest ones are given up.",
+        Number{&EdgeSettings::response_memory_mb, 1, 1'000'000}},
 
     Key{"customers.rate_window_s",
         "Window in which the requests of a customer are compared with its "
--- a/ibismux/edge/edge_settings.h
+++ b/ibismux/edge/edge_settings.h
@@ -55,6 +55,7 @@
   double repeat_ratio = 0.2;
   double repeat_slack = 50;
   double remote_cost = 1.0;
+  std::uint32_t response_memory_mb = 64;
   /// @}
 
   /// @name Limits of customers
--- a/ibismux/http/client_connection.cc
+++ b/ibismux/http/client_connection.cc
@@ -22,6 +22,8 @@
 
 constexpr std::size_t kInputBuffer = 8 * 1024;
 constexpr std::size_t kMostInputBuffer = 256 * 1024;
+// The memory of a response up to this size isn't counted.
+constexpr std::size_t kUncountedMemory = 16 * 1024;
 // A body up to this size is copied behind the head and goes out as one buffer.
 constexpr std::size_t kMostCopiedBody = 16 * 1024;
 
@@ -32,8 +34,8 @@
                              ClientOptions options)
     : address(std::move(address)),
       port(port),
-      options(options),
-      parser(options.max_body, options.body_may_end_by_close),
+      options(std::move(options)),
+      parser(this->options.max_body, this->options.body_may_end_by_close),
       input(kInputBuffer) {}
 
 Task<Result<void>> ClientConnection::Impl::connect(std::shared_ptr<Impl> self,
@@ -138,6 +140,7 @@
   }
   self->request.reset();
   if (self->failure) {
+    self->response = Response{};
     co_return tl::unexpected(*std::exchange(self->failure, std::nullopt));
   }
   co_return std::move(self->response);
@@ -259,7 +262,34 @@
       this->input.size() < kMostInputBuffer) {
     this->input.resize(this->input.size() * 2);
   }
-  this->read();
+  if (this->count_memory()) {
+    this->read();
+  } else {
+    this->resume();
+  }
+}
+
+bool ClientConnection::Impl::count_memory() {
+  const std::size_t held =
+      this->input.capacity() + this->response.body.capacity();
+  return !this->options.response_memory || held <= kUncountedMemory ||
+         this->options.response_memory->update(*this, held);
+}
+
+void ClientConnection::Impl::release_memory() {
+  if (this->options.response_memory) {
+    this->options.response_memory->release(*this);
+  }
+}
+
+void ClientConnection::Impl::give_up_response() {
+  // Resumes the exchange when the pending read ends: this may be called from
+  // the exchange of another connection.
+  this->close(this->exchange_error(
+      ErrorKind::kProtocolError,
+      "response given up after " + std::to_string(this->response.body.size()) +
+          " bytes of its body, as all responses take too much memory"));
+  this->response = Response{};
 }
 
 void ClientConnection::Impl::on_late_response() {
@@ -290,6 +320,11 @@
   } else {
     this->phase = Phase::kIdle;
     this->deadline = TimePoint::max();
+    this->release_memory();
+    if (this->input.size() > kInputBuffer) {
+      // No other response may need the space of this one.
+      std::vector<char>(kInputBuffer).swap(this->input);
+    }
     this->read();
   }
   this->just_read = true;
@@ -352,12 +387,15 @@
   ErrorCode ignored;
   this->timer->cancel();
   this->socket->close(ignored);
+  this->release_memory();
 }
 
 ClientConnection::ClientConnection(std::string address,
                                    std::uint16_t port,
                                    ClientOptions options)
-    : impl(std::make_shared<Impl>(std::move(address), port, options)) {}
+    : impl(std::make_shared<Impl>(std::move(address),
+                                  port,
+                                  std::move(options))) {}
 
 ClientConnection::~ClientConnection() {
   this->close();
--- a/ibismux/http/client_connection_impl.h
+++ b/ibismux/http/client_connection_impl.h
@@ -11,6 +11,7 @@
 
 #include "ibismux/http/client_connection.h"
 #include "ibismux/http/parser.h"
+#include "ibismux/http/response_memory.h"
 #include "ibismux/http/socket.h"
 
 namespace ibismux::http {
@@ -19,7 +20,8 @@
 /// exchanges it reports a server that closes or speaks out of turn without a
 /// system call of its own, and within one it brings the response.
 class ClientConnection::Impl
-    : public std::enable_shared_from_this<ClientConnection::Impl> {
+    : public std::enable_shared_from_this<ClientConnection::Impl>,
+      private ResponseMemory::Reader {
  public:
   Impl(std::string address, std::uint16_t port, ClientOptions options);
 
@@ -86,6 +88,10 @@
   void read();
   void on_read(const ErrorCode& error, std::size_t bytes);
   void on_bytes(std::size_t bytes);
+  /// Counts the memory of the response. @return Whether the exchange goes on.
+  [[nodiscard]] bool count_memory();
+  void release_memory();
+  void give_up_response() override;
   void on_response(bool bytes_left);
   void on_late_response();
   void fail_exchange(ErrorKind kind, std::string message);
--- a/ibismux/http/client_options.h
+++ b/ibismux/http/client_options.h
@@ -3,8 +3,11 @@
 
 #include <chrono>
 #include <cstddef>
+#include <memory>
 #include <optional>
 
+#include "ibismux/http/forward.h"
+
 namespace ibismux::http {
 
 /// How a `ClientConnection` treats its server.
@@ -23,6 +26,10 @@
   /// behind a partition resets nothing: without this a watch on such a
   /// connection waits for its whole time and brings no change.
   std::optional<std::chrono::seconds> silence_limit;
+
+  /// Bounds what the responses of many connections take together; null: no
+  /// such bound. Belongs to the event loop of the connection.
+  std::shared_ptr<ResponseMemory> response_memory;
 };
 
 }  // namespace ibismux::http
--- a/ibismux/http/forward.h
+++ b/ibismux/http/forward.h
@@ -10,6 +10,7 @@
 class CancelToken;
 class ClientConnection;
 class ClientPool;
+class ResponseMemory;
 class Server;
 
 }  // namespace ibismux::http
