http: an exchange ends after 1 MiB of responses that are no answer

Cause: both are dropped one by one, without a limit. Late answers were also dropped by recursion, one level for each in the read buffer.

Change: the bytes that are dropped in one exchange are counted; beyond 1 MiB it fails with kProtocolError, so that the request may go to another leaf. The recursion is a loop.

Evidence: http_client_faults::responses_without_end_fail_the_exchange failed before, after 60 s (its deadline) and 56 s of processor time; passes now, and all http tests in 6 s.

--- a/ibismux/http/client_connection.cc
+++ b/ibismux/http/client_connection.cc
@@ -22,6 +22,9 @@
 
 constexpr std::size_t kInputBuffer = 8 * 1024;
 constexpr std::size_t kMostInputBuffer = 256 * 1024;
+// Bytes of interim responses and of answers to earlier requests that are
+// dropped in one exchange.
+constexpr std::size_t kMostDropped = 1024 * 1024;
 // The memory of a response up to this size isn't counted.
 constexpr std::size_t kUncountedMemory = 16 * 1024;
 // A body up to this size is copied behind the head and goes out as one buffer.
@@ -113,6 +116,8 @@
   }
   self->phase = Phase::kExchange;
   self->response_begun = false;
+  self->response_bytes = 0;
+  self->dropped_bytes = 0;
   if (deadline <= Clock::now()) {
     self->close(self->exchange_error(ErrorKind::kDeadlineExceeded,
                                      "no time left to send"));
@@ -234,30 +239,44 @@
 }
 
 void ClientConnection::Impl::on_bytes(std::size_t bytes) {
-  this->response_begun = true;
   this->filled += bytes;
-  const ParseStep step = this->parser.feed({this->input.data(), this->filled});
-  this->filled -= step.consumed;
-  if (step.state == ParseState::kFailed) {
-    this->fail_exchange(ErrorKind::kProtocolError,
-                        "bad response: " + step.message);
-    return;
-  }
-  const bool is_done = step.state == ParseState::kDone;
-  // A response that ends with the connection is tested by its head: the server
-  // may keep the connection open until the deadline.
-  const bool is_late = (is_done || this->parser.ends_by_close()) &&
-                       this->is_answer && !this->is_answer(this->response);
-  if (is_done && !is_late) {
-    this->on_response(this->filled > 0);
-    return;
-  }
-  std::copy_n(this->input.data() + step.consumed, this->filled,
-              this->input.data());
-  if (is_late) {
-    this->on_late_response();
-    return;
+  std::size_t consumed = 0;
+  for (;;) {
+    this->response_begun = true;
+    const ParseStep step = this->parser.feed(
+        {this->input.data() + consumed, this->filled - consumed});
+    consumed += step.consumed;
+    this->response_bytes += step.consumed - step.interim;
+    this->dropped_bytes += step.interim;
+    if (step.state == ParseState::kFailed) {
+      this->fail_exchange(ErrorKind::kProtocolError,
+                          "bad response: " + step.message);
+      return;
+    }
+    const bool is_done = step.state == ParseState::kDone;
+    // A response that ends with the connection is tested by its head: the
+    // server may keep the connection open until the deadline.
+    const bool is_late = (is_done || this->parser.ends_by_close()) &&
+                         this->is_answer && !this->is_answer(this->response);
+    if (is_done && !is_late) {
+      this->filled -= consumed;
+      this->on_response(this->filled > 0);
+      return;
+    }
+    if (is_late && !this->drop_late_response()) {
+      return;
+    }
+    if (this->dropped_bytes > kMostDropped) {
+      this->fail_exchange(ErrorKind::kProtocolError,
+                          "too many responses that are no answer");
+      return;
+    }
+    if (!is_late || consumed == this->filled) {
+      break;
+    }
   }
+  this->filled -= consumed;
+  std::copy_n(this->input.data() + consumed, this->filled, this->input.data());
   if (bytes >= this->input.size() / 2 &&
       this->input.size() < kMostInputBuffer) {
     this->input.resize(this->input.size() * 2);
@@ -292,23 +311,20 @@
   this->response = Response{};
 }
 
-void ClientConnection::Impl::on_late_response() {
+bool ClientConnection::Impl::drop_late_response() {
   // Taken for the answer, it would give this caller what another one asked for.
   // Where a HEAD was sent its end is unknown: whether it has a body depends on
   // the request that it answers.
   if (this->has_sent_head || !this->parser.keep_alive()) {
     this->fail_exchange(ErrorKind::kLeafUnavailable,
                         "closed behind an answer to an earlier request");
-    return;
+    return false;
   }
+  this->dropped_bytes += std::exchange(this->response_bytes, 0);
   this->response = Response{};
   this->response_begun = false;
   this->parser.start(this->response, false);
-  if (this->filled > 0) {
-    this->on_bytes(0);
-  } else {
-    this->read();
-  }
+  return true;
 }
 
 void ClientConnection::Impl::on_response(bool bytes_left) {
--- a/ibismux/http/parser.cc
+++ b/ibismux/http/parser.cc
@@ -265,6 +265,7 @@
     ParseStep step =
         feed_parser(parser, bytes.substr(skipped), kMostResponseHeader);
     step.consumed += skipped;
+    step.interim = skipped;
     if (step.state == ParseState::kDone && this->impl->interim()) {
       skipped = step.consumed;
       *this->impl->response = Response{};
--- a/ibismux/http/parser.h
+++ b/ibismux/http/parser.h
@@ -17,6 +17,7 @@
 struct ParseStep {
   ParseState state = ParseState::kNeedMore;
   std::size_t consumed = 0;  ///< The rest must be fed again, with more behind.
+  std::size_t interim = 0;   ///< Of these, bytes of interim responses.
   int status = 0;            ///< kFailed: the status that says why.
   std::string message;       ///< kFailed.
 };
--- a/tests/http/client_faults_test.cc
+++ b/tests/http/client_faults_test.cc
@@ -382,3 +382,29 @@
   }
   cr_assert(held.expired());
 }
+
+// Guards against calls that last until their deadline at a server that sends
+// responses which are no answer without end.
+Test(http_client_faults, responses_without_end_fail_the_exchange) {
+  for (const char* text :
+       {"HTTP/1.1 100 Continue\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nId: b\r\nContent-Length: 0\r\n\r\n"}) {
+    std::string block;
+    while (block.size() < 64 * 1024) {
+      block += text;
+    }
+    ScriptedServer server(1, [&block](tcp::socket& socket) {
+      boost::system::error_code error;
+      while (!error) {
+        boost::asio::write(socket, boost::asio::buffer(block), error);
+      }
+    });
+    IoPool pool(1);
+    pool.start();
+    NamedRequests requests(pool, server.port);
+    const auto answer = requests.send("a");
+    cr_assert(!answer);
+    cr_assert(
+        is(answer.error(), ErrorKind::kProtocolError, Execution::kUnknown));
+  }
+}
