edge: a tick that is due when SIGTERM comes no longer hinders the stop

What callers would see: all requests in flight are cut together at the platform's SIGKILL, after the whole grace (LOST); the log has drain and no stop.

Cause: tick() and await_idle() shared one timer. cancel() doesn't reach a tick whose wait has already ended; it ran after drain(), set the timer anew and so aborted the wait of await_idle(), which took that for its end. From then on nothing ended the daemon. The window is the time from the read of the signal to its handler, once in 500 ms: it grows with the lateness of the event loop.

Class: an operation is taken as cancelled that has already completed.

Ruled out: the limit of a stop (it is never looked at).

Change: a stop has a timer of its own, and a tick does nothing once the daemon stops.

--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -79,6 +79,7 @@
       signals(pool.at(0)),
       check_timer(pool.at(0).get_executor()),
       ticker(pool.at(0).get_executor()),
+      stop_timer(pool.at(0).get_executor()),
       stalls(kTick, Clock::now(), StallDetector::boot_time()) {
   if (this->settings.hold_at_start) {
     this->dispatcher.set_start_waiters(this->start_waiters);
--- a/ibismux/edge/edge_daemon_impl.h
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -140,6 +140,7 @@
   boost::asio::signal_set signals;
   http::Timer check_timer;  ///< Until the next check of the store.
   http::Timer ticker;
+  http::Timer stop_timer;  ///< Until the next look at what is in flight.
   StallDetector stalls;
   Duration max_idle_timeout{0};
   bool stopping = false;
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -295,7 +295,8 @@
 void EdgeDaemon::Impl::tick() {
   this->ticker.expires_after(kTick);
   this->ticker.async_wait([this](const boost::system::error_code& error) {
-    if (error) {
+    // A tick that was due when the signal came can't be cancelled.
+    if (error || this->stopping) {
       return;
     }
     const Duration stall =
@@ -407,8 +408,8 @@
   if (now >= this->answer_deadline && !this->cancelling) {
     this->cancel_requests();
   }
-  this->ticker.expires_after(kDrainPollInterval);
-  this->ticker.async_wait([this](const boost::system::error_code& error) {
+  this->stop_timer.expires_after(kDrainPollInterval);
+  this->stop_timer.async_wait([this](const boost::system::error_code& error) {
     if (!error) {
       this->await_idle();
     }
--- a/tests/users_platform/edge_site.h
+++ b/tests/users_platform/edge_site.h
@@ -56,7 +56,9 @@
   }
 
   /// @param more Further members of the settings, each after a comma.
-  void start_daemon(const std::string& more = {}) {
+  /// @param program The daemon, or a variant of it.
+  void start_daemon(const std::string& more = {},
+                    const std::string& program = "ibismux-edge") {
     const std::string number = std::to_string(this->daemons.size() + 1);
     this->settings.emplace_back(
         "{\"member\":\"h" + number + "\",\"zone\":\"z" + number +
@@ -71,7 +73,7 @@
         std::to_string(this->stop_limit.count()) + ",\"leave_notice_ms\":" +
         std::to_string(this->leave_notice.count()) + "}" + more + "}");
     this->daemons.emplace_back(
-        "ibismux-edge",
+        program,
         std::vector<std::string>{"--settings", this->settings.back().name()});
   }
 
