edge: a daemon that is late at the limit of its stop still answers

What callers saw: requests in flight ended without an answer where the event loop didn't run in the 0.3 s between the answers and the end of a stop (LOST).

Cause: await_idle() looked at the end of the stop before it gave the answers, and the end was counted from the time at which they were due, not from the time at which they were given.

Change: callers have 0.3 s from the answers on. Handlers are cancelled before the waits for a start or a token end, so that nothing that was waiting is sent first.

Evidence: stop_limit::requests_are_answered_by_a_daemon_that_is_late_at_the_limit (the daemon is stopped by SIGSTOP across the limit): "connection lost: End of file" before in 2 of 2 runs, passes now.

--- a/ibismux/edge/edge_daemon_impl.h
+++ b/ibismux/edge/edge_daemon_impl.h
@@ -144,9 +144,9 @@
   StallDetector stalls;
   Duration max_idle_timeout{0};
   bool stopping = false;
-  bool cancelling = false;  ///< Requests in flight are being answered.
   TimePoint answer_deadline;
-  TimePoint stop_deadline;
+  /// Of the answers that are given at `answer_deadline`; unlimited before.
+  TimePoint stop_deadline = TimePoint::max();
 };
 
 }  // namespace ibismux::edge
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -374,7 +374,6 @@
   const Duration limit = std::max<Duration>(
       this->settings.stop_limit - kAnswerMargin, Duration::zero());
   this->answer_deadline = Clock::now() + limit;
-  this->stop_deadline = this->answer_deadline + kAnswerTime;
   this->log.event(eventlog::Weight::kBelief, "drain")
       .with("in_flight", this->in_flight())
       .with("connections", this->callers.connections())
@@ -389,11 +388,13 @@
 }
 
 void EdgeDaemon::Impl::cancel_requests() {
-  this->cancelling = true;
+  // From now, also if the event loop is late: an answer may still arrive.
+  this->stop_deadline = Clock::now() + kAnswerTime;
   this->log_open_requests("stop_limit");
+  // Before waits end, so that no request is sent that would be cancelled.
+  this->callers.cancel_requests();
   this->start_waiters.close();
   this->rates->stop_waiting();
-  this->callers.cancel_requests();
   if (this->gather_host) {
     this->gather_host->cancel_queries();
   }
@@ -405,7 +406,8 @@
     this->loop().stop();
     return;
   }
-  if (now >= this->answer_deadline && !this->cancelling) {
+  if (now >= this->answer_deadline &&
+      this->stop_deadline == TimePoint::max()) {
     this->cancel_requests();
   }
   this->stop_timer.expires_after(kDrainPollInterval);
--- a/tests/users_platform/stop_limit_test.cc
+++ b/tests/users_platform/stop_limit_test.cc
@@ -140,5 +140,26 @@
   cr_assert(site.daemon().wait() == 0);
 }
 
+// Guards against requests that are cut by a daemon whose event loop is late at
+// the moment in which it should answer them.
+Test(stop_limit, requests_are_answered_by_a_daemon_that_is_late_at_the_limit) {
+  SilentSite silent;
+  cr_assert(silent.start());
+  silent.send("/page/1", 2);
+  cr_assert(wait_until([&] { return silent.run_count() == 2; }));
+  std::thread pause([&] {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1400));
+    silent.site.daemon().signal(SIGSTOP);
+    std::this_thread::sleep_for(std::chrono::milliseconds(520));
+    silent.site.daemon().signal(SIGCONT);
+  });
+  silent.stop();
+  pause.join();
+  for (const auto& answer : silent.answers) {
+    cr_assert(answer.has_value(), "%s", answer.error().message.c_str());
+    cr_assert(answer->status == 504, "%d", answer->status);
+  }
+}
+
 }  // namespace
 }  // namespace ibismux::testing
