http: connections that are opened while a server drains add no grace of their own

A connection accepted at the end of the grace (2.5 s) was kept idle for another grace, so that a request could come 5 s after SIGTERM and had 0.6 s before the limit of the stop: a reservation of the users' deployment takes up to 1.3 s.

Cause: ServerConnection::drain() counted the grace from the time at which a connection became idle, not from the begin of the drain.

Change: the server sets one end for its drain; a connection that is newer still waits 0.2 s for its first request.

Evidence: http_server_lifetime::a_connection_opened_in_a_drain_adds_no_grace failed before.

--- a/ibismux/http/server.cc
+++ b/ibismux/http/server.cc
@@ -251,6 +251,8 @@
   }
 
   void drain() {
+    this->core->drain_end =
+        Clock::now() + this->core->limits.read()->drain_grace;
     this->core->draining = true;
     for (const auto& listener : this->listeners) {
       asio::post(this->pool.at(0), [listener, counted = this->hold()] {
--- a/ibismux/http/server.h
+++ b/ibismux/http/server.h
@@ -28,8 +28,8 @@
   /// How long a request may take to arrive once its first byte is here, and an
   /// answer to be taken off. Bounds slow and half-closed clients.
   Duration transfer_timeout = std::chrono::seconds(10);
-  /// Once the server drains: how long it still takes new connections, and how
-  /// long one must have been idle to be closed. Requests may be on the way.
+  /// Once the server drains: how long it still takes new connections, and waits
+  /// for requests on idle ones. Requests may be on the way.
   Duration drain_grace = std::chrono::milliseconds(500);
 };
 
@@ -61,8 +61,8 @@
   void set_limits(ServerLimits limits);
 
   /// Gives each request that is here or still comes its answer with
-  /// `Connection: close`; closes connections that stay idle for the grace, and
-  /// after the grace accepts no more. Thread safe.
+  /// `Connection: close`; after the grace closes connections that are idle and
+  /// accepts no more. Thread safe.
   void drain();
 
   /// Has every request answered now: cancels the tokens of handlers with
--- a/ibismux/http/server_connection.cc
+++ b/ibismux/http/server_connection.cc
@@ -23,6 +23,9 @@
 // before the client has read it.
 constexpr std::size_t kMostDropped = 8 * 1024 * 1024;
 constexpr Duration kMostLinger = std::chrono::seconds(2);
+// How long a request is awaited at least on a connection of a draining server:
+// some round trips between zones.
+constexpr Duration kMinFirstRequestTime = std::chrono::milliseconds(200);
 
 std::string remote_of(const TcpSocket& socket) {
   ErrorCode error;
@@ -66,7 +69,8 @@
   // Counted, or whoever waits for the last request would stop the server while
   // the next one of this client is on its way.
   this->count_in_flight();
-  const TimePoint end = Clock::now() + this->core->limits.read()->drain_grace;
+  const TimePoint end = std::max(this->core->drain_end.load(),
+                                 Clock::now() + kMinFirstRequestTime);
   this->deadline = std::min(this->deadline, end);
   this->arm_timer(this->deadline);
 }
--- a/ibismux/http/server_core.h
+++ b/ibismux/http/server_core.h
@@ -30,6 +30,9 @@
   std::atomic<std::size_t> writing{0};
   /// @}
   std::atomic<bool> draining{false};
+  /// Until when requests are awaited on idle connections. Set before
+  /// `draining`.
+  std::atomic<TimePoint> drain_end{TimePoint::max()};
   /// Handlers are to answer at once; see `Server::cancel_requests()`.
   std::atomic<bool> cancelling{false};
   std::atomic<bool> stopped{false};
--- a/tests/http/server_lifetime_test.cc
+++ b/tests/http/server_lifetime_test.cc
@@ -160,6 +160,33 @@
   cr_assert(late.read_all().ends_with("GET /4 "));
 }
 
+// Guards against requests that come so late in a stop that it cuts them: on
+// connections opened while the server drains, which had a grace of their own.
+Test(http_server_lifetime, a_connection_opened_in_a_drain_adds_no_grace) {
+  ServerLimits limits;
+  limits.drain_grace = std::chrono::seconds(3);
+  ServerFixture fixture(echo, limits);
+  ServerFixture later(echo, limits);
+  RawClient reference(later.port);
+  reference.send("GET /1 HTTP/1.1\r\n\r\n");
+  reference.read_until("GET /1 ");
+  fixture.server.drain();
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  later.server.drain();
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  RawClient late(fixture.port);
+  std::promise<void> closed;
+  std::thread reader([&] {
+    late.read_all();
+    closed.set_value();
+  });
+  reference.read_all();
+  const bool first = closed.get_future().wait_for(std::chrono::seconds(0)) ==
+                     std::future_status::ready;
+  reader.join();
+  cr_assert(first);
+}
+
 Test(http_server_lifetime, drain_closes_what_stays_idle) {
   ServerLimits limits;
   limits.drain_grace = std::chrono::milliseconds(1);
