http, dispatch: what the review of the fixes found

- A late answer of more than 1 MiB failed the exchange behind it, which it had not before: late answers are counted (64 in one exchange), interim responses by bytes.
- A request whose token was cancelled while it waited for a token of its customer was sent to a peer all the same, and ended as unknown; it is refused as not run.
- A request that is refused for a stop before it is sent left no line and no count.
- stop has reason "limit" only behind a stop_limit.

Evidence: by reading the code; http_client_faults, forward, gather_exchange pass.

--- a/ibismux/dispatch/dispatcher_requests.cc
+++ b/ibismux/dispatch/dispatcher_requests.cc
@@ -49,8 +49,8 @@
 // of the time that its caller waits.
 constexpr double kUnknownObjectiveShare = 0.1;
 
-/// The outcome of a request that was cancelled before it was sent to a leaf.
-tl::unexpected<Error> cancelled_before_run(http::CancelReason reason) {
+/// Why a request ends that was cancelled before it was sent to a leaf.
+Error cancelled_before_run(http::CancelReason reason) {
   const bool is_stopping = reason == http::CancelReason::kStopping;
   Error error =
       make_error(is_stopping ? ErrorKind::kNotReady : ErrorKind::kCancelled,
@@ -59,7 +59,7 @@
     // Another daemon can take it at once.
     error.retry_after = milliseconds(0);
   }
-  return tl::unexpected(std::move(error));
+  return error;
 }
 
 tl::unexpected<Error> no_configuration(milliseconds retry_after) {
@@ -251,12 +251,19 @@
     co_return tl::unexpected(std::move(context.error()));
   }
   if (caller->cancelled()) {
-    co_return cancelled_before_run(*caller->reason());
+    co_return this->refuse((*context)->request,
+                           cancelled_before_run(*caller->reason()),
+                           (*context)->route);
   }
   if (auto within = co_await this->check_rate(*context); !within) {
     co_return this->refuse((*context)->request, std::move(within.error()),
                            (*context)->route);
   }
+  if (caller->cancelled()) {
+    co_return this->refuse((*context)->request,
+                           cancelled_before_run(*caller->reason()),
+                           (*context)->route);
+  }
   for (int i = 0; i < kMaxDelegations && this->may_delegate(**context); ++i) {
     auto outcome = co_await this->delegate_query(*context, caller);
     if (outcome) {
@@ -378,11 +385,11 @@
 Task<Outcome> Dispatcher::run(Context context,
                               std::shared_ptr<http::CancelToken> caller) {
   if (caller->cancelled()) {
-    auto cancelled = cancelled_before_run(*caller->reason());
+    Error error = cancelled_before_run(*caller->reason());
     if (context->peer_attempts > 0) {
-      cancelled.value().execution = Execution::kUnknown;
+      error.execution = Execution::kUnknown;
     }
-    co_return cancelled;
+    co_return this->refuse(context->request, std::move(error), context->route);
   }
   const bool is_scatter = context->route->is_scatter();
   auto groups = this->target_groups(*context->route);
--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -126,7 +126,8 @@
   const http::OpenRequests open = this->callers.open_requests();
   this->log.event(eventlog::Weight::kBelief, event)
       .with("in_flight", this->in_flight())
-      .with("reason", this->in_flight() == 0 ? "idle" : "limit")
+      .with("reason",
+            this->stop_deadline == TimePoint::max() ? "idle" : "limit")
       .with("reading", open.reading)
       .with("handling", open.handling)
       .with("writing", open.writing)
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -388,7 +388,7 @@
 }
 
 void EdgeDaemon::Impl::cancel_requests() {
-  // From now, also if the event loop is late: an answer may still arrive.
+  // From now, also if the event loop is late: callers need time to take them.
   this->stop_deadline = Clock::now() + kAnswerTime;
   this->log_open_requests("stop_limit");
   // Before waits end, so that no request is sent that would be cancelled.
@@ -406,8 +406,7 @@
     this->loop().stop();
     return;
   }
-  if (now >= this->answer_deadline &&
-      this->stop_deadline == TimePoint::max()) {
+  if (now >= this->answer_deadline && this->stop_deadline == TimePoint::max()) {
     this->cancel_requests();
   }
   this->stop_timer.expires_after(kDrainPollInterval);
--- a/ibismux/http/client_connection.cc
+++ b/ibismux/http/client_connection.cc
@@ -22,9 +22,10 @@
 
 constexpr std::size_t kInputBuffer = 8 * 1024;
 constexpr std::size_t kMostInputBuffer = 256 * 1024;
-// Bytes of interim responses and of answers to earlier requests that are
-// dropped in one exchange.
-constexpr std::size_t kMostDropped = 1024 * 1024;
+// What is dropped in one exchange, of interim responses and of answers to
+// earlier requests. A server that sends more sends without end.
+constexpr std::size_t kMostInterimBytes = 1024 * 1024;
+constexpr std::size_t kMostLateResponses = 64;
 // The memory of a response up to this size isn't counted.
 constexpr std::size_t kUncountedMemory = 16 * 1024;
 // A body up to this size is copied behind the head and goes out as one buffer.
@@ -116,8 +117,8 @@
   }
   self->phase = Phase::kExchange;
   self->response_begun = false;
-  self->response_bytes = 0;
-  self->dropped_bytes = 0;
+  self->interim_bytes = 0;
+  self->late_responses = 0;
   if (deadline <= Clock::now()) {
     self->close(self->exchange_error(ErrorKind::kDeadlineExceeded,
                                      "no time left to send"));
@@ -246,8 +247,7 @@
     const ParseStep step = this->parser.feed(
         {this->input.data() + consumed, this->filled - consumed});
     consumed += step.consumed;
-    this->response_bytes += step.consumed - step.interim;
-    this->dropped_bytes += step.interim;
+    this->interim_bytes += step.interim;
     if (step.state == ParseState::kFailed) {
       this->fail_exchange(ErrorKind::kProtocolError,
                           "bad response: " + step.message);
@@ -266,7 +266,8 @@
     if (is_late && !this->drop_late_response()) {
       return;
     }
-    if (this->dropped_bytes > kMostDropped) {
+    if (this->interim_bytes > kMostInterimBytes ||
+        this->late_responses > kMostLateResponses) {
       this->fail_exchange(ErrorKind::kProtocolError,
                           "too many responses that are no answer");
       return;
@@ -320,7 +321,7 @@
                         "closed behind an answer to an earlier request");
     return false;
   }
-  this->dropped_bytes += std::exchange(this->response_bytes, 0);
+  ++this->late_responses;
   this->response = Response{};
   this->response_begun = false;
   this->parser.start(this->response, false);
--- a/ibismux/http/client_connection_impl.h
+++ b/ibismux/http/client_connection_impl.h
@@ -93,7 +93,7 @@
   void release_memory();
   void give_up_response() override;
   void on_response(bool bytes_left);
-  /// Drops a response to an earlier request. @return Whether the exchange goes
+  /// Drops an answer to an earlier request. @return Whether the exchange goes
   /// on.
   [[nodiscard]] bool drop_late_response();
   void fail_exchange(ErrorKind kind, std::string message);
@@ -131,8 +131,8 @@
   bool has_sent_head = false;  ///< Since the connection was opened.
   bool sending = false;  ///< Bytes of the request still wait for the socket.
   bool response_begun = false;
-  std::size_t response_bytes = 0;  ///< Consumed of the response.
-  std::size_t dropped_bytes = 0;   ///< Of responses that are no answer.
+  std::size_t interim_bytes = 0;  ///< Of interim responses.
+  std::size_t late_responses = 0;
   bool just_read = false;          ///< The socket was found empty a moment ago.
   std::optional<Error> failure;
   Response response;
