daemon: requests in flight are answered when a stop runs out of time

After SIGTERM, queries and reservations at silent leafs ended with a closed connection and no answer once stop.limit_ms had passed. Queries of other daemons whose calls the stopping daemon carried got no answer until their own deadline, and then lacked those shards.

Cause: Daemon::Impl::stop() waited until the limit, then closed all connections, whatever was in flight. The outcomes and the goodbye to peers, which come after that wait, had no time left either (read in the code, not measured). Peers take an agreed goodbye for no loss, so that calls without an answer stay open there.

Ruled out: a stop that comes too early (the failing cases took 3.2 s, where the limit is 3 s and the set-up 0.2 s). An end without a stop wasn't looked at: the failing runs ended before their check of the exit code.

Change: one second before the limit the daemon logs stop_limit, calls Server::cancel_requests() and cancels the open queries of peers, which send them elsewhere (RemoteGateway::cancel_served()). 0.3 s are for these answers, 0.2 s for the outcomes, 0.5 s for the goodbye; the run of a reservation at a silent leaf no longer takes the goodbye's time (not measured by a test). With ServerLimits::keyed_requests, which ibismuxd sets, a request that arrives late or is half read in such a stop is refused with execution "unknown": "not_run" would be taken as said of its key (docs/CALLERS.md).

Not changed: reservations that leafs run for peers end there at their deadline, as outcome_unknown.

--- a/ibismux/daemon/daemon.cc
+++ b/ibismux/daemon/daemon.cc
@@ -45,6 +45,10 @@
 
 /// How often a stop looks whether the work in flight has ended.
 constexpr milliseconds kStopStep{10};
+/// How long callers have to take the answers that a stop gives them.
+constexpr milliseconds kAnswerTime{300};
+/// How long outcomes of reservations have to be recorded after that.
+constexpr milliseconds kFlushTime{200};
 /// How long peers are given to agree that this daemon goes.
 constexpr milliseconds kGoodbyeLimit{500};
 /// How old the status page's part on leafs may be.
@@ -213,11 +217,16 @@
     // while to see that this daemon is not ready.
     std::this_thread::sleep_for(this->settings.leave_notice);
     this->caller_server.drain();
-    this->wait_until(deadline, [this] {
-      return this->caller_server.in_flight() == 0 &&
-             this->local.in_flight() == 0;
-    });
-    this->flush_outcomes(deadline);
+    this->wait_until(deadline - kAnswerTime - kFlushTime - kGoodbyeLimit,
+                     [this] { return this->idle(); });
+    if (!this->idle()) {
+      this->cancel_requests();
+    }
+    // Without an end of its own, the run at a silent leaf would leave no time
+    // for the goodbye.
+    this->flush_outcomes(
+        std::max(deadline - kGoodbyeLimit,
+                 std::min<TimePoint>(deadline, Clock::now() + kFlushTime)));
     this->publisher.stop();
     this->relay.stop();
     this->membership.stop();
@@ -298,6 +307,24 @@
     }
   }
 
+  /// Whether there are no requests of callers and no calls of peers.
+  [[nodiscard]] bool idle() const noexcept {
+    return this->caller_server.in_flight() == 0 && this->local.in_flight() == 0;
+  }
+
+  /// Has all requests of callers and queries of peers answered now, and gives
+  /// them time to take the answers.
+  void cancel_requests() {
+    const http::OpenRequests open = this->caller_server.open_requests();
+    LOG(INFO) << "event=stop_limit reading=" << open.reading
+              << " handling=" << open.handling << " writing=" << open.writing
+              << " leaf_calls=" << this->local.in_flight();
+    this->caller_server.cancel_requests();
+    this->remote.cancel_served();
+    this->wait_until(Clock::now() + kAnswerTime,
+                     [this] { return this->idle(); });
+  }
+
   void flush_outcomes(TimePoint deadline) {
     boost::asio::co_spawn(this->pool.at(0), this->reservations.flush(deadline),
                           boost::asio::use_future)
--- a/ibismux/daemon/package_settings.cc
+++ b/ibismux/daemon/package_settings.cc
@@ -47,6 +47,7 @@
   limits.connections = settings.caller_connections;
   limits.idle_timeout = settings.caller_idle_timeout;
   limits.transfer_timeout = settings.caller_transfer_timeout;
+  limits.keyed_requests = true;
   return limits;
 }
 
--- a/ibismux/gateway/peer_calls.cc
+++ b/ibismux/gateway/peer_calls.cc
@@ -24,7 +24,7 @@
                    });
 }
 
-void PeerCalls::abandon() {
+void PeerCalls::cancel() {
   // Reservations are in the list too; `LeafCaller::cancel` leaves those alone
   // that have been written to a leaf.
   this->local.cancel({this->open.begin(), this->open.end()});
--- a/ibismux/gateway/peer_calls.h
+++ b/ibismux/gateway/peer_calls.h
@@ -31,8 +31,8 @@
   /// Starts `batch`; its answers go back to the peer.
   void serve(LeafCallBatch batch);
 
-  /// The peer is gone, and nobody waits for its queries.
-  void abandon();
+  /// Cancels the open calls, as the peer is gone or this daemon stops.
+  void cancel();
 
  private:
   void on_answer(LeafAnswer answer);
--- a/ibismux/gateway/remote_gateway.cc
+++ b/ibismux/gateway/remote_gateway.cc
@@ -157,6 +157,13 @@
     }
   }
 
+  void cancel_served() {
+    std::lock_guard lock(this->mutex);
+    for (const auto& [member, peer] : this->serving) {
+      boost::asio::post(peer->loop(), [peer = peer] { peer->cancel(); });
+    }
+  }
+
  private:
   /// The frame was not sent. Calls that the loss of the peer ended meanwhile
   /// have had their answer; then the rest is answered too, as not run.
@@ -260,7 +267,7 @@
     if (found != this->serving.end()) {
       const std::shared_ptr<PeerCalls> peer = std::move(found->second);
       this->serving.erase(found);
-      boost::asio::post(peer->loop(), [peer] { peer->abandon(); });
+      boost::asio::post(peer->loop(), [peer] { peer->cancel(); });
     }
   }
 
@@ -309,4 +316,8 @@
   this->impl->cancel(calls);
 }
 
+void RemoteGateway::cancel_served() {
+  this->impl->cancel_served();
+}
+
 }  // namespace ibismux::gateway
--- a/ibismux/gateway/remote_gateway.h
+++ b/ibismux/gateway/remote_gateway.h
@@ -38,6 +38,11 @@
   /// As `LeafCaller::cancel`; calls that are not of this gateway are ignored.
   void cancel(const std::vector<CallId>& calls);
 
+  /// For a planned stop: ends the queries that peers have asked for and that
+  /// have no answer yet. Their answers, kCancelled, let peers send them
+  /// elsewhere. Reservations that leafs run go on. Thread safe.
+  void cancel_served();
+
  private:
   class Impl;
   std::shared_ptr<Impl> impl;
--- a/ibismux/http/server.h
+++ b/ibismux/http/server.h
@@ -31,6 +31,9 @@
   /// Once the server drains: how long it still takes new connections, and how
   /// long one must have been idle to be closed. Requests may be on the way.
   Duration drain_grace = std::chrono::milliseconds(500);
+  /// Whether a request may repeat an earlier one under a key. "Not run" in a
+  /// refusal would be taken as said of the key, so that a stop says "unknown".
+  bool keyed_requests = false;
 };
 
 /// How long a handler whose token was cancelled for a stop has for its answer.
@@ -68,7 +71,8 @@
   /// Has every request answered now: cancels the tokens of handlers with
   /// `CancelReason::kStopping`, and answers 502 for those that don't answer
   /// within `kCancelledHandlerTime`. Requests that arrive later, or of which
-  /// only a part is here, are refused as not run. Answers are still written.
+  /// only a part is here, are refused as not run, or as unknown where
+  /// `ServerLimits::keyed_requests` says so. Answers are still written.
   /// Precondition: `drain()` was called. Thread safe.
   void cancel_requests();
 
--- a/ibismux/http/server_connection.cc
+++ b/ibismux/http/server_connection.cc
@@ -245,8 +245,10 @@
 }
 
 void ServerConnection::refuse_for_stop() {
+  const bool is_keyed = this->core->limits.read()->keyed_requests;
   Response response =
-      refusal(503, ErrorKind::kNotReady, "the server is stopping");
+      refusal(503, ErrorKind::kNotReady, "the server is stopping",
+              is_keyed ? Execution::kUnknown : Execution::kNotRun);
   // Another server can take it at once.
   response.add("Retry-After", "0");
   this->write(std::move(response), false);
--- a/ibismux/http/wire_format.cc
+++ b/ibismux/http/wire_format.cc
@@ -102,7 +102,10 @@
   return status >= 200 && status != 204 && status != 304;
 }
 
-Response refusal(int status, ErrorKind kind, std::string_view message) {
+Response refusal(int status,
+                 ErrorKind kind,
+                 std::string_view message,
+                 std::optional<Execution> execution) {
   const ErrorEntry& entry = error_entry(kind);
   Response response;
   response.status = status;
@@ -110,8 +113,9 @@
   response.body = boost::json::serialize(boost::json::value{
       {"error", entry.name},
       {"message", message},
-      {"execution",
-       entry.execution == Execution::kNotRun ? "not_run" : "unknown"}});
+      {"execution", execution.value_or(entry.execution) == Execution::kNotRun
+                        ? "not_run"
+                        : "unknown"}});
   return response;
 }
 
--- a/ibismux/http/wire_format.h
+++ b/ibismux/http/wire_format.h
@@ -1,6 +1,7 @@
 #ifndef IBISMUX_HTTP_WIRE_FORMAT_H_
 #define IBISMUX_HTTP_WIRE_FORMAT_H_
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -27,9 +28,12 @@
 
 /// The answer of the server itself to a request that no handler answered: a
 /// JSON object with the stable name of `kind`. Thread safe.
-[[nodiscard]] Response refusal(int status,
-                               ErrorKind kind,
-                               std::string_view message);
+/// @param execution Instead of what `kind` says.
+[[nodiscard]] Response refusal(
+    int status,
+    ErrorKind kind,
+    std::string_view message,
+    std::optional<Execution> execution = std::nullopt);
 
 }  // namespace ibismux::http
 
--- a/tests/gateway/remote_gateway_test.cc
+++ b/tests/gateway/remote_gateway_test.cc
@@ -233,6 +233,21 @@
   cr_assert(eventually([&] { return pair.gateway_local.cancels() == 4; }));
 }
 
+// Guards against queries of peers that a stopping daemon leaves without an
+// answer.
+Test(remote_gateway, a_stop_cancels_the_calls_of_peers_that_are_open) {
+  Pair pair;
+  Answers first;
+  cr_assert(pair.call(first, 1));
+  pair.gateway_local.answer_all(0, "hits");
+  cr_assert(first.wait(1));
+  Answers second;
+  cr_assert(pair.call(second, 3));
+  cr_assert(pair.gateway_local.wait_for_batches(2));
+  pair.gateway.cancel_served();
+  cr_assert(eventually([&] { return pair.gateway_local.cancels() == 3; }));
+}
+
 Test(remote_gateway, malformed_frames_are_dropped) {
   Pair pair;
   for (const MessageKind kind :
--- a/tests/http/server_cancel_test.cc
+++ b/tests/http/server_cancel_test.cc
@@ -102,6 +102,31 @@
   }
 }
 
+// Guards against a repeat of a request that may have run, which is told in a
+// stop that it was not run.
+Test(http_server_cancel, late_requests_that_may_be_repeats_end_as_unknown) {
+  ServerLimits limits;
+  limits.drain_grace = kLimit;
+  limits.keyed_requests = true;
+  ServerFixture fixture(echo, limits);
+  RawClient half(fixture.port);
+  half.send("POST /x HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc");
+  RawClient idle(fixture.port);
+  idle.send("GET /1 HTTP/1.1\r\n\r\n");
+  idle.read_until("GET /1 ");
+  while (fixture.server.open_requests().reading == 0) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  fixture.server.drain();
+  fixture.server.cancel_requests();
+  idle.send("GET /2 HTTP/1.1\r\n\r\n");
+  for (RawClient* client : {&half, &idle}) {
+    const std::string text = client->read_all();
+    cr_assert(text.starts_with("HTTP/1.1 503 "), "%s", text.c_str());
+    cr_assert(text.find(R"("execution":"unknown")") != std::string::npos);
+  }
+}
+
 // Guards against a stop that cuts answers which a slow client still takes.
 Test(http_server_cancel, answers_that_are_half_written_are_written_to_the_end) {
   constexpr std::size_t kBytes = 32 * 1024 * 1024;
--- a/tests/query/gather_test.cc
+++ b/tests/query/gather_test.cc
@@ -221,5 +221,47 @@
   cr_assert(query.gather.take_result().error().kind == ErrorKind::kCancelled);
 }
 
+// Guards against a stop that throws away the shards that have answered.
+Test(gather, a_stop_ends_a_query_with_the_shards_that_are_in) {
+  GatherFixture query(usual_pin(3, 1), 0.6);
+  query.answer_hit(query.started[0], 1);
+  query.answer_hit(query.started[2], 2);
+  cr_assert(!query.gather.finished());
+  query.gather.on_stop();
+  cr_assert(query.gather.finished());
+  cr_assert(query.gather.take_cancels().size() == 1);
+  const Result<QueryAnswer> answer = query.gather.take_result();
+  cr_assert(answer.has_value());
+  cr_assert(answer->hits.size() == 2);
+  cr_assert(answer->coverage.contributed.size() == 2);
+  cr_assert(answer->coverage.missing.size() == 1);
+  cr_assert(answer->coverage.missing[0].shard == "s1");
+}
+
+// Guards against a stop whose answer looks as if the caller had gone, or says
+// that leafs with open calls ran nothing.
+Test(gather, a_stop_ends_a_query_with_too_few_shards_as_its_deadline_does) {
+  for (const int answers : {0, 1}) {
+    GatherFixture query(usual_pin(3, 1), 0.6);
+    if (answers > 0) {
+      query.answer_hit(query.started[0], 1);
+    }
+    query.gather.on_stop();
+    cr_assert(query.gather.finished());
+    const Result<QueryAnswer> answer = query.gather.take_result();
+    cr_assert(!answer.has_value());
+    cr_assert(answer.error().kind == ErrorKind::kDeadlineExceeded);
+    cr_assert(answer.error().execution == Execution::kUnknown);
+    cr_assert(answer.error().retry_after.has_value());
+  }
+}
+
+Test(gather, a_stop_leaves_an_outcome_as_it_is) {
+  GatherFixture query(usual_pin(1, 1));
+  query.answer_hit(query.started[0], 1);
+  query.gather.on_stop();
+  cr_assert(query.gather.take_result().has_value());
+}
+
 }  // namespace
 }  // namespace ibismux::query
--- a/tests/support/site.cc
+++ b/tests/support/site.cc
@@ -71,6 +71,7 @@
       {"cluster", "test-" + std::to_string(::getpid())},
       {"zone", this->zone(daemon)},
       {"threads", 2},
+      {"stop", {{"limit_ms", this->stop_limit.count()}}},
       {"caller", {{"address", "127.0.0.1"}, {"port", 0}}},
       {"peer", {{"address", this->peer_address(daemon)}, {"port", 0}}},
       {"operator", {{"address", "127.0.0.1"}, {"port", 0}}},
@@ -153,6 +154,16 @@
   return this->history.name();
 }
 
+std::size_t Site::running_calls() {
+  const json::object leafs = object_of(
+      answer_of(http_call(this->leafs.port("control"), "GET", "/fake/stats")));
+  std::size_t running = 0;
+  for (const auto& [leaf, stats] : leafs) {
+    running += stats.at("running").to_number<std::size_t>();
+  }
+  return running;
+}
+
 std::map<std::string, std::size_t> Site::reservation_runs() {
   std::map<std::string, std::size_t> runs;
   std::ifstream file(this->leaf_history());
--- a/tests/support/site.h
+++ b/tests/support/site.h
@@ -2,6 +2,7 @@
 #define TESTS_SUPPORT_SITE_H_
 
 #include <boost/json/object.hpp>
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -35,6 +36,10 @@
   /// @name Daemons
   /// @{
 
+  /// `stop.limit_ms` of the daemons that are started from now on.
+  void set_stop_limit(std::chrono::milliseconds limit) {
+    this->stop_limit = limit;
+  }
   /// Starts one more and tells the platform's host list of it; its number.
   std::size_t start_daemon();
   /// Ends `daemon` with SIGTERM, and starts one of its name on other ports.
@@ -57,6 +62,8 @@
       const std::string& collection);
   /// Changes one leaf, or all: a JSON object.
   void leaf_config(const std::string& change, const std::string& leaf = "*");
+  /// How many calls the leafs are running now.
+  [[nodiscard]] std::size_t running_calls();
   /// How often leafs ran, or began, a reservation, by its key. Those that are
   /// still running are not counted yet.
   [[nodiscard]] std::map<std::string, std::size_t> reservation_runs();
@@ -121,6 +128,7 @@
 
   PeerCut* const cut;
   const std::size_t zones;
+  std::chrono::milliseconds stop_limit{30'000};
   TemporaryFile history;           ///< What the leafs ran.
   tests::BoundPort platform_port;  ///< Held, or another test's may be dialled
                                    ///< when the platform is gone.
