--- a/ibismux/http/client_connection_impl.h
+++ b/ibismux/http/client_connection_impl.h
@@ -133,7 +133,7 @@
   bool response_begun = false;
   std::size_t interim_bytes = 0;  ///< Of interim responses.
   std::size_t late_responses = 0;
-  bool just_read = false;          ///< The socket was found empty a moment ago.
+  bool just_read = false;  ///< The socket was found empty a moment ago.
   std::optional<Error> failure;
   Response response;
 
