--- a/tools/soak_stops.py
+++ b/tools/soak_stops.py
@@ -84,6 +84,8 @@
         once or when it has gone."""
         rng = self.faults
         gravity = rng.choice((0.5, 0.7, 0.9))
+        for _ in range(rng.randrange(8)):
+            self.site.fake("PUT", "leafs", leaf_change(rng, gravity))
         while time.monotonic() < until:
             time.sleep(rng.uniform(0.02, 0.3))
             number = rng.randrange(3)
@@ -141,15 +143,17 @@
 def leaf_change(rng, gravity):
     """`gravity`: how likely it is a fault, and not the end of one."""
     change = {"service": rng.choice(soak_calm.SERVICES)}
-    if rng.random() < 0.7:
+    if rng.random() < 0.6:
         change["index"] = rng.randrange(3)
-    choice = rng.choice(("silent", "work_ms", "work_ms", "sheds", "fails", "restart"))
+    choice = rng.choice(("silent", "silent", "work_ms", "work_ms", "sheds", "fails",
+                         "restart", "crash"))
     if rng.random() > gravity:
-        change.update(silent=False, sheds=False, fails=False, work_ms=0)
+        change.update(silent=False, sheds=False, fails=False, work_ms=0,
+                      restart=rng.random() < 0.5)  # Also of one that has crashed.
     elif choice == "work_ms":
         change[choice] = rng.choice((0, 0, 40, 400, 1500, 3000))
     else:
-        change[choice] = choice == "restart" or rng.random() < 0.7
+        change[choice] = choice in ("restart", "crash") or rng.random() < 0.8
     return change
 
 
@@ -160,8 +164,9 @@
 
 
 def check(play, runs):
-    """How the requests ended, and the promises that were broken, some lines each."""
-    counts, broken = Counter(), []
+    """What the stops met, how the requests ended, and the promises that were broken,
+    some lines each."""
+    counts, in_flight, broken = Counter(), 0, []
 
     def add(what, child):
         broken.append("\n        ".join([what] + log_lines(child)))
@@ -185,6 +190,8 @@
         else:
             add("no answer: " + text, child)
         counts[str(how)] += 1
+        if exchange.sent_at and child.term_at:
+            in_flight += exchange.sent_at < child.term_at < exchange.ended_at
     for child in play.children:
         if child.exit_at is None:
             add(f"{child.name} still runs", child)
@@ -194,18 +201,21 @@
         elif child.exit_at - child.term_at > LIMIT_SECONDS:
             add(f"{child.name}: exit {child.exit_at - child.term_at:.3f} s after "
                 f"SIGTERM, the limit is {LIMIT_SECONDS} s", child)
-    return counts, broken
+    lines = [line for child in play.children for line in log_lines(child)]
+    stops = (f"{len(play.children)} stops, {in_flight} requests in flight at SIGTERM, "
+             f"{sum('stop_limit' in line for line in lines)} stops out of time")
+    return stops, counts, broken
 
 
 def play(site, seed, seconds):
-    """One run. @return The seed, the counts, and the promises that were broken."""
+    """One run. @return The seed, and what `check()` found."""
     one = Play(site, seed)
     one.run(seconds)
     time.sleep(0.3)  # The last lines of the logs.
-    return (seed, len(one.children), *check(one, site.fake("GET", "runs")))
+    return (seed, *check(one, site.fake("GET", "runs")))
 
 
 def text_of(seed, stops, counts, broken):
     ended = ", ".join(f"{how}: {count}" for how, count in sorted(counts.items()))
-    return [f"seed {seed}: {stops} stops, {sum(counts.values())} requests ({ended}), "
+    return [f"seed {seed}: {stops}; {sum(counts.values())} requests ({ended}); "
             f"{len(broken)} promises broken"] + ["    " + line for line in broken[:8]]
