--- a/tools/soak_stops.py
+++ b/tools/soak_stops.py
@@ -38,7 +38,7 @@
         self.faults = random.Random(seed + 1)
         self.epoll, self.watched = select.epoll(), {}
         self.open_at = 0.0  # Start of the last look before this one.
-        self.children, self.ended = [], []
+        self.children, self.ended, self.version = [], [], 1
         for child in site.daemons:
             self.add(child)
 
@@ -62,11 +62,17 @@
         return [child for child in self.children
                 if child.term_at is None or now - child.term_at < seconds]
 
-    def configure(self):
-        wanted = soak_calm.configuration(2, "patient")
+    def configure(self, connections=40):
+        """Puts a new version into force; services get at most `connections` each."""
+        self.version += 1
+        wanted = soak_calm.configuration(self.version, "patient")
         for route in wanted["Routes"]:
             route["TimeoutMs"] = ROUTE_TIMEOUT_MS
+        for service in wanted["Services"]:
+            service["MaxConns"] = connections
         self.site.fake("PUT", "config", wanted)
+
+    def await_configuration(self):
         for child in self.children:
             port = child.ports["caller_port"]
             soak_calm.wait_until(
@@ -80,7 +86,7 @@
         child.term_at = time.monotonic()
 
     def strike_until(self, until):
-        """Stops daemons and changes leafs; each stopped daemon is started again, at
+        """Stops daemons, changes leafs and settings; each stopped daemon is started again, at
         once or when it has gone."""
         rng = self.faults
         gravity = rng.choice((0.5, 0.7, 0.9))
@@ -96,6 +102,10 @@
                 child.signal(signal.SIGTERM)
             elif rng.random() < 0.7:
                 self.site.fake("PUT", "leafs", leaf_change(rng, gravity))
+            elif rng.random() < 0.5:
+                self.configure(rng.choice((2, 5, 40)))
+            elif child.term_at is None:
+                child.signal(signal.SIGHUP)
             if child.term_at and (child.exit_at or rng.random() < 0.5):
                 self.site.daemons[number] = self.site.start(number)
                 self.add(self.site.daemons[number])
@@ -120,6 +130,7 @@
 
     def run(self, seconds):
         self.configure()
+        self.await_configuration()
         striker = threading.Thread(target=self.strike_until,
                                    args=(time.monotonic() + seconds,))
         callers = [Caller(self, number) for number in range(CALLERS)]
