soak: runs beside each other give their requests different ids

The daemon's log says sends 0 for each. Requests with the same ids ran in a run beside it in the same second, whose daemons still used a port that a leaf of this run had got.

--- a/tools/soak_callers.py
+++ b/tools/soak_callers.py
@@ -74,7 +74,7 @@
         if self.link is None or (self.late and not self.child.term_at):
             return
         self.count += 1
-        name = f"c{self.number}-{self.count}"
+        name = f"{self.play.site.prefix}c{self.number}-{self.count}"
         kind = self.random.choice(tuple(METHODS))
         body = bytes(self.random.choice((1, 1000, 100000))) if kind == "order" else b""
         patience = self.random.choice((400, 2500, ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS))
--- a/tools/soak_calm.py
+++ b/tools/soak_calm.py
@@ -65,7 +65,7 @@
 
     def ask(self, daemon, path):
         self.count += 1
-        return ask(self.ports[daemon], f"calm-{self.count}", path)
+        return ask(self.ports[daemon], f"{self.site.prefix}calm-{self.count}", path)
 
     def serves_all(self, daemon):
         status, headers = self.ask(daemon, "/query/calm")
@@ -86,7 +86,7 @@
                 return ["leafs that a request ended are not used again"]
             status, headers = self.ask(attempt % len(self.ports), path)
             runs = self.site.fake("GET", "runs")
-            name = f"calm-{self.count}"
+            name = f"{self.site.prefix}calm-{self.count}"
             reached += any(name in row for row in runs.values())
             if status == 503 and not headers.get("Retry-After"):
                 return ["a refusal that doesn't say when to come back"]
--- a/tools/soak_stops.py
+++ b/tools/soak_stops.py
@@ -73,10 +73,11 @@
         self.site.fake("PUT", "config", wanted)
 
     def await_configuration(self):
+        name = self.site.prefix + "ask"
         for child in self.children:
             port = child.ports["caller_port"]
             soak_calm.wait_until(
-                lambda port=port: soak_calm.ask(port, "ask", "/patient/1")[0] == 200)
+                lambda port=port: soak_calm.ask(port, name, "/patient/1")[0] == 200)
 
     def stop(self, child):
         if self.faults.random() < 0.25:
@@ -213,8 +214,11 @@
             add(f"{child.name}: exit {child.exit_at - child.term_at:.3f} s after "
                 f"SIGTERM, the limit is {LIMIT_SECONDS} s", child)
     lines = [line for child in play.children for line in log_lines(child)]
+    foreign = sum(not name.startswith(play.site.prefix)
+                  for row in runs.values() for name in row)
     stops = (f"{len(play.children)} stops, {in_flight} requests in flight at SIGTERM, "
-             f"{sum('stop_limit' in line for line in lines)} stops out of time")
+             f"{sum('stop_limit' in line for line in lines)} stops out of time, "
+             f"{foreign} requests of runs beside this one")
     return stops, counts, broken
 
 
