edge: signals are handled before the daemon takes connections

What callers would see: a daemon that is stopped, or told of new settings, just after its start is killed by the signal, with the connections that it has already taken.

Cause: the handlers were registered at the end of run(), behind the listening sockets and the line that says that the daemon serves.

Change: they are registered first; they run once the event loop does.

--- a/ibismux/edge/edge_daemon.cc
+++ b/ibismux/edge/edge_daemon.cc
@@ -97,6 +97,8 @@
 
 Result<void> EdgeDaemon::Impl::run() {
   std::signal(SIGPIPE, SIG_IGN);
+  // Before callers can connect: a signal that nobody handles ends the process.
+  this->await_signal();
   if (auto listening = this->listen(); !listening) {
     return listening;
   }
@@ -115,7 +117,6 @@
   }
   asio::co_spawn(this->loop(), this->check_store(), asio::detached);
   this->tick();
-  this->await_signal();
   this->loop().run();
   this->log_open_requests("stop");
   this->log.flush();
--- a/tests/users_platform/stop_limit_test.cc
+++ b/tests/users_platform/stop_limit_test.cc
@@ -140,6 +140,20 @@
   cr_assert(site.daemon().wait() == 0);
 }
 
+// Guards against a signal that ends the daemon because it comes just after the
+// line that says that the daemon serves.
+Test(stop_limit, signals_are_handled_from_the_start_line_on) {
+  constexpr int kStarts = 40;
+  for (int i = 0; i < kStarts; ++i) {
+    EdgeSite site(1, std::chrono::milliseconds(1));
+    cr_assert(site.daemon().port("caller_port") > 0);
+    site.daemon().signal(SIGHUP);
+    site.daemon().signal(SIGTERM);
+    const auto status = site.daemon().wait();
+    cr_assert(status == 0, "start %d: %d", i, status.value_or(-1));
+  }
+}
+
 // Guards against requests that are cut by a daemon whose event loop is late at
 // the moment in which it should answer them.
 Test(stop_limit, requests_are_answered_by_a_daemon_that_is_late_at_the_limit) {
