--- a/tools/soak_stops.py
+++ b/tools/soak_stops.py
@@ -87,8 +87,8 @@
         child.term_at = time.monotonic()
 
     def strike_until(self, until):
-        """Stops daemons, changes leafs and settings; each stopped daemon is started again, at
-        once or when it has gone."""
+        """Stops daemons, changes leafs and settings; each stopped daemon is started
+        again, at once or when it has gone."""
         rng = self.faults
         gravity = rng.choice((0.5, 0.7, 0.9))
         for _ in range(rng.randrange(8)):
