http: a draining server answers pipelined requests that it has read

What callers would see: of two requests sent at once, the second ends without an answer where the daemon stops between them; it was read and not run.

Cause: each answer of a draining server closes its connection, also with a request behind it in the buffer.

Change: the connection is kept while bytes of a further request are here.

Evidence: http_server_lifetime::drain_answers_pipelined_requests failed before.

--- a/ibismux/http/server_connection.cc
+++ b/ibismux/http/server_connection.cc
@@ -237,8 +237,10 @@
   if (thrown) {
     response = refusal(500, ErrorKind::kInternal, "the handler failed");
   }
-  const bool keep_alive = this->parser.keep_alive() && !this->peer_done &&
-                          !this->core->draining.load();
+  // A draining server still answers pipelined requests that are here.
+  const bool awaits_more = !this->core->draining.load() || !this->input.empty();
+  const bool keep_alive =
+      this->parser.keep_alive() && !this->peer_done && awaits_more;
   this->write(std::move(response), keep_alive);
 }
 
--- a/tests/http/server_lifetime_test.cc
+++ b/tests/http/server_lifetime_test.cc
@@ -160,6 +160,33 @@
   cr_assert(late.read_all().ends_with("GET /4 "));
 }
 
+// Guards against pipelined requests that a draining server has read and leaves
+// without an answer.
+Test(http_server_lifetime, drain_answers_pipelined_requests) {
+  std::promise<void> entered;
+  std::promise<void> released;
+  ServerLimits limits;
+  limits.drain_grace = std::chrono::milliseconds(1);
+  ServerFixture fixture(
+      [&](std::shared_ptr<const Request> request,
+          std::shared_ptr<CancelToken> token) -> Task<Response> {
+        if (request->target == "/1") {
+          entered.set_value();
+          released.get_future().wait();
+        }
+        return echo(std::move(request), std::move(token));
+      },
+      limits);
+  RawClient client(fixture.port);
+  client.send("GET /1 HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\n");
+  cr_assert(comes(entered));
+  fixture.server.drain();
+  released.set_value();
+  const std::string text = client.read_all();
+  cr_assert(text.find("GET /1 ") != std::string::npos);
+  cr_assert(text.ends_with("GET /2 "), "%s", text.c_str());
+}
+
 // Guards against requests that come so late in a stop that it cuts them: on
 // connections opened while the server drains, which had a grace of their own.
 Test(http_server_lifetime, a_connection_opened_in_a_drain_adds_no_grace) {
