--- a/ibismux/dispatch/request_run.h
+++ b/ibismux/dispatch/request_run.h
@@ -114,7 +114,7 @@
 
   /// Ends the run with an error because it must end now.
   /// @param message Why there is no answer yet.
-  void fail_past_deadline(std::string message);
+  void fail_past_deadline(std::string_view message);
 
  private:
   /// Ends the run if it cannot succeed in time. @return Whether it did.
--- a/ibismux/dispatch/request_run_end.cc
+++ b/ibismux/dispatch/request_run_end.cc
@@ -91,10 +91,11 @@
   this->finish(tl::unexpected(std::move(error)));
 }
 
-void RequestRun::fail_past_deadline(std::string message) {
+void RequestRun::fail_past_deadline(std::string_view message) {
   this->fail_run(
       ErrorKind::kDeadlineExceeded,
-      message + (this->stopping ? " before this daemon stops" : " in time"));
+      std::string(message) +
+          (this->stopping ? " before this daemon stops" : " in time"));
 }
 
 milliseconds RequestRun::retry_after_unanswered() const {
--- a/ibismux/http/client_connection_impl.h
+++ b/ibismux/http/client_connection_impl.h
@@ -19,7 +19,7 @@
 /// A read is pending at all times while the connection is open: between
 /// exchanges it reports a server that closes or speaks out of turn without a
 /// system call of its own, and within one it brings the response.
-class ClientConnection::Impl
+class ClientConnection::Impl final
     : public std::enable_shared_from_this<ClientConnection::Impl>,
       private ResponseMemory::Reader {
  public:
--- a/ibismux/http/client_pool.cc
+++ b/ibismux/http/client_pool.cc
@@ -16,7 +16,7 @@
       : address(std::move(address)),
         port(port),
         most_idle(most_idle),
-        options(options) {}
+        options(std::move(options)) {}
 
   [[nodiscard]] static Task<Result<Response>> send(
       std::shared_ptr<Impl> self,
@@ -65,7 +65,7 @@
     : impl(std::make_shared<Impl>(std::move(address),
                                   port,
                                   most_idle,
-                                  options)) {}
+                                  std::move(options))) {}
 
 ClientPool::~ClientPool() = default;
 
