--- a/ibismux/daemon/daemon.cc
+++ b/ibismux/daemon/daemon.cc
@@ -222,8 +222,8 @@
     if (!this->idle()) {
       this->cancel_requests();
     }
-    // Without an end of its own, the run at a silent leaf would leave no time
-    // for the goodbye.
+    // A reservation at a silent leaf would otherwise use up the time in which
+    // peers agree that this daemon leaves.
     this->flush_outcomes(
         std::max(deadline - kGoodbyeLimit,
                  std::min<TimePoint>(deadline, Clock::now() + kFlushTime)));
--- a/ibismux/edge/edge_daemon_life.cc
+++ b/ibismux/edge/edge_daemon_life.cc
@@ -295,7 +295,7 @@
 void EdgeDaemon::Impl::tick() {
   this->ticker.expires_after(kTick);
   this->ticker.async_wait([this](const boost::system::error_code& error) {
-    // A tick that was due when the signal came can't be cancelled.
+    // cancel() doesn't reach a wait that had expired before the signal.
     if (error || this->stopping) {
       return;
     }
--- a/tests/http/server_cancel_test.cc
+++ b/tests/http/server_cancel_test.cc
@@ -16,7 +16,7 @@
 /// it.
 class Waiting {
  public:
-  explicit Waiting(bool heeds_token) : heeds_token(heeds_token) {}
+  explicit Waiting(bool observes_token) : observes_token(observes_token) {}
 
   Server::Handler handler() {
     return [this](std::shared_ptr<const Request>,
@@ -33,7 +33,7 @@
     boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor,
                                     kLimit);
     Response response;
-    if (self->heeds_token) {
+    if (self->observes_token) {
       token->on_cancel([&](CancelReason reason) {
         response.body =
             reason == CancelReason::kStopping ? "stopping" : "client gone";
@@ -47,12 +47,12 @@
     co_return response;
   }
 
-  const bool heeds_token;
+  const bool observes_token;
 };
 
 /// A server that stops while it handles a request. @return What the client got.
-std::string answer_at_stop(bool heeds_token) {
-  Waiting waiting(heeds_token);
+std::string answer_at_stop(bool observes_token) {
+  Waiting waiting(observes_token);
   ServerFixture fixture(waiting.handler());
   RawClient client(fixture.port);
   client.send("GET / HTTP/1.1\r\n\r\n");
@@ -71,7 +71,7 @@
   cr_assert(text.find("Connection: close\r\n") != std::string::npos);
 }
 
-// Guards against a handler that doesn't heed its token and leaves its client
+// Guards against a handler that ignores its token and leaves its client
 // without an answer.
 Test(http_server_cancel, a_handler_that_goes_on_is_answered_for) {
   const std::string text = answer_at_stop(false);
--- a/tests/support/late_signal.cc
+++ b/tests/support/late_signal.cc
@@ -13,7 +13,7 @@
 extern "C" ssize_t __real_read(int file, void* buffer, std::size_t size);
 
 extern "C" ssize_t __wrap_read(int file, void* buffer, std::size_t size) {
-  // Longer than any interval at which the daemon does something by itself.
+  // Longer than the interval of each periodic timer of the daemon.
   constexpr std::chrono::milliseconds kDelay{600};
   const ssize_t bytes = __real_read(file, buffer, size);
   int number = 0;
--- a/tests/users_platform/stop_limit_test.cc
+++ b/tests/users_platform/stop_limit_test.cc
@@ -129,8 +129,8 @@
   cr_assert(silent.site.daemon().wait() == 0);
 }
 
-// Guards against a daemon that never ends by itself, because a tick that was
-// due when SIGTERM came has replaced the wait of its stop.
+// Guards against a daemon that runs until SIGKILL because a periodic timer that
+// expires together with SIGTERM aborts the wait of the shutdown.
 Test(stop_limit, a_daemon_ends_that_is_late_when_it_is_stopped) {
   EdgeSite site(0, std::chrono::milliseconds(100), std::chrono::seconds(2));
   site.start_daemon({}, "ibismux-edge-late");
